workspace: shared vocabulary, catalogue and platform traits

Cause: the crates are built side by side and need fixed interfaces first. Change: ids, units, entity maps, the catalogue with its checks, the breach report, the clock, and the traits for the key-value service, the VM list and the workers; empty crates for the rest.

--- /dev/null
+++ b/crates/ledger/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder until this crate has its first module.
--- /dev/null
+++ b/crates/platform/src/http/mod.rs
@@ -0,0 +1,1 @@
+//! The platform over HTTP.
--- /dev/null
+++ b/crates/types/src/catalogue/check.rs
@@ -0,0 +1,334 @@
+//! The rules that span records of the catalogue.
+//!
+//! [`check`] goes over the whole catalogue and reports every finding, each with the section, the record and what to
+//! do about it.
+
+use std::collections::HashSet;
+use std::fmt;
+use std::hash::Hash;
+
+use super::spec::{CatalogueSpec, PoolKind, QueueSpec};
+use crate::names::{PoolName, TeamName};
+
+/// A list in the catalogue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Section {
+    /// The document as a whole.
+    Document,
+    /// `data_centres`.
+    DataCentres,
+    /// `pools`.
+    Pools,
+    /// `teams`.
+    Teams,
+    /// `queues`.
+    Queues,
+    /// `keys`.
+    Keys,
+    /// `operators`.
+    Operators,
+    /// `weights`.
+    Weights,
+    /// `maintenance`.
+    Maintenance,
+}
+
+impl fmt::Display for Section {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(match self {
+            Self::Document => "document",
+            Self::DataCentres => "data_centres",
+            Self::Pools => "pools",
+            Self::Teams => "teams",
+            Self::Queues => "queues",
+            Self::Keys => "keys",
+            Self::Operators => "operators",
+            Self::Weights => "weights",
+            Self::Maintenance => "maintenance",
+        })
+    }
+}
+
+/// One thing wrong with a catalogue.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Finding {
+    /// The list it is in.
+    pub section: Section,
+    /// The record's place in its list, from 0.
+    pub index: usize,
+    /// The line of the record in the text, from 1, where there is a text.
+    pub line: Option<u64>,
+    /// What is wrong and what to do.
+    pub message: Box<str>,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.line {
+            Some(line) => write!(f, "line {line}: {}: {}", self.section, self.message),
+            None => write!(f, "{}[{}]: {}", self.section, self.index, self.message),
+        }
+    }
+}
+
+/// Everything wrong with a catalogue.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Findings {
+    found: Vec<Finding>,
+}
+
+impl Findings {
+    /// An empty list.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a finding about one record.
+    pub fn push(&mut self, section: Section, index: usize, message: impl Into<Box<str>>) {
+        self.found.push(Finding {
+            section,
+            index,
+            line: None,
+            message: message.into(),
+        });
+    }
+
+    /// Adds a finding at a known line.
+    pub fn push_at(&mut self, section: Section, line: u64, message: impl Into<Box<str>>) {
+        self.found.push(Finding {
+            section,
+            index: 0,
+            line: Some(line),
+            message: message.into(),
+        });
+    }
+
+    /// Whether nothing is wrong.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.found.is_empty()
+    }
+
+    /// How many findings there are.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.found.len()
+    }
+
+    /// The findings.
+    pub fn iter(&self) -> impl Iterator<Item = &Finding> {
+        self.found.iter()
+    }
+
+    /// Gives each finding without a line the one that `line_of` knows for its record, and sorts by line.
+    pub fn locate(&mut self, line_of: impl Fn(Section, usize) -> Option<u64>) {
+        for finding in &mut self.found {
+            finding.line = finding
+                .line
+                .or_else(|| line_of(finding.section, finding.index));
+        }
+        self.found.sort_by_key(|finding| finding.line);
+    }
+}
+
+impl fmt::Display for Findings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for finding in &self.found {
+            writeln!(f, "{finding}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Findings {}
+
+/// Everything wrong with `spec`.
+#[must_use]
+pub fn check(spec: &CatalogueSpec) -> Findings {
+    let mut out = Findings::new();
+    check_data_centres(spec, &mut out);
+    check_pools(spec, &mut out);
+    check_teams(spec, &mut out);
+    check_queues(spec, &mut out);
+    check_keys(spec, &mut out);
+    check_maintenance(spec, &mut out);
+    out
+}
+
+fn check_unique<'a, N: Hash + Eq + fmt::Display + 'a>(
+    section: Section,
+    names: impl Iterator<Item = &'a N>,
+    out: &mut Findings,
+) {
+    let mut seen = HashSet::new();
+    for (index, name) in names.enumerate() {
+        if !seen.insert(name) {
+            let message = format!("'{name}' stands twice: rename or remove one of them");
+            out.push(section, index, message);
+        }
+    }
+}
+
+fn check_data_centres(spec: &CatalogueSpec, out: &mut Findings) {
+    if spec.data_centres.is_empty() {
+        out.push(
+            Section::Document,
+            0,
+            "there is no data centre: list at least one under data_centres",
+        );
+    }
+    let names = spec.data_centres.iter().map(|dc| &dc.name);
+    check_unique(Section::DataCentres, names, out);
+}
+
+fn check_pools(spec: &CatalogueSpec, out: &mut Findings) {
+    check_unique(Section::Pools, spec.pools.iter().map(|p| &p.name), out);
+    for (index, pool) in spec.pools.iter().enumerate() {
+        if pool.min_vms > pool.max_vms {
+            let message = format!(
+                "pool '{}': min_vms {} is above max_vms {}: lower the one or raise the other",
+                pool.name, pool.min_vms, pool.max_vms
+            );
+            out.push(Section::Pools, index, message);
+        }
+        if pool.max_unavailable_vms.is_zero() && spec.maintenance.enabled {
+            let message = format!(
+                "pool '{}': max_unavailable_vms 0 lets no VM be maintained: set it to 1 or more, or set maintenance.enabled to false",
+                pool.name
+            );
+            out.push(Section::Pools, index, message);
+        }
+    }
+}
+
+fn check_teams(spec: &CatalogueSpec, out: &mut Findings) {
+    check_unique(Section::Teams, spec.teams.iter().map(|t| &t.name), out);
+    for (index, team) in spec.teams.iter().enumerate() {
+        if team.share.is_zero() {
+            let message = format!(
+                "team '{}': share 0 would starve it when the fleet is full: set it to 1 or more",
+                team.name
+            );
+            out.push(Section::Teams, index, message);
+        }
+    }
+}
+
+fn check_queues(spec: &CatalogueSpec, out: &mut Findings) {
+    check_unique(Section::Queues, spec.queues.iter().map(|q| &q.name), out);
+    for (index, queue) in spec.queues.iter().enumerate() {
+        check_queue_references(spec, index, queue, out);
+        check_queue_limits(index, queue, out);
+    }
+}
+
+fn has_team(spec: &CatalogueSpec, name: &TeamName) -> bool {
+    spec.teams.iter().any(|team| team.name == *name)
+}
+
+fn pool_kind(spec: &CatalogueSpec, name: &PoolName) -> Option<PoolKind> {
+    let pool = spec.pools.iter().find(|pool| pool.name == *name)?;
+    Some(pool.kind)
+}
+
+fn check_queue_references(
+    spec: &CatalogueSpec,
+    index: usize,
+    queue: &QueueSpec,
+    out: &mut Findings,
+) {
+    if !has_team(spec, &queue.owner) {
+        let message = format!(
+            "queue '{}': there is no team '{}': add it under teams or correct owner",
+            queue.name, queue.owner
+        );
+        out.push(Section::Queues, index, message);
+    }
+    let message = match pool_kind(spec, &queue.pool) {
+        None => format!(
+            "queue '{}': there is no pool '{}': add it under pools or correct pool",
+            queue.name, queue.pool
+        ),
+        Some(PoolKind::Spare) => format!(
+            "queue '{}': pool '{}' is spare and does no work: name a pool of kind upstreams or workers",
+            queue.name, queue.pool
+        ),
+        Some(PoolKind::Upstreams | PoolKind::Workers) => return,
+    };
+    out.push(Section::Queues, index, message);
+}
+
+fn check_queue_limits(index: usize, queue: &QueueSpec, out: &mut Findings) {
+    let limits = &queue.limits;
+    let positive = [
+        ("running_slots", u64::from(limits.running_slots.get())),
+        ("upstream_slots", u64::from(limits.upstream_slots.get())),
+        ("deadline_ms", limits.deadline_ms),
+        ("run_max_ms", limits.run_max_ms),
+    ];
+    for (field, value) in positive {
+        if value == 0 {
+            let message = format!(
+                "queue '{}': limits.{field} is 0 and would refuse all work: set it to 1 or more",
+                queue.name
+            );
+            out.push(Section::Queues, index, message);
+        }
+    }
+    if limits.deadline_ms > limits.deadline_max_ms {
+        let message = format!(
+            "queue '{}': limits.deadline_ms {} is above limits.deadline_max_ms {}: lower the one or raise the other",
+            queue.name, limits.deadline_ms, limits.deadline_max_ms
+        );
+        out.push(Section::Queues, index, message);
+    }
+    if limits.retry_percent > 100 {
+        let message = format!(
+            "queue '{}': limits.retry_percent {} would let retries pass the work itself: set it to 100 or less",
+            queue.name, limits.retry_percent
+        );
+        out.push(Section::Queues, index, message);
+    }
+}
+
+fn check_keys(spec: &CatalogueSpec, out: &mut Findings) {
+    check_unique(Section::Keys, spec.keys.iter().map(|k| &k.name), out);
+    let operators = spec.operators.iter().map(|o| &o.name);
+    check_unique(Section::Operators, operators, out);
+    let mut seen = HashSet::new();
+    for (index, key) in spec.keys.iter().enumerate() {
+        if !has_team(spec, &key.team) {
+            let message = format!(
+                "key '{}': there is no team '{}': add it under teams or correct team",
+                key.name, key.team
+            );
+            out.push(Section::Keys, index, message);
+        }
+        if !seen.insert(key.digest.to_string()) {
+            let message = format!(
+                "key '{}': another key has the same digest: grant a key of its own",
+                key.name
+            );
+            out.push(Section::Keys, index, message);
+        }
+    }
+}
+
+fn check_maintenance(spec: &CatalogueSpec, out: &mut Findings) {
+    let plan = &spec.maintenance;
+    if plan.period_hours == 0 {
+        out.push(
+            Section::Maintenance,
+            0,
+            "period_hours is 0: set the hours in which each VM is maintained once, such as 672",
+        );
+    }
+    if plan.first_batch_vms.is_zero() {
+        out.push(
+            Section::Maintenance,
+            0,
+            "first_batch_vms is 0 and no wave would start: set it to 1 or more",
+        );
+    }
+}
