--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -1,1 +1,10 @@
-//! Placeholder until this crate has its first module.
+//! The documents that entries agree on, each stored as one value in the platform's key-value service.
+//!
+//! Every document is changed by one compare-and-swap, so a promise that holds for the value holds for the fleet.
+//! Start with [`document::Document`], through which a store session reads, changes and swaps any of them.
+//!
+//! This crate does no I/O; time is passed in.
+
+pub mod document;
+
+pub use document::{Document, DocumentError, Outcome, RecentEdits};
