--- /dev/null
+++ b/crates/platform/src/http/worker.rs
@@ -0,0 +1,93 @@
+//! Workers over HTTP.
+//!
+//! A start is a `POST` to `/v1/tasks`, a command a `POST` to `/v1/commands`, the report a `GET` of `/v1/report`.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, StatusCode};
+use serde::Serialize;
+
+use super::call::{Answer, CallError, HttpCaller};
+use crate::worker::{CommandTask, StartTask, WorkerError, WorkerReport, Workers};
+
+/// The workers, each at its own address.
+#[derive(Debug, Clone)]
+pub struct HttpWorkers {
+    caller: HttpCaller,
+}
+
+impl HttpWorkers {
+    /// Each call waits at most `timeout`.
+    #[must_use]
+    pub fn new(timeout: Duration) -> Self {
+        Self {
+            caller: HttpCaller::new(timeout),
+        }
+    }
+
+    async fn post<T: Serialize>(
+        &self,
+        worker: SocketAddr,
+        path: &str,
+        message: &T,
+    ) -> Result<(), WorkerError> {
+        let body = serde_json::to_vec(message)
+            .map_err(|error| WorkerError::Malformed(error.to_string().into()))?;
+        let answer = self
+            .call(Method::POST, worker, path, body.into())
+            .await
+            .map_err(worker_error)?;
+        match answer.status {
+            StatusCode::ACCEPTED => Ok(()),
+            StatusCode::CONFLICT | StatusCode::SERVICE_UNAVAILABLE => {
+                Err(WorkerError::Refused(answer.detail()))
+            }
+            _ => Err(WorkerError::Malformed(answer.detail())),
+        }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        worker: SocketAddr,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Answer, CallError> {
+        self.caller
+            .call(method, worker, path, HeaderMap::new(), body, Duration::ZERO)
+            .await
+    }
+}
+
+impl Workers for HttpWorkers {
+    async fn start(&self, worker: SocketAddr, start: &StartTask) -> Result<(), WorkerError> {
+        self.post(worker, "/v1/tasks", start).await
+    }
+
+    async fn command(&self, worker: SocketAddr, command: &CommandTask) -> Result<(), WorkerError> {
+        self.post(worker, "/v1/commands", command).await
+    }
+
+    async fn report(&self, worker: SocketAddr) -> Result<WorkerReport, WorkerError> {
+        let answer = self
+            .call(Method::GET, worker, "/v1/report", Bytes::new())
+            .await
+            // A read changes nothing, so its outcome is never unknown.
+            .map_err(|_| WorkerError::Unreachable)?;
+        match answer.status {
+            StatusCode::OK => serde_json::from_slice(&answer.body)
+                .map_err(|error| WorkerError::Malformed(error.to_string().into())),
+            _ => Err(WorkerError::Malformed(answer.detail())),
+        }
+    }
+}
+
+fn worker_error(error: CallError) -> WorkerError {
+    match error {
+        CallError::NotSent => WorkerError::Unreachable,
+        CallError::NoAnswer => WorkerError::OutcomeUnknown,
+        CallError::BadRequest(detail) => WorkerError::Malformed(detail),
+    }
+}
--- /dev/null
+++ b/crates/standin/src/fleet/mod.rs
@@ -0,0 +1,207 @@
+//! The platform's list of VMs, which lags, and reboots.
+//!
+//! [`FleetFake`] holds the VMs as they are and a listing as it was shown last; the listing is renewed only once the
+//! lag has passed. A reboot takes a while; a VM can be set to never come back. A VM's open work can be watched, so a
+//! reboot that cuts work is counted.
+
+use std::collections::{HashMap, HashSet};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use goldcrest_platform::fleet::{VmListing, VmPhase, VmRecord};
+use goldcrest_platform::http::fleet::RebootVm;
+use goldcrest_types::names::{DcName, VmName};
+use goldcrest_types::units::Epoch;
+use http::{Method, Request, StatusCode};
+use hyper::body::Incoming;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::server::{self, Answer, HangUp};
+
+#[derive(Debug, Default)]
+struct State {
+    vms: HashMap<VmName, VmRecord>,
+    epochs: HashMap<VmName, Epoch>,
+    broken: HashSet<VmName>,
+    cut: HashSet<DcName>,
+    reboots: Vec<VmName>,
+    open_work: HashMap<VmName, Arc<AtomicU32>>,
+    cut_work: u32,
+    shown: VmListing,
+    shown_at: Option<Instant>,
+}
+
+/// The platform's list of VMs and its reboots. Clones share the state.
+#[derive(Debug, Clone)]
+pub struct FleetFake {
+    state: Arc<Mutex<State>>,
+    reboot_time: Duration,
+    lag: Duration,
+}
+
+impl FleetFake {
+    /// A fleet without VMs, whose reboots take `reboot_time` and whose list lags by up to `lag`.
+    #[must_use]
+    pub fn new(reboot_time: Duration, lag: Duration) -> Self {
+        Self {
+            state: Arc::default(),
+            reboot_time,
+            lag,
+        }
+    }
+
+    /// Serves one data centre until `stop`, and returns the address.
+    ///
+    /// # Errors
+    ///
+    /// The error of the operating system.
+    pub async fn listen(&self, dc: DcName, stop: CancellationToken) -> io::Result<SocketAddr> {
+        let (listener, address) = server::bind().await?;
+        let fake = self.clone();
+        let handle = move |request| {
+            let fake = fake.clone();
+            let dc = dc.clone();
+            async move { fake.handle(&dc, request).await }
+        };
+        tokio::spawn(server::serve(listener, stop, handle));
+        Ok(address)
+    }
+
+    /// Adds a VM or replaces its record.
+    pub fn put(&self, vm: VmRecord) {
+        self.state().vms.insert(vm.name.clone(), vm);
+    }
+
+    /// Watches the open work of a VM, so that a reboot that cuts it is counted.
+    pub fn watch_work(&self, vm: &VmName, open: Arc<AtomicU32>) {
+        self.state().open_work.insert(vm.clone(), open);
+    }
+
+    /// How many pieces of work were cut by reboots.
+    #[must_use]
+    pub fn cut_work(&self) -> u32 {
+        self.state().cut_work
+    }
+
+    /// Sets the phase of a VM.
+    pub fn set_phase(&self, vm: &VmName, phase: VmPhase) {
+        if let Some(record) = self.state().vms.get_mut(vm) {
+            record.phase = phase;
+        }
+    }
+
+    /// Takes a VM off the list.
+    pub fn remove(&self, vm: &VmName) {
+        self.state().vms.remove(vm);
+    }
+
+    /// Sets whether a VM fails to come back from its next reboot.
+    pub fn set_broken(&self, vm: &VmName, is_broken: bool) {
+        let mut state = self.state();
+        if is_broken {
+            state.broken.insert(vm.clone());
+        } else {
+            state.broken.remove(vm);
+        }
+    }
+
+    /// Cuts a data centre off from the platform, or ends that.
+    pub fn set_cut(&self, dc: &DcName, is_cut: bool) {
+        let mut state = self.state();
+        if is_cut {
+            state.cut.insert(dc.clone());
+        } else {
+            state.cut.remove(dc);
+        }
+    }
+
+    /// The reboots that were done, in order.
+    #[must_use]
+    pub fn reboots(&self) -> Vec<VmName> {
+        self.state().reboots.clone()
+    }
+
+    /// The VMs that are rebooting at this moment.
+    #[must_use]
+    pub fn rebooting(&self) -> Vec<VmRecord> {
+        let state = self.state();
+        let is_down = |vm: &&VmRecord| vm.phase == VmPhase::Rebooting;
+        state.vms.values().filter(is_down).cloned().collect()
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn handle(&self, dc: &DcName, request: Request<Incoming>) -> Result<Answer, HangUp> {
+        if self.state().cut.contains(dc) {
+            return Err(HangUp::Fault);
+        }
+        let path: Box<str> = request.uri().path().into();
+        if *request.method() == Method::GET && &*path == "/v1/vms" {
+            return Ok(server::json(&self.listing()));
+        }
+        let vm = path
+            .strip_prefix("/v1/vms/")
+            .and_then(|rest| rest.strip_suffix("/reboot"))
+            .and_then(|name| name.parse::<VmName>().ok());
+        let Some(vm) = vm else {
+            return Ok(server::text(StatusCode::BAD_REQUEST, "no such path"));
+        };
+        let Some(order) = server::read_json::<RebootVm>(request.into_body()).await else {
+            return Ok(server::text(StatusCode::BAD_REQUEST, "give epoch"));
+        };
+        Ok(self.reboot(&vm, order.epoch))
+    }
+
+    fn listing(&self) -> VmListing {
+        let mut state = self.state();
+        let is_due = state
+            .shown_at
+            .is_none_or(|shown_at| shown_at.elapsed() >= self.lag);
+        if is_due {
+            let mut vms: Vec<VmRecord> = state.vms.values().cloned().collect();
+            vms.sort_by(|a, b| a.name.cmp(&b.name));
+            state.shown = VmListing { vms };
+            state.shown_at = Some(Instant::now());
+        }
+        state.shown.clone()
+    }
+
+    fn reboot(&self, vm: &VmName, epoch: Epoch) -> Answer {
+        let mut state = self.state();
+        let seen = state.epochs.get(vm).copied().unwrap_or(Epoch::ZERO);
+        if epoch < seen {
+            return server::text(StatusCode::CONFLICT, "an older epoch");
+        }
+        let Some(record) = state.vms.get_mut(vm) else {
+            return server::text(StatusCode::NOT_FOUND, "no such VM");
+        };
+        let starts = record.phase != VmPhase::Rebooting;
+        record.phase = VmPhase::Rebooting;
+        state.epochs.insert(vm.clone(), epoch);
+        if starts {
+            let open = state.open_work.get(vm);
+            state.cut_work += open.map_or(0, |open| open.load(Ordering::Acquire));
+            state.reboots.push(vm.clone());
+            tokio::spawn(self.clone().come_back(vm.clone()));
+        }
+        server::text(StatusCode::ACCEPTED, "")
+    }
+
+    async fn come_back(self, vm: VmName) {
+        tokio::time::sleep(self.reboot_time).await;
+        let mut state = self.state();
+        if state.broken.contains(&vm) {
+            return;
+        }
+        if let Some(record) = state.vms.get_mut(&vm) {
+            record.phase = VmPhase::Live;
+            record.boots += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/upstream/mod.rs
@@ -0,0 +1,226 @@
+//! An upstream that answers requests and counts how often each ran.
+//!
+//! A request's body is echoed after the time in the query's `delay_ms`; the header `x-request-id` is echoed as well. The
+//! [`CallBook`] that upstreams share counts the runs by the header `idempotency-key`, or by request id where there is
+//! none, and the most runs of each team at one time.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use http::{HeaderMap, HeaderName, Request, StatusCode};
+use hyper::body::Incoming;
+use tokio_util::sync::CancellationToken;
+
+use crate::server::{self, Answer, HangUp};
+
+/// The header that names a request on its way to an upstream and back.
+pub const REQUEST_ID_HEADER: HeaderName = HeaderName::from_static("x-request-id");
+
+/// The header by which a caller marks repeats of one request.
+pub const IDEMPOTENCY_KEY_HEADER: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// The header that tells an upstream whose work it does.
+pub const TEAM_HEADER: HeaderName = HeaderName::from_static("x-team");
+
+/// How an upstream misbehaves.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum UpstreamFault {
+    /// Not at all.
+    #[default]
+    None,
+    /// Refuses with 503 before running anything.
+    Refusing,
+    /// Runs the request and closes the connection without an answer.
+    Silent,
+    /// Answers with another request's id.
+    Crossed,
+    /// Takes this much longer.
+    Slow(Duration),
+}
+
+/// What ran on all upstreams that share the book.
+#[derive(Debug, Default)]
+pub struct CallBook {
+    inner: Mutex<CallBookInner>,
+}
+
+#[derive(Debug, Default)]
+struct CallBookInner {
+    runs: HashMap<Box<str>, u32>,
+    by_team: HashMap<Box<str>, u32>,
+    most_by_team: HashMap<Box<str>, u32>,
+}
+
+impl CallBook {
+    fn lock(&self) -> MutexGuard<'_, CallBookInner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// How often the request with this key or id ran.
+    #[must_use]
+    pub fn runs(&self, key: &str) -> u32 {
+        self.lock().runs.get(key).copied().unwrap_or(0)
+    }
+
+    /// How many requests ran more than once.
+    #[must_use]
+    pub fn run_twice(&self) -> usize {
+        self.lock().runs.values().filter(|runs| **runs > 1).count()
+    }
+
+    /// The most requests of `team` that ever ran at one time.
+    #[must_use]
+    pub fn most_running(&self, team: &str) -> u32 {
+        self.lock().most_by_team.get(team).copied().unwrap_or(0)
+    }
+
+    fn begin(&self, key: &str, team: &str) {
+        let mut book = self.lock();
+        *book.runs.entry(key.into()).or_default() += 1;
+        let running = book.by_team.entry(team.into()).or_default();
+        *running += 1;
+        let running = *running;
+        let most = book.most_by_team.entry(team.into()).or_default();
+        *most = running.max(*most);
+    }
+
+    fn end(&self, team: &str) {
+        if let Some(running) = self.lock().by_team.get_mut(team) {
+            *running -= 1;
+        }
+    }
+}
+
+/// One upstream. Clones share the state.
+#[derive(Debug, Clone)]
+pub struct UpstreamFake {
+    book: Arc<CallBook>,
+    open: Arc<AtomicU32>,
+    fault: Arc<Mutex<UpstreamFault>>,
+}
+
+impl UpstreamFake {
+    /// An upstream that notes its runs in `book`.
+    #[must_use]
+    pub fn new(book: Arc<CallBook>) -> Self {
+        Self {
+            book,
+            open: Arc::default(),
+            fault: Arc::default(),
+        }
+    }
+
+    /// Serves until `stop`, and returns the address.
+    ///
+    /// # Errors
+    ///
+    /// The error of the operating system.
+    pub async fn listen(&self, stop: CancellationToken) -> io::Result<SocketAddr> {
+        let (listener, address) = server::bind().await?;
+        let fake = self.clone();
+        let handle = move |request| {
+            let fake = fake.clone();
+            async move { fake.handle(request).await }
+        };
+        tokio::spawn(server::serve(listener, stop, handle));
+        Ok(address)
+    }
+
+    /// Switches a fault on or off.
+    pub fn set_fault(&self, fault: UpstreamFault) {
+        *self.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
+    }
+
+    /// The number of requests that run at this moment.
+    #[must_use]
+    pub fn open(&self) -> Arc<AtomicU32> {
+        Arc::clone(&self.open)
+    }
+
+    fn fault(&self) -> UpstreamFault {
+        *self.fault.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn handle(&self, request: Request<Incoming>) -> Result<Answer, HangUp> {
+        let fault = self.fault();
+        if fault == UpstreamFault::Refusing {
+            let mut answer = server::text(StatusCode::SERVICE_UNAVAILABLE, "not run");
+            copy_request_id(request.headers(), &mut answer);
+            return Ok(answer);
+        }
+        let running = Running::new(self, request.headers());
+        let mut delay = delay_of(&request);
+        if let UpstreamFault::Slow(extra) = fault {
+            delay += extra;
+        }
+        let headers = request.headers().clone();
+        let body = server::read_body(request.into_body())
+            .await
+            .ok_or(HangUp::Fault)?;
+        tokio::time::sleep(delay).await;
+        drop(running);
+        let mut answer = Answer::new(http_body_util::Full::new(body));
+        match fault {
+            UpstreamFault::Silent => return Err(HangUp::Fault),
+            UpstreamFault::Crossed => {
+                let other = http::HeaderValue::from_static("00000000000000000000000000000000");
+                answer.headers_mut().insert(REQUEST_ID_HEADER, other);
+            }
+            UpstreamFault::None | UpstreamFault::Refusing | UpstreamFault::Slow(_) => {
+                copy_request_id(&headers, &mut answer);
+            }
+        }
+        Ok(answer)
+    }
+}
+
+/// Counts a request as running until it is dropped, also when the connection is cut.
+struct Running {
+    book: Arc<CallBook>,
+    open: Arc<AtomicU32>,
+    team: Box<str>,
+}
+
+impl Running {
+    fn new(upstream: &UpstreamFake, headers: &HeaderMap) -> Self {
+        let request_id = header_text(headers, &REQUEST_ID_HEADER);
+        let key = header_text(headers, &IDEMPOTENCY_KEY_HEADER).or(request_id);
+        let team = header_text(headers, &TEAM_HEADER).unwrap_or("");
+        upstream.book.begin(key.unwrap_or(""), team);
+        upstream.open.fetch_add(1, Ordering::AcqRel);
+        Self {
+            book: Arc::clone(&upstream.book),
+            open: Arc::clone(&upstream.open),
+            team: team.into(),
+        }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.open.fetch_sub(1, Ordering::AcqRel);
+        self.book.end(&self.team);
+    }
+}
+
+fn header_text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn copy_request_id(headers: &HeaderMap, answer: &mut Answer) {
+    if let Some(id) = headers.get(REQUEST_ID_HEADER) {
+        answer.headers_mut().insert(REQUEST_ID_HEADER, id.clone());
+    }
+}
+
+fn delay_of(request: &Request<Incoming>) -> Duration {
+    let query = request.uri().query().unwrap_or("");
+    let delay_ms = query
+        .split('&')
+        .find_map(|pair| pair.strip_prefix("delay_ms=")?.parse().ok());
+    Duration::from_millis(delay_ms.unwrap_or(0))
+}
--- /dev/null
+++ b/crates/standin/src/worker/mod.rs
@@ -0,0 +1,296 @@
+//! A worker that runs tasks by their payload.
+//!
+//! A payload is words: `run_ms=200` sets the run time, `fail` makes the task fail at its end. A task whose lease is
+//! not renewed is stopped. For each task the fake counts how many attempts ran at one time over all workers of a
+//! [`RunBook`], so a test can show that no task ever ran twice at once.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use goldcrest_platform::worker::{
+    CommandTask, StartTask, TaskCommand, TaskPhase, TaskReport, WorkerReport,
+};
+use goldcrest_types::names::{TaskKey, TeamName};
+use goldcrest_types::units::Epoch;
+use http::{Method, Request, StatusCode};
+use hyper::body::Incoming;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::server::{self, Answer, HangUp};
+
+/// The run time of a payload that names none.
+const RUN_DEFAULT: Duration = Duration::from_millis(100);
+
+/// What ran on all workers that share the book.
+#[derive(Debug, Default)]
+pub struct RunBook {
+    inner: Mutex<RunBookInner>,
+}
+
+#[derive(Debug, Default)]
+struct RunBookInner {
+    running: HashMap<TaskKey, u32>,
+    by_team: HashMap<TeamName, u32>,
+    most_by_team: HashMap<TeamName, u32>,
+    started: HashMap<TaskKey, u32>,
+    succeeded: HashMap<TaskKey, u32>,
+    overlaps: u32,
+}
+
+impl RunBook {
+    fn lock(&self) -> MutexGuard<'_, RunBookInner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// How many times a task started while another attempt of it was running.
+    #[must_use]
+    pub fn overlaps(&self) -> u32 {
+        self.lock().overlaps
+    }
+
+    /// How many attempts of `task` have started.
+    #[must_use]
+    pub fn started(&self, task: TaskKey) -> u32 {
+        self.lock().started.get(&task).copied().unwrap_or(0)
+    }
+
+    /// How many attempts of `task` have ended well.
+    #[must_use]
+    pub fn succeeded(&self, task: TaskKey) -> u32 {
+        self.lock().succeeded.get(&task).copied().unwrap_or(0)
+    }
+
+    /// The most tasks of `team` that ever ran at one time.
+    #[must_use]
+    pub fn most_running(&self, team: &TeamName) -> u32 {
+        self.lock().most_by_team.get(team).copied().unwrap_or(0)
+    }
+
+    fn begin(&self, task: TaskKey, team: &TeamName) {
+        let mut book = self.lock();
+        *book.started.entry(task).or_default() += 1;
+        let running = book.running.entry(task).or_default();
+        *running += 1;
+        let is_overlap = *running > 1;
+        book.overlaps += u32::from(is_overlap);
+        let of_team = book.by_team.entry(team.clone()).or_default();
+        *of_team += 1;
+        let of_team = *of_team;
+        let most = book.most_by_team.entry(team.clone()).or_default();
+        *most = of_team.max(*most);
+    }
+
+    fn end(&self, task: TaskKey, team: &TeamName, phase: TaskPhase) {
+        let mut book = self.lock();
+        if let Some(running) = book.running.get_mut(&task) {
+            *running -= 1;
+        }
+        if let Some(of_team) = book.by_team.get_mut(team) {
+            *of_team -= 1;
+        }
+        if phase == TaskPhase::Succeeded {
+            *book.succeeded.entry(task).or_default() += 1;
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Run {
+    start: StartTask,
+    phase: TaskPhase,
+    lease_ends: Instant,
+    signal: Arc<Notify>,
+    order: Option<TaskPhase>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    runs: HashMap<(TaskKey, u32), Run>,
+    epochs: HashMap<TaskKey, Epoch>,
+    fails_everything: bool,
+}
+
+/// One worker. Clones share the state.
+#[derive(Debug, Clone)]
+pub struct WorkerFake {
+    state: Arc<Mutex<State>>,
+    book: Arc<RunBook>,
+}
+
+impl WorkerFake {
+    /// A worker that notes its runs in `book`.
+    #[must_use]
+    pub fn new(book: Arc<RunBook>) -> Self {
+        Self {
+            state: Arc::default(),
+            book,
+        }
+    }
+
+    /// Serves until `stop`, and returns the address.
+    ///
+    /// # Errors
+    ///
+    /// The error of the operating system.
+    pub async fn listen(&self, stop: CancellationToken) -> io::Result<SocketAddr> {
+        let (listener, address) = server::bind().await?;
+        let fake = self.clone();
+        let handle = move |request| {
+            let fake = fake.clone();
+            async move { fake.handle(request).await }
+        };
+        tokio::spawn(server::serve(listener, stop, handle));
+        Ok(address)
+    }
+
+    /// Sets whether every task fails as soon as it has started.
+    pub fn set_fails_everything(&self, fails: bool) {
+        self.state().fails_everything = fails;
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn handle(&self, request: Request<Incoming>) -> Result<Answer, HangUp> {
+        let path: Box<str> = request.uri().path().into();
+        Ok(match (request.method(), &*path) {
+            (&Method::GET, "/v1/report") => server::json(&self.report()),
+            (&Method::POST, "/v1/tasks") => {
+                match server::read_json::<StartTask>(request.into_body()).await {
+                    Some(start) => self.start(start),
+                    None => server::text(StatusCode::BAD_REQUEST, "no start"),
+                }
+            }
+            (&Method::POST, "/v1/commands") => {
+                match server::read_json::<CommandTask>(request.into_body()).await {
+                    Some(command) => self.command(&command),
+                    None => server::text(StatusCode::BAD_REQUEST, "no command"),
+                }
+            }
+            _ => server::text(StatusCode::NOT_FOUND, "no such path"),
+        })
+    }
+
+    fn report(&self) -> WorkerReport {
+        let state = self.state();
+        let tasks = state.runs.values().map(|run| TaskReport {
+            task: run.start.task,
+            attempt: run.start.attempt,
+            phase: run.phase,
+            used: run.start.resources,
+        });
+        WorkerReport {
+            tasks: tasks.collect(),
+        }
+    }
+
+    fn start(&self, start: StartTask) -> Answer {
+        let mut state = self.state();
+        let seen = state.epochs.get(&start.task).copied();
+        if seen.is_some_and(|seen| start.epoch < seen) {
+            return server::text(StatusCode::CONFLICT, "an older epoch");
+        }
+        state.epochs.insert(start.task, start.epoch);
+        let id = (start.task, start.attempt);
+        if state.runs.contains_key(&id) {
+            return server::text(StatusCode::ACCEPTED, "");
+        }
+        let signal = Arc::new(Notify::new());
+        let run_time = run_time(&start, state.fails_everything);
+        let run = Run {
+            lease_ends: Instant::now() + start.lease(),
+            phase: TaskPhase::Running,
+            signal: Arc::clone(&signal),
+            order: None,
+            start,
+        };
+        self.book.begin(run.start.task, &run.start.team);
+        state.runs.insert(id, run);
+        tokio::spawn(self.clone().run(id, Instant::now() + run_time, signal));
+        server::text(StatusCode::ACCEPTED, "")
+    }
+
+    fn command(&self, command: &CommandTask) -> Answer {
+        let mut state = self.state();
+        let seen = state.epochs.get(&command.task).copied();
+        if seen.is_some_and(|seen| command.epoch < seen) {
+            return server::text(StatusCode::CONFLICT, "an older epoch");
+        }
+        state.epochs.insert(command.task, command.epoch);
+        let Some(run) = state.runs.get_mut(&(command.task, command.attempt)) else {
+            return server::text(StatusCode::CONFLICT, "no such task");
+        };
+        match command.command {
+            TaskCommand::Renew => run.lease_ends = Instant::now() + run.start.lease(),
+            TaskCommand::Throttle => {}
+            TaskCommand::Checkpoint => run.order = Some(TaskPhase::Checkpointed),
+            TaskCommand::Stop => run.order = Some(TaskPhase::Stopped),
+        }
+        run.signal.notify_one();
+        server::text(StatusCode::ACCEPTED, "")
+    }
+
+    async fn run(self, id: (TaskKey, u32), ends: Instant, signal: Arc<Notify>) {
+        loop {
+            let Some(lease_ends) = self.lease_end(id) else {
+                return;
+            };
+            let wake = ends.min(lease_ends);
+            let _ = tokio::time::timeout_at(wake, signal.notified()).await;
+            if let Some(phase) = self.ended(id, ends) {
+                self.finish(id, phase);
+                return;
+            }
+        }
+    }
+
+    fn lease_end(&self, id: (TaskKey, u32)) -> Option<Instant> {
+        self.state().runs.get(&id).map(|run| run.lease_ends)
+    }
+
+    fn ended(&self, id: (TaskKey, u32), ends: Instant) -> Option<TaskPhase> {
+        let state = self.state();
+        let run = state.runs.get(&id)?;
+        let now = Instant::now();
+        if run.order.is_some() {
+            return run.order;
+        }
+        if now >= ends {
+            let fails = state.fails_everything || is_failing(&run.start);
+            return Some(if fails {
+                TaskPhase::Failed
+            } else {
+                TaskPhase::Succeeded
+            });
+        }
+        (now >= run.lease_ends).then_some(TaskPhase::Stopped)
+    }
+
+    fn finish(&self, id: (TaskKey, u32), phase: TaskPhase) {
+        if let Some(run) = self.state().runs.get_mut(&id) {
+            run.phase = phase;
+            self.book.end(run.start.task, &run.start.team, phase);
+        }
+    }
+}
+
+fn run_time(start: &StartTask, fails_everything: bool) -> Duration {
+    if fails_everything {
+        return Duration::ZERO;
+    }
+    start
+        .payload
+        .split_whitespace()
+        .find_map(|word| word.strip_prefix("run_ms=")?.parse().ok())
+        .map_or(RUN_DEFAULT, Duration::from_millis)
+}
+
+fn is_failing(start: &StartTask) -> bool {
+    start.payload.split_whitespace().any(|word| word == "fail")
+}
