upkeep: maintenance waves and pool sizes as pure plans

Cause: the daemon needs the interface of both decisions to wire its driver. Conclusion: interface to build against.

--- /dev/null
+++ b/crates/upkeep/src/maintenance/deadline.rs
@@ -0,0 +1,56 @@
+//! Pass 4: what is left against the time left in the period.
+//!
+//! A group needs as many turns as its VMs left divided by its budget; a data centre needs those of its longest
+//! group; the data centres go one after the other. The length of a turn is learned.
+
+use std::time::{Duration, Instant};
+
+use goldcrest_types::catalogue::Catalogue;
+use goldcrest_types::entity::DcId;
+
+use super::{Context, dcs};
+use crate::fleet::Fleet;
+
+/// How much longer than expected the rest may take before the wave must hurry, in percent.
+pub const RESERVE_PERCENT: u32 = 150;
+
+/// A new turn changes the learned length by one part in this many.
+const LEARN_DIVISOR: u32 = 8;
+
+/// What the context has learned about turns.
+#[derive(Debug, Default)]
+pub(super) struct Deadline {
+    turn: Option<Duration>,
+    /// Whether VMs with long tasks can no longer be put off.
+    pub(super) is_close: bool,
+}
+
+impl Deadline {
+    /// Takes in the length of one turn: drain, reboot and verification.
+    pub(super) fn learn(&mut self, took: Duration) {
+        let turn = match self.turn {
+            Some(turn) => (turn * (LEARN_DIVISOR - 1) + took) / LEARN_DIVISOR,
+            None => took,
+        };
+        self.turn = Some(turn);
+    }
+}
+
+/// Estimates the rest of the wave.
+pub(super) fn run(ctx: &mut Context, fleet: &Fleet, cat: &Catalogue, now: Instant) {
+    let ends = fleet.cycle.started + cat.maintenance.period();
+    let turn = ctx.deadline.turn.unwrap_or(cat.maintenance.reboot_max());
+    let turns: u32 = dcs(cat).map(|dc| turns_of(ctx, cat, dc)).sum();
+    ctx.status.needed = turn * turns;
+    ctx.status.left = ends.saturating_duration_since(now);
+    ctx.deadline.is_close = ctx.status.needed * RESERVE_PERCENT / 100 > ctx.status.left;
+}
+
+fn turns_of(ctx: &Context, cat: &Catalogue, dc: DcId) -> u32 {
+    let groups = ctx.census.iter().filter(|(group, _)| group.dc == dc);
+    let turns = groups.map(|(group, count)| {
+        let budget = cat.pools[group.pool].max_unavailable_vms.get();
+        count.due.div_ceil(budget.max(1))
+    });
+    turns.max().unwrap_or(0)
+}
--- /dev/null
+++ b/crates/upkeep/src/maintenance/overrun.rs
@@ -0,0 +1,35 @@
+//! Pass 1: gives back VMs that are needed since others of their group failed.
+
+use goldcrest_types::catalogue::Catalogue;
+
+use super::{Action, Context, Reason, Step};
+use crate::fleet::{Fleet, Group, Seen, VmState};
+
+/// Returns draining VMs of every group that has more out of service than its budget.
+pub(super) fn run(ctx: &mut Context, fleet: &Fleet, cat: &Catalogue) {
+    for (id, vm) in fleet.vms.iter() {
+        let can_return = matches!(vm.state, VmState::Draining | VmState::Moving(_));
+        if !can_return || vm.seen != Seen::Live {
+            continue;
+        }
+        let group = Group {
+            pool: vm.pool,
+            dc: vm.dc,
+        };
+        let unavailable = ctx.census.group(group).unavailable;
+        let max = cat.pools[vm.pool].max_unavailable_vms.get();
+        if unavailable > max {
+            let reason = Reason::BudgetOverrun {
+                group,
+                unavailable,
+                max,
+            };
+            let step = Step {
+                vm: id,
+                action: Action::Return,
+                reason,
+            };
+            ctx.emit(fleet, step);
+        }
+    }
+}
--- /dev/null
+++ b/crates/upkeep/src/maintenance/select.rs
@@ -0,0 +1,172 @@
+//! Pass 6: which VMs of the data centre are drained now.
+//!
+//! Groups that need the most turns go first, since they decide when the data centre is done; within a group the VM
+//! whose work ends soonest goes first. VMs with tasks longer than the drain may last go when nothing else is left
+//! anywhere, or when the period's end is close.
+
+use std::cmp::Reverse;
+use std::time::{Duration, Instant};
+
+use goldcrest_types::catalogue::Catalogue;
+use goldcrest_types::entity::VmId;
+
+use super::{Action, Context, Hold, Pace, Reason, Step, is_due};
+use crate::fleet::{Fleet, Group, Seen, Vm, VmState, headroom};
+
+/// A VM that may be drained, in the order of preference.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Candidate {
+    is_long: bool,
+    turns: Reverse<u32>,
+    work_left: Duration,
+    vm: VmId,
+}
+
+/// Drains as many VMs as batch and budget allow.
+pub(super) fn run(ctx: &mut Context, fleet: &Fleet, cat: &Catalogue, now: Instant) {
+    if ctx.status.hold.is_some() {
+        return;
+    }
+    collect(ctx, fleet, cat, now);
+    let mut width = width(ctx, cat);
+    let mut candidates = std::mem::take(&mut ctx.candidates);
+    candidates.sort_unstable();
+    let mut taken = 0;
+    for candidate in &candidates {
+        if width == 0 {
+            break;
+        }
+        if drain(ctx, fleet, cat, candidate.vm) {
+            width -= 1;
+            taken += 1;
+        }
+    }
+    ctx.candidates = candidates;
+    if taken == 0 {
+        ctx.status.hold = Some(hold(ctx, fleet, cat, now));
+    }
+    ctx.status.in_work += taken;
+}
+
+/// Whether `vm` is due, serves, and may be taken out of service as far as it is concerned itself.
+pub(super) fn is_ready(
+    ctx: &Context,
+    fleet: &Fleet,
+    cat: &Catalogue,
+    vm: VmId,
+    now: Instant,
+) -> bool {
+    let record = &fleet.vms[vm];
+    let not_before = ctx.notes[vm].not_before;
+    is_due(fleet, vm)
+        && record.state == VmState::Serving
+        && record.seen == Seen::Live
+        && !ctx.decided[vm]
+        && !cat.pools[record.pool].max_unavailable_vms.is_zero()
+        && not_before.is_none_or(|at| now >= at)
+}
+
+/// Whether the tasks of `vm` are expected to outlast a drain.
+pub(super) fn is_long(vm: &Vm, cat: &Catalogue) -> bool {
+    !vm.work.checkpointable && vm.work.longest_left > cat.maintenance.drain_max()
+}
+
+/// Whether a VM with long tasks is no longer put off. Always true of others.
+pub(super) fn is_turn(ctx: &Context, vm: &Vm, cat: &Catalogue) -> bool {
+    !is_long(vm, cat) || ctx.domain.only_long || ctx.deadline.is_close
+}
+
+/// Whether the budget of the group of `vm` has room.
+pub(super) fn has_headroom(ctx: &Context, cat: &Catalogue, vm: &Vm) -> bool {
+    let count = ctx.census.group(group_of(vm));
+    headroom(count, cat.pools[vm.pool].max_unavailable_vms) > 0
+}
+
+fn group_of(vm: &Vm) -> Group {
+    Group {
+        pool: vm.pool,
+        dc: vm.dc,
+    }
+}
+
+fn collect(ctx: &mut Context, fleet: &Fleet, cat: &Catalogue, now: Instant) {
+    let mut candidates = std::mem::take(&mut ctx.candidates);
+    candidates.clear();
+    for (vm, record) in fleet.vms.iter() {
+        let is_here = ctx.status.domain == Some(record.dc);
+        if !is_here || !is_ready(ctx, fleet, cat, vm, now) || !is_turn(ctx, record, cat) {
+            continue;
+        }
+        let due = ctx.census.group(group_of(record)).due;
+        let budget = cat.pools[record.pool].max_unavailable_vms.get();
+        candidates.push(Candidate {
+            is_long: is_long(record, cat),
+            turns: Reverse(due.div_ceil(budget)),
+            work_left: record.work.longest_left,
+            vm,
+        });
+    }
+    ctx.candidates = candidates;
+}
+
+/// How many more VMs the pace lets out of service.
+fn width(ctx: &Context, cat: &Catalogue) -> u32 {
+    let batch = cat.maintenance.first_batch_vms.get().max(1);
+    match ctx.status.pace {
+        Pace::Wide => u32::MAX,
+        Pace::FirstBatch | Pace::Slow => batch.saturating_sub(ctx.status.in_work),
+        Pace::Stopped => 0,
+    }
+}
+
+fn drain(ctx: &mut Context, fleet: &Fleet, cat: &Catalogue, vm: VmId) -> bool {
+    let record = &fleet.vms[vm];
+    if !has_headroom(ctx, cat, record) {
+        return false;
+    }
+    let group = group_of(record);
+    let batch = cat.maintenance.first_batch_vms.get().max(1);
+    let reason = match ctx.status.pace {
+        Pace::FirstBatch => Reason::FirstBatch {
+            place: ctx.status.in_work + 1,
+            batch,
+        },
+        _ => Reason::WithinBudget {
+            group,
+            unavailable: ctx.census.group(group).unavailable + 1,
+            max: cat.pools[record.pool].max_unavailable_vms.get(),
+        },
+    };
+    let action = Action::Drain;
+    ctx.emit(fleet, Step { vm, action, reason });
+    true
+}
+
+/// Why nothing was drained.
+fn hold(ctx: &Context, fleet: &Fleet, cat: &Catalogue, now: Instant) -> Hold {
+    let due = fleet.vms.iter().filter(|(vm, _)| is_due(fleet, *vm));
+    let vms = u32::try_from(due.count()).unwrap_or(u32::MAX);
+    if vms == 0 {
+        return Hold::CycleDone;
+    }
+    let open = ctx.status.in_work;
+    if ctx.status.pace == Pace::FirstBatch && open > 0 {
+        return Hold::FirstBatch { open };
+    }
+    let mut ready = fleet.vms.iter().filter(|(vm, record)| {
+        let is_here = ctx.status.domain.is_none_or(|dc| dc == record.dc);
+        is_here && is_ready(ctx, fleet, cat, *vm, now)
+    });
+    match ready.next() {
+        None => Hold::NoneReady { vms },
+        Some((_, record)) if !is_turn(ctx, record, cat) => Hold::LongTasks { vms },
+        Some((_, record)) => {
+            let group = group_of(record);
+            Hold::BudgetSpent {
+                group,
+                unavailable: ctx.census.group(group).unavailable,
+                max: cat.pools[group.pool].max_unavailable_vms.get(),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/upkeep/src/maintenance/settle.rs
@@ -0,0 +1,146 @@
+//! Pass 2: the next step of each VM that is on its way.
+//!
+//! What is stored and what the list shows decide alone, so a new holder goes on where the last one stopped. A
+//! command whose effect does not show is given again; it was stored before, so it does no harm twice.
+
+use std::time::{Duration, Instant};
+
+use goldcrest_types::catalogue::Catalogue;
+use goldcrest_types::entity::VmId;
+
+use super::{Action, Context, LIST_LAG_MAX, Reason, Step};
+use crate::fleet::{Fleet, Seen, Vm, VmState};
+
+/// How long after a drain began every entry has stopped sending new work.
+pub const DRAIN_SETTLE: Duration = Duration::from_secs(5);
+
+/// How long a command's effect may take to show before the command is given again.
+pub const COMMAND_RETRY: Duration = Duration::from_mins(1);
+
+/// How long a VM is away before it counts as replaced.
+pub const REPLACED_AFTER: Duration = Duration::from_hours(1);
+
+/// Emits the next step of every VM that is not simply serving.
+pub(super) fn run(ctx: &mut Context, fleet: &Fleet, cat: &Catalogue, now: Instant) {
+    for (id, vm) in fleet.vms.iter() {
+        if vm.seen == Seen::Leaving {
+            ctx.notes[id].was_leaving = true;
+        }
+        if ctx.decided[id] {
+            continue;
+        }
+        let next = match vm.state {
+            VmState::Serving => lost(vm, now),
+            VmState::Draining | VmState::Moving(_) => draining(ctx, id, vm, cat, now),
+            VmState::Rebooting => rebooting(ctx, id, vm, cat, now),
+            VmState::Joining => joining(ctx, id, vm, cat, now),
+            VmState::Failed => failed(ctx, id, vm, now),
+            VmState::Gone => None,
+        };
+        if let Some((action, reason)) = next {
+            let step = Step {
+                vm: id,
+                action,
+                reason,
+            };
+            ctx.emit(fleet, step);
+            note_end(ctx, id, vm, cat, &step, now);
+        }
+    }
+}
+
+type Next = Option<(Action, Reason)>;
+
+fn shown_for(vm: &Vm, now: Instant) -> Duration {
+    now.saturating_duration_since(vm.seen_since)
+}
+
+fn lost(vm: &Vm, now: Instant) -> Next {
+    let is_lost = matches!(vm.seen, Seen::Absent | Seen::Rebooting);
+    let is_certain = shown_for(vm, now) >= LIST_LAG_MAX;
+    (is_lost && is_certain).then_some((Action::MarkFailed, Reason::LostAlone))
+}
+
+fn draining(ctx: &Context, id: VmId, vm: &Vm, cat: &Catalogue, now: Instant) -> Next {
+    if vm.seen != Seen::Live {
+        return lost(vm, now);
+    }
+    let waited = now.saturating_duration_since(vm.since);
+    if vm.work.running == 0 {
+        let action = match vm.state {
+            VmState::Moving(pool) => Action::Join(pool),
+            _ => Action::Reboot,
+        };
+        return (waited >= DRAIN_SETTLE).then_some((action, Reason::Drained));
+    }
+    if waited >= cat.maintenance.drain_max() {
+        return Some((Action::Return, Reason::DrainTimedOut { waited }));
+    }
+    let may_ask = retry_due(ctx, id, now);
+    let left = vm.work.longest_left;
+    (may_ask && is_checkpoint_worth(vm, cat))
+        .then_some((Action::CheckpointTasks, Reason::TasksRunLong { left }))
+}
+
+/// Whether waiting for the tasks costs more than moving them, by the weights of the catalogue.
+fn is_checkpoint_worth(vm: &Vm, cat: &Catalogue) -> bool {
+    let wait_ms = vm.work.longest_left.as_millis();
+    let wait_cost = wait_ms * u128::from(cat.weights.roll_out_hour);
+    let move_cost = u128::from(vm.work.running) * u128::from(cat.weights.one_move) * 3_600_000;
+    vm.work.checkpointable && wait_cost > move_cost
+}
+
+fn retry_due(ctx: &Context, id: VmId, now: Instant) -> bool {
+    let asked = ctx.notes[id].asked;
+    asked.is_none_or(|at| now.saturating_duration_since(at) >= COMMAND_RETRY)
+}
+
+fn rebooting(ctx: &Context, id: VmId, vm: &Vm, cat: &Catalogue, now: Instant) -> Next {
+    let verified = Reason::Verified { boots: vm.boots };
+    booting(ctx, id, vm, cat, now, verified)
+}
+
+fn joining(ctx: &Context, id: VmId, vm: &Vm, cat: &Catalogue, now: Instant) -> Next {
+    booting(ctx, id, vm, cat, now, Reason::Joined)
+}
+
+fn booting(ctx: &Context, id: VmId, vm: &Vm, cat: &Catalogue, now: Instant, done: Reason) -> Next {
+    let waited = now.saturating_duration_since(vm.since);
+    if vm.seen == Seen::Live && vm.boots > vm.boots_before {
+        return Some((Action::Return, done));
+    }
+    if waited >= cat.maintenance.reboot_max() {
+        return Some((Action::MarkFailed, Reason::RebootTimedOut { waited }));
+    }
+    let is_unseen = vm.seen == Seen::Live && waited >= COMMAND_RETRY;
+    (is_unseen && retry_due(ctx, id, now))
+        .then_some((Action::Reboot, Reason::RebootNotSeen { waited }))
+}
+
+fn failed(ctx: &Context, id: VmId, vm: &Vm, now: Instant) -> Next {
+    let shown = shown_for(vm, now);
+    match vm.seen {
+        Seen::Live if shown >= LIST_LAG_MAX => Some((Action::Return, Reason::Recovered)),
+        Seen::Absent if ctx.notes[id].was_leaving => Some((Action::Remove, Reason::Replaced)),
+        Seen::Absent if shown >= REPLACED_AFTER => Some((Action::Remove, Reason::Replaced)),
+        _ => None,
+    }
+}
+
+/// Keeps what the end of a turn teaches: how long it took, or when to try again.
+fn note_end(ctx: &mut Context, id: VmId, vm: &Vm, cat: &Catalogue, step: &Step, now: Instant) {
+    match step.reason {
+        Reason::Verified { .. } => {
+            let began = ctx.notes[id].out_since.take();
+            if let Some(began) = began {
+                ctx.deadline.learn(now.saturating_duration_since(began));
+            }
+            ctx.health.verified();
+        }
+        Reason::DrainTimedOut { .. } | Reason::Recovered => {
+            ctx.notes[id].not_before = Some(now + cat.maintenance.drain_max());
+        }
+        Reason::LostAlone if vm.state == VmState::Serving => ctx.health.lost(vm.dc, now),
+        _ => {}
+    }
+}
--- /dev/null
+++ b/crates/upkeep/src/sizing/history.rs
@@ -0,0 +1,65 @@
+//! The recent demand of one pool.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// How far back the samples go.
+pub(super) const SPAN: Duration = Duration::from_mins(30);
+
+/// Samples of the demand, oldest first.
+#[derive(Debug, Clone, Default)]
+pub(super) struct History {
+    samples: VecDeque<(Instant, u64)>,
+    sorted: Vec<u64>,
+}
+
+impl History {
+    /// Adds a sample and drops those that are too old.
+    pub(super) fn push(&mut self, now: Instant, demand_millis: u64) {
+        self.samples.push_back((now, demand_millis));
+        while let Some((at, _)) = self.samples.front() {
+            if now.saturating_duration_since(*at) <= SPAN {
+                break;
+            }
+            self.samples.pop_front();
+        }
+    }
+
+    /// The mean over the last `window`, in thousandths of a VM.
+    pub(super) fn mean_millis(&self, window: Duration) -> u64 {
+        let Some(&(end, _)) = self.samples.back() else {
+            return 0;
+        };
+        let recent = self.samples.iter().rev();
+        let recent = recent.take_while(|(at, _)| end.saturating_duration_since(*at) < window);
+        let (sum, count) = recent.fold((0, 0), |(sum, count), (_, d)| (sum + d, count + 1));
+        sum / u64::max(count, 1)
+    }
+
+    /// The value that `percent` of all samples do not pass, in thousandths of a VM.
+    pub(super) fn quantile_millis(&mut self, percent: u32) -> u64 {
+        self.sorted.clear();
+        self.sorted
+            .extend(self.samples.iter().map(|(_, demand)| demand));
+        let Some(last) = self.sorted.len().checked_sub(1) else {
+            return 0;
+        };
+        let rank = last * percent.min(100) as usize / 100;
+        *self.sorted.select_nth_unstable(rank).1
+    }
+
+    /// The greatest sample over the last `window`, in thousandths of a VM.
+    pub(super) fn max_millis(&self, window: Duration) -> u64 {
+        let Some(&(end, _)) = self.samples.back() else {
+            return 0;
+        };
+        let recent = self.samples.iter().rev();
+        let recent = recent.take_while(|(at, _)| end.saturating_duration_since(*at) < window);
+        recent.map(|(_, demand)| *demand).max().unwrap_or(0)
+    }
+}
+
+/// Thousandths of a VM to whole VMs, rounded up.
+pub(super) fn whole_vms(millis: u64) -> u32 {
+    u32::try_from(millis.div_ceil(1_000)).unwrap_or(u32::MAX)
+}
