--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -3,8 +3,13 @@
 //! Every document is changed by one compare-and-swap, so a promise that holds for the value holds for the fleet.
 //! Start with [`document::Document`], through which a store session reads, changes and swaps any of them.
 //!
+//! - [`catalogue`]: the catalogue in force and its revision.
+//! - [`quota`]: how the teams' upper limits are divided over data centres and entries.
+//!
 //! This crate does no I/O; time is passed in.
 
+pub mod catalogue;
 pub mod document;
+pub mod quota;
 
 pub use document::{Document, DocumentError, Outcome, RecentEdits};
