--- /dev/null
+++ b/crates/obs/src/logs/mod.rs
@@ -0,0 +1,159 @@
+//! Logs by `log` and `fern`.
+//!
+//! A line is the time, the level, the part in brackets, a short sentence and key-values. The part is the record's
+//! target; the closed list of parts is [`Part`]. Equal lines in a row are counted by [`repeat::Repeats`] and not
+//! written again. Neither keys nor bodies are ever logged: nothing that holds them has a `Display` form.
+
+mod line;
+pub mod repeat;
+
+use std::fmt;
+use std::io;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use goldcrest_types::clock::Clock;
+use log::LevelFilter;
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+
+pub use repeat::Repeats;
+
+/// The parts of a process, as logs and the supervisor name them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Part {
+    /// Start and stop of the process.
+    Main,
+    /// Callers' requests.
+    Front,
+    /// The session with the key-value service.
+    Store,
+    /// The catalogue in force.
+    Catalogue,
+    /// The list of VMs and the pools they are in.
+    Fleet,
+    /// The teams' quota.
+    Quota,
+    /// Links to the other entries.
+    Peers,
+    /// Tasks on workers.
+    Scheduler,
+    /// Maintenance waves.
+    Maintenance,
+    /// Pool sizes.
+    Sizing,
+    /// The operators' interface.
+    Operator,
+}
+
+impl Part {
+    /// The part's name, which is the target of its log records.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Main => "main",
+            Self::Front => "front",
+            Self::Store => "store",
+            Self::Catalogue => "catalogue",
+            Self::Fleet => "fleet",
+            Self::Quota => "quota",
+            Self::Peers => "peers",
+            Self::Scheduler => "scheduler",
+            Self::Maintenance => "maintenance",
+            Self::Sizing => "sizing",
+            Self::Operator => "operator",
+        }
+    }
+}
+
+impl fmt::Display for Part {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.as_str())
+    }
+}
+
+/// How log lines are written.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Format {
+    /// For people.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// The lowest level that is written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "Box<str>", into = "Box<str>")]
+pub struct Level(LevelFilter);
+
+quick_error! {
+    /// Why the logs can't be set up.
+    #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+    pub enum LogError {
+        /// The text names no level.
+        Level {
+            display("no such level: use off, error, warn, info, debug or trace")
+        }
+        /// Another logger is in place.
+        InPlace {
+            display("a logger is in place already: set up the logs once, at the start of the process")
+        }
+    }
+}
+
+impl Default for Level {
+    fn default() -> Self {
+        Self(LevelFilter::Info)
+    }
+}
+
+impl fmt::Display for Level {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(&self.0.as_str().to_ascii_lowercase())
+    }
+}
+
+impl FromStr for Level {
+    type Err = LogError;
+
+    fn from_str(text: &str) -> Result<Self, LogError> {
+        text.parse().map(Self).map_err(|_| LogError::Level)
+    }
+}
+
+impl TryFrom<Box<str>> for Level {
+    type Error = LogError;
+
+    fn try_from(text: Box<str>) -> Result<Self, LogError> {
+        text.parse()
+    }
+}
+
+impl From<Level> for Box<str> {
+    fn from(level: Level) -> Self {
+        level.to_string().into()
+    }
+}
+
+/// Sets up the logs of this process on standard error.
+///
+/// # Errors
+///
+/// A logger is in place already.
+pub fn init(level: Level, format: Format, clock: Arc<dyn Clock>) -> Result<(), LogError> {
+    let wall = Arc::clone(&clock);
+    let (max, inner) = fern::Dispatch::new()
+        .level(level.0)
+        .format(move |out, message, record| match format {
+            Format::Text => line::text(out, message, record, wall.wall()),
+            Format::Json => line::json(out, message, record, wall.wall()),
+        })
+        .chain(io::stderr())
+        .into_log();
+    log::set_boxed_logger(Box::new(Repeats::new(inner, clock))).map_err(|_| LogError::InPlace)?;
+    log::set_max_level(max);
+    Ok(())
+}
--- /dev/null
+++ b/crates/obs/src/logs/repeat.rs
@@ -0,0 +1,99 @@
+//! Counts equal log lines instead of writing them again.
+//!
+//! The last line of each part is remembered. An equal one within [`REPEAT_WINDOW`] is only counted; the count is
+//! written before the next other line of that part, or with the first equal line after the window.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use goldcrest_types::clock::Clock;
+use log::{Level, Log, Metadata, Record};
+
+/// How long an equal line is held back.
+pub const REPEAT_WINDOW: Duration = Duration::from_secs(10);
+
+#[derive(Debug)]
+struct Last {
+    level: Level,
+    message: Box<str>,
+    since: Instant,
+    held_back: u32,
+}
+
+/// A logger that passes lines on to another one and counts equal ones.
+pub struct Repeats {
+    inner: Box<dyn Log>,
+    clock: Arc<dyn Clock>,
+    last: Mutex<HashMap<Box<str>, Last>>,
+}
+
+impl Repeats {
+    /// Passes lines on to `inner`.
+    #[must_use]
+    pub fn new(inner: Box<dyn Log>, clock: Arc<dyn Clock>) -> Self {
+        Self {
+            inner,
+            clock,
+            last: Mutex::default(),
+        }
+    }
+
+    /// Takes a line in; returns whether it is to be written and the line it replaces if that was held back.
+    fn admit(&self, target: &str, level: Level, message: &str) -> (bool, Option<Last>) {
+        let now = self.clock.now();
+        let mut last = self.last.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(seen) = last.get_mut(target) {
+            let is_equal = *seen.message == *message && seen.level == level;
+            if is_equal && now.duration_since(seen.since) < REPEAT_WINDOW {
+                seen.held_back += 1;
+                return (false, None);
+            }
+        }
+        let entry = Last {
+            level,
+            message: message.into(),
+            since: now,
+            held_back: 0,
+        };
+        let replaced = last.insert(target.into(), entry);
+        (true, replaced.filter(|seen| seen.held_back > 0))
+    }
+
+    fn write_count(&self, target: &str, seen: &Last) {
+        self.inner.log(
+            &Record::builder()
+                .target(target)
+                .level(seen.level)
+                .args(format_args!(
+                    "Repeated {} times: {}",
+                    seen.held_back, seen.message
+                ))
+                .build(),
+        );
+    }
+}
+
+impl Log for Repeats {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        self.inner.enabled(metadata)
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if !self.enabled(record.metadata()) {
+            return;
+        }
+        let message = record.args().to_string();
+        let (is_new, replaced) = self.admit(record.target(), record.level(), &message);
+        if let Some(seen) = replaced {
+            self.write_count(record.target(), &seen);
+        }
+        if is_new {
+            self.inner.log(record);
+        }
+    }
+
+    fn flush(&self) {
+        self.inner.flush();
+    }
+}
