--- a/crates/types/src/catalogue/check.rs
+++ b/crates/types/src/catalogue/check.rs
@@ -143,15 +143,32 @@
 
 impl std::error::Error for Findings {}
 
+/// The sections some of whose records could not be read. A reference into them can't be judged.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Unread {
+    /// Some teams could not be read.
+    pub teams: bool,
+    /// Some pools could not be read.
+    pub pools: bool,
+    /// Some data centres could not be read.
+    pub data_centres: bool,
+}
+
 /// Everything wrong with `spec`.
 #[must_use]
 pub fn check(spec: &CatalogueSpec) -> Findings {
+    check_readable(spec, Unread::default())
+}
+
+/// Everything wrong with the part of a catalogue that could be read.
+#[must_use]
+pub fn check_readable(spec: &CatalogueSpec, unread: Unread) -> Findings {
     let mut out = Findings::new();
-    check_data_centres(spec, &mut out);
+    check_data_centres(spec, unread, &mut out);
     check_pools(spec, &mut out);
     check_teams(spec, &mut out);
-    check_queues(spec, &mut out);
-    check_keys(spec, &mut out);
+    check_queues(spec, unread, &mut out);
+    check_keys(spec, unread, &mut out);
     check_maintenance(spec, &mut out);
     out
 }
@@ -170,8 +187,8 @@
     }
 }
 
-fn check_data_centres(spec: &CatalogueSpec, out: &mut Findings) {
-    if spec.data_centres.is_empty() {
+fn check_data_centres(spec: &CatalogueSpec, unread: Unread, out: &mut Findings) {
+    if spec.data_centres.is_empty() && !unread.data_centres {
         out.push(
             Section::Document,
             0,
@@ -215,10 +232,10 @@
     }
 }
 
-fn check_queues(spec: &CatalogueSpec, out: &mut Findings) {
+fn check_queues(spec: &CatalogueSpec, unread: Unread, out: &mut Findings) {
     check_unique(Section::Queues, spec.queues.iter().map(|q| &q.name), out);
     for (index, queue) in spec.queues.iter().enumerate() {
-        check_queue_references(spec, index, queue, out);
+        check_queue_references(spec, unread, index, queue, out);
         check_queue_limits(index, queue, out);
     }
 }
@@ -234,11 +251,12 @@
 
 fn check_queue_references(
     spec: &CatalogueSpec,
+    unread: Unread,
     index: usize,
     queue: &QueueSpec,
     out: &mut Findings,
 ) {
-    if !has_team(spec, &queue.owner) {
+    if !unread.teams && !has_team(spec, &queue.owner) {
         let message = format!(
             "queue '{}': there is no team '{}': add it under teams or correct owner",
             queue.name, queue.owner
@@ -246,6 +264,7 @@
         out.push(Section::Queues, index, message);
     }
     let message = match pool_kind(spec, &queue.pool) {
+        None if unread.pools => return,
         None => format!(
             "queue '{}': there is no pool '{}': add it under pools or correct pool",
             queue.name, queue.pool
@@ -292,13 +311,13 @@
     }
 }
 
-fn check_keys(spec: &CatalogueSpec, out: &mut Findings) {
+fn check_keys(spec: &CatalogueSpec, unread: Unread, out: &mut Findings) {
     check_unique(Section::Keys, spec.keys.iter().map(|k| &k.name), out);
     let operators = spec.operators.iter().map(|o| &o.name);
     check_unique(Section::Operators, operators, out);
     let mut seen = HashSet::new();
     for (index, key) in spec.keys.iter().enumerate() {
-        if !has_team(spec, &key.team) {
+        if !unread.teams && !has_team(spec, &key.team) {
             let message = format!(
                 "key '{}': there is no team '{}': add it under teams or correct team",
                 key.name, key.team
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod key;
 pub mod names;
 pub mod units;
+pub mod yaml;
