--- /dev/null
+++ b/crates/session/tests/session/main.rs
@@ -0,0 +1,5 @@
+//! The session with the key-value service, over an in-memory one.
+
+mod calls;
+mod common;
+mod lease;
