platform: read a lease's number

Cause: the ledger names an owner's session by its lease's number. Change: LeaseId::get, beside LeaseId::new. Result: additive; nothing else changes.

--- a/crates/platform/src/store/mod.rs
+++ b/crates/platform/src/store/mod.rs
@@ -106,6 +106,12 @@
     pub const fn new(number: u64) -> Self {
         Self(number)
     }
+
+    /// The number of the lease.
+    #[must_use]
+    pub const fn get(self) -> u64 {
+        self.0
+    }
 }
 
 impl fmt::Display for LeaseId {
