--- a/crates/session/src/keys/mod.rs
+++ b/crates/session/src/keys/mod.rs
@@ -1,5 +1,7 @@
 //! The keys under which the shared documents are stored.
 
+use goldcrest_ledger::catalogue::HEAD_KEY;
+use goldcrest_ledger::quota::FLEET_QUOTA_KEY;
 use goldcrest_platform::store::StoreKey;
 use goldcrest_types::names::{DcName, EntryId};
 
@@ -19,7 +21,7 @@
 /// The head of the catalogue.
 #[must_use]
 pub fn catalogue_head() -> StoreKey {
-    join(&["catalogue", "head"])
+    join(&[HEAD_KEY])
 }
 
 /// The VMs of a data centre.
@@ -28,16 +30,16 @@
     join(&["fleet", dc.as_str()])
 }
 
-/// The quota rows of a data centre.
+/// The quota rows of a data centre. The part in between keeps a data centre of any name apart from the fleet's key.
 #[must_use]
 pub fn quota(dc: &DcName) -> StoreKey {
-    join(&["quota", dc.as_str()])
+    join(&["quota", "dc", dc.as_str()])
 }
 
 /// The portions of all data centres.
 #[must_use]
 pub fn quota_fleet() -> StoreKey {
-    join(&["quota-fleet"])
+    join(&[FLEET_QUOTA_KEY])
 }
 
 /// The prefix of all sessions.
--- a/crates/session/tests/session/common/mod.rs
+++ b/crates/session/tests/session/common/mod.rs
@@ -29,6 +29,8 @@
 pub struct Faults {
     /// No call reaches the service.
     pub down: bool,
+    /// So many calls still reach the service before it is down.
+    pub calls_left: Option<u32>,
     /// Every call is refused for now.
     pub throttled: bool,
     /// So many changes take effect and their answers are lost.
@@ -165,7 +167,7 @@
     async fn arrive(&self) -> Result<(), StoreError> {
         let faults = *lock(&self.faults);
         tokio::time::sleep(faults.latency).await;
-        if faults.down {
+        if faults.down || !self.take_call() {
             return Err(StoreError::Unreachable);
         }
         lock(&self.shared.state).calls += 1;
@@ -175,6 +177,15 @@
         Ok(())
     }
 
+    fn take_call(&self) -> bool {
+        let mut faults = lock(&self.faults);
+        let Some(left) = faults.calls_left else {
+            return true;
+        };
+        faults.calls_left = Some(left.saturating_sub(1));
+        left > 0
+    }
+
     fn take_fault(&self, pick: impl FnOnce(&mut Faults) -> &mut u32) -> bool {
         let mut faults = lock(&self.faults);
         let left = pick(&mut faults);
--- a/crates/session/tests/session/main.rs
+++ b/crates/session/tests/session/main.rs
@@ -3,3 +3,4 @@
 mod calls;
 mod common;
 mod lease;
+mod update;
