--- /dev/null
+++ b/crates/ledger/src/role/mod.rs
@@ -0,0 +1,131 @@
+//! Who holds a role, such as the maintenance and sizing of a group of pools.
+//!
+//! The fencing epoch rises with every change of the holder and never falls, also while nobody holds the role. A holder
+//! checks its session right before each effect and sends its epoch with every command.
+
+use goldcrest_types::names::{EditId, EntryId};
+use goldcrest_types::units::Epoch;
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+
+use crate::document::{Document, RecentEdits};
+use crate::quota::SessionId;
+
+/// The holder of a role.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holder {
+    /// The entry process.
+    pub entry: EntryId,
+    /// The session under which it took the role.
+    pub session: SessionId,
+}
+
+/// An edit of a role.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RoleEdit {
+    /// An entry takes the role.
+    Take {
+        /// The entry and its session.
+        holder: Holder,
+        /// The session that it has seen to be gone, if the role was held.
+        gone: Option<SessionId>,
+    },
+    /// The holder gives the role up.
+    Release {
+        /// The entry.
+        entry: EntryId,
+        /// Its epoch.
+        epoch: Epoch,
+    },
+}
+
+quick_error! {
+    /// Why an edit of a role was refused. Nothing was changed.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum RoleRefusal {
+        /// Another entry's session still holds the role, as far as is known.
+        Held(entry: EntryId, session: SessionId) {
+            display("entry {entry} holds the role with session {session}: wait until that session is gone")
+        }
+        /// The role is held by another entry or in another epoch.
+        NotHolder(current: Epoch) {
+            display("the role is at epoch {current} by now: give it up")
+        }
+    }
+}
+
+/// A role, as stored under `role/<shard>`.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoleDoc {
+    edits: RecentEdits,
+    epoch: Epoch,
+    holder: Option<Holder>,
+}
+
+impl RoleDoc {
+    /// The last epoch that was given.
+    #[must_use]
+    pub const fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// The holder.
+    #[must_use]
+    pub const fn holder(&self) -> Option<Holder> {
+        self.holder
+    }
+
+    /// The epoch in which `entry` holds the role.
+    #[must_use]
+    pub fn epoch_of(&self, entry: EntryId) -> Option<Epoch> {
+        let holder = self.holder?;
+        (holder.entry == entry).then_some(self.epoch)
+    }
+
+    /// Applies an edit and returns the epoch after it. An edit that was applied before changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// The role is held by another, or not held by who gives it up.
+    pub fn apply(&mut self, id: EditId, edit: RoleEdit) -> Result<Epoch, RoleRefusal> {
+        if self.has_edit(id) {
+            return Ok(self.epoch);
+        }
+        match edit {
+            RoleEdit::Take { holder, gone } => self.take(holder, gone)?,
+            RoleEdit::Release { entry, epoch } => self.release(entry, epoch)?,
+        }
+        self.edits.push(id);
+        Ok(self.epoch)
+    }
+
+    fn take(&mut self, holder: Holder, gone: Option<SessionId>) -> Result<(), RoleRefusal> {
+        if let Some(current) = self.holder {
+            let is_own = current.entry == holder.entry;
+            if !is_own && gone != Some(current.session) {
+                return Err(RoleRefusal::Held(current.entry, current.session));
+            }
+        }
+        self.epoch = self.epoch.next();
+        self.holder = Some(holder);
+        Ok(())
+    }
+
+    fn release(&mut self, entry: EntryId, epoch: Epoch) -> Result<(), RoleRefusal> {
+        if self.epoch_of(entry) != Some(epoch) {
+            return Err(RoleRefusal::NotHolder(self.epoch));
+        }
+        self.holder = None;
+        Ok(())
+    }
+}
+
+impl Document for RoleDoc {
+    fn empty() -> Self {
+        Self::default()
+    }
+
+    fn recent(&self) -> &RecentEdits {
+        &self.edits
+    }
+}
