upkeep: hold on overdue reboots, remove VMs that left, text cases and random events

Cause: a failed reboot shows only after the longest reboot time, and the wave went on meanwhile: in the case failed-in-wave five more VMs were drained. A VM that left during its reboot held its group for 600 s. Change: as many overdue reboots as would stop the wave hold it; a VM that left as announced is removed at once.

--- a/crates/upkeep/src/maintenance/health.rs
+++ b/crates/upkeep/src/maintenance/health.rs
@@ -9,7 +9,7 @@
 use goldcrest_types::catalogue::Catalogue;
 use goldcrest_types::entity::DcId;
 
-use super::{Action, Context, Hold, Reason, Step, dcs};
+use super::{Action, Context, Hold, LIST_LAG_MAX, Reason, Step, dcs};
 use crate::fleet::{Fleet, Seen, VmState};
 
 /// The first pause after a stop.
@@ -21,6 +21,9 @@
 /// How many VMs must come back well after a single failure before the wave widens again.
 pub const CLEAR_AFTER_VMS: u32 = 5;
 
+/// How many times the usual reboot a VM may take before it is overdue.
+pub const OVERDUE_FACTOR: u32 = 2;
+
 /// How long VMs that fail on their own are counted together.
 pub const TOGETHER_WINDOW: Duration = Duration::from_mins(10);
 
@@ -59,6 +62,8 @@
     stopped_until: Option<Instant>,
     pause: Option<Duration>,
     lost: Vec<(Instant, DcId)>,
+    /// The longest reboot of late.
+    usual: Option<Duration>,
 }
 
 impl Health {
@@ -68,6 +73,12 @@
         self.well_in_batch += 1;
     }
 
+    /// Notes how long a reboot took. The longest fades by a part with each shorter one.
+    pub(super) fn booted(&mut self, took: Duration) {
+        let faded = self.usual.map_or(took, |usual| usual * 15 / 16);
+        self.usual = Some(faded.max(took));
+    }
+
     /// Notes that a serving VM was lost on its own.
     pub(super) fn lost(&mut self, dc: DcId, now: Instant) {
         self.lost.push((now, dc));
@@ -95,7 +106,14 @@
 pub(super) fn run(ctx: &mut Context, fleet: &Fleet, cat: &Catalogue, now: Instant) {
     let failed = failed_in_wave(ctx, fleet);
     ctx.status.failed = failed;
-    ctx.status.pace = pace(&mut ctx.health, fleet, cat, failed, now);
+    let is_verified = |step: &&Step| matches!(step.reason, Reason::Verified { .. });
+    let verified_now = ctx.steps.iter().filter(is_verified).count();
+    let verified_now = u32::try_from(verified_now).unwrap_or(u32::MAX);
+    let counts = Counts {
+        failed,
+        verified_now,
+    };
+    ctx.status.pace = pace(&mut ctx.health, fleet, cat, counts, now);
     if ctx.status.pace == Pace::Stopped {
         let until = ctx.health.stopped_until.unwrap_or(now);
         let resumes_in = until.saturating_duration_since(now);
@@ -106,6 +124,9 @@
         ctx.status.hold = Some(Hold::Disabled);
         return_draining(ctx, fleet);
     }
+    if ctx.status.hold.is_none() {
+        ctx.status.hold = overdue(ctx, fleet, cat, now);
+    }
     if ctx.status.hold.is_none() {
         ctx.status.hold = outage(ctx, cat, now);
     }
@@ -129,7 +150,20 @@
     failed
 }
 
-fn pace(health: &mut Health, fleet: &Fleet, cat: &Catalogue, failed: u32, now: Instant) -> Pace {
+/// What one plan has counted.
+#[derive(Debug, Clone, Copy)]
+struct Counts {
+    /// VMs that are out since they did not come back from the wave.
+    failed: u32,
+    /// VMs that this very plan returns after their reboot.
+    verified_now: u32,
+}
+
+fn pace(health: &mut Health, fleet: &Fleet, cat: &Catalogue, counts: Counts, now: Instant) -> Pace {
+    let Counts {
+        failed,
+        verified_now,
+    } = counts;
     if failed > health.failed_before {
         health.well_since = 0;
     }
@@ -143,7 +177,7 @@
     }
     let counted = failed - health.forgiven;
     let batch = cat.maintenance.first_batch_vms.get();
-    let in_batch = is_in_batch(health, fleet, batch);
+    let in_batch = is_in_batch(health, fleet, batch, verified_now);
     let stop_after = cat.maintenance.stop_after_failed_vms.get().max(1);
     if counted >= stop_after || (in_batch && counted > 0) {
         health.stop(now);
@@ -165,14 +199,14 @@
 }
 
 /// Whether a first batch is still to be verified: at the start of a cycle, and after a stop.
-fn is_in_batch(health: &Health, fleet: &Fleet, batch: u32) -> bool {
+fn is_in_batch(health: &Health, fleet: &Fleet, batch: u32, verified_now: u32) -> bool {
     if health.needs_batch {
         return health.well_in_batch < batch;
     }
     let number = fleet.cycle.number;
     let done = fleet.vms.values();
     let done = done.filter(|vm| vm.state != VmState::Gone && vm.maintained_cycle >= number);
-    done.take(batch as usize).count() < batch as usize
+    done.take(batch as usize).count() + (verified_now as usize) < batch as usize
 }
 
 /// Gives back every VM that only drains: the wave does not go on.
@@ -190,6 +224,19 @@
     }
 }
 
+/// Whether so many VMs are late from their reboot that they are likely to fail together.
+fn overdue(ctx: &Context, fleet: &Fleet, cat: &Catalogue, now: Instant) -> Option<Hold> {
+    let usual = ctx.health.usual?;
+    let bound = usual * OVERDUE_FACTOR + LIST_LAG_MAX;
+    let late = fleet.vms.iter().filter(|(id, vm)| {
+        let waited = now.saturating_duration_since(vm.since);
+        vm.state == VmState::Rebooting && waited > bound && !ctx.decided[*id]
+    });
+    let vms = u32::try_from(late.count()).unwrap_or(u32::MAX);
+    let stop_after = cat.maintenance.stop_after_failed_vms.get().max(1);
+    (vms >= stop_after).then_some(Hold::Overdue { vms, usual })
+}
+
 /// Whether VMs that failed on their own hold the wave.
 fn outage(ctx: &mut Context, cat: &Catalogue, now: Instant) -> Option<Hold> {
     let is_recent = |at: Instant| now.saturating_duration_since(at) < TOGETHER_WINDOW;
--- a/crates/upkeep/src/maintenance/reason.rs
+++ b/crates/upkeep/src/maintenance/reason.rs
@@ -70,6 +70,8 @@
     Recovered,
     /// It is live in its new pool.
     Joined,
+    /// It has left the fleet as announced.
+    Left,
     /// It was away for so long that the platform has replaced it.
     Replaced,
 }
@@ -113,6 +115,7 @@
             Self::LostAlone => f.write_str("lost without a command"),
             Self::Recovered => f.write_str("live again"),
             Self::Joined => f.write_str("live in its new pool"),
+            Self::Left => f.write_str("left as announced"),
             Self::Replaced => f.write_str("away too long, so it was replaced"),
         }
     }
@@ -167,6 +170,25 @@
         /// How many VMs.
         vms: u32,
     },
+    /// All that are left in the data centre are in work.
+    InWork {
+        /// The data centre.
+        dc: DcId,
+        /// How many VMs.
+        vms: u32,
+    },
+    /// VMs take much longer to come back than others did.
+    Overdue {
+        /// How many.
+        vms: u32,
+        /// How long a reboot has taken so far.
+        usual: Duration,
+    },
+    /// Work that was not cut still runs on all that are left.
+    WorkRuns {
+        /// How many VMs.
+        vms: u32,
+    },
     /// All that are left are away or will leave.
     NoneReady {
         /// How many VMs.
@@ -202,6 +224,15 @@
                     "{vms} VMs left run long tasks that cannot be checkpointed"
                 )
             }
+            Self::InWork { dc, vms } => write!(f, "the last {vms} VMs of {dc} are in work"),
+            Self::Overdue { vms, usual } => write!(
+                f,
+                "{vms} VMs are overdue, others were back after {} s",
+                usual.as_secs()
+            ),
+            Self::WorkRuns { vms } => {
+                write!(f, "work that is not cut still runs on {vms} VMs left")
+            }
             Self::NoneReady { vms } => write!(f, "{vms} VMs left are away or leaving"),
         }
     }
--- a/crates/upkeep/src/maintenance/select.rs
+++ b/crates/upkeep/src/maintenance/select.rs
@@ -158,7 +158,7 @@
         is_here && is_ready(ctx, fleet, cat, *vm, now)
     });
     match ready.next() {
-        None => Hold::NoneReady { vms },
+        None => none_ready(ctx, fleet, vms, now),
         Some((_, record)) if !is_turn(ctx, record, cat) => Hold::LongTasks { vms },
         Some((_, record)) => {
             let group = group_of(record);
@@ -170,3 +170,15 @@
         }
     }
 }
+
+fn none_ready(ctx: &Context, fleet: &Fleet, vms: u32, now: Instant) -> Hold {
+    if let (Some(dc), true) = (ctx.status.domain, ctx.status.in_work > 0) {
+        let vms = ctx.status.in_work;
+        return Hold::InWork { dc, vms };
+    }
+    let mut due = fleet.vms.keys().filter(|vm| is_due(fleet, *vm));
+    if due.any(|vm| ctx.notes[vm].not_before.is_some_and(|at| now < at)) {
+        return Hold::WorkRuns { vms };
+    }
+    Hold::NoneReady { vms }
+}
--- a/crates/upkeep/src/maintenance/settle.rs
+++ b/crates/upkeep/src/maintenance/settle.rs
@@ -29,13 +29,15 @@
         if ctx.decided[id] {
             continue;
         }
+        let has_left = vm.seen == Seen::Absent && ctx.notes[id].was_leaving;
         let next = match vm.state {
+            VmState::Gone => None,
+            _ if has_left => Some((Action::Remove, Reason::Left)),
             VmState::Serving => lost(vm, now),
             VmState::Draining | VmState::Moving(_) => draining(ctx, id, vm, cat, now),
             VmState::Rebooting => rebooting(ctx, id, vm, cat, now),
             VmState::Joining => joining(ctx, id, vm, cat, now),
-            VmState::Failed => failed(ctx, id, vm, now),
-            VmState::Gone => None,
+            VmState::Failed => failed(vm, now),
         };
         if let Some((action, reason)) = next {
             let step = Step {
@@ -117,11 +119,10 @@
         .then_some((Action::Reboot, Reason::RebootNotSeen { waited }))
 }
 
-fn failed(ctx: &Context, id: VmId, vm: &Vm, now: Instant) -> Next {
+fn failed(vm: &Vm, now: Instant) -> Next {
     let shown = shown_for(vm, now);
     match vm.seen {
         Seen::Live if shown >= LIST_LAG_MAX => Some((Action::Return, Reason::Recovered)),
-        Seen::Absent if ctx.notes[id].was_leaving => Some((Action::Remove, Reason::Replaced)),
         Seen::Absent if shown >= REPLACED_AFTER => Some((Action::Remove, Reason::Replaced)),
         _ => None,
     }
@@ -135,6 +136,7 @@
             if let Some(began) = began {
                 ctx.deadline.learn(now.saturating_duration_since(began));
             }
+            ctx.health.booted(now.saturating_duration_since(vm.since));
             ctx.health.verified();
         }
         Reason::DrainTimedOut { .. } | Reason::Recovered => {
--- a/crates/upkeep/src/sizing/multi.rs
+++ b/crates/upkeep/src/sizing/multi.rs
@@ -31,12 +31,12 @@
     let buffer = (expected * BUFFER_PERCENT / 100).max(BUFFER_MIN_MILLIS);
     let supply = u64::from(view.supply) * 1_000;
     let band = band(supply, current, buffer);
-    let is_crossed = state.band.is_some_and(|last| last != band);
-    let is_middle = (2..=THRESHOLDS - 2).contains(&band);
-    if !is_crossed && (is_middle || state.band.is_some()) {
+    let last = state.band.replace(band);
+    let is_crossed = last.is_some_and(|last| last != band);
+    let is_outside = band == 0 || band == THRESHOLDS;
+    if !is_crossed && !is_outside {
         return None;
     }
-    state.band = Some(band);
     let error = expected.abs_diff(current);
     let expected_millis = match band {
         0 => (expected * UNDERFLOW_PERCENT / 100).min(expected.max(current) + error),
--- /dev/null
+++ b/crates/upkeep/tests/upkeep/world.rs
@@ -0,0 +1,246 @@
+//! A fake platform: machines that reboot, fail and leave, and a list that lags behind them.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use goldcrest_types::catalogue::{Catalogue, CatalogueSpec, DcSpec, PoolKind, PoolSpec};
+use goldcrest_types::entity::{DcId, EntityRef, PoolId, RackId, VmId};
+use goldcrest_types::units::{Revision, VmCount};
+use goldcrest_upkeep::fleet::{Fleet, Seen, Vm, VmState, Work};
+use goldcrest_upkeep::maintenance::{self, Action, Step};
+use goldcrest_upkeep::sizing::{self, Demand, Move, Policy};
+use goldcrest_upkeep::verify;
+
+/// What a machine really does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Truth {
+    Live,
+    Rebooting(Instant),
+    Down,
+    Leaving,
+    Gone,
+}
+
+#[derive(Debug)]
+pub struct Machine {
+    pub truth: Truth,
+    pub boots: u64,
+    pub breaks: bool,
+}
+
+#[derive(Debug)]
+struct News {
+    at: Instant,
+    vm: VmId,
+    seen: Seen,
+    boots: u64,
+}
+
+pub struct World {
+    pub cat: Catalogue,
+    pub fleet: Fleet,
+    pub machines: Vec<Machine>,
+    pub now: Instant,
+    pub lag: Duration,
+    pub boot_time: Duration,
+    pub waves: maintenance::Context,
+    pub sizes: sizing::Context,
+    pub demand: Demand,
+    pub cut_work: u32,
+    news: VecDeque<News>,
+}
+
+pub struct Shape {
+    pub spec: CatalogueSpec,
+}
+
+impl Shape {
+    pub fn new() -> Self {
+        let mut spec = CatalogueSpec::default();
+        spec.maintenance.drain_max_ms = 600_000;
+        Self { spec }
+    }
+
+    pub fn dc(&mut self, name: &str) {
+        self.spec.data_centres.push(DcSpec {
+            name: name.parse().expect("a name"),
+            region: "r0".parse().expect("a name"),
+        });
+    }
+
+    pub fn pool(&mut self, name: &str, kind: PoolKind, sizes: (u32, u32), budget: u32) {
+        self.spec.pools.push(PoolSpec {
+            name: name.parse().expect("a name"),
+            kind,
+            min_vms: VmCount::new(sizes.0),
+            max_vms: VmCount::new(sizes.1),
+            max_unavailable_vms: VmCount::new(budget),
+        });
+    }
+
+    pub fn build(&self) -> World {
+        let cat = Catalogue::resolve(&self.spec, Revision::new(1)).expect("a valid catalogue");
+        let now = Instant::now();
+        World {
+            cat,
+            fleet: Fleet::new(now),
+            machines: Vec::new(),
+            now,
+            lag: Duration::from_secs(5),
+            boot_time: Duration::from_secs(100),
+            waves: maintenance::Context::new(),
+            sizes: sizing::Context::new(Policy::default()),
+            demand: Demand::default(),
+            cut_work: 0,
+            news: VecDeque::new(),
+        }
+    }
+}
+
+impl World {
+    pub fn add(&mut self, pool: PoolId, dc: DcId, rack: RackId) -> VmId {
+        self.machines.push(Machine {
+            truth: Truth::Live,
+            boots: 0,
+            breaks: false,
+        });
+        self.fleet.vms.push(Vm::new(pool, dc, rack, self.now))
+    }
+
+    pub fn machine(&mut self, vm: VmId) -> &mut Machine {
+        &mut self.machines[vm.index()]
+    }
+
+    pub fn set_work(&mut self, vm: VmId, work: Work) {
+        self.fleet.vms[vm].work = work;
+    }
+
+    pub fn set_truth(&mut self, vm: VmId, truth: Truth) {
+        self.machine(vm).truth = truth;
+        if matches!(truth, Truth::Down | Truth::Gone) {
+            self.set_work(vm, Work::default());
+        }
+        self.report(vm);
+    }
+
+    /// Lets time pass in steps of a second at most.
+    pub fn pass(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now = end.min(self.now + Duration::from_secs(1));
+            self.finish_boots();
+            self.show_news();
+        }
+    }
+
+    /// Plans, verifies and returns the steps. Nothing is carried out yet.
+    pub fn plan(&mut self) -> Vec<Step> {
+        let steps = self.waves.plan(&self.fleet, &self.cat, self.now).to_vec();
+        let found = verify::plan(&self.fleet, &self.cat, &steps);
+        assert!(found.is_empty(), "{found}");
+        steps
+    }
+
+    pub fn plan_moves(&mut self) -> Vec<Move> {
+        let moves = self
+            .sizes
+            .plan(&self.fleet, &self.demand, &self.cat, self.now)
+            .to_vec();
+        let found = verify::moves(&self.fleet, &self.cat, &moves);
+        assert!(found.is_empty(), "{found}");
+        moves
+    }
+
+    /// Stores the effect of a step, and gives the command that goes with it unless it is lost.
+    pub fn carry_out(&mut self, step: &Step, is_lost: bool) {
+        self.fleet.apply(step, self.now);
+        if is_lost {
+            return;
+        }
+        match step.action {
+            Action::Reboot | Action::Join(_) => self.reboot(step.vm),
+            Action::CheckpointTasks => self.set_work(step.vm, Work::default()),
+            _ => {}
+        }
+    }
+
+    /// Plans and carries out one round.
+    pub fn round(&mut self) -> Vec<Step> {
+        let steps = self.plan();
+        for step in &steps {
+            self.carry_out(step, false);
+        }
+        steps
+    }
+
+    fn reboot(&mut self, vm: VmId) {
+        if self.fleet.vms[vm].work.running > 0 {
+            self.cut_work += 1;
+        }
+        let until = self.now + self.boot_time;
+        if self.machine(vm).truth == Truth::Live {
+            self.set_truth(vm, Truth::Rebooting(until));
+        }
+    }
+
+    fn finish_boots(&mut self) {
+        for vm in self.fleet.vms.keys() {
+            let now = self.now;
+            let machine = self.machine(vm);
+            let Truth::Rebooting(until) = machine.truth else {
+                continue;
+            };
+            if now < until {
+                continue;
+            }
+            if machine.breaks {
+                machine.truth = Truth::Down;
+            } else {
+                machine.truth = Truth::Live;
+                machine.boots += 1;
+            }
+            self.report(vm);
+        }
+    }
+
+    fn report(&mut self, vm: VmId) {
+        let machine = &self.machines[vm.index()];
+        let seen = match machine.truth {
+            Truth::Live => Seen::Live,
+            Truth::Rebooting(_) => Seen::Rebooting,
+            Truth::Leaving => Seen::Leaving,
+            Truth::Down | Truth::Gone => Seen::Absent,
+        };
+        self.news.push_back(News {
+            at: self.now + self.lag,
+            vm,
+            seen,
+            boots: machine.boots,
+        });
+    }
+
+    fn show_news(&mut self) {
+        while self.news.front().is_some_and(|news| news.at <= self.now) {
+            let Some(news) = self.news.pop_front() else {
+                return;
+            };
+            let vm = &mut self.fleet.vms[news.vm];
+            if vm.seen != news.seen {
+                vm.seen = news.seen;
+                vm.seen_since = self.now;
+            }
+            vm.boots = news.boots;
+        }
+    }
+
+    pub fn count(&self, state: VmState) -> usize {
+        let vms = self.fleet.vms.values();
+        vms.filter(|vm| vm.state == state).count()
+    }
+
+    pub fn done(&self) -> usize {
+        let number = self.fleet.cycle.number;
+        let vms = self.fleet.vms.values();
+        vms.filter(|vm| vm.maintained_cycle >= number).count()
+    }
+}
