--- a/crates/types/src/breach/mod.rs
+++ b/crates/types/src/breach/mod.rs
@@ -28,6 +28,8 @@
     GracefulShutdown,
     /// An accepted configuration is in force everywhere within seconds and never reverts.
     ConfigurationInForce,
+    /// A part's state agrees with itself. Not one of the brief, but the others rest on it.
+    SoundState,
 }
 
 impl Promise {
@@ -59,6 +61,7 @@
             Self::LeavingUpstream => "leaving-upstream",
             Self::GracefulShutdown => "graceful-shutdown",
             Self::ConfigurationInForce => "configuration-in-force",
+            Self::SoundState => "sound-state",
         })
     }
 }
