sched: tasks on workers as pure passes

Cause: tasks had no scheduler. Change: a state of tasks, lanes, teams and workers by dense id, and passes for leases, overload, shares, holds, order, placement, preemption, health and retries; a verifier over the whole; cases as text files.

--- /dev/null
+++ b/crates/sched/src/order/mod.rs
@@ -0,0 +1,325 @@
+//! Which task starts next.
+//!
+//! Urgent tasks come first, over all teams; then all others. Among teams the one with the least [`share::turn`] goes
+//! first, and only while it is below its upper limit here. Inside a team, lanes whose first task is past its latest
+//! start come first, by due time; else the lane that uses least for the weight of its class, so that batch work
+//! always advances beside interactive work. Inside a lane, tasks go by due time, and every task has one, so none
+//! waits for ever. A task that finds no room lets a few after it be tried, and is then held a worker for
+//! ([`crate::hold`]).
+
+use std::cmp::Ordering;
+use std::collections::BinaryHeap;
+use std::time::Instant;
+
+use goldcrest_types::catalogue::Class;
+use goldcrest_types::entity::{SecondaryMap, TaskId, TeamId, VmId};
+use goldcrest_types::units::Resources;
+
+use crate::decision::{Decisions, Start};
+use crate::estimate::{larger, run_time};
+use crate::place::{PlaceScratch, could_ever_fit, place};
+use crate::reason::Reason;
+use crate::share;
+use crate::state::{Entry, LaneId, Phase, Progress, Run, State, dominant};
+
+/// How much more interactive than batch work of one team runs when both wait.
+const INTERACTIVE_WEIGHT: f64 = 4.0;
+
+/// A team's place in the order.
+#[derive(Debug)]
+struct Turn {
+    turn: f64,
+    team: TeamId,
+}
+
+impl PartialEq for Turn {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for Turn {}
+
+impl PartialOrd for Turn {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Turn {
+    /// The least turn is the greatest, since a heap gives the greatest first.
+    fn cmp(&self, other: &Self) -> Ordering {
+        other
+            .turn
+            .total_cmp(&self.turn)
+            .then_with(|| other.team.cmp(&self.team))
+    }
+}
+
+/// What a round goes over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Round {
+    Urgent,
+    Others,
+}
+
+impl Round {
+    const fn takes(self, class: Class) -> bool {
+        matches!(
+            (self, class),
+            (Self::Urgent, Class::Urgent) | (Self::Others, Class::Interactive | Class::Batch)
+        )
+    }
+}
+
+/// What [`start_waiting`] keeps from round to round.
+#[derive(Debug, Default)]
+pub struct OrderScratch {
+    turns: BinaryHeap<Turn>,
+    stash: Vec<(LaneId, Entry)>,
+    tried: SecondaryMap<LaneId, u32>,
+    /// What each team uses, with what this round has started.
+    used: SecondaryMap<TeamId, Resources>,
+    /// The tasks that found no room, most urgent first.
+    pub unplaced: Vec<TaskId>,
+}
+
+/// Starts waiting tasks until none finds room.
+pub fn start_waiting(
+    state: &mut State,
+    scratch: &mut OrderScratch,
+    places: &mut PlaceScratch,
+    now: Instant,
+    out: &mut Decisions,
+) {
+    scratch.unplaced.clear();
+    scratch.tried.clear();
+    for (id, team) in state.teams.iter() {
+        scratch.used[id] = team.charge + team.elsewhere;
+    }
+    for round in [Round::Urgent, Round::Others] {
+        go_round(state, scratch, places, round, now, out);
+    }
+    for (lane, entry) in scratch.stash.drain(..) {
+        state.lanes[lane].push(entry);
+    }
+}
+
+fn go_round(
+    state: &mut State,
+    scratch: &mut OrderScratch,
+    places: &mut PlaceScratch,
+    round: Round,
+    now: Instant,
+    out: &mut Decisions,
+) {
+    let whole = state.whole();
+    scratch.turns.clear();
+    for id in state.teams.ids() {
+        queue_up(state, scratch, id, &whole);
+    }
+    while let Some(Turn { team, .. }) = scratch.turns.pop() {
+        if out.starts.len() >= state.cfg.starts_max {
+            return;
+        }
+        if state.teams[team].running >= state.teams[team].usable(now) {
+            continue;
+        }
+        let Some(lane) = next_lane(state, scratch, team, round, now) else {
+            continue;
+        };
+        try_first(state, scratch, places, lane, now, out);
+        queue_up(state, scratch, team, &whole);
+    }
+}
+
+fn queue_up(state: &State, scratch: &mut OrderScratch, id: TeamId, whole: &Resources) {
+    let team = &state.teams[id];
+    if !team.is_known
+        || team
+            .lanes
+            .iter()
+            .all(|lane| state.lanes[*lane].waiting == 0)
+    {
+        return;
+    }
+    let used = dominant(&scratch.used[id], whole);
+    let turn = share::turn(team, used, state.cfg.share_horizon);
+    scratch.turns.push(Turn { turn, team: id });
+}
+
+/// The lane of `team` whose first task is next.
+fn next_lane(
+    state: &mut State,
+    scratch: &OrderScratch,
+    team: TeamId,
+    round: Round,
+    now: Instant,
+) -> Option<LaneId> {
+    let whole = state.whole();
+    let mut best: Option<(Rank, LaneId)> = None;
+    for index in 0..state.teams[team].lanes.len() {
+        let id = state.teams[team].lanes[index];
+        let lane = &mut state.lanes[id];
+        let is_done = scratch.tried[id] >= state.cfg.lookahead_tasks;
+        if lane.waiting == 0 || !round.takes(lane.class) || is_done || is_throttled(state, id) {
+            continue;
+        }
+        let Some(entry) = state.lanes[id].peek(&state.tasks) else {
+            continue;
+        };
+        let rank = rank(state, id, &entry, &whole, now);
+        if best.as_ref().is_none_or(|(least, _)| rank.is_before(least)) {
+            best = Some((rank, id));
+        }
+    }
+    best.map(|(_, id)| id)
+}
+
+/// Whether a lane that fails everywhere has enough tasks running.
+#[must_use]
+pub fn is_throttled(state: &State, id: LaneId) -> bool {
+    let lane = &state.lanes[id];
+    lane.failed_on.len() >= state.cfg.lane_failed_workers
+        && lane.running >= state.cfg.suspect_lane_running
+}
+
+/// A lane's place among those of its team.
+#[derive(Debug)]
+enum Rank {
+    Late(Instant),
+    Using(f64),
+}
+
+impl Rank {
+    fn is_before(&self, other: &Self) -> bool {
+        match (self, other) {
+            (Self::Late(a), Self::Late(b)) => a < b,
+            (Self::Late(_), Self::Using(_)) => true,
+            (Self::Using(_), Self::Late(_)) => false,
+            (Self::Using(a), Self::Using(b)) => a < b,
+        }
+    }
+}
+
+fn rank(state: &State, id: LaneId, entry: &Entry, whole: &Resources, now: Instant) -> Rank {
+    let lane = &state.lanes[id];
+    let declared = state.tasks[entry.task].declared_run;
+    let run = run_time(declared, &lane.observed, &state.classes[lane.class.index()]);
+    if now + run >= entry.due {
+        return Rank::Late(entry.due);
+    }
+    let weight = match lane.class {
+        Class::Urgent | Class::Interactive => INTERACTIVE_WEIGHT,
+        Class::Batch => 1.0,
+    };
+    Rank::Using(dominant(&lane.charge, whole) / weight)
+}
+
+/// Takes the first task of a lane and starts it, parks it, or puts it aside for this round.
+fn try_first(
+    state: &mut State,
+    scratch: &mut OrderScratch,
+    places: &mut PlaceScratch,
+    lane: LaneId,
+    now: Instant,
+    out: &mut Decisions,
+) {
+    let Some(entry) = state.lanes[lane].pop(&state.tasks) else {
+        return;
+    };
+    let id = entry.task;
+    let Some(need) = need(state, id) else {
+        let declared = state.tasks[id].declared;
+        state.park(id, Reason::NeverFits { declared });
+        return;
+    };
+    if let Some(vm) = place(state, places, id, &need) {
+        let reason = Reason::Placed {
+            worker: vm,
+            estimate: need,
+        };
+        let charge = start(state, id, vm, need, reason, now, out);
+        scratch.used[state.lanes[lane].team] += charge;
+        return;
+    }
+    put_aside(state, scratch, entry, lane, need);
+}
+
+fn put_aside(
+    state: &mut State,
+    scratch: &mut OrderScratch,
+    entry: Entry,
+    lane: LaneId,
+    need: Resources,
+) {
+    let has_workers = state.workers.in_pool(state.lanes[lane].pool).open > 0;
+    let task = &mut state.tasks[entry.task];
+    if !matches!(task.reason, Reason::Held { .. } | Reason::Preempting { .. }) {
+        task.reason = if has_workers {
+            Reason::NoRoom { estimate: need }
+        } else {
+            Reason::NoWorker
+        };
+    }
+    scratch.unplaced.push(entry.task);
+    scratch.stash.push((lane, entry));
+    scratch.tried[lane] += 1;
+}
+
+/// What a waiting task is packed by: its estimate, or what it declares if only that fits an empty worker. None if
+/// nothing fits while the pool has workers.
+#[must_use]
+pub fn need(state: &State, id: TaskId) -> Option<Resources> {
+    let estimate = state.estimate(id, state.cfg.size_quantile_permille);
+    let lane = &state.lanes[state.tasks[id].lane];
+    if state.workers.in_pool(lane.pool).vms.is_empty() || could_ever_fit(state, id, &estimate) {
+        return Some(estimate);
+    }
+    let declared = state.tasks[id].declared;
+    could_ever_fit(state, id, &declared).then_some(declared)
+}
+
+/// Books a task on a worker and decides its start. Returns what its team is charged.
+pub fn start(
+    state: &mut State,
+    id: TaskId,
+    vm: VmId,
+    reserved: Resources,
+    reason: Reason,
+    now: Instant,
+    out: &mut Decisions,
+) -> Resources {
+    let charge = state.estimate(id, 500);
+    let task = &mut state.tasks[id];
+    task.reason = reason.clone();
+    let attempt = task.attempt + 1;
+    out.starts.push(Start {
+        task: id,
+        key: task.key,
+        worker: vm,
+        attempt,
+        resources: larger(&reserved, &task.declared),
+        resume: task.progress == Progress::Checkpointed,
+        reason,
+    });
+    let run = Run {
+        worker: vm,
+        attempt,
+        since: now,
+        phase: Phase::Starting,
+        confirmed_at: None,
+        counted_until: now + state.cfg.lease_bound(),
+        renew_at: now + state.cfg.renew_after,
+        reserved,
+        charge,
+        used: Resources::ZERO,
+        peak: Resources::ZERO,
+        reports: 0,
+        is_learned: false,
+        is_throttled: false,
+        stop: None,
+    };
+    state.book(id, run);
+    charge
+}
--- /dev/null
+++ b/crates/sched/tests/cases.rs
@@ -0,0 +1,259 @@
+//! Runs every file of `tests/cases`: a fleet, an event a line, and after each `>` what is expected.
+//!
+//! Lines: `team NAME SHARE LIMIT`, `queue NAME CLASS POOL RUN_MAX_MS`, `worker NAME RACK POOL CPU MIB ACCELERATORS
+//! [cordoned|leaving]`, `fleet` (takes the lines above over), `grant TEAM SLOTS`, `at MS`, `submit KEY TEAM QUEUE CPU MIB
+//! ACCELERATORS [checkpoint] [once]`, `cancel KEY`, `started KEY ATTEMPT OUTCOME`, `report WORKER [KEY ATTEMPT PHASE CPU
+//! MIB]...`, `round`, `explain KEY`, `unpark KEY`.
+
+mod common;
+
+use std::fmt::Write as _;
+use std::time::{Duration, Instant};
+
+use goldcrest_sched::verify::verify;
+use goldcrest_sched::{
+    Availability, Config, Decisions, ObservedPhase, Scheduler, StartOutcome, TaskObservation,
+    WorkerSpec,
+};
+use goldcrest_types::entity::VmId;
+use goldcrest_types::names::{TaskKey, TeamName};
+use goldcrest_types::units::Slots;
+
+struct Case {
+    sched: Scheduler,
+    teams: Vec<(String, u32, u32)>,
+    queues: Vec<(String, String, String, u64)>,
+    workers: Vec<WorkerSpec>,
+    start: Instant,
+    now: Instant,
+    out: Decisions,
+}
+
+fn number<T: std::str::FromStr>(word: &str) -> T {
+    word.parse()
+        .unwrap_or_else(|_| panic!("'{word}' is no number"))
+}
+
+fn key(word: &str) -> TaskKey {
+    TaskKey::new(number(word.trim_start_matches('t')))
+}
+
+fn phase(word: &str) -> ObservedPhase {
+    match word {
+        "running" => ObservedPhase::Running,
+        "succeeded" => ObservedPhase::Succeeded,
+        "failed" => ObservedPhase::Failed,
+        "stopped" => ObservedPhase::Stopped,
+        "checkpointed" => ObservedPhase::Checkpointed,
+        _ => panic!("'{word}' is no phase"),
+    }
+}
+
+impl Case {
+    fn new() -> Self {
+        let start = Instant::now();
+        Self {
+            sched: Scheduler::new(Config::default()),
+            teams: Vec::new(),
+            queues: Vec::new(),
+            workers: Vec::new(),
+            start,
+            now: start,
+            out: Decisions::new(),
+        }
+    }
+
+    /// Does one line and returns what there is to say of it.
+    fn step(&mut self, line: &str) -> String {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        match words[0] {
+            "team" => self
+                .teams
+                .push((words[1].into(), number(words[2]), number(words[3]))),
+            "queue" => self.queues.push((
+                words[1].into(),
+                words[2].into(),
+                words[3].into(),
+                number(words[4]),
+            )),
+            "worker" => self.add_worker(&words),
+            "fleet" => self.take_over(),
+            "grant" => {
+                let team: TeamName = words[1].parse().expect("a team");
+                let until = self.now + Duration::from_mins(1);
+                self.sched
+                    .set_grants([(&team, Slots::new(number(words[2])))], until);
+            }
+            "at" => self.now = self.start + Duration::from_millis(number(words[1])),
+            "submit" => return self.submit(&words),
+            "cancel" => return format!("{:?}\n", self.sched.cancel(&key(words[1]))),
+            "unpark" => return format!("{}\n", self.sched.unpark(&key(words[1]))),
+            "started" => self.started(&words),
+            "report" => self.report(&words),
+            "round" => return self.round(),
+            "explain" => {
+                let explanation = self.sched.explain(&key(words[1]), self.now);
+                return format!("{}\n", explanation.expect("a task").text);
+            }
+            word => panic!("'{word}' is no event"),
+        }
+        String::new()
+    }
+
+    fn add_worker(&mut self, words: &[&str]) {
+        let capacity = common::resources(number(words[4]), number(words[5]), number(words[6]));
+        let mut spec = common::worker(words[1], words[2], words[3], capacity);
+        spec.availability = match words.get(7) {
+            Some(&"cordoned") => Availability::Cordoned,
+            Some(&"leaving") => Availability::Leaving,
+            _ => Availability::Open,
+        };
+        self.workers.retain(|other| other.name != spec.name);
+        self.workers.push(spec);
+    }
+
+    fn take_over(&mut self) {
+        self.sched
+            .set_catalogue(&common::catalogue(&self.teams, &self.queues));
+        self.sched.set_workers(&self.workers, self.now);
+        let grants: Vec<(TeamName, Slots)> = self
+            .teams
+            .iter()
+            .map(|(name, _, limit)| (name.parse().expect("a team"), Slots::new(*limit)))
+            .collect();
+        let until = self.now + Duration::from_hours(1);
+        self.sched
+            .set_grants(grants.iter().map(|(name, slots)| (name, *slots)), until);
+    }
+
+    fn submit(&mut self, words: &[&str]) -> String {
+        let declared = common::resources(number(words[4]), number(words[5]), number(words[6]));
+        let number: u128 = number(words[1].trim_start_matches('t'));
+        let mut spec = common::task(number, words[2], words[3], declared);
+        spec.checkpointable = words.contains(&"checkpoint");
+        spec.idempotent = !words.contains(&"once");
+        match self.sched.submit(&spec, self.now) {
+            Ok(_) => String::new(),
+            Err(error) => format!("{error}\n"),
+        }
+    }
+
+    fn started(&mut self, words: &[&str]) {
+        let outcome = match words[3] {
+            "accepted" => StartOutcome::Accepted,
+            "refused" => StartOutcome::NotStarted,
+            _ => StartOutcome::Unknown,
+        };
+        self.sched
+            .on_start(&key(words[1]), number(words[2]), outcome, self.now);
+    }
+
+    fn report(&mut self, words: &[&str]) {
+        let vm = self
+            .sched
+            .worker(&words[1].parse().expect("a name"))
+            .expect("a worker");
+        let tasks: Vec<TaskObservation> = words[2..]
+            .chunks(5)
+            .map(|seen| TaskObservation {
+                key: key(seen[0]),
+                attempt: number(seen[1]),
+                phase: phase(seen[2]),
+                used: common::resources(number(seen[3]), number(seen[4]), 0),
+            })
+            .collect();
+        self.sched.on_report(vm, &tasks, self.now, self.now);
+    }
+
+    fn name(&self, vm: VmId) -> &str {
+        self.sched.worker_name(vm).expect("a worker").as_str()
+    }
+
+    fn round(&mut self) -> String {
+        let mut out = std::mem::take(&mut self.out);
+        self.sched.round(self.now, &mut out);
+        let breaches = verify(self.sched.state(), &out, self.now);
+        assert!(breaches.is_empty(), "{breaches}");
+        let mut text = String::new();
+        for start in &out.starts {
+            let (key, worker) = (start.key.bits(), self.name(start.worker));
+            let resume = if start.resume { " resume" } else { "" };
+            writeln!(
+                text,
+                "start t{key} {worker} attempt {}{resume}",
+                start.attempt
+            )
+            .unwrap();
+        }
+        for command in &out.commands {
+            let (key, worker) = (command.key.bits(), self.name(command.worker));
+            writeln!(
+                text,
+                "{:?} t{key} {worker}: {}",
+                command.kind,
+                self.sched.describe(&command.reason)
+            )
+            .unwrap();
+        }
+        for parked in &out.parked {
+            writeln!(
+                text,
+                "park t{}: {}",
+                parked.key.bits(),
+                self.sched.describe(&parked.reason)
+            )
+            .unwrap();
+        }
+        for ended in &out.ended {
+            let key = ended.key.bits();
+            writeln!(
+                text,
+                "end t{key} {:?}: {}",
+                ended.outcome,
+                self.sched.describe(&ended.reason)
+            )
+            .unwrap();
+        }
+        self.out = out;
+        text
+    }
+}
+
+fn run(text: &str) -> String {
+    let mut case = Case::new();
+    let mut told = String::new();
+    for line in text.lines() {
+        if line.starts_with('>') {
+            continue;
+        }
+        told.push_str(line);
+        told.push('\n');
+        if !line.is_empty() && !line.starts_with('#') {
+            for answer in case.step(line).lines() {
+                writeln!(told, "> {answer}").unwrap();
+            }
+        }
+    }
+    told
+}
+
+#[test]
+fn cases_all_files() {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/cases");
+    let mut files: Vec<_> = std::fs::read_dir(folder)
+        .expect("the folder of cases")
+        .map(|file| file.expect("a file").path())
+        .collect();
+    files.sort();
+    assert!(files.len() >= 10, "only {} cases found", files.len());
+    let mut wrong = String::new();
+    for file in files {
+        let text = std::fs::read_to_string(&file).expect("a case");
+        let told = run(&text);
+        if told != text {
+            let name = file.file_name().unwrap_or_default().display();
+            writeln!(wrong, "--- {name}: this is what is decided:\n{told}").unwrap();
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong}");
+}
