--- /dev/null
+++ b/crates/ctl/src/command/edit.rs
@@ -0,0 +1,196 @@
+//! The commands that change the catalogue.
+
+use std::path::Path;
+use std::time::Duration;
+
+use goldcrest_api::EditRequest;
+use goldcrest_ledger::catalogue::{Change, diff as changes_between, text};
+use goldcrest_types::catalogue::KeySpec;
+use goldcrest_types::key::KeyDigest;
+use goldcrest_types::names::{EditId, KeyName, TeamName};
+use goldcrest_types::units::Revision;
+use tokio::time::{Instant, sleep};
+
+use super::{fail, read_catalogue};
+use crate::Output;
+use crate::args::ApplyOptions;
+use crate::client::{Client, ClientError};
+use crate::exit::Exit;
+
+/// How often the tool asks whether an edit is in force everywhere.
+const IN_FORCE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// How often an edit with an unknown outcome is sent again, with the same id.
+const RESEND_MAX: u32 = 3;
+
+pub async fn diff(client: &Client, file: &Path, output: &mut Output<'_>) -> Exit {
+    let wanted = match read_catalogue(file, output) {
+        Ok(spec) => spec,
+        Err(exit) => return exit,
+    };
+    let view = match client.catalogue().await {
+        Ok(view) => view,
+        Err(error) => return fail(&error, output),
+    };
+    let changes = changes_between(&view.spec, &wanted);
+    if changes.is_empty() {
+        output.line(&format!("no difference to revision {}", view.revision));
+        return Exit::Done;
+    }
+    for change in &changes {
+        output.line(&text::change(change));
+    }
+    Exit::Found
+}
+
+pub async fn apply(
+    client: &Client,
+    file: &Path,
+    options: ApplyOptions,
+    output: &mut Output<'_>,
+) -> Exit {
+    let wanted = match read_catalogue(file, output) {
+        Ok(spec) => spec,
+        Err(exit) => return exit,
+    };
+    let view = match client.catalogue().await {
+        Ok(view) => view,
+        Err(error) => return fail(&error, output),
+    };
+    let changes = changes_between(&view.spec, &wanted);
+    if changes.is_empty() {
+        output.line(&format!("no difference to revision {}", view.revision));
+        return Exit::Done;
+    }
+    for change in &changes {
+        output.line(&text::change(change));
+    }
+    send(client, changes, options, output).await
+}
+
+pub async fn grant(
+    client: &Client,
+    name: KeyName,
+    team: TeamName,
+    options: ApplyOptions,
+    output: &mut Output<'_>,
+) -> Exit {
+    let secret = hex_secret();
+    let key = KeySpec {
+        name,
+        team,
+        digest: KeyDigest::of(&secret),
+    };
+    let exit = send(client, vec![Change::grant(key)], options, output).await;
+    // The secret is needed whenever the key may have been granted.
+    if matches!(exit, Exit::Done | Exit::NotInForce | Exit::OutcomeUnknown) {
+        output.line(&format!("secret (shown once): {secret}"));
+    }
+    exit
+}
+
+pub async fn withdraw(
+    client: &Client,
+    name: &KeyName,
+    options: ApplyOptions,
+    output: &mut Output<'_>,
+) -> Exit {
+    let view = match client.catalogue().await {
+        Ok(view) => view,
+        Err(error) => return fail(&error, output),
+    };
+    let Some(change) = Change::withdraw(&view.spec, name) else {
+        output.note(&format!(
+            "goldcrestctl: key '{name}' is not granted in revision {}: see the keys in the catalogue",
+            view.revision
+        ));
+        return Exit::Refused;
+    };
+    send(client, vec![change], options, output).await
+}
+
+fn hex_secret() -> String {
+    let bits: [u128; 2] = rand::random();
+    format!("{:032x}{:032x}", bits[0], bits[1])
+}
+
+async fn send(
+    client: &Client,
+    changes: Vec<Change>,
+    options: ApplyOptions,
+    output: &mut Output<'_>,
+) -> Exit {
+    let id = options.edit.unwrap_or_else(|| EditId::new(rand::random()));
+    let request = EditRequest { id, changes };
+    match send_until_known(client, &request).await {
+        Ok(revision) => {
+            output.line(&format!("accepted as revision {revision} (edit {id})"));
+            wait_in_force(client, revision, options.timeout, output).await
+        }
+        Err(error) => {
+            let exit = fail(&error, output);
+            if exit == Exit::OutcomeUnknown {
+                output.note(&format!("repeat the command with --edit-id {id}"));
+            }
+            exit
+        }
+    }
+}
+
+/// Sends an edit again while its outcome is unknown: the id makes sure that it is applied at most once.
+async fn send_until_known(client: &Client, request: &EditRequest) -> Result<Revision, ClientError> {
+    let mut tries = 0;
+    loop {
+        match client.edit(request).await {
+            Ok(answer) => return Ok(answer.revision),
+            Err(error) if error.exit() == Exit::OutcomeUnknown && tries < RESEND_MAX => tries += 1,
+            Err(error) => return Err(error),
+        }
+    }
+}
+
+async fn wait_in_force(
+    client: &Client,
+    revision: Revision,
+    timeout: Duration,
+    output: &mut Output<'_>,
+) -> Exit {
+    let started = Instant::now();
+    let mut last_count = None;
+    loop {
+        let (in_force, missing) = match client.in_force().await {
+            Ok(in_force) => {
+                let missing: Vec<_> = in_force.missing(revision).cloned().collect();
+                (in_force.entries.len() - missing.len(), missing)
+            }
+            Err(error) => {
+                output.note(&format!("goldcrestctl: {error}"));
+                (0, Vec::new())
+            }
+        };
+        if in_force > 0 && missing.is_empty() {
+            let waited_ms = started.elapsed().as_millis();
+            output.line(&format!(
+                "in force on {in_force} entries after {waited_ms} ms"
+            ));
+            return Exit::Done;
+        }
+        if last_count != Some(in_force) {
+            output.note(&format!(
+                "in force on {in_force}, missing on {}",
+                missing.len()
+            ));
+            last_count = Some(in_force);
+        }
+        if started.elapsed() >= timeout {
+            for entry in &missing {
+                output.note(&format!(
+                    "not in force on {} in {}: revision {}, heard {} ms ago",
+                    entry.entry, entry.data_centre, entry.revision, entry.heard_ms
+                ));
+            }
+            return Exit::NotInForce;
+        }
+        sleep(IN_FORCE_INTERVAL).await;
+    }
+}
--- a/crates/types/src/clock/mod.rs
+++ b/crates/types/src/clock/mod.rs
@@ -3,7 +3,7 @@
 //! Decisions take an [`Instant`] as an argument. Only the parts at a process's edge hold a [`Clock`], so a test
 //! sets the time by passing another clock in.
 
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime};
 
 /// Where a process reads the time.
@@ -15,6 +15,16 @@
     fn wall(&self) -> SystemTime;
 }
 
+impl<C: Clock + ?Sized> Clock for Arc<C> {
+    fn now(&self) -> Instant {
+        (**self).now()
+    }
+
+    fn wall(&self) -> SystemTime {
+        (**self).wall()
+    }
+}
+
 /// The operating system's clocks.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct SystemClock;
