--- a/crates/sched/src/config/mod.rs
+++ b/crates/sched/src/config/mod.rs
@@ -11,7 +11,7 @@
     pub lease: Duration,
     /// How long after a start or renewal the next renewal goes out.
     pub renew_after: Duration,
-    /// The longest that a call to a worker can still take effect after it was decided.
+    /// The longest that a call to a worker can still take effect after it was decided. The caller sends nothing later.
     pub call_max: Duration,
     /// How far a worker's clock may run behind ours over one lease.
     pub drift_margin: Duration,
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -39,4 +39,4 @@
 pub use reason::Reason;
 pub use report::{ObservedPhase, StartOutcome, TaskObservation};
 pub use scheduler::{CancelOutcome, Explanation, Scheduler, Snapshot, SubmitError, TeamStatus};
-pub use state::{Availability, Outcome, TaskSpec, WorkerSpec};
+pub use state::{Availability, Outcome, Progress, TaskSpec, WorkerSpec};
--- a/crates/sched/src/order/mod.rs
+++ b/crates/sched/src/order/mod.rs
@@ -308,7 +308,7 @@
         attempt,
         since: now,
         phase: Phase::Starting,
-        confirmed_at: None,
+        settled_at: now + state.cfg.call_max,
         counted_until: now + state.cfg.lease_bound(),
         renew_at: now + state.cfg.renew_after,
         reserved,
--- a/crates/sched/src/report/mod.rs
+++ b/crates/sched/src/report/mod.rs
@@ -80,7 +80,7 @@
     let vm = run.worker;
     match outcome {
         StartOutcome::Accepted => confirm(run, now),
-        StartOutcome::NotStarted if run.confirmed_at.is_none() => {
+        StartOutcome::NotStarted if run.reports == 0 => {
             state.workers.close_until(vm, now + CLOSED_AFTER_REFUSAL);
             after_try(state, id, TryEnd::Refused, now);
         }
@@ -89,9 +89,7 @@
 }
 
 fn confirm(run: &mut Run, now: Instant) {
-    if run.confirmed_at.is_none() {
-        run.confirmed_at = Some(now);
-    }
+    run.settled_at = run.settled_at.min(now);
     if run.phase == Phase::Starting {
         run.phase = Phase::Confirmed;
     }
@@ -208,7 +206,7 @@
     state.classes[lane.class.index()].add_run(ran, task.declared_run);
 }
 
-/// Gives up tasks that the worker was known to have before it was asked, and that it no longer reports.
+/// Gives up tasks that the worker would report if it had them.
 fn drop_missing(
     state: &mut State,
     vm: VmId,
@@ -221,7 +219,7 @@
         let Some(run) = state.run_on(*id, vm) else {
             return false;
         };
-        run.confirmed_at.is_some_and(|at| at < asked_at)
+        run.settled_at < asked_at
             && !report
                 .iter()
                 .any(|seen| seen.key == task.key && seen.attempt == run.attempt)
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -183,7 +183,7 @@
             attempt,
             since: now,
             phase: Phase::Starting,
-            confirmed_at: None,
+            settled_at: now + state.cfg.call_max,
             counted_until: now + state.cfg.lease_bound(),
             renew_at: now,
             reserved,
@@ -201,6 +201,26 @@
         Ok(id)
     }
 
+    /// Takes a task that an earlier scheduler had accepted, and that is known not to run.
+    ///
+    /// # Errors
+    ///
+    /// [`SubmitError`] as for [`Self::submit`]. Nothing was changed then.
+    pub fn recover(
+        &mut self,
+        spec: &TaskSpec,
+        attempts: u32,
+        progress: Progress,
+        now: Instant,
+    ) -> Result<TaskId, SubmitError> {
+        let id = self.add(spec, now)?;
+        let task = &mut self.state.tasks[id];
+        task.attempt = attempts;
+        task.progress = progress;
+        self.state.wait(id, Reason::Accepted);
+        Ok(id)
+    }
+
     fn add(&mut self, spec: &TaskSpec, now: Instant) -> Result<TaskId, SubmitError> {
         let state = &mut self.state;
         if state.tasks.find(&spec.key).is_some() {
--- a/crates/sched/src/state/task.rs
+++ b/crates/sched/src/state/task.rs
@@ -63,8 +63,8 @@
     pub since: Instant,
     /// How far it is known to have come.
     pub phase: Phase,
-    /// Since when the worker is known to have it.
-    pub confirmed_at: Option<Instant>,
+    /// A report that was asked for after this, and does not list the try, shows that the worker does not have it.
+    pub settled_at: Instant,
     /// Until when it counts as running if nothing more is heard.
     pub counted_until: Instant,
     /// When the next renewal goes out.
