platform: read the list of VMs only when it has changed

Cause: at 1,700 VMs the list is some 300 KB; each entry reading it each second would pass 14 KB/s twentyfold. Change: the client names the last entity tag; an unchanged list is answered without a body.

--- a/crates/platform/src/http/fleet.rs
+++ b/crates/platform/src/http/fleet.rs
@@ -1,17 +1,20 @@
 //! The platform's list of VMs and its control over them, over HTTP.
 //!
-//! The list is at `/v1/vms`; a reboot is a `POST` to `/v1/vms/<vm>/reboot`.
+//! The list is at `/v1/vms`; a reboot is a `POST` to `/v1/vms/<vm>/reboot`. The list is large and seldom changes, so
+//! each read names the entity tag of the last one, and an unchanged list is answered without its body.
 
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
 use goldcrest_types::names::VmName;
 use goldcrest_types::units::Epoch;
-use http::{HeaderMap, Method, StatusCode};
+use http::header::{ETAG, IF_NONE_MATCH};
+use http::{HeaderMap, HeaderValue, Method, StatusCode};
 use serde::{Deserialize, Serialize};
 
-use super::call::{CallError, HttpCaller};
+use super::call::{Answer, CallError, HttpCaller};
 use crate::fleet::{Fleet, FleetError, VmListing};
 
 /// Asks for a reboot.
@@ -21,11 +24,19 @@
     pub epoch: Epoch,
 }
 
-/// The platform at one address.
+/// The last list and its entity tag.
+#[derive(Debug)]
+struct Tagged {
+    tag: HeaderValue,
+    listing: VmListing,
+}
+
+/// The platform at one address. Clones share the last list.
 #[derive(Debug, Clone)]
 pub struct HttpFleet {
     caller: HttpCaller,
     address: SocketAddr,
+    last: Arc<Mutex<Option<Tagged>>>,
 }
 
 impl HttpFleet {
@@ -35,19 +46,39 @@
         Self {
             caller: HttpCaller::new(timeout),
             address,
+            last: Arc::default(),
         }
     }
+
+    fn last(&self) -> MutexGuard<'_, Option<Tagged>> {
+        self.last.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn read_listing(&self, answer: &Answer) -> Result<VmListing, FleetError> {
+        let listing: VmListing = serde_json::from_slice(&answer.body)
+            .map_err(|error| FleetError::Malformed(error.to_string().into()))?;
+        let tag = answer.headers.get(ETAG).cloned();
+        *self.last() = tag.map(|tag| Tagged {
+            tag,
+            listing: listing.clone(),
+        });
+        Ok(listing)
+    }
 }
 
 impl Fleet for HttpFleet {
     async fn list(&self) -> Result<VmListing, FleetError> {
+        let mut headers = HeaderMap::new();
+        if let Some(last) = self.last().as_ref() {
+            headers.insert(IF_NONE_MATCH, last.tag.clone());
+        }
         let answer = self
             .caller
             .call(
                 Method::GET,
                 self.address,
                 "/v1/vms",
-                HeaderMap::new(),
+                headers,
                 Bytes::new(),
                 Duration::ZERO,
             )
@@ -55,8 +86,12 @@
             // A read changes nothing, so its outcome is never unknown.
             .map_err(|_| FleetError::Unreachable)?;
         match answer.status {
-            StatusCode::OK => serde_json::from_slice(&answer.body)
-                .map_err(|error| FleetError::Malformed(error.to_string().into())),
+            StatusCode::OK => self.read_listing(&answer),
+            StatusCode::NOT_MODIFIED => self
+                .last()
+                .as_ref()
+                .map(|last| last.listing.clone())
+                .ok_or_else(|| FleetError::Malformed(answer.detail())),
             StatusCode::SERVICE_UNAVAILABLE => Err(FleetError::Unreachable),
             _ => Err(FleetError::Malformed(answer.detail())),
         }
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -15,7 +15,8 @@
 use goldcrest_platform::http::fleet::RebootVm;
 use goldcrest_types::names::{DcName, VmName};
 use goldcrest_types::units::Epoch;
-use http::{Method, Request, StatusCode};
+use http::header::{ETAG, IF_NONE_MATCH};
+use http::{HeaderValue, Method, Request, StatusCode};
 use hyper::body::Incoming;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -33,6 +34,8 @@
     cut_work: u32,
     shown: VmListing,
     shown_at: Option<Instant>,
+    shown_version: u64,
+    unchanged_answers: u32,
 }
 
 /// The platform's list of VMs and its reboots. Clones share the state.
@@ -87,6 +90,12 @@
         self.state().cut_work
     }
 
+    /// How many reads of the list were answered as unchanged.
+    #[must_use]
+    pub fn unchanged_answers(&self) -> u32 {
+        self.state().unchanged_answers
+    }
+
     /// Sets the phase of a VM.
     pub fn set_phase(&self, vm: &VmName, phase: VmPhase) {
         if let Some(record) = self.state().vms.get_mut(vm) {
@@ -143,7 +152,7 @@
         }
         let path: Box<str> = request.uri().path().into();
         if *request.method() == Method::GET && &*path == "/v1/vms" {
-            return Ok(server::json(&self.listing()));
+            return Ok(self.listing_answer(&request));
         }
         let vm = path
             .strip_prefix("/v1/vms/")
@@ -158,6 +167,18 @@
         Ok(self.reboot(&vm, order.epoch))
     }
 
+    fn listing_answer(&self, request: &Request<Incoming>) -> Answer {
+        let listing = self.listing();
+        let tag = HeaderValue::from(self.state().shown_version);
+        if request.headers().get(IF_NONE_MATCH) == Some(&tag) {
+            self.state().unchanged_answers += 1;
+            return server::text(StatusCode::NOT_MODIFIED, "");
+        }
+        let mut answer = server::json(&listing);
+        answer.headers_mut().insert(ETAG, tag);
+        answer
+    }
+
     fn listing(&self) -> VmListing {
         let mut state = self.state();
         let is_due = state
@@ -166,7 +187,11 @@
         if is_due {
             let mut vms: Vec<VmRecord> = state.vms.values().cloned().collect();
             vms.sort_by(|a, b| a.name.cmp(&b.name));
-            state.shown = VmListing { vms };
+            let listing = VmListing { vms };
+            if state.shown != listing {
+                state.shown = listing;
+                state.shown_version += 1;
+            }
             state.shown_at = Some(Instant::now());
         }
         state.shown.clone()
