--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,1 +1,22 @@
-//! Placeholder until this crate has its first module.
+//! The links between entries, and what they tell each other.
+//!
+//! Start with [`peers::Peers`], the handle that the daemon's parts share. Below it, [`link::Link`] asks one other entry
+//! and [`server::PeerServer`] answers; messages are typed in [`message`], packed in [`wire`], and travel by `tarpc` over
+//! the WebSocket frames of [`transport`] after a [`handshake`].
+//!
+//! What is decided from the messages is pure, with time passed in: [`membership`], [`rendezvous`], [`claims`] and
+//! [`usage`].
+
+pub mod claims;
+pub mod handshake;
+pub mod link;
+pub mod membership;
+pub mod message;
+pub mod pace;
+pub mod peers;
+pub mod rendezvous;
+pub mod server;
+mod service;
+pub mod transport;
+pub mod usage;
+pub mod wire;
--- /dev/null
+++ b/crates/peer/src/link/mod.rs
@@ -0,0 +1,339 @@
+//! The link to one other entry: dialled, kept, and bounded.
+//!
+//! A [`Link`] is cheap to clone. [`Link::run`] dials its address and dials again, with jittered backoff, when the link
+//! breaks. A call on a link that is down, full or too fast fails at once; nothing queues without bound.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use goldcrest_types::clock::Clock;
+use goldcrest_types::units::PerSecond;
+use log::{debug, info};
+use quick_error::quick_error;
+use rand::Rng;
+use tarpc::client::RpcError;
+use tokio::net::TcpStream;
+use tokio::sync::{Notify, watch};
+use tokio_util::sync::CancellationToken;
+
+use crate::handshake::{self, HandshakeError, Hello};
+use crate::message::{Member, Refused, Reply, Request};
+use crate::pace::Pace;
+use crate::service::ExchangeClient;
+use crate::transport::{self, FrameTransport};
+use crate::wire::PacketError;
+
+/// The bounds of one link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LinkLimits {
+    /// Calls that wait for their answer at one time.
+    pub in_flight: usize,
+    /// Calls a second.
+    pub rate: PerSecond,
+    /// Calls at once after a pause.
+    pub burst: u32,
+    /// The longest wait for an answer.
+    pub timeout: Duration,
+    /// The bound of the first wait before dialling again.
+    pub redial_first: Duration,
+    /// The bound of any wait before dialling again.
+    pub redial_longest: Duration,
+}
+
+impl Default for LinkLimits {
+    fn default() -> Self {
+        Self {
+            in_flight: 64,
+            rate: PerSecond::new(500),
+            burst: 500,
+            timeout: Duration::from_secs(1),
+            redial_first: Duration::from_millis(100),
+            redial_longest: Duration::from_secs(5),
+        }
+    }
+}
+
+quick_error! {
+    /// Why a call on a link gave no answer.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum LinkError {
+        /// The link is down. The message was not sent.
+        Down {
+            display("there is no link to the entry: it is dialled again by itself")
+        }
+        /// The link has as many calls open, or as many in this second, as it may. The message was not sent.
+        Busy {
+            display("the link is busy: call less often, or raise its limits in the settings")
+        }
+        /// No answer came in time. The message may have been acted on.
+        NoAnswer {
+            display("no answer from the entry: ask again, or another entry")
+        }
+        /// The other side did not understand. Nothing was done there.
+        Refused(refused: Refused) {
+            display("the entry refused the message: {}", refused.why)
+        }
+        /// The answer can't be read.
+        Answer(cause: PacketError) {
+            display("the entry's answer was not understood: {cause}")
+            source(cause)
+        }
+        /// The link was not set up.
+        Handshake(cause: HandshakeError) {
+            display("no link: {cause}")
+            source(cause)
+        }
+        /// The entry can't be reached.
+        Dial(detail: Box<str>) {
+            display("the entry can't be reached ({detail}): wait, or check that it runs and its address is right")
+        }
+    }
+}
+
+/// The bytes and calls of a link, for metrics.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LinkCounts {
+    /// Calls made.
+    pub calls: u64,
+    /// Calls that gave no answer.
+    pub failed: u64,
+    /// How often the link was set up.
+    pub set_up: u64,
+}
+
+#[derive(Default)]
+struct Counters {
+    calls: AtomicU64,
+    failed: AtomicU64,
+    set_up: AtomicU64,
+}
+
+/// A link on which so many calls in a row got no answer is dialled anew, since its other end may be gone.
+const UNANSWERED_MAX: u32 = 3;
+
+struct Open {
+    client: ExchangeClient,
+    member: Member,
+}
+
+struct Inner<C> {
+    address: SocketAddr,
+    hello: Hello,
+    limits: LinkLimits,
+    clock: C,
+    open: watch::Sender<Option<Open>>,
+    in_flight: tokio::sync::Semaphore,
+    pace: Mutex<Pace>,
+    unanswered: AtomicU32,
+    dead: Notify,
+    counters: Counters,
+}
+
+/// The link to one other entry.
+pub struct Link<C> {
+    inner: Arc<Inner<C>>,
+}
+
+impl<C> Clone for Link<C> {
+    fn clone(&self) -> Self {
+        Self {
+            inner: Arc::clone(&self.inner),
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl<C: Clock> Link<C> {
+    /// A link to `address` that is not dialled before it runs.
+    #[must_use]
+    pub fn new(address: SocketAddr, hello: Hello, limits: LinkLimits, clock: C) -> Self {
+        let pace = Pace::new(limits.rate, limits.burst, clock.now());
+        let (open, _) = watch::channel(None);
+        let inner = Inner {
+            address,
+            hello,
+            limits,
+            clock,
+            open,
+            in_flight: tokio::sync::Semaphore::new(limits.in_flight),
+            pace: Mutex::new(pace),
+            unanswered: AtomicU32::new(0),
+            dead: Notify::new(),
+            counters: Counters::default(),
+        };
+        Self {
+            inner: Arc::new(inner),
+        }
+    }
+
+    /// Where the link leads.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.inner.address
+    }
+
+    /// Who is at the other side, while the link is up.
+    #[must_use]
+    pub fn member(&self) -> Option<Member> {
+        let open = self.inner.open.borrow();
+        open.as_ref().map(|open| open.member.clone())
+    }
+
+    /// The calls so far.
+    #[must_use]
+    pub fn counts(&self) -> LinkCounts {
+        let counters = &self.inner.counters;
+        LinkCounts {
+            calls: counters.calls.load(Ordering::Relaxed),
+            failed: counters.failed.load(Ordering::Relaxed),
+            set_up: counters.set_up.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Waits until the link is up.
+    pub async fn ready(&self) {
+        let mut open = self.inner.open.subscribe();
+        // The sender lives in `self`, so waiting ends only when the link is up.
+        drop(open.wait_for(Option::is_some).await);
+    }
+
+    /// Asks the other side and waits for its answer.
+    ///
+    /// # Errors
+    ///
+    /// Why there is none, and whether the message may have been acted on.
+    pub async fn call(&self, request: &Request) -> Result<Reply, LinkError> {
+        let inner = &self.inner;
+        let Ok(_permit) = inner.in_flight.try_acquire() else {
+            return Err(LinkError::Busy);
+        };
+        let client = {
+            let open = inner.open.borrow();
+            open.as_ref().ok_or(LinkError::Down)?.client.clone()
+        };
+        if !lock(&inner.pace).take(inner.clock.now()) {
+            return Err(LinkError::Busy);
+        }
+        inner.counters.calls.fetch_add(1, Ordering::Relaxed);
+        let answer = self.exchange(&client, request).await;
+        if answer.is_err() {
+            inner.counters.failed.fetch_add(1, Ordering::Relaxed);
+        }
+        self.count_unanswered(&answer);
+        answer
+    }
+
+    fn count_unanswered(&self, answer: &Result<Reply, LinkError>) {
+        let unanswered = &self.inner.unanswered;
+        if !matches!(answer, Err(LinkError::NoAnswer)) {
+            unanswered.store(0, Ordering::Relaxed);
+        } else if unanswered.fetch_add(1, Ordering::Relaxed) + 1 >= UNANSWERED_MAX {
+            unanswered.store(0, Ordering::Relaxed);
+            self.inner.dead.notify_one();
+        }
+    }
+
+    async fn exchange(
+        &self,
+        client: &ExchangeClient,
+        request: &Request,
+    ) -> Result<Reply, LinkError> {
+        let limit = self.inner.limits.timeout;
+        let mut context = tarpc::context::current();
+        context.deadline = std::time::Instant::now() + limit;
+        let call = client.exchange(context, request.to_packet());
+        let packet = match tokio::time::timeout(limit, call).await {
+            Ok(Ok(packet)) => packet,
+            Ok(Err(RpcError::Shutdown)) => return Err(LinkError::Down),
+            Ok(Err(_)) | Err(_) => return Err(LinkError::NoAnswer),
+        };
+        match Reply::from_packet(&packet) {
+            Ok(Reply::Refused(refused)) => Err(LinkError::Refused(refused)),
+            Ok(reply) => Ok(reply),
+            Err(cause) => Err(LinkError::Answer(cause)),
+        }
+    }
+
+    /// Dials and keeps the link until `stop`.
+    pub async fn run(self, stop: CancellationToken) {
+        let kept = stop.run_until_cancelled(self.keep()).await;
+        debug_assert!(kept.is_none(), "keeping ends only by the token");
+        self.inner.open.send_replace(None);
+    }
+
+    async fn keep(&self) {
+        let mut tries = 0;
+        loop {
+            match self.serve_once().await {
+                Ok(()) => tries = 0,
+                Err(error) if tries == 0 => info!("peer: {}: {error}", self.inner.address),
+                Err(error) => debug!("peer: {}: {error}", self.inner.address),
+            }
+            tokio::time::sleep(self.redial_wait(tries)).await;
+            tries += 1;
+        }
+    }
+
+    /// Sets the link up and waits until it breaks.
+    async fn serve_once(&self) -> Result<(), LinkError> {
+        let inner = &self.inner;
+        let (transport, member) = self.dial().await?;
+        let mut cfg = tarpc::client::Config::default();
+        cfg.max_in_flight_requests = inner.limits.in_flight;
+        cfg.pending_request_buffer = inner.limits.in_flight;
+        let new = ExchangeClient::new(cfg, transport);
+        let client = new.client;
+        inner.open.send_replace(Some(Open { client, member }));
+        inner.counters.set_up.fetch_add(1, Ordering::Relaxed);
+        tokio::select! {
+            ended = new.dispatch => {
+                if let Err(error) = ended {
+                    info!("peer: the link to {} broke: {error}", inner.address);
+                }
+            }
+            () = inner.dead.notified() => info!("peer: {} does not answer", inner.address),
+        }
+        inner.open.send_replace(None);
+        Ok(())
+    }
+
+    async fn dial<In, Out>(&self) -> Result<(FrameTransport<In, Out>, Member), LinkError> {
+        let inner = &self.inner;
+        let dialled = tokio::time::timeout(handshake::HANDSHAKE_TIMEOUT, connect(inner.address));
+        let mut socket = dialled.await.map_err(unreached)??;
+        let greeted = handshake::greet(&mut socket, &inner.hello).await;
+        let (hello, version) = greeted.map_err(LinkError::Handshake)?;
+        debug!("peer: link to {} in version {version}", inner.address);
+        Ok((FrameTransport::new(socket), hello.member))
+    }
+
+    fn redial_wait(&self, tries: u32) -> Duration {
+        let limits = &self.inner.limits;
+        let bound = limits.redial_first * (1 << tries.min(10));
+        let bound = bound.min(limits.redial_longest);
+        bound.mul_f64(rand::rng().random_range(0.2..1.0))
+    }
+}
+
+fn unreached<E: std::fmt::Display>(error: E) -> LinkError {
+    LinkError::Dial(error.to_string().into())
+}
+
+async fn connect(
+    address: SocketAddr,
+) -> Result<tokio_tungstenite::WebSocketStream<TcpStream>, LinkError> {
+    let stream = TcpStream::connect(address).await.map_err(unreached)?;
+    stream.set_nodelay(true).map_err(unreached)?;
+    let url = format!("ws://{address}/peer");
+    let cfg = Some(transport::socket_config());
+    let connected = tokio_tungstenite::client_async_with_config(url, stream, cfg).await;
+    match connected {
+        Ok((socket, _)) => Ok(socket),
+        Err(error) => Err(unreached(error)),
+    }
+}
--- /dev/null
+++ b/crates/peer/src/membership/homes.rs
@@ -0,0 +1,75 @@
+//! Since when this entry has been the home of a key, and can know the key's past.
+//!
+//! An entry is the home of a key for as long as no member with a higher score is there. So it can know the past of a key
+//! back to when the last member that ranks above it left, but no further than its own unbroken standing: the time in
+//! which it could be sure that the others count it as a member. An entry that was paused or cut off starts anew.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use goldcrest_types::names::EntryId;
+
+use super::Membership;
+use crate::rendezvous::HashKey;
+
+/// The members that left of late, and this entry's own standing.
+#[derive(Debug, Clone, Default)]
+pub struct Homes {
+    standing_since: Option<Instant>,
+    standing_until: Option<Instant>,
+    left: BTreeMap<EntryId, Instant>,
+}
+
+impl Homes {
+    /// No standing yet.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Notes that the others count this entry as a member until `until`. If the last such time had run out before
+    /// `now`, its standing starts anew.
+    pub fn extend(&mut self, now: Instant, until: Instant) {
+        if !self.stands(now) {
+            self.standing_since = Some(now);
+        }
+        self.standing_until = self.standing_until.max(Some(until));
+    }
+
+    /// Notes that the others may no longer count this entry as a member.
+    pub fn lose(&mut self) {
+        self.standing_since = None;
+        self.standing_until = None;
+    }
+
+    /// Whether this entry can be sure at `now` that it is a member.
+    #[must_use]
+    pub fn stands(&self, now: Instant) -> bool {
+        self.standing_until.is_some_and(|until| now < until)
+    }
+
+    /// Notes that a member has left.
+    pub fn note_left(&mut self, entry: EntryId, now: Instant) {
+        self.left.insert(entry, now);
+    }
+
+    /// Forgets the members that left longer than `window` ago.
+    pub fn expire(&mut self, window: Duration, now: Instant) {
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) < window;
+        self.left.retain(|_, at| is_recent(at));
+    }
+
+    /// Since when this entry has been the home of `key`; none if it is not, or can't be sure.
+    #[must_use]
+    pub fn home_since(&self, members: &Membership, key: HashKey, now: Instant) -> Option<Instant> {
+        let own = members.own().entry;
+        if !self.stands(now) || members.home(key) != own {
+            return None;
+        }
+        let own_score = key.score(own);
+        let ranked_above = |entry: &EntryId| key.score(*entry) > own_score;
+        let above = self.left.iter().filter(|(entry, _)| ranked_above(entry));
+        let last_left = above.map(|(_, at)| *at).max();
+        self.standing_since.max(last_left)
+    }
+}
--- /dev/null
+++ b/crates/peer/src/message/mod.rs
@@ -0,0 +1,376 @@
+//! What entries ask each other, and what they answer.
+//!
+//! Ages count from the moment of answering back. The asker lays them on the moment of its asking, so the time on the
+//! way makes what it heard older and never younger.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use goldcrest_ledger::freshness::Proof;
+use goldcrest_types::names::{DcName, EntryId, QueueName, RequestId, TeamName, VmName};
+use goldcrest_types::units::{Revision, Slots};
+use serde::{Deserialize, Serialize};
+
+use crate::wire::{Packet, PacketError};
+
+/// A message from an entry that asks.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Request {
+    /// What the asker knows, for what the answerer knows.
+    Gossip(Box<Gossip>),
+    /// The catalogue, if it is above a revision.
+    Catalogue(CatalogueAsk),
+    /// Whether a non-idempotent request may run.
+    Claim(ClaimAsk),
+    /// What became of a request or task.
+    Explain(ExplainAsk),
+    /// By which revision each entry of the data centre works.
+    InForce,
+}
+
+/// A message from an entry that answers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Reply {
+    /// What the answerer knows.
+    Gossip(Box<Gossip>),
+    /// The catalogue, or none if there is none above the revision.
+    Catalogue(Option<CatalogueCopy>),
+    /// Whether the request may run.
+    Claim(ClaimAnswer),
+    /// What became of it, if the answerer knows.
+    Explain(Option<Box<str>>),
+    /// By which revision each entry of the data centre works.
+    InForce(Vec<InForce>),
+    /// The message was not understood. Nothing was done.
+    Refused(Refused),
+}
+
+/// A refusal of a message.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refused {
+    /// Why.
+    #[serde(rename = "w")]
+    pub why: Box<str>,
+}
+
+/// An entry as others know it. It never changes during the life of a process.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// The process.
+    #[serde(rename = "e")]
+    pub entry: EntryId,
+    /// Its data centre.
+    #[serde(rename = "d")]
+    pub dc: DcName,
+    /// Its VM.
+    #[serde(rename = "v")]
+    pub vm: VmName,
+    /// Where it listens for other entries.
+    #[serde(rename = "a")]
+    pub address: SocketAddr,
+}
+
+/// A [`Proof`] as an age.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProofAge {
+    /// How long ago, in milliseconds, rounded up.
+    #[serde(rename = "a")]
+    pub age_ms: u64,
+    /// The revision.
+    #[serde(rename = "r")]
+    pub revision: Revision,
+}
+
+impl ProofAge {
+    /// The age of `proof` at `now`.
+    #[must_use]
+    pub fn of(proof: Proof, now: Instant) -> Self {
+        let age = now.saturating_duration_since(proof.at);
+        let age_ms = age.as_nanos().div_ceil(1_000_000);
+        Self {
+            age_ms: u64::try_from(age_ms).unwrap_or(u64::MAX),
+            revision: proof.revision,
+        }
+    }
+
+    /// The proof on the clock of an entry that asked at `asked_at`.
+    #[must_use]
+    pub fn told(&self, asked_at: Instant) -> Option<Proof> {
+        Proof::told(asked_at, Duration::from_millis(self.age_ms), self.revision)
+    }
+}
+
+/// That no entry of a data centre has contact with the key-value service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OutageReport {
+    /// The data centre.
+    #[serde(rename = "d")]
+    pub dc: DcName,
+    /// Until when, and the highest revision known there.
+    #[serde(rename = "p")]
+    pub proof: ProofAge,
+}
+
+/// An entry that somebody has heard of.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberReport {
+    /// The entry.
+    #[serde(rename = "m")]
+    pub member: Member,
+    /// How long ago its heartbeat was last heard, in milliseconds.
+    #[serde(rename = "h")]
+    pub heard_ms: u64,
+}
+
+/// What one entry or data centre has of a team. It is sent as a list without field names.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "CellForm", into = "CellForm")]
+pub struct Cell {
+    /// Which of the keys of the [`Delta`].
+    pub key: u16,
+    /// The team.
+    pub team: TeamName,
+    /// Slots running.
+    pub running: Slots,
+    /// Slots waiting.
+    pub waiting: Slots,
+}
+
+type CellForm = (u16, TeamName, Slots, Slots);
+
+impl From<CellForm> for Cell {
+    fn from((key, team, running, waiting): CellForm) -> Self {
+        Self {
+            key,
+            team,
+            running,
+            waiting,
+        }
+    }
+}
+
+impl From<Cell> for CellForm {
+    fn from(cell: Cell) -> Self {
+        (cell.key, cell.team, cell.running, cell.waiting)
+    }
+}
+
+/// Usage that changed since the other side last heard.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Delta<K> {
+    /// The sequence number up to which this tells all.
+    #[serde(rename = "n")]
+    pub upto: u64,
+    /// The entries or data centres that the cells are of.
+    #[serde(rename = "k")]
+    pub keys: Vec<K>,
+    /// What changed.
+    #[serde(rename = "c")]
+    pub cells: Vec<Cell>,
+}
+
+/// What one entry tells another each second.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Gossip {
+    /// Who tells. Its process id is its incarnation.
+    #[serde(rename = "m")]
+    pub from: Member,
+    /// Counts the teller's heartbeats.
+    #[serde(rename = "h")]
+    pub heartbeat: u64,
+    /// The revision that the teller has.
+    #[serde(rename = "r")]
+    pub revision: Revision,
+    /// The revision that the teller works by.
+    #[serde(rename = "f", default)]
+    pub in_force: Revision,
+    /// The youngest proof that the teller knows of.
+    #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
+    pub proof: Option<ProofAge>,
+    /// That the teller itself has no contact with the key-value service.
+    #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
+    pub no_contact: Option<ProofAge>,
+    /// Data centres without contact.
+    #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
+    pub outages: Vec<OutageReport>,
+    /// A digest of the teller's list of members.
+    #[serde(rename = "l", default)]
+    pub members_digest: u64,
+    /// Members, when the other side's list differs.
+    #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
+    pub members: Vec<MemberReport>,
+    /// Up to where the teller has heard the other side's usage by entry.
+    #[serde(rename = "q", default)]
+    pub have_entries: u64,
+    /// Up to where the teller has heard the other side's usage by data centre.
+    #[serde(rename = "z", default)]
+    pub have_dcs: u64,
+    /// Usage by entry, inside a data centre.
+    #[serde(rename = "u", default, skip_serializing_if = "Option::is_none")]
+    pub entries: Option<Delta<EntryId>>,
+    /// Usage by data centre.
+    #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
+    pub dcs: Option<Delta<DcName>>,
+}
+
+/// A question for the catalogue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CatalogueAsk {
+    /// The revision that the asker has.
+    #[serde(rename = "r")]
+    pub above: Revision,
+}
+
+/// The head of the catalogue as stored.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CatalogueCopy {
+    /// Its revision.
+    #[serde(rename = "r")]
+    pub revision: Revision,
+    /// Its bytes.
+    #[serde(rename = "b")]
+    pub head: Bytes,
+}
+
+/// The digest of a caller's idempotency key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ClaimDigest(u128);
+
+impl ClaimDigest {
+    /// The digest with these bits.
+    #[must_use]
+    pub const fn new(bits: u128) -> Self {
+        Self(bits)
+    }
+
+    /// The bits.
+    #[must_use]
+    pub const fn bits(self) -> u128 {
+        self.0
+    }
+}
+
+/// A claim of the right to run a non-idempotent request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimAsk {
+    /// The queue.
+    #[serde(rename = "q")]
+    pub queue: QueueName,
+    /// The digest of the idempotency key.
+    #[serde(rename = "d")]
+    pub digest: ClaimDigest,
+    /// The request that claims.
+    #[serde(rename = "i")]
+    pub request: RequestId,
+    /// How long a repetition may come after this, in milliseconds.
+    #[serde(rename = "t")]
+    pub keep_ms: u64,
+}
+
+/// Whether a non-idempotent request may run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ClaimAnswer {
+    /// It may run, by this request only.
+    Granted,
+    /// Another request has claimed the key.
+    AlreadySeen {
+        /// That request.
+        by: RequestId,
+    },
+    /// It is not known whether another request has claimed the key, so it may not run.
+    Unknown,
+}
+
+/// A question what became of a request or task.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExplainAsk {
+    /// Its id as text.
+    #[serde(rename = "i")]
+    pub id: Box<str>,
+}
+
+/// By which revision an entry works.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InForce {
+    /// The entry.
+    #[serde(rename = "m")]
+    pub member: Member,
+    /// The revision, as far as the answerer has heard.
+    #[serde(rename = "r")]
+    pub revision: Revision,
+}
+
+/// The numbers of the kinds. They are never used again for another kind.
+mod kind {
+    pub const GOSSIP: u16 = 1;
+    pub const CATALOGUE: u16 = 2;
+    pub const CLAIM: u16 = 3;
+    pub const EXPLAIN: u16 = 4;
+    pub const IN_FORCE: u16 = 5;
+    pub const REFUSED: u16 = 0xffff;
+}
+
+impl Request {
+    /// The message in its form on the wire.
+    #[must_use]
+    pub fn to_packet(&self) -> Packet {
+        match self {
+            Self::Gossip(body) => Packet::new(kind::GOSSIP, body),
+            Self::Catalogue(body) => Packet::new(kind::CATALOGUE, body),
+            Self::Claim(body) => Packet::new(kind::CLAIM, body),
+            Self::Explain(body) => Packet::new(kind::EXPLAIN, body),
+            Self::InForce => Packet::new(kind::IN_FORCE, &()),
+        }
+    }
+
+    /// Reads a message.
+    ///
+    /// # Errors
+    ///
+    /// The kind is not known or the body is not of its kind.
+    pub fn from_packet(packet: &Packet) -> Result<Self, PacketError> {
+        match packet.kind {
+            kind::GOSSIP => packet.read().map(Self::Gossip),
+            kind::CATALOGUE => packet.read().map(Self::Catalogue),
+            kind::CLAIM => packet.read().map(Self::Claim),
+            kind::EXPLAIN => packet.read().map(Self::Explain),
+            kind::IN_FORCE => Ok(Self::InForce),
+            unknown => Err(PacketError::UnknownKind(unknown)),
+        }
+    }
+}
+
+impl Reply {
+    /// The message in its form on the wire.
+    #[must_use]
+    pub fn to_packet(&self) -> Packet {
+        match self {
+            Self::Gossip(body) => Packet::new(kind::GOSSIP, body),
+            Self::Catalogue(body) => Packet::new(kind::CATALOGUE, body),
+            Self::Claim(body) => Packet::new(kind::CLAIM, body),
+            Self::Explain(body) => Packet::new(kind::EXPLAIN, body),
+            Self::InForce(body) => Packet::new(kind::IN_FORCE, body),
+            Self::Refused(body) => Packet::new(kind::REFUSED, body),
+        }
+    }
+
+    /// Reads a message.
+    ///
+    /// # Errors
+    ///
+    /// The kind is not known or the body is not of its kind.
+    pub fn from_packet(packet: &Packet) -> Result<Self, PacketError> {
+        match packet.kind {
+            kind::GOSSIP => packet.read().map(Self::Gossip),
+            kind::CATALOGUE => packet.read().map(Self::Catalogue),
+            kind::CLAIM => packet.read().map(Self::Claim),
+            kind::EXPLAIN => packet.read().map(Self::Explain),
+            kind::IN_FORCE => packet.read().map(Self::InForce),
+            kind::REFUSED => packet.read().map(Self::Refused),
+            unknown => Err(PacketError::UnknownKind(unknown)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/peer/src/pace/mod.rs
@@ -0,0 +1,35 @@
+//! The rate of calls on one link.
+
+use std::time::{Duration, Instant};
+
+use goldcrest_types::units::PerSecond;
+
+/// A token bucket, kept as the instant at which it would be full again.
+#[derive(Debug)]
+pub struct Pace {
+    interval: Duration,
+    burst: u32,
+    full_at: Instant,
+}
+
+impl Pace {
+    /// A full bucket for `rate` calls a second and `burst` calls at once.
+    #[must_use]
+    pub fn new(rate: PerSecond, burst: u32, now: Instant) -> Self {
+        Self {
+            interval: Duration::from_secs(1) / rate.get().max(1),
+            burst: burst.max(1),
+            full_at: now,
+        }
+    }
+
+    /// Whether one more call may be made at `now`; if so it is counted.
+    pub fn take(&mut self, now: Instant) -> bool {
+        let full_at = self.full_at.max(now) + self.interval;
+        if full_at > now + self.interval * self.burst {
+            return false;
+        }
+        self.full_at = full_at;
+        true
+    }
+}
--- /dev/null
+++ b/crates/peer/src/peers/mod.rs
@@ -0,0 +1,359 @@
+//! What an entry knows from its peers, and the loop that keeps it known.
+//!
+//! [`Peers`] is the handle that the daemon's parts share: they tell it what this entry knows, and ask it what others do.
+//! [`Peers::run`] asks other entries once a heartbeat, and fetches the catalogue from a peer that has a higher revision.
+//! [`Peers`] also answers for this entry behind a [`PeerServer`](crate::server::PeerServer).
+
+mod run;
+mod state;
+mod targets;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use futures_util::future::join_all;
+use goldcrest_ledger::quota::rebalance::Demand;
+use goldcrest_types::clock::Clock;
+use goldcrest_types::names::{DcName, EntryId, TeamName, VmName};
+use goldcrest_types::units::Revision;
+use tokio::sync::{Notify, mpsc, oneshot, watch};
+
+use crate::claims::ClaimsConfig;
+use crate::handshake::Hello;
+use crate::link::LinkLimits;
+use crate::membership::{MembershipConfig, Standing};
+use crate::message::{
+    CatalogueCopy, ClaimAnswer, ClaimAsk, ExplainAsk, InForce, Member, Refused, Reply, Request,
+};
+use crate::rendezvous::HashKey;
+use crate::server::Answer;
+use crate::usage::Usage;
+
+use run::Links;
+use state::State;
+pub use state::{Ahead, Outage, OwnView, PeerEvidence, Seed};
+
+/// Questions about requests that wait for the daemon at one time.
+const EXPLAIN_WAITING_MAX: usize = 64;
+
+/// The longest wait for the daemon's answer to such a question.
+const EXPLAIN_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// What the links to other entries are set to.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PeersConfig {
+    /// How members are watched.
+    pub membership: MembershipConfig,
+    /// The bounds of the table of claims.
+    pub claims: ClaimsConfig,
+    /// The bounds of each link.
+    pub limits: LinkLimits,
+}
+
+/// A question of another entry that the daemon answers.
+#[derive(Debug)]
+pub struct ExplainQuery {
+    /// What is asked.
+    pub ask: ExplainAsk,
+    /// Where the answer goes.
+    pub answer: oneshot::Sender<Option<Box<str>>>,
+}
+
+struct Inner<C> {
+    hello: Hello,
+    cfg: PeersConfig,
+    clock: C,
+    state: Mutex<State>,
+    links: Links<C>,
+    copy: watch::Sender<Option<CatalogueCopy>>,
+    relay: watch::Sender<bool>,
+    ahead: Mutex<Option<Ahead>>,
+    wake: Notify,
+    hint: Notify,
+    explain: mpsc::Sender<ExplainQuery>,
+}
+
+/// What an entry knows from its peers. It is cheap to clone.
+pub struct Peers<C> {
+    inner: Arc<Inner<C>>,
+}
+
+impl<C> Clone for Peers<C> {
+    fn clone(&self) -> Self {
+        Self {
+            inner: Arc::clone(&self.inner),
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl<C: Clock + Clone> Peers<C> {
+    /// A handle for the entry that `hello` names, and the questions that the daemon is to answer.
+    #[must_use]
+    pub fn new(hello: Hello, cfg: PeersConfig, clock: C) -> (Self, mpsc::Receiver<ExplainQuery>) {
+        let (explain, queries) = mpsc::channel(EXPLAIN_WAITING_MAX);
+        let state = State::new(hello.member.clone(), &cfg, clock.now());
+        let inner = Inner {
+            links: Links::new(hello.clone(), cfg.limits, clock.clone()),
+            hello,
+            cfg,
+            state: Mutex::new(state),
+            copy: watch::channel(None).0,
+            relay: watch::channel(false).0,
+            ahead: Mutex::new(None),
+            wake: Notify::new(),
+            hint: Notify::new(),
+            explain,
+            clock,
+        };
+        let peers = Self {
+            inner: Arc::new(inner),
+        };
+        (peers, queries)
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        lock(&self.inner.state)
+    }
+
+    fn now(&self) -> Instant {
+        self.inner.clock.now()
+    }
+
+    /// This entry, as it greets others.
+    #[must_use]
+    pub fn hello(&self) -> &Hello {
+        &self.inner.hello
+    }
+
+    /// Notes what this entry itself knows of the catalogue and of the key-value service. The revision never falls.
+    pub fn set_own_view(&self, own: OwnView) {
+        let mut state = self.state();
+        let revision = state.own.revision.max(own.revision);
+        state.own = OwnView { revision, ..own };
+    }
+
+    /// Offers a copy of the catalogue's head to peers. A lower revision than an earlier one is passed over.
+    pub fn offer_catalogue(&self, copy: CatalogueCopy) {
+        let mut state = self.state();
+        let known = state
+            .copy
+            .as_ref()
+            .map_or(Revision::ZERO, |copy| copy.revision);
+        if copy.revision <= known {
+            return;
+        }
+        state.copy = Some(copy.clone());
+        drop(state);
+        self.inner.copy.send_replace(Some(copy));
+        self.inner.hint.notify_one();
+    }
+
+    /// The highest copy of the catalogue's head that this entry has read or a peer has sent.
+    #[must_use]
+    pub fn catalogue(&self) -> watch::Receiver<Option<CatalogueCopy>> {
+        self.inner.copy.subscribe()
+    }
+
+    /// Notes what this entry has running and waiting of each team.
+    pub fn set_usage(&self, usage: &BTreeMap<TeamName, Usage>) {
+        self.state().set_usage(usage);
+    }
+
+    /// Notes which sessions live.
+    pub fn set_sessions(&self, live: &BTreeSet<EntryId>) {
+        self.state().members.set_sessions(live);
+    }
+
+    /// Notes until when the other entries are sure to count this one as a member: while its session holds and it knows
+    /// the live sessions, or while no entry has contact with the key-value service.
+    pub fn extend_standing(&self, until: Instant) {
+        let now = self.now();
+        self.state().homes.extend(now, until);
+    }
+
+    /// Notes which VMs the platform lists, and where entries can be asked.
+    pub fn set_listing(&self, vms: &BTreeSet<VmName>, seeds: BTreeSet<Seed>) {
+        let mut state = self.state();
+        state.members.set_listing(vms);
+        state.seeds = seeds;
+    }
+
+    /// Whether this entry is the relay of its data centre, and every change of it.
+    #[must_use]
+    pub fn is_relay(&self) -> watch::Receiver<bool> {
+        self.inner.relay.subscribe()
+    }
+
+    /// What peers told that bears on the freshness of the catalogue.
+    #[must_use]
+    pub fn evidence(&self) -> PeerEvidence {
+        self.state().evidence()
+    }
+
+    /// What each entry of this data centre wants of each team.
+    #[must_use]
+    pub fn demand(&self) -> Demand {
+        let state = self.state();
+        let mut demand = Demand::new();
+        for (entry, team, usage) in state.entry_usage().iter() {
+            demand.set(*entry, team, usage.demand());
+        }
+        demand
+    }
+
+    /// What each data centre has of each team.
+    #[must_use]
+    pub fn dc_usage(&self) -> Vec<DcUsage> {
+        let state = self.state();
+        let cells = state.dc_usage().iter();
+        let usage = cells.map(|(dc, team, usage)| DcUsage {
+            dc: dc.clone(),
+            team: team.clone(),
+            usage,
+        });
+        usage.collect()
+    }
+
+    /// The members, this entry included, and how they stand.
+    #[must_use]
+    pub fn members(&self) -> Vec<MemberStanding> {
+        let (state, now) = (self.state(), self.now());
+        let members = state.members.members();
+        let standing = |member: &Member| {
+            let standing = state.members.standing(member.entry, now)?;
+            let member = member.clone();
+            Some(MemberStanding { member, standing })
+        };
+        members.filter_map(standing).collect()
+    }
+
+    /// Claims the right to run a non-idempotent request at its key's home. No answer counts as unknown.
+    pub async fn claim(&self, ask: ClaimAsk) -> ClaimAnswer {
+        let address = {
+            let (mut state, now) = (self.state(), self.now());
+            let home = state.members.home(HashKey::of_bits(ask.digest.bits()));
+            if home == state.members.own().entry {
+                return state.claim(&ask, now);
+            }
+            state.members.member(home).map(|member| member.address)
+        };
+        let Some(address) = address else {
+            return ClaimAnswer::Unknown;
+        };
+        match self.inner.links.call(address, &Request::Claim(ask)).await {
+            Ok(Reply::Claim(answer)) => answer,
+            Ok(_) | Err(_) => ClaimAnswer::Unknown,
+        }
+    }
+
+    /// Asks every member what became of a request or task, and returns the first that knows.
+    pub async fn explain(&self, ask: ExplainAsk) -> Option<Box<str>> {
+        let own = self.inner.hello.member.entry;
+        let members = self.members();
+        let others = members.iter().filter(|known| known.member.entry != own);
+        for known in others.filter(|known| known.standing == Standing::Live) {
+            let request = Request::Explain(ask.clone());
+            let answer = self.inner.links.call(known.member.address, &request).await;
+            if let Ok(Reply::Explain(Some(found))) = answer {
+                return Some(found);
+            }
+        }
+        None
+    }
+
+    /// Asks every data centre by which revision its entries work.
+    pub async fn in_force(&self) -> Vec<InForce> {
+        let relays = {
+            let (state, now) = (self.state(), self.now());
+            let own = &state.members.own().dc;
+            let dcs = state.members.dcs();
+            let others = dcs.iter().filter(|dc| *dc != own);
+            let relays = others.filter_map(|dc| state.members.relay(dc, now));
+            relays.map(|relay| relay.address).collect::<Vec<_>>()
+        };
+        let ask = async |address| {
+            let answer = self.inner.links.call(address, &Request::InForce).await;
+            match answer {
+                Ok(Reply::InForce(in_force)) => in_force,
+                Ok(_) | Err(_) => Vec::new(),
+            }
+        };
+        let told = join_all(relays.into_iter().map(ask)).await;
+        let mut all = self.state().in_force();
+        all.extend(told.into_iter().flatten());
+        all
+    }
+
+    async fn explain_here(&self, ask: ExplainAsk) -> Option<Box<str>> {
+        let (answer, answered) = oneshot::channel();
+        let query = ExplainQuery { ask, answer };
+        self.inner.explain.try_send(query).ok()?;
+        let timed = tokio::time::timeout(EXPLAIN_TIMEOUT, answered).await;
+        timed.ok()?.ok()?
+    }
+
+    fn copy_above(&self, above: Revision) -> Option<CatalogueCopy> {
+        let state = self.state();
+        let copy = state.copy.as_ref()?;
+        (copy.revision > above).then(|| copy.clone())
+    }
+
+    fn note_ahead(&self, ahead: Option<Ahead>) {
+        if let Some(ahead) = ahead {
+            *lock(&self.inner.ahead) = Some(ahead);
+            self.inner.wake.notify_one();
+        }
+    }
+}
+
+/// What a data centre has of a team.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DcUsage {
+    /// The data centre.
+    pub dc: DcName,
+    /// The team.
+    pub team: TeamName,
+    /// What it has.
+    pub usage: Usage,
+}
+
+/// A member and how it stands.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MemberStanding {
+    /// The member.
+    pub member: Member,
+    /// How it stands.
+    pub standing: Standing,
+}
+
+impl<C: Clock + Clone> Answer for Peers<C> {
+    async fn answer(&self, from: &Hello, request: Request) -> Reply {
+        match request {
+            Request::Gossip(gossip) if gossip.from != from.member => Reply::Refused(Refused {
+                why: "the message names another entry than the handshake".into(),
+            }),
+            Request::Gossip(gossip) => {
+                let now = self.now();
+                let mut state = self.state();
+                let ahead = state.take_in(&gossip, None, now);
+                let digest = Some(gossip.members_digest);
+                let reply = state.gossip(Some(&from.member), digest, now);
+                drop(state);
+                self.note_ahead(ahead);
+                Reply::Gossip(Box::new(reply))
+            }
+            Request::Catalogue(ask) => Reply::Catalogue(self.copy_above(ask.above)),
+            Request::Claim(ask) => {
+                let now = self.now();
+                Reply::Claim(self.state().claim(&ask, now))
+            }
+            Request::Explain(ask) => Reply::Explain(self.explain_here(ask).await),
+            Request::InForce => Reply::InForce(self.state().in_force()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/peer/src/peers/run.rs
@@ -0,0 +1,195 @@
+//! The loop that asks other entries, and the links it keeps.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use futures_util::future::join_all;
+use goldcrest_types::clock::Clock;
+use log::{debug, info};
+use rand::Rng;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::targets::{Target, targets};
+use super::{Peers, lock};
+use crate::handshake::Hello;
+use crate::link::{Link, LinkError, LinkLimits};
+use crate::message::{CatalogueAsk, Gossip, Reply, Request};
+
+/// A link that nobody has used for so long is closed.
+const IDLE_MAX: Duration = Duration::from_mins(1);
+
+struct Kept<C> {
+    link: Link<C>,
+    stop: CancellationToken,
+    used: Instant,
+}
+
+/// The links of an entry, by address. They are dialled at their first use.
+pub(super) struct Links<C> {
+    hello: Hello,
+    limits: LinkLimits,
+    clock: C,
+    kept: Mutex<HashMap<SocketAddr, Kept<C>>>,
+    tasks: TaskTracker,
+}
+
+impl<C: Clock + Clone> Links<C> {
+    pub(super) fn new(hello: Hello, limits: LinkLimits, clock: C) -> Self {
+        Self {
+            hello,
+            limits,
+            clock,
+            kept: Mutex::new(HashMap::new()),
+            tasks: TaskTracker::new(),
+        }
+    }
+
+    /// The link to `address`, which is dialled if there is none yet.
+    fn link(&self, address: SocketAddr) -> Link<C> {
+        let now = self.clock.now();
+        let mut kept = lock(&self.kept);
+        let kept = kept.entry(address).or_insert_with(|| {
+            let (hello, clock) = (self.hello.clone(), self.clock.clone());
+            let link = Link::new(address, hello, self.limits, clock);
+            let stop = CancellationToken::new();
+            self.tasks.spawn(link.clone().run(stop.clone()));
+            Kept {
+                link,
+                stop,
+                used: now,
+            }
+        });
+        kept.used = now;
+        kept.link.clone()
+    }
+
+    /// Asks the entry at `address`, waiting for its link for as long as one answer may take.
+    pub(super) async fn call(
+        &self,
+        address: SocketAddr,
+        request: &Request,
+    ) -> Result<Reply, LinkError> {
+        let link = self.link(address);
+        let ready = tokio::time::timeout(self.limits.timeout, link.ready()).await;
+        if ready.is_err() {
+            return Err(LinkError::Down);
+        }
+        link.call(request).await
+    }
+
+    fn close_idle(&self) {
+        let now = self.clock.now();
+        lock(&self.kept).retain(|_, kept| {
+            let is_used = now.saturating_duration_since(kept.used) < IDLE_MAX;
+            if !is_used {
+                kept.stop.cancel();
+            }
+            is_used
+        });
+    }
+
+    fn close_all(&self) {
+        for (_, kept) in lock(&self.kept).drain() {
+            kept.stop.cancel();
+        }
+    }
+}
+
+impl<C: Clock + Clone> Peers<C> {
+    /// Asks other entries once a heartbeat until `stop`.
+    pub async fn run(self, stop: CancellationToken) {
+        let beats = self.beat();
+        let pulls = self.pull();
+        let hints = self.hint();
+        let all = async { tokio::join!(beats, pulls, hints) };
+        let ended = stop.run_until_cancelled(all).await;
+        debug_assert!(ended.is_none(), "the loops end only by the token");
+        self.inner.links.close_all();
+    }
+
+    async fn beat(&self) {
+        let mut beat = u64::from(rand::rng().random::<u16>());
+        loop {
+            let targets = {
+                let now = self.now();
+                let mut state = self.state();
+                state.tick(now);
+                self.inner.relay.send_if_modified(|relay| {
+                    let is_relay = state.members.is_relay(now);
+                    std::mem::replace(relay, is_relay) != is_relay
+                });
+                targets(&state, beat, now)
+            };
+            let round = join_all(targets.iter().map(|target| self.ask(target)));
+            let pause = self.inner.cfg.membership.heartbeat;
+            let jitter = pause.mul_f64(rand::rng().random_range(0.9..1.1));
+            tokio::join!(round, tokio::time::sleep(jitter));
+            self.inner.links.close_idle();
+            beat += 1;
+        }
+    }
+
+    async fn ask(&self, target: &Target) {
+        let gossip = {
+            let now = self.now();
+            self.state().gossip(target.member.as_ref(), None, now)
+        };
+        let asked_at = self.now();
+        let request = Request::Gossip(Box::new(gossip));
+        match self.inner.links.call(target.address, &request).await {
+            Ok(Reply::Gossip(reply)) => self.heard(&reply, asked_at),
+            Ok(_) => debug!("peer: {} answered something else", target.address),
+            Err(error) => debug!("peer: {}: {error}", target.address),
+        }
+    }
+
+    fn heard(&self, reply: &Gossip, asked_at: Instant) {
+        let now = self.now();
+        let ahead = self.state().take_in(reply, Some(asked_at), now);
+        self.note_ahead(ahead);
+    }
+
+    /// Fetches the catalogue from a peer that has a higher revision.
+    async fn pull(&self) {
+        loop {
+            self.inner.wake.notified().await;
+            let Some(ahead) = lock(&self.inner.ahead).take() else {
+                continue;
+            };
+            let above = self.state().revision();
+            if ahead.revision <= above {
+                continue;
+            }
+            let request = Request::Catalogue(CatalogueAsk { above });
+            match self.inner.links.call(ahead.address, &request).await {
+                Ok(Reply::Catalogue(Some(copy))) if copy.revision > above => {
+                    info!("peer: catalogue {} from {}", copy.revision, ahead.address);
+                    self.offer_catalogue(copy);
+                }
+                Ok(_) => {}
+                Err(error) => debug!("peer: no catalogue from {}: {error}", ahead.address),
+            }
+        }
+    }
+
+    /// Tells the members of the data centre at once when the relay has a new catalogue.
+    async fn hint(&self) {
+        loop {
+            self.inner.hint.notified().await;
+            let near = {
+                let state = self.state();
+                if !state.members.is_relay(self.now()) {
+                    continue;
+                }
+                let own = state.members.own();
+                let near = state.members.members_of(&own.dc);
+                let near = near.filter(|member| member.entry != own.entry);
+                near.map(Target::of).collect::<Vec<_>>()
+            };
+            join_all(near.iter().map(|target| self.ask(target))).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/peer/src/peers/state.rs
@@ -0,0 +1,364 @@
+//! What this entry knows from its peers: the state behind [`Peers`](super::Peers), without I/O.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use goldcrest_ledger::freshness::Proof;
+use goldcrest_types::names::{DcName, EntryId, TeamName};
+use goldcrest_types::units::Revision;
+
+use crate::claims::Claims;
+use crate::membership::{Homes, Membership};
+use crate::message::{
+    CatalogueCopy, ClaimAnswer, ClaimAsk, Gossip, InForce, Member, OutageReport, ProofAge,
+};
+use crate::peers::PeersConfig;
+use crate::rendezvous::HashKey;
+use crate::usage::{Board, Usage};
+
+/// The shortest time between two tellings of all members to one peer.
+const MEMBERS_PAUSE: Duration = Duration::from_secs(2);
+
+/// The longest time between two tellings of all members to one peer whose list differs.
+const MEMBERS_PAUSE_MAX: Duration = Duration::from_mins(1);
+
+/// Where a data centre can be asked.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Seed {
+    /// The data centre.
+    pub dc: DcName,
+    /// The address of one of its entries.
+    pub address: SocketAddr,
+}
+
+/// What this entry itself knows of the catalogue and of the key-value service.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct OwnView {
+    /// The revision that it works by.
+    pub revision: Revision,
+    /// Its own last read of the head.
+    pub proof: Option<Proof>,
+    /// If it has no contact: its last try that failed, with its revision.
+    pub no_contact: Option<Proof>,
+}
+
+/// That a data centre has no contact with the key-value service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Outage {
+    /// The data centre.
+    pub dc: DcName,
+    /// Until when, and the highest revision known there.
+    pub proof: Proof,
+}
+
+/// What peers told that bears on the freshness of the catalogue.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct PeerEvidence {
+    /// The freshest read that a peer told of.
+    pub peer: Option<Proof>,
+    /// The data centres without contact.
+    pub outages: Vec<Outage>,
+}
+
+/// What is kept for each peer.
+#[derive(Debug, Clone, Copy, Default)]
+struct PeerState {
+    /// Up to where this entry has heard the peer's boards.
+    heard_entries: u64,
+    heard_dcs: u64,
+    /// Up to where the peer has heard this entry's boards.
+    told_entries: u64,
+    told_dcs: u64,
+    /// When all members were told last, and how long to wait before the next time.
+    members_told: Option<Instant>,
+    members_pause: Duration,
+}
+
+/// A higher revision that a peer has.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ahead {
+    /// The peer.
+    pub address: SocketAddr,
+    /// Its revision.
+    pub revision: Revision,
+}
+
+pub(super) struct State {
+    pub(super) members: Membership,
+    pub(super) homes: Homes,
+    pub(super) claims: Claims,
+    pub(super) own: OwnView,
+    pub(super) copy: Option<CatalogueCopy>,
+    pub(super) seeds: BTreeSet<Seed>,
+    window: Duration,
+    heartbeat: u64,
+    peer_proof: Option<Proof>,
+    no_contact: BTreeMap<EntryId, Proof>,
+    in_force: BTreeMap<EntryId, Revision>,
+    outages: BTreeMap<DcName, Proof>,
+    entries: Board<EntryId>,
+    dcs: Board<DcName>,
+    peers: BTreeMap<EntryId, PeerState>,
+}
+
+impl State {
+    pub(super) fn new(own: Member, cfg: &PeersConfig, now: Instant) -> Self {
+        Self {
+            members: Membership::new(own, cfg.membership, now),
+            homes: Homes::new(),
+            claims: Claims::new(cfg.claims),
+            own: OwnView::default(),
+            copy: None,
+            seeds: BTreeSet::new(),
+            window: cfg.claims.window,
+            heartbeat: 0,
+            peer_proof: None,
+            no_contact: BTreeMap::new(),
+            in_force: BTreeMap::new(),
+            outages: BTreeMap::new(),
+            entries: Board::new(),
+            dcs: Board::new(),
+            peers: BTreeMap::new(),
+        }
+    }
+
+    fn own_dc(&self) -> DcName {
+        self.members.own().dc.clone()
+    }
+
+    /// Once a heartbeat: forgets who left, and sums up this data centre's usage.
+    pub(super) fn tick(&mut self, now: Instant) {
+        self.heartbeat += 1;
+        for entry in self.members.tick(now) {
+            self.homes.note_left(entry, now);
+            self.entries.forget(&entry);
+            self.no_contact.remove(&entry);
+            self.in_force.remove(&entry);
+            self.peers.remove(&entry);
+        }
+        self.homes.expire(self.window, now);
+        let dc = self.own_dc();
+        if self.members.is_relay(now) {
+            let sums = self.entries.sums();
+            self.dcs.set_all(&dc, &sums);
+        }
+        let dcs = self.members.dcs();
+        self.outages.retain(|dc, _| dcs.contains(dc));
+    }
+
+    /// The highest revision that this entry has.
+    pub(super) fn revision(&self) -> Revision {
+        let copy = self.copy.as_ref();
+        let copied = copy.map_or(Revision::ZERO, |copy| copy.revision);
+        copied.max(self.own.revision)
+    }
+
+    /// By which revision the entries of this data centre work, as far as they have said.
+    pub(super) fn in_force(&self) -> Vec<InForce> {
+        let own = self.members.own();
+        let members = self.members.members_of(&own.dc);
+        let revision = |member: &Member| match self.in_force.get(&member.entry) {
+            _ if member.entry == own.entry => self.own.revision,
+            Some(revision) => *revision,
+            None => Revision::ZERO,
+        };
+        let in_force = members.map(|member| InForce {
+            member: member.clone(),
+            revision: revision(member),
+        });
+        in_force.collect()
+    }
+
+    pub(super) fn set_usage(&mut self, usage: &BTreeMap<TeamName, Usage>) {
+        let own = self.members.own().entry;
+        self.entries.set_all(&own, usage);
+    }
+
+    pub(super) fn entry_usage(&self) -> &Board<EntryId> {
+        &self.entries
+    }
+
+    pub(super) fn dc_usage(&self) -> &Board<DcName> {
+        &self.dcs
+    }
+
+    /// What this entry tells `to`, which it knows or not.
+    pub(super) fn gossip(
+        &mut self,
+        to: Option<&Member>,
+        to_digest: Option<u64>,
+        now: Instant,
+    ) -> Gossip {
+        let own = self.members.own().clone();
+        let is_near = to.is_some_and(|to| to.dc == own.dc);
+        let is_relay = self.members.is_relay(now);
+        let told = to.and_then(|to| self.peers.get(&to.entry)).copied();
+        let told = told.unwrap_or_default();
+        let all = self.tell_members(to, to_digest, now);
+        let only = if is_relay { None } else { Some(&own.entry) };
+        Gossip {
+            heartbeat: self.heartbeat,
+            revision: self.revision(),
+            in_force: self.own.revision,
+            proof: self.youngest_proof().map(|proof| ProofAge::of(proof, now)),
+            no_contact: self.own.no_contact.map(|proof| ProofAge::of(proof, now)),
+            outages: self.outage_reports(now),
+            members_digest: self.members.digest(),
+            members: if all {
+                self.members.reports(now)
+            } else {
+                Vec::new()
+            },
+            have_entries: told.heard_entries,
+            have_dcs: told.heard_dcs,
+            entries: is_near.then(|| self.entries.delta(told.told_entries, only)),
+            dcs: is_relay.then(|| {
+                let only = if is_near { None } else { Some(&own.dc) };
+                self.dcs.delta(told.told_dcs, only)
+            }),
+            from: own,
+        }
+    }
+
+    /// Whether to tell a peer all members: when its list differs, and less and less often while that lasts.
+    fn tell_members(&mut self, to: Option<&Member>, to_digest: Option<u64>, now: Instant) -> bool {
+        let (Some(to), Some(digest)) = (to, to_digest) else {
+            return to.is_none();
+        };
+        let peer = self.peers.entry(to.entry).or_default();
+        if digest == self.members.digest() {
+            peer.members_pause = MEMBERS_PAUSE;
+            return false;
+        }
+        let is_due = |at| now.saturating_duration_since(at) >= peer.members_pause;
+        if !peer.members_told.is_none_or(is_due) {
+            return false;
+        }
+        peer.members_told = Some(now);
+        peer.members_pause = (peer.members_pause * 2).clamp(MEMBERS_PAUSE, MEMBERS_PAUSE_MAX);
+        true
+    }
+
+    /// Takes in what a peer told. With `asked_at` it is an answer, whose ages can be laid on this entry's clock.
+    pub(super) fn take_in(
+        &mut self,
+        gossip: &Gossip,
+        asked_at: Option<Instant>,
+        now: Instant,
+    ) -> Option<Ahead> {
+        let from = &gossip.from;
+        self.members.heard(from, asked_at.unwrap_or(now));
+        for report in &gossip.members {
+            self.members.told(report, asked_at.unwrap_or(now));
+        }
+        self.in_force.insert(from.entry, gossip.in_force);
+        self.take_usage(gossip, now);
+        if let Some(asked_at) = asked_at {
+            self.take_evidence(gossip, asked_at);
+        }
+        (gossip.revision > self.revision()).then_some(Ahead {
+            address: from.address,
+            revision: gossip.revision,
+        })
+    }
+
+    fn take_usage(&mut self, gossip: &Gossip, now: Instant) {
+        let own = self.members.own().clone();
+        let is_relay = self.members.is_relay(now);
+        let peer = self.peers.entry(gossip.from.entry).or_default();
+        peer.told_entries = gossip.have_entries;
+        peer.told_dcs = gossip.have_dcs;
+        if let Some(delta) = &gossip.entries {
+            peer.heard_entries = delta.upto;
+            self.entries.apply(delta, Some(&own.entry));
+        }
+        if let Some(delta) = &gossip.dcs {
+            peer.heard_dcs = delta.upto;
+            // Only the relay sums up this data centre; the others learn the sum from it.
+            let summed_here = is_relay.then_some(&own.dc);
+            self.dcs.apply(delta, summed_here);
+        }
+    }
+
+    fn take_evidence(&mut self, gossip: &Gossip, asked_at: Instant) {
+        let told = |age: &Option<ProofAge>| age.and_then(|age| age.told(asked_at));
+        if let Some(proof) = told(&gossip.proof) {
+            self.peer_proof = Some(younger(self.peer_proof, proof));
+        }
+        let from = &gossip.from;
+        if from.dc == self.own_dc() {
+            match told(&gossip.no_contact) {
+                Some(proof) => drop(self.no_contact.insert(from.entry, proof)),
+                None => drop(self.no_contact.remove(&from.entry)),
+            }
+        }
+        for report in &gossip.outages {
+            if let Some(proof) = report.proof.told(asked_at) {
+                let known = self.outages.get(&report.dc).copied();
+                self.outages
+                    .insert(report.dc.clone(), younger(known, proof));
+            }
+        }
+    }
+
+    fn youngest_proof(&self) -> Option<Proof> {
+        match (self.own.proof, self.peer_proof) {
+            (Some(own), Some(peer)) => Some(younger(Some(own), peer)),
+            (own, peer) => own.or(peer),
+        }
+    }
+
+    /// That no member of this data centre has contact: every one of them has said so.
+    fn own_outage(&self) -> Option<Proof> {
+        let own = self.members.own();
+        let mut sum = self.own.no_contact?;
+        for member in self.members.members_of(&own.dc) {
+            if member.entry != own.entry {
+                let proof = self.no_contact.get(&member.entry)?;
+                sum.at = sum.at.min(proof.at);
+                sum.revision = sum.revision.max(proof.revision);
+            }
+        }
+        Some(sum)
+    }
+
+    pub(super) fn evidence(&self) -> PeerEvidence {
+        let mut outages = self.outages.clone();
+        if let Some(proof) = self.own_outage() {
+            let dc = self.own_dc();
+            let known = outages.get(&dc).copied();
+            outages.insert(dc, younger(known, proof));
+        }
+        let outages = outages.into_iter();
+        PeerEvidence {
+            peer: self.peer_proof,
+            outages: outages.map(|(dc, proof)| Outage { dc, proof }).collect(),
+        }
+    }
+
+    fn outage_reports(&self, now: Instant) -> Vec<OutageReport> {
+        if self.own.no_contact.is_none() {
+            return Vec::new();
+        }
+        let outages = self.evidence().outages.into_iter();
+        let report = |outage: Outage| OutageReport {
+            dc: outage.dc,
+            proof: ProofAge::of(outage.proof, now),
+        };
+        outages.map(report).collect()
+    }
+
+    pub(super) fn claim(&mut self, ask: &ClaimAsk, now: Instant) -> ClaimAnswer {
+        let key = HashKey::of_bits(ask.digest.bits());
+        let since = self.homes.home_since(&self.members, key, now);
+        self.claims.claim(ask, since, now)
+    }
+}
+
+fn younger(known: Option<Proof>, proof: Proof) -> Proof {
+    match known {
+        Some(known) if known.at > proof.at => known,
+        _ => proof,
+    }
+}
--- /dev/null
+++ b/crates/peer/src/peers/targets.rs
@@ -0,0 +1,96 @@
+//! Whom to ask in one heartbeat.
+//!
+//! An entry asks its data centre's relay and, in turn, one other member there. The relay asks one entry of each other
+//! data centre every [`FAR_HEARTBEATS`]. Without contact with the key-value service the relay asks everyone it can, since
+//! proof that the catalogue is fresh then only comes from others.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use goldcrest_types::names::DcName;
+
+use super::state::State;
+use crate::message::Member;
+
+/// A relay asks each other data centre once in so many heartbeats.
+pub const FAR_HEARTBEATS: u64 = 2;
+
+/// Someone to ask.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Target {
+    pub(super) address: SocketAddr,
+    pub(super) member: Option<Member>,
+}
+
+impl Target {
+    pub(super) fn of(member: &Member) -> Self {
+        Self {
+            address: member.address,
+            member: Some(member.clone()),
+        }
+    }
+}
+
+/// Whom to ask in heartbeat number `beat`.
+pub(super) fn targets(state: &State, beat: u64, now: Instant) -> Vec<Target> {
+    let own = state.members.own();
+    let is_relay = state.members.is_relay(now);
+    let is_cut = state.own.no_contact.is_some();
+    let near = state.members.members_of(&own.dc);
+    let near: Vec<&Member> = near.filter(|member| member.entry != own.entry).collect();
+    let mut out = Vec::new();
+    if is_cut {
+        out.extend(near.iter().copied().map(Target::of));
+    } else {
+        out.extend(in_turn(&near, beat).copied().map(Target::of));
+    }
+    if let Some(relay) = state.members.relay(&own.dc, now)
+        && relay.entry != own.entry
+    {
+        out.push(Target::of(relay));
+    }
+    let is_far_due = beat.is_multiple_of(FAR_HEARTBEATS) || is_cut;
+    if is_relay && is_far_due {
+        out.extend(far(state, beat, now));
+    }
+    if near.is_empty() {
+        out.extend(seed(state, &own.dc, beat));
+    }
+    out.sort_by_key(|target| target.address);
+    out.dedup_by_key(|target| target.address);
+    out.retain(|target| target.address != own.address);
+    out
+}
+
+/// The relay of each other data centre, or one of its listed addresses if no member is known there.
+fn far(state: &State, beat: u64, now: Instant) -> Vec<Target> {
+    let own = &state.members.own().dc;
+    let mut dcs = state.members.dcs();
+    dcs.extend(state.seeds.iter().map(|seed| seed.dc.clone()));
+    dcs.remove(own);
+    let target = |dc: &DcName| {
+        let relay = state.members.relay(dc, now).map(Target::of);
+        relay.or_else(|| seed(state, dc, beat))
+    };
+    dcs.iter().filter_map(target).collect()
+}
+
+fn seed(state: &State, dc: &DcName, beat: u64) -> Option<Target> {
+    let own = state.members.own().address;
+    let listed = state.seeds.iter().filter(|seed| seed.dc == *dc);
+    let listed: Vec<SocketAddr> = listed
+        .map(|seed| seed.address)
+        .filter(|a| *a != own)
+        .collect();
+    let address = *in_turn(&listed, beat)?;
+    Some(Target {
+        address,
+        member: None,
+    })
+}
+
+fn in_turn<T>(all: &[T], beat: u64) -> Option<&T> {
+    let count = u64::try_from(all.len()).ok()?;
+    let at = beat.checked_rem(count)?;
+    all.get(usize::try_from(at).ok()?)
+}
--- /dev/null
+++ b/crates/peer/src/server/mod.rs
@@ -0,0 +1,163 @@
+//! The listener for other entries.
+//!
+//! Each accepted socket is bounded in frames and in calls that are worked on at one time, and the listener in sockets.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use log::{debug, info, warn};
+use tarpc::server::{BaseChannel, Channel};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::handshake::{self, Hello};
+use crate::message::{Refused, Reply, Request};
+use crate::service::Exchange;
+use crate::transport::{self, FrameTransport};
+use crate::wire::Packet;
+
+/// Sockets that are served at one time.
+const SOCKETS_MAX: usize = 1_024;
+
+/// Calls of one socket that are worked on at one time.
+const IN_FLIGHT_MAX: usize = 64;
+
+/// The wait after a failed accept, which mostly means that there are too many open files.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(200);
+
+/// Who answers the messages of other entries. The daemon's parts stand behind it.
+pub trait Answer: Send + Sync + 'static {
+    /// Answers one message of `from`.
+    fn answer(&self, from: &Hello, request: Request) -> impl Future<Output = Reply> + Send;
+}
+
+/// The listener for other entries.
+pub struct PeerServer<A> {
+    listener: TcpListener,
+    hello: Hello,
+    answer: Arc<A>,
+    sockets: Arc<Semaphore>,
+}
+
+impl<A: Answer> PeerServer<A> {
+    /// A listener that answers by `answer`.
+    #[must_use]
+    pub fn new(listener: TcpListener, hello: Hello, answer: Arc<A>) -> Self {
+        Self {
+            listener,
+            hello,
+            answer,
+            sockets: Arc::new(Semaphore::new(SOCKETS_MAX)),
+        }
+    }
+
+    /// Serves until `stop`, then waits for the calls that are worked on.
+    pub async fn run(self, stop: CancellationToken) {
+        let tasks = TaskTracker::new();
+        let accept = stop.run_until_cancelled(self.accept(&tasks, &stop)).await;
+        debug_assert!(accept.is_none(), "accepting ends only by the token");
+        tasks.close();
+        tasks.wait().await;
+    }
+
+    async fn accept(&self, tasks: &TaskTracker, stop: &CancellationToken) {
+        loop {
+            let Ok(permit) = Arc::clone(&self.sockets).acquire_owned().await else {
+                return std::future::pending().await;
+            };
+            match self.listener.accept().await {
+                Ok((stream, address)) => {
+                    let serve = serve(
+                        stream,
+                        address,
+                        self.hello.clone(),
+                        Arc::clone(&self.answer),
+                    );
+                    let stop = stop.clone();
+                    tasks.spawn(async move {
+                        let ended = stop.run_until_cancelled(serve).await;
+                        drop((ended, permit));
+                    });
+                }
+                Err(error) => {
+                    warn!("peer: no socket accepted: {error}");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+async fn serve<A: Answer>(stream: TcpStream, address: SocketAddr, own: Hello, answer: Arc<A>) {
+    if let Err(error) = stream.set_nodelay(true) {
+        debug!("peer: {address}: {error}");
+    }
+    let cfg = Some(transport::socket_config());
+    let upgrade = tokio_tungstenite::accept_async_with_config(stream, cfg);
+    let timed = tokio::time::timeout(handshake::HANDSHAKE_TIMEOUT, upgrade).await;
+    let Ok(Ok(mut socket)) = timed else {
+        debug!("peer: {address}: no WebSocket");
+        return;
+    };
+    match handshake::greet_back(&mut socket, &own).await {
+        Ok((other, version)) => {
+            debug!(
+                "peer: {address} is {} in version {version}",
+                other.member.entry
+            );
+            let server = ExchangeServer {
+                from: Arc::new(other),
+                answer,
+            };
+            serve_calls(FrameTransport::new(socket).with_idle_end(), server).await;
+        }
+        Err(error) => info!("peer: {address} refused: {error}"),
+    }
+}
+
+async fn serve_calls<A: Answer>(
+    transport: FrameTransport<
+        tarpc::ClientMessage<crate::service::ExchangeRequest>,
+        tarpc::Response<crate::service::ExchangeResponse>,
+    >,
+    server: ExchangeServer<A>,
+) {
+    let cfg = tarpc::server::Config {
+        pending_response_buffer: IN_FLIGHT_MAX,
+    };
+    let channel = BaseChannel::new(cfg, transport);
+    let calls = channel
+        .max_concurrent_requests(IN_FLIGHT_MAX)
+        .execute(server.serve());
+    calls.for_each_concurrent(IN_FLIGHT_MAX, |call| call).await;
+}
+
+struct ExchangeServer<A> {
+    from: Arc<Hello>,
+    answer: Arc<A>,
+}
+
+impl<A> Clone for ExchangeServer<A> {
+    fn clone(&self) -> Self {
+        Self {
+            from: Arc::clone(&self.from),
+            answer: Arc::clone(&self.answer),
+        }
+    }
+}
+
+impl<A: Answer> Exchange for ExchangeServer<A> {
+    async fn exchange(self, _: tarpc::context::Context, packet: Packet) -> Packet {
+        let reply = match Request::from_packet(&packet) {
+            Ok(request) => self.answer.answer(&self.from, request).await,
+            Err(error) => Reply::Refused(Refused {
+                why: error.to_string().into(),
+            }),
+        };
+        reply.to_packet()
+    }
+}
--- /dev/null
+++ b/crates/peer/src/transport/mod.rs
@@ -0,0 +1,143 @@
+//! Messages as binary frames of a WebSocket, in CBOR.
+//!
+//! [`FrameTransport`] is the stream and sink that `tarpc` runs over. A frame that can't be read ends the link: what
+//! versions may differ in is inside the packets, not around them.
+
+use std::io;
+use std::marker::PhantomData;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::{Sink, Stream};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, Sleep};
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::tungstenite::{Error, Message};
+
+use crate::wire::{self, FRAME_BYTES_MAX};
+
+/// The buffers of one socket, in bytes. A link is idle most of the time.
+const BUFFER_BYTES: usize = 4 << 10;
+
+/// What every WebSocket between entries is set to.
+#[must_use]
+pub fn socket_config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .read_buffer_size(BUFFER_BYTES)
+        .write_buffer_size(BUFFER_BYTES)
+        .max_write_buffer_size(2 * FRAME_BYTES_MAX)
+        .max_message_size(Some(FRAME_BYTES_MAX))
+        .max_frame_size(Some(FRAME_BYTES_MAX))
+}
+
+/// A listener closes a socket on which nothing has come for so long. Dialers close theirs earlier.
+const IDLE_MAX: Duration = Duration::from_mins(3);
+
+/// A WebSocket that carries messages `In` and `Out`.
+#[derive(Debug)]
+pub struct FrameTransport<In, Out> {
+    socket: WebSocketStream<TcpStream>,
+    idle: Option<Pin<Box<Sleep>>>,
+    messages: PhantomData<fn(Out) -> In>,
+}
+
+impl<In, Out> FrameTransport<In, Out> {
+    /// Messages over `socket`, on which the handshake is done.
+    #[must_use]
+    pub fn new(socket: WebSocketStream<TcpStream>) -> Self {
+        Self {
+            socket,
+            idle: None,
+            messages: PhantomData,
+        }
+    }
+
+    /// The same, but ended when nothing comes for minutes.
+    #[must_use]
+    pub fn with_idle_end(mut self) -> Self {
+        self.idle = Some(Box::pin(tokio::time::sleep(IDLE_MAX)));
+        self
+    }
+
+    fn poll_idle(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        match &mut self.idle {
+            Some(idle) => idle.as_mut().poll(cx),
+            None => Poll::Pending,
+        }
+    }
+
+    fn restart_idle(&mut self) {
+        if let Some(idle) = &mut self.idle {
+            idle.as_mut().reset(Instant::now() + IDLE_MAX);
+        }
+    }
+}
+
+fn broken(error: Error) -> io::Error {
+    match error {
+        Error::Io(error) => error,
+        other => io::Error::other(other),
+    }
+}
+
+fn unreadable(error: wire::PacketError) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, error)
+}
+
+impl<In: DeserializeOwned, Out> Stream for FrameTransport<In, Out> {
+    type Item = io::Result<In>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        loop {
+            if self.poll_idle(cx).is_ready() {
+                return Poll::Ready(None);
+            }
+            let Some(frame) = ready!(Pin::new(&mut self.socket).poll_next(cx)) else {
+                return Poll::Ready(None);
+            };
+            self.restart_idle();
+            match frame {
+                Ok(Message::Binary(bytes)) => {
+                    let message = wire::from_bytes(&bytes).map_err(unreadable);
+                    return Poll::Ready(Some(message));
+                }
+                Ok(Message::Close(_)) | Err(Error::ConnectionClosed) => return Poll::Ready(None),
+                Ok(_) => {}
+                Err(error) => return Poll::Ready(Some(Err(broken(error)))),
+            }
+        }
+    }
+}
+
+impl<In, Out: Serialize> Sink<Out> for FrameTransport<In, Out> {
+    type Error = io::Error;
+
+    fn poll_ready(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_ready(cx).map_err(broken)
+    }
+
+    fn start_send(mut self: Pin<&mut Self>, message: Out) -> io::Result<()> {
+        let bytes: Bytes = wire::to_bytes(&message);
+        if bytes.len() > FRAME_BYTES_MAX {
+            return Err(io::Error::new(
+                io::ErrorKind::InvalidInput,
+                "the message is larger than a frame may be",
+            ));
+        }
+        let frame = Message::Binary(bytes);
+        Pin::new(&mut self.socket).start_send(frame).map_err(broken)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_flush(cx).map_err(broken)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_close(cx).map_err(broken)
+    }
+}
--- /dev/null
+++ b/crates/peer/src/usage/mod.rs
@@ -0,0 +1,199 @@
+//! Usage by team, told as what changed.
+//!
+//! A [`Board`] numbers its changes. The other side says up to which number it has heard, and is told the cells above it,
+//! the oldest first and so many at one time. A small change of a large figure is not worth telling and keeps its old
+//! number.
+
+use std::collections::BTreeMap;
+
+use goldcrest_types::names::TeamName;
+use goldcrest_types::units::Slots;
+
+use crate::message::{Cell, Delta};
+
+/// How many cells are told at one time.
+pub const CELLS_MAX: usize = 64;
+
+/// A change of less than one part in this many is not told.
+const TELL_PART: u32 = 8;
+
+/// What one entry or data centre has of a team.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Slots running.
+    pub running: Slots,
+    /// Slots waiting.
+    pub waiting: Slots,
+}
+
+impl Usage {
+    /// Running and waiting together.
+    #[must_use]
+    pub fn demand(&self) -> Slots {
+        self.running + self.waiting
+    }
+
+    fn is_near(self, other: Self) -> bool {
+        is_near(self.running, other.running) && is_near(self.waiting, other.waiting)
+    }
+}
+
+fn is_near(old: Slots, new: Slots) -> bool {
+    let difference = (old - new) + (new - old);
+    difference.get() <= old.get().min(new.get()) / TELL_PART
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    usage: Usage,
+    seq: u64,
+}
+
+/// The usage of entries or of data centres, with the order of its changes.
+#[derive(Debug, Clone)]
+pub struct Board<K> {
+    seq: u64,
+    cells: BTreeMap<K, BTreeMap<TeamName, Entry>>,
+    by_seq: BTreeMap<u64, (K, TeamName)>,
+}
+
+impl<K: Clone + Ord> Board<K> {
+    /// An empty board.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            seq: 0,
+            cells: BTreeMap::new(),
+            by_seq: BTreeMap::new(),
+        }
+    }
+
+    /// Sets one cell, and notes the change if it is worth telling.
+    pub fn set(&mut self, key: &K, team: &TeamName, usage: Usage) {
+        let teams = self.cells.entry(key.clone()).or_default();
+        let old = teams.get(team).copied();
+        if old.is_none() && usage == Usage::default() {
+            return;
+        }
+        if let Some(old) = old {
+            if old.usage.is_near(usage) {
+                return;
+            }
+            self.by_seq.remove(&old.seq);
+        }
+        self.seq += 1;
+        let seq = self.seq;
+        teams.insert(team.clone(), Entry { usage, seq });
+        self.by_seq.insert(seq, (key.clone(), team.clone()));
+    }
+
+    /// Sets all teams of one key; teams that are not given have nothing.
+    pub fn set_all(&mut self, key: &K, usage: &BTreeMap<TeamName, Usage>) {
+        let known = self.cells.get(key);
+        let known: Vec<TeamName> = known
+            .map(|teams| teams.keys().cloned().collect())
+            .unwrap_or_default();
+        for team in known.iter().filter(|team| !usage.contains_key(*team)) {
+            self.set(key, team, Usage::default());
+        }
+        for (team, usage) in usage {
+            self.set(key, team, *usage);
+        }
+    }
+
+    /// Forgets a key.
+    pub fn forget(&mut self, key: &K) {
+        if let Some(teams) = self.cells.remove(key) {
+            for entry in teams.values() {
+                self.by_seq.remove(&entry.seq);
+            }
+        }
+    }
+
+    /// What changed above `have`, of all keys or of one only. A number from another board, which is higher than any
+    /// here, counts as none.
+    #[must_use]
+    pub fn delta(&self, have: u64, only: Option<&K>) -> Delta<K> {
+        let from = if have > self.seq { 0 } else { have };
+        let mut delta = Delta {
+            upto: self.seq,
+            keys: Vec::new(),
+            cells: Vec::new(),
+        };
+        let news = self.by_seq.range(from + 1..);
+        let news = news.filter(|(_, (key, _))| only.is_none_or(|only| only == key));
+        for (seq, (key, team)) in news {
+            if delta.cells.len() == CELLS_MAX {
+                break;
+            }
+            let usage = self.usage(key, team);
+            delta.cells.push(Cell {
+                key: key_index(&mut delta.keys, key),
+                team: team.clone(),
+                running: usage.running,
+                waiting: usage.waiting,
+            });
+            if delta.cells.len() == CELLS_MAX {
+                delta.upto = *seq;
+            }
+        }
+        delta
+    }
+
+    /// Takes in what another board told, of all keys but `own`, which this side knows better.
+    pub fn apply(&mut self, delta: &Delta<K>, own: Option<&K>) {
+        for cell in &delta.cells {
+            let Some(key) = delta.keys.get(usize::from(cell.key)) else {
+                continue;
+            };
+            if Some(key) != own {
+                let usage = Usage {
+                    running: cell.running,
+                    waiting: cell.waiting,
+                };
+                self.set(key, &cell.team, usage);
+            }
+        }
+    }
+
+    /// What one key has of a team.
+    #[must_use]
+    pub fn usage(&self, key: &K, team: &TeamName) -> Usage {
+        let entry = self.cells.get(key).and_then(|teams| teams.get(team));
+        entry.map(|entry| entry.usage).unwrap_or_default()
+    }
+
+    /// All cells.
+    pub fn iter(&self) -> impl Iterator<Item = (&K, &TeamName, Usage)> {
+        let cells = self.cells.iter();
+        cells.flat_map(|(key, teams)| teams.iter().map(move |(team, e)| (key, team, e.usage)))
+    }
+
+    /// What all keys have together, by team.
+    #[must_use]
+    pub fn sums(&self) -> BTreeMap<TeamName, Usage> {
+        let mut sums: BTreeMap<TeamName, Usage> = BTreeMap::new();
+        for (_, team, usage) in self.iter() {
+            let sum = sums.entry(team.clone()).or_default();
+            sum.running += usage.running;
+            sum.waiting += usage.waiting;
+        }
+        sums
+    }
+}
+
+impl<K: Clone + Ord> Default for Board<K> {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// The index of `key` in a list that is extended as needed.
+fn key_index<K: Clone + PartialEq>(keys: &mut Vec<K>, key: &K) -> u16 {
+    let at = keys.iter().position(|known| known == key);
+    let at = at.unwrap_or_else(|| {
+        keys.push(key.clone());
+        keys.len() - 1
+    });
+    u16::try_from(at).unwrap_or(u16::MAX)
+}
--- /dev/null
+++ b/crates/peer/tests/peer/main.rs
@@ -0,0 +1,9 @@
+//! The links between entries, on loopback sockets, and the pure parts behind them.
+
+mod claims;
+mod common;
+mod link;
+mod membership;
+mod messages;
+mod peers;
+mod usage;
--- /dev/null
+++ b/crates/peer/tests/peer/membership.rs
@@ -0,0 +1,185 @@
+//! Members that are paused, cut off, replaced or gone.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use goldcrest_peer::membership::{Homes, Membership, MembershipConfig, Standing};
+use goldcrest_peer::message::{Member, MemberReport};
+use goldcrest_peer::rendezvous::HashKey;
+use goldcrest_types::names::EntryId;
+use quickcheck::quickcheck;
+
+use crate::common::unreached;
+
+const BEAT: Duration = Duration::from_secs(1);
+
+/// Entry 1, which knows entry 2 of its data centre.
+struct Pair {
+    members: Membership,
+    other: Member,
+    now: Instant,
+}
+
+impl Pair {
+    fn new() -> Self {
+        let now = Instant::now();
+        let mut members = Membership::new(unreached(1, "lis-1"), MembershipConfig::default(), now);
+        let other = unreached(2, "lis-1");
+        members.heard(&other, now);
+        Self {
+            members,
+            other,
+            now,
+        }
+    }
+
+    fn silence(&mut self, beats: u32) -> Vec<EntryId> {
+        let mut left = Vec::new();
+        for _ in 0..beats {
+            self.now += BEAT;
+            left.extend(self.members.tick(self.now));
+        }
+        left
+    }
+
+    fn standing(&self) -> Option<Standing> {
+        self.members.standing(self.other.entry, self.now)
+    }
+}
+
+fn ids(bits: &[u128]) -> BTreeSet<EntryId> {
+    bits.iter().map(|bits| EntryId::new(*bits)).collect()
+}
+
+#[test]
+fn standing_paused_for_ten_seconds() {
+    let mut pair = Pair::new();
+    pair.members.set_sessions(&ids(&[1]));
+    assert_eq!(pair.silence(10), []);
+    assert_eq!(pair.standing(), Some(Standing::Suspect));
+    let (other, now) = (pair.other.clone(), pair.now);
+    pair.members.heard(&other, now);
+    assert_eq!(pair.standing(), Some(Standing::Live));
+}
+
+#[test]
+fn standing_silent_with_session() {
+    let mut pair = Pair::new();
+    pair.members.set_sessions(&ids(&[1, 2]));
+    assert_eq!(pair.silence(600), []);
+    assert_eq!(pair.standing(), Some(Standing::Suspect));
+}
+
+#[test]
+fn tick_silent_and_session_lapsed() {
+    let mut pair = Pair::new();
+    pair.members.set_sessions(&ids(&[1, 2]));
+    pair.silence(5);
+    pair.members.set_sessions(&ids(&[1]));
+    assert_eq!(pair.silence(9), []);
+    assert_eq!(pair.silence(1), [EntryId::new(2)]);
+    assert_eq!(pair.standing(), None);
+}
+
+#[test]
+fn tick_heard_but_session_lapsed() {
+    let mut pair = Pair::new();
+    pair.members.set_sessions(&ids(&[1, 2]));
+    pair.members.set_sessions(&ids(&[1]));
+    for _ in 0..60 {
+        let (other, now) = (pair.other.clone(), pair.now);
+        pair.members.heard(&other, now);
+        assert_eq!(pair.silence(1), []);
+    }
+    assert_eq!(pair.standing(), Some(Standing::Live));
+}
+
+#[test]
+fn tick_vm_off_the_list() {
+    let mut pair = Pair::new();
+    let listed = BTreeSet::from([pair.other.vm.clone()]);
+    // A VM that the lagging list does not show yet is no reason.
+    pair.members.set_listing(&BTreeSet::new());
+    assert_eq!(pair.silence(60), []);
+    pair.members.set_listing(&listed);
+    pair.members.set_listing(&BTreeSet::new());
+    assert_eq!(pair.silence(1), [EntryId::new(2)]);
+}
+
+#[test]
+fn tick_own_pause_is_nobody_elses_silence() {
+    let mut pair = Pair::new();
+    pair.silence(1);
+    pair.members.set_sessions(&ids(&[1]));
+    pair.now += Duration::from_mins(1);
+    assert_eq!(pair.members.tick(pair.now), []);
+    assert_eq!(pair.standing(), Some(Standing::Live));
+}
+
+#[test]
+fn told_old_news_of_stranger() {
+    let mut pair = Pair::new();
+    let report = MemberReport {
+        member: unreached(3, "lis-1"),
+        heard_ms: 20_000,
+    };
+    pair.members.told(&report, pair.now);
+    assert_eq!(pair.members.members().count(), 2);
+}
+
+#[test]
+fn relay_passes_over_suspect() {
+    let mut pair = Pair::new();
+    let third = unreached(3, "lis-1");
+    for _ in 0..5 {
+        pair.silence(1);
+        pair.members.heard(&third, pair.now);
+    }
+    let dc = pair.other.dc.clone();
+    let relay = pair.members.relay(&dc, pair.now).expect("a relay");
+    assert_ne!(relay.entry, pair.other.entry);
+}
+
+#[test]
+fn home_counts_sessions_never_heard() {
+    let mut pair = Pair::new();
+    let all = [1, 2, 3, 4, 5];
+    pair.members.set_sessions(&ids(&all));
+    let homes = (0..1_000).map(|bits| pair.members.home(HashKey::of_bits(bits)));
+    let homes: BTreeSet<EntryId> = homes.collect();
+    assert_eq!(homes, ids(&all));
+}
+
+#[test]
+fn extend_broken_standing_starts_anew() {
+    let pair = Pair::new();
+    let mut homes = Homes::new();
+    let (mut now, term) = (pair.now, Duration::from_secs(9));
+    let key = (0..).map(HashKey::of_bits);
+    let own = EntryId::new(1);
+    let mut keys = key.filter(|key| pair.members.home(*key) == own);
+    let key = keys.next().expect("a key whose home is entry 1");
+    homes.extend(now, now + term);
+    assert_eq!(homes.home_since(&pair.members, key, now), Some(pair.now));
+    now += Duration::from_secs(8);
+    homes.extend(now, now + term);
+    assert_eq!(homes.home_since(&pair.members, key, now), Some(pair.now));
+    now += Duration::from_secs(10);
+    assert_eq!(homes.home_since(&pair.members, key, now), None);
+    homes.extend(now, now + term);
+    assert_eq!(homes.home_since(&pair.members, key, now), Some(now));
+}
+
+quickcheck! {
+    fn home_moves_only_keys_of_who_left(members: BTreeSet<u64>, keys: Vec<u64>) -> bool {
+        let all: Vec<EntryId> = members.iter().map(|m| EntryId::new(u128::from(*m))).collect();
+        let Some((left, rest)) = all.split_first() else {
+            return true;
+        };
+        keys.iter().all(|key| {
+            let key = HashKey::of_bits(u128::from(*key));
+            let before = key.home(all.iter().copied());
+            before == Some(*left) || before == key.home(rest.iter().copied())
+        })
+    }
+}
--- /dev/null
+++ b/crates/peer/tests/peer/usage.rs
@@ -0,0 +1,84 @@
+//! Usage told as what changed.
+
+use std::collections::BTreeMap;
+
+use goldcrest_peer::usage::{Board, CELLS_MAX, Usage};
+use goldcrest_types::names::{EntryId, TeamName};
+use goldcrest_types::units::Slots;
+use quickcheck::quickcheck;
+
+fn team(number: u8) -> TeamName {
+    format!("team-{number}").parse().expect("a name")
+}
+
+fn usage(running: u32, waiting: u32) -> Usage {
+    Usage {
+        running: Slots::new(running),
+        waiting: Slots::new(waiting),
+    }
+}
+
+#[test]
+fn delta_nothing_changed() {
+    let mut board = Board::new();
+    let own = EntryId::new(1);
+    board.set(&own, &team(1), usage(3, 0));
+    let told = board.delta(0, None);
+    assert_eq!(told.cells.len(), 1);
+    board.set(&own, &team(1), usage(3, 0));
+    assert_eq!(board.delta(told.upto, None).cells, []);
+}
+
+#[test]
+fn delta_is_bounded_and_goes_on() {
+    let mut board = Board::new();
+    let own = EntryId::new(1);
+    for number in 0..200 {
+        board.set(&own, &team(number), usage(1, 1));
+    }
+    let mut heard = Board::new();
+    let mut have = 0;
+    for round in 1.. {
+        let delta = board.delta(have, None);
+        assert!(delta.cells.len() <= CELLS_MAX);
+        if delta.cells.is_empty() {
+            assert_eq!(round, 5);
+            break;
+        }
+        have = delta.upto;
+        heard.apply(&delta, None);
+    }
+    assert_eq!(heard.sums(), board.sums());
+}
+
+#[test]
+fn delta_of_restarted_teller() {
+    let mut board = Board::new();
+    board.set(&EntryId::new(1), &team(1), usage(3, 0));
+    assert_eq!(board.delta(1_000, None).cells.len(), 1);
+}
+
+quickcheck! {
+    /// However cells change and answers are lost, what was told in the end is near to what is.
+    fn delta_converges(changes: Vec<(u8, u8, bool)>) -> bool {
+        let (own, other) = (EntryId::new(1), EntryId::new(2));
+        let (mut board, mut heard) = (Board::new(), Board::new());
+        let (mut have, mut last) = (0, BTreeMap::new());
+        for (number, running, is_lost) in changes {
+            let value = usage(u32::from(running), 0);
+            board.set(&own, &team(number % 16), value);
+            last.insert(number % 16, value);
+            let delta = board.delta(have, None);
+            if !is_lost {
+                have = delta.upto;
+                heard.apply(&delta, Some(&other));
+            }
+        }
+        heard.apply(&board.delta(have, None), Some(&other));
+        last.iter().all(|(number, value)| {
+            let told = heard.usage(&own, &team(*number)).running.get();
+            let is = value.running.get();
+            told.abs_diff(is) <= told.min(is) / 4 && (told == 0) == (is == 0)
+        })
+    }
+}
