ledger: reclaim by observers, verifier, and tests under faults in any order

Cause: a VM that came and went within the list's lag was never seen on the list, so its row could not be shown to be orphaned and its floor was lost for good. Waiting times could also be counted twice by a retry after the row had changed its phase and back. Change: a lapsed row that was never listed counts as gone after the list's longest lag; a waiting time names the phase change it was measured in; lent parts count only under the session that the row holds. quota::reclaim works out an observer's edits. verify has a function for each promise.

--- a/crates/ledger/src/document/mod.rs
+++ b/crates/ledger/src/document/mod.rs
@@ -82,7 +82,8 @@
 pub enum Outcome {
     /// The edit is in the value.
     Applied,
-    /// The edit is not in the value and never was.
+    /// The edit is not in the value. If the value has changed since the edit was based on it, the edit never will be;
+    /// if not, its swap may still be on its way, until another swap has taken effect.
     NotApplied,
     /// So many edits came between that the value can't tell.
     Unknown,
--- a/crates/ledger/src/jobs/mod.rs
+++ b/crates/ledger/src/jobs/mod.rs
@@ -13,6 +13,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use goldcrest_types::breach::Breaches;
 use goldcrest_types::names::{EditId, TaskKey};
 use goldcrest_types::units::Epoch;
 use serde::{Deserialize, Serialize};
@@ -21,6 +22,7 @@
 pub use task::{Ended, Task, TaskOutcome, TaskState};
 
 use crate::document::{DOCUMENT_BYTES_MAX, Document, RecentEdits};
+use crate::verify;
 
 /// How many ended tasks keep their outcome.
 pub const ENDED_KEPT: usize = 2_048;
@@ -75,9 +77,16 @@
             .map(|step| self.step(step, &mut bytes))
             .collect();
         self.edits.push(id);
+        debug_assert!(self.is_sound(), "a task ran twice or is in two places");
         answers
     }
 
+    fn is_sound(&self) -> bool {
+        let mut found = Breaches::new();
+        verify::at_most_once(self, &mut found);
+        found.is_empty()
+    }
+
     fn step(&mut self, step: &JobEdit, bytes: &mut usize) -> Result<JobAnswer, JobRefusal> {
         match step {
             JobEdit::Accept { key, task } => self.accept(*key, task, bytes),
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`role`]: who holds a role, and its fencing epoch.
 //! - [`jobs`]: accepted tasks.
 //! - [`freshness`]: until when keyed work may be taken. It is no document, but decides from what was read of one.
+//! - [`verify`]: one function for each promise that the documents carry.
 //!
 //! This crate does no I/O; time is passed in.
 
@@ -19,5 +20,6 @@
 pub mod jobs;
 pub mod quota;
 pub mod role;
+pub mod verify;
 
 pub use document::{Document, DocumentError, Outcome, RecentEdits};
--- a/crates/ledger/src/quota/dc.rs
+++ b/crates/ledger/src/quota/dc.rs
@@ -5,15 +5,17 @@
 
 use std::collections::BTreeMap;
 
+use goldcrest_types::breach::Breaches;
 use goldcrest_types::names::{EditId, EntryId, TeamName, VmName};
 use goldcrest_types::units::Slots;
 use serde::{Deserialize, Serialize};
 
 use super::{
     GoneProof, Moved, Part, QuotaRefusal, Row, RowId, RowPhase, SessionId, TeamPart, TeamSlots,
-    Transfer,
+    Transfer, Waited,
 };
 use crate::document::{Document, RecentEdits};
+use crate::verify;
 
 /// One team's portion in a data centre and its parts.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -126,8 +128,8 @@
     Wait {
         /// The row.
         row: RowId,
-        /// The waiting time that it saw, in milliseconds.
-        from_ms: u64,
+        /// The waiting time that it saw.
+        seen: Waited,
         /// What it measured since then, in milliseconds.
         by_ms: u64,
     },
@@ -210,6 +212,12 @@
         rows.find(|(_, row)| row.owner == owner).map(|(id, _)| *id)
     }
 
+    /// What `row` is lent of all teams together.
+    #[must_use]
+    pub fn lent_to(&self, row: RowId) -> Slots {
+        self.teams.values().map(|quota| quota.part(row).lent).sum()
+    }
+
     /// Applies all steps of an edit, or none. An edit that was applied before changes nothing.
     ///
     /// # Errors
@@ -224,10 +232,17 @@
             next.step(step)?;
         }
         next.edits.push(id);
+        debug_assert!(next.is_sound(), "rows pass a portion");
         *self = next;
         Ok(())
     }
 
+    fn is_sound(&self) -> bool {
+        let mut found = Breaches::new();
+        verify::portions(self, &mut found);
+        found.is_empty()
+    }
+
     fn step(&mut self, step: &DcEdit) -> Result<(), QuotaRefusal> {
         match step {
             DcEdit::Join {
@@ -256,11 +271,7 @@
             }
             DcEdit::Lapse { row, session } => self.row_mut(*row)?.lapse(*row, *session),
             DcEdit::Orphan { row, proof } => self.orphan(*row, *proof),
-            DcEdit::Wait {
-                row,
-                from_ms,
-                by_ms,
-            } => self.row_mut(*row)?.wait(*row, *from_ms, *by_ms),
+            DcEdit::Wait { row, seen, by_ms } => self.row_mut(*row)?.wait(*row, *seen, *by_ms),
             DcEdit::Reclaim { row, run_bound_ms } => self.reclaim(*row, *run_bound_ms),
             DcEdit::Adopt {
                 from,
@@ -333,7 +344,7 @@
             GoneProof::Successor { row } => {
                 row > id && self.rows.get(&row).is_some_and(|later| later.vm == vm)
             }
-            GoneProof::OffList | GoneProof::Rebooted { .. } => false,
+            GoneProof::OffList { .. } | GoneProof::Rebooted { .. } => false,
         };
         self.row_mut(id)?.orphan(id, proof, is_succeeded)
     }
--- a/crates/ledger/src/quota/fleet.rs
+++ b/crates/ledger/src/quota/fleet.rs
@@ -8,12 +8,14 @@
 
 use std::collections::BTreeMap;
 
+use goldcrest_types::breach::Breaches;
 use goldcrest_types::names::{DcName, EditId, TeamName, TransferId};
 use goldcrest_types::units::{Epoch, Revision, Slots};
 use serde::{Deserialize, Serialize};
 
 use super::{Moved, QuotaRefusal, TeamSlots, Transfer};
 use crate::document::{Document, RecentEdits};
+use crate::verify;
 
 /// One team's upper limit and where it is.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -175,10 +177,17 @@
             next.step(step)?;
         }
         next.edits.push(id);
+        debug_assert!(next.is_sound(), "portions don't add up to a limit");
         *self = next;
         Ok(())
     }
 
+    fn is_sound(&self) -> bool {
+        let mut found = Breaches::new();
+        verify::limits(self, &mut found);
+        found.is_empty()
+    }
+
     fn step(&mut self, step: &FleetEdit) -> Result<(), QuotaRefusal> {
         match step {
             FleetEdit::SetLimits {
--- a/crates/ledger/src/quota/grants.rs
+++ b/crates/ledger/src/quota/grants.rs
@@ -10,7 +10,17 @@
 use goldcrest_types::names::EntryId;
 use goldcrest_types::units::Slots;
 
-use super::{DcQuota, Part, RowPhase};
+use super::{DcQuota, Part, RowPhase, SessionId};
+
+/// An owner's session and how long the owner may rely on it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Session {
+    /// The session.
+    pub id: SessionId,
+    /// Its end by the owner's monotonic clock: the sending of the last renewal that was answered, plus the lease's
+    /// term, less a margin for drift.
+    pub until: Instant,
+}
 
 /// One entry's part of each team's upper limit.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -26,19 +36,20 @@
         Self::default()
     }
 
-    /// The parts of `owner` in `doc`, under the limits of `cat`. The lent parts end at `lent_until`, which is the end
-    /// of the session by the owner's monotonic clock less a margin for drift.
+    /// The parts of `owner` in `doc`, under the limits of `cat`. The lent parts count only if `session` is the one that
+    /// the row holds: under another, they may have been reclaimed since `doc` was read.
     #[must_use]
-    pub fn of(doc: &DcQuota, owner: EntryId, cat: &Catalogue, lent_until: Option<Instant>) -> Self {
+    pub fn of(doc: &DcQuota, owner: EntryId, cat: &Catalogue, session: Option<Session>) -> Self {
         let mut grants = Self::new();
         let Some(row) = doc.row_of(owner) else {
             return grants;
         };
-        match doc.rows()[&row].phase {
-            RowPhase::Orphaned => return grants,
-            RowPhase::Lapsed => {}
-            RowPhase::Held => grants.lent_until = lent_until,
+        let record = &doc.rows()[&row];
+        if record.phase == RowPhase::Orphaned {
+            return grants;
         }
+        let of_row = session.filter(|s| s.id == record.session && record.phase == RowPhase::Held);
+        grants.lent_until = of_row.map(|s| s.until);
         for (id, team) in cat.teams.iter() {
             if let Some(quota) = doc.teams().get(&team.name) {
                 let part = quota.part(row);
--- a/crates/ledger/src/quota/mod.rs
+++ b/crates/ledger/src/quota/mod.rs
@@ -6,6 +6,7 @@
 //! which ends with the owner's session. The sums are checked in the swap that changes them.
 //!
 //! - [`dc`]: the rows of one data centre, and the edits on them.
+//! - [`reclaim`]: what an observer does about rows whose owners are gone.
 //! - [`row`]: the life of a row, from joining to its reclaim.
 //! - [`fleet`]: the portions of the data centres, and the moves between them.
 //! - [`grants`]: what one entry may use at a moment.
@@ -18,6 +19,7 @@
 pub mod grants;
 pub mod portions;
 pub mod rebalance;
+pub mod reclaim;
 pub mod refusal;
 pub mod row;
 
@@ -30,9 +32,9 @@
 
 pub use dc::{DcEdit, DcQuota, TeamQuota};
 pub use fleet::{FleetEdit, FleetQuota, TeamPortions};
-pub use grants::Grants;
+pub use grants::{Grants, Session};
 pub use refusal::QuotaRefusal;
-pub use row::{GoneProof, Row, RowPhase};
+pub use row::{GoneProof, Row, RowPhase, Waited};
 
 /// The key of the fleet's portions in the key-value service.
 pub const FLEET_QUOTA_KEY: &str = "quota/fleet";
--- a/crates/ledger/src/quota/row.rs
+++ b/crates/ledger/src/quota/row.rs
@@ -6,8 +6,8 @@
 //! bound.
 //!
 //! Waiting is counted in the row, without a wall clock: an observer that saw `waited_ms` and measured some time since
-//! on its monotonic clock adds that time, and its swap fails if another one has added meanwhile. So the count can fall
-//! behind the true time and never run ahead of it, and it outlives its observers.
+//! on its monotonic clock adds that time, and is refused if another one has added meanwhile or the row has changed its
+//! phase since. So the count can fall behind the true time and never run ahead of it, and it outlives its observers.
 
 use goldcrest_types::names::{EntryId, VmName};
 use serde::{Deserialize, Serialize};
@@ -30,8 +30,12 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum GoneProof {
-    /// The VM was on the platform's list and is no longer.
-    OffList,
+    /// The VM is not on the platform's list, and has been on it, or the row has been lapsed for longer than the list
+    /// can lag.
+    OffList {
+        /// The longest time after which a started VM is on the list, in milliseconds.
+        lag_max_ms: u64,
+    },
     /// The VM has started this often by now.
     Rebooted {
         /// Starts of the VM.
@@ -44,6 +48,15 @@
     },
 }
 
+/// How long a row had waited when an observer saw it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Waited {
+    /// How often the row had changed its phase.
+    pub phase_changes: u32,
+    /// How long it had been in its phase for certain, in milliseconds.
+    pub waited_ms: u64,
+}
+
 /// The owner of a row and how far the row is from its reclaim.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Row {
@@ -65,6 +78,9 @@
     /// How far the row is from its reclaim.
     #[serde(rename = "p")]
     pub phase: RowPhase,
+    /// How often the row has changed its phase.
+    #[serde(rename = "c", default)]
+    pub phase_changes: u32,
     /// How long the row has been in its phase for certain, in milliseconds.
     #[serde(rename = "w")]
     pub waited_ms: u64,
@@ -81,18 +97,40 @@
             session,
             listed: false,
             phase: RowPhase::Held,
+            phase_changes: 0,
             waited_ms: 0,
         }
     }
 
+    fn enter(&mut self, phase: RowPhase) {
+        self.phase = phase;
+        self.phase_changes = self.phase_changes.wrapping_add(1);
+        self.waited_ms = 0;
+    }
+
+    /// Whether the VM's absence from the platform's list shows that it is gone.
+    #[must_use]
+    pub const fn can_be_off_list(&self, lag_max_ms: u64) -> bool {
+        let is_lapsed = matches!(self.phase, RowPhase::Lapsed);
+        self.listed || (is_lapsed && self.waited_ms >= lag_max_ms)
+    }
+
+    /// What an observer notes of the row.
+    #[must_use]
+    pub const fn waited(&self) -> Waited {
+        Waited {
+            phase_changes: self.phase_changes,
+            waited_ms: self.waited_ms,
+        }
+    }
+
     /// The owner goes on with a new session.
     pub(super) fn renew(&mut self, id: RowId, session: SessionId) -> Result<(), QuotaRefusal> {
         if self.phase == RowPhase::Orphaned {
             return Err(QuotaRefusal::Orphaned(id));
         }
         self.session = session;
-        self.phase = RowPhase::Held;
-        self.waited_ms = 0;
+        self.enter(RowPhase::Held);
         Ok(())
     }
 
@@ -104,8 +142,7 @@
         if self.phase != RowPhase::Held {
             return Err(QuotaRefusal::Phase(id));
         }
-        self.phase = RowPhase::Lapsed;
-        self.waited_ms = 0;
+        self.enter(RowPhase::Lapsed);
         Ok(())
     }
 
@@ -120,27 +157,26 @@
             return Err(QuotaRefusal::Phase(id));
         }
         let is_gone = match proof {
-            GoneProof::OffList => self.listed,
+            GoneProof::OffList { lag_max_ms } => self.can_be_off_list(lag_max_ms),
             GoneProof::Rebooted { boots } => boots > self.boots,
             GoneProof::Successor { .. } => is_succeeded,
         };
         if !is_gone {
             return Err(QuotaRefusal::Proof(id));
         }
-        self.phase = RowPhase::Orphaned;
-        self.waited_ms = 0;
+        self.enter(RowPhase::Orphaned);
         Ok(())
     }
 
-    /// An observer adds the time that it measured since it saw `from_ms`.
-    pub(super) fn wait(&mut self, id: RowId, from_ms: u64, by_ms: u64) -> Result<(), QuotaRefusal> {
-        if self.phase == RowPhase::Held {
+    /// An observer adds the time that it measured since it saw `seen`.
+    pub(super) fn wait(&mut self, id: RowId, seen: Waited, by_ms: u64) -> Result<(), QuotaRefusal> {
+        if self.phase == RowPhase::Held || self.phase_changes != seen.phase_changes {
             return Err(QuotaRefusal::Phase(id));
         }
-        if self.waited_ms != from_ms {
+        if self.waited_ms != seen.waited_ms {
             return Err(QuotaRefusal::Waited(id, self.waited_ms));
         }
-        self.waited_ms = from_ms.saturating_add(by_ms);
+        self.waited_ms = seen.waited_ms.saturating_add(by_ms);
         Ok(())
     }
 
--- /dev/null
+++ b/crates/ledger/tests/world/mod.rs
@@ -0,0 +1,758 @@
+//! Entry processes, their quota documents and everything that can go wrong between them, one step at a time.
+//!
+//! The documents, their edits and the grants are the real ones. A process acts on what it read last, however old; its
+//! edits are applied to the current document, as a read-modify-swap with retries does. Each swap's answer can be lost,
+//! and a swap can take effect later, if its document has not changed until then.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use goldcrest_ledger::quota::reclaim::{ReclaimBounds, ReclaimContext, Sightings, tend};
+use goldcrest_ledger::quota::{
+    DcEdit, DcQuota, FleetEdit, FleetQuota, Grants, Part, RowPhase, Session, SessionId, TeamPart,
+    TeamSlots,
+};
+use goldcrest_ledger::verify::{self, Running};
+use goldcrest_ledger::{Document, Outcome};
+use goldcrest_types::breach::Breaches;
+use goldcrest_types::catalogue::{Catalogue, CatalogueSpec, DcSpec, TeamSpec};
+use goldcrest_types::entity::{EntityRef, TeamId};
+use goldcrest_types::names::{DcName, EditId, EntryId, TeamName, TransferId, VmName};
+use goldcrest_types::units::{Epoch, Revision, Share, Slots};
+use quickcheck::{Arbitrary, Gen};
+
+pub const LIMIT: u32 = 6;
+const DCS: usize = 2;
+const PROCESSES: usize = 4;
+const TTL: u64 = 2;
+const RUN_BOUND: u64 = 5;
+const LIST_LAG: u64 = 1;
+const PAUSE_MAX: u64 = 12;
+
+/// What happens in a step.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    Tick,
+    Crash,
+    Pause,
+    Start,
+    Land,
+    Renew,
+    Refresh,
+    Set,
+    Admit,
+    Serve,
+    Tend,
+    BeginRelease,
+    BeginIssue,
+    Lower,
+    Raise,
+    EndMoves,
+    Leave,
+}
+
+/// The kinds of steps, the frequent ones several times.
+const KINDS: [Kind; 39] = [
+    Kind::Tick,
+    Kind::Tick,
+    Kind::Tick,
+    Kind::Tick,
+    Kind::Crash,
+    Kind::Pause,
+    Kind::Start,
+    Kind::Start,
+    Kind::Start,
+    Kind::Land,
+    Kind::Renew,
+    Kind::Renew,
+    Kind::Refresh,
+    Kind::Refresh,
+    Kind::Refresh,
+    Kind::Refresh,
+    Kind::Refresh,
+    Kind::Set,
+    Kind::Set,
+    Kind::Set,
+    Kind::Admit,
+    Kind::Admit,
+    Kind::Admit,
+    Kind::Admit,
+    Kind::Admit,
+    Kind::Serve,
+    Kind::Serve,
+    Kind::Serve,
+    Kind::Serve,
+    Kind::Serve,
+    Kind::Serve,
+    Kind::Tend,
+    Kind::Tend,
+    Kind::BeginRelease,
+    Kind::BeginIssue,
+    Kind::Lower,
+    Kind::Raise,
+    Kind::EndMoves,
+    Kind::Leave,
+];
+
+/// One step: what happens, to whom, with which figure, and what becomes of its swap.
+#[derive(Debug, Clone)]
+pub struct Step {
+    pub kind: Kind,
+    pub who: u8,
+    pub arg: u8,
+    pub fate: u8,
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let bytes: Vec<u8> = (0..=u8::MAX).collect();
+        let mut byte = || *g.choose(&bytes).expect("there are bytes");
+        let (who, arg, fate) = (byte(), byte(), byte());
+        Self {
+            kind: *g.choose(&KINDS).expect("there are kinds"),
+            who,
+            arg,
+            fate,
+        }
+    }
+
+    fn shrink(&self) -> Box<dyn Iterator<Item = Self>> {
+        let kind = self.kind;
+        let figures = (self.who, self.arg, self.fate);
+        Box::new(figures.shrink().map(move |(who, arg, fate)| Self {
+            kind,
+            who,
+            arg,
+            fate,
+        }))
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Unknown {
+    edit: EditId,
+    base_total: u64,
+}
+
+#[derive(Debug)]
+struct Process {
+    entry: EntryId,
+    dc: usize,
+    vm: VmName,
+    boots: u64,
+    is_alive: bool,
+    paused_until: u64,
+    session: Option<Session>,
+    cap: Part,
+    unknown: Option<Unknown>,
+    seen: Vec<DcQuota>,
+    seen_fleet: FleetQuota,
+    reclaim: ReclaimContext,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Work {
+    entry: EntryId,
+    until: u64,
+}
+
+#[derive(Debug, Clone)]
+enum Late {
+    Dc(usize, u64, DcQuota),
+    Fleet(u64, FleetQuota),
+}
+
+/// What a broken rule does instead, so that tests can show that the check finds it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Rule {
+    Kept,
+    ReclaimEarly,
+    TrustSession,
+}
+
+pub struct World {
+    rule: Rule,
+    start: Instant,
+    now: u64,
+    drawn: u128,
+    sessions: BTreeMap<SessionId, u64>,
+    dcs: Vec<DcQuota>,
+    fleet: FleetQuota,
+    late: Vec<Late>,
+    processes: Vec<Process>,
+    vms: BTreeMap<VmName, u64>,
+    lists: Vec<BTreeMap<VmName, u64>>,
+    work: Vec<Work>,
+    /// The catalogues with a limit from 0 to [`LIMIT`].
+    cats: Vec<Catalogue>,
+    /// How much work was admitted, so that a test can show that something happened.
+    pub admitted: u64,
+}
+
+fn team() -> TeamName {
+    "t".parse().expect("a name")
+}
+
+fn dc_name(dc: usize) -> DcName {
+    format!("dc{dc}").parse().expect("a name")
+}
+
+fn slots(slots: u32) -> Vec<TeamSlots> {
+    vec![TeamSlots {
+        team: team(),
+        slots: Slots::new(slots),
+    }]
+}
+
+fn catalogue(limit: u32) -> Catalogue {
+    let spec = CatalogueSpec {
+        data_centres: vec![DcSpec {
+            name: dc_name(0),
+            region: "r".parse().expect("a name"),
+        }],
+        teams: vec![TeamSpec {
+            name: team(),
+            share: Share::new(1),
+            upper_limit_slots: Slots::new(limit),
+        }],
+        ..CatalogueSpec::default()
+    };
+    Catalogue::resolve(&spec, Revision::new(1)).expect("a valid catalogue")
+}
+
+impl World {
+    pub fn new(rule: Rule) -> Self {
+        let mut world = Self {
+            rule,
+            start: Instant::now(),
+            now: 0,
+            drawn: 0,
+            sessions: BTreeMap::new(),
+            dcs: vec![DcQuota::empty(); DCS],
+            fleet: FleetQuota::empty(),
+            late: Vec::new(),
+            processes: Vec::new(),
+            vms: BTreeMap::new(),
+            lists: Vec::new(),
+            work: Vec::new(),
+            cats: (0..=LIMIT).map(catalogue).collect(),
+            admitted: 0,
+        };
+        let limits = FleetEdit::SetLimits {
+            revision: Revision::new(1),
+            limits: slots(LIMIT),
+            announced: Vec::new(),
+        };
+        let edit = EditId::new(world.draw());
+        let applied = world.fleet.apply(edit, Epoch::ZERO, &[limits]);
+        applied.expect("the first limits");
+        for index in 0..PROCESSES {
+            let vm: VmName = format!("vm{index}").parse().expect("a name");
+            world.vms.insert(vm.clone(), 1);
+            let process = world.fresh_process(index % DCS, vm, 1);
+            world.processes.push(process);
+            world.join(index);
+        }
+        world.give_portions();
+        world
+    }
+
+    /// Gives each data centre half of the limit, so that steps start with something to admit against.
+    fn give_portions(&mut self) {
+        for dc in 0..DCS {
+            self.fleet_edit(FleetEdit::BeginIssue {
+                dc: dc_name(dc),
+                id: TransferId::new(dc as u128),
+                teams: slots(LIMIT / 2),
+            });
+            let issue = self.fleet.moves()[&dc_name(dc)].issue.clone();
+            self.dc_edit(dc, DcEdit::Raise(issue.expect("an open issue")));
+            let raised_seq = self.dcs[dc].raised_seq();
+            self.fleet_edit(FleetEdit::EndIssue {
+                dc: dc_name(dc),
+                raised_seq,
+            });
+        }
+        for who in 0..PROCESSES {
+            self.refresh(who);
+        }
+    }
+
+    fn draw(&mut self) -> u128 {
+        self.drawn += 1;
+        self.drawn
+    }
+
+    fn fresh_process(&mut self, dc: usize, vm: VmName, boots: u64) -> Process {
+        Process {
+            entry: EntryId::new(self.draw()),
+            dc,
+            vm,
+            boots,
+            is_alive: true,
+            paused_until: 0,
+            session: None,
+            cap: Part::NONE,
+            unknown: None,
+            seen: self.dcs.clone(),
+            seen_fleet: self.fleet.clone(),
+            reclaim: ReclaimContext::new(),
+        }
+    }
+
+    fn at(&self, tick: u64) -> Instant {
+        self.start + Duration::from_secs(tick)
+    }
+
+    /// Does one step, and says what it broke.
+    pub fn step(&mut self, step: &Step) -> Breaches {
+        let who = usize::from(step.who) % PROCESSES;
+        match step.kind {
+            Kind::Tick => self.tick(),
+            Kind::Land => self.land_late(),
+            Kind::Start => self.start_process(who, step.arg),
+            _ if self.processes[who].paused_until > self.now => {}
+            _ if self.processes[who].is_alive => {
+                self.wake(who, step.arg);
+                self.act(who, step);
+            }
+            _ => {}
+        }
+        self.check()
+    }
+
+    /// A process that was paused right before an admission goes on with it, by what it knew before.
+    fn wake(&mut self, who: usize, arg: u8) {
+        if self.processes[who].paused_until > 0 {
+            self.processes[who].paused_until = 0;
+            self.admit(who, arg);
+        }
+    }
+
+    fn act(&mut self, who: usize, step: &Step) {
+        let (arg, fate) = (step.arg, step.fate % 8);
+        let dc = usize::from(arg) % DCS;
+        match step.kind {
+            Kind::Tick | Kind::Land | Kind::Start => {}
+            Kind::Crash => self.crash(who, arg),
+            Kind::Pause => self.processes[who].paused_until = self.now + u64::from(arg) % PAUSE_MAX,
+            Kind::Renew => self.renew(who),
+            Kind::Refresh => self.refresh(who),
+            Kind::Set => self.set_any(who, arg, fate),
+            Kind::Admit => self.admit(who, arg),
+            Kind::Serve => self.serve(who, arg, fate),
+            Kind::Tend => self.tend(who, fate),
+            Kind::BeginRelease => self.begin_release(dc, arg, fate),
+            Kind::BeginIssue => self.begin_issue(dc, arg, fate),
+            Kind::Lower => self.lower(who, dc, fate),
+            Kind::Raise => self.raise(who, dc, fate),
+            Kind::EndMoves => self.end_moves(who, dc, fate),
+            Kind::Leave => self.leave(who, fate),
+        }
+    }
+
+    fn tick(&mut self) {
+        self.now += 1;
+        let now = self.now;
+        self.work.retain(|work| work.until > now);
+        self.lists.push(self.vms.clone());
+    }
+
+    /// The list of VMs, as the platform knew them some ticks ago.
+    fn list(&self) -> Option<&BTreeMap<VmName, u64>> {
+        let lag = usize::try_from(LIST_LAG).expect("a small number");
+        let at = self.lists.len().checked_sub(lag + 1)?;
+        self.lists.get(at)
+    }
+
+    fn crash(&mut self, who: usize, arg: u8) {
+        if !arg.is_multiple_of(3) {
+            return;
+        }
+        self.processes[who].is_alive = false;
+        if arg.is_multiple_of(2) {
+            self.vms.remove(&self.processes[who].vm.clone());
+        }
+    }
+
+    fn start_process(&mut self, who: usize, arg: u8) {
+        let old = &self.processes[who];
+        if old.is_alive {
+            return;
+        }
+        let (old_vm, old_boots, dc) = (old.vm.clone(), old.boots, old.dc);
+        let is_same_vm = self.vms.contains_key(&old_vm);
+        let (vm, boots) = match (is_same_vm, arg % 2) {
+            (true, 0) => (old_vm, old_boots),
+            (true, _) => (old_vm, old_boots + 1),
+            (false, _) => {
+                let name = format!("vm{}", self.draw());
+                (name.parse().expect("a name"), 1)
+            }
+        };
+        self.vms.insert(vm.clone(), boots);
+        self.processes[who] = self.fresh_process(dc, vm, boots);
+        self.join(who);
+    }
+
+    fn grant_session(&mut self, who: usize) -> SessionId {
+        let number = self.draw();
+        let id = SessionId::new(u64::try_from(number).expect("a small number"));
+        self.sessions.insert(id, self.now + TTL);
+        let until = self.at(self.now + TTL);
+        self.processes[who].session = Some(Session { id, until });
+        id
+    }
+
+    fn join(&mut self, who: usize) {
+        let session = self.grant_session(who);
+        let process = &self.processes[who];
+        let join = DcEdit::Join {
+            owner: process.entry,
+            vm: process.vm.clone(),
+            boots: process.boots,
+            session,
+        };
+        self.dc_edit(self.processes[who].dc, join);
+    }
+
+    fn is_gone(&self, session: SessionId) -> bool {
+        self.sessions
+            .get(&session)
+            .is_none_or(|end| self.now >= *end)
+    }
+
+    fn renew(&mut self, who: usize) {
+        let Some(session) = self.processes[who].session else {
+            return;
+        };
+        if self.is_gone(session.id) {
+            let owner = self.processes[who].entry;
+            let session = self.grant_session(who);
+            let renew = DcEdit::Renew { owner, session };
+            self.dc_edit(self.processes[who].dc, renew);
+        } else {
+            self.sessions.insert(session.id, self.now + TTL);
+            let until = self.at(self.now + TTL);
+            let id = session.id;
+            self.processes[who].session = Some(Session { id, until });
+        }
+    }
+
+    fn refresh(&mut self, who: usize) {
+        let doc = self.dcs[self.processes[who].dc].clone();
+        let (dcs, fleet) = (self.dcs.clone(), self.fleet.clone());
+        let process = &mut self.processes[who];
+        process.seen = dcs;
+        process.seen_fleet = fleet;
+        let part = own_part(&doc, process.entry);
+        let outcome = process.unknown.as_ref().map(|unknown| {
+            let is_settled = doc.recent().total() > unknown.base_total;
+            (
+                doc.recent().outcome(unknown.edit, unknown.base_total),
+                is_settled,
+            )
+        });
+        match outcome {
+            None | Some((Outcome::Applied, _) | (Outcome::NotApplied, true)) => {
+                process.cap = part;
+                process.unknown = None;
+            }
+            Some(_) => process.cap = min(process.cap, part),
+        }
+    }
+
+    fn running(&self, entry: EntryId) -> u32 {
+        let own = self.work.iter().filter(|work| work.entry == entry);
+        u32::try_from(own.count()).expect("a small number")
+    }
+
+    /// What an entry under load does: renews, reads, takes all that is free and admits.
+    fn serve(&mut self, who: usize, arg: u8, fate: u8) {
+        self.renew(who);
+        self.refresh(who);
+        let process = &self.processes[who];
+        let quota = self.dcs[process.dc].teams().get(&team());
+        let free = quota.map_or(Slots::ZERO, |quota| quota.ceiling() - quota.held());
+        let total = process.cap.total() + free;
+        let floor = total.min(Slots::new(u32::from(arg) % 3));
+        self.set(who, Part::new(floor, total - floor), fate);
+        self.refresh(who);
+        self.admit(who, arg);
+    }
+
+    fn set_any(&mut self, who: usize, arg: u8, fate: u8) {
+        let floor = Slots::new(u32::from(arg) % 3);
+        let lent = Slots::new(u32::from(arg) / 3 % 3);
+        self.set(who, Part::new(floor, lent), fate);
+    }
+
+    fn set(&mut self, who: usize, part: Part, fate: u8) {
+        let process = &self.processes[who];
+        let Some(session) = process.session.filter(|_| process.unknown.is_none()) else {
+            return;
+        };
+        if part.total().get() < self.running(process.entry) {
+            return;
+        }
+        let set = DcEdit::Set {
+            owner: process.entry,
+            session: session.id,
+            parts: vec![TeamPart { team: team(), part }],
+        };
+        let (dc, before) = (process.dc, process.cap);
+        self.processes[who].cap = min(before, part);
+        let edit = EditId::new(self.draw());
+        let base_total = self.dcs[dc].recent().total();
+        match self.swap_dc(dc, edit, set, fate) {
+            Swap::Done => self.processes[who].cap = part,
+            Swap::Refused => self.processes[who].cap = before,
+            Swap::Unknown => {
+                self.processes[who].unknown = Some(Unknown { edit, base_total });
+            }
+        }
+    }
+
+    fn usable(&self, who: usize) -> u32 {
+        let process = &self.processes[who];
+        let doc = &process.seen[process.dc];
+        let mut session = process.session;
+        if self.rule == Rule::TrustSession {
+            session = session.map(|s| Session {
+                until: self.at(self.now + 1),
+                ..s
+            });
+        }
+        let mut grants = Grants::of(
+            doc,
+            process.entry,
+            self.cats.last().expect("a catalogue"),
+            session,
+        );
+        let team = TeamId::new(0);
+        grants.set(team, min(grants.part(team), process.cap));
+        grants.usable(team, self.at(self.now)).get()
+    }
+
+    fn admit(&mut self, who: usize, arg: u8) {
+        let entry = self.processes[who].entry;
+        while self.running(entry) < self.usable(who) {
+            let until = self.now + 1 + u64::from(arg) % RUN_BOUND;
+            self.work.push(Work { entry, until });
+            self.admitted += 1;
+        }
+    }
+
+    fn own_dc_edit(&mut self, who: usize, step: DcEdit, fate: u8) {
+        let edit = EditId::new(self.draw());
+        self.swap_dc(self.processes[who].dc, edit, step, fate);
+    }
+
+    /// Reads, and does what an observer does; each edit can be lost or late on its own.
+    fn tend(&mut self, who: usize, fate: u8) {
+        let doc = self.dcs[self.processes[who].dc].clone();
+        let sessions = doc.rows().values().map(|row| row.session);
+        let gone = sessions.filter(|session| self.is_gone(*session)).collect();
+        let listed = self.list().cloned();
+        let sightings = Sightings { gone, listed };
+        let run_max = match self.rule {
+            Rule::ReclaimEarly => Duration::ZERO,
+            Rule::Kept | Rule::TrustSession => Duration::from_secs(RUN_BOUND),
+        };
+        let bounds = ReclaimBounds {
+            run_max,
+            list_lag_max: Duration::from_secs(LIST_LAG),
+        };
+        let now = self.at(self.now);
+        let ctx = &mut self.processes[who].reclaim;
+        let edits = tend(ctx, &doc, &sightings, bounds, now);
+        for (index, edit) in (0..).zip(edits) {
+            self.own_dc_edit(who, edit, (fate + index) % 8);
+        }
+    }
+
+    fn leave(&mut self, who: usize, fate: u8) {
+        let owner = self.processes[who].entry;
+        if fate != 0 || self.running(owner) > 0 {
+            return;
+        }
+        self.processes[who].is_alive = false;
+        self.own_dc_edit(who, DcEdit::Leave { owner }, fate);
+    }
+
+    fn begin_release(&mut self, dc: usize, arg: u8, fate: u8) {
+        let step = FleetEdit::BeginRelease {
+            dc: dc_name(dc),
+            id: TransferId::new(self.draw()),
+            teams: slots(u32::from(arg) / 2 % 4),
+        };
+        self.swap_fleet(step, fate);
+    }
+
+    fn begin_issue(&mut self, dc: usize, arg: u8, fate: u8) {
+        let step = FleetEdit::BeginIssue {
+            dc: dc_name(dc),
+            id: TransferId::new(self.draw()),
+            teams: slots(u32::from(arg) / 2 % 4),
+        };
+        self.swap_fleet(step, fate);
+    }
+
+    fn lower(&mut self, who: usize, dc: usize, fate: u8) {
+        let moves = self.processes[who].seen_fleet.moves().get(&dc_name(dc));
+        if let Some(release) = moves.and_then(|moves| moves.release.clone()) {
+            let edit = EditId::new(self.draw());
+            self.swap_dc(dc, edit, DcEdit::Lower(release), fate);
+        }
+    }
+
+    fn raise(&mut self, who: usize, dc: usize, fate: u8) {
+        let moves = self.processes[who].seen_fleet.moves().get(&dc_name(dc));
+        if let Some(issue) = moves.and_then(|moves| moves.issue.clone()) {
+            let edit = EditId::new(self.draw());
+            self.swap_dc(dc, edit, DcEdit::Raise(issue), fate);
+        }
+    }
+
+    fn end_moves(&mut self, who: usize, dc: usize, fate: u8) {
+        let seen = &self.processes[who].seen[dc];
+        let raised_seq = seen.raised_seq();
+        let lowered = seen.lowered().cloned();
+        let name = dc_name(dc);
+        if let Some(lowered) = lowered {
+            let dc = name.clone();
+            self.swap_fleet(FleetEdit::EndRelease { dc, lowered }, fate);
+        }
+        let dc = name;
+        self.swap_fleet(FleetEdit::EndIssue { dc, raised_seq }, fate);
+    }
+
+    fn dc_edit(&mut self, dc: usize, step: DcEdit) {
+        let edit = EditId::new(self.draw());
+        self.swap_dc(dc, edit, step, 0);
+    }
+
+    fn fleet_edit(&mut self, step: FleetEdit) {
+        self.swap_fleet(step, 0);
+    }
+
+    fn swap_dc(&mut self, dc: usize, edit: EditId, step: DcEdit, fate: u8) -> Swap {
+        let mut next = stored(&self.dcs[dc]);
+        if next.apply(edit, &[step]).is_err() {
+            return Swap::Refused;
+        }
+        if fate == 3 {
+            let base = self.dcs[dc].recent().total();
+            self.late.push(Late::Dc(dc, base, next));
+            return Swap::Unknown;
+        }
+        self.dcs[dc] = next;
+        Swap::of(fate)
+    }
+
+    fn swap_fleet(&mut self, step: FleetEdit, fate: u8) -> Swap {
+        let mut next = stored(&self.fleet);
+        let edit = EditId::new(self.draw());
+        if next.apply(edit, Epoch::ZERO, &[step]).is_err() {
+            return Swap::Refused;
+        }
+        if fate == 3 {
+            let base = self.fleet.recent().total();
+            self.late.push(Late::Fleet(base, next));
+            return Swap::Unknown;
+        }
+        self.fleet = next;
+        Swap::of(fate)
+    }
+
+    /// The oldest swap that is still on its way takes effect, if its document has not changed.
+    fn land_late(&mut self) {
+        if self.late.is_empty() {
+            return;
+        }
+        match self.late.remove(0) {
+            Late::Dc(dc, base, next) if self.dcs[dc].recent().total() == base => {
+                self.dcs[dc] = next;
+            }
+            Late::Fleet(base, next) if self.fleet.recent().total() == base => self.fleet = next,
+            Late::Dc(..) | Late::Fleet(..) => {}
+        }
+    }
+
+    fn check(&self) -> Breaches {
+        let mut found = Breaches::new();
+        let running: Vec<Running> = self
+            .work
+            .iter()
+            .map(|work| Running {
+                entry: work.entry,
+                team: team(),
+                slots: Slots::new(1),
+            })
+            .collect();
+        let limits = BTreeMap::from([(team(), Slots::new(LIMIT))]);
+        verify::upper_limit(&running, &limits, &mut found);
+        verify::limits(&self.fleet, &mut found);
+        let dcs: BTreeMap<DcName, DcQuota> = (0..DCS)
+            .map(|dc| (dc_name(dc), self.dcs[dc].clone()))
+            .collect();
+        verify::counted(&self.fleet, &dcs, &mut found);
+        for doc in dcs.values() {
+            verify::portions(doc, &mut found);
+        }
+        self.check_lowered_limit(&mut found);
+        found
+    }
+
+    /// Whatever lower limit came into force now, the parts under it would stay within it.
+    fn check_lowered_limit(&self, found: &mut Breaches) {
+        for (limit, cat) in (0..).zip(&self.cats) {
+            let mut sum = 0;
+            for doc in &self.dcs {
+                for row in doc.rows().values().filter(|r| r.phase == RowPhase::Held) {
+                    let part = Grants::of(doc, row.owner, cat, None).part(TeamId::new(0));
+                    sum += part.total().get();
+                }
+            }
+            if sum > limit {
+                let detail = format!("parts of {sum} under a lowered limit of {limit}");
+                found.push(goldcrest_types::breach::Promise::UpperLimit, detail);
+            }
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Swap {
+    Done,
+    Refused,
+    Unknown,
+}
+
+impl Swap {
+    const fn of(fate: u8) -> Self {
+        match fate {
+            2 => Self::Unknown,
+            _ => Self::Done,
+        }
+    }
+}
+
+/// The document as the next reader gets it.
+fn stored<D: Document>(doc: &D) -> D {
+    let bytes = doc.encode().expect("a small document");
+    D::decode(&bytes).expect("a whole document")
+}
+
+fn own_part(doc: &DcQuota, entry: EntryId) -> Part {
+    let row = doc.row_of(entry);
+    let quota = doc.teams().get(&team());
+    match (row, quota) {
+        (Some(row), Some(quota)) => quota.part(row),
+        _ => Part::NONE,
+    }
+}
+
+fn min(a: Part, b: Part) -> Part {
+    Part::new(a.floor.min(b.floor), a.lent.min(b.lent))
+}
