session: follow the catalogue's head

Cause: every entry must have each accepted revision within seconds, and know how fresh its own is. Change: a follower that watches (one entry a data centre) or reads when what it hears grows old, never goes back, and has an edit in force before its acceptance is told. A watch that ends empty is the cheapest proof of freshness.

--- a/crates/peer/src/message/mod.rs
+++ b/crates/peer/src/message/mod.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use goldcrest_ledger::freshness::Proof;
 use goldcrest_types::names::{DcName, EntryId, QueueName, RequestId, TeamName, VmName};
-use goldcrest_types::units::{Revision, Slots};
+use goldcrest_types::units::{Revision, Slots, StoreVersion};
 use serde::{Deserialize, Serialize};
 
 use crate::wire::{Packet, PacketError};
@@ -228,6 +228,9 @@
     /// Its revision.
     #[serde(rename = "r")]
     pub revision: Revision,
+    /// The version under which the key-value service has it, or zero if that is not known.
+    #[serde(rename = "v", default)]
+    pub version: StoreVersion,
     /// Its bytes.
     #[serde(rename = "b")]
     pub head: Bytes,
--- a/crates/peer/src/peers/run.rs
+++ b/crates/peer/src/peers/run.rs
@@ -124,7 +124,7 @@
                 targets(&state, beat, now)
             };
             let round = join_all(targets.iter().map(|target| self.ask(target)));
-            let pause = self.inner.cfg.membership.heartbeat;
+            let pause = self.heartbeat();
             let jitter = pause.mul_f64(rand::rng().random_range(0.9..1.1));
             tokio::join!(round, tokio::time::sleep(jitter));
             self.inner.links.close_idle();
@@ -132,6 +132,17 @@
         }
     }
 
+    /// The time between heartbeats: half the usual without contact with the key-value service, since proof that the
+    /// catalogue is fresh then passes through several entries.
+    fn heartbeat(&self) -> Duration {
+        let heartbeat = self.inner.cfg.membership.heartbeat;
+        if self.state().own.no_contact.is_some() {
+            heartbeat / 2
+        } else {
+            heartbeat
+        }
+    }
+
     async fn ask(&self, target: &Target) {
         let gossip = {
             let now = self.now();
--- a/crates/peer/tests/peer/peers.rs
+++ b/crates/peer/tests/peer/peers.rs
@@ -9,7 +9,7 @@
 use goldcrest_peer::peers::{OwnView, Seed};
 use goldcrest_peer::usage::Usage;
 use goldcrest_types::names::RequestId;
-use goldcrest_types::units::{Revision, Slots};
+use goldcrest_types::units::{Revision, Slots, StoreVersion};
 
 use crate::common::{Entry, soon};
 
@@ -46,6 +46,7 @@
 fn copy(revision: u64) -> CatalogueCopy {
     CatalogueCopy {
         revision: Revision::new(revision),
+        version: StoreVersion::new(revision),
         head: Bytes::from(vec![7; 20_000]),
     }
 }
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -5,11 +5,13 @@
 //! back ([`update`]).
 
 pub mod calls;
+pub mod follow;
 pub mod keys;
 pub mod lease;
 pub mod retry;
 pub mod session;
 pub mod update;
 
+pub use follow::{FollowConfig, Follower, HeadCopy};
 pub use session::{Session, SessionConfig};
 pub use update::{UpdateError, Updated};
--- a/crates/session/tests/session/main.rs
+++ b/crates/session/tests/session/main.rs
@@ -2,5 +2,6 @@
 
 mod calls;
 mod common;
+mod follow;
 mod lease;
 mod update;
