--- /dev/null
+++ b/crates/serve/src/admission/offer.rs
@@ -0,0 +1,133 @@
+//! A request asks to start.
+
+use std::time::{Duration, Instant};
+
+use goldcrest_types::entity::EntityRef;
+use goldcrest_types::units::Slots;
+
+use super::estimate::{Hold, retry_after};
+use super::lane::Waiting;
+use super::{Admission, Ask, Decision, LaneId, Phase, Turn, Work, WorkId, id_at};
+use crate::outcome::NotRunCode;
+
+impl Admission {
+    /// Decides whether a request starts, waits or is refused. A waiting request that has to make room for it is
+    /// added to `turns`.
+    pub fn offer(&mut self, ask: &Ask, now: Instant, turns: &mut Vec<Turn>) -> Decision {
+        let Some(lane) = self.lane(ask.queue, ask.team) else {
+            return refuse(NotRunCode::QueueUnknown, Duration::ZERO);
+        };
+        if ask.deadline <= now {
+            return refuse(NotRunCode::DeadlinePassed, Duration::ZERO);
+        }
+        if ask.key.is_some() && !self.keys_fresh(now) {
+            return refuse(NotRunCode::KeysNotFresh, Duration::ZERO);
+        }
+        let pool = self.lanes[lane.index()].pool;
+        if self.pools[pool].in_service == 0 {
+            return refuse(NotRunCode::NoUpstream, Duration::ZERO);
+        }
+        match self.hold(lane, now) {
+            None => Decision::Start(self.start_new(lane, ask, now)),
+            Some(hold) => self.wait_or_refuse(lane, ask, hold, now, turns),
+        }
+    }
+
+    fn wait_or_refuse(
+        &mut self,
+        lane: LaneId,
+        ask: &Ask,
+        hold: Hold,
+        now: Instant,
+        turns: &mut Vec<Turn>,
+    ) -> Decision {
+        let wait = self.wait_estimate(lane, hold, now);
+        let state = &self.lanes[lane.index()];
+        if state.waiting_len() >= state.waiting_max.get() {
+            return refuse(NotRunCode::QueueFull, wait);
+        }
+        if now + wait >= ask.deadline {
+            return refuse(NotRunCode::TooLateToStart, wait);
+        }
+        let class = state.class;
+        if self.waiting >= self.cfg.waiting_max.get() && !self.shed_below(class, wait, turns) {
+            return refuse(NotRunCode::Shed, wait);
+        }
+        Decision::Wait(self.enqueue_new(lane, ask))
+    }
+
+    fn start_new(&mut self, lane: LaneId, ask: &Ask, now: Instant) -> WorkId {
+        let id = self.new_work(lane, ask);
+        self.run(id, now);
+        id
+    }
+
+    fn enqueue_new(&mut self, lane: LaneId, ask: &Ask) -> WorkId {
+        let id = self.new_work(lane, ask);
+        let item = Waiting {
+            deadline: ask.deadline,
+            work: id,
+        };
+        self.link(lane, item);
+        id
+    }
+
+    fn new_work(&mut self, lane: LaneId, ask: &Ask) -> WorkId {
+        let work = Work {
+            lane: Some(lane),
+            key: ask.key,
+            deadline: ask.deadline,
+            phase: Phase::Waiting,
+            generation: 0,
+        };
+        let Some(index) = self.free.pop() else {
+            self.works.push(work);
+            return id_at(self.works.len() - 1, 0);
+        };
+        let slot = &mut self.works[index as usize];
+        let generation = slot.generation.wrapping_add(1);
+        *slot = Work { generation, ..work };
+        id_at(index as usize, generation)
+    }
+
+    /// Counts a request as running. Its lane must have room.
+    pub(super) fn run(&mut self, id: WorkId, now: Instant) {
+        let Some(lane) = self.works[id.index()].lane else {
+            debug_assert!(false, "a request without a lane never starts");
+            return;
+        };
+        let lane = &mut self.lanes[lane.index()];
+        lane.running += 1;
+        let team = lane.team;
+        self.pools[lane.pool].running += 1;
+        self.teams[team].running += 1;
+        self.running += 1;
+        let team_running = Slots::new(self.teams[team].running);
+        let team_usable = self.usable(team, now);
+        debug_assert!(team_running <= team_usable, "{team} is within its quota");
+        self.works[id.index()].phase = Phase::Running {
+            since: now,
+            team_running,
+            team_usable,
+        };
+    }
+
+    /// Adds a waiting request to its lane and the sums.
+    pub(super) fn link(&mut self, lane_id: LaneId, item: Waiting) {
+        let lane = &mut self.lanes[lane_id.index()];
+        lane.enqueue(item);
+        let pool = &mut self.pools[lane.pool];
+        let team = &mut self.teams[lane.team];
+        if lane.waiting.len() == 1 {
+            pool.active.push(lane_id);
+            team.active.push(lane_id);
+        }
+        pool.waiting += 1;
+        team.waiting += 1;
+        self.waiting += 1;
+    }
+}
+
+fn refuse(code: NotRunCode, wait: Duration) -> Decision {
+    Decision::Refuse(code, retry_after(wait))
+}
