daemon, demo: the parts of an entry joined under a supervisor

Cause: the crates need one process that serves with them, and a story that shows it. Change: the world of channels that parts share, catalogue exchange with peers and freshness, the list of VMs with enrolment, the serving path's feed, claims over peers, the operators' interface, goldcrestd, and the demonstration's stage and steps.

--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -75,12 +75,12 @@
 pub struct EntryRevision {
     /// The process.
     pub entry: EntryId,
+    /// The VM it runs on.
+    pub vm: VmName,
     /// Its data centre.
     pub data_centre: DcName,
-    /// The revision.
+    /// The revision, as far as its data centre has heard.
     pub revision: Revision,
-    /// How long ago it was heard of, in milliseconds.
-    pub heard_ms: u64,
 }
 
 /// On which entries a revision is in force.
--- a/crates/ctl/src/command/edit.rs
+++ b/crates/ctl/src/command/edit.rs
@@ -185,8 +185,8 @@
         if started.elapsed() >= timeout {
             for entry in &missing {
                 output.note(&format!(
-                    "not in force on {} in {}: revision {}, heard {} ms ago",
-                    entry.entry, entry.data_centre, entry.revision, entry.heard_ms
+                    "not in force on {} in {}: revision {}",
+                    entry.vm, entry.data_centre, entry.revision
                 ));
             }
             return Exit::NotInForce;
--- /dev/null
+++ b/crates/daemon/src/entry/mod.rs
@@ -0,0 +1,282 @@
+//! One entry process: how its parts start, and the order in which they stop.
+//!
+//! The supervisor tree has one level: every part stands by itself below the supervisor and shares only the
+//! [`World`]. The order of a stop is fixed: not ready, the serving path drains, quota and roles are given back, the
+//! lease is given back, and the rest ends.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener as StdListener};
+use std::sync::Arc;
+
+use goldcrest_front::{DrainReport, Front, FrontCfg, TeamGrants};
+use goldcrest_obs::logs::Part;
+use goldcrest_obs::metrics::Metrics;
+use goldcrest_peer::handshake::Hello;
+use goldcrest_peer::message::Member;
+use goldcrest_peer::peers::PeersConfig;
+use goldcrest_platform::http::{HttpFleet, HttpStore, HttpWorkers};
+use goldcrest_session::calls::CallRate;
+use goldcrest_session::lease::{LeaseKeeper, SessionRecord};
+use goldcrest_session::{FollowConfig, SessionConfig};
+use goldcrest_types::key::KeyDigest;
+use goldcrest_types::names::EntryId;
+use quick_error::quick_error;
+use tokio::sync::{Mutex, watch};
+use tokio_util::sync::CancellationToken;
+
+use crate::peers::DaemonPeers;
+use crate::peers::claims::PeerClaims;
+use crate::settings::Settings;
+use crate::supervisor::Supervisor;
+use crate::world::{DaemonClock, DaemonFollower, DaemonSession, Fleets, NOTHING_READ, World};
+use crate::{catalogue, fleet, front, operator, peers};
+
+const PART: &str = Part::Main.as_str();
+
+quick_error! {
+    /// Why an entry can't start.
+    #[derive(Debug)]
+    pub enum StartError {
+        /// An address can't be listened on.
+        Listen(address: SocketAddr, cause: io::Error) {
+            display("{address} can't be listened on ({cause}): free it, or name another in the settings")
+            source(cause)
+        }
+    }
+}
+
+/// The addresses that an entry listens on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Addresses {
+    /// For callers.
+    pub caller: SocketAddr,
+    /// For operators.
+    pub operator: SocketAddr,
+    /// For other entries.
+    pub peer: SocketAddr,
+}
+
+struct Listeners {
+    caller: Arc<StdListener>,
+    operator: Arc<StdListener>,
+    peer: Arc<StdListener>,
+}
+
+impl Listeners {
+    fn bind(settings: &Settings) -> Result<Self, StartError> {
+        Ok(Self {
+            caller: listen(settings.entry.caller_address)?,
+            operator: listen(settings.entry.operator_address)?,
+            peer: listen(settings.peers.address)?,
+        })
+    }
+
+    fn addresses(&self) -> io::Result<Addresses> {
+        Ok(Addresses {
+            caller: self.caller.local_addr()?,
+            operator: self.operator.local_addr()?,
+            peer: self.peer.local_addr()?,
+        })
+    }
+}
+
+fn listen(address: SocketAddr) -> Result<Arc<StdListener>, StartError> {
+    let bind = || {
+        let listener = StdListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        Ok(Arc::new(listener))
+    };
+    bind().map_err(|cause| StartError::Listen(address, cause))
+}
+
+/// A running entry.
+pub struct Entry {
+    world: Arc<World>,
+    addresses: Addresses,
+    supervisor: Supervisor,
+    lease: Supervisor,
+}
+
+impl Entry {
+    /// Starts an entry. It must be called inside a tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// An address that can't be listened on.
+    pub fn start(settings: Settings, clock: DaemonClock) -> Result<Self, StartError> {
+        let listeners = Listeners::bind(&settings)?;
+        let addresses = listeners
+            .addresses()
+            .map_err(|cause| StartError::Listen(settings.entry.caller_address, cause))?;
+        let world = Arc::new(build_world(settings, clock, addresses.peer));
+        world
+            .metrics
+            .register(|registry| world.front.register(registry));
+        let mut supervisor = Supervisor::new(CancellationToken::new());
+        let mut lease = Supervisor::new(CancellationToken::new());
+        spawn_lease(&mut lease, &world, addresses.peer);
+        spawn_parts(&mut supervisor, &world, &listeners);
+        log::info!(
+            target: PART,
+            entry:% = world.entry,
+            callers:% = addresses.caller,
+            operators:% = addresses.operator,
+            peers:% = addresses.peer;
+            "Started."
+        );
+        Ok(Self {
+            world,
+            addresses,
+            supervisor,
+            lease,
+        })
+    }
+
+    /// The addresses it listens on.
+    #[must_use]
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// What its parts share.
+    #[must_use]
+    pub fn world(&self) -> &Arc<World> {
+        &self.world
+    }
+
+    /// Stops gracefully: no request is cut unless the bound of the settings passes.
+    pub async fn stop(self) -> DrainReport {
+        log::info!(target: PART, "Stopping.");
+        self.world.stopping.cancel();
+        let bound = self.world.settings.stop.drain_max();
+        let report = self.world.front.drain(bound).await;
+        self.supervisor.shut_down().await;
+        self.lease.shut_down().await;
+        log::info!(target: PART, ended = report.ended, cut = report.cut; "Stopped.");
+        report
+    }
+
+    /// Ends at once, as a crash does: nothing is finished and nothing is given back.
+    pub fn crash(self) {
+        drop(self);
+    }
+}
+
+fn build_world(settings: Settings, clock: DaemonClock, peer_address: SocketAddr) -> World {
+    let entry = EntryId::new(rand::random());
+    let dc = settings.entry.data_centre.clone();
+    let member = Member {
+        entry,
+        dc: dc.clone(),
+        vm: settings.entry.vm.clone(),
+        address: peer_address,
+    };
+    let secret = KeyDigest::of(settings.peers.secret.reveal());
+    let hello = Hello::new(member, secret);
+    let (peers, queries) = DaemonPeers::new(hello, PeersConfig::default(), Arc::clone(&clock));
+    let catalogue = watch::Sender::new(None);
+    let claims = PeerClaims::new(peers.clone(), catalogue.subscribe());
+    let timeout = settings.platform.timeout();
+    let store = HttpStore::new(settings.platform.store_address, timeout);
+    let mut session_cfg = SessionConfig::new(entry, dc.clone());
+    session_cfg.call_timeout = timeout;
+    session_cfg.lease_ttl = settings.store.lease_ttl();
+    session_cfg.rate = CallRate {
+        per_second: settings.store.calls_per_second,
+        burst: settings.store.calls_per_second.get(),
+    };
+    let session = DaemonSession::new(store, Arc::clone(&clock), session_cfg);
+    let connections = usize::try_from(settings.front.connections).unwrap_or(usize::MAX);
+    let front_cfg = FrontCfg::new(dc)
+        .with_connections_max(connections)
+        .with_header_read_timeout(settings.front.header_timeout())
+        .with_drain(settings.stop.settle(), settings.stop.settle());
+    let follower = DaemonFollower::new(session.clone(), FollowConfig::default());
+    World {
+        entry,
+        follower,
+        session,
+        platform: HttpFleet::new(settings.platform.fleet_address, timeout),
+        workers: HttpWorkers::new(timeout),
+        front: Front::new(front_cfg, Arc::clone(&clock)).with_claims(Arc::new(claims)),
+        peers,
+        queries: Mutex::new(queries),
+        metrics: Metrics::new(),
+        catalogue,
+        freshness: watch::Sender::new(NOTHING_READ),
+        listing: watch::Sender::default(),
+        fleets: watch::Sender::new(Fleets::default()),
+        grants: watch::Sender::new(TeamGrants::default()),
+        stopping: CancellationToken::new(),
+        settings,
+        clock,
+    }
+}
+
+/// The lease has a supervisor of its own, since it ends last.
+fn spawn_lease(lease: &mut Supervisor, world: &Arc<World>, peer_address: SocketAddr) {
+    let record = SessionRecord {
+        entry: world.entry,
+        dc: world.settings.entry.data_centre.clone(),
+        vm: world.settings.entry.vm.clone(),
+        peer_address,
+    };
+    let world = Arc::clone(world);
+    lease.spawn(Part::Store, move |stop| {
+        LeaseKeeper::new(world.session.clone(), record.clone()).run(stop)
+    });
+}
+
+fn spawn_parts(supervisor: &mut Supervisor, world: &Arc<World>, listeners: &Listeners) {
+    let shared = Arc::clone(world);
+    supervisor.spawn(Part::Catalogue, move |stop| {
+        catalogue::follow(Arc::clone(&shared), stop)
+    });
+    let shared = Arc::clone(world);
+    supervisor.spawn(Part::Catalogue, move |stop| {
+        catalogue::exchange(Arc::clone(&shared), stop)
+    });
+    let shared = Arc::clone(world);
+    supervisor.spawn(Part::Fleet, move |stop| {
+        fleet::poll_list(Arc::clone(&shared), stop)
+    });
+    let shared = Arc::clone(world);
+    supervisor.spawn(Part::Fleet, move |stop| {
+        fleet::follow_documents(Arc::clone(&shared), stop)
+    });
+    let shared = Arc::clone(world);
+    supervisor.spawn(Part::Fleet, move |stop| {
+        fleet::enrol::run(Arc::clone(&shared), stop)
+    });
+    let shared = Arc::clone(world);
+    supervisor.spawn(Part::Front, move |stop| {
+        front::feed(Arc::clone(&shared), stop)
+    });
+    let shared = Arc::clone(world);
+    let caller = Arc::clone(&listeners.caller);
+    supervisor.spawn(Part::Front, move |stop| {
+        front::serve(Arc::clone(&shared), Arc::clone(&caller), stop)
+    });
+    let shared = Arc::clone(world);
+    supervisor.spawn(Part::Peers, move |stop| {
+        peers::run(Arc::clone(&shared), stop)
+    });
+    let shared = Arc::clone(world);
+    supervisor.spawn(Part::Peers, move |stop| {
+        peers::feed(Arc::clone(&shared), stop)
+    });
+    let shared = Arc::clone(world);
+    supervisor.spawn(Part::Peers, move |stop| {
+        peers::answer_queries(Arc::clone(&shared), stop)
+    });
+    let shared = Arc::clone(world);
+    let peer = Arc::clone(&listeners.peer);
+    supervisor.spawn(Part::Peers, move |stop| {
+        peers::serve(Arc::clone(&shared), Arc::clone(&peer), stop)
+    });
+    let shared = Arc::clone(world);
+    let operators = Arc::clone(&listeners.operator);
+    supervisor.spawn(Part::Operator, move |stop| {
+        operator::serve(Arc::clone(&shared), Arc::clone(&operators), stop)
+    });
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,6 +1,15 @@
 //! The entry daemon: the supervisor tree that joins all parts.
 //!
-//! Start with [`settings`] for what a process is told and [`supervisor`] for how its parts live.
+//! Start with [`entry::Entry`], which starts and stops a process. [`world::World`] is what its parts share,
+//! [`supervisor`] keeps them running, [`settings`] is what a process is told. Each part has a folder: [`catalogue`],
+//! [`fleet`], [`front`], [`operator`], [`peers`].
 
+pub mod catalogue;
+pub mod entry;
+pub mod fleet;
+pub mod front;
+pub mod operator;
+pub mod peers;
 pub mod settings;
 pub mod supervisor;
+pub mod world;
--- /dev/null
+++ b/crates/daemon/src/operator/explain.rs
@@ -0,0 +1,127 @@
+//! Why something is as it is.
+
+use goldcrest_api::{Explanation, Subject};
+use goldcrest_ledger::fleet::{FleetVm, Purpose};
+use goldcrest_peer::message::ExplainAsk;
+use goldcrest_serve::outcome::{NotRunCode, UnknownCode};
+use goldcrest_types::names::{DcName, RequestId, TeamName, VmName};
+
+use super::status;
+use crate::world::World;
+
+/// Explains a request, task, VM, team or refusal, or none if no entry knows anything of it.
+pub async fn explain(world: &World, subject: Subject, id: &str) -> Option<Explanation> {
+    let lines = match subject {
+        Subject::Request | Subject::Task => match known_here(world, id) {
+            Some(found) => split(&found),
+            None => split(&world.peers.explain(ExplainAsk { id: id.into() }).await?),
+        },
+        Subject::Vm => vm(world, &id.parse().ok()?)?,
+        Subject::Team => team(world, &id.parse().ok()?)?,
+        Subject::Refusal => refusal(id)?,
+    };
+    Some(Explanation { lines })
+}
+
+fn split(text: &str) -> Vec<Box<str>> {
+    text.lines().map(Into::into).collect()
+}
+
+/// What a refusal's code means and what the caller can do.
+fn refusal(code: &str) -> Option<Vec<Box<str>>> {
+    let not_run = NotRunCode::ALL.iter().find(|known| known.as_str() == code);
+    if let Some(known) = not_run {
+        return Some(vec![
+            format!("{code}: the work did not run").into(),
+            known.remedy().into(),
+        ]);
+    }
+    let unknown = UnknownCode::ALL
+        .iter()
+        .find(|known| known.as_str() == code)?;
+    Some(vec![
+        format!("{code}: the work may have run").into(),
+        unknown.remedy().into(),
+    ])
+}
+
+/// What this entry knows about the request or task with this id, as one text.
+#[must_use]
+pub fn known_here(world: &World, id: &str) -> Option<Box<str>> {
+    let lines = request(world, &id.parse().ok()?)?;
+    Some(lines.join("\n").into())
+}
+
+fn request(world: &World, id: &RequestId) -> Option<Vec<Box<str>>> {
+    let found = world.front.explain(*id)?;
+    let queue = found
+        .queue
+        .map_or_else(|| "no queue".into(), |queue| format!("queue {queue}"));
+    let team = found
+        .team
+        .map_or_else(|| "no team".into(), |team| format!("team {team}"));
+    let mut lines: Vec<Box<str>> = vec![format!("request {id}: {queue}, {team}").into()];
+    if let Some(revision) = found.revision {
+        lines.push(format!("decided by catalogue revision {revision}").into());
+    }
+    lines.extend(found.steps.iter().map(|step| step.to_string().into()));
+    Some(lines)
+}
+
+fn vm(world: &World, name: &VmName) -> Option<Vec<Box<str>>> {
+    let mut lines = Vec::new();
+    let listing = world.listing.borrow();
+    if let Some(listed) = listing.vms.iter().find(|vm| vm.name == *name) {
+        lines.push(
+            format!(
+                "the platform lists {name} in {} rack {} as {:?}, started {} times",
+                listed.data_centre, listed.rack, listed.phase, listed.boots
+            )
+            .into(),
+        );
+    }
+    let fleets = world.fleets.borrow();
+    for (dc, doc) in fleets.iter() {
+        if let Some(record) = doc.vms().get(name) {
+            lines.extend(record_lines(dc, record));
+        }
+    }
+    (!lines.is_empty()).then_some(lines)
+}
+
+fn record_lines(dc: &DcName, record: &FleetVm) -> Vec<Box<str>> {
+    let mut lines = vec![
+        format!(
+            "it is in pool {} of {dc} and {}, last maintained in wave {}",
+            record.pool, record.state, record.wave
+        )
+        .into(),
+    ];
+    if let Some(permit) = &record.permit {
+        let purpose = match &permit.purpose {
+            Purpose::Maintain { wave } => format!("maintenance wave {wave}"),
+            Purpose::Move { to } => format!("a move to pool {to}"),
+        };
+        let by = permit.holder;
+        let epoch = permit.epoch;
+        lines.push(
+            format!("it is out of service for {purpose}, by entry {by} in epoch {epoch}").into(),
+        );
+    }
+    lines
+}
+
+fn team(world: &World, name: &TeamName) -> Option<Vec<Box<str>>> {
+    let status = status::status(world);
+    let row = status.teams.iter().find(|row| row.team == *name)?;
+    let quota = format!(
+        "team {name} may run {} over the fleet and {} through this entry now",
+        row.upper_limit_slots, row.usable_slots
+    );
+    let work = format!(
+        "{} run and {} wait through this entry",
+        row.running_slots, row.waiting_slots
+    );
+    let keys = format!("keyed work is {}", status.store.key_freshness);
+    Some(vec![quota.into(), work.into(), keys.into()])
+}
--- /dev/null
+++ b/crates/daemon/src/peers/mod.rs
@@ -0,0 +1,186 @@
+//! The links to the other entries, and what this entry tells them.
+//!
+//! [`feed`] tells the peers' state what this process knows: its revision, its contact with the key-value service, the
+//! live sessions, the listed VMs, and what its teams have running. [`claims`] puts the serving path's claims to the
+//! entry that is the home of a key.
+
+pub mod claims;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::TcpListener as StdListener;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use goldcrest_ledger::freshness::{Freshness, ProofKind};
+use goldcrest_obs::logs::Part;
+use goldcrest_peer::peers::{Peers, Seed};
+use goldcrest_peer::server::PeerServer;
+use goldcrest_peer::usage::Usage;
+use goldcrest_platform::fleet::{VmListing, VmRole};
+use goldcrest_types::names::EntryId;
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+use crate::operator::explain;
+use crate::world::{DaemonClock, World};
+
+const PART: &str = Part::Peers.as_str();
+
+/// The links of a process, as its parts hold them.
+pub type DaemonPeers = Peers<DaemonClock>;
+
+/// How often this entry's own state is told anew.
+const FEED_INTERVAL: Duration = Duration::from_millis(250);
+
+/// How often the live sessions are read.
+const SESSIONS_INTERVAL: Duration = Duration::from_secs(3);
+
+/// Answers other entries. The listener stays open while this part is restarted.
+pub async fn serve(world: Arc<World>, listener: Arc<StdListener>, stop: CancellationToken) {
+    let listener = match listener.try_clone().and_then(TcpListener::from_std) {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::error!(target: PART, "The listener can't be used: {error}.");
+            return;
+        }
+    };
+    let hello = world.peers.hello().clone();
+    let answer = Arc::new(world.peers.clone());
+    PeerServer::new(listener, hello, answer).run(stop).await;
+}
+
+/// Asks other entries once a heartbeat.
+pub async fn run(world: Arc<World>, stop: CancellationToken) {
+    world.peers.clone().run(stop).await;
+}
+
+/// Tells the peers' state what this process knows.
+pub async fn feed(world: Arc<World>, stop: CancellationToken) {
+    let mut sessions = SessionsView::default();
+    while !stop.is_cancelled() {
+        if sessions.is_due(world.now()) {
+            read_sessions(&world, &mut sessions).await;
+        }
+        feed_usage(&world);
+        feed_listing(&world);
+        if let Some(until) = standing_until(&world, &sessions) {
+            world.peers.extend_standing(until);
+        }
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = sleep(FEED_INTERVAL) => {}
+        }
+    }
+}
+
+/// Answers questions of other entries about requests and tasks that went through this one.
+pub async fn answer_queries(world: Arc<World>, stop: CancellationToken) {
+    let mut queries = world.queries.lock().await;
+    loop {
+        let query = tokio::select! {
+            () = stop.cancelled() => return,
+            query = queries.recv() => query,
+        };
+        let Some(query) = query else {
+            return;
+        };
+        let found = explain::known_here(&world, &query.ask.id);
+        // The asker may have gone meanwhile.
+        let _ = query.answer.send(found);
+    }
+}
+
+/// When the live sessions were read last.
+#[derive(Debug, Default)]
+struct SessionsView {
+    tried_at: Option<Instant>,
+    read_at: Option<Instant>,
+}
+
+impl SessionsView {
+    fn is_due(&self, now: Instant) -> bool {
+        self.tried_at
+            .is_none_or(|tried_at| now.duration_since(tried_at) >= SESSIONS_INTERVAL)
+    }
+}
+
+async fn read_sessions(world: &World, view: &mut SessionsView) {
+    let asked_at = world.now();
+    view.tried_at = Some(asked_at);
+    match world.session.sessions().await {
+        Ok(live) => {
+            let live: BTreeSet<EntryId> = live.into_iter().map(|session| session.entry).collect();
+            world.peers.set_sessions(&live);
+            view.read_at = Some(asked_at);
+        }
+        Err(error) => log::warn!(target: PART, "The sessions can't be read: {error}."),
+    }
+}
+
+/// Until when the others are sure to count this entry as a member.
+fn standing_until(world: &World, sessions: &SessionsView) -> Option<Instant> {
+    let now = world.now();
+    if let Some(read_at) = sessions.read_at
+        && let Some(until) = world.session.valid_until(now)
+        && now.duration_since(read_at) < world.settings.store.lease_ttl()
+    {
+        return Some(until);
+    }
+    match *world.freshness.borrow() {
+        Freshness::Fresh {
+            until,
+            kind: ProofKind::OutageForAll,
+        } if now < until => Some(until),
+        Freshness::Fresh { .. } | Freshness::Stale(_) => None,
+    }
+}
+
+fn feed_usage(world: &World) {
+    let usage: BTreeMap<_, _> = world
+        .front
+        .usage()
+        .into_iter()
+        .map(|usage| {
+            let slots = Usage {
+                running: usage.running,
+                waiting: usage.waiting,
+            };
+            (usage.team, slots)
+        })
+        .collect();
+    world.peers.set_usage(&usage);
+}
+
+fn feed_listing(world: &World) {
+    let listing = world.listing.borrow().clone();
+    if listing.vms.is_empty() {
+        // Nothing has been read yet; an empty list would show every member as gone.
+        let seeds = first_seeds(world);
+        world.peers.set_listing(&BTreeSet::new(), seeds);
+        return;
+    }
+    let vms = listing.vms.iter().map(|vm| vm.name.clone()).collect();
+    world.peers.set_listing(&vms, listed_seeds(world, &listing));
+}
+
+fn listed_seeds(world: &World, listing: &VmListing) -> BTreeSet<Seed> {
+    let entries = listing.vms.iter().filter(|vm| vm.role == VmRole::Entry);
+    let mut seeds: BTreeSet<Seed> = entries
+        .map(|vm| Seed {
+            dc: vm.data_centre.clone(),
+            address: vm.address,
+        })
+        .collect();
+    seeds.extend(first_seeds(world));
+    seeds
+}
+
+fn first_seeds(world: &World) -> BTreeSet<Seed> {
+    let first = &world.settings.peers.first_addresses;
+    let seed = |address: &std::net::SocketAddr| Seed {
+        dc: world.settings.entry.data_centre.clone(),
+        address: *address,
+    };
+    first.iter().map(seed).collect()
+}
--- a/crates/daemon/src/supervisor/mod.rs
+++ b/crates/daemon/src/supervisor/mod.rs
@@ -11,6 +11,7 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::AbortOnDropHandle;
 
 /// The first wait before a part is started again.
 pub const BACKOFF_MIN: Duration = Duration::from_millis(100);
@@ -70,8 +71,8 @@
     let mut backoff = BACKOFF_MIN;
     while !stop.is_cancelled() {
         let started = Instant::now();
-        // The task of its own keeps a panic inside the part.
-        let ended = tokio::spawn(make(stop.clone())).await;
+        // The task of its own keeps a panic inside the part, and ends with the supervisor.
+        let ended = AbortOnDropHandle::new(tokio::spawn(make(stop.clone()))).await;
         if stop.is_cancelled() {
             return;
         }
--- /dev/null
+++ b/crates/daemon/src/world/mod.rs
@@ -0,0 +1,133 @@
+//! What the parts of a process share: handles, and channels that hold the latest of everything.
+//!
+//! Each channel has one writer, the part named beside it, and any number of readers. A reader that is restarted finds
+//! the latest value; nothing is queued, so a slow reader holds up nobody.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Instant;
+
+use goldcrest_front::{Front, TeamGrants};
+use goldcrest_ledger::fleet::FleetDoc;
+use goldcrest_ledger::freshness::{Freshness, StaleReason};
+use goldcrest_obs::metrics::Metrics;
+use goldcrest_peer::peers::ExplainQuery;
+use goldcrest_platform::fleet::VmListing;
+use goldcrest_platform::http::{HttpFleet, HttpStore, HttpWorkers};
+use goldcrest_session::{Follower, Session};
+use goldcrest_types::catalogue::{Catalogue, CatalogueSpec};
+use goldcrest_types::clock::Clock;
+use goldcrest_types::names::{DcName, EntryId};
+use goldcrest_types::units::Revision;
+use tokio::sync::{Mutex, mpsc, watch};
+use tokio_util::sync::CancellationToken;
+
+use crate::peers::DaemonPeers;
+use crate::settings::Settings;
+
+/// The clock of a process, as its parts hold it.
+pub type DaemonClock = Arc<dyn Clock>;
+
+/// The session with the key-value service, as the parts hold it.
+pub type DaemonSession = Session<HttpStore, DaemonClock>;
+
+/// The follower of the catalogue's head, as the parts hold it.
+pub type DaemonFollower = Follower<HttpStore, DaemonClock>;
+
+/// The catalogue in force, as written and as resolved.
+#[derive(Debug, Clone)]
+pub struct InForce {
+    /// As written.
+    pub spec: Arc<CatalogueSpec>,
+    /// With dense ids.
+    pub cat: Arc<Catalogue>,
+}
+
+/// The fleet documents of all data centres that could be read.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Fleets {
+    docs: BTreeMap<DcName, Arc<FleetDoc>>,
+}
+
+impl Fleets {
+    /// The document of a data centre.
+    #[must_use]
+    pub fn get(&self, dc: &DcName) -> Option<&FleetDoc> {
+        self.docs.get(dc).map(Arc::as_ref)
+    }
+
+    /// All documents, by data centre.
+    pub fn iter(&self) -> impl Iterator<Item = (&DcName, &FleetDoc)> {
+        self.docs.iter().map(|(dc, doc)| (dc, doc.as_ref()))
+    }
+
+    /// Takes in a document.
+    pub fn set(&mut self, dc: DcName, doc: Arc<FleetDoc>) {
+        self.docs.insert(dc, doc);
+    }
+}
+
+/// What the parts of a process share.
+pub struct World {
+    /// The settings.
+    pub settings: Settings,
+    /// This process.
+    pub entry: EntryId,
+    /// The time.
+    pub clock: DaemonClock,
+    /// The key-value service.
+    pub session: DaemonSession,
+    /// The catalogue's head as the session follows it.
+    pub follower: DaemonFollower,
+    /// The platform's list of VMs.
+    pub platform: HttpFleet,
+    /// The workers.
+    pub workers: HttpWorkers,
+    /// The links to the other entries.
+    pub peers: DaemonPeers,
+    /// Questions of other entries that this one answers; read by the peers part.
+    pub queries: Mutex<mpsc::Receiver<ExplainQuery>>,
+    /// The serving path.
+    pub front: Front,
+    /// The metrics.
+    pub metrics: Metrics,
+    /// The catalogue in force; written by the catalogue part.
+    pub catalogue: watch::Sender<Option<InForce>>,
+    /// Whether keyed work may be taken; written by the catalogue part.
+    pub freshness: watch::Sender<Freshness>,
+    /// The list of VMs; written by the fleet part.
+    pub listing: watch::Sender<Arc<VmListing>>,
+    /// The fleet documents; written by the fleet part.
+    pub fleets: watch::Sender<Fleets>,
+    /// What the teams may use here; written by the quota part.
+    pub grants: watch::Sender<TeamGrants>,
+    /// Cancelled when the process begins to stop.
+    pub stopping: CancellationToken,
+}
+
+impl World {
+    /// The revision of the catalogue in force here, or zero.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        let in_force = self.catalogue.borrow();
+        in_force
+            .as_ref()
+            .map_or(Revision::ZERO, |in_force| in_force.cat.revision())
+    }
+
+    /// The catalogue in force here.
+    #[must_use]
+    pub fn cat(&self) -> Option<Arc<Catalogue>> {
+        let in_force = self.catalogue.borrow();
+        in_force.as_ref().map(|in_force| Arc::clone(&in_force.cat))
+    }
+
+    /// The present moment.
+    #[must_use]
+    pub fn now(&self) -> Instant {
+        self.clock.now()
+    }
+}
+
+/// The freshness of a process that has read nothing yet.
+pub const NOTHING_READ: Freshness = Freshness::Stale(StaleReason::NoCatalogue);
--- /dev/null
+++ b/crates/demo/src/story/steps.rs
@@ -0,0 +1,252 @@
+//! The steps of the demonstration. Each brings about one thing and checks the promises that it touches.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use goldcrest_ledger::catalogue::Change;
+use goldcrest_platform::fleet::VmPhase;
+use goldcrest_standin::KvFault;
+use goldcrest_types::breach::Promise;
+use goldcrest_types::names::{KeyName, VmName};
+use tokio::time::{Instant, sleep};
+
+use super::setup::Stage;
+use super::{LOOK_INTERVAL, STEP_TIMEOUT, StoryError};
+use crate::account::Account;
+use crate::callers::{Callers, Plan, Tally};
+
+/// How long callers run where a step only needs some work.
+const WORK: Duration = Duration::from_secs(2);
+
+/// How long the key-value service is cut off before its effect is looked at. It is longer than a proof of freshness
+/// lasts.
+const OUTAGE_LEAD: Duration = Duration::from_secs(6);
+
+/// Within this time a withdrawn key must have stopped working.
+const WITHDRAWAL_BOUND: Duration = Duration::from_secs(6);
+
+/// Within this time a leaving upstream must have received its last new request.
+const LEAVING_BOUND: Duration = Duration::from_secs(2);
+
+/// The upper limit of the team `guides` in the catalogue of the demonstration.
+const GUIDES_LIMIT: u32 = 6;
+
+fn plan(queue: &'static str, key: Option<&str>, is_idempotent: bool, delay_ms: u32) -> Plan {
+    Plan {
+        queue,
+        key: key.map(Into::into),
+        is_idempotent,
+        delay_ms,
+    }
+}
+
+fn agencies() -> Plan {
+    plan("merge", Some("agencies-example"), false, 5)
+}
+
+fn start(stage: &Stage, label: &str, count: u32, plan: &Plan) -> Callers {
+    Callers::start(label, count, plan, &stage.targets, &stage.lab.calls)
+}
+
+/// Checks what holds for every request, whatever happens meanwhile.
+fn check_tally(account: &mut Account, what: &str, tally: Tally) {
+    println!(
+        "{what}: {} sent, {} answered, {} not run, {} unknown",
+        tally.sent, tally.answered, tally.not_run, tally.unknown
+    );
+    let wrong = tally.wrong + tally.unclear;
+    account.check(Promise::WholeAnswer, what, tally.sent, wrong);
+    if tally.not_run > 0 {
+        let broken = tally.not_run_but_ran;
+        account.check(Promise::TrueRefusal, what, tally.not_run, broken);
+    }
+    if tally.answered == 0 {
+        account.fail(format!("{what}: no request was answered"));
+    }
+}
+
+/// Waits until non-idempotent requests are answered: the entries first have to know the past of their keys.
+pub async fn serve_requests(stage: &mut Stage, account: &mut Account) {
+    let callers = start(stage, "first", 4, &agencies());
+    let open = start(stage, "open", 2, &plan("status", None, true, 2));
+    let started = Instant::now();
+    while callers.tally().answered < 50 && started.elapsed() < STEP_TIMEOUT {
+        sleep(LOOK_INTERVAL).await;
+    }
+    sleep(WORK).await;
+    check_tally(account, "keyed requests", callers.finish().await);
+    check_tally(account, "open requests", open.finish().await);
+}
+
+/// More callers of one team than its upper limit allows, over all entries at one time.
+pub async fn reach_upper_limit(stage: &mut Stage, account: &mut Account) {
+    let guides = plan("merge", Some("guides-example"), true, 60);
+    let callers = start(stage, "guides", 30, &guides);
+    sleep(WORK * 2).await;
+    check_tally(account, "a team at its upper limit", callers.finish().await);
+    let most = stage.lab.calls.most_running("guides");
+    let what = format!("guides: at most {most} at one time, upper limit {GUIDES_LIMIT}");
+    let broken = u64::from(most.saturating_sub(GUIDES_LIMIT));
+    account.check(Promise::UpperLimit, &what, u64::from(most), broken);
+    if most < GUIDES_LIMIT {
+        account.fail(format!("{what}: the limit was not reached"));
+    }
+}
+
+/// Withdraws a key under load.
+pub async fn withdraw_key(stage: &mut Stage, account: &mut Account) -> Result<(), StoryError> {
+    let callers = start(
+        stage,
+        "guided",
+        4,
+        &plan("merge", Some("guides-example"), true, 2),
+    );
+    let others = start(stage, "others", 2, &agencies());
+    sleep(WORK / 2).await;
+    let name: KeyName = "guides-1".parse().map_err(crate::lab::bad_name)?;
+    let spec = stage.client()?.catalogue().await?.spec;
+    let change = Change::withdraw(&spec, &name);
+    let revision = stage.edit(change.into_iter().collect()).await?;
+    let waited = stage.wait_in_force(revision).await?;
+    println!("key withdrawn, in force after {} ms", waited.as_millis());
+    let late = u64::from(waited > WITHDRAWAL_BOUND);
+    account.check(Promise::ConfigurationInForce, "a key withdrawn", 1, late);
+    // Requests that were admitted before still end.
+    sleep(LOOK_INTERVAL * 4).await;
+    let before = callers.tally();
+    sleep(WORK / 2).await;
+    let after = callers.finish().await;
+    let worked = after.answered - before.answered;
+    let tried = after.sent - before.sent;
+    account.check(Promise::KeyAuthority, "a withdrawn key", tried, worked);
+    check_tally(account, "requests of other keys", others.finish().await);
+    Ok(())
+}
+
+/// Cuts the key-value service off for everyone.
+pub async fn cut_store(stage: &mut Stage, account: &mut Account) {
+    let callers = start(stage, "outage", 4, &agencies());
+    let open = start(stage, "openly", 2, &plan("status", None, true, 2));
+    stage.lab.set_store_fault(KvFault::Down);
+    sleep(OUTAGE_LEAD).await;
+    let before = callers.tally();
+    sleep(WORK).await;
+    let after = callers.tally();
+    stage.lab.set_store_fault(KvFault::None);
+    println!(
+        "key-value service cut off for {} s: {} answered in the {} s after that",
+        OUTAGE_LEAD.as_secs(),
+        after.answered - before.answered,
+        WORK.as_secs()
+    );
+    if after.answered == before.answered {
+        account.fail("keyed work stopped while the key-value service was down for all");
+    }
+    sleep(WORK).await;
+    check_tally(
+        account,
+        "keyed requests in an outage",
+        callers.finish().await,
+    );
+    check_tally(account, "open requests in an outage", open.finish().await);
+    let revision = stage.lab.entries().count();
+    account.check(
+        Promise::ConfigurationInForce,
+        "revisions after an outage",
+        as_u64(revision),
+        0,
+    );
+}
+
+fn as_u64(count: usize) -> u64 {
+    u64::try_from(count).unwrap_or(u64::MAX)
+}
+
+/// Loses an entry VM at once, and starts another.
+pub async fn lose_entry(stage: &mut Stage, account: &mut Account) -> Result<(), StoryError> {
+    let callers = start(stage, "crash", 6, &agencies());
+    sleep(WORK / 2).await;
+    stage.lab.crash("entry-lis-a-2");
+    stage.refresh_targets();
+    sleep(WORK / 2).await;
+    stage.lab.start_entry("entry-lis-a-3", "lis-a").await?;
+    let revision = stage.client()?.catalogue().await?.revision;
+    let waited = stage.wait_in_force(revision).await?;
+    println!(
+        "an entry lost; the next has the catalogue after {} ms",
+        waited.as_millis()
+    );
+    stage.refresh_targets();
+    sleep(WORK).await;
+    check_tally(
+        account,
+        "requests while an entry is lost",
+        callers.finish().await,
+    );
+    Ok(())
+}
+
+/// The platform shows an upstream as leaving.
+pub async fn remove_upstream(stage: &mut Stage, account: &mut Account) {
+    let callers = start(stage, "leaving", 6, &agencies());
+    sleep(WORK / 2).await;
+    let Ok(vm) = "up-lis-a-1".parse::<VmName>() else {
+        return;
+    };
+    stage.lab.fleet.set_phase(&vm, VmPhase::Leaving);
+    sleep(LEAVING_BOUND).await;
+    let Some(upstream) = stage.lab.upstream(vm.as_str()).cloned() else {
+        return;
+    };
+    let before = upstream.started();
+    sleep(WORK).await;
+    let late = upstream.started() - before;
+    let open = upstream.open().load(Ordering::Acquire);
+    println!("an upstream left: {late} new requests after {LEAVING_BOUND:?}, {open} open");
+    account.check(Promise::LeavingUpstream, "an upstream that leaves", 1, late);
+    check_tally(
+        account,
+        "requests while an upstream leaves",
+        callers.finish().await,
+    );
+    stage.lab.fleet.set_phase(&vm, VmPhase::Live);
+}
+
+/// Stops an entry gracefully under load.
+pub async fn stop_entry(stage: &mut Stage, account: &mut Account) -> Result<(), StoryError> {
+    let callers = start(
+        stage,
+        "stopping",
+        6,
+        &plan("merge", Some("agencies-example"), false, 40),
+    );
+    sleep(WORK / 2).await;
+    let vm = "entry-lis-a-3";
+    stage.hide_target(vm);
+    let cut = stage.lab.stop_entry(vm).await;
+    sleep(WORK / 2).await;
+    let tally = callers.finish().await;
+    println!("an entry stopped: {cut} requests cut");
+    account.check(
+        Promise::GracefulShutdown,
+        "an entry stopped under load",
+        tally.sent,
+        cut + tally.unknown,
+    );
+    check_tally(account, "requests while an entry stops", tally);
+    Ok(())
+}
+
+/// Checks what holds over the whole story, and ends it.
+pub async fn finish(stage: Stage, account: &mut Account) {
+    let calls = stage.lab.calls.clone();
+    stage.lab.shut_down().await;
+    let twice = as_u64(calls.run_twice());
+    let keys = as_u64(calls.once_only());
+    account.check(
+        Promise::AtMostOnce,
+        "requests that are not idempotent",
+        keys,
+        twice,
+    );
+}
--- a/crates/types/src/yaml/mod.rs
+++ b/crates/types/src/yaml/mod.rs
@@ -135,6 +135,9 @@
         let known = known.join(", ");
         return format!("'{name}' is not allowed here: use one of {known}").into();
     }
+    if text.contains("socket address") {
+        return "no address: write an IP number and a port, such as 127.0.0.1:7400".into();
+    }
     if text.starts_with("invalid type") || text.starts_with("invalid value") {
         return format!("{text}: write it in that form").into();
     }
