session: roles, quota rows and moves between data centres

Cause: upper limits and roles need loops that hold through lost answers, lapsed sessions and crashes. Change: a keeper that lowers grants before it gives back and raises them after it has taken, with unknown edits kept open; an observer of rows of the gone; a mover under a fenced role; roles at their rendezvous home. Result: 10 tests of the whole loop on a paused clock, each checking the upper limit ten times a second. Time of a shift between data centres is yet to be measured.

--- a/crates/session/src/follow/mod.rs
+++ b/crates/session/src/follow/mod.rs
@@ -234,7 +234,7 @@
         let key = keys::catalogue_head();
         let updated = session.update(&key, edit.id, change).await?;
         match &updated {
-            Updated::Applied { .. } => self.adopt_own(next)?,
+            Updated::Applied { version, .. } => self.adopt_own(next, *version)?,
             Updated::AppliedEarlier => {
                 let read = self.read(Duration::ZERO).await;
                 read.map_err(|_| UpdateError::Unresolved(edit.id))?;
@@ -244,13 +244,17 @@
         Ok(updated)
     }
 
-    /// Takes over the head of this entry's own edit. Its version is left open, since later edits may be in the store.
-    fn adopt_own(&self, head: Option<Head>) -> Result<(), UpdateError> {
+    /// Takes over the head of this entry's own edit, under its version if that is known.
+    fn adopt_own(
+        &self,
+        head: Option<Head>,
+        version: Option<StoreVersion>,
+    ) -> Result<(), UpdateError> {
         let Some(head) = head else {
             return Ok(());
         };
         let bytes = Bytes::from(head.encode().map_err(UpdateError::Document)?);
-        if let Err(error) = self.adopt(&bytes, StoreVersion::ZERO) {
+        if let Err(error) = self.adopt(&bytes, version.unwrap_or(StoreVersion::ZERO)) {
             warn!("catalogue: {error}");
         }
         Ok(())
--- a/crates/session/src/keys/mod.rs
+++ b/crates/session/src/keys/mod.rs
@@ -6,6 +6,7 @@
 use goldcrest_types::names::{DcName, EntryId};
 
 use crate::lease::LiveSession;
+use crate::role::RoleName;
 
 const SESSIONS: &str = "session";
 
@@ -42,6 +43,12 @@
     join(&[FLEET_QUOTA_KEY])
 }
 
+/// A role.
+#[must_use]
+pub fn role(role: &RoleName) -> StoreKey {
+    join(&["role", role.as_str()])
+}
+
 /// The prefix of all sessions.
 #[must_use]
 pub fn sessions() -> StoreKey {
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -2,13 +2,20 @@
 //!
 //! Start with [`Session`]: a handle that is cheap to clone and through which every call of the service goes. It
 //! keeps to a settable rate ([`calls`]), changes documents by read-modify-swap and resolves lost answers by reading
-//! back ([`update`]).
+//! back ([`update`]). On it stand the parts that run for as long as the daemon does:
+//!
+//! - [`lease`]: this entry's session as the others see it.
+//! - [`follow`]: the catalogue in force, and proof that it is.
+//! - [`role`]: roles that one entry holds at a time.
+//! - [`quota`]: this entry's part of the teams' upper limits, and the moves between data centres.
 
 pub mod calls;
 pub mod follow;
 pub mod keys;
 pub mod lease;
+pub mod quota;
 pub mod retry;
+pub mod role;
 pub mod session;
 pub mod update;
 
--- /dev/null
+++ b/crates/session/src/quota/keeper.rs
@@ -0,0 +1,309 @@
+//! Keeping this entry's row towards demand.
+//!
+//! What is given back is first taken from the grants in force, and counted against what runs, before the document is
+//! changed; what is taken is put in force after. So at any instant the grants are no more than the row holds. An edit
+//! whose outcome is unknown stays open, and the grants stay at the lower of both sides, until the document shows which
+//! it was.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use goldcrest_ledger::quota::grants::Session as RowSession;
+use goldcrest_ledger::quota::rebalance::{Demand, RebalanceContext, rebalance};
+use goldcrest_ledger::quota::{DcEdit, DcQuota, Grants, Part, QuotaRefusal, SessionId, TeamPart};
+use goldcrest_platform::store::Store;
+use goldcrest_types::catalogue::Catalogue;
+use goldcrest_types::clock::Clock;
+use goldcrest_types::names::{EditId, TeamName, VmName};
+use goldcrest_types::units::Slots;
+use log::{debug, warn};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use super::cached::Cached;
+use crate::keys;
+use crate::session::Session;
+use crate::update::{UpdateError, Updated};
+
+/// The time between looks at the demand.
+const LOOK_PAUSE: Duration = Duration::from_millis(500);
+
+/// How old the document may be while this entry has what it wants.
+const AGE_MAX: Duration = Duration::from_secs(5);
+
+/// How old the document may be while a team wants more here than it holds.
+const AGE_MAX_SHORT: Duration = Duration::from_secs(1);
+
+/// Where grants are put in force: the daemon's admission.
+pub trait Gate: Send + Sync + 'static {
+    /// Puts `grants` in force and returns what runs of each team. Both happen under the lock of admission, so whatever
+    /// was admitted by earlier grants is in the answer.
+    fn install(&self, grants: &Grants) -> BTreeMap<TeamName, Slots>;
+
+    /// The catalogue in force.
+    fn catalogue(&self) -> Option<Arc<Catalogue>>;
+
+    /// What the entries of this data centre want of each team.
+    fn demand(&self) -> Demand;
+}
+
+/// Who owns the row besides the process.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RowOwner {
+    /// The VM.
+    pub vm: VmName,
+    /// How often the VM has started.
+    pub boots: u64,
+}
+
+/// An edit that may or may not be in the document.
+struct Open {
+    edit: EditId,
+    steps: Vec<DcEdit>,
+    parts: Vec<TeamPart>,
+    /// Whether it may have been sent by an earlier update, whose outcome is not known.
+    is_unresolved: bool,
+}
+
+impl Open {
+    fn new(edit: EditId, step: DcEdit, parts: Vec<TeamPart>) -> Self {
+        Self {
+            edit,
+            steps: vec![step],
+            parts,
+            is_unresolved: false,
+        }
+    }
+}
+
+/// Keeps this entry's row.
+pub struct QuotaKeeper<S, C, G> {
+    session: Session<S, C>,
+    owner: RowOwner,
+    gate: Arc<G>,
+    doc: Cached<DcQuota>,
+    ctx: RebalanceContext,
+    open: Option<Open>,
+    grants: watch::Sender<Grants>,
+}
+
+impl<S: Store, C: Clock, G: Gate> QuotaKeeper<S, C, G> {
+    /// A keeper that has not read the document yet.
+    #[must_use]
+    pub fn new(session: Session<S, C>, owner: RowOwner, gate: Arc<G>) -> Self {
+        let key = keys::quota(&session.cfg().dc);
+        Self {
+            session,
+            owner,
+            gate,
+            doc: Cached::new(key),
+            ctx: RebalanceContext::new(),
+            open: None,
+            grants: watch::channel(Grants::new()).0,
+        }
+    }
+
+    /// The grants in force, and every change of them.
+    #[must_use]
+    pub fn grants(&self) -> watch::Receiver<Grants> {
+        self.grants.subscribe()
+    }
+
+    /// Keeps the row until `stop`, then gives it up if nothing runs.
+    pub async fn run(mut self, stop: CancellationToken) {
+        loop {
+            match stop.run_until_cancelled(self.look()).await {
+                None => break,
+                Some(Ok(())) => {}
+                Some(Err(error)) => debug!("quota: {error}"),
+            }
+            let pause = tokio::time::sleep(LOOK_PAUSE);
+            if stop.run_until_cancelled(pause).await.is_none() {
+                break;
+            }
+        }
+        self.leave().await;
+    }
+
+    /// One look at the demand.
+    async fn look(&mut self) -> Result<(), UpdateError> {
+        let running = self.install(&[]);
+        if let Some(open) = self.open.take() {
+            return self.apply(open).await;
+        }
+        let age_max = if self.is_short() {
+            AGE_MAX_SHORT
+        } else {
+            AGE_MAX
+        };
+        self.doc.refresh(&self.session, age_max).await?;
+        self.install(&[]);
+        let Some(session) = self.row_session() else {
+            return Ok(());
+        };
+        if let Some(step) = self.joining(session.id) {
+            let edit = self.session.draw_edit();
+            self.apply(Open::new(edit, step, Vec::new())).await?;
+        }
+        self.balance(session.id, &running).await
+    }
+
+    /// This entry's session, if it may act on it now.
+    fn row_session(&self) -> Option<RowSession> {
+        let held = self
+            .session
+            .inner
+            .lease
+            .borrow()
+            .valid(self.session.now())?;
+        Some(RowSession {
+            id: SessionId::new(held.lease.get()),
+            until: held.valid_until,
+        })
+    }
+
+    /// What is needed before the row can be changed.
+    fn joining(&self, session: SessionId) -> Option<DcEdit> {
+        let owner = self.session.cfg().entry;
+        let Some(row) = self.doc.doc().row_of(owner) else {
+            return Some(DcEdit::Join {
+                owner,
+                vm: self.owner.vm.clone(),
+                boots: self.owner.boots,
+                session,
+            });
+        };
+        let is_own = self.doc.doc().rows()[&row].session == session;
+        (!is_own).then_some(DcEdit::Renew { owner, session })
+    }
+
+    /// Puts the row's grants in force, with each of `parts` no higher than given, and returns what runs.
+    fn install(&self, parts: &[TeamPart]) -> BTreeMap<TeamName, Slots> {
+        let Some(cat) = self.gate.catalogue() else {
+            return self.gate.install(&Grants::new());
+        };
+        let owner = self.session.cfg().entry;
+        let mut grants = Grants::of(self.doc.doc(), owner, &cat, self.row_session());
+        let open = self.open.iter().flat_map(|open| &open.parts);
+        for lowered in parts.iter().chain(open) {
+            if let Some(team) = cat.team(lowered.team.as_str()) {
+                let part = lower(grants.part(team), lowered.part);
+                grants.set(team, part);
+            }
+        }
+        let running = self.gate.install(&grants);
+        self.grants.send_if_modified(|known| {
+            let is_new = *known != grants;
+            *known = grants;
+            is_new
+        });
+        running
+    }
+
+    /// Whether a team wants more here than the row holds.
+    fn is_short(&self) -> bool {
+        let owner = self.session.cfg().entry;
+        let doc = self.doc.doc();
+        let Some(row) = doc.row_of(owner) else {
+            return true;
+        };
+        let demand = self.gate.demand();
+        let mut teams = doc.teams().iter();
+        teams.any(|(team, quota)| demand.of(owner, team) > quota.part(row).total())
+    }
+
+    /// Gives back and takes, by the demand of all entries of the data centre.
+    async fn balance(
+        &mut self,
+        session: SessionId,
+        running: &BTreeMap<TeamName, Slots>,
+    ) -> Result<(), UpdateError> {
+        let owner = self.session.cfg().entry;
+        let demand = self.gate.demand();
+        let mut parts = rebalance(&mut self.ctx, self.doc.doc(), owner, &demand, running);
+        if parts.is_empty() {
+            return Ok(());
+        }
+        let running = self.install(&parts);
+        let runs = |part: &TeamPart| running.get(&part.team).copied().unwrap_or(Slots::ZERO);
+        parts.retain(|part| runs(part) <= part.part.total());
+        if parts.is_empty() {
+            return Ok(());
+        }
+        let set = DcEdit::Set {
+            owner,
+            session,
+            parts: parts.clone(),
+        };
+        let edit = self.session.draw_edit();
+        self.apply(Open::new(edit, set, parts)).await
+    }
+
+    /// Applies an edit, and keeps it open for as long as its outcome is unknown.
+    async fn apply(&mut self, open: Open) -> Result<(), UpdateError> {
+        let mut next = None;
+        let (edit, steps, was_unresolved) = (open.edit, open.steps.clone(), open.is_unresolved);
+        let change = |doc: &mut DcQuota| -> Result<(), QuotaRefusal> {
+            doc.apply(edit, &steps)?;
+            next = Some(doc.clone());
+            Ok(())
+        };
+        // Should this be cut short, the edit stays open as one that may have been sent.
+        self.open = Some(Open {
+            is_unresolved: true,
+            ..open
+        });
+        let sent = self.session.now();
+        let key = self.doc.key().clone();
+        let updated = match self.session.update(&key, edit, change).await {
+            Ok(updated) => updated,
+            Err(error) => {
+                let is_settled = !was_unresolved && !matches!(error, UpdateError::Unresolved(_));
+                if is_settled {
+                    self.open = None;
+                }
+                return Err(error);
+            }
+        };
+        self.open = None;
+        match (updated, next) {
+            (Updated::Applied { version, .. }, Some(doc)) => self.doc.put(doc, version, sent),
+            (Updated::Refused(refusal), _) => {
+                debug!("quota: {refusal}");
+                self.doc.expire();
+            }
+            (Updated::Applied { .. } | Updated::AppliedEarlier, _) => self.doc.expire(),
+        }
+        // What is in the document now is read before grants may rise to it.
+        let lowered = self.doc.read_at().is_none();
+        if lowered {
+            self.doc.refresh(&self.session, AGE_MAX_SHORT).await?;
+        }
+        self.install(&[]);
+        Ok(())
+    }
+
+    /// Puts empty grants in force and gives the row up, unless something still runs: then it is left to be reclaimed.
+    async fn leave(mut self) {
+        let running = self.gate.install(&Grants::new());
+        self.grants.send_replace(Grants::new());
+        let owner = self.session.cfg().entry;
+        let is_idle = running.values().all(|slots| slots.is_zero());
+        if !is_idle || self.open.is_some() || self.doc.doc().row_of(owner).is_none() {
+            return;
+        }
+        let edit = self.session.draw_edit();
+        let open = Open::new(edit, DcEdit::Leave { owner }, Vec::new());
+        if let Err(error) = self.apply(open).await {
+            warn!("quota: the row stays until it is reclaimed: {error}");
+        }
+    }
+}
+
+/// The lower of two parts, in each component and in sum.
+fn lower(held: Part, wanted: Part) -> Part {
+    let floor = held.floor.min(wanted.floor);
+    let total = held.total().min(wanted.total());
+    Part::new(floor, total - floor)
+}
--- /dev/null
+++ b/crates/session/src/role/mod.rs
@@ -0,0 +1,256 @@
+//! Roles that one entry holds at a time, each with a fencing epoch.
+//!
+//! The candidate for a role is its home among the live sessions, so roles spread over all entries and a role moves only
+//! when its home does. Only the candidate and the holder ever call the service for a role. The holder releases what it is
+//! no longer the candidate for; the candidate takes what is free, or what a holder left whose session is gone. An epoch
+//! is handed out only while the session under which the role was taken is valid, to be asked right before each effect.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::str::FromStr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use goldcrest_ledger::quota::SessionId;
+use goldcrest_ledger::role::{Holder, RoleDoc, RoleEdit, RoleRefusal};
+use goldcrest_platform::store::{Store, StoreKey, StoreKeyError};
+use goldcrest_types::clock::Clock;
+use goldcrest_types::names::EntryId;
+use goldcrest_types::rendezvous::HashKey;
+use goldcrest_types::units::Epoch;
+use log::{info, warn};
+use tokio_util::sync::CancellationToken;
+
+use crate::keys;
+use crate::lease::HeldLease;
+use crate::session::Session;
+use crate::update::{UpdateError, Updated};
+
+/// The time between looks at who should hold which role.
+const LOOK_PAUSE: Duration = Duration::from_secs(1);
+
+/// The name of a role: one part of a store key.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RoleName(Box<str>);
+
+impl RoleName {
+    /// The name as text.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for RoleName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(&self.0)
+    }
+}
+
+impl FromStr for RoleName {
+    type Err = StoreKeyError;
+
+    fn from_str(text: &str) -> Result<Self, StoreKeyError> {
+        let key: StoreKey = format!("role/{text}").parse()?;
+        if key.as_str().split('/').count() != 2 {
+            return Err(StoreKeyError::Form(text.into()));
+        }
+        Ok(Self(text.into()))
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct HeldRole {
+    epoch: Epoch,
+    generation: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    roles: BTreeSet<RoleName>,
+    live: Option<BTreeSet<EntryId>>,
+    held: BTreeMap<RoleName, HeldRole>,
+}
+
+struct Inner<S, C> {
+    session: Session<S, C>,
+    state: Mutex<State>,
+}
+
+/// The roles of this entry. It is cheap to clone.
+pub struct Roles<S, C> {
+    inner: Arc<Inner<S, C>>,
+}
+
+impl<S, C> Clone for Roles<S, C> {
+    fn clone(&self) -> Self {
+        Self {
+            inner: Arc::clone(&self.inner),
+        }
+    }
+}
+
+impl<S: Store, C: Clock> Roles<S, C> {
+    /// An entry without roles.
+    #[must_use]
+    pub fn new(session: Session<S, C>) -> Self {
+        let inner = Inner {
+            session,
+            state: Mutex::new(State::default()),
+        };
+        Self {
+            inner: Arc::new(inner),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        let state = self.inner.state.lock();
+        state.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sets which roles there are.
+    pub fn set_roles(&self, roles: BTreeSet<RoleName>) {
+        self.state().roles = roles;
+    }
+
+    /// Notes which entries have a live session.
+    pub fn set_live(&self, live: BTreeSet<EntryId>) {
+        self.state().live = Some(live);
+    }
+
+    /// The epoch in which this entry holds `role` at this moment. It is asked right before each effect.
+    #[must_use]
+    pub fn epoch(&self, role: &RoleName) -> Option<Epoch> {
+        let lease = self.lease()?;
+        let state = self.state();
+        let held = state.held.get(role)?;
+        (held.generation == lease.generation).then_some(held.epoch)
+    }
+
+    /// The roles that this entry holds at this moment.
+    #[must_use]
+    pub fn held(&self) -> Vec<RoleName> {
+        let Some(lease) = self.lease() else {
+            return Vec::new();
+        };
+        let state = self.state();
+        let held = state.held.iter();
+        let valid = held.filter(|(_, held)| held.generation == lease.generation);
+        valid.map(|(role, _)| role.clone()).collect()
+    }
+
+    fn lease(&self) -> Option<HeldLease> {
+        let session = &self.inner.session;
+        session.inner.lease.borrow().valid(session.now())
+    }
+
+    /// Takes and releases roles until `stop`, then releases those it holds.
+    pub async fn run(self, stop: CancellationToken) {
+        let looked = stop.run_until_cancelled(self.look()).await;
+        debug_assert!(looked.is_none(), "looking ends only by the token");
+        for role in self.held() {
+            self.release(&role).await;
+        }
+    }
+
+    async fn look(&self) {
+        loop {
+            if let Some(lease) = self.lease() {
+                self.look_once(lease).await;
+            }
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+    }
+
+    async fn look_once(&self, lease: HeldLease) {
+        let own = self.inner.session.cfg().entry;
+        for (role, candidate) in self.candidates() {
+            let is_held = self.epoch(&role).is_some();
+            if candidate == own && !is_held {
+                self.take(&role, lease).await;
+            } else if candidate != own && is_held {
+                self.release(&role).await;
+            }
+        }
+    }
+
+    /// Every role with its home among the live sessions.
+    fn candidates(&self) -> Vec<(RoleName, EntryId)> {
+        let state = self.state();
+        let Some(live) = &state.live else {
+            return Vec::new();
+        };
+        let candidate = |role: &RoleName| {
+            let home = HashKey::of_name(role.as_str()).home(live.iter().copied())?;
+            Some((role.clone(), home))
+        };
+        state.roles.iter().filter_map(candidate).collect()
+    }
+
+    async fn take(&self, role: &RoleName, lease: HeldLease) {
+        match self.try_take(role, lease).await {
+            Ok(Some(epoch)) => {
+                let generation = lease.generation;
+                let held = HeldRole { epoch, generation };
+                self.state().held.insert(role.clone(), held);
+                info!("roles: {role} held in epoch {epoch}");
+            }
+            Ok(None) => {}
+            Err(error) => warn!("roles: {role} not taken: {error}"),
+        }
+    }
+
+    /// Takes a role if it is free or its holder's session is gone.
+    async fn try_take(
+        &self,
+        role: &RoleName,
+        lease: HeldLease,
+    ) -> Result<Option<Epoch>, UpdateError> {
+        let session = &self.inner.session;
+        let own = Holder {
+            entry: session.cfg().entry,
+            session: SessionId::new(lease.lease.get()),
+        };
+        let key = keys::role(role);
+        let (doc, _) = session.read::<RoleDoc>(&key).await?;
+        let gone = match doc.holder() {
+            Some(holder) if holder == own => return Ok(Some(doc.epoch())),
+            Some(holder) if holder.entry != own.entry => {
+                // Read after the document, so what is missing here is gone for the session in it.
+                let live = session.sessions().await.map_err(UpdateError::NotApplied)?;
+                if live.iter().any(|live| live.entry == holder.entry) {
+                    return Ok(None);
+                }
+                Some(holder.session)
+            }
+            Some(_) | None => None,
+        };
+        let edit = session.draw_edit();
+        let take = RoleEdit::Take { holder: own, gone };
+        let change = |doc: &mut RoleDoc| doc.apply(edit, take);
+        match session.update(&key, edit, change).await? {
+            Updated::Applied { value, .. } => Ok(Some(value)),
+            Updated::AppliedEarlier | Updated::Refused(_) => Ok(None),
+        }
+    }
+
+    /// Gives a role up. From here on it is not held, whatever the service answers.
+    async fn release(&self, role: &RoleName) {
+        let Some(held) = self.state().held.remove(role) else {
+            return;
+        };
+        let session = &self.inner.session;
+        let edit = session.draw_edit();
+        let release = RoleEdit::Release {
+            entry: session.cfg().entry,
+            epoch: held.epoch,
+        };
+        let change = |doc: &mut RoleDoc| doc.apply(edit, release);
+        let released: Result<Updated<Epoch, RoleRefusal>, UpdateError> =
+            session.update(&keys::role(role), edit, change).await;
+        match released {
+            Ok(_) => info!("roles: {role} released"),
+            Err(error) => warn!("roles: {role} stays until the session lapses: {error}"),
+        }
+    }
+}
--- a/crates/session/src/session/mod.rs
+++ b/crates/session/src/session/mod.rs
@@ -11,10 +11,10 @@
 use bytes::Bytes;
 use goldcrest_platform::store::{Expect, LeaseId, Store, StoreError, StoreKey, Versioned};
 use goldcrest_types::clock::Clock;
-use goldcrest_types::names::{DcName, EntryId};
+use goldcrest_types::names::{DcName, EditId, EntryId};
 use goldcrest_types::units::StoreVersion;
-use rand::SeedableRng;
 use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use tokio::sync::watch;
 
 use crate::calls::{Bucket, CallCounters, CallCounts, CallKind, CallRate};
@@ -233,6 +233,12 @@
         self.call(CallKind::Lease, Duration::ZERO, renew).await
     }
 
+    /// Draws the id of a new edit.
+    #[must_use]
+    pub fn draw_edit(&self) -> EditId {
+        EditId::new(lock(&self.inner.rng).random())
+    }
+
     /// The jittered wait before try number `tries`.
     pub(crate) fn backoff(&self, tries: u32) -> Duration {
         self.inner
--- a/crates/session/src/update/mod.rs
+++ b/crates/session/src/update/mod.rs
@@ -25,8 +25,8 @@
     Applied {
         /// What the change returned.
         value: T,
-        /// The version in which the edit was first seen.
-        version: StoreVersion,
+        /// The version that the edit made; none if its answer was lost, since later edits may have come on top.
+        version: Option<StoreVersion>,
     },
     /// The edit had been in the document before this update began.
     AppliedEarlier,
@@ -148,7 +148,7 @@
             Err(cause) => return Try::Failed(undecided(edit, pending.is_some(), cause)),
         };
         let next = match pending.map(|pending| read_back(&doc, base, edit, pending)) {
-            Some(ReadBack::Applied(value)) => return Try::Done(applied(value, base)),
+            Some(ReadBack::Applied(value)) => return Try::Done(applied(value)),
             Some(ReadBack::Unknown) => return Try::Failed(UpdateError::Unresolved(edit)),
             Some(ReadBack::Resend(pending)) => pending,
             Some(ReadBack::Dead) | None => {
@@ -165,7 +165,7 @@
                     Err(cause) => return Try::Failed(UpdateError::Document(cause)),
                 };
                 if found.is_some_and(|found| found.value == bytes) {
-                    return Try::Done(applied(value, base));
+                    return Try::Done(applied(value));
                 }
                 Pending {
                     base,
@@ -183,7 +183,7 @@
         match self.swap(key, pending.base, bytes, None).await {
             Ok(version) => Try::Done(Updated::Applied {
                 value: pending.value,
-                version,
+                version: Some(version),
             }),
             // A conflict may come from an earlier sending of these very bytes, so the swap stays pending.
             Err(cause) => Try::Again(Some(pending), cause),
@@ -224,12 +224,11 @@
     }
 }
 
-fn applied<T, R>(value: T, base: Expect) -> Updated<T, R> {
-    let version = match base {
-        Expect::Absent => StoreVersion::ZERO,
-        Expect::Version(version) => version,
-    };
-    Updated::Applied { value, version }
+fn applied<T, R>(value: T) -> Updated<T, R> {
+    Updated::Applied {
+        value,
+        version: None,
+    }
 }
 
 fn give_up(edit: EditId, is_pending: bool, cause: StoreError) -> UpdateError {
--- a/crates/session/tests/session/main.rs
+++ b/crates/session/tests/session/main.rs
@@ -4,4 +4,6 @@
 mod common;
 mod follow;
 mod lease;
+mod quota;
 mod update;
+mod world;
--- /dev/null
+++ b/crates/session/tests/session/quota.rs
@@ -0,0 +1,215 @@
+//! Upper limits through the whole loop: rows, moves and their holders, under faults.
+
+use std::time::Duration;
+
+use crate::common::{FakeStore, Faults};
+use crate::world::{Entry, Fleet, dc_quota, pass, quota_role};
+
+const LIMIT: u32 = 100;
+
+async fn world(dcs: usize, per_dc: u128) -> (FakeStore, std::sync::Arc<Fleet>, Vec<Entry>) {
+    let store = FakeStore::default();
+    let fleet = Fleet::new(dcs, LIMIT);
+    let mut entries = Vec::new();
+    for number in 0..dcs {
+        for index in 0..per_dc {
+            let bits = number as u128 * per_dc + index + 1;
+            entries.push(Entry::start(&store, &fleet, bits, number));
+        }
+    }
+    pass(&fleet, &entries, 20, LIMIT).await;
+    (store, fleet, entries)
+}
+
+#[tokio::test(start_paused = true)]
+async fn run_shift_of_demand_in_a_dc() {
+    let (_, fleet, entries) = world(1, 4).await;
+    fleet.want(entries[0].id, 200);
+    pass(&fleet, &entries, 5, LIMIT).await;
+    assert!(fleet.running() >= 95, "{} running", fleet.running());
+    fleet.want(entries[0].id, 0);
+    fleet.want(entries[3].id, 200);
+    pass(&fleet, &entries, 5, LIMIT).await;
+    assert!(
+        fleet.running_at(entries[3].id) >= 95,
+        "{} running",
+        fleet.running()
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn run_shift_of_demand_between_dcs() {
+    let (_, fleet, entries) = world(3, 2).await;
+    fleet.want(entries[0].id, 200);
+    pass(&fleet, &entries, 15, LIMIT).await;
+    assert!(fleet.running() >= 95, "{} running", fleet.running());
+    fleet.want(entries[0].id, 0);
+    fleet.want(entries[5].id, 200);
+    pass(&fleet, &entries, 15, LIMIT).await;
+    assert!(
+        fleet.running_at(entries[5].id) >= 95,
+        "{} running",
+        fleet.running()
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn run_service_down_for_all_keeps_floors() {
+    let (_, fleet, entries) = world(2, 2).await;
+    for entry in &entries {
+        fleet.want(entry.id, 20);
+    }
+    pass(&fleet, &entries, 15, LIMIT).await;
+    assert_eq!(fleet.running(), 80);
+    for entry in &entries {
+        entry.store.set_faults(Faults {
+            down: true,
+            ..Faults::default()
+        });
+    }
+    pass(&fleet, &entries, 60, LIMIT).await;
+    for entry in &entries {
+        fleet.want(entry.id, 0);
+    }
+    pass(&fleet, &entries, 1, LIMIT).await;
+    for entry in &entries {
+        fleet.want(entry.id, 20);
+    }
+    pass(&fleet, &entries, 1, LIMIT).await;
+    assert_eq!(fleet.running(), 80, "what was held stays held");
+}
+
+#[tokio::test(start_paused = true)]
+async fn run_answers_lost_everywhere() {
+    let (_, fleet, entries) = world(2, 3).await;
+    for round in 0..6 {
+        for (index, entry) in entries.iter().enumerate() {
+            entry.store.set_faults(Faults {
+                answers_lost: 2,
+                changes_lost: 1,
+                changes_late: 1,
+                late_by: Duration::from_secs(2 + round),
+                ..Faults::default()
+            });
+            let wanted = if index as u64 % 6 == round { 200 } else { 5 };
+            fleet.want(entry.id, wanted);
+        }
+        pass(&fleet, &entries, 12, LIMIT).await;
+    }
+    for entry in &entries {
+        entry.store.set_faults(Faults::default());
+    }
+    pass(&fleet, &entries, 20, LIMIT).await;
+    assert!(fleet.running() >= 95, "{} running", fleet.running());
+}
+
+#[tokio::test(start_paused = true)]
+async fn run_limit_lowered_and_raised() {
+    let (store, fleet, entries) = world(2, 2).await;
+    for entry in &entries {
+        fleet.want(entry.id, 50);
+    }
+    pass(&fleet, &entries, 15, LIMIT).await;
+    assert!(fleet.running() >= 95);
+    for entry in &entries {
+        fleet.want(entry.id, 0);
+    }
+    pass(&fleet, &entries, 1, LIMIT).await;
+    fleet.set_limit(2, 40, 2);
+    pass(&fleet, &entries, 1, LIMIT).await;
+    for entry in &entries {
+        fleet.want(entry.id, 50);
+    }
+    // Parts are scaled at once, before any document has changed.
+    pass(&fleet, &entries, 30, 40).await;
+    assert!(fleet.running() >= 38, "{} running", fleet.running());
+    fleet.set_limit(2, 80, 3);
+    pass(&fleet, &entries, 30, 80).await;
+    assert!(fleet.running() >= 76, "{} running", fleet.running());
+    let portions = (0..2).map(|number| dc_quota(&store, number));
+    let held: u32 = portions
+        .map(|doc| doc.teams()[&crate::world::team()].portion.get())
+        .sum();
+    assert!(held <= 80);
+}
+
+#[tokio::test(start_paused = true)]
+async fn run_crash_keeps_its_row() {
+    let (store, fleet, entries) = world(1, 3).await;
+    fleet.want(entries[0].id, 50);
+    pass(&fleet, &entries, 10, LIMIT).await;
+    assert_eq!(fleet.running_at(entries[0].id), 50);
+    entries[0].crash();
+    fleet.want(entries[1].id, 200);
+    // What the crashed entry has started still runs, and the others stay below the rest.
+    pass(&fleet, &entries, 60, LIMIT).await;
+    assert_eq!(dc_quota(&store, 0).rows().len(), 3);
+}
+
+#[tokio::test(start_paused = true)]
+async fn run_stop_gives_the_row_back() {
+    let (store, fleet, entries) = world(1, 2).await;
+    fleet.want(entries[0].id, 90);
+    pass(&fleet, &entries, 10, LIMIT).await;
+    fleet.want(entries[0].id, 0);
+    pass(&fleet, &entries, 1, LIMIT).await;
+    entries[0].stop().await;
+    assert_eq!(dc_quota(&store, 0).rows().len(), 1);
+    fleet.want(entries[1].id, 200);
+    pass(&fleet, &entries, 10, LIMIT).await;
+    assert!(fleet.running_at(entries[1].id) >= 95);
+}
+
+#[tokio::test(start_paused = true)]
+async fn run_role_is_taken_over_and_fenced() {
+    let (_, fleet, entries) = world(3, 1).await;
+    let holder = |entries: &[Entry]| {
+        let holds = |entry: &&Entry| entry.roles.epoch(&quota_role()).is_some();
+        entries
+            .iter()
+            .filter(holds)
+            .map(|entry| entry.id)
+            .collect::<Vec<_>>()
+    };
+    let first = holder(&entries);
+    assert_eq!(first.len(), 1);
+    let at = entries
+        .iter()
+        .position(|entry| entry.id == first[0])
+        .expect("it");
+    let epoch = entries[at].roles.epoch(&quota_role()).expect("an epoch");
+    entries[at].store.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    pass(&fleet, &entries, 20, LIMIT).await;
+    let second = holder(&entries);
+    assert_eq!(second.len(), 1);
+    assert_ne!(second, first);
+    let by = entries
+        .iter()
+        .find(|entry| entry.id == second[0])
+        .expect("it");
+    assert!(by.roles.epoch(&quota_role()).expect("an epoch") > epoch);
+    entries[at].store.set_faults(Faults::default());
+    pass(&fleet, &entries, 20, LIMIT).await;
+    assert_eq!(holder(&entries), first, "the role goes back to its home");
+}
+
+#[tokio::test(start_paused = true)]
+async fn epoch_paused_holder() {
+    let (_, _, entries) = world(1, 1).await;
+    assert!(entries[0].roles.epoch(&quota_role()).is_some());
+    tokio::time::advance(Duration::from_secs(12)).await;
+    assert_eq!(entries[0].roles.epoch(&quota_role()), None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn run_idle_costs_few_calls() {
+    let (store, _, _entries) = world(2, 3).await;
+    let before = store.calls();
+    tokio::time::sleep(Duration::from_mins(1)).await;
+    let per_entry = (store.calls() - before) / 6;
+    // One renewal each 3.3 s, the own row's newness each 5 s, and the fleet's document by the holder each 10 s.
+    assert!(per_entry <= 36, "{per_entry} calls a minute");
+}
--- /dev/null
+++ b/crates/session/tests/session/world.rs
@@ -0,0 +1,253 @@
+//! A few entries over one store, with sessions, roles and quota, for the tests of those.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use goldcrest_ledger::Document;
+use goldcrest_ledger::quota::rebalance::Demand;
+use goldcrest_ledger::quota::{DcQuota, Grants};
+use goldcrest_session::lease::{LeaseKeeper, SessionRecord};
+use goldcrest_session::quota::{DcDemand, Gate, Mover, Needs, QuotaKeeper, RowOwner};
+use goldcrest_session::role::{RoleName, Roles};
+use goldcrest_session::{Session, SessionConfig, keys};
+use goldcrest_types::catalogue::{Catalogue, CatalogueSpec, DcSpec, TeamSpec};
+use goldcrest_types::clock::Clock;
+use goldcrest_types::names::{DcName, EntryId, TeamName};
+use goldcrest_types::units::{Revision, Share, Slots};
+use tokio_util::sync::CancellationToken;
+
+use crate::common::{FakeStore, TokioClock};
+
+/// What an entry is asked for and runs, of the one team.
+#[derive(Default)]
+struct Load {
+    wanted: u32,
+    running: u32,
+    grants: Grants,
+}
+
+/// What all entries of a test share: what each wants and runs, and the catalogue.
+#[derive(Default)]
+pub struct Fleet {
+    loads: Mutex<BTreeMap<EntryId, Load>>,
+    dcs: Mutex<BTreeMap<EntryId, DcName>>,
+    catalogue: Mutex<Option<Arc<Catalogue>>>,
+}
+
+pub fn team() -> TeamName {
+    "guides".parse().expect("a name")
+}
+
+pub fn dc(number: usize) -> DcName {
+    format!("lis-{number}").parse().expect("a name")
+}
+
+impl Fleet {
+    /// A fleet of `dcs` data centres whose team may run `limit`.
+    pub fn new(dcs: usize, limit: u32) -> Arc<Self> {
+        let fleet = Arc::new(Self::default());
+        fleet.set_limit(dcs, limit, 1);
+        fleet
+    }
+
+    /// Puts a catalogue with this limit in force everywhere.
+    pub fn set_limit(&self, dcs: usize, limit: u32, revision: u64) {
+        let data_centres = (0..dcs).map(|number| DcSpec {
+            name: dc(number),
+            region: "pt".parse().expect("a name"),
+        });
+        let spec = CatalogueSpec {
+            data_centres: data_centres.collect(),
+            teams: vec![TeamSpec {
+                name: team(),
+                share: Share::new(1),
+                upper_limit_slots: Slots::new(limit),
+            }],
+            ..CatalogueSpec::default()
+        };
+        let cat = Catalogue::resolve(&spec, Revision::new(revision)).expect("a valid catalogue");
+        *self.catalogue.lock().expect("a lock") = Some(Arc::new(cat));
+    }
+
+    pub fn want(&self, entry: EntryId, wanted: u32) {
+        let mut loads = self.loads.lock().expect("a lock");
+        loads.entry(entry).or_default().wanted = wanted;
+    }
+
+    /// Runs as much of what is wanted as the grants allow, and ends what is wanted no longer.
+    pub fn admit(&self) {
+        let cat = self.catalogue.lock().expect("a lock").clone();
+        let cat = cat.expect("a catalogue");
+        let id = cat.team("guides").expect("the team");
+        for load in self.loads.lock().expect("a lock").values_mut() {
+            let usable = load.grants.usable(id, TokioClock.now()).get();
+            let may_run = load.wanted.min(usable);
+            load.running = load.running.min(load.wanted).max(may_run);
+        }
+    }
+
+    pub fn running(&self) -> u32 {
+        let loads = self.loads.lock().expect("a lock");
+        loads.values().map(|load| load.running).sum()
+    }
+
+    pub fn running_at(&self, entry: EntryId) -> u32 {
+        let loads = self.loads.lock().expect("a lock");
+        loads.get(&entry).map_or(0, |load| load.running)
+    }
+}
+
+/// One entry's view of the fleet.
+pub struct EntryGate {
+    fleet: Arc<Fleet>,
+    entry: EntryId,
+}
+
+impl Gate for EntryGate {
+    fn install(&self, grants: &Grants) -> BTreeMap<TeamName, Slots> {
+        let mut loads = self.fleet.loads.lock().expect("a lock");
+        let load = loads.entry(self.entry).or_default();
+        load.grants = grants.clone();
+        BTreeMap::from([(team(), Slots::new(load.running))])
+    }
+
+    fn catalogue(&self) -> Option<Arc<Catalogue>> {
+        self.fleet.catalogue.lock().expect("a lock").clone()
+    }
+
+    fn demand(&self) -> Demand {
+        let mut demand = Demand::new();
+        for (entry, load) in self.fleet.loads.lock().expect("a lock").iter() {
+            demand.set(*entry, &team(), Slots::new(load.wanted));
+        }
+        demand
+    }
+}
+
+impl Needs for EntryGate {
+    fn catalogue(&self) -> Option<Arc<Catalogue>> {
+        Gate::catalogue(self)
+    }
+
+    fn demand(&self) -> Vec<DcDemand> {
+        let loads = self.fleet.loads.lock().expect("a lock");
+        let dcs = self.fleet.dcs.lock().expect("a lock");
+        let mut sums: BTreeMap<DcName, Slots> = BTreeMap::new();
+        for (entry, load) in loads.iter() {
+            *sums.entry(dcs[entry].clone()).or_default() += Slots::new(load.wanted);
+        }
+        let demand = sums.into_iter().map(|(dc, slots)| DcDemand {
+            dc,
+            team: team(),
+            slots,
+        });
+        demand.collect()
+    }
+}
+
+/// An entry with its lease, roles, row and mover.
+pub struct Entry {
+    pub id: EntryId,
+    pub store: FakeStore,
+    pub session: Session<FakeStore, TokioClock>,
+    pub roles: Roles<FakeStore, TokioClock>,
+    stop: CancellationToken,
+    lease_stop: CancellationToken,
+}
+
+pub fn quota_role() -> RoleName {
+    "quota".parse().expect("a name")
+}
+
+impl Entry {
+    pub fn start(store: &FakeStore, fleet: &Arc<Fleet>, bits: u128, dc_number: usize) -> Self {
+        let (id, dc) = (EntryId::new(bits), dc(dc_number));
+        fleet.dcs.lock().expect("a lock").insert(id, dc.clone());
+        fleet.want(id, 0);
+        let store = store.client();
+        let session = Session::new(
+            store.clone(),
+            TokioClock,
+            SessionConfig::new(id, dc.clone()),
+        );
+        let vm: goldcrest_types::names::VmName = format!("vm-{bits}").parse().expect("a name");
+        let record = SessionRecord {
+            entry: id,
+            dc,
+            vm: vm.clone(),
+            peer_address: "127.0.0.1:1".parse().expect("an address"),
+        };
+        let roles = Roles::new(session.clone());
+        roles.set_roles(BTreeSet::from([quota_role()]));
+        let gate = Arc::new(EntryGate {
+            fleet: Arc::clone(fleet),
+            entry: id,
+        });
+        let (stop, lease_stop) = (CancellationToken::new(), CancellationToken::new());
+        tokio::spawn(LeaseKeeper::new(session.clone(), record).run(lease_stop.clone()));
+        tokio::spawn(roles.clone().run(stop.clone()));
+        let owner = RowOwner { vm, boots: 1 };
+        let keeper = QuotaKeeper::new(session.clone(), owner, Arc::clone(&gate));
+        tokio::spawn(keeper.run(stop.clone()));
+        let mover = Mover::new(session.clone(), roles.clone(), quota_role(), gate);
+        tokio::spawn(mover.run(stop.clone()));
+        Self {
+            id,
+            store,
+            session,
+            roles,
+            stop,
+            lease_stop,
+        }
+    }
+
+    /// Ends every part of the entry at once, as a crash does, without a word to the service.
+    pub fn crash(&self) {
+        self.store.set_faults(crate::common::Faults {
+            down: true,
+            ..crate::common::Faults::default()
+        });
+        self.stop.cancel();
+        self.lease_stop.cancel();
+    }
+
+    /// Stops the entry in order.
+    pub async fn stop(&self) {
+        self.stop.cancel();
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        self.lease_stop.cancel();
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        self.stop.cancel();
+        self.lease_stop.cancel();
+    }
+}
+
+/// Lets `seconds` pass, in which work is admitted ten times a second and the live sessions are told each second. No
+/// team may pass `limit` at any of these moments.
+pub async fn pass(fleet: &Arc<Fleet>, entries: &[Entry], seconds: u32, limit: u32) {
+    for step in 0..seconds * 10 {
+        if step % 10 == 0 {
+            for entry in entries {
+                if let Ok(live) = entry.session.sessions().await {
+                    let live = live.into_iter().map(|session| session.entry).collect();
+                    entry.roles.set_live(live);
+                }
+            }
+        }
+        fleet.admit();
+        let running = fleet.running();
+        assert!(running <= limit, "{running} running, upper limit {limit}");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+pub fn dc_quota(store: &FakeStore, number: usize) -> DcQuota {
+    let found = store.peek(&keys::quota(&dc(number)));
+    let found = found.expect("a quota document");
+    DcQuota::decode(&found.value).expect("a whole document")
+}
