session: test that demand may jump while quota is given back

Cause: with the lowering of grants taken out, all quota tests still passed. Change: a test in which demand jumps during slow swaps of give-back and take.

--- a/crates/session/tests/session/quota.rs
+++ b/crates/session/tests/session/quota.rs
@@ -213,3 +213,24 @@
     // One renewal each 3.3 s, the own row's newness each 5 s, and the fleet's document by the holder each 10 s.
     assert!(per_entry <= 36, "{per_entry} calls a minute");
 }
+
+#[tokio::test(start_paused = true)]
+async fn run_demand_jumps_while_giving_back() {
+    let (_, fleet, entries) = world(1, 3).await;
+    for latency_ms in [50, 150, 400] {
+        for entry in &entries {
+            entry.store.set_faults(Faults {
+                latency: Duration::from_millis(latency_ms),
+                ..Faults::default()
+            });
+        }
+        for round in 0..60 {
+            // One entry asks for all while the others, which hold it, jump up and down.
+            for (index, entry) in entries.iter().enumerate() {
+                let is_high = (round / 5) % 3 == index || (round + index) % 2 == 0;
+                fleet.want(entry.id, if is_high { 200 } else { 3 });
+            }
+            pass(&fleet, &entries[..0], 1, LIMIT).await;
+        }
+    }
+}
