peer: count the bytes of links

Cause: control traffic is to stay under 14 KB/s a node and could not be read. Change: a counter of frame bytes that all sockets of an entry share.

--- a/crates/peer/src/link/mod.rs
+++ b/crates/peer/src/link/mod.rs
@@ -21,7 +21,7 @@
 use crate::message::{Member, Refused, Reply, Request};
 use crate::pace::Pace;
 use crate::service::ExchangeClient;
-use crate::transport::{self, FrameTransport};
+use crate::transport::{self, FrameTransport, Traffic};
 use crate::wire::PacketError;
 
 /// The bounds of one link.
@@ -128,6 +128,7 @@
     unanswered: AtomicU32,
     dead: Notify,
     counters: Counters,
+    traffic: Arc<Traffic>,
 }
 
 /// The link to one other entry.
@@ -151,6 +152,18 @@
     /// A link to `address` that is not dialled before it runs.
     #[must_use]
     pub fn new(address: SocketAddr, hello: Hello, limits: LinkLimits, clock: C) -> Self {
+        Self::with_traffic(address, hello, limits, clock, Arc::default())
+    }
+
+    /// The same, with its bytes added to `traffic`.
+    #[must_use]
+    pub fn with_traffic(
+        address: SocketAddr,
+        hello: Hello,
+        limits: LinkLimits,
+        clock: C,
+        traffic: Arc<Traffic>,
+    ) -> Self {
         let pace = Pace::new(limits.rate, limits.burst, clock.now());
         let (open, _) = watch::channel(None);
         let inner = Inner {
@@ -164,6 +177,7 @@
             unanswered: AtomicU32::new(0),
             dead: Notify::new(),
             counters: Counters::default(),
+            traffic,
         };
         Self {
             inner: Arc::new(inner),
@@ -307,7 +321,8 @@
         let greeted = handshake::greet(&mut socket, &inner.hello).await;
         let (hello, version) = greeted.map_err(LinkError::Handshake)?;
         debug!("peer: link to {} in version {version}", inner.address);
-        Ok((FrameTransport::new(socket), hello.member))
+        let transport = FrameTransport::new(socket, Arc::clone(&inner.traffic));
+        Ok((transport, hello.member))
     }
 
     fn redial_wait(&self, tries: u32) -> Duration {
--- a/crates/peer/src/peers/mod.rs
+++ b/crates/peer/src/peers/mod.rs
@@ -27,6 +27,7 @@
     CatalogueCopy, ClaimAnswer, ClaimAsk, ExplainAsk, InForce, Member, Refused, Reply, Request,
 };
 use crate::server::Answer;
+use crate::transport::Traffic;
 use crate::usage::Usage;
 use goldcrest_types::rendezvous::HashKey;
 
@@ -130,6 +131,12 @@
         &self.inner.hello
     }
 
+    /// The bytes of the links to other entries; a [`PeerServer`](crate::server::PeerServer) may add its own to it.
+    #[must_use]
+    pub fn traffic(&self) -> Arc<Traffic> {
+        self.inner.links.traffic()
+    }
+
     /// Notes what this entry itself knows of the catalogue and of the key-value service. The revision never falls.
     pub fn set_own_view(&self, own: OwnView) {
         let mut state = self.state();
--- a/crates/peer/src/peers/run.rs
+++ b/crates/peer/src/peers/run.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
@@ -17,6 +17,7 @@
 use crate::handshake::Hello;
 use crate::link::{Link, LinkError, LinkLimits};
 use crate::message::{CatalogueAsk, Gossip, Reply, Request};
+use crate::transport::Traffic;
 
 /// A link that nobody has used for so long is closed.
 const IDLE_MAX: Duration = Duration::from_mins(1);
@@ -32,6 +33,7 @@
     hello: Hello,
     limits: LinkLimits,
     clock: C,
+    traffic: Arc<Traffic>,
     kept: Mutex<HashMap<SocketAddr, Kept<C>>>,
     tasks: TaskTracker,
 }
@@ -42,18 +44,25 @@
             hello,
             limits,
             clock,
+            traffic: Arc::default(),
             kept: Mutex::new(HashMap::new()),
             tasks: TaskTracker::new(),
         }
     }
 
+    /// The bytes of all links.
+    pub(super) fn traffic(&self) -> Arc<Traffic> {
+        Arc::clone(&self.traffic)
+    }
+
     /// The link to `address`, which is dialled if there is none yet.
     fn link(&self, address: SocketAddr) -> Link<C> {
         let now = self.clock.now();
         let mut kept = lock(&self.kept);
         let kept = kept.entry(address).or_insert_with(|| {
             let (hello, clock) = (self.hello.clone(), self.clock.clone());
-            let link = Link::new(address, hello, self.limits, clock);
+            let traffic = Arc::clone(&self.traffic);
+            let link = Link::with_traffic(address, hello, self.limits, clock, traffic);
             let stop = CancellationToken::new();
             self.tasks.spawn(link.clone().run(stop.clone()));
             Kept {
--- a/crates/peer/src/server/mod.rs
+++ b/crates/peer/src/server/mod.rs
@@ -17,7 +17,7 @@
 use crate::handshake::{self, Hello};
 use crate::message::{Refused, Reply, Request};
 use crate::service::Exchange;
-use crate::transport::{self, FrameTransport};
+use crate::transport::{self, FrameTransport, Traffic};
 use crate::wire::Packet;
 
 /// Sockets that are served at one time.
@@ -41,9 +41,15 @@
     hello: Hello,
     answer: Arc<A>,
     sockets: Arc<Semaphore>,
+    traffic: Arc<Traffic>,
 }
 
 impl<A: Answer> PeerServer<A> {
+    fn serve(&self, stream: TcpStream, address: SocketAddr) -> impl Future<Output = ()> + use<A> {
+        let (hello, answer) = (self.hello.clone(), Arc::clone(&self.answer));
+        serve(stream, address, hello, answer, Arc::clone(&self.traffic))
+    }
+
     /// A listener that answers by `answer`.
     #[must_use]
     pub fn new(listener: TcpListener, hello: Hello, answer: Arc<A>) -> Self {
@@ -52,9 +58,17 @@
             hello,
             answer,
             sockets: Arc::new(Semaphore::new(SOCKETS_MAX)),
+            traffic: Arc::default(),
         }
     }
 
+    /// The same, with its bytes added to `traffic`.
+    #[must_use]
+    pub fn with_traffic(mut self, traffic: Arc<Traffic>) -> Self {
+        self.traffic = traffic;
+        self
+    }
+
     /// Serves until `stop`, then waits for the calls that are worked on.
     pub async fn run(self, stop: CancellationToken) {
         let tasks = TaskTracker::new();
@@ -71,12 +85,7 @@
             };
             match self.listener.accept().await {
                 Ok((stream, address)) => {
-                    let serve = serve(
-                        stream,
-                        address,
-                        self.hello.clone(),
-                        Arc::clone(&self.answer),
-                    );
+                    let serve = self.serve(stream, address);
                     let stop = stop.clone();
                     tasks.spawn(async move {
                         let ended = stop.run_until_cancelled(serve).await;
@@ -92,7 +101,13 @@
     }
 }
 
-async fn serve<A: Answer>(stream: TcpStream, address: SocketAddr, own: Hello, answer: Arc<A>) {
+async fn serve<A: Answer>(
+    stream: TcpStream,
+    address: SocketAddr,
+    own: Hello,
+    answer: Arc<A>,
+    traffic: Arc<Traffic>,
+) {
     if let Err(error) = stream.set_nodelay(true) {
         debug!("peer: {address}: {error}");
     }
@@ -113,7 +128,8 @@
                 from: Arc::new(other),
                 answer,
             };
-            serve_calls(FrameTransport::new(socket).with_idle_end(), server).await;
+            let transport = FrameTransport::new(socket, traffic).with_idle_end();
+            serve_calls(transport, server).await;
         }
         Err(error) => info!("peer: {address} refused: {error}"),
     }
--- a/crates/peer/src/transport/mod.rs
+++ b/crates/peer/src/transport/mod.rs
@@ -6,6 +6,8 @@
 use std::io;
 use std::marker::PhantomData;
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -38,21 +40,51 @@
 /// A listener closes a socket on which nothing has come for so long. Dialers close theirs earlier.
 const IDLE_MAX: Duration = Duration::from_mins(3);
 
+/// What a frame adds to its payload, in bytes: the head, with the length in its usual form, and the mask of a dialer.
+const FRAME_HEAD_BYTES: u64 = 8;
+
+/// The bytes of the frames on sockets, without what TCP and IP add.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    sent: AtomicU64,
+    received: AtomicU64,
+}
+
+impl Traffic {
+    /// Bytes sent.
+    #[must_use]
+    pub fn sent_bytes(&self) -> u64 {
+        self.sent.load(Ordering::Relaxed)
+    }
+
+    /// Bytes received.
+    #[must_use]
+    pub fn received_bytes(&self) -> u64 {
+        self.received.load(Ordering::Relaxed)
+    }
+
+    fn count(counter: &AtomicU64, payload: usize) {
+        counter.fetch_add(payload as u64 + FRAME_HEAD_BYTES, Ordering::Relaxed);
+    }
+}
+
 /// A WebSocket that carries messages `In` and `Out`.
 #[derive(Debug)]
 pub struct FrameTransport<In, Out> {
     socket: WebSocketStream<TcpStream>,
     idle: Option<Pin<Box<Sleep>>>,
+    traffic: Arc<Traffic>,
     messages: PhantomData<fn(Out) -> In>,
 }
 
 impl<In, Out> FrameTransport<In, Out> {
-    /// Messages over `socket`, on which the handshake is done.
+    /// Messages over `socket`, on which the handshake is done. Their bytes are added to `traffic`.
     #[must_use]
-    pub fn new(socket: WebSocketStream<TcpStream>) -> Self {
+    pub fn new(socket: WebSocketStream<TcpStream>, traffic: Arc<Traffic>) -> Self {
         Self {
             socket,
             idle: None,
+            traffic,
             messages: PhantomData,
         }
     }
@@ -103,6 +135,7 @@
             self.restart_idle();
             match frame {
                 Ok(Message::Binary(bytes)) => {
+                    Traffic::count(&self.traffic.received, bytes.len());
                     let message = wire::from_bytes(&bytes).map_err(unreadable);
                     return Poll::Ready(Some(message));
                 }
@@ -129,6 +162,7 @@
                 "the message is larger than a frame may be",
             ));
         }
+        Traffic::count(&self.traffic.sent, bytes.len());
         let frame = Message::Binary(bytes);
         Pin::new(&mut self.socket).start_send(frame).map_err(broken)
     }
