sched: keep room for teams below their share

Cause: small tasks took every gap, so teams with large tasks stayed far below their share; with one pool of 1,500 workers, the search for tasks that give way took 50 ms a round. Change: room is kept on a worker for a task that found none if its team is below its share, counted as used by the team; what becomes free there goes to this task. The search for tasks that give way is bounded and goes on in the next round.

--- a/crates/sched/src/config/mod.rs
+++ b/crates/sched/src/config/mod.rs
@@ -41,13 +41,13 @@
     pub starts_max: usize,
     /// How many workers with room are compared for one task.
     pub candidates: usize,
-    /// How long an interactive task waits without room before a worker is held for it.
+    /// How long an interactive task waits before room is kept for it, also if its team is above its share.
     pub hold_after_interactive: Duration,
-    /// How long a batch task waits without room before a worker is held for it.
+    /// How long a batch task waits before room is kept for it, also if its team is above its share.
     pub hold_after_batch: Duration,
-    /// How long a worker is held for one task before another worker is looked for.
+    /// How long room is kept on one worker before another worker is looked for.
     pub hold_max: Duration,
-    /// The largest part of a pool that may be held at one time, in percent.
+    /// The largest part of a pool's workers on which room is kept at one time, in percent.
     pub held_percent_max: usize,
     /// The due time of an interactive task that brings no deadline, after its submission.
     pub interactive_due: Duration,
@@ -55,6 +55,14 @@
     pub batch_due: Duration,
     /// How many tasks one round preempts at most.
     pub preempt_moves_max: usize,
+    /// How many workers are looked at for one urgent task in one round, to find who gives way.
+    pub preempt_search_each: usize,
+    /// How many workers one round looks at for this in all.
+    pub preempt_search_max: usize,
+    /// How many workers are looked at to keep room for one task.
+    pub hold_search: usize,
+    /// For how many teams one round takes back shares at most.
+    pub take_back_teams_max: usize,
     /// How often one task is preempted at most.
     pub preemptions_max: u32,
     /// How long a preempted task may take for its checkpoint before the urgent task looks elsewhere.
@@ -97,11 +105,15 @@
             candidates: 4,
             hold_after_interactive: Duration::from_secs(30),
             hold_after_batch: Duration::from_mins(5),
-            hold_max: Duration::from_hours(1),
-            held_percent_max: 3,
+            hold_max: Duration::from_mins(2),
+            held_percent_max: 50,
             interactive_due: Duration::from_mins(1),
             batch_due: Duration::from_hours(24),
             preempt_moves_max: 64,
+            preempt_search_each: 128,
+            preempt_search_max: 4096,
+            hold_search: 32,
+            take_back_teams_max: 2,
             preemptions_max: 2,
             checkpoint_grace: Duration::from_millis(1500),
             take_back_after: Duration::from_secs(30),
--- a/crates/sched/src/hold/mod.rs
+++ b/crates/sched/src/hold/mod.rs
@@ -1,20 +1,21 @@
-//! Workers that are kept free for one task.
+//! Room that is kept on a worker for one task.
 //!
-//! A task that waited long without room would wait for ever if smaller ones took every gap. So a worker is held for
-//! it: it gets no other task until this one fits. The worker is the one that is expected to have room soonest. Only a
-//! small part of a pool is held at one time; the oldest waiting tasks come first.
+//! Smaller tasks take every gap, so a larger one would wait for ever, and a team whose tasks are large would stay below its
+//! share. So room is kept for a task that found none, if its team is below its share or the task has waited long: on
+//! one worker, what becomes free goes to this task until it fits. The worker is the one, of some that are looked at, that
+//! lacks least. Room is kept on a part of a pool's workers at most, for one task on each. It counts as used by the
+//! team, so a team is kept no more than its share.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use goldcrest_types::catalogue::Class;
 use goldcrest_types::entity::{TaskId, VmId};
 use goldcrest_types::units::Resources;
 
 use crate::decision::Decisions;
-use crate::estimate::run_time;
 use crate::order::{need, start};
 use crate::reason::Reason;
-use crate::state::{Hold, State, TaskState};
+use crate::state::{Hold, State, TaskState, dominant};
 
 /// Starts tasks whose held worker has room, and ends holds that are of no more use.
 pub fn serve(state: &mut State, now: Instant, out: &mut Decisions) {
@@ -43,7 +44,7 @@
     };
     let team = &state.teams[state.lanes[state.tasks[id].lane].team];
     let is_below_limit = team.running < team.usable(now);
-    if is_below_limit && state.workers[vm].free().fits(&need) {
+    if is_below_limit && state.workers[vm].free_for_held().fits(&need) {
         state.workers.unhold(vm);
         start(
             state,
@@ -67,31 +68,27 @@
     }
 }
 
-/// Holds workers for tasks that waited too long without room.
-pub fn hold_for_old(state: &mut State, unplaced: &[TaskId], now: Instant) {
+/// Keeps room for tasks that waited too long.
+pub fn hold_for_old(
+    state: &mut State,
+    scratch: &mut HoldScratch,
+    unplaced: &[TaskId],
+    now: Instant,
+) {
     for id in unplaced {
         let task = &state.tasks[*id];
         let class = state.lanes[task.lane].class;
         let waited = now.saturating_duration_since(task.submitted);
-        let is_held = matches!(task.reason, Reason::Held { .. } | Reason::Preempting { .. });
-        if class == Class::Urgent || is_held || waited < state.cfg.hold_after(class) {
+        if class == Class::Urgent || waited < state.cfg.hold_after(class) {
             continue;
         }
-        if let Some((vm, need)) = soonest(state, *id, now) {
-            let until = now + state.cfg.hold_max;
-            let hold = Hold {
-                task: *id,
-                until,
-                is_preempting: false,
-            };
-            state.workers.hold(vm, hold);
-            state.tasks[*id].reason = Reason::Held { worker: vm };
-            debug_assert!(state.workers[vm].capacity.fits(&need));
+        if let Some(need) = need(state, *id) {
+            hold_room(state, scratch, *id, need, now);
         }
     }
 }
 
-/// Whether one more worker of the task's pool may be held.
+/// Whether room may be kept on one more worker of the task's pool.
 #[must_use]
 pub fn may_hold(state: &State, id: TaskId) -> bool {
     let index = state
@@ -100,63 +97,62 @@
     index.held < (index.vms.len() * state.cfg.held_percent_max / 100).max(1)
 }
 
-/// The worker that is expected to have room for a task soonest.
-fn soonest(state: &State, id: TaskId, now: Instant) -> Option<(VmId, Resources)> {
-    if !may_hold(state, id) {
-        return None;
+/// What [`hold_room`] keeps from call to call.
+#[derive(Debug, Default)]
+pub struct HoldScratch {
+    /// Where the search for a worker goes on.
+    cursor: usize,
+}
+
+/// Keeps room for a task on the worker, of some that are looked at, that lacks least. Returns false if there is none.
+pub fn hold_room(
+    state: &mut State,
+    scratch: &mut HoldScratch,
+    id: TaskId,
+    need: Resources,
+    now: Instant,
+) -> bool {
+    let reason = &state.tasks[id].reason;
+    let is_held = matches!(reason, Reason::Held { .. } | Reason::Preempting { .. });
+    if is_held || !may_hold(state, id) {
+        return false;
     }
-    let need = need(state, id)?;
+    let Some(vm) = nearest(state, scratch, id, &need) else {
+        return false;
+    };
+    let hold = Hold {
+        task: id,
+        need,
+        until: now + state.cfg.hold_max,
+        is_preempting: false,
+    };
+    state.workers.hold(vm, hold);
+    state.tasks[id].reason = Reason::Held { worker: vm };
+    true
+}
+
+fn nearest(state: &State, scratch: &mut HoldScratch, id: TaskId, need: &Resources) -> Option<VmId> {
     let index = state
         .workers
         .in_pool(state.lanes[state.tasks[id].lane].pool);
     let avoid = &state.tasks[id].avoid;
     let may_avoid = avoid.len() < index.vms.len();
-    let usable = |vm: &VmId| {
-        let worker = &state.workers[*vm];
-        worker.hold.is_none()
-            && worker.capacity.fits(&need)
-            && state.workers.takes_tasks(*vm, state.cfg.contact_max, now)
-            && !(may_avoid && avoid.contains(vm))
-    };
-    let candidates = index.vms.iter().copied().filter(usable);
-    let best = candidates.min_by_key(|vm| room_after(state, *vm, &need, now))?;
-    Some((best, need))
-}
-
-/// After which time `vm` is expected to have room for `need`, if it gets no other task.
-fn room_after(state: &State, vm: VmId, need: &Resources, now: Instant) -> Duration {
-    let worker = &state.workers[vm];
-    let mut ends: Vec<(Duration, Resources)> = Vec::with_capacity(worker.tasks.len());
-    for id in &worker.tasks {
-        if let Some(run) = state.tasks[*id].run() {
-            ends.push((rest(state, *id, run.since, now), run.reserved));
-        }
-    }
-    ends.sort_unstable_by_key(|(after, _)| *after);
-    let mut reserved = worker.reserved;
-    for (after, freed) in ends {
-        if (worker.capacity - reserved).fits(need) {
-            return Duration::ZERO;
+    let mut best: Option<(f64, VmId)> = None;
+    for _ in 0..state.cfg.hold_search.min(index.vms.len()) {
+        scratch.cursor = (scratch.cursor + 1) % index.vms.len();
+        let vm = index.vms[scratch.cursor];
+        let worker = &state.workers[vm];
+        let is_usable = worker.hold.is_none()
+            && worker.is_open()
+            && worker.capacity.fits(need)
+            && !(may_avoid && avoid.contains(&vm));
+        if !is_usable {
+            continue;
         }
-        reserved -= freed;
-        if (worker.capacity - reserved).fits(need) {
-            return after;
+        let lacks = dominant(&(*need - worker.free()), &worker.capacity);
+        if best.is_none_or(|(least, _)| lacks < least) {
+            best = Some((lacks, vm));
         }
     }
-    Duration::ZERO
-}
-
-/// How long a running task is still expected to run.
-#[must_use]
-pub fn rest(state: &State, id: TaskId, since: Instant, now: Instant) -> Duration {
-    let task = &state.tasks[id];
-    let lane = &state.lanes[task.lane];
-    let class = &state.classes[lane.class.index()];
-    let expected = run_time(task.declared_run, &lane.observed, class);
-    let passed = now.saturating_duration_since(since);
-    // A task that outran its estimate is expected to go on for as long again.
-    match expected.checked_sub(passed) {
-        Some(rest) if !rest.is_zero() => rest,
-        _ => passed,
-    }
+    best.map(|(_, vm)| vm)
 }
--- a/crates/sched/src/order/mod.rs
+++ b/crates/sched/src/order/mod.rs
@@ -17,6 +17,7 @@
 
 use crate::decision::{Decisions, Start};
 use crate::estimate::{larger, run_time};
+use crate::hold::{HoldScratch, hold_for_old, hold_room};
 use crate::place::{PlaceScratch, could_ever_fit, place};
 use crate::reason::Reason;
 use crate::share;
@@ -25,6 +26,9 @@
 /// How much more interactive than batch work of one team runs when both wait.
 const INTERACTIVE_WEIGHT: f64 = 4.0;
 
+/// How far a team's usage with the room that is kept for it may pass its entitlement, to make up for the past.
+const HELD_MAX: f64 = 1.3;
+
 /// A team's place in the order.
 #[derive(Debug)]
 struct Turn {
@@ -78,25 +82,38 @@
     turns: BinaryHeap<Turn>,
     stash: Vec<(LaneId, Entry)>,
     tried: SecondaryMap<LaneId, u32>,
+    /// The usage for each unit of weight to which a hungry team is entitled.
+    level: f64,
+    holds: HoldScratch,
     /// What each team uses, with what this round has started.
     used: SecondaryMap<TeamId, Resources>,
     /// The tasks that found no room, most urgent first.
     pub unplaced: Vec<TaskId>,
 }
 
+impl OrderScratch {
+    /// Keeps room for tasks that found none and have waited too long.
+    pub fn hold_for_old(&mut self, state: &mut State, now: Instant) {
+        hold_for_old(state, &mut self.holds, &self.unplaced, now);
+    }
+}
+
 /// Starts waiting tasks until none finds room.
 pub fn start_waiting(
     state: &mut State,
     scratch: &mut OrderScratch,
     places: &mut PlaceScratch,
+    level: f64,
     now: Instant,
     out: &mut Decisions,
 ) {
+    scratch.level = level;
     scratch.unplaced.clear();
     scratch.tried.clear();
     for (id, team) in state.teams.iter() {
         scratch.used[id] = team.charge + team.elsewhere;
     }
+    count_held(state, scratch);
     for round in [Round::Urgent, Round::Others] {
         go_round(state, scratch, places, round, now, out);
     }
@@ -105,6 +122,16 @@
     }
 }
 
+/// Counts the room that is kept for a team's tasks as used.
+fn count_held(state: &State, scratch: &mut OrderScratch) {
+    for (_, worker) in state.workers.iter() {
+        if let Some(hold) = worker.hold {
+            let lane = state.tasks[hold.task].lane;
+            scratch.used[state.lanes[lane].team] += hold.need;
+        }
+    }
+}
+
 fn go_round(
     state: &mut State,
     scratch: &mut OrderScratch,
@@ -244,6 +271,23 @@
         return;
     }
     put_aside(state, scratch, entry, lane, need);
+    let team = state.lanes[lane].team;
+    // Others give way to an urgent task, which is sooner.
+    let is_urgent = state.lanes[lane].class == Class::Urgent;
+    if !is_urgent
+        && is_below_share(state, scratch, team)
+        && hold_room(state, &mut scratch.holds, id, need, now)
+    {
+        scratch.used[team] += need;
+    }
+}
+
+/// Whether a team's usage, with its excess, is below what it is entitled to.
+fn is_below_share(state: &State, scratch: &OrderScratch, id: TeamId) -> bool {
+    let team = &state.teams[id];
+    let used = dominant(&scratch.used[id], &state.whole());
+    let turn = share::turn(team, used, state.cfg.share_horizon);
+    turn < scratch.level && used < HELD_MAX * scratch.level * team.weight()
 }
 
 fn put_aside(
--- a/crates/sched/src/preempt/mod.rs
+++ b/crates/sched/src/preempt/mod.rs
@@ -25,9 +25,25 @@
 /// Tasks that give way on one worker.
 type Victims = SmallVec<[TaskId; 8]>;
 
-/// Lets tasks give way to urgent tasks that found no room.
-pub fn for_urgent(state: &mut State, unplaced: &[TaskId], now: Instant, out: &mut Decisions) {
+/// What [`for_urgent`] keeps from round to round.
+#[derive(Debug, Default)]
+pub struct PreemptScratch {
+    /// Where the search for a worker goes on.
+    cursor: usize,
+    /// How many workers this round may still look at.
+    budget: usize,
+}
+
+/// Lets tasks give way to urgent tasks that found no room. The search goes on in the next round where it stops.
+pub fn for_urgent(
+    state: &mut State,
+    scratch: &mut PreemptScratch,
+    unplaced: &[TaskId],
+    now: Instant,
+    out: &mut Decisions,
+) {
     let mut moves = 0;
+    scratch.budget = state.cfg.preempt_search_max;
     for id in unplaced {
         let task = &state.tasks[*id];
         let class = state.lanes[task.lane].class;
@@ -35,12 +51,19 @@
         if class != Class::Urgent || is_held || moves >= state.cfg.preempt_moves_max {
             continue;
         }
-        let Some((vm, victims)) = cheapest(state, *id, now) else {
+        if scratch.budget == 0 {
+            return;
+        }
+        let Some((vm, victims)) = cheapest(state, scratch, *id, now) else {
             continue;
         };
         moves += victims.len();
+        let Some(need) = need(state, *id) else {
+            continue;
+        };
         let hold = Hold {
             task: *id,
+            need,
             until: now + state.cfg.checkpoint_grace,
             is_preempting: true,
         };
@@ -58,14 +81,27 @@
 }
 
 /// The worker on which the least value is lost to make room for `id`, and who gives way there.
-fn cheapest(state: &State, id: TaskId, now: Instant) -> Option<(VmId, Victims)> {
+fn cheapest(
+    state: &State,
+    scratch: &mut PreemptScratch,
+    id: TaskId,
+    now: Instant,
+) -> Option<(VmId, Victims)> {
     let need = need(state, id)?;
     let index = state
         .workers
         .in_pool(state.lanes[state.tasks[id].lane].pool);
     let avoid = &state.tasks[id].avoid;
     let mut best: Option<(f64, VmId, Victims)> = None;
-    for vm in &index.vms {
+    let looks = state
+        .cfg
+        .preempt_search_each
+        .min(scratch.budget)
+        .min(index.vms.len());
+    scratch.budget -= looks;
+    for _ in 0..looks {
+        scratch.cursor = (scratch.cursor + 1) % index.vms.len();
+        let vm = &index.vms[scratch.cursor];
         let worker = &state.workers[*vm];
         let is_usable = worker.hold.is_none()
             && worker.capacity.fits(&need)
@@ -206,6 +242,7 @@
         .iter()
         .filter(|(_, team)| is_due(team))
         .map(|(id, _)| id)
+        .take(cfg.take_back_teams_max)
         .collect();
     for team in due {
         state.teams[team].took_back = Some(now);
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -15,6 +15,7 @@
 use crate::decision::{Decisions, Ended, Parked};
 use crate::order::{OrderScratch, start_waiting};
 use crate::place::PlaceScratch;
+use crate::preempt::PreemptScratch;
 use crate::reason::Reason;
 use crate::report::{StartOutcome, TaskObservation, take_report, take_start};
 use crate::retry::end_cancelled;
@@ -67,6 +68,7 @@
     order: OrderScratch,
     places: PlaceScratch,
     shares: ShareScratch,
+    preempts: PreemptScratch,
 }
 
 impl Scheduler {
@@ -78,6 +80,7 @@
             order: OrderScratch::default(),
             places: PlaceScratch::default(),
             shares: ShareScratch::default(),
+            preempts: PreemptScratch::default(),
         }
     }
 
@@ -351,10 +354,11 @@
         share::divide(state, &mut self.shares, now);
         hold::serve(state, now, out);
         state.workers.open_at(state.cfg.contact_max, now);
-        start_waiting(state, &mut self.order, &mut self.places, now, out);
-        preempt::for_urgent(state, &self.order.unplaced, now, out);
+        let level = self.shares.level();
+        start_waiting(state, &mut self.order, &mut self.places, level, now, out);
+        preempt::for_urgent(state, &mut self.preempts, &self.order.unplaced, now, out);
         preempt::take_back(state, now, out);
-        hold::hold_for_old(state, &self.order.unplaced, now);
+        self.order.hold_for_old(state, now);
         self.list_changes(out);
         debug_assert!(
             verify::verify(&self.state, out, now).is_empty(),
--- a/crates/sched/src/share/mod.rs
+++ b/crates/sched/src/share/mod.rs
@@ -15,7 +15,7 @@
 use crate::state::{State, Team, dominant};
 
 /// The most that an excess may be, in times of the entitlement over the half-life.
-const EXCESS_MAX: f64 = 1.0;
+const EXCESS_MAX: f64 = 0.25;
 
 /// The longest step over which usage is taken as constant.
 const STEP_MAX: Duration = Duration::from_secs(5);
@@ -27,9 +27,18 @@
 #[derive(Debug, Default)]
 pub struct ShareScratch {
     last: Option<Instant>,
+    level: f64,
     order: Vec<(f64, TeamId)>,
 }
 
+impl ShareScratch {
+    /// The usage for each unit of weight to which the hungry teams are entitled.
+    #[must_use]
+    pub const fn level(&self) -> f64 {
+        self.level
+    }
+}
+
 /// Whether the team would use more if it were given more.
 fn is_hungry(state: &State, team: &Team, now: Instant) -> bool {
     let has_waiting = team.lanes.iter().any(|lane| state.lanes[*lane].waiting > 0);
@@ -48,6 +57,7 @@
         team.dominant = dominant(&(team.charge + team.elsewhere), &whole);
     }
     let level = fill(state, scratch, now);
+    scratch.level = level;
     let half_life = state.cfg.share_half_life;
     for id in state.teams.ids() {
         let hungry = is_hungry(state, &state.teams[id], now);
--- a/crates/sched/src/state/worker.rs
+++ b/crates/sched/src/state/worker.rs
@@ -49,11 +49,13 @@
     pub availability: Availability,
 }
 
-/// A worker that is kept free for one task.
+/// Room on a worker that is kept for one task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Hold {
     /// The task.
     pub task: TaskId,
+    /// How much is kept.
+    pub need: Resources,
     /// Until when.
     pub until: Instant,
     /// Whether other tasks were told to give way.
@@ -100,7 +102,7 @@
     pub seen_at: Instant,
     /// Until when it takes no task, since it refused one or did not answer.
     pub closed_until: Option<Instant>,
-    /// Whether it is kept free for one task.
+    /// Whether room on it is kept for one task.
     pub hold: Option<Hold>,
     /// What is thought of it.
     pub standing: Standing,
@@ -118,6 +120,13 @@
     /// What is free on it for tasks in general.
     #[must_use]
     pub fn free(&self) -> Resources {
+        let held = self.hold.map_or(Resources::ZERO, |hold| hold.need);
+        self.capacity - (self.reserved + held)
+    }
+
+    /// What is free on it for the task that room is kept for.
+    #[must_use]
+    pub fn free_for_held(&self) -> Resources {
         self.capacity - self.reserved
     }
 
@@ -140,7 +149,7 @@
         }
     }
 
-    /// Whether it takes tasks that are not the one it is held for, as of the last [`Workers::open_at`].
+    /// Whether it takes tasks, as of the last [`Workers::open_at`].
     #[must_use]
     pub const fn is_open(&self) -> bool {
         self.is_open
@@ -176,7 +185,7 @@
     pub open: usize,
     /// How many workers are ejected.
     pub ejected: usize,
-    /// How many workers are held.
+    /// On how many workers room is kept for a task.
     pub held: usize,
 }
 
@@ -301,7 +310,7 @@
         let ids: Vec<VmId> = self.all.keys().collect();
         for id in ids {
             let worker = &mut self.all[id];
-            let is_open = worker.takes_tasks(contact_max, now) && worker.hold.is_none();
+            let is_open = worker.takes_tasks(contact_max, now);
             if is_open != worker.is_open {
                 worker.is_open = is_open;
                 self.refresh(id);
@@ -313,28 +322,28 @@
         }
     }
 
-    /// Whether `id` takes tasks at `now`, also if it is held.
+    /// Whether `id` takes tasks at `now`.
     #[must_use]
     pub fn takes_tasks(&self, id: VmId, contact_max: Duration, now: Instant) -> bool {
         self.all[id].takes_tasks(contact_max, now)
     }
 
-    /// Holds a worker for one task.
+    /// Keeps room on a worker for one task.
     pub fn hold(&mut self, id: VmId, hold: Hold) {
         let worker = &mut self.all[id];
         debug_assert!(worker.hold.is_none());
         worker.hold = Some(hold);
-        worker.is_open = false;
         self.by_pool[worker.pool].held += 1;
         self.refresh(id);
     }
 
-    /// Ends the hold of a worker. It opens at the next [`Self::open_at`].
+    /// Keeps no more room on a worker.
     pub fn unhold(&mut self, id: VmId) {
         let worker = &mut self.all[id];
         if worker.hold.take().is_some() {
             let index = &mut self.by_pool[worker.pool];
             index.held = index.held.saturating_sub(1);
+            self.refresh(id);
         }
     }
 
