front: exchange grants for usage under one lock

Cause: a quota row may be lowered only to what is sure to run no more; reading usage after setting grants in two steps could miss a request admitted in between. Change: exchange_grants sets the grants and answers the usage under the lock of admission.

--- a/crates/front/src/front/mod.rs
+++ b/crates/front/src/front/mod.rs
@@ -153,6 +153,16 @@
         self.shared.desk(|d, now| d.set_grants(grants, now));
     }
 
+    /// Takes over what the teams may use here, and answers what they have. Both happen under the lock of admission, so
+    /// whatever was admitted by earlier grants is in the answer.
+    #[must_use]
+    pub fn exchange_grants(&self, grants: TeamGrants) -> Vec<TeamUsage> {
+        self.shared.desk(|d, now| {
+            d.set_grants(grants, now);
+            d.usage()
+        })
+    }
+
     /// Takes over until when keys are known to be granted.
     pub fn set_key_freshness(&self, freshness: KeyFreshness) {
         let until = freshness.until;
