sched: pass over tasks whose room is kept

Cause: tasks whose room was kept stood first in their lane and used up its tries, so a lane never had room kept for more than four tasks. Change: they are passed over without counting as a try.

--- a/crates/sched/src/order/mod.rs
+++ b/crates/sched/src/order/mod.rs
@@ -256,6 +256,14 @@
         return;
     };
     let id = entry.task;
+    if matches!(
+        state.tasks[id].reason,
+        Reason::Held { .. } | Reason::Preempting { .. }
+    ) {
+        // Its room comes on the worker where it is kept; the next one is tried.
+        scratch.stash.push((lane, entry));
+        return;
+    }
     let Some(need) = need(state, id) else {
         let declared = state.tasks[id].declared;
         state.park(id, Reason::NeverFits { declared });
