daemon: quota rows, the split between requests and tasks, and roles

Cause: without a row nothing is admitted. Change: the keeper's gate, the observer and the mover are fed from the process's channels; a row is divided between the serving path and the scheduler under one lock; roles follow the catalogue. Non-idempotent requests with a key are all answered 'unknown': the home of a key does not yet know its past.

--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -8,7 +8,7 @@
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::sync::Arc;
 
-use goldcrest_front::{DrainReport, Front, FrontCfg, TeamGrants};
+use goldcrest_front::{DrainReport, Front, FrontCfg};
 use goldcrest_obs::logs::Part;
 use goldcrest_obs::metrics::Metrics;
 use goldcrest_peer::handshake::Hello;
@@ -26,10 +26,13 @@
 
 use crate::peers::DaemonPeers;
 use crate::peers::claims::PeerClaims;
+use crate::quota::split::Split;
 use crate::settings::Settings;
 use crate::supervisor::Supervisor;
-use crate::world::{DaemonClock, DaemonFollower, DaemonSession, Fleets, NOTHING_READ, World};
-use crate::{catalogue, fleet, front, operator, peers};
+use crate::world::{
+    DaemonClock, DaemonFollower, DaemonRoles, DaemonSession, Fleets, NOTHING_READ, World,
+};
+use crate::{catalogue, fleet, front, operator, peers, quota, roles};
 
 const PART: &str = Part::Main.as_str();
 
@@ -192,6 +195,7 @@
         .with_header_read_timeout(settings.front.header_timeout())
         .with_drain(settings.stop.settle(), settings.stop.settle());
     let follower = DaemonFollower::new(session.clone(), FollowConfig::default());
+    let roles = DaemonRoles::new(session.clone());
     World {
         entry,
         follower,
@@ -206,7 +210,8 @@
         freshness: watch::Sender::new(NOTHING_READ),
         listing: watch::Sender::default(),
         fleets: watch::Sender::new(Fleets::default()),
-        grants: watch::Sender::new(TeamGrants::default()),
+        split: Split::new(),
+        roles,
         stopping: CancellationToken::new(),
         settings,
         clock,
@@ -275,6 +280,22 @@
         peers::serve(Arc::clone(&shared), Arc::clone(&peer), stop)
     });
     let shared = Arc::clone(world);
+    supervisor.spawn(Part::Quota, move |stop| {
+        quota::keep(Arc::clone(&shared), stop)
+    });
+    let shared = Arc::clone(world);
+    supervisor.spawn(Part::Quota, move |stop| {
+        quota::observe(Arc::clone(&shared), stop)
+    });
+    let shared = Arc::clone(world);
+    supervisor.spawn(Part::Quota, move |stop| {
+        quota::move_portions(Arc::clone(&shared), stop)
+    });
+    let shared = Arc::clone(world);
+    supervisor.spawn(Part::Store, move |stop| {
+        roles::keep(Arc::clone(&shared), stop)
+    });
+    let shared = Arc::clone(world);
     let operators = Arc::clone(&listeners.operator);
     supervisor.spawn(Part::Operator, move |stop| {
         operator::serve(Arc::clone(&shared), Arc::clone(&operators), stop)
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -20,12 +20,10 @@
     let mut freshness = world.freshness.subscribe();
     let mut listing = world.listing.subscribe();
     let mut fleets = world.fleets.subscribe();
-    let mut grants = world.grants.subscribe();
     // What was there before the subscription counts as a change.
     catalogue.mark_changed();
     freshness.mark_changed();
     listing.mark_changed();
-    grants.mark_changed();
     loop {
         tokio::select! {
             biased;
@@ -45,10 +43,6 @@
             }
             _ = listing.changed() => feed_upstreams(&world),
             _ = fleets.changed() => feed_upstreams(&world),
-            _ = grants.changed() => {
-                let grants = grants.borrow_and_update().clone();
-                world.front.set_grants(grants);
-            }
         }
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! Start with [`entry::Entry`], which starts and stops a process. [`world::World`] is what its parts share,
 //! [`supervisor`] keeps them running, [`settings`] is what a process is told. Each part has a folder: [`catalogue`],
-//! [`fleet`], [`front`], [`operator`], [`peers`].
+//! [`fleet`], [`front`], [`operator`], [`peers`], [`quota`],
+//! [`roles`].
 
 pub mod catalogue;
 pub mod entry;
@@ -10,6 +11,8 @@
 pub mod front;
 pub mod operator;
 pub mod peers;
+pub mod quota;
+pub mod roles;
 pub mod settings;
 pub mod supervisor;
 pub mod world;
--- a/crates/daemon/src/operator/status.rs
+++ b/crates/daemon/src/operator/status.rs
@@ -114,7 +114,7 @@
         .into_iter()
         .map(|usage| (usage.team.clone(), usage))
         .collect();
-    let grants = world.grants.borrow();
+    let grants = world.split.front_grants();
     let rows = cat.teams.values().map(|team| {
         let used = usage.get(&team.name);
         TeamStatus {
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -112,6 +112,7 @@
         Ok(live) => {
             let live: BTreeSet<EntryId> = live.into_iter().map(|session| session.entry).collect();
             world.peers.set_sessions(&live);
+            world.roles.set_live(live);
             view.read_at = Some(asked_at);
         }
         Err(error) => log::warn!(target: PART, "The sessions can't be read: {error}."),
--- /dev/null
+++ b/crates/daemon/src/quota/mod.rs
@@ -0,0 +1,158 @@
+//! This entry's part of the teams' upper limits.
+//!
+//! The session's keeper holds a quota row and moves it towards demand; [`split`] divides the row between the serving
+//! path and the scheduler of tasks, so that both together never run more than the row allows. The relay of a data
+//! centre tends the rows of entries that are gone, and the holder of one role moves portions between data centres.
+
+pub mod split;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use goldcrest_ledger::quota::Grants;
+use goldcrest_ledger::quota::rebalance::Demand;
+use goldcrest_obs::logs::Part;
+use goldcrest_platform::fleet::VmListing;
+use goldcrest_session::quota::{
+    DcDemand, Gate, Listed, Mover, Needs, Observer, QuotaKeeper, RowOwner,
+};
+use goldcrest_types::catalogue::Catalogue;
+use goldcrest_types::names::{TeamName, VmName};
+use goldcrest_types::units::Slots;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::roles;
+use crate::world::World;
+
+const PART: &str = Part::Quota.as_str();
+
+/// The longest time after which a started VM is on the platform's list.
+const LIST_LAG_MAX: Duration = Duration::from_mins(1);
+
+/// Keeps this entry's row once the platform's list shows the VM it runs on.
+pub async fn keep(world: Arc<World>, stop: CancellationToken) {
+    let vm = world.settings.entry.vm.clone();
+    let Some(Some(boots)) = stop.run_until_cancelled(own_boots(&world, &vm)).await else {
+        return;
+    };
+    let owner = RowOwner { vm, boots };
+    let gate = Arc::new(EntryGate {
+        world: Arc::clone(&world),
+    });
+    log::info!(target: PART, boots; "Keeping a row.");
+    QuotaKeeper::new(world.session.clone(), owner, gate)
+        .run(stop)
+        .await;
+}
+
+/// How often this entry's VM has started, as soon as the list shows it.
+async fn own_boots(world: &World, vm: &VmName) -> Option<u64> {
+    let mut listing = world.listing.subscribe();
+    loop {
+        let found = {
+            let listing = listing.borrow_and_update();
+            let own = listing.vms.iter().find(|listed| listed.name == *vm);
+            own.map(|listed| listed.boots)
+        };
+        if found.is_some() {
+            return found;
+        }
+        listing.changed().await.ok()?;
+    }
+}
+
+/// Tends the rows of entries that are gone, while this entry is the relay of its data centre.
+pub async fn observe(world: Arc<World>, stop: CancellationToken) {
+    let listed = watch::Sender::new(Listed::default());
+    let is_relay = world.peers.is_relay();
+    let observer = Observer::new(world.session.clone(), is_relay, listed.subscribe());
+    let mut listing = world.listing.subscribe();
+    let mut catalogue = world.catalogue.subscribe();
+    listing.mark_changed();
+    let feed = async {
+        loop {
+            tokio::select! {
+                changed = listing.changed() => if changed.is_err() { return },
+                changed = catalogue.changed() => if changed.is_err() { return },
+            }
+            let vms = vms_by_boots(&listing.borrow_and_update());
+            listed.send_replace(Listed {
+                vms,
+                run_max: world.cat().map_or(Duration::MAX, |cat| run_max(&cat)),
+                list_lag_max: LIST_LAG_MAX,
+            });
+        }
+    };
+    tokio::select! {
+        () = observer.run(stop) => {}
+        () = feed => {}
+    }
+}
+
+fn vms_by_boots(listing: &VmListing) -> Option<BTreeMap<VmName, u64>> {
+    if listing.vms.is_empty() {
+        return None;
+    }
+    let vms = listing.vms.iter().map(|vm| (vm.name.clone(), vm.boots));
+    Some(vms.collect())
+}
+
+/// The longest time that anything admitted through any queue can still run.
+fn run_max(cat: &Catalogue) -> Duration {
+    let bounds = cat.queues.keys().map(|queue| cat.run_bound(queue));
+    bounds.max().unwrap_or(Duration::ZERO)
+}
+
+/// Moves portions between data centres, while this entry holds the role.
+pub async fn move_portions(world: Arc<World>, stop: CancellationToken) {
+    let needs = Arc::new(EntryNeeds {
+        world: Arc::clone(&world),
+    });
+    let role = roles::quota_role();
+    Mover::new(world.session.clone(), world.roles.clone(), role, needs)
+        .run(stop)
+        .await;
+}
+
+struct EntryGate {
+    world: Arc<World>,
+}
+
+impl Gate for EntryGate {
+    fn install(&self, grants: &Grants) -> BTreeMap<TeamName, Slots> {
+        let Some(cat) = self.world.cat() else {
+            return BTreeMap::new();
+        };
+        self.world.split.install(&self.world.front, &cat, grants)
+    }
+
+    fn catalogue(&self) -> Option<Arc<Catalogue>> {
+        self.world.cat()
+    }
+
+    fn demand(&self) -> Demand {
+        self.world.peers.demand()
+    }
+}
+
+struct EntryNeeds {
+    world: Arc<World>,
+}
+
+impl Needs for EntryNeeds {
+    fn catalogue(&self) -> Option<Arc<Catalogue>> {
+        self.world.cat()
+    }
+
+    fn demand(&self) -> Vec<DcDemand> {
+        let usage = self.world.peers.dc_usage().into_iter();
+        let wanted = usage.map(|cell| DcDemand {
+            slots: cell.usage.demand(),
+            dc: cell.dc,
+            team: cell.team,
+        });
+        wanted.collect()
+    }
+}
--- a/crates/daemon/src/world/mod.rs
+++ b/crates/daemon/src/world/mod.rs
@@ -7,13 +7,14 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use goldcrest_front::{Front, TeamGrants};
+use goldcrest_front::Front;
 use goldcrest_ledger::fleet::FleetDoc;
 use goldcrest_ledger::freshness::{Freshness, StaleReason};
 use goldcrest_obs::metrics::Metrics;
 use goldcrest_peer::peers::ExplainQuery;
 use goldcrest_platform::fleet::VmListing;
 use goldcrest_platform::http::{HttpFleet, HttpStore, HttpWorkers};
+use goldcrest_session::role::Roles;
 use goldcrest_session::{Follower, Session};
 use goldcrest_types::catalogue::{Catalogue, CatalogueSpec};
 use goldcrest_types::clock::Clock;
@@ -23,6 +24,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::peers::DaemonPeers;
+use crate::quota::split::Split;
 use crate::settings::Settings;
 
 /// The clock of a process, as its parts hold it.
@@ -31,6 +33,9 @@
 /// The session with the key-value service, as the parts hold it.
 pub type DaemonSession = Session<HttpStore, DaemonClock>;
 
+/// The roles of this entry, as the parts hold them.
+pub type DaemonRoles = Roles<HttpStore, DaemonClock>;
+
 /// The follower of the catalogue's head, as the parts hold it.
 pub type DaemonFollower = Follower<HttpStore, DaemonClock>;
 
@@ -99,8 +104,10 @@
     pub listing: watch::Sender<Arc<VmListing>>,
     /// The fleet documents; written by the fleet part.
     pub fleets: watch::Sender<Fleets>,
-    /// What the teams may use here; written by the quota part.
-    pub grants: watch::Sender<TeamGrants>,
+    /// The quota row of this entry, divided between the serving path and the scheduler.
+    pub split: Split,
+    /// The roles of this entry.
+    pub roles: DaemonRoles,
     /// Cancelled when the process begins to stop.
     pub stopping: CancellationToken,
 }
