sched: tell which tries are over, and use the number of a refused one again

Cause: the stored document of tasks needs every end of a try, and takes a refused try's number once more. Change: a round lists the tries that were over while their tasks were not, with the cause; a try that the worker never saw gives its number back.

--- a/crates/sched/src/decision/mod.rs
+++ b/crates/sched/src/decision/mod.rs
@@ -68,12 +68,38 @@
 pub struct Ended {
     /// The task.
     pub key: TaskKey,
+    /// Its last try, from 1; 0 if there was none.
+    pub attempt: u32,
     /// How.
     pub outcome: Outcome,
     /// Why.
     pub reason: Reason,
 }
 
+/// Why a try that was started is over while its task is not.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequeueCause {
+    /// The worker did not start it.
+    NotStarted,
+    /// It saved its state and stopped.
+    Checkpointed,
+    /// It failed.
+    Failed,
+    /// It was stopped, or its worker was lost.
+    Lost,
+}
+
+/// A try that is over while its task is not: the task waits again or is parked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Requeued {
+    /// The task.
+    pub key: TaskKey,
+    /// The try that is over.
+    pub attempt: u32,
+    /// Why.
+    pub cause: RequeueCause,
+}
+
 /// Everything that one round decides. The memory is reused from round to round.
 #[derive(Debug, Default)]
 pub struct Decisions {
@@ -81,6 +107,8 @@
     pub starts: Vec<Start>,
     /// Commands to running tasks.
     pub commands: Vec<Command>,
+    /// Tries that were over since the last round while their tasks were not. They come before the starts.
+    pub requeued: Vec<Requeued>,
     /// Tasks that were parked since the last round.
     pub parked: Vec<Parked>,
     /// Tasks that ended since the last round.
@@ -98,6 +126,7 @@
     pub fn clear(&mut self) {
         self.starts.clear();
         self.commands.clear();
+        self.requeued.clear();
         self.parked.clear();
         self.ended.clear();
     }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -34,7 +34,7 @@
 pub mod verify;
 
 pub use config::Config;
-pub use decision::{Command, CommandKind, Decisions, Ended, Parked, Start};
+pub use decision::{Command, CommandKind, Decisions, Ended, Parked, RequeueCause, Requeued, Start};
 pub use lease::RoleLease;
 pub use reason::Reason;
 pub use report::{ObservedPhase, StartOutcome, TaskObservation};
--- a/crates/sched/src/retry/mod.rs
+++ b/crates/sched/src/retry/mod.rs
@@ -8,6 +8,7 @@
 
 use goldcrest_types::entity::TaskId;
 
+use crate::decision::{RequeueCause, Requeued};
 use crate::health::{note_failure, note_success};
 use crate::reason::Reason;
 use crate::state::{Outcome, Progress, Run, State, Task};
@@ -41,6 +42,7 @@
     };
     note_progress(&mut state.tasks[id], end);
     let lane = state.tasks[id].lane;
+    note_requeue(state, id, end, &run);
     match end {
         TryEnd::Succeeded => {
             note_success(state, run.worker, lane);
@@ -72,6 +74,32 @@
     }
 }
 
+/// Notes that a try is over while its task is not.
+fn note_requeue(state: &mut State, id: TaskId, end: TryEnd, run: &Run) {
+    let attempt = run.attempt;
+    let is_for_good = end == TryEnd::Stopped && matches!(run.stop, Some(Reason::RunMax { .. }));
+    let task = &mut state.tasks[id];
+    let cause = match end {
+        // The worker never saw the try, so its number is used again.
+        TryEnd::Refused => {
+            task.attempt -= 1;
+            RequeueCause::NotStarted
+        }
+        TryEnd::Succeeded => return,
+        _ if task.cancelled => return,
+        TryEnd::Checkpointed => RequeueCause::Checkpointed,
+        _ if !task.idempotent || is_for_good => return,
+        TryEnd::Failed => RequeueCause::Failed,
+        TryEnd::Stopped | TryEnd::Lost | TryEnd::Missing => RequeueCause::Lost,
+    };
+    let key = task.key;
+    state.requeued.push(Requeued {
+        key,
+        attempt,
+        cause,
+    });
+}
+
 /// Ends a cancelled task that does not run.
 pub fn end_cancelled(state: &mut State, id: TaskId) {
     let outcome = match state.tasks[id].progress {
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -369,6 +369,7 @@
 
     fn list_changes(&mut self, out: &mut Decisions) {
         let state = &mut self.state;
+        out.requeued.append(&mut state.requeued);
         for id in state.parked.drain(..) {
             let task = &state.tasks[id];
             if matches!(task.state, TaskState::Parked) {
@@ -382,6 +383,7 @@
                 let (key, reason) = (task.key, task.reason.clone());
                 out.ended.push(Ended {
                     key,
+                    attempt: task.attempt,
                     outcome,
                     reason,
                 });
--- a/crates/sched/src/state/mod.rs
+++ b/crates/sched/src/state/mod.rs
@@ -21,6 +21,7 @@
 use goldcrest_types::units::{Resources, Slots};
 
 use crate::config::Config;
+use crate::decision::Requeued;
 use crate::estimate::Observed;
 use crate::reason::Reason;
 
@@ -70,6 +71,8 @@
     pub parked: Vec<TaskId>,
     /// Tasks that ended since the last round.
     pub ended: Vec<TaskId>,
+    /// Tries that were over since the last round while their tasks were not.
+    pub requeued: Vec<Requeued>,
     /// Tries to stop that are not meant to run: worker, task and attempt.
     pub strays: Vec<crate::decision::Command>,
 }
@@ -88,6 +91,7 @@
             delayed: BinaryHeap::new(),
             parked: Vec::new(),
             ended: Vec::new(),
+            requeued: Vec::new(),
             strays: Vec::new(),
         }
     }
--- a/crates/sched/tests/properties.rs
+++ b/crates/sched/tests/properties.rs
@@ -267,6 +267,9 @@
             let run = record.spec.declared_run * 2;
             let worker = &mut self.workers[index];
             let outcome = worker.start(start.key, start.attempt, run, lease, self.now);
+            if outcome == StartOutcome::NotStarted {
+                record.attempts -= 1;
+            }
             if outcome == StartOutcome::Accepted {
                 let seen = self.ever_ran.entry(start.key).or_default();
                 seen.insert((index, start.attempt));
