bench: roll-out of maintenance waves over seeded traces

Cause: roll-out time, task moves and budgets were not measured. Change: a bin that runs the plan and baselines through a fake at its interface; the passes deadline and health go over the groups once instead of once for each data centre.

--- /dev/null
+++ b/crates/bench/src/bin/rollout/main.rs
@@ -0,0 +1,183 @@
+//! Roll-out time, task moves and budgets of maintenance waves, over seeded traces with correlated failures.
+//!
+//! `cargo run --release -p goldcrest-bench --bin rollout -- [--waves N] [--seed N]` prints one table for each size.
+
+mod fake;
+mod trace;
+
+use std::time::{Duration, Instant};
+
+use fake::{Fake, Outcome};
+use goldcrest_upkeep::maintenance::Context;
+use trace::{Faults, Load, Size, Trace};
+
+const WAVES: u64 = 1_000;
+const SEED: u64 = 1;
+
+/// How the next steps are chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Candidate {
+    /// One VM of the whole fleet at a time.
+    Serial,
+    /// Batches as wide as the budgets; the next begins when the last is back.
+    Batches,
+    /// The plan of the crate.
+    Plan,
+    /// The plan, with a catalogue where an hour of roll-out weighs as much as 50 moves.
+    Hasty,
+}
+
+impl Candidate {
+    const ALL: [Self; 4] = [Self::Serial, Self::Batches, Self::Plan, Self::Hasty];
+
+    /// The part of the waves that is run: a baseline needs fewer for a mean.
+    fn waves(self, waves: u64) -> u64 {
+        match self {
+            Self::Plan => waves,
+            Self::Serial | Self::Batches | Self::Hasty => waves.div_ceil(20),
+        }
+    }
+
+    fn name(self) -> &'static str {
+        match self {
+            Self::Serial => "one at a time",
+            Self::Batches => "batches",
+            Self::Plan => "plan",
+            Self::Hasty => "plan, hasty weights",
+        }
+    }
+
+    /// Leaves out those drains of the plan that the baseline would not begin yet.
+    fn keep(self, fake: &Fake, begun: usize) -> bool {
+        match self {
+            Self::Plan | Self::Hasty => true,
+            Self::Serial => fake.in_work() + begun == 0,
+            Self::Batches => fake.in_work() == 0,
+        }
+    }
+}
+
+/// Sums over many waves.
+#[derive(Debug, Default)]
+struct Totals {
+    waves: u64,
+    unfinished: u64,
+    violations: u64,
+    overrun_s: u64,
+    moved: u64,
+    cut: u64,
+    failed: u64,
+    ratios: Vec<f64>,
+    drain_ratios: Vec<f64>,
+    hours: f64,
+    bound_hours: f64,
+    plans: u64,
+    plan_time: Duration,
+}
+
+impl Totals {
+    fn add(&mut self, outcome: &Outcome) {
+        self.waves += 1;
+        self.unfinished += u64::from(!outcome.is_done);
+        self.violations += outcome.violations;
+        self.overrun_s += outcome.overrun_s;
+        self.moved += outcome.moved;
+        self.cut += outcome.cut;
+        self.failed += outcome.failed;
+        self.hours += hours(outcome.took);
+        self.bound_hours += hours(outcome.bound);
+        self.ratios
+            .push(outcome.took.as_secs_f64() / outcome.bound.as_secs_f64());
+        self.drain_ratios
+            .push(outcome.took.as_secs_f64() / outcome.drain_bound.as_secs_f64());
+        self.plans += outcome.plans;
+        self.plan_time += outcome.plan_time;
+    }
+
+    fn print(&mut self, size: Size, faults: Faults, load: Load, candidate: Candidate) {
+        self.ratios.sort_by(f64::total_cmp);
+        self.drain_ratios.sort_by(f64::total_cmp);
+        let at = |part: usize| self.ratios[(self.ratios.len() - 1) * part / 100];
+        let drain_p50 = self.drain_ratios[(self.drain_ratios.len() - 1) / 2];
+        let waves = self.waves.max(1);
+        println!(
+            "| {} | {} | {} | {} | {} | {:.2} | {:.2} | {:.3} | {:.3} | {:.3} | {} | {} | {} | {:.1} | {} | {} | {:.0} |",
+            size.name(),
+            faults.name(),
+            load.name(),
+            candidate.name(),
+            self.waves,
+            self.hours / per(waves),
+            self.bound_hours / per(waves),
+            at(50),
+            at(95),
+            drain_p50,
+            self.violations,
+            self.overrun_s / waves,
+            self.failed,
+            per(self.moved) / per(waves),
+            self.cut,
+            self.unfinished,
+            self.plan_time.as_secs_f64() * 1e6 / per(self.plans.max(1)),
+        );
+    }
+}
+
+fn hours(time: Duration) -> f64 {
+    time.as_secs_f64() / 3_600.0
+}
+
+fn per(count: u64) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
+
+fn main() -> Result<(), pico_args::Error> {
+    let mut args = pico_args::Arguments::from_env();
+    let waves = args.opt_value_from_str("--waves")?.unwrap_or(WAVES);
+    let seed = args.opt_value_from_str("--seed")?.unwrap_or(SEED);
+    println!(
+        "| size | faults | tasks | candidate | waves | hours | bound | ratio p50 | p95 | with drains | violations | over budget s \
+         | failed | tasks moved | cut | unfinished | plan us |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
+    for size in Size::ALL {
+        for faults in Faults::ALL {
+            for load in Load::ALL {
+                for candidate in Candidate::ALL {
+                    let waves = candidate.waves(size.waves(waves));
+                    run(size, faults, load, candidate, waves, seed);
+                }
+            }
+        }
+    }
+    Ok(())
+}
+
+fn run(size: Size, faults: Faults, load: Load, candidate: Candidate, waves: u64, seed: u64) {
+    let mut totals = Totals::default();
+    for wave in 0..waves {
+        let trace = Trace::new(size, faults, load, seed + wave);
+        totals.add(&one_wave(trace, candidate));
+    }
+    totals.print(size, faults, load, candidate);
+}
+
+fn one_wave(trace: Trace, candidate: Candidate) -> Outcome {
+    let mut fake = Fake::new(trace);
+    if candidate == Candidate::Hasty {
+        fake.cat.weights.roll_out_hour = 50 * fake.cat.weights.one_move;
+    }
+    let mut ctx = Context::new();
+    while !fake.is_over() {
+        if fake.take_crash() {
+            ctx = Context::new();
+        }
+        let begin = Instant::now();
+        let steps = ctx.plan(&fake.fleet, &fake.cat, fake.now);
+        let took = begin.elapsed();
+        let steps = steps.to_vec();
+        fake.carry_out(&steps, took, |fake, begun| candidate.keep(fake, begun));
+        fake.pass();
+    }
+    fake.outcome()
+}
--- /dev/null
+++ b/crates/bench/src/bin/sizing/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- a/crates/upkeep/src/maintenance/deadline.rs
+++ b/crates/upkeep/src/maintenance/deadline.rs
@@ -6,9 +6,9 @@
 use std::time::{Duration, Instant};
 
 use goldcrest_types::catalogue::Catalogue;
-use goldcrest_types::entity::DcId;
+use goldcrest_types::entity::EntityRef;
 
-use super::{Context, dcs};
+use super::Context;
 use crate::fleet::Fleet;
 
 /// How much longer than expected the rest may take before the wave must hurry, in percent.
@@ -21,6 +21,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Deadline {
     turn: Option<Duration>,
+    /// The turns left in each data centre, reused.
+    turns: Vec<u32>,
     /// Whether VMs with long tasks can no longer be put off.
     pub(super) is_close: bool,
 }
@@ -40,17 +42,21 @@
 pub(super) fn run(ctx: &mut Context, fleet: &Fleet, cat: &Catalogue, now: Instant) {
     let ends = fleet.cycle.started + cat.maintenance.period();
     let turn = ctx.deadline.turn.unwrap_or(cat.maintenance.reboot_max());
-    let turns: u32 = dcs(cat).map(|dc| turns_of(ctx, cat, dc)).sum();
+    let turns = turns(ctx, cat);
     ctx.status.needed = turn * turns;
     ctx.status.left = ends.saturating_duration_since(now);
     ctx.deadline.is_close = ctx.status.needed * RESERVE_PERCENT / 100 > ctx.status.left;
 }
 
-fn turns_of(ctx: &Context, cat: &Catalogue, dc: DcId) -> u32 {
-    let groups = ctx.census.iter().filter(|(group, _)| group.dc == dc);
-    let turns = groups.map(|(group, count)| {
+/// The turns of all data centres, one after the other.
+fn turns(ctx: &mut Context, cat: &Catalogue) -> u32 {
+    let by_dc = &mut ctx.deadline.turns;
+    by_dc.clear();
+    by_dc.resize(cat.dcs.len(), 0);
+    for (group, count) in ctx.census.iter().filter(|(_, count)| count.due > 0) {
         let budget = cat.pools[group.pool].max_unavailable_vms.get();
-        count.due.div_ceil(budget.max(1))
-    });
-    turns.max().unwrap_or(0)
+        let turns = &mut by_dc[group.dc.index()];
+        *turns = count.due.div_ceil(budget.max(1)).max(*turns);
+    }
+    by_dc.iter().sum()
 }
--- a/crates/upkeep/src/maintenance/health.rs
+++ b/crates/upkeep/src/maintenance/health.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use goldcrest_types::catalogue::Catalogue;
-use goldcrest_types::entity::DcId;
+use goldcrest_types::entity::{DcId, EntityRef};
 
 use super::{Action, Context, Hold, LIST_LAG_MAX, Reason, Step, dcs};
 use crate::fleet::{Fleet, Seen, VmState};
@@ -62,6 +62,8 @@
     stopped_until: Option<Instant>,
     pause: Option<Duration>,
     lost: Vec<(Instant, DcId)>,
+    /// VMs of each data centre that failed on their own, and all of them, reused.
+    down: Vec<(u32, u32)>,
     /// The longest reboot of late.
     usual: Option<Duration>,
 }
@@ -241,19 +243,28 @@
 fn outage(ctx: &mut Context, cat: &Catalogue, now: Instant) -> Option<Hold> {
     let is_recent = |at: Instant| now.saturating_duration_since(at) < TOGETHER_WINDOW;
     ctx.health.lost.retain(|(at, _)| is_recent(*at));
+    count_down(ctx, cat);
     for dc in dcs(cat) {
         let lost = ctx.health.lost.iter().filter(|(_, other)| *other == dc);
         let failed = u32::try_from(lost.count()).unwrap_or(u32::MAX);
         if failed >= TOGETHER_VMS {
             return Some(Hold::FailedTogether { dc, failed });
         }
-        let groups = ctx.census.iter().filter(|(group, _)| group.dc == dc);
-        let (failed, vms) = groups.fold((0, 0), |(failed, vms), (_, count)| {
-            (failed + count.failed_alone, vms + count.vms)
-        });
+        let (failed, vms) = ctx.health.down[dc.index()];
         if failed >= TOGETHER_VMS && failed * 100 >= vms * DOWN_PERCENT {
             return Some(Hold::DomainDown { dc, failed, vms });
         }
     }
     None
 }
+
+fn count_down(ctx: &mut Context, cat: &Catalogue) {
+    let down = &mut ctx.health.down;
+    down.clear();
+    down.resize(cat.dcs.len(), (0, 0));
+    for (group, count) in ctx.census.iter() {
+        let (failed, vms) = &mut down[group.dc.index()];
+        *failed += count.failed_alone;
+        *vms += count.vms;
+    }
+}
