upkeep: begin drains whose work ends soon, come back for the others

Change: a VM is drained only when its work ends within the patience of half a reboot, or as soon as a drain that is under way; the patience grows only when nothing shorter is left anywhere. A data centre is left when no VM of it is ready, and visited again.

--- a/crates/upkeep/src/maintenance/health.rs
+++ b/crates/upkeep/src/maintenance/health.rs
@@ -21,6 +21,9 @@
 /// How many VMs must come back well after a single failure before the wave widens again.
 pub const CLEAR_AFTER_VMS: u32 = 5;
 
+/// How long a reboot is taken to last before one was seen.
+pub const BOOT_GUESS: Duration = Duration::from_mins(2);
+
 /// How many times the usual reboot a VM may take before it is overdue.
 pub const OVERDUE_FACTOR: u32 = 2;
 
@@ -86,6 +89,11 @@
         self.lost.push((now, dc));
     }
 
+    /// How long a reboot takes at most, going by those of late.
+    pub(super) fn usual_boot(&self) -> Duration {
+        self.usual.unwrap_or(BOOT_GUESS)
+    }
+
     fn begin_batch(&mut self) {
         self.needs_batch = true;
         self.well_in_batch = 0;
--- a/crates/upkeep/src/maintenance/reason.rs
+++ b/crates/upkeep/src/maintenance/reason.rs
@@ -165,7 +165,7 @@
         /// How many it has.
         vms: u32,
     },
-    /// All that are left run long tasks that cannot be checkpointed.
+    /// All that are left run long tasks, and there is time to wait until they have ended.
     LongTasks {
         /// How many VMs.
         vms: u32,
@@ -221,7 +221,7 @@
             Self::LongTasks { vms } => {
                 write!(
                     f,
-                    "{vms} VMs left run long tasks that cannot be checkpointed"
+                    "{vms} VMs left run long tasks, a better moment is awaited"
                 )
             }
             Self::InWork { dc, vms } => write!(f, "the last {vms} VMs of {dc} are in work"),
--- a/crates/upkeep/src/maintenance/select.rs
+++ b/crates/upkeep/src/maintenance/select.rs
@@ -1,8 +1,7 @@
 //! Pass 6: which VMs of the data centre are drained now.
 //!
 //! Groups that need the most turns go first, since they decide when the data centre is done; within a group the VM
-//! whose work ends soonest goes first. VMs with tasks longer than the drain may last go when nothing else is left
-//! anywhere, or when the period's end is close.
+//! whose work ends soonest goes first.
 
 use std::cmp::Reverse;
 use std::time::{Duration, Instant};
@@ -16,9 +15,8 @@
 /// A VM that may be drained, in the order of preference.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Candidate {
-    is_long: bool,
     turns: Reverse<u32>,
-    work_left: Duration,
+    wait: Duration,
     vm: VmId,
 }
 
@@ -66,14 +64,29 @@
         && not_before.is_none_or(|at| now >= at)
 }
 
-/// Whether the tasks of `vm` are expected to outlast a drain.
-pub(super) fn is_long(vm: &Vm, cat: &Catalogue) -> bool {
-    !vm.work.checkpointable && vm.work.longest_left > cat.maintenance.drain_max()
+/// How long a drain of `vm` is expected to wait, or the wait that costs as much as moving its tasks.
+pub(super) fn wait(vm: &Vm, cat: &Catalogue) -> Duration {
+    let left = vm.work.longest_left;
+    if vm.work.running == 0 {
+        return Duration::ZERO;
+    }
+    if !vm.work.checkpointable {
+        return left;
+    }
+    left.min(move_worth(vm, cat))
+}
+
+/// The wait that weighs as much as moving all tasks of `vm`, by the weights of the catalogue. A drain lasts no longer.
+pub(super) fn move_worth(vm: &Vm, cat: &Catalogue) -> Duration {
+    let moves_ms = u64::from(vm.work.running) * u64::from(cat.weights.one_move) * 3_600_000;
+    let hour_weight = u64::from(cat.weights.roll_out_hour);
+    let worth = Duration::from_millis(moves_ms.checked_div(hour_weight).unwrap_or(u64::MAX));
+    worth.min(cat.maintenance.drain_max())
 }
 
-/// Whether a VM with long tasks is no longer put off. Always true of others.
+/// Whether the wait for the work of `vm` is short enough to begin now.
 pub(super) fn is_turn(ctx: &Context, vm: &Vm, cat: &Catalogue) -> bool {
-    !is_long(vm, cat) || ctx.domain.only_long || ctx.deadline.is_close
+    wait(vm, cat) <= ctx.domain.patience
 }
 
 /// Whether the budget of the group of `vm` has room.
@@ -100,9 +113,8 @@
         let due = ctx.census.group(group_of(record)).due;
         let budget = cat.pools[record.pool].max_unavailable_vms.get();
         candidates.push(Candidate {
-            is_long: is_long(record, cat),
             turns: Reverse(due.div_ceil(budget)),
-            work_left: record.work.longest_left,
+            wait: wait(record, cat),
             vm,
         });
     }
@@ -157,17 +169,17 @@
         let is_here = ctx.status.domain.is_none_or(|dc| dc == record.dc);
         is_here && is_ready(ctx, fleet, cat, *vm, now)
     });
-    match ready.next() {
-        None => none_ready(ctx, fleet, vms, now),
-        Some((_, record)) if !is_turn(ctx, record, cat) => Hold::LongTasks { vms },
-        Some((_, record)) => {
-            let group = group_of(record);
-            Hold::BudgetSpent {
-                group,
-                unavailable: ctx.census.group(group).unavailable,
-                max: cat.pools[group.pool].max_unavailable_vms.get(),
-            }
-        }
+    let Some((_, first)) = ready.next() else {
+        return none_ready(ctx, fleet, vms, now);
+    };
+    if has_headroom(ctx, cat, first) || ready.any(|(_, other)| has_headroom(ctx, cat, other)) {
+        return Hold::LongTasks { vms };
+    }
+    let group = group_of(first);
+    Hold::BudgetSpent {
+        group,
+        unavailable: ctx.census.group(group).unavailable,
+        max: cat.pools[group.pool].max_unavailable_vms.get(),
     }
 }
 
--- a/crates/upkeep/src/maintenance/settle.rs
+++ b/crates/upkeep/src/maintenance/settle.rs
@@ -8,7 +8,7 @@
 use goldcrest_types::catalogue::Catalogue;
 use goldcrest_types::entity::VmId;
 
-use super::{Action, Context, LIST_LAG_MAX, Reason, Step};
+use super::{Action, Context, LIST_LAG_MAX, Reason, Step, select};
 use crate::fleet::{Fleet, Seen, Vm, VmState};
 
 /// How long after a drain began every entry has stopped sending new work.
@@ -86,10 +86,7 @@
 
 /// Whether waiting for the tasks costs more than moving them, by the weights of the catalogue.
 fn is_checkpoint_worth(vm: &Vm, cat: &Catalogue) -> bool {
-    let wait_ms = vm.work.longest_left.as_millis();
-    let wait_cost = wait_ms * u128::from(cat.weights.roll_out_hour);
-    let move_cost = u128::from(vm.work.running) * u128::from(cat.weights.one_move) * 3_600_000;
-    vm.work.checkpointable && wait_cost > move_cost
+    vm.work.checkpointable && vm.work.longest_left > select::move_worth(vm, cat)
 }
 
 fn retry_due(ctx: &Context, id: VmId, now: Instant) -> bool {
