claims: the queue says how long a repetition is recognised

Change: limits.repeat_window_ms (default and most 300,000); a home knows a key's past once it has been its home for as long.

--- a/crates/daemon/src/peers/claims.rs
+++ b/crates/daemon/src/peers/claims.rs
@@ -16,7 +16,7 @@
 }
 
 impl PeerClaims {
-    /// Claims over `peers`, kept as long as the queue's longest deadline.
+    /// Claims over `peers`, kept as long as the queue says.
     #[must_use]
     pub fn new(peers: DaemonPeers, catalogue: watch::Receiver<Option<InForce>>) -> Self {
         Self { peers, catalogue }
@@ -26,7 +26,7 @@
         let in_force = self.catalogue.borrow();
         let cat = &in_force.as_ref()?.cat;
         let id = cat.queue(queue.as_str())?;
-        let keep = cat.queues[id].limits.deadline_max();
+        let keep = cat.queues[id].limits.repeat_window();
         Some(ClaimAsk {
             queue: queue.clone(),
             digest: claim_digest(queue, digest),
--- a/crates/peer/src/claims/mod.rs
+++ b/crates/peer/src/claims/mod.rs
@@ -1,8 +1,8 @@
 //! Claims on idempotency keys: which request may run, if the same one comes twice.
 //!
 //! Each key has one home among the members, whose table says who claimed it first. The table is in memory, so a home
-//! that has not been the key's home for the whole [`ClaimsConfig::window`] can't know the past, and answers that. A
-//! claim is kept until no repetition can come any more; a full table answers "unknown" and forgets no claim.
+//! that has not been the key's home for as long as its queue keeps claims can't know the past, and answers that. A claim
+//! is kept for the time that its request named; a full table answers "unknown" and forgets no claim.
 
 use std::collections::{BTreeSet, HashMap};
 use std::time::{Duration, Instant};
@@ -14,8 +14,7 @@
 /// The bounds of a table.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ClaimsConfig {
-    /// The longest time in which a repetition may come. A claim is kept no longer, and a new home knows nothing before
-    /// it has passed.
+    /// The longest time for which a claim is kept, whatever its queue asks for.
     pub window: Duration,
     /// How many claims are kept at one time.
     pub claims_max: usize,
@@ -82,13 +81,14 @@
         if let Some(by) = self.claimed_by.get(&key) {
             return seen(*by, ask);
         }
+        let keep = Duration::from_millis(ask.keep_ms).min(self.cfg.window);
         let knows_past =
-            home_since.is_some_and(|since| now.saturating_duration_since(since) >= self.cfg.window);
+            home_since.is_some_and(|since| now.saturating_duration_since(since) >= keep);
         if !knows_past || self.claimed_by.len() >= self.cfg.claims_max {
             return ClaimAnswer::Unknown;
         }
         let by = ask.request;
-        let until = now + Duration::from_millis(ask.keep_ms).min(self.cfg.window);
+        let until = now + keep;
         self.claimed_by.insert(key.clone(), by);
         self.ends.insert((until, key));
         ClaimAnswer::Granted
--- a/crates/peer/tests/peer/claims.rs
+++ b/crates/peer/tests/peer/claims.rs
@@ -59,17 +59,35 @@
 fn claim_home_without_past() {
     let start = Instant::now();
     let mut claims = Claims::new(cfg(10));
+    let mut ask = ask(1, 1);
+    ask.keep_ms = 300_000;
     let just_before = start + Duration::from_millis(299_999);
     assert_eq!(
-        claims.claim(&ask(1, 1), Some(start), just_before),
+        claims.claim(&ask, Some(start), just_before),
+        ClaimAnswer::Unknown
+    );
+    assert_eq!(
+        claims.claim(&ask, None, start + WINDOW),
         ClaimAnswer::Unknown
     );
     assert_eq!(
-        claims.claim(&ask(1, 1), None, start + WINDOW),
+        claims.claim(&ask, Some(start), start + WINDOW),
+        ClaimAnswer::Granted
+    );
+}
+
+#[test]
+fn claim_home_without_past_short_window() {
+    let start = Instant::now();
+    let mut claims = Claims::new(cfg(10));
+    let just_before = start + Duration::from_millis(29_999);
+    assert_eq!(
+        claims.claim(&ask(1, 1), Some(start), just_before),
         ClaimAnswer::Unknown
     );
+    let known = start + Duration::from_secs(30);
     assert_eq!(
-        claims.claim(&ask(1, 1), Some(start), start + WINDOW),
+        claims.claim(&ask(1, 1), Some(start), known),
         ClaimAnswer::Granted
     );
 }
--- a/crates/types/src/catalogue/check.rs
+++ b/crates/types/src/catalogue/check.rs
@@ -7,7 +7,7 @@
 use std::fmt;
 use std::hash::Hash;
 
-use super::spec::{CatalogueSpec, PoolKind, QueueSpec};
+use super::spec::{CatalogueSpec, PoolKind, QueueSpec, REPEAT_WINDOW_MAX_MS};
 use crate::names::{PoolName, TeamName};
 
 /// A list in the catalogue.
@@ -302,6 +302,13 @@
         );
         out.push(Section::Queues, index, message);
     }
+    if limits.repeat_window_ms > REPEAT_WINDOW_MAX_MS {
+        let message = format!(
+            "queue '{}': limits.repeat_window_ms {} is longer than entries remember: set it to {REPEAT_WINDOW_MAX_MS} or less",
+            queue.name, limits.repeat_window_ms
+        );
+        out.push(Section::Queues, index, message);
+    }
     if limits.retry_percent > 100 {
         let message = format!(
             "queue '{}': limits.retry_percent {} would let retries pass the work itself: set it to 100 or less",
--- a/crates/types/src/catalogue/spec.rs
+++ b/crates/types/src/catalogue/spec.rs
@@ -175,6 +175,9 @@
     pub limits: QueueLimits,
 }
 
+/// The longest time for which a repetition is recognised, in milliseconds.
+pub const REPEAT_WINDOW_MAX_MS: u64 = 300_000;
+
 /// The bounds of a queue. Those on slots hold for each team at each entry process.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -193,6 +196,9 @@
     pub deadline_ms: u64,
     /// The longest deadline that a request may ask for, in milliseconds.
     pub deadline_max_ms: u64,
+    /// How long a repetition of a non-idempotent request is recognised by its key, in milliseconds. An entry that has
+    /// not been responsible for the key for as long answers "outcome unknown".
+    pub repeat_window_ms: u64,
     /// Retries allowed for each hundred successes.
     pub retry_percent: u32,
     /// The longest run of a task, in milliseconds. It is stopped after that.
@@ -212,6 +218,12 @@
         Duration::from_millis(self.deadline_max_ms)
     }
 
+    /// How long a repetition of a non-idempotent request is recognised by its key.
+    #[must_use]
+    pub const fn repeat_window(&self) -> Duration {
+        Duration::from_millis(self.repeat_window_ms)
+    }
+
     /// The longest run of a task.
     #[must_use]
     pub const fn run_max(&self) -> Duration {
@@ -229,6 +241,7 @@
             answer_bytes: Bytes::new(64 << 20),
             deadline_ms: 30_000,
             deadline_max_ms: 300_000,
+            repeat_window_ms: REPEAT_WINDOW_MAX_MS,
             retry_percent: 10,
             run_max_ms: 24 * 3_600_000,
         }
