front: no timer and no task for each answer

Cause: each answer started a task that slept until its deadline, 30 s as a rule, also when the answer ended at once; and each poll of a connection took the locks of four tokens that all connections share. Change: a connection has one timer, moved only to an earlier time or when it fires; the tokens are polled when woken.

--- a/crates/front/src/body/answer.rs
+++ b/crates/front/src/body/answer.rs
@@ -1,17 +1,18 @@
 //! An upstream's answer on its way to the caller.
 //!
-//! The answer's state stands behind a lock that its watchdog shares: a caller that stops reading is not polled any
-//! more, so at the deadline the watchdog takes the state out, which ends the upstream's call and frees the slot.
+//! The answer's state stands behind a lock, since a caller that stops reading is not polled any more: at the deadline
+//! its connection takes the state out through an [`OpenAnswer`], which ends the upstream's call and frees the slot.
+//! A stream of an HTTP/2 connection has a task of its own for that, so that the other streams go on.
 
 use std::pin::Pin;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError, Weak};
 use std::task::{Context, Poll, Waker};
-use std::time::Duration;
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
-use tokio_util::sync::CancellationToken;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
 
 use super::BodyError;
 
@@ -40,9 +41,7 @@
 pub struct AnswerBody {
     state: Arc<Mutex<State>>,
     hint: SizeHint,
-    time_left: Duration,
-    is_watched: bool,
-    stuck: CancellationToken,
+    watch: Option<AbortHandle>,
 }
 
 impl std::fmt::Debug for AnswerBody {
@@ -51,16 +50,50 @@
     }
 }
 
+/// An answer that may still be open at its deadline.
+pub(crate) struct OpenAnswer {
+    state: Weak<Mutex<State>>,
+    deadline: Instant,
+}
+
+impl OpenAnswer {
+    /// When the answer is to be cut.
+    pub(crate) const fn deadline(&self) -> Instant {
+        self.deadline
+    }
+
+    /// Whether the answer has not ended.
+    pub(crate) fn is_open(&self) -> bool {
+        let state = self.state.upgrade();
+        state.is_some_and(|state| lock(&state).open.is_some())
+    }
+
+    /// Cuts the answer off, since its deadline has passed.
+    pub(crate) fn cut(&self) {
+        let Some(state) = self.state.upgrade() else {
+            return;
+        };
+        let open = {
+            let mut state = lock(&state);
+            state.is_late = true;
+            state.open.take()
+        };
+        if let Some(open) = open {
+            open.end.cut(Some(&BodyError::Deadline));
+            if let Some(waker) = open.waker {
+                waker.wake();
+            }
+        }
+    }
+}
+
+fn lock(state: &Mutex<State>) -> std::sync::MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 impl AnswerBody {
-    /// The answer `body`, which may have `limit_bytes` and must end within `time_left`. `stuck` is cancelled when
-    /// the time is up, so that the caller's connection can be closed.
-    pub(crate) fn new(
-        body: Incoming,
-        limit_bytes: u64,
-        time_left: Duration,
-        stuck: CancellationToken,
-        end: Box<dyn AnswerEnd>,
-    ) -> Self {
+    /// The answer `body`, which may have `limit_bytes`.
+    pub(crate) fn new(body: Incoming, limit_bytes: u64, end: Box<dyn AnswerEnd>) -> Self {
         let hint = body.size_hint();
         let mut state = State::default();
         if body.is_end_stream() {
@@ -76,39 +109,28 @@
         Self {
             state: Arc::new(Mutex::new(state)),
             hint,
-            time_left,
-            is_watched: false,
-            stuck,
+            watch: None,
         }
     }
 
-    /// Starts the watchdog of an answer that takes more than one poll.
-    fn watch(&mut self) {
-        if self.is_watched {
-            return;
+    /// The answer for whoever cuts it off at `deadline`, unless it has ended already.
+    pub(crate) fn open_until(&self, deadline: Instant) -> Option<OpenAnswer> {
+        let is_open = lock(&self.state).open.is_some();
+        is_open.then(|| OpenAnswer {
+            state: Arc::downgrade(&self.state),
+            deadline,
+        })
+    }
+
+    /// Cuts the answer off at `deadline` by a task of its own.
+    pub(crate) fn watch(&mut self, deadline: Instant) {
+        if let Some(open) = self.open_until(deadline) {
+            let watch = tokio::spawn(async move {
+                tokio::time::sleep_until(open.deadline).await;
+                open.cut();
+            });
+            self.watch = Some(watch.abort_handle());
         }
-        self.is_watched = true;
-        let state = Arc::downgrade(&self.state);
-        let time_left = self.time_left;
-        let stuck = self.stuck.clone();
-        tokio::spawn(async move {
-            tokio::time::sleep(time_left).await;
-            let Some(state) = state.upgrade() else {
-                return;
-            };
-            let open = {
-                let mut state = state.lock().unwrap_or_else(PoisonError::into_inner);
-                state.is_late = true;
-                state.open.take()
-            };
-            if let Some(open) = open {
-                open.end.cut(Some(&BodyError::Deadline));
-                stuck.cancel();
-                if let Some(waker) = open.waker {
-                    waker.wake();
-                }
-            }
-        });
     }
 }
 
@@ -163,21 +185,14 @@
     type Error = BodyError;
 
     fn poll_frame(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let (polled, is_open) = {
-            let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-            (state.poll(cx), state.open.is_some())
-        };
-        if is_open {
-            self.watch();
-        }
-        polled
+        lock(&self.state).poll(cx)
     }
 
     fn is_end_stream(&self) -> bool {
-        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let state = lock(&self.state);
         state.open.is_none() && !state.is_late
     }
 
@@ -188,10 +203,10 @@
 
 impl Drop for AnswerBody {
     fn drop(&mut self) {
-        let open = {
-            let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-            state.open.take()
-        };
+        if let Some(watch) = &self.watch {
+            watch.abort();
+        }
+        let open = lock(&self.state).open.take();
         if let Some(open) = open {
             open.end.cut(None);
         }
--- a/crates/front/src/body/mod.rs
+++ b/crates/front/src/body/mod.rs
@@ -16,7 +16,7 @@
 use quick_error::quick_error;
 
 pub use answer::AnswerBody;
-pub(crate) use answer::AnswerEnd;
+pub(crate) use answer::{AnswerEnd, OpenAnswer};
 pub use request::{RequestBody, RequestSource};
 
 quick_error! {
--- a/crates/front/src/call/mod.rs
+++ b/crates/front/src/call/mod.rs
@@ -32,7 +32,7 @@
 /// Answers one request.
 pub(crate) async fn handle(
     shared: &Arc<Shared>,
-    conn: &ConnState,
+    conn: &Arc<ConnState>,
     request: Request<Incoming>,
 ) -> Response<OutBody> {
     if request.uri().path() == READY_PATH {
@@ -48,7 +48,7 @@
 
 async fn forward(
     shared: &Arc<Shared>,
-    conn: &ConnState,
+    conn: &Arc<ConnState>,
     request: Request<Incoming>,
     record: &mut Record,
 ) -> Result<reply::Reply, Refusal> {
--- a/crates/front/src/call/reply.rs
+++ b/crates/front/src/call/reply.rs
@@ -4,9 +4,9 @@
 
 use http::{Response, Version};
 use hyper::body::Incoming;
-use tokio_util::sync::CancellationToken;
+use tokio::time::Instant;
 
-use super::send::{Answered, Job, stuck_token};
+use super::send::{Answered, Job};
 use crate::body::{AnswerBody, AnswerEnd, BodyError, OutBody, RequestSource};
 use crate::explain::Step;
 use crate::front::{Record, Shared, Ticket};
@@ -19,7 +19,8 @@
 pub(super) struct Reply {
     answer: Response<Incoming>,
     limit_bytes: u64,
-    stuck: CancellationToken,
+    conn: Arc<ConnState>,
+    is_h2: bool,
     end: End,
 }
 
@@ -32,12 +33,12 @@
 }
 
 impl Reply {
-    pub(super) fn new(job: &Job<'_>, conn: &ConnState, answered: Answered) -> Self {
-        let is_h2 = job.parts.version == Version::HTTP_2;
+    pub(super) fn new(job: &Job<'_>, conn: &Arc<ConnState>, answered: Answered) -> Self {
         Self {
             answer: answered.answer,
             limit_bytes: job.limits.answer_bytes.get(),
-            stuck: stuck_token(is_h2, &conn.stuck),
+            conn: Arc::clone(conn),
+            is_h2: job.parts.version == Version::HTTP_2,
             end: End {
                 shared: Arc::clone(job.shared),
                 lease: answered.lease,
@@ -52,12 +53,17 @@
         let (mut parts, body) = self.answer.into_parts();
         record.step(Step::Answered(parts.status.as_u16()));
         to_caller(&mut parts.headers);
-        let time_left = self.end.ticket.left();
+        let deadline = Instant::now() + self.end.ticket.left();
         let end = Box::new(Ending {
             end: self.end,
             record,
         });
-        let body = AnswerBody::new(body, self.limit_bytes, time_left, self.stuck, end);
+        let mut body = AnswerBody::new(body, self.limit_bytes, end);
+        if self.is_h2 {
+            body.watch(deadline);
+        } else {
+            self.conn.watch(body.open_until(deadline));
+        }
         Response::from_parts(parts, OutBody::Answer(Box::new(body)))
     }
 }
--- a/crates/front/src/call/send.rs
+++ b/crates/front/src/call/send.rs
@@ -17,7 +17,6 @@
 use http::uri::{PathAndQuery, Scheme};
 use http::{HeaderValue, Request, Response, StatusCode, Uri, Version, request};
 use hyper::body::Incoming;
-use tokio_util::sync::CancellationToken;
 
 use crate::body::{RequestBody, RequestSource};
 use crate::cfg::UpstreamProtocol;
@@ -291,13 +290,3 @@
     }
     Some(request)
 }
-
-/// What the caller's connection needs to know of an answer that is stuck.
-pub(super) fn stuck_token(is_h2: bool, conn: &CancellationToken) -> CancellationToken {
-    // One stuck stream must not end the other streams of its connection.
-    if is_h2 {
-        CancellationToken::new()
-    } else {
-        conn.clone()
-    }
-}
--- a/crates/front/src/ingress/conn.rs
+++ b/crates/front/src/ingress/conn.rs
@@ -4,8 +4,14 @@
 //! and gracefully when the entry drains. Its bounds are those of [`FrontCfg`](crate::FrontCfg).
 
 use std::convert::Infallible;
-use std::sync::Arc;
+use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 
 use http::header::{CONNECTION, TRANSFER_ENCODING};
 use http::{HeaderValue, Request, Response, Version};
@@ -15,18 +21,83 @@
 use hyper_util::server::conn::auto;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::{Instant, Sleep};
 use tokio_util::sync::CancellationToken;
 
-use crate::body::OutBody;
+use crate::body::{OpenAnswer, OutBody};
 use crate::call;
+use crate::drain::Drain;
 use crate::front::{FrontError, Shared};
 
+/// A connection without an open answer looks at its timer this often.
+const WATCH_IDLE: Duration = Duration::from_mins(1);
+
 /// What the requests of one connection share.
-#[derive(Debug)]
+#[derive(Default)]
 pub(crate) struct ConnState {
     has_request: AtomicBool,
-    /// Cancelled when an answer on this connection was not read in time.
-    pub(crate) stuck: CancellationToken,
+    answer: Mutex<Option<OpenAnswer>>,
+}
+
+impl ConnState {
+    /// Has the connection cut `answer` off at its deadline. There is one at a time.
+    pub(crate) fn watch(&self, answer: Option<OpenAnswer>) {
+        *self.lock() = answer;
+    }
+
+    fn deadline(&self) -> Option<Instant> {
+        self.lock().as_ref().map(OpenAnswer::deadline)
+    }
+
+    /// Cuts the answer off if it is still open at its deadline. Answers whether it was.
+    fn cut_late(&self) -> bool {
+        let mut place = self.lock();
+        let Some(answer) = place.take_if(|answer| answer.deadline() <= Instant::now()) else {
+            return false;
+        };
+        drop(place);
+        let is_open = answer.is_open();
+        answer.cut();
+        is_open
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<OpenAnswer>> {
+        self.answer.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The timer of one connection. It is moved only to an earlier time or when it has fired, so that requests in a row
+/// cost no timer each.
+struct Watch {
+    timer: Pin<Box<Sleep>>,
+    state: Arc<ConnState>,
+}
+
+impl Watch {
+    fn new(state: Arc<ConnState>, first_request: Duration) -> Self {
+        let timer = Box::pin(tokio::time::sleep(first_request));
+        Self { timer, state }
+    }
+
+    /// Ready when the connection is to be closed.
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        if let Some(deadline) = self.state.deadline()
+            && deadline < self.timer.deadline()
+        {
+            self.timer.as_mut().reset(deadline);
+        }
+        while self.timer.as_mut().poll(cx).is_ready() {
+            // The library has no limit on the time to the first bytes.
+            let is_silent = !self.state.has_request.load(Ordering::Relaxed);
+            if is_silent || self.state.cut_late() {
+                return Poll::Ready(());
+            }
+            let idle = Instant::now() + WATCH_IDLE;
+            let next = self.state.deadline().unwrap_or(idle);
+            self.timer.as_mut().reset(next);
+        }
+        Poll::Pending
+    }
 }
 
 /// Takes connections until `stop` or the end of the entry.
@@ -66,8 +137,8 @@
 ) {
     while let Ok(permit) = Arc::clone(permits).try_acquire_owned() {
         let next = std::future::poll_fn(|cx| match listener.poll_accept(cx) {
-            std::task::Poll::Ready(result) => std::task::Poll::Ready(result.ok()),
-            std::task::Poll::Pending => std::task::Poll::Ready(None),
+            Poll::Ready(result) => Poll::Ready(result.ok()),
+            Poll::Pending => Poll::Ready(None),
         });
         let Some((stream, _)) = next.await else {
             return;
@@ -88,7 +159,7 @@
 
 async fn shed_listener(error: &std::io::Error) {
     log::warn!("front: cannot take a connection: {error}");
-    tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+    tokio::time::sleep(Duration::from_millis(10)).await;
 }
 
 fn spawn(
@@ -107,10 +178,7 @@
 }
 
 async fn serve(shared: Arc<Shared>, stream: TcpStream, stop: CancellationToken) {
-    let state = Arc::new(ConnState {
-        has_request: AtomicBool::new(false),
-        stuck: CancellationToken::new(),
-    });
+    let state = Arc::new(ConnState::default());
     let builder = builder(&shared);
     let service = {
         let (shared, state) = (Arc::clone(&shared), Arc::clone(&state));
@@ -118,31 +186,42 @@
     };
     let conn = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(conn);
-    let first = tokio::time::sleep(shared.cfg.header_read_timeout);
-    tokio::pin!(first);
-    let mut watches_first = true;
-    let mut closes = false;
-    loop {
-        tokio::select! {
-            _ = conn.as_mut() => return,
-            () = state.stuck.cancelled() => return,
-            () = shared.drain.cut.cancelled() => return,
-            () = first.as_mut(), if watches_first => {
-                // The library has no limit on the time to the first bytes.
-                if !state.has_request.load(Ordering::Relaxed) {
-                    return;
-                }
-                watches_first = false;
-            }
-            () = shared.drain.graceful.cancelled(), if !closes => {
-                closes = true;
-                conn.as_mut().graceful_shutdown();
+    let mut watch = Watch::new(state, shared.cfg.header_read_timeout);
+    // The collection polls its future only when that was woken; the tokens' locks are shared by all connections.
+    let mut signals = FuturesUnordered::new();
+    signals.push(signal(&shared.drain, &stop, false));
+    std::future::poll_fn(|cx| {
+        if conn.as_mut().poll(cx).is_ready() || watch.poll(cx).is_ready() {
+            return Poll::Ready(());
+        }
+        while let Poll::Ready(Some(signal)) = signals.poll_next_unpin(cx) {
+            match signal {
+                Signal::Cut => return Poll::Ready(()),
+                Signal::Close => conn.as_mut().graceful_shutdown(),
             }
-            () = stop.cancelled(), if !closes => {
-                closes = true;
-                conn.as_mut().graceful_shutdown();
+            signals.push(self::signal(&shared.drain, &stop, true));
+            if conn.as_mut().poll(cx).is_ready() {
+                return Poll::Ready(());
             }
         }
+        Poll::Pending
+    })
+    .await;
+}
+
+/// What a connection is told.
+enum Signal {
+    /// It closes as soon as it has no request.
+    Close,
+    /// It closes now.
+    Cut,
+}
+
+async fn signal(drain: &Drain, stop: &CancellationToken, is_closing: bool) -> Signal {
+    tokio::select! {
+        () = drain.cut.cancelled() => Signal::Cut,
+        () = drain.graceful.cancelled(), if !is_closing => Signal::Close,
+        () = stop.cancelled(), if !is_closing => Signal::Close,
     }
 }
 
@@ -160,7 +239,7 @@
         .timer(TokioTimer::new())
         .max_concurrent_streams(cfg.streams_max)
         .max_header_list_size(u32::try_from(cfg.header_bytes_max).unwrap_or(u32::MAX))
-        .keep_alive_interval(std::time::Duration::from_secs(20));
+        .keep_alive_interval(Duration::from_secs(20));
     builder
 }
 
--- a/crates/serve/src/admission/mod.rs
+++ b/crates/serve/src/admission/mod.rs
@@ -263,6 +263,16 @@
         cat.teams.iter().map(usage).collect()
     }
 
+    /// How many records the tables have room for.
+    #[must_use]
+    pub fn capacity(&self) -> usize {
+        let lanes = self.lanes.iter().map(|lane| lane.waiting.capacity());
+        let pools = self.pools.values().map(|pool| pool.active.capacity());
+        let teams = self.teams.values().map(|team| team.active.capacity());
+        let tables = lanes.chain(pools).chain(teams).sum::<usize>();
+        tables + self.lanes.capacity() + self.works.capacity() + self.free.capacity()
+    }
+
     pub(crate) fn team_state(&self, team: TeamId) -> &TeamState {
         &self.teams[team]
     }
--- a/crates/serve/src/dispatch/mod.rs
+++ b/crates/serve/src/dispatch/mod.rs
@@ -188,6 +188,12 @@
         }
     }
 
+    /// How many records the tables have room for. It stays the same while nothing is allocated.
+    #[must_use]
+    pub fn capacity(&self) -> usize {
+        self.admission.capacity() + self.turns.capacity()
+    }
+
     /// Hands what waiting requests have come to since the last call to `wake`.
     pub fn take_turns(&mut self, mut wake: impl FnMut(WorkId, Wake)) {
         for turn in self.turns.drain(..) {
