serve, front: tests of the decisions, of HTTP/2 and of streams

Change: readmit ejected upstreams when a pool shrinks; compare the next whole retry as rounded; a listener waits for room and for its end at once.

--- a/crates/front/src/drain/mod.rs
+++ b/crates/front/src/drain/mod.rs
@@ -33,6 +33,8 @@
     pub(crate) cut: CancellationToken,
     /// The connections that are open.
     pub(crate) connections: TaskTracker,
+    /// The listeners that are open or take what waits on them.
+    pub(crate) listeners: TaskTracker,
 }
 
 impl Drain {
@@ -42,6 +44,8 @@
         self.not_ready.cancel();
         tokio::time::sleep(settle.min(bound)).await;
         self.closing.cancel();
+        self.listeners.close();
+        self.listeners.wait().await;
         self.connections.close();
         let idle_end = (tokio::time::Instant::now() + idle_grace).min(end);
         tokio::select! {
--- a/crates/front/src/ingress/conn.rs
+++ b/crates/front/src/ingress/conn.rs
@@ -4,6 +4,7 @@
 //! and gracefully when the entry drains. Its bounds are those of [`FrontCfg`](crate::FrontCfg).
 
 use std::convert::Infallible;
+use std::io;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -107,19 +108,16 @@
     stop: &CancellationToken,
 ) -> Result<(), FrontError> {
     // A drain waits for the backlog too.
-    let _open = shared.drain.connections.token();
+    let _open = shared.drain.listeners.token();
     let permits = Arc::new(Semaphore::new(shared.cfg.connections_max));
     loop {
-        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
-            return Ok(());
-        };
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            accepted = accept_one(&listener, &permits) => accepted,
             () = stop.cancelled() => break,
             () = shared.drain.closing.cancelled() => break,
         };
         match accepted {
-            Ok((stream, _)) => spawn(shared, stream, permit, stop),
+            Ok((stream, permit)) => spawn(shared, stream, permit, stop),
             Err(error) if is_transient(&error) => shed_listener(&error).await,
             Err(error) => return Err(FrontError::Accept(error)),
         }
@@ -128,6 +126,17 @@
     Ok(())
 }
 
+/// Takes one connection once there is room for it.
+async fn accept_one(
+    listener: &TcpListener,
+    permits: &Arc<Semaphore>,
+) -> io::Result<(TcpStream, OwnedSemaphorePermit)> {
+    let permit = Arc::clone(permits).acquire_owned().await;
+    let permit = permit.map_err(io::Error::other)?;
+    let (stream, _) = listener.accept().await?;
+    Ok((stream, permit))
+}
+
 /// Connections that callers had made before the listener closed are served too.
 async fn take_backlog(
     shared: &Arc<Shared>,
@@ -147,8 +156,8 @@
     }
 }
 
-fn is_transient(error: &std::io::Error) -> bool {
-    use std::io::ErrorKind;
+fn is_transient(error: &io::Error) -> bool {
+    use io::ErrorKind;
     let is_lost = matches!(
         error.kind(),
         ErrorKind::ConnectionAborted | ErrorKind::ConnectionReset | ErrorKind::Interrupted
@@ -157,7 +166,7 @@
     is_lost || matches!(error.raw_os_error(), Some(23 | 24))
 }
 
-async fn shed_listener(error: &std::io::Error) {
+async fn shed_listener(error: &io::Error) {
     log::warn!("front: cannot take a connection: {error}");
     tokio::time::sleep(Duration::from_millis(10)).await;
 }
--- a/crates/front/tests/front/drain.rs
+++ b/crates/front/tests/front/drain.rs
@@ -106,3 +106,17 @@
     assert_eq!(caller.ask(ready).await.status, 503);
     drain.abort();
 }
+
+#[tokio::test(start_paused = true)]
+async fn drain_with_all_connections_taken() {
+    let upstream = Upstream::start(&[Act::Gated("done")]).await;
+    let entry = Entry::start(cfg().with_connections_max(1), &[upstream.address]).await;
+    let mut caller = Caller::connect(entry.address).await;
+    caller.write(&request("POST", "/q/merge/x", "", "b")).await;
+    upstream.arrived(1).await;
+    let front = entry.front.clone();
+    let drain = tokio::spawn(async move { front.drain(Duration::from_secs(20)).await });
+    upstream.open_gate();
+    assert_eq!(caller.answer().await.text(), "done");
+    assert_eq!(drain.await.expect("no panic").connections_cut, 0);
+}
--- a/crates/front/tests/front/main.rs
+++ b/crates/front/tests/front/main.rs
@@ -5,6 +5,8 @@
 mod common;
 mod drain;
 mod forward;
+mod h2;
 mod once;
 mod refusal;
 mod retries;
+mod streams;
--- a/crates/serve/src/retry/mod.rs
+++ b/crates/serve/src/retry/mod.rs
@@ -46,7 +46,8 @@
     pub fn take(&mut self, percent: u32, now: Instant) -> bool {
         self.decay(now);
         let allowed = (self.successes * f64::from(percent) / 100.0).max(RETRIES_FLOOR);
-        if percent == 0 || self.retries + 1.0 > allowed {
+        // Decay leaves fractions, so the next whole retry is compared as rounded.
+        if percent == 0 || self.retries + 0.5 > allowed {
             return false;
         }
         self.retries += 1.0;
--- a/crates/serve/src/routing/set.rs
+++ b/crates/serve/src/routing/set.rs
@@ -4,8 +4,12 @@
 use std::time::Instant;
 
 use goldcrest_types::catalogue::Catalogue;
+use goldcrest_types::entity::PoolId;
 
-use super::{Router, SLOW_START, Upstream, UpstreamId, UpstreamSet, UpstreamSpec};
+use super::{
+    EJECTED_PERCENT_MAX, Router, SLOW_START, Upstream, UpstreamId, UpstreamSet, UpstreamSpec,
+    UpstreamState,
+};
 
 /// The latency that an upstream is taken to have before the first answer, in microseconds.
 const LATENCY_START_US: f32 = 1_000.0;
@@ -40,11 +44,11 @@
         for id in lost.into_iter().filter(|id| !seen.contains(id)) {
             self.retire(id);
         }
-        self.set_catalogue(cat);
+        self.set_catalogue(cat, now);
     }
 
     /// Sorts the upstreams into the pools of another catalogue revision.
-    pub fn set_catalogue(&mut self, cat: &Catalogue) {
+    pub fn set_catalogue(&mut self, cat: &Catalogue, now: Instant) {
         self.pools.clear();
         let mut ids: Vec<UpstreamId> = self.by_vm.values().copied().collect();
         ids.sort_unstable();
@@ -61,6 +65,29 @@
                 table.remote.push(id);
             }
         }
+        for pool in cat.pools.keys() {
+            self.readmit(pool, now);
+        }
+    }
+
+    /// Ends ejections, the next to end first, until no more of `pool` is ejected than may be. A pool that shrinks
+    /// would otherwise keep too few in service.
+    fn readmit(&mut self, pool: PoolId, now: Instant) {
+        loop {
+            let present = self.pool(pool).count();
+            let is_ejected = |u: &Upstream| u.state(now) == UpstreamState::Ejected;
+            let ejected = || self.pool(pool).filter(|(_, u)| is_ejected(u));
+            if ejected().count() * 100 <= present * EJECTED_PERCENT_MAX {
+                return;
+            }
+            let next = ejected().min_by_key(|(_, u)| u.ejected_until);
+            let Some((id, _)) = next else {
+                return;
+            };
+            let upstream = &mut self.upstreams[id];
+            upstream.ejected_until = None;
+            upstream.eased_until = now + SLOW_START;
+        }
     }
 
     fn see(&mut self, spec: &UpstreamSpec, now: Instant) -> UpstreamId {
--- /dev/null
+++ b/crates/serve/tests/decisions/admission.rs
@@ -0,0 +1,181 @@
+//! What starts, what waits in which order, and what is refused.
+
+use std::time::Duration;
+
+use goldcrest_serve::admission::Decision;
+use goldcrest_serve::dispatch::Wake;
+use goldcrest_serve::outcome::NotRunCode;
+
+use crate::fixture::{CATALOGUE, Fixture, cat, grants};
+
+const FAR: Duration = Duration::from_mins(1);
+
+fn refused(decision: Decision) -> NotRunCode {
+    match decision {
+        Decision::Refuse(code, _) => code,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn offer_pool_full_waits_by_class_then_deadline() {
+    let mut f = Fixture::new();
+    let running: Vec<_> = (0..4).map(|_| f.start("fill", "desk")).collect();
+    let batch = f.wait("fill", "desk", FAR);
+    let late = f.wait("merge", "desk", FAR);
+    let soon = f.wait("merge", "desk", FAR / 2);
+    let urgent = f.wait("hurry", "desk", FAR);
+    let mut order = Vec::new();
+    for work in running {
+        order.extend(f.end(work));
+    }
+    let start = |work| (work, Wake::Start);
+    assert_eq!(
+        order,
+        [start(urgent), start(soon), start(late), start(batch)]
+    );
+}
+
+#[test]
+fn offer_pool_full_shares_by_team() {
+    let mut f = Fixture::new();
+    let mut running: Vec<_> = (0..4).map(|_| f.start("merge", "desk")).collect();
+    for _ in 0..4 {
+        f.wait("merge", "desk", FAR);
+        f.wait("merge", "tours", FAR);
+    }
+    // desk has a share of 3 and tours of 1, so of four slots one goes to tours.
+    let mut tours = 0;
+    for _ in 0..4 {
+        let ended = running.remove(0);
+        let turns = f.end(ended);
+        assert_eq!(turns.len(), 1);
+        let cat = f.dispatch.catalogue().expect("a catalogue").clone();
+        let lane = f.dispatch.admission().lane_of(turns[0].0).expect("runs");
+        tours += u32::from(cat.teams[lane.team].name.as_str() == "tours");
+        running.push(turns[0].0);
+    }
+    assert_eq!(tours, 1);
+}
+
+#[test]
+fn offer_quota_bounds_each_team() {
+    let mut f = Fixture::new();
+    f.dispatch.set_grants(grants(1, 0, 0, None), f.now);
+    let work = f.start("merge", "desk");
+    let next = f.wait("merge", "desk", FAR);
+    f.wait("merge", "tours", FAR);
+    assert_eq!(f.end(work), [(next, Wake::Start)]);
+    let usage = f.dispatch.usage();
+    let counts: Vec<_> = usage
+        .iter()
+        .map(|u| (u.running.get(), u.waiting.get()))
+        .collect();
+    assert_eq!(counts, [(1, 0), (0, 1)]);
+}
+
+#[test]
+fn offer_lapsed_lent_part_does_not_count() {
+    let mut f = Fixture::new();
+    let until = Some(f.now + Duration::from_secs(5));
+    f.dispatch.set_grants(grants(1, 1, 1, until), f.now);
+    let first = f.start("merge", "desk");
+    f.start("merge", "desk");
+    let waits = f.wait("merge", "desk", FAR);
+    f.pass(Duration::from_secs(5));
+    // One still runs and fills the floor.
+    assert_eq!(f.end(first), []);
+    let until = Some(f.now + Duration::from_secs(5));
+    f.dispatch.set_grants(grants(1, 1, 1, until), f.now);
+    assert_eq!(f.turns(), [(waits, Wake::Start)]);
+}
+
+#[test]
+fn offer_refused_early_if_it_cannot_start_in_time() {
+    let mut f = Fixture::new();
+    for _ in 0..4 {
+        let work = f.start("merge", "desk");
+        f.pass(Duration::from_secs(8));
+        f.end(work);
+    }
+    for _ in 0..4 {
+        f.start("merge", "desk");
+    }
+    // Each of four slots is free again after about 8 s, so the next turn is 2 s away.
+    let Decision::Refuse(code, after) = f.offer("merge", "desk", Duration::from_secs(1)) else {
+        panic!("it cannot start in time");
+    };
+    assert_eq!(
+        (code, after),
+        (NotRunCode::TooLateToStart, Duration::from_secs(2))
+    );
+    f.wait("merge", "desk", Duration::from_secs(3));
+}
+
+#[test]
+fn offer_overload_sheds_least_urgent() {
+    let mut f = Fixture::with_bounds(4, 2);
+    for _ in 0..4 {
+        f.start("merge", "desk");
+    }
+    let soon = f.wait("fill", "desk", FAR / 2);
+    let late = f.wait("fill", "desk", FAR);
+    assert_eq!(refused(f.ask("fill", "tours")), NotRunCode::Shed);
+    f.wait("merge", "desk", FAR);
+    assert!(matches!(f.turns()[..], [(work, Wake::Refuse(NotRunCode::Shed, _))] if work == late));
+    f.wait("hurry", "desk", FAR);
+    assert!(matches!(f.turns()[..], [(work, Wake::Refuse(NotRunCode::Shed, _))] if work == soon));
+    assert_eq!(refused(f.ask("merge", "desk")), NotRunCode::Shed);
+    assert_eq!(f.dispatch.admission().waiting(), 2);
+}
+
+#[test]
+fn offer_bounds_of_queue() {
+    let mut f = Fixture::new();
+    for _ in 0..4 {
+        f.start("merge", "desk");
+    }
+    for _ in 0..4 {
+        f.wait("merge", "desk", FAR);
+    }
+    assert_eq!(refused(f.ask("merge", "desk")), NotRunCode::QueueFull);
+    assert_eq!(refused(f.ask("lost", "desk")), NotRunCode::NoUpstream);
+    assert_eq!(
+        refused(f.offer("merge", "tours", Duration::ZERO)),
+        NotRunCode::DeadlinePassed
+    );
+}
+
+#[test]
+fn catalogue_change_keeps_counts_and_refuses_what_is_gone() {
+    let mut f = Fixture::new();
+    let mut running: Vec<_> = (0..3).map(|_| f.start("merge", "desk")).collect();
+    running.push(f.start("fill", "tours"));
+    let kept = f.wait("merge", "desk", FAR);
+    let gone = f.wait("fill", "tours", FAR);
+    // A queue before all others and one fewer behind shift every id.
+    let text = CATALOGUE.replace(
+        "queues:\n",
+        "queues:\n  - {name: early, owner: tours, class: batch, pool: web}\n",
+    );
+    let fill = text
+        .lines()
+        .find(|line| line.contains("name: fill"))
+        .expect("the queue");
+    let text = text.replace(fill, "");
+    assert!(f.dispatch.set_catalogue(cat(&text, 2), f.now));
+    f.check();
+    let turns = f.turns();
+    assert!(turns.iter().any(
+        |turn| matches!(turn, (work, Wake::Refuse(NotRunCode::QueueUnknown, _)) if *work == gone)
+    ));
+    let mut starts = 0;
+    for work in running {
+        starts += f.end(work).len();
+    }
+    starts += turns.len() - 1;
+    assert_eq!(starts, 1);
+    f.end(kept);
+    assert_eq!(f.dispatch.admission().running(), 0);
+    assert!(!f.dispatch.set_catalogue(cat(CATALOGUE, 1), f.now));
+}
--- /dev/null
+++ b/crates/serve/tests/decisions/fixture.rs
@@ -0,0 +1,144 @@
+//! A small fleet, and short words for what tests do with it.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use goldcrest_serve::admission::{AdmissionCfg, Ask, Decision, TeamGrant, TeamGrants, WorkId};
+use goldcrest_serve::dispatch::{Dispatch, Wake};
+use goldcrest_serve::routing::{UpstreamSet, UpstreamSpec};
+use goldcrest_serve::verify;
+use goldcrest_types::catalogue::{Catalogue, parse};
+use goldcrest_types::units::{Revision, Slots};
+
+/// Three queues on one pool of two data centres, one for each class, and one queue on a pool without upstreams.
+pub const CATALOGUE: &str = "
+data_centres: [{name: dc1, region: west}, {name: dc2, region: west}]
+pools:
+  - {name: web, kind: upstreams, max_unavailable_vms: 1}
+  - {name: bare, kind: upstreams, max_unavailable_vms: 1}
+teams:
+  - {name: desk, share: 3, upper_limit_slots: 1000}
+  - {name: tours, share: 1, upper_limit_slots: 1000}
+queues:
+  - {name: hurry, owner: desk, class: urgent, pool: web, limits: {upstream_slots: 2}}
+  - {name: merge, owner: desk, class: interactive, pool: web, limits: {upstream_slots: 2, waiting_slots: 4}}
+  - {name: fill, owner: tours, class: batch, pool: web, limits: {upstream_slots: 2}}
+  - {name: lost, owner: desk, class: interactive, pool: bare}
+";
+
+/// Decisions with a time that only a test moves.
+pub struct Fixture {
+    pub dispatch: Dispatch,
+    pub now: Instant,
+}
+
+pub fn cat(text: &str, revision: u64) -> Arc<Catalogue> {
+    let spec = parse(text).unwrap_or_else(|findings| panic!("{findings:?}"));
+    let cat = Catalogue::resolve(&spec, Revision::new(revision));
+    Arc::new(cat.unwrap_or_else(|findings| panic!("{findings:?}")))
+}
+
+/// An upstream `vm<index>` of the pool `web`.
+pub fn upstream(index: u16, dc: &str) -> UpstreamSpec {
+    UpstreamSpec {
+        vm: format!("vm{index}").parse().expect("a name"),
+        pool: "web".parse().expect("a name"),
+        dc: dc.parse().expect("a name"),
+        address: ([127, 0, 0, 1], 1_000 + index).into(),
+        leaving: false,
+    }
+}
+
+pub fn grants(desk: u32, tours: u32, lent: u32, lent_until: Option<Instant>) -> TeamGrants {
+    let grant = |team: &str, floor| TeamGrant {
+        team: team.parse().expect("a name"),
+        floor: Slots::new(floor),
+        lent: Slots::new(lent),
+    };
+    TeamGrants {
+        teams: vec![grant("desk", desk), grant("tours", tours)],
+        lent_until,
+    }
+}
+
+impl Fixture {
+    /// Two upstreams in `dc1`, so four slots in the pool, and ample quota.
+    pub fn new() -> Self {
+        Self::with_bounds(1_000, 1_000)
+    }
+
+    pub fn with_bounds(running: u32, waiting: u32) -> Self {
+        let cfg = AdmissionCfg {
+            running_max: Slots::new(running),
+            waiting_max: Slots::new(waiting),
+        };
+        let now = Instant::now();
+        let mut dispatch = Dispatch::new("dc1".parse().expect("a name"), cfg, 3);
+        assert!(dispatch.set_catalogue(cat(CATALOGUE, 1), now));
+        dispatch.set_grants(grants(100, 100, 0, None), now);
+        let mut fixture = Self { dispatch, now };
+        fixture.set(vec![upstream(0, "dc1"), upstream(1, "dc1")]);
+        fixture
+    }
+
+    pub fn set(&mut self, upstreams: Vec<UpstreamSpec>) {
+        let now = self.now;
+        self.dispatch.set_upstreams(UpstreamSet { upstreams }, now);
+        self.check();
+    }
+
+    pub fn pass(&mut self, time: Duration) {
+        self.now += time;
+    }
+
+    pub fn offer(&mut self, queue: &str, team: &str, deadline: Duration) -> Decision {
+        let cat = self.dispatch.catalogue().expect("a catalogue");
+        let ask = Ask {
+            queue: cat.queue(queue).expect("a queue"),
+            team: cat.team(team).expect("a team"),
+            key: None,
+            deadline: self.now + deadline,
+        };
+        let decision = self.dispatch.offer(&ask, self.now);
+        self.check();
+        decision
+    }
+
+    /// Offers with a deadline that is far away.
+    pub fn ask(&mut self, queue: &str, team: &str) -> Decision {
+        self.offer(queue, team, Duration::from_mins(1))
+    }
+
+    pub fn start(&mut self, queue: &str, team: &str) -> WorkId {
+        match self.ask(queue, team) {
+            Decision::Start(work) => work,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    pub fn wait(&mut self, queue: &str, team: &str, deadline: Duration) -> WorkId {
+        match self.offer(queue, team, deadline) {
+            Decision::Wait(work) => work,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// Ends a request and answers who got a turn.
+    pub fn end(&mut self, work: WorkId) -> Vec<(WorkId, Wake)> {
+        self.dispatch.end(work, self.now);
+        self.check();
+        self.turns()
+    }
+
+    pub fn turns(&mut self) -> Vec<(WorkId, Wake)> {
+        let mut turns = Vec::new();
+        self.dispatch
+            .take_turns(|work, wake| turns.push((work, wake)));
+        turns
+    }
+
+    pub fn check(&self) {
+        let breaches = verify::all(&self.dispatch, self.now);
+        assert!(breaches.is_empty(), "{breaches}");
+    }
+}
