--- a/crates/ledger/src/fleet/vm.rs
+++ b/crates/ledger/src/fleet/vm.rs
@@ -92,6 +92,9 @@
     /// The permit under which it is out of service.
     #[serde(rename = "m", default, skip_serializing_if = "Option::is_none")]
     pub permit: Option<Permit>,
+    /// Whether its reboot was ordered since it last came into service. The order may still be on its way.
+    #[serde(rename = "o", default, skip_serializing_if = "std::ops::Not::not")]
+    pub reboot_ordered: bool,
     /// How often it had started when it last came into service or joined.
     #[serde(rename = "b")]
     pub boots: u64,
@@ -109,6 +112,7 @@
             rack,
             state: VmState::Joining,
             permit: None,
+            reboot_ordered: false,
             boots,
             wave: 0,
         }
@@ -124,17 +128,18 @@
         match self.state {
             VmState::Serving => return Ok(()),
             VmState::Draining => return Err(FleetRefusal::State(name.clone(), self.state)),
-            VmState::Rebooting if boots <= self.boots => {
-                return Err(FleetRefusal::NotRebooted(name.clone(), self.boots));
-            }
             VmState::Rebooting | VmState::Joining | VmState::Failed => {}
         }
+        if self.reboot_ordered && boots <= self.boots {
+            return Err(FleetRefusal::NotRebooted(name.clone(), self.boots));
+        }
         let is_rebooted = boots > self.boots;
         if let (true, Some(Purpose::Maintain { wave })) = (is_rebooted, self.purpose()) {
             self.wave = *wave;
         }
         self.state = VmState::Serving;
         self.permit = None;
+        self.reboot_ordered = false;
         self.boots = boots;
         Ok(())
     }
@@ -154,6 +159,7 @@
             return Err(FleetRefusal::State(name.clone(), self.state));
         }
         self.state = VmState::Rebooting;
+        self.reboot_ordered = true;
         Ok(())
     }
 
--- a/crates/ledger/tests/fleet.rs
+++ b/crates/ledger/tests/fleet.rs
@@ -114,6 +114,23 @@
     assert_eq!(doc.vms()[&vm(0)].wave, 1);
 }
 
+#[test]
+fn serve_failed_with_reboot_on_its_way() {
+    let mut doc = fleet();
+    let reboot = VmEdit::Reboot {
+        vm: vm(0),
+        epoch: Epoch::new(1),
+    };
+    let fail = VmEdit::Fail { vm: vm(0) };
+    let steps = [drain(0, 1), reboot, fail];
+    doc.apply(EditId::new(10), &steps).expect("failed");
+    let serve = |boots| VmEdit::Serve { vm: vm(0), boots };
+    let refusal = doc.apply(EditId::new(11), &[serve(1)]);
+    assert_eq!(refusal, Err(FleetRefusal::NotRebooted(vm(0), 1)));
+    doc.apply(EditId::new(12), &[serve(2)]).expect("served");
+    assert_eq!(doc.unavailable(&pool("web")), VmCount::ZERO);
+}
+
 #[test]
 fn move_drained_vm() {
     let mut doc = fleet();
