sizing: follow the trend of the demand for four move times

Cause: on a rising daily curve the lazy policy added each VM some eight minutes late. A cycle now keeps its end: its start may lie before the machine was up, which an instant can't say.

--- a/crates/upkeep/src/fleet/mod.rs
+++ b/crates/upkeep/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 use std::fmt;
 use std::time::{Duration, Instant};
 
+use goldcrest_types::catalogue::MaintenanceSpec;
 use goldcrest_types::entity::{DcId, EntityRef, PoolId, PrimaryMap, RackId, VmId};
 use goldcrest_types::units::VmCount;
 
@@ -138,8 +139,8 @@
 pub struct Cycle {
     /// Its number, from 1.
     pub number: u64,
-    /// When it started.
-    pub started: Instant,
+    /// When it ends. A cycle may be longer than the machine is up, so its start can't be told as an instant.
+    pub ends: Instant,
 }
 
 /// The VMs and the maintenance cycle.
@@ -152,14 +153,14 @@
 }
 
 impl Fleet {
-    /// A fleet without VMs in its first cycle.
+    /// A fleet without VMs, in its first cycle of the usual length.
     #[must_use]
     pub fn new(now: Instant) -> Self {
         Self {
             vms: PrimaryMap::new(),
             cycle: Cycle {
                 number: 1,
-                started: now,
+                ends: now + MaintenanceSpec::default().period(),
             },
         }
     }
--- a/crates/upkeep/src/maintenance/deadline.rs
+++ b/crates/upkeep/src/maintenance/deadline.rs
@@ -40,11 +40,10 @@
 
 /// Estimates the rest of the wave.
 pub(super) fn run(ctx: &mut Context, fleet: &Fleet, cat: &Catalogue, now: Instant) {
-    let ends = fleet.cycle.started + cat.maintenance.period();
     let turn = ctx.deadline.turn.unwrap_or(cat.maintenance.reboot_max());
     let turns = turns(ctx, cat);
     ctx.status.needed = turn * turns;
-    ctx.status.left = ends.saturating_duration_since(now);
+    ctx.status.left = fleet.cycle.ends.saturating_duration_since(now);
     ctx.deadline.is_close = ctx.status.needed * RESERVE_PERCENT / 100 > ctx.status.left;
 }
 
--- a/crates/upkeep/src/sizing/lazy.rs
+++ b/crates/upkeep/src/sizing/lazy.rs
@@ -10,9 +10,12 @@
 
 use std::time::Duration;
 
-use super::history::whole_vms;
+use super::history::{SPAN, whole_vms};
 use super::{PoolState, Reason, View, Want};
 
+/// How many move times the trend is followed ahead.
+const AHEAD_MOVES: u32 = 4;
+
 /// Sizes kept above what is needed now.
 const MARGIN_VMS: usize = 4;
 
@@ -27,7 +30,7 @@
 
 /// Stays between the bounds of the past's best schedules.
 pub(super) fn want(state: &mut PoolState, view: &View) -> Option<Want> {
-    let demand = view.demand_millis;
+    let demand = expected_millis(state, view);
     let growth = growth_cost(view);
     state.lazy.widen(demand, view, growth);
     state.lazy.relax(growth);
@@ -47,6 +50,24 @@
     (view.supply > greatest).then_some(Want { vms, reason })
 }
 
+/// The demand that is expected when a move that begins now has paid for itself, going by the trend.
+fn expected_millis(state: &PoolState, view: &View) -> u64 {
+    let ahead = view.move_time * AHEAD_MOVES;
+    let (short, long) = (SPAN / 3, SPAN);
+    let (late, early) = (
+        state.history.mean_millis(short),
+        state.history.mean_millis(long),
+    );
+    // The two means lie half the difference of their windows apart.
+    let apart_ms = millis((long - short) / 2).max(1);
+    let change = late.abs_diff(early) * millis(ahead) / apart_ms;
+    if late >= early {
+        view.demand_millis + change
+    } else {
+        view.demand_millis.saturating_sub(change)
+    }
+}
+
 /// What one VM costs that comes and goes again: two moves, and idle while it moves.
 fn growth_cost(view: &View) -> u64 {
     let weights = &view.cat.weights;
