daemon: submitters' interface to tasks, one HTTP server for both interfaces

Cause: accepted tasks had no way in, and the operators' server would have stood twice. Change: POST, GET and DELETE under /v1/tasks with the team's key, durable before the answer; the scheduler and the intake run under the supervisor; both interfaces share one bounded server; windows of repetition are 10 s to 300 s, and an entry acts as a home as soon as it is listed.

--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -32,7 +32,7 @@
 }
 
 /// The catalogue in force at one entry.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub struct CatalogueView {
     /// Its revision.
     pub revision: Revision,
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -27,12 +27,13 @@
 use crate::peers::DaemonPeers;
 use crate::peers::claims::PeerClaims;
 use crate::quota::split::Split;
+use crate::scheduler::intake::Intake;
 use crate::settings::Settings;
 use crate::supervisor::Supervisor;
 use crate::world::{
     DaemonClock, DaemonFollower, DaemonRoles, DaemonSession, Fleets, NOTHING_READ, World,
 };
-use crate::{catalogue, fleet, front, operator, peers, quota, roles};
+use crate::{catalogue, fleet, front, operator, peers, quota, roles, scheduler, tasks};
 
 const PART: &str = Part::Main.as_str();
 
@@ -53,6 +54,8 @@
 pub struct Addresses {
     /// For callers.
     pub caller: SocketAddr,
+    /// For submitters of tasks.
+    pub task: SocketAddr,
     /// For operators.
     pub operator: SocketAddr,
     /// For other entries.
@@ -61,6 +64,7 @@
 
 struct Listeners {
     caller: Arc<StdListener>,
+    task: Arc<StdListener>,
     operator: Arc<StdListener>,
     peer: Arc<StdListener>,
 }
@@ -69,6 +73,7 @@
     fn bind(settings: &Settings) -> Result<Self, StartError> {
         Ok(Self {
             caller: listen(settings.entry.caller_address)?,
+            task: listen(settings.entry.task_address)?,
             operator: listen(settings.entry.operator_address)?,
             peer: listen(settings.peers.address)?,
         })
@@ -77,6 +82,7 @@
     fn addresses(&self) -> io::Result<Addresses> {
         Ok(Addresses {
             caller: self.caller.local_addr()?,
+            task: self.task.local_addr()?,
             operator: self.operator.local_addr()?,
             peer: self.peer.local_addr()?,
         })
@@ -198,6 +204,7 @@
         .with_drain(settings.stop.settle(), settings.stop.settle());
     let follower = DaemonFollower::new(session.clone(), FollowConfig::default());
     let roles = DaemonRoles::new(session.clone());
+    let (intake, writers) = Intake::new();
     World {
         entry,
         follower,
@@ -214,6 +221,8 @@
         fleets: watch::Sender::new(Fleets::default()),
         split: Split::new(),
         roles,
+        intake,
+        writers: Mutex::new(writers),
         stopping: CancellationToken::new(),
         settings,
         clock,
@@ -298,6 +307,19 @@
         roles::keep(Arc::clone(&shared), stop)
     });
     let shared = Arc::clone(world);
+    supervisor.spawn(Part::Scheduler, move |stop| {
+        scheduler::run(Arc::clone(&shared), stop)
+    });
+    let shared = Arc::clone(world);
+    supervisor.spawn(Part::Scheduler, move |stop| {
+        tasks::write(Arc::clone(&shared), stop)
+    });
+    let shared = Arc::clone(world);
+    let submitters = Arc::clone(&listeners.task);
+    supervisor.spawn(Part::Scheduler, move |stop| {
+        tasks::serve(Arc::clone(&shared), Arc::clone(&submitters), stop)
+    });
+    let shared = Arc::clone(world);
     let operators = Arc::clone(&listeners.operator);
     supervisor.spawn(Part::Operator, move |stop| {
         operator::serve(Arc::clone(&shared), Arc::clone(&operators), stop)
--- a/crates/daemon/src/operator/edits.rs
+++ b/crates/daemon/src/operator/edits.rs
@@ -1,27 +1,22 @@
 //! Edits of the catalogue.
 
-use bytes::Bytes;
 use goldcrest_api::{EditAnswer, EditRequest, ProblemCode};
 use goldcrest_ledger::catalogue::Head;
 use goldcrest_obs::logs::Part;
 use goldcrest_session::{UpdateError, Updated, keys};
 use goldcrest_types::names::{EditId, OperatorName};
 use goldcrest_types::units::Revision;
-use http::{Response, StatusCode};
-use http_body_util::Full;
+use http::StatusCode;
 
-use super::server::{json, problem};
+use super::server::problem;
 use crate::catalogue::take_head;
+use crate::http::{Answer, json};
 use crate::world::World;
 
 const PART: &str = Part::Operator.as_str();
 
 /// Applies an edit that `operator` signed. When it is answered as accepted, it is in force in this process.
-pub async fn apply(
-    world: &World,
-    operator: OperatorName,
-    request: EditRequest,
-) -> Response<Full<Bytes>> {
+pub async fn apply(world: &World, operator: OperatorName, request: EditRequest) -> Answer {
     let edit = request.signed(operator);
     let updated = world.follower.edit(&edit).await;
     let head = world.follower.head().borrow().clone();
@@ -47,12 +42,12 @@
     }
 }
 
-fn accepted(edit: EditId, revision: Revision) -> Response<Full<Bytes>> {
-    json(&EditAnswer { edit, revision })
+fn accepted(edit: EditId, revision: Revision) -> Answer {
+    json(StatusCode::OK, &EditAnswer { edit, revision })
 }
 
 /// Looks up the revision that an edit made when it was applied by an earlier try.
-async fn accepted_earlier(world: &World, edit: EditId) -> Response<Full<Bytes>> {
+async fn accepted_earlier(world: &World, edit: EditId) -> Answer {
     let read = world.session.read::<Head>(&keys::catalogue_head()).await;
     match read {
         Ok((head, _)) => match head.acceptance(edit) {
@@ -67,7 +62,7 @@
     }
 }
 
-fn failed(error: &UpdateError) -> Response<Full<Bytes>> {
+fn failed(error: &UpdateError) -> Answer {
     let code = match error {
         UpdateError::Unresolved(_) => ProblemCode::OutcomeUnknown,
         UpdateError::NotApplied(_) | UpdateError::Document(_) => ProblemCode::NotApplied,
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -17,6 +17,7 @@
 use goldcrest_peer::server::PeerServer;
 use goldcrest_peer::usage::Usage;
 use goldcrest_platform::fleet::{VmListing, VmRole};
+use goldcrest_types::catalogue::spec::REPEAT_WINDOW_MIN_MS;
 use goldcrest_types::names::EntryId;
 use tokio::net::TcpListener;
 use tokio::time::sleep;
@@ -91,22 +92,32 @@
     }
 }
 
-/// How old the list of live sessions may be for this entry to act as a home of keys. An entry acts as one only after
-/// its own session has been listed for as long: by then every other one that acts has read a list with it.
-const STANDING_TERM: Duration = Duration::from_secs(8);
+/// How long after a failed read of the live sessions they are read again.
+const SESSIONS_RETRY: Duration = Duration::from_millis(500);
 
-/// When the live sessions were read last, and since when they show this entry.
+/// How old the list of live sessions may be for this entry to act as a home of keys. It is below the shortest window of
+/// repetition: a home answers by its own knowledge only after that window, and by then every other entry that acts has
+/// read a list with it.
+const STANDING_TERM: Duration = Duration::from_millis(REPEAT_WINDOW_MIN_MS - 2_000);
+
+/// When the live sessions were read last, and whether they showed this entry.
 #[derive(Debug, Default)]
 struct SessionsView {
     tried_at: Option<Instant>,
     read_at: Option<Instant>,
-    listed_since: Option<Instant>,
+    has_failed: bool,
+    is_listed: bool,
 }
 
 impl SessionsView {
     fn is_due(&self, now: Instant) -> bool {
+        let pause = if self.has_failed || !self.is_listed {
+            SESSIONS_RETRY
+        } else {
+            SESSIONS_INTERVAL
+        };
         self.tried_at
-            .is_none_or(|tried_at| now.duration_since(tried_at) >= SESSIONS_INTERVAL)
+            .is_none_or(|tried_at| now.duration_since(tried_at) >= pause)
     }
 }
 
@@ -117,21 +128,22 @@
         Ok(live) => {
             let live: BTreeSet<EntryId> = live.into_iter().map(|session| session.entry).collect();
             world.peers.set_sessions(&live);
-            let is_listed = live.contains(&world.entry);
-            let since = view.listed_since.unwrap_or_else(|| world.now());
-            view.listed_since = is_listed.then_some(since);
+            view.is_listed |= live.contains(&world.entry);
+            view.has_failed = false;
             world.roles.set_live(live);
             view.read_at = Some(asked_at);
         }
-        Err(error) => log::warn!(target: PART, "The sessions can't be read: {error}."),
+        Err(error) => {
+            view.has_failed = true;
+            log::warn!(target: PART, "The sessions can't be read: {error}.");
+        }
     }
 }
 
 /// Until when the others are sure to count this entry as a member.
 fn standing_until(world: &World, sessions: &SessionsView) -> Option<Instant> {
     let now = world.now();
-    let listed_since = sessions.listed_since?;
-    if now.duration_since(listed_since) < STANDING_TERM {
+    if !sessions.is_listed {
         return None;
     }
     if let Some(read_at) = sessions.read_at
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -44,6 +44,8 @@
     pub data_centre: DcName,
     /// Where callers connect.
     pub caller_address: SocketAddr,
+    /// Where submitters of tasks connect.
+    pub task_address: SocketAddr,
     /// Where operators, the balancer's checks and the metrics' collector connect.
     pub operator_address: SocketAddr,
     /// The digest of the key that operators use while the catalogue names no operator.
--- /dev/null
+++ b/crates/daemon/src/tasks/mod.rs
@@ -0,0 +1,216 @@
+//! The submitters' interface to tasks.
+//!
+//! `POST /v1/tasks` accepts a task, `GET /v1/tasks/<key>` tells how far it is, `DELETE /v1/tasks/<key>` cancels it. A
+//! submitter presents its team's key and sees only that team's tasks. A task is answered as accepted only once it is in
+//! its document; one that is sent again with its own key is accepted once.
+
+mod answer;
+
+use std::net::TcpListener as StdListener;
+use std::sync::Arc;
+
+use goldcrest_ledger::jobs::{JobAnswer, JobsDoc, Task, TaskState};
+use goldcrest_obs::logs::Part;
+use goldcrest_session::UpdateError;
+use goldcrest_types::catalogue::{Access, Catalogue, PoolKind};
+use goldcrest_types::entity::TeamId;
+use goldcrest_types::names::{QueueName, TaskKey};
+use goldcrest_types::units::Resources;
+use http::{HeaderMap, Method, Request};
+use hyper::body::Incoming;
+use serde::Deserialize;
+use tokio_util::sync::CancellationToken;
+
+use self::answer::{Refusal, TaskView, accepted, found, refused};
+use crate::http::{Answer, Door, bearer, read_json, serve as serve_http};
+use crate::scheduler::intake::IntakeError;
+use crate::scheduler::jobs_key;
+use crate::scheduler::plan::shard_of;
+use crate::world::World;
+
+/// The path of the tasks.
+const TASKS: &str = "/v1/tasks";
+
+/// The most connections at one time.
+const CONNECTIONS_MAX: usize = 4_096;
+
+/// What the message of a task may hold besides its payload, in bytes.
+const ENVELOPE_BYTES: usize = 4 << 10;
+
+/// A task as its submitter sends it.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Submission {
+    /// The task's key. A submitter that sends a task again keeps it.
+    key: Option<TaskKeyText>,
+    /// The queue, whose pool is one of workers.
+    queue: QueueName,
+    /// What the task needs.
+    need: Resources,
+    /// How long it is expected to run, in milliseconds.
+    run_ms: u64,
+    /// What to run.
+    payload: Box<str>,
+    /// Whether it may run again after it may have run.
+    #[serde(default)]
+    idempotent: bool,
+}
+
+/// A task's key in its text form.
+#[derive(Debug, Deserialize)]
+#[serde(try_from = "Box<str>")]
+struct TaskKeyText(TaskKey);
+
+impl TryFrom<Box<str>> for TaskKeyText {
+    type Error = goldcrest_types::names::NameError;
+
+    fn try_from(text: Box<str>) -> Result<Self, Self::Error> {
+        text.parse().map(Self)
+    }
+}
+
+/// Serves submitters.
+pub async fn serve(world: Arc<World>, listener: Arc<StdListener>, stop: CancellationToken) {
+    let door = Door {
+        part: Part::Scheduler,
+        listener,
+        connections_max: CONNECTIONS_MAX,
+    };
+    let handle = move |request| {
+        let world = Arc::clone(&world);
+        async move {
+            match answer(&world, request).await {
+                Ok(answer) => answer,
+                Err(refusal) => refused(&refusal),
+            }
+        }
+    };
+    serve_http(door, stop, handle).await;
+}
+
+/// Writes what was accepted to the documents.
+pub async fn write(world: Arc<World>, stop: CancellationToken) {
+    let mut writers = world.writers.lock().await;
+    writers.run(&world, &stop).await;
+}
+
+async fn answer(world: &World, request: Request<Incoming>) -> Result<Answer, Refusal> {
+    let path: Box<str> = request.uri().path().into();
+    if *request.method() == Method::POST && &*path == TASKS {
+        return submit(world, request).await;
+    }
+    let key: TaskKey = path
+        .strip_prefix(TASKS)
+        .and_then(|rest| rest.strip_prefix('/'))
+        .and_then(|text| text.parse().ok())
+        .ok_or(Refusal::NoPath)?;
+    let cat = world.cat().ok_or(Refusal::NotReady)?;
+    let team = team_of_key(world, &cat, request.headers())?;
+    match *request.method() {
+        Method::GET => look(world, &cat, team, key).await.map(|view| found(&view)),
+        Method::DELETE => cancel(world, &cat, team, key).await,
+        _ => Err(Refusal::NoPath),
+    }
+}
+
+async fn submit(world: &World, request: Request<Incoming>) -> Result<Answer, Refusal> {
+    if world.stopping.is_cancelled() {
+        return Err(Refusal::NotReady);
+    }
+    let cat = world.cat().ok_or(Refusal::NotReady)?;
+    let headers = request.headers().clone();
+    let payload_max = usize::try_from(world.settings.front.task_bytes.get()).unwrap_or(usize::MAX);
+    let bytes_max = payload_max.saturating_add(ENVELOPE_BYTES);
+    let sent: Submission = read_json(request.into_body(), bytes_max)
+        .await
+        .map_err(|error| Refusal::Message(error.to_string().into()))?;
+    let queue = cat.queue(sent.queue.as_str()).ok_or(Refusal::NoQueue)?;
+    let record = &cat.queues[queue];
+    if cat.pools[record.pool].kind != PoolKind::Workers {
+        return Err(Refusal::NoWorkers);
+    }
+    let has_key = bearer(&headers).is_some();
+    let team = if record.access == Access::Open && !has_key {
+        record.owner
+    } else {
+        team_of_key(world, &cat, &headers)?
+    };
+    let key = sent
+        .key
+        .map_or_else(|| TaskKey::new(rand::random()), |key| key.0);
+    let task = Task {
+        queue: sent.queue,
+        team: cat.teams[team].name.clone(),
+        class: record.class,
+        need: sent.need,
+        run_ms: sent.run_ms,
+        payload: sent.payload,
+        is_idempotent: sent.idempotent,
+        attempts: 0,
+        is_checkpointed: false,
+        is_cancelled: false,
+        state: TaskState::Waiting,
+    };
+    let answer = world.intake.accept(key, task).await;
+    answer.map_err(|error| intake_refusal(key, error))?;
+    Ok(accepted(key))
+}
+
+/// The team whose key came with the request.
+fn team_of_key(world: &World, cat: &Catalogue, headers: &HeaderMap) -> Result<TeamId, Refusal> {
+    let secret = bearer(headers).ok_or(Refusal::NoKey)?;
+    if !world.freshness.borrow().holds(world.now()) {
+        return Err(Refusal::KeysNotFresh);
+    }
+    let key = cat.key(secret).ok_or(Refusal::UnknownKey)?;
+    Ok(cat.keys[key].team)
+}
+
+/// Reads how far a task is. A task of another team is not known.
+async fn look(
+    world: &World,
+    cat: &Catalogue,
+    team: TeamId,
+    key: TaskKey,
+) -> Result<TaskView, Refusal> {
+    let dc = &world.settings.entry.data_centre;
+    let doc_key = jobs_key(dc, shard_of(key));
+    let read = world.session.read::<JobsDoc>(&doc_key).await;
+    let (doc, _) = read.map_err(|error: UpdateError| Refusal::Store(error.to_string().into()))?;
+    if let Some(task) = doc.tasks().get(&key) {
+        let is_own = task.team == cat.teams[team].name;
+        return is_own
+            .then(|| TaskView::of(key, task))
+            .ok_or(Refusal::NoTask);
+    }
+    let outcome = doc.outcome(key).ok_or(Refusal::NoTask)?;
+    Ok(TaskView::ended(key, outcome))
+}
+
+async fn cancel(
+    world: &World,
+    cat: &Catalogue,
+    team: TeamId,
+    key: TaskKey,
+) -> Result<Answer, Refusal> {
+    let view = look(world, cat, team, key).await?;
+    if view.is_ended() {
+        return Ok(found(&view));
+    }
+    let answer = world.intake.cancel(key).await;
+    let answer = answer.map_err(|error| intake_refusal(key, error))?;
+    Ok(match answer {
+        JobAnswer::Ended(outcome) => found(&TaskView::ended(key, outcome)),
+        JobAnswer::Done | JobAnswer::Known | JobAnswer::Stopping | JobAnswer::Repeated => {
+            accepted(key)
+        }
+    })
+}
+
+fn intake_refusal(key: TaskKey, error: IntakeError) -> Refusal {
+    match error {
+        IntakeError::Refused(cause) => Refusal::Document(cause.to_string().into()),
+        IntakeError::Busy => Refusal::Busy,
+        IntakeError::Unknown => Refusal::Unknown(key),
+    }
+}
--- a/crates/daemon/src/world/mod.rs
+++ b/crates/daemon/src/world/mod.rs
@@ -25,6 +25,7 @@
 
 use crate::peers::DaemonPeers;
 use crate::quota::split::Split;
+use crate::scheduler::intake::{Intake, Writers};
 use crate::settings::Settings;
 
 /// The clock of a process, as its parts hold it.
@@ -106,6 +107,10 @@
     pub fleets: watch::Sender<Fleets>,
     /// The quota row of this entry, divided between the serving path and the scheduler.
     pub split: Split,
+    /// Takes requests about tasks.
+    pub intake: Intake,
+    /// The writing side of the intake; used by the tasks part.
+    pub writers: Mutex<Writers>,
     /// The roles of this entry.
     pub roles: DaemonRoles,
     /// Cancelled when the process begins to stop.
--- a/crates/demo/src/callers/mod.rs
+++ b/crates/demo/src/callers/mod.rs
@@ -3,6 +3,7 @@
 //! Each request has a body of its own, so an answer to another request, or one that is cut short, is seen. A request
 //! that is not idempotent carries an `Idempotency-Key`, by which the upstreams count how often it ran.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use goldcrest_platform::http::{CallError, HttpCaller};
 use goldcrest_standin::upstream::CallBook;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+use serde::Deserialize;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
@@ -26,7 +28,7 @@
 const OUTCOME: HeaderName = HeaderName::from_static("x-outcome");
 
 /// How requests ended.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Tally {
     /// Requests sent.
     pub sent: u64,
@@ -42,6 +44,28 @@
     pub unknown: u64,
     /// Refused with neither word.
     pub unclear: u64,
+    /// The codes of the refusals, with how often each came.
+    codes: BTreeMap<Box<str>, u64>,
+}
+
+impl Tally {
+    /// The codes of the refusals, for people.
+    pub fn codes_text(&self) -> String {
+        if self.codes.is_empty() {
+            return String::new();
+        }
+        let counted = self
+            .codes
+            .iter()
+            .map(|(code, count)| format!("{count} {code}"));
+        format!(" ({})", counted.collect::<Vec<_>>().join(", "))
+    }
+}
+
+/// The part of a problem document that is counted.
+#[derive(Debug, Deserialize)]
+struct ProblemCode {
+    code: Box<str>,
 }
 
 /// What one caller sends.
@@ -104,7 +128,7 @@
     /// The counts so far.
     #[must_use]
     pub fn tally(&self) -> Tally {
-        *lock(&self.tally)
+        lock(&self.tally).clone()
     }
 
     /// Lets every request that is on its way end, and returns the counts.
@@ -202,6 +226,9 @@
             }
             return;
         }
+        if let Ok(problem) = serde_json::from_slice::<ProblemCode>(&answer.body) {
+            *tally.codes.entry(problem.code).or_default() += 1;
+        }
         match answer
             .headers
             .get(OUTCOME)
--- a/crates/demo/src/lab/mod.rs
+++ b/crates/demo/src/lab/mod.rs
@@ -200,6 +200,7 @@
                 vm: vm.clone(),
                 data_centre: place.name.clone(),
                 caller_address: any,
+                task_address: any,
                 operator_address: any,
                 first_operator_digest: Some(KeyDigest::of(OPERATOR_SECRET)),
             },
--- a/crates/demo/src/story/steps.rs
+++ b/crates/demo/src/story/steps.rs
@@ -49,10 +49,14 @@
 }
 
 /// Checks what holds for every request, whatever happens meanwhile.
-fn check_tally(account: &mut Account, what: &str, tally: Tally) {
+fn check_tally(account: &mut Account, what: &str, tally: &Tally) {
     println!(
-        "{what}: {} sent, {} answered, {} not run, {} unknown",
-        tally.sent, tally.answered, tally.not_run, tally.unknown
+        "{what}: {} sent, {} answered, {} not run, {} unknown{}",
+        tally.sent,
+        tally.answered,
+        tally.not_run,
+        tally.unknown,
+        tally.codes_text()
     );
     let wrong = tally.wrong + tally.unclear;
     account.check(Promise::WholeAnswer, what, tally.sent, wrong);
@@ -65,17 +69,35 @@
     }
 }
 
-/// Waits until non-idempotent requests are answered: the entries first have to know the past of their keys.
+/// Waits until every entry knows the past of the idempotency keys of which it is the home.
+async fn settle(stage: &Stage, label: &str, account: &mut Account) {
+    let callers = start(stage, label, 4, &agencies());
+    let started = Instant::now();
+    let mut last = callers.tally();
+    loop {
+        sleep(WORK / 2).await;
+        let next = callers.tally();
+        let is_settled = next.answered > last.answered && next.unknown == last.unknown;
+        if is_settled {
+            break;
+        }
+        if started.elapsed() > STEP_TIMEOUT * 2 {
+            account.fail(format!("{label}: some keys have no home that knows them"));
+            break;
+        }
+        last = next;
+    }
+    check_tally(account, label, &callers.finish().await);
+}
+
+/// Requests with and without keys.
 pub async fn serve_requests(stage: &mut Stage, account: &mut Account) {
+    settle(stage, "requests after the start", account).await;
     let callers = start(stage, "first", 4, &agencies());
     let open = start(stage, "open", 2, &plan("status", None, true, 2));
-    let started = Instant::now();
-    while callers.tally().answered < 50 && started.elapsed() < STEP_TIMEOUT {
-        sleep(LOOK_INTERVAL).await;
-    }
     sleep(WORK).await;
-    check_tally(account, "keyed requests", callers.finish().await);
-    check_tally(account, "open requests", open.finish().await);
+    check_tally(account, "keyed requests", &callers.finish().await);
+    check_tally(account, "open requests", &open.finish().await);
 }
 
 /// More callers of one team than its upper limit allows, over all entries at one time.
@@ -83,7 +105,11 @@
     let guides = plan("merge", Some("guides-example"), true, 60);
     let callers = start(stage, "guides", 30, &guides);
     sleep(WORK * 2).await;
-    check_tally(account, "a team at its upper limit", callers.finish().await);
+    check_tally(
+        account,
+        "a team at its upper limit",
+        &callers.finish().await,
+    );
     let most = stage.lab.calls.most_running("guides");
     let what = format!("guides: at most {most} at one time, upper limit {GUIDES_LIMIT}");
     let broken = u64::from(most.saturating_sub(GUIDES_LIMIT));
@@ -119,7 +145,7 @@
     let worked = after.answered - before.answered;
     let tried = after.sent - before.sent;
     account.check(Promise::KeyAuthority, "a withdrawn key", tried, worked);
-    check_tally(account, "requests of other keys", others.finish().await);
+    check_tally(account, "requests of other keys", &others.finish().await);
     Ok(())
 }
 
@@ -146,9 +172,9 @@
     check_tally(
         account,
         "keyed requests in an outage",
-        callers.finish().await,
+        &callers.finish().await,
     );
-    check_tally(account, "open requests in an outage", open.finish().await);
+    check_tally(account, "open requests in an outage", &open.finish().await);
     let revision = stage.lab.entries().count();
     account.check(
         Promise::ConfigurationInForce,
@@ -181,8 +207,9 @@
     check_tally(
         account,
         "requests while an entry is lost",
-        callers.finish().await,
+        &callers.finish().await,
     );
+    settle(stage, "requests after the loss", account).await;
     Ok(())
 }
 
@@ -207,7 +234,7 @@
     check_tally(
         account,
         "requests while an upstream leaves",
-        callers.finish().await,
+        &callers.finish().await,
     );
     stage.lab.fleet.set_phase(&vm, VmPhase::Live);
 }
@@ -233,7 +260,7 @@
         tally.sent,
         cut + tally.unknown,
     );
-    check_tally(account, "requests while an entry stops", tally);
+    check_tally(account, "requests while an entry stops", &tally);
     Ok(())
 }
 
--- a/crates/types/src/catalogue/check.rs
+++ b/crates/types/src/catalogue/check.rs
@@ -7,7 +7,7 @@
 use std::fmt;
 use std::hash::Hash;
 
-use super::spec::{CatalogueSpec, PoolKind, QueueSpec, REPEAT_WINDOW_MAX_MS};
+use super::spec::{CatalogueSpec, PoolKind, QueueSpec, REPEAT_WINDOW_MAX_MS, REPEAT_WINDOW_MIN_MS};
 use crate::names::{PoolName, TeamName};
 
 /// A list in the catalogue.
@@ -302,9 +302,9 @@
         );
         out.push(Section::Queues, index, message);
     }
-    if limits.repeat_window_ms > REPEAT_WINDOW_MAX_MS {
+    if !(REPEAT_WINDOW_MIN_MS..=REPEAT_WINDOW_MAX_MS).contains(&limits.repeat_window_ms) {
         let message = format!(
-            "queue '{}': limits.repeat_window_ms {} is longer than entries remember: set it to {REPEAT_WINDOW_MAX_MS} or less",
+            "queue '{}': limits.repeat_window_ms {} is not what entries can remember: set it from {REPEAT_WINDOW_MIN_MS} to {REPEAT_WINDOW_MAX_MS}",
             queue.name, limits.repeat_window_ms
         );
         out.push(Section::Queues, index, message);
--- a/crates/types/src/catalogue/spec.rs
+++ b/crates/types/src/catalogue/spec.rs
@@ -175,6 +175,10 @@
     pub limits: QueueLimits,
 }
 
+/// The shortest time for which a repetition is recognised, in milliseconds. Entries take up to this long to hear of each
+/// other.
+pub const REPEAT_WINDOW_MIN_MS: u64 = 10_000;
+
 /// The longest time for which a repetition is recognised, in milliseconds.
 pub const REPEAT_WINDOW_MAX_MS: u64 = 300_000;
 
