--- a/crates/ledger/tests/rebalance.rs
+++ b/crates/ledger/tests/rebalance.rs
@@ -286,3 +286,27 @@
     }
     assert_eq!(fleet.writes, 0);
 }
+
+/// All of 100 teams at 66 entries shift their demand at one time: the writes of each second stay far under the several
+/// hundred that the key-value service takes.
+#[test]
+fn rebalance_writes_of_hundred_teams() {
+    let mut fleet = Fleet::new(100);
+    fleet.shift(&[1; DCS * ENTRIES]);
+    fleet.settle();
+    let ramp: Vec<u8> = (0..DCS * ENTRIES)
+        .map(|at| u8::try_from(at % 9).expect("a small number"))
+        .collect();
+    fleet.shift(&ramp);
+    let heard = fleet.wanted.clone();
+    let mut writes = Vec::new();
+    for _ in 0..10 {
+        fleet.writes = 0;
+        fleet.round(&heard);
+        writes.push(fleet.writes);
+    }
+    println!("writes a second after the shift: {writes:?}");
+    assert!(writes.iter().all(|writes| *writes <= 150), "{writes:?}");
+    assert_eq!(writes.last(), Some(&0));
+    assert_eq!(fleet.settle(), 0);
+}
