daemon: gauges, access tests, and no gap in an entry's standing

Cause: when an entry's last list of sessions grew too old, its standing was taken up by the proof of an outage only a quarter of a second later; the gap made it forget since when it was a home, and answer 'unknown' for a whole window. Ruled out: a slow read of the sessions; the log shows one each half second. Change: the later of both proofs counts at every look.

--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -33,7 +33,7 @@
 use crate::world::{
     DaemonClock, DaemonFollower, DaemonRoles, DaemonSession, Fleets, NOTHING_READ, World,
 };
-use crate::{catalogue, fleet, front, operator, peers, quota, roles, scheduler, tasks};
+use crate::{catalogue, fleet, front, gauges, operator, peers, quota, roles, scheduler, tasks};
 
 const PART: &str = Part::Main.as_str();
 
@@ -118,9 +118,10 @@
             .addresses()
             .map_err(|cause| StartError::Listen(settings.entry.caller_address, cause))?;
         let world = Arc::new(build_world(settings, clock, addresses.peer));
-        world
-            .metrics
-            .register(|registry| world.front.register(registry));
+        world.metrics.register(|registry| {
+            world.front.register(registry);
+            gauges::register(&world, registry);
+        });
         let mut supervisor = Supervisor::new(CancellationToken::new());
         let mut lease = Supervisor::new(CancellationToken::new());
         spawn_lease(&mut lease, &world, addresses.peer);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod entry;
 pub mod fleet;
 pub mod front;
+pub mod gauges;
 pub mod http;
 pub mod operator;
 pub mod peers;
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -59,15 +59,14 @@
 /// Tells the peers' state what this process knows.
 pub async fn feed(world: Arc<World>, stop: CancellationToken) {
     let mut sessions = SessionsView::default();
+    let mut standing = Standing::default();
     while !stop.is_cancelled() {
         if sessions.is_due(world.now()) {
             read_sessions(&world, &mut sessions).await;
         }
         feed_usage(&world);
         feed_listing(&world);
-        if let Some(until) = standing_until(&world, &sessions) {
-            world.peers.extend_standing(until);
-        }
+        standing.extend(&world, standing_until(&world, &sessions));
         tokio::select! {
             () = stop.cancelled() => {}
             () = sleep(FEED_INTERVAL) => {}
@@ -100,6 +99,32 @@
 /// read a list with it.
 const STANDING_TERM: Duration = Duration::from_millis(REPEAT_WINDOW_MIN_MS - 2_000);
 
+/// Until when this entry acts as a home of idempotency keys.
+#[derive(Debug, Default)]
+struct Standing {
+    until: Option<Instant>,
+}
+
+impl Standing {
+    fn extend(&mut self, world: &World, until: Option<Instant>) {
+        let now = world.now();
+        let stood = self.until.is_some_and(|until| now < until);
+        if let Some(until) = until {
+            world.peers.extend_standing(until);
+            self.until = self.until.max(Some(until));
+        }
+        let stands = self.until.is_some_and(|until| now < until);
+        match (stood, stands) {
+            (false, true) => log::info!(target: PART, "Acting as a home of idempotency keys."),
+            (false, false) if self.until.take().is_some() => log::warn!(
+                target: PART,
+                "No home of idempotency keys any more: neither a session nor an outage for all."
+            ),
+            _ => {}
+        }
+    }
+}
+
 /// When the live sessions were read last, and whether they showed this entry.
 #[derive(Debug, Default)]
 struct SessionsView {
@@ -140,18 +165,26 @@
     }
 }
 
-/// Until when the others are sure to count this entry as a member.
+/// Until when the others are sure to count this entry as a member. The later of both proofs counts: a moment without
+/// either would make this entry forget since when it has been a home.
 fn standing_until(world: &World, sessions: &SessionsView) -> Option<Instant> {
-    let now = world.now();
     if !sessions.is_listed {
         return None;
     }
-    if let Some(read_at) = sessions.read_at
-        && let Some(valid_until) = world.session.valid_until(now)
-        && now < read_at + STANDING_TERM
-    {
-        return Some(valid_until.min(read_at + STANDING_TERM));
-    }
+    let now = world.now();
+    let by_session = standing_by_session(world, sessions, now);
+    let by_outage = standing_by_outage(world, now);
+    by_session.max(by_outage)
+}
+
+fn standing_by_session(world: &World, sessions: &SessionsView, now: Instant) -> Option<Instant> {
+    let listed_until = sessions.read_at? + STANDING_TERM;
+    let valid_until = world.session.valid_until(now)?;
+    (now < listed_until).then_some(listed_until.min(valid_until))
+}
+
+/// While no entry has contact with the key-value service, nobody can see a session lapse.
+fn standing_by_outage(world: &World, now: Instant) -> Option<Instant> {
     match *world.freshness.borrow() {
         Freshness::Fresh {
             until,
--- /dev/null
+++ b/crates/daemon/tests/common/mod.rs
@@ -0,0 +1,181 @@
+//! One entry on stand-ins.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use goldcrest_api::{EditRequest, path};
+use goldcrest_daemon::entry::{Addresses, Entry};
+use goldcrest_daemon::settings;
+use goldcrest_ledger::catalogue::diff;
+use goldcrest_ledger::fleet::{FleetVm, VmState};
+use goldcrest_platform::fleet::{VmPhase, VmRecord, VmRole};
+use goldcrest_platform::http::HttpCaller;
+use goldcrest_platform::http::call::Answer;
+use goldcrest_standin::upstream::CallBook;
+use goldcrest_standin::{FleetFake, KvFake, UpstreamFake};
+use goldcrest_types::catalogue::{CatalogueSpec, parse};
+use goldcrest_types::clock::SystemClock;
+use goldcrest_types::key::KeyDigest;
+use goldcrest_types::names::{DcName, EditId};
+use goldcrest_types::units::{Accelerators, CpuMillis, Resources};
+use http::header::AUTHORIZATION;
+use http::{HeaderMap, HeaderValue, Method, StatusCode};
+use tokio_util::sync::CancellationToken;
+
+pub const AGENCIES: &str = "agencies-example";
+pub const GUIDES: &str = "guides-example";
+pub const OPERATOR: &str = "first";
+pub const TASK: &str = "{\"queue\":\"backfill\",\"need\":{\"cpu_millis\":100,\"memory_bytes\":1000},\"run_ms\":50,\"payload\":\"run_ms=50\"}";
+
+/// One entry with its stand-ins.
+pub struct Fixture {
+    entry: Entry,
+    addresses: Addresses,
+    http: HttpCaller,
+    stop: CancellationToken,
+}
+
+fn spec() -> CatalogueSpec {
+    parse(include_str!("../../../../examples/demo.yaml")).expect("the example is valid")
+}
+
+fn record(name: &str, role: VmRole, address: SocketAddr) -> VmRecord {
+    VmRecord {
+        name: name.parse().expect("a name"),
+        data_centre: "lis-a".parse().expect("a name"),
+        rack: "rack-1".parse().expect("a name"),
+        role,
+        address,
+        phase: VmPhase::Live,
+        resources: Resources::new(
+            CpuMillis::new(16_000),
+            goldcrest_types::units::Bytes::new(32 << 30),
+            Accelerators::ZERO,
+        ),
+        boots: 1,
+    }
+}
+
+impl Fixture {
+    /// Starts an entry and waits until it has a catalogue and proof that it is fresh.
+    pub async fn start() -> Self {
+        let stop = CancellationToken::new();
+        let dc: DcName = "lis-a".parse().expect("a name");
+        let kv = KvFake::new();
+        let fleet = FleetFake::new(Duration::from_millis(10), Duration::ZERO);
+        let store = kv.listen(dc.clone(), stop.clone()).await.expect("a port");
+        let list = fleet.listen(dc, stop.clone()).await.expect("a port");
+        let upstream = UpstreamFake::new(Arc::new(CallBook::default()));
+        let address = upstream.listen(stop.clone()).await.expect("a port");
+        fleet.put(record("up-1", VmRole::Upstream, address));
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        fleet.put(record("entry-1", VmRole::Entry, any));
+        let text = format!(
+            "entry:\n  vm: entry-1\n  data_centre: lis-a\n  caller_address: {any}\n  task_address: {any}\n  \
+             operator_address: {any}\n  first_operator_digest: {}\nplatform:\n  store_address: {store}\n  \
+             fleet_address: {list}\npeers:\n  address: {any}\n  secret: test\nstop:\n  settle_ms: 1\n  \
+             drain_max_ms: 5000\nstore:\n  calls_per_second: 100\n",
+            KeyDigest::of("at-first")
+        );
+        let settings = settings::parse(&text).unwrap_or_else(|errors| panic!("{errors}"));
+        let entry = Entry::start(settings, Arc::new(SystemClock)).expect("it starts");
+        let fix = Self {
+            addresses: entry.addresses(),
+            entry,
+            http: HttpCaller::new(Duration::from_secs(20)),
+            stop,
+        };
+        fix.apply().await;
+        fix
+    }
+
+    async fn apply(&self) {
+        let changes = diff(&CatalogueSpec::default(), &spec());
+        let edit = EditRequest {
+            id: EditId::new(1),
+            changes,
+        };
+        let body = serde_json::to_string(&edit).expect("it is JSON");
+        let answer = self
+            .operator(Method::POST, path::EDITS, Some("at-first"), &body)
+            .await;
+        let told = String::from_utf8_lossy(&answer.body).into_owned();
+        assert_eq!(answer.status, StatusCode::OK, "{told}");
+        let mut freshness = self.entry.world().freshness.subscribe();
+        let now = || self.entry.world().now();
+        let fresh = freshness.wait_for(|freshness| freshness.holds(now()));
+        fresh.await.expect("the entry runs");
+    }
+
+    /// Waits until the upstream is in service in its pool.
+    pub async fn wait_for_pools(&self) {
+        let mut fleets = self.entry.world().fleets.subscribe();
+        let is_serving = |vm: &FleetVm| vm.state == VmState::Serving;
+        let served = fleets.wait_for(|fleets| {
+            let mut docs = fleets.iter();
+            docs.any(|(_, doc)| doc.vms().values().any(is_serving))
+        });
+        served.await.expect("the entry runs");
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        key: Option<&str>,
+        body: &str,
+    ) -> Answer {
+        let mut headers = HeaderMap::new();
+        if let Some(key) = key {
+            let value = HeaderValue::try_from(format!("Bearer {key}")).expect("a header");
+            headers.insert(AUTHORIZATION, value);
+        }
+        let body = Bytes::copy_from_slice(body.as_bytes());
+        self.http
+            .call(method, address, path, headers, body, Duration::ZERO)
+            .await
+            .expect("an answer")
+    }
+
+    /// Asks the operators' interface.
+    pub async fn operator(
+        &self,
+        method: Method,
+        path: &str,
+        key: Option<&str>,
+        body: &str,
+    ) -> Answer {
+        self.call(method, self.addresses.operator, path, key, body)
+            .await
+    }
+
+    /// Asks the tasks' interface.
+    pub async fn task(&self, method: Method, path: &str, key: Option<&str>, body: &str) -> Answer {
+        self.call(method, self.addresses.task, path, key, body)
+            .await
+    }
+
+    /// Sends a caller's request.
+    pub async fn caller(&self, path: &str, key: Option<&str>) -> Answer {
+        self.call(Method::GET, self.addresses.caller, path, key, "")
+            .await
+    }
+
+    /// Submits a task and returns its key.
+    pub async fn submit(&self, key: &str) -> String {
+        let answer = self.task(Method::POST, "/v1/tasks", Some(key), TASK).await;
+        let text = String::from_utf8_lossy(&answer.body).into_owned();
+        assert_eq!(answer.status, StatusCode::ACCEPTED, "{text}");
+        let value: serde_json::Value = serde_json::from_str(&text).expect("it is JSON");
+        value["key"].as_str().expect("a key").to_owned()
+    }
+
+    /// Stops everything.
+    pub async fn stop(self) {
+        self.entry.stop().await;
+        self.stop.cancel();
+    }
+}
