--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder until this crate has its first module.
+//! What the benchmarks share. Each benchmark is a program in `src/bin`.
+
+pub mod entries;
