--- a/crates/ledger/tests/rebalance.rs
+++ b/crates/ledger/tests/rebalance.rs
@@ -5,7 +5,9 @@
 use goldcrest_ledger::Document;
 use goldcrest_ledger::quota::portions::{DcPlan, DcView, plan};
 use goldcrest_ledger::quota::rebalance::{Demand, RebalanceContext, rebalance};
-use goldcrest_ledger::quota::{DcEdit, DcQuota, FleetEdit, FleetQuota, SessionId, TeamSlots};
+use goldcrest_ledger::quota::{
+    DcEdit, DcQuota, FleetEdit, FleetQuota, QuotaRefusal, SessionId, TeamSlots,
+};
 use goldcrest_ledger::verify;
 use goldcrest_types::breach::Breaches;
 use goldcrest_types::names::{DcName, EditId, EntryId, TeamName, TransferId};
@@ -92,6 +94,22 @@
         applied.expect("an edit that fits");
     }
 
+    fn limits(&self, slots: u32) -> Vec<TeamSlots> {
+        let limit = |team: &TeamName| TeamSlots {
+            team: team.clone(),
+            slots: Slots::new(slots),
+        };
+        self.teams.iter().map(limit).collect()
+    }
+
+    fn set_limits(&mut self, revision: u64, slots: u32, announced: &[DcName]) -> FleetEdit {
+        FleetEdit::SetLimits {
+            revision: Revision::new(revision),
+            limits: self.limits(slots),
+            announced: announced.to_vec(),
+        }
+    }
+
     /// One second. Everyone hears the demand of the second before.
     fn round(&mut self, heard: &[Demand]) {
         let mut ctx = RebalanceContext::new();
@@ -310,3 +328,53 @@
     assert_eq!(writes.last(), Some(&0));
     assert_eq!(fleet.settle(), 0);
 }
+
+#[test]
+fn set_limits_lowered_converges() {
+    let mut fleet = Fleet::new(2);
+    fleet.shift(&[1; DCS * ENTRIES]);
+    fleet.settle();
+    let lowered = fleet.set_limits(2, LIMIT / 2, &[]);
+    fleet.fleet_edit(lowered);
+    let heard = fleet.wanted.clone();
+    for _ in 0..ROUNDS_MAX {
+        fleet.round(&heard);
+    }
+    for (team, portions) in fleet.portions.teams() {
+        assert_eq!(portions.owed, Slots::ZERO, "team {team}");
+    }
+    for team in &fleet.teams {
+        let held = fleet.dcs.iter().filter_map(|doc| doc.teams().get(team));
+        let held: Slots = held.map(|quota| quota.portion).sum();
+        assert_eq!(held, Slots::new(LIMIT / 2), "team {team}");
+    }
+}
+
+#[test]
+fn set_limits_raised_unannounced() {
+    let mut fleet = Fleet::new(1);
+    fleet.shift(&[1; DCS * ENTRIES]);
+    fleet.settle();
+    let early = fleet.set_limits(2, LIMIT * 2, &[]);
+    let edit = EditId::new(fleet.draw());
+    let refusal = fleet.portions.apply(edit, Epoch::ZERO, &[early]);
+    assert!(matches!(refusal, Err(QuotaRefusal::NotAnnounced(_))));
+    let limits = fleet.limits(LIMIT * 2);
+    for dc in 0..DCS {
+        let limits = limits.clone();
+        fleet.dc_edit(
+            dc,
+            DcEdit::Announce {
+                limits,
+                is_settled: false,
+            },
+        );
+    }
+    let names = fleet.names.clone();
+    let raised = fleet.set_limits(2, LIMIT * 2, &names);
+    fleet.fleet_edit(raised);
+    let stale = fleet.set_limits(1, LIMIT, &names);
+    let edit = EditId::new(fleet.draw());
+    let refusal = fleet.portions.apply(edit, Epoch::ZERO, &[stale]);
+    assert!(matches!(refusal, Err(QuotaRefusal::Stale(..))));
+}
