--- a/crates/serve/tests/decisions/retry.rs
+++ b/crates/serve/tests/decisions/retry.rs
@@ -73,3 +73,18 @@
         assert!(refusal.remedy().len() > 10, "{}", refusal.code());
     }
 }
+
+#[test]
+fn codes_stand_on_operators_page() {
+    let page = include_str!("../../../../docs/operations/refusals.md");
+    let not_run = NotRunCode::ALL
+        .iter()
+        .map(|c| (c.as_str(), c.status(), c.remedy()));
+    let unknown = UnknownCode::ALL
+        .iter()
+        .map(|c| (c.as_str(), c.status(), c.remedy()));
+    for (code, status, remedy) in not_run.chain(unknown) {
+        let line = format!("| `{code}` | {status} | {remedy} |");
+        assert!(page.contains(&line), "add this line to the page: {line}");
+    }
+}
