--- a/crates/ledger/src/document/mod.rs
+++ b/crates/ledger/src/document/mod.rs
@@ -124,7 +124,7 @@
     }
 
     /// Remembers `edit` and forgets the oldest one above the bound.
-    pub(crate) fn push(&mut self, edit: EditId) {
+    pub fn push(&mut self, edit: EditId) {
         self.total += 1;
         self.ids.push_back(edit);
         while self.ids.len() > RECENT_EDITS {
