daemon: drive maintenance waves on the fleet documents

Cause: the wave's plan was not carried out by any process. Change: the holder of the upkeep role fences every fleet document with its epoch, maps documents and list to the plan's state, stores each step before its command, plans again only when it sees what it stored, and checks the role right before a reboot. An upstream is rebooted once the longest deadline of its pool has passed since its drain, a worker once it reports no running task. The cycle is stored with the time that passed in it.

--- a/crates/bench/src/bin/rollout/main.rs
+++ b/crates/bench/src/bin/rollout/main.rs
@@ -169,7 +169,7 @@
         };
         let threads = (0..THREADS as u64).map(|thread| scope.spawn(move || part(thread)));
         let threads: Vec<_> = threads.collect();
-        let outcomes = threads.into_iter().map(|thread| thread.join());
+        let outcomes = threads.into_iter().map(std::thread::ScopedJoinHandle::join);
         outcomes
             .flat_map(|part| part.expect("a thread that ended"))
             .collect()
--- a/crates/bench/src/bin/sizing/optimum.rs
+++ b/crates/bench/src/bin/sizing/optimum.rs
@@ -6,7 +6,7 @@
 use goldcrest_types::catalogue::Weights;
 
 use crate::fake::{BOOT, Tally};
-use crate::trace::{PoolTrace, Trace, vms_f64};
+use crate::trace::{PoolTrace, Trace, vms_f64, whole};
 
 /// How often the weight of unmet demand is halved between bounds to meet a given amount.
 const ROUNDS: u32 = 14;
@@ -59,7 +59,7 @@
 
 fn add_pool(total: &mut Tally, pool: &PoolTrace, costs: &Costs, boot_hours: f64) {
     let peak = pool.demand_millis.iter().max().copied().unwrap_or(0);
-    let sizes = (peak.div_ceil(1_000) as usize).max(pool.vms) + 2;
+    let sizes = whole(peak.div_ceil(1_000)).max(pool.vms) + 2;
     let ticks = pool.demand_millis.len();
     let mut cost: Vec<f64> = (0..sizes)
         .map(|size| step_cost(pool.vms, size, costs))
--- a/crates/bench/src/bin/sizing/trace.rs
+++ b/crates/bench/src/bin/sizing/trace.rs
@@ -97,7 +97,7 @@
     pub fn new(shape: Shape, seed: u64) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
         let step = shape.step();
-        let ticks = (shape.hours() * 3_600 / step.as_secs()) as usize;
+        let ticks = whole(shape.hours() * 3_600 / step.as_secs());
         let mut trace = Self {
             step,
             dcs: shape.dcs(),
@@ -131,7 +131,7 @@
             let demands = self.pools.iter().map(|pool| pool.demand_millis[tick]);
             demands.map(|demand| demand.div_ceil(1_000)).sum::<u64>()
         });
-        let peak = asked.max().unwrap_or(0) as usize;
+        let peak = whole(asked.max().unwrap_or(0));
         let vms: usize = self.pools.iter().map(|pool| pool.vms).sum();
         (peak * 11 / 10).saturating_sub(vms)
     }
@@ -174,7 +174,7 @@
             let level = 1.0 - 0.6 * (TAU * at).cos() + noise;
             demand_millis.push(to_millis(mean * 1_000.0 * level.max(0.0)));
         }
-        let vms = demand_millis[0].div_ceil(1_000) as usize + 1;
+        let vms = whole(demand_millis[0].div_ceil(1_000)) + 1;
         self.pools.push(PoolTrace { vms, demand_millis });
     }
 
@@ -195,6 +195,10 @@
     f64::from(u32::try_from(count).unwrap_or(u32::MAX))
 }
 
+pub fn whole(count: u64) -> usize {
+    usize::try_from(count).unwrap_or(usize::MAX)
+}
+
 /// Rounds to whole thousandths.
 fn to_millis(value: f64) -> u64 {
     Duration::from_secs_f64(value / 1_000.0)
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -33,7 +33,9 @@
 use crate::world::{
     DaemonClock, DaemonFollower, DaemonRoles, DaemonSession, Fleets, NOTHING_READ, World,
 };
-use crate::{catalogue, fleet, front, gauges, operator, peers, quota, roles, scheduler, tasks};
+use crate::{
+    catalogue, fleet, front, gauges, maintenance, operator, peers, quota, roles, scheduler, tasks,
+};
 
 const PART: &str = Part::Main.as_str();
 
@@ -321,6 +323,10 @@
         tasks::serve(Arc::clone(&shared), Arc::clone(&submitters), stop)
     });
     let shared = Arc::clone(world);
+    supervisor.spawn(Part::Maintenance, move |stop| {
+        maintenance::run(Arc::clone(&shared), stop)
+    });
+    let shared = Arc::clone(world);
     let operators = Arc::clone(&listeners.operator);
     supervisor.spawn(Part::Operator, move |stop| {
         operator::serve(Arc::clone(&shared), Arc::clone(&operators), stop)
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod front;
 pub mod gauges;
 pub mod http;
+pub mod maintenance;
 pub mod operator;
 pub mod peers;
 pub mod quota;
--- /dev/null
+++ b/crates/daemon/src/maintenance/edits.rs
@@ -0,0 +1,84 @@
+//! Steps of the plan as edits of the fleet documents.
+
+use std::collections::BTreeMap;
+
+use goldcrest_ledger::fleet::{Permit, Purpose, VmEdit};
+use goldcrest_types::catalogue::Catalogue;
+use goldcrest_types::names::{DcName, EntryId};
+use goldcrest_types::units::Epoch;
+use goldcrest_upkeep::fleet::VmState;
+use goldcrest_upkeep::maintenance::{Action, Step};
+
+use super::view::View;
+
+/// Who edits.
+#[derive(Debug, Clone, Copy)]
+pub struct Editor {
+    /// The entry.
+    pub holder: EntryId,
+    /// The epoch in which it holds the role.
+    pub epoch: Epoch,
+}
+
+impl Editor {
+    /// The edits of `steps` for each data centre, in order.
+    #[must_use]
+    pub fn edits(
+        self,
+        cat: &Catalogue,
+        view: &View,
+        steps: &[Step],
+    ) -> BTreeMap<DcName, Vec<VmEdit>> {
+        let mut edits: BTreeMap<DcName, Vec<VmEdit>> = BTreeMap::new();
+        for step in steps {
+            if let Some(edit) = self.edit(cat, view, step) {
+                let dc = view.place(step.vm).dc.clone();
+                edits.entry(dc).or_default().push(edit);
+            }
+        }
+        edits
+    }
+
+    /// The edits by which this entry takes over every pool in one data centre.
+    #[must_use]
+    pub fn take_over(self, cat: &Catalogue) -> Vec<VmEdit> {
+        let pools = cat.pools.values().map(|pool| VmEdit::TakeOver {
+            pool: pool.name.clone(),
+            holder: self.holder,
+            epoch: self.epoch,
+        });
+        pools.collect()
+    }
+
+    /// The edit of one step; none if the step stores nothing.
+    fn edit(self, cat: &Catalogue, view: &View, step: &Step) -> Option<VmEdit> {
+        let record = &view.fleet.vms[step.vm];
+        let vm = view.place(step.vm).vm.clone();
+        let epoch = self.epoch;
+        Some(match (step.action, record.state) {
+            (Action::Drain, _) => VmEdit::Drain {
+                vm,
+                permit: Permit {
+                    holder: self.holder,
+                    epoch,
+                    purpose: Purpose::Maintain {
+                        wave: view.fleet.cycle.number,
+                    },
+                },
+                budget: cat.pools[record.pool].max_unavailable_vms,
+            },
+            (Action::Return, VmState::Draining | VmState::Moving(_)) => {
+                VmEdit::Cancel { vm, epoch }
+            }
+            (Action::Return, _) => VmEdit::Serve {
+                vm,
+                boots: record.boots,
+            },
+            (Action::Reboot, VmState::Draining) => VmEdit::Reboot { vm, epoch },
+            (Action::Join(_), _) => VmEdit::Move { vm, epoch },
+            (Action::MarkFailed, _) => VmEdit::Fail { vm },
+            (Action::Remove, _) => VmEdit::Remove { vm },
+            (Action::Reboot | Action::CheckpointTasks, _) => return None,
+        })
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/maintenance/mod.rs
@@ -0,0 +1,226 @@
+//! Maintenance waves: joins the plan with the fleet documents, the role and the platform.
+//!
+//! One entry at a time holds the role for all data centres, so that one data centre at a time is worked on. A new
+//! holder first writes its epoch into every fleet document; an older holder's edits are refused from then on. Each
+//! step is stored before the command that goes with it, and the next plan waits until the documents that this entry
+//! follows show what it has stored. The role is checked again right before each reboot.
+//!
+//! - [`view`]: documents and list as the plan sees them.
+//! - [`edits`]: steps as edits of the documents.
+//! - [`cycle`]: the cycle as it is stored.
+
+pub mod cycle;
+pub mod edits;
+pub mod view;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use goldcrest_ledger::Document;
+use goldcrest_ledger::fleet::{FleetDoc, FleetRefusal, VmEdit};
+use goldcrest_obs::logs::Part;
+use goldcrest_platform::fleet::Fleet as _;
+use goldcrest_platform::worker::{TaskPhase, Workers as _};
+use goldcrest_session::{Updated, keys};
+use goldcrest_types::catalogue::Catalogue;
+use goldcrest_types::entity::VmId;
+use goldcrest_types::names::{DcName, EditId};
+use goldcrest_types::units::Epoch;
+use goldcrest_upkeep::maintenance::{Action, Context, Hold, Step};
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+use crate::roles::upkeep_role;
+use crate::world::World;
+
+use edits::Editor;
+use view::View;
+
+const PART: &str = Part::Maintenance.as_str();
+
+/// How often the wave is planned.
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// What a holder of the role keeps.
+struct Holding {
+    editor: Editor,
+    ctx: Context,
+    view: View,
+    saved_at: Instant,
+    /// Edits that the followed documents do not show yet.
+    unseen: Vec<(DcName, EditId)>,
+    last_hold: Option<Hold>,
+}
+
+/// Runs waves while this entry holds the role.
+pub async fn run(world: Arc<World>, stop: CancellationToken) {
+    let mut holding: Option<Holding> = None;
+    while !stop.is_cancelled() {
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = sleep(INTERVAL) => {}
+        }
+        let epoch = world.roles.epoch(&upkeep_role());
+        let (Some(epoch), Some(cat)) = (epoch, world.cat()) else {
+            holding = None;
+            continue;
+        };
+        let held = holding.take().filter(|held| held.editor.epoch == epoch);
+        holding = match held {
+            Some(held) => turn(&world, &cat, held).await,
+            None => take_over(&world, &cat, epoch).await,
+        };
+    }
+}
+
+/// Fences every data centre. None if one of them can't be: then it is tried again.
+async fn take_over(world: &World, cat: &Catalogue, epoch: Epoch) -> Option<Holding> {
+    let editor = Editor {
+        holder: world.entry,
+        epoch,
+    };
+    let mut unseen = Vec::new();
+    for dc in cat.dcs.values() {
+        match store(world, &dc.name, &editor.take_over(cat)).await {
+            Stored::Yes(edit) => unseen.push((dc.name.clone(), edit)),
+            Stored::Refused | Stored::Uncertain => return None,
+        }
+    }
+    let period = cat.maintenance.period();
+    let cycle = cycle::save(&world.session, Duration::ZERO, period).await;
+    let cycle = cycle.ok().flatten()?;
+    log::info!(target: PART, epoch:%, cycle = cycle.number; "Maintenance taken over.");
+    let now = world.now();
+    Some(Holding {
+        editor,
+        ctx: Context::new(),
+        view: View::new(cycle, now),
+        saved_at: now,
+        unseen,
+        last_hold: None,
+    })
+}
+
+/// One turn. None if what is stored is no longer certain: then the role is taken over anew.
+async fn turn(world: &World, cat: &Catalogue, mut held: Holding) -> Option<Holding> {
+    let fleets = world.fleets.borrow().clone();
+    let is_seen = |(dc, edit): &(DcName, EditId)| fleets.get(dc).is_some_and(|d| d.has_edit(*edit));
+    held.unseen.retain(|unseen| !is_seen(unseen));
+    let listing = world.listing.borrow().clone();
+    if !held.unseen.is_empty() || listing.vms.is_empty() {
+        return Some(held);
+    }
+    save_cycle(world, cat, &mut held).await?;
+    held.view.refresh(cat, &fleets, &listing, world.now());
+    let tasks = running_tasks(world, cat, &held.view).await;
+    let now = world.now();
+    held.view.set_work(cat, &tasks, now);
+    let steps = held.ctx.plan(&held.view.fleet, cat, now).to_vec();
+    say_hold(&mut held);
+    carry_out(world, cat, &mut held, &steps).await?;
+    Some(held)
+}
+
+async fn save_cycle(world: &World, cat: &Catalogue, held: &mut Holding) -> Option<()> {
+    let passed = world.now().saturating_duration_since(held.saved_at);
+    if passed < cycle::SAVE_INTERVAL {
+        return Some(());
+    }
+    let period = cat.maintenance.period();
+    let saved = cycle::save(&world.session, passed, period).await;
+    held.view.fleet.cycle = saved.ok().flatten()?;
+    held.saved_at = world.now();
+    Some(())
+}
+
+/// The running tasks of workers that drain. One that can't be asked is not in the map and counts as busy.
+async fn running_tasks(world: &World, cat: &Catalogue, view: &View) -> HashMap<VmId, u32> {
+    let listing = world.listing.borrow().clone();
+    let mut tasks = HashMap::new();
+    for vm in view.draining_workers(cat) {
+        let name = &view.place(vm).vm;
+        let Some(record) = listing.vms.iter().find(|record| record.name == *name) else {
+            continue;
+        };
+        if let Ok(report) = world.workers.report(record.address).await {
+            let running = report.tasks.iter();
+            let running = running.filter(|task| task.phase == TaskPhase::Running);
+            tasks.insert(vm, u32::try_from(running.count()).unwrap_or(u32::MAX));
+        }
+    }
+    tasks
+}
+
+fn say_hold(holding: &mut Holding) {
+    let hold = holding.ctx.status().hold;
+    let is_other = match (&holding.last_hold, &hold) {
+        (Some(old), Some(new)) => std::mem::discriminant(old) != std::mem::discriminant(new),
+        (old, new) => old.is_some() != new.is_some(),
+    };
+    if let (true, Some(hold)) = (is_other, hold) {
+        log::info!(target: PART, why:% = hold; "No further VM now.");
+    }
+    holding.last_hold = hold;
+}
+
+/// Stores the steps, then gives their commands.
+async fn carry_out(
+    world: &World,
+    cat: &Catalogue,
+    held: &mut Holding,
+    steps: &[Step],
+) -> Option<()> {
+    for step in steps {
+        let vm = &held.view.place(step.vm).vm;
+        log::info!(target: PART, vm:%, why:% = step.reason; "{}.", step.action);
+    }
+    let mut refused = Vec::new();
+    for (dc, edits) in held.editor.edits(cat, &held.view, steps) {
+        match store(world, &dc, &edits).await {
+            Stored::Yes(edit) => held.unseen.push((dc, edit)),
+            Stored::Refused => refused.push(dc),
+            Stored::Uncertain => return None,
+        }
+    }
+    let reboots = steps.iter().filter(|step| step.action == Action::Reboot);
+    for step in reboots.filter(|step| !refused.contains(&held.view.place(step.vm).dc)) {
+        // The session may have lapsed while the steps were stored.
+        let epoch = world.roles.epoch(&upkeep_role());
+        if epoch != Some(held.editor.epoch) {
+            return None;
+        }
+        let vm = &held.view.place(step.vm).vm;
+        if let Err(error) = world.platform.reboot(vm, held.editor.epoch).await {
+            log::warn!(target: PART, vm:%; "Reboot not confirmed: {error}.");
+        }
+    }
+    Some(())
+}
+
+/// What came of storing edits.
+enum Stored {
+    /// They are in the document, as this edit.
+    Yes(EditId),
+    /// The document was not changed.
+    Refused,
+    /// They may be in the document, now or later.
+    Uncertain,
+}
+
+/// Stores edits of one data centre.
+async fn store(world: &World, dc: &DcName, edits: &[VmEdit]) -> Stored {
+    let edit = EditId::new(rand::random());
+    let change = |doc: &mut FleetDoc| -> Result<(), FleetRefusal> { doc.apply(edit, edits) };
+    match world.session.update(&keys::fleet(dc), edit, change).await {
+        Ok(Updated::Applied { .. } | Updated::AppliedEarlier) => Stored::Yes(edit),
+        Ok(Updated::Refused(refusal)) => {
+            log::warn!(target: PART, dc:%; "Not stored: {refusal}.");
+            Stored::Refused
+        }
+        Err(error) => {
+            log::warn!(target: PART, dc:%; "Not certain to be stored: {error}.");
+            Stored::Uncertain
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/maintenance/view.rs
@@ -0,0 +1,193 @@
+//! The fleet documents and the list of VMs as the plan sees them.
+//!
+//! A VM gets its dense id when it is first seen and keeps it for as long as this entry holds the role.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use goldcrest_ledger::fleet::{FleetVm, Purpose, VmState as Stored};
+use goldcrest_platform::fleet::{VmListing, VmPhase, VmRecord};
+use goldcrest_types::catalogue::{Catalogue, PoolKind};
+use goldcrest_types::entity::{EntityRef, PoolId, PrimaryMap, RackId, VmId};
+use goldcrest_types::names::{DcName, RackName, VmName};
+use goldcrest_upkeep::fleet::{Cycle, Fleet, Seen, Vm, VmState, Work};
+
+use crate::world::Fleets;
+
+/// Where a VM's record is.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Place {
+    /// Its data centre.
+    pub dc: DcName,
+    /// Its name.
+    pub vm: VmName,
+}
+
+/// The fleet with dense ids, and the names behind them.
+#[derive(Debug)]
+pub struct View {
+    /// The fleet.
+    pub fleet: Fleet,
+    places: PrimaryMap<VmId, Place>,
+    ids: HashMap<Place, VmId>,
+    racks: HashMap<RackName, RackId>,
+}
+
+impl View {
+    /// A view without VMs.
+    #[must_use]
+    pub fn new(cycle: Cycle, now: Instant) -> Self {
+        let mut fleet = Fleet::new(now);
+        fleet.cycle = cycle;
+        Self {
+            fleet,
+            places: PrimaryMap::new(),
+            ids: HashMap::new(),
+            racks: HashMap::new(),
+        }
+    }
+
+    /// Where the record of `vm` is.
+    #[must_use]
+    pub fn place(&self, vm: VmId) -> &Place {
+        &self.places[vm]
+    }
+
+    /// The id of a VM.
+    #[must_use]
+    pub fn id(&self, place: &Place) -> Option<VmId> {
+        self.ids.get(place).copied()
+    }
+
+    /// Takes in what is stored and listed at `now`.
+    pub fn refresh(&mut self, cat: &Catalogue, fleets: &Fleets, listing: &VmListing, now: Instant) {
+        let listed: HashMap<&VmName, &VmRecord> =
+            listing.vms.iter().map(|vm| (&vm.name, vm)).collect();
+        let mut is_stored = vec![false; self.places.len()];
+        for (dc, doc) in fleets.iter() {
+            for (name, record) in doc.vms() {
+                let place = Place {
+                    dc: dc.clone(),
+                    vm: name.clone(),
+                };
+                let Some(id) = self.take(cat, place, record, now) else {
+                    continue;
+                };
+                is_stored.resize(self.places.len(), false);
+                is_stored[id.index()] = true;
+                show(&mut self.fleet.vms[id], listed.get(name).copied(), now);
+            }
+        }
+        for (id, vm) in self.fleet.vms.iter_mut() {
+            if !is_stored.get(id.index()).copied().unwrap_or(false) && vm.state != VmState::Gone {
+                vm.enter(VmState::Gone, now);
+                vm.permit = false;
+            }
+        }
+    }
+
+    /// Takes in one record. A VM whose pool or data centre the catalogue does not have is left out.
+    fn take(
+        &mut self,
+        cat: &Catalogue,
+        place: Place,
+        record: &FleetVm,
+        now: Instant,
+    ) -> Option<VmId> {
+        let pool = cat.pool(record.pool.as_str())?;
+        let dc = cat.dc(place.dc.as_str())?;
+        let state = state_of(cat, record)?;
+        let next_rack = RackId::new(self.racks.len());
+        let rack = *self.racks.entry(record.rack.clone()).or_insert(next_rack);
+        let id = if let Some(id) = self.ids.get(&place) {
+            *id
+        } else {
+            let id = self.places.push(place.clone());
+            self.ids.insert(place, id);
+            let mut vm = Vm::new(pool, dc, rack, now);
+            vm.state = state;
+            vm.seen = Seen::Absent;
+            self.fleet.vms.push(vm)
+        };
+        let vm = &mut self.fleet.vms[id];
+        if vm.state != state {
+            vm.enter(state, now);
+        }
+        vm.pool = pool;
+        vm.dc = dc;
+        vm.permit = is_maintained(record);
+        vm.boots_before = record.boots;
+        vm.maintained_cycle = record.wave;
+        Some(id)
+    }
+
+    /// Sets the work of every VM.
+    ///
+    /// An upstream that drains may have work until the longest deadline of its pool has passed, since each entry
+    /// knows only its own requests; `tasks` tells what a worker reports.
+    pub fn set_work(&mut self, cat: &Catalogue, tasks: &HashMap<VmId, u32>, now: Instant) {
+        for (id, vm) in self.fleet.vms.iter_mut() {
+            let is_out = matches!(vm.state, VmState::Draining | VmState::Moving(_));
+            if !is_out {
+                vm.work = Work::default();
+                continue;
+            }
+            let left = bound(cat, vm.pool).saturating_sub(now.saturating_duration_since(vm.since));
+            let running = match cat.pools[vm.pool].kind {
+                PoolKind::Workers => tasks.get(&id).copied().unwrap_or(1),
+                PoolKind::Upstreams | PoolKind::Spare => u32::from(!left.is_zero()),
+            };
+            vm.work = Work {
+                running,
+                longest_left: left,
+                checkpointable: false,
+            };
+        }
+    }
+
+    /// Workers that drain, whose reports are needed.
+    pub fn draining_workers<'a>(&'a self, cat: &'a Catalogue) -> impl Iterator<Item = VmId> + 'a {
+        let vms = self.fleet.vms.iter();
+        let out = vms.filter(|(_, vm)| matches!(vm.state, VmState::Draining | VmState::Moving(_)));
+        out.filter(|(_, vm)| cat.pools[vm.pool].kind == PoolKind::Workers)
+            .map(|(id, _)| id)
+    }
+}
+
+/// The longest time that anything sent to `pool` before now can still run.
+fn bound(cat: &Catalogue, pool: PoolId) -> Duration {
+    let queues = cat.queues.iter().filter(|(_, queue)| queue.pool == pool);
+    let bounds = queues.map(|(id, _)| cat.run_bound(id));
+    bounds.max().unwrap_or(Duration::ZERO)
+}
+
+fn is_maintained(record: &FleetVm) -> bool {
+    let purpose = record.permit.as_ref().map(|permit| &permit.purpose);
+    matches!(purpose, Some(Purpose::Maintain { .. }))
+}
+
+fn state_of(cat: &Catalogue, record: &FleetVm) -> Option<VmState> {
+    let purpose = record.permit.as_ref().map(|permit| &permit.purpose);
+    Some(match (record.state, purpose) {
+        (Stored::Joining, _) => VmState::Joining,
+        (Stored::Serving, _) => VmState::Serving,
+        (Stored::Draining, Some(Purpose::Move { to })) => VmState::Moving(cat.pool(to.as_str())?),
+        (Stored::Draining, _) => VmState::Draining,
+        (Stored::Rebooting, _) => VmState::Rebooting,
+        (Stored::Failed, _) => VmState::Failed,
+    })
+}
+
+fn show(vm: &mut Vm, record: Option<&VmRecord>, now: Instant) {
+    let seen = match record.map(|record| record.phase) {
+        Some(VmPhase::Live) => Seen::Live,
+        Some(VmPhase::Leaving) => Seen::Leaving,
+        Some(VmPhase::Rebooting) => Seen::Rebooting,
+        None => Seen::Absent,
+    };
+    if vm.seen != seen {
+        vm.seen = seen;
+        vm.seen_since = now;
+    }
+    vm.boots = record.map_or(vm.boots, |record| record.boots);
+}
--- a/crates/upkeep/src/sizing/lazy.rs
+++ b/crates/upkeep/src/sizing/lazy.rs
@@ -53,13 +53,10 @@
 /// The demand that is expected when a move that begins now has paid for itself, going by the trend.
 fn expected_millis(state: &PoolState, view: &View) -> u64 {
     let ahead = view.move_time * AHEAD_MOVES;
-    let (short, long) = (SPAN / 3, SPAN);
-    let (late, early) = (
-        state.history.mean_millis(short),
-        state.history.mean_millis(long),
-    );
-    // The two means lie half the difference of their windows apart.
-    let apart_ms = millis((long - short) / 2).max(1);
+    let late = state.history.mean_millis(SPAN / 3);
+    let early = state.history.mean_millis(SPAN);
+    // The middles of the two windows lie half the difference of their lengths apart.
+    let apart_ms = millis(SPAN / 3);
     let change = late.abs_diff(early) * millis(ahead) / apart_ms;
     if late >= early {
         view.demand_millis + change
