serve: look at key, freshness, deadline and quota again right before each send

Cause: a request that had started could be sent after its key, its key's freshness or its team's lent quota had lapsed, if the process was paused in between or a claim took long. Change: Dispatch::pick refuses what has lapsed; new code quota-lapsed.

--- a/crates/bench/src/bin/decision.rs
+++ b/crates/bench/src/bin/decision.rs
@@ -64,7 +64,7 @@
             let ask = ask(&mut rng, began);
             match dispatch.offer(black_box(&ask), began) {
                 Decision::Start(work) => {
-                    let upstream = dispatch.pick(work, None, began);
+                    let upstream = dispatch.pick(work, None, began).ok();
                     running.push((work, black_box(upstream)));
                 }
                 Decision::Wait(work) => dispatch.end(work, began),
--- a/crates/front/src/call/send.rs
+++ b/crates/front/src/call/send.rs
@@ -60,6 +60,11 @@
         }
     }
 
+    /// What the request came to before a send that was not made. It takes nothing back: see [`Standing::then`].
+    const fn lapsed(code: NotRunCode) -> Self {
+        Self::Unsent(Unsent::new(), code)
+    }
+
     fn refuse(self) -> Refusal {
         match self {
             Self::Unsent(unsent, code) => unsent.refuse(code, Some(Duration::from_secs(1))),
@@ -116,8 +121,9 @@
     let mut tried = None;
     let mut attempt = 1;
     loop {
-        let Some((upstream, address)) = ticket.open_send(tried) else {
-            return Err(standing.refuse());
+        let (upstream, address) = match ticket.open_send(tried) {
+            Ok(picked) => picked,
+            Err(code) => return Err(standing.then(Standing::lapsed(code)).refuse()),
         };
         record.step(Step::SentTo(address));
         let failed = match send_once(job, &mut ticket, address, record.request()).await {
--- a/crates/front/src/front/ticket.rs
+++ b/crates/front/src/front/ticket.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use goldcrest_serve::admission::WorkId;
+use goldcrest_serve::outcome::NotRunCode;
 use goldcrest_serve::routing::{Finish, UpstreamId};
 use tokio::runtime::Handle;
 
@@ -45,18 +46,18 @@
             .saturating_duration_since(self.shared.clock.now())
     }
 
-    /// Picks an upstream and opens a send to it.
+    /// Picks an upstream and opens a send to it, unless the request may not be sent any more.
     pub(crate) fn open_send(
         &mut self,
         tried: Option<UpstreamId>,
-    ) -> Option<(UpstreamId, SocketAddr)> {
+    ) -> Result<(UpstreamId, SocketAddr), NotRunCode> {
         debug_assert!(self.send.is_none(), "one send is open at a time");
         let work = self.work;
         let picked = self.shared.desk(|d, now| {
             let id = d.pick(work, tried, now)?;
-            Some((id, d.router().upstream(id).spec.address))
+            Ok((id, d.router().upstream(id).spec.address))
         });
-        self.send = picked.map(|(id, _)| id);
+        self.send = picked.ok().map(|(id, _)| id);
         self.finish = Finish::Neutral;
         picked
     }
--- a/crates/front/tests/front/once.rs
+++ b/crates/front/tests/front/once.rs
@@ -1,15 +1,18 @@
 //! The same non-idempotent request twice runs at most once.
 
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
-use goldcrest_front::{Claim, Claims, Front, LocalClaims};
-use goldcrest_types::clock::ManualClock;
+use goldcrest_front::{Claim, Claims, Front, KeyFreshness, LocalClaims};
+use goldcrest_types::clock::{Clock, ManualClock};
 use goldcrest_types::key::KeyDigest;
 use goldcrest_types::names::{QueueName, RequestId};
 
+use tokio::sync::Notify;
+
 use crate::common::caller::{ask, request};
 use crate::common::upstream::{Act, Upstream};
-use crate::common::{Entry, cfg, set};
+use crate::common::{Entry, TOURS, catalogue, cfg, grants, set};
 
 const KEY: &str = "idempotency-key: booking-7\r\n";
 
@@ -112,3 +115,61 @@
     assert_eq!(ask(entry.address, &text).await.code(), "duplicate-request");
     assert_eq!(upstream.runs(), 1);
 }
+
+/// Claims that hold a request back, as a pause of the process would, until the test lets it go.
+#[derive(Debug)]
+struct Held {
+    asked: Notify,
+    go: Notify,
+}
+
+impl Claims for Held {
+    async fn claim(&self, _: &QueueName, _: KeyDigest, _: RequestId) -> Claim {
+        self.asked.notify_one();
+        self.go.notified().await;
+        Claim::Granted
+    }
+
+    async fn release(&self, _: &QueueName, _: KeyDigest, _: RequestId) {}
+}
+
+/// What a request gets if `change` happens between its start and its first byte.
+async fn held_back(change: impl FnOnce(&Entry)) -> (String, usize) {
+    let upstream = Upstream::start(&[Act::Answer("no")]).await;
+    let clock = Arc::new(ManualClock::new());
+    let claims = Arc::new(Held {
+        asked: Notify::new(),
+        go: Notify::new(),
+    });
+    let front = Front::new(cfg(), clock.clone()).with_claims(claims.clone());
+    let entry = Entry::serve(front, clock.clone(), &[upstream.address]).await;
+    let until = Some(clock.now() + Duration::from_secs(5));
+    entry.front.set_grants(grants(0, 1, until));
+    let address = entry.address;
+    let asking =
+        tokio::spawn(async move { ask(address, &request("POST", "/q/merge/x", KEY, "b")).await });
+    claims.asked.notified().await;
+    change(&entry);
+    claims.go.notify_one();
+    let answer = asking.await.expect("no panic");
+    let (code, outcome) = answer.refusal();
+    assert_eq!(outcome, "not-run");
+    (code, upstream.runs())
+}
+
+#[tokio::test]
+async fn once_lapsed_before_first_byte() {
+    let quota = held_back(|entry| entry.clock.advance(Duration::from_secs(5))).await;
+    assert_eq!(quota, ("quota-lapsed".to_owned(), 0));
+    let stale =
+        held_back(|entry| entry.front.set_key_freshness(KeyFreshness { until: None })).await;
+    assert_eq!(stale, ("keys-not-fresh".to_owned(), 0));
+    let withdrawn =
+        held_back(|entry| entry.front.set_catalogue(catalogue(2, &[("tours", TOURS)]))).await;
+    assert_eq!(withdrawn, ("key-withdrawn".to_owned(), 0));
+    let late = held_back(|entry| {
+        entry.front.set_grants(grants(1, 0, None));
+        entry.clock.advance(Duration::from_secs(31));
+    });
+    assert_eq!(late.await, ("deadline-passed".to_owned(), 0));
+}
--- a/crates/serve/src/admission/carry.rs
+++ b/crates/serve/src/admission/carry.rs
@@ -85,13 +85,12 @@
     ) {
         let lane = place.and_then(|(queue, team)| self.lane(queue, team));
         let work = &mut self.works[id.index()];
-        let had_key = work.key.is_some();
         work.lane = lane;
         work.key = key;
         match (work.phase, lane) {
             (Phase::Running { .. }, Some(lane)) => self.count_running(lane),
             (Phase::Running { .. } | Phase::Free, _) => {}
-            (Phase::Waiting, _) if had_key && key.is_none() => {
+            (Phase::Waiting, _) if work.is_keyed && key.is_none() => {
                 self.drop_waiting(id, NotRunCode::KeyWithdrawn, turns);
             }
             (Phase::Waiting, None) => self.drop_waiting(id, NotRunCode::QueueUnknown, turns),
--- a/crates/serve/src/admission/mod.rs
+++ b/crates/serve/src/admission/mod.rs
@@ -107,8 +107,10 @@
 pub struct Work {
     /// Its lane; none once the queue or team has left the catalogue.
     pub lane: Option<LaneId>,
-    /// The key it came with, if any.
+    /// The key it came with, if it is still granted.
     pub key: Option<KeyId>,
+    /// Whether it came with a key.
+    pub is_keyed: bool,
     /// When its caller stops waiting.
     pub deadline: Instant,
     /// Where it stands.
--- a/crates/serve/src/admission/offer.rs
+++ b/crates/serve/src/admission/offer.rs
@@ -33,6 +33,31 @@
         }
     }
 
+    /// Whether a request that started may be sent at `now`. The process may have been paused since, so all that can
+    /// lapse is looked at again: the key, its freshness and the team's quota.
+    ///
+    /// # Errors
+    ///
+    /// The code of what has lapsed.
+    pub fn may_send(&self, id: WorkId, now: Instant) -> Result<(), NotRunCode> {
+        let work = self.work(id).ok_or(NotRunCode::QueueUnknown)?;
+        let lane = work.lane.ok_or(NotRunCode::QueueUnknown)?;
+        if work.is_keyed && work.key.is_none() {
+            return Err(NotRunCode::KeyWithdrawn);
+        }
+        if work.is_keyed && !self.keys_fresh(now) {
+            return Err(NotRunCode::KeysNotFresh);
+        }
+        if work.deadline <= now {
+            return Err(NotRunCode::DeadlinePassed);
+        }
+        let team = self.lanes[lane.index()].team;
+        if self.teams[team].running > self.usable(team, now).get() {
+            return Err(NotRunCode::QuotaLapsed);
+        }
+        Ok(())
+    }
+
     fn wait_or_refuse(
         &mut self,
         lane: LaneId,
@@ -76,6 +101,7 @@
         let work = Work {
             lane: Some(lane),
             key: ask.key,
+            is_keyed: ask.key.is_some(),
             deadline: ask.deadline,
             phase: Phase::Waiting,
             generation: 0,
--- a/crates/serve/src/admission/turn.rs
+++ b/crates/serve/src/admission/turn.rs
@@ -156,7 +156,7 @@
             self.refuse(lane, item, NotRunCode::DeadlinePassed, turns);
             return;
         }
-        let keyed = self.works[item.work.index()].key.is_some();
+        let keyed = self.works[item.work.index()].is_keyed;
         if keyed && !self.keys_fresh(now) {
             self.refuse(lane, item, NotRunCode::KeysNotFresh, turns);
             return;
--- a/crates/serve/src/dispatch/mod.rs
+++ b/crates/serve/src/dispatch/mod.rs
@@ -139,15 +139,22 @@
     }
 
     /// Picks an upstream for a request that starts or is sent again, another one than `tried` if there is one.
+    ///
+    /// # Errors
+    ///
+    /// Why it may not be sent any more, or that there is no upstream.
     pub fn pick(
         &mut self,
         work: WorkId,
         tried: Option<UpstreamId>,
         now: Instant,
-    ) -> Option<UpstreamId> {
-        let lane = self.admission.lane_of(work)?;
+    ) -> Result<UpstreamId, NotRunCode> {
+        self.admission.may_send(work, now)?;
+        let lane = self.admission.lane_of(work);
+        let lane = lane.ok_or(NotRunCode::QueueUnknown)?;
         let (pool, cap) = (lane.pool, lane.upstream_slots);
-        self.router.pick(pool, cap, tried, now, &mut self.rng)
+        let picked = self.router.pick(pool, cap, tried, now, &mut self.rng);
+        picked.ok_or(NotRunCode::NoUpstream)
     }
 
     /// Records how a send to `upstream` ended.
--- a/crates/serve/src/outcome/codes.rs
+++ b/crates/serve/src/outcome/codes.rs
@@ -49,6 +49,7 @@
         Shed, "shed", 503, "come back after Retry-After: the entry is overloaded and serves more urgent work first";
         DeadlinePassed, "deadline-passed", 504, "come back after Retry-After or allow a longer deadline";
         KeysNotFresh, "keys-not-fresh", 503, "come back after Retry-After: this entry cannot tell whether the key is still granted";
+        QuotaLapsed, "quota-lapsed", 503, "come back after Retry-After: the team's quota at this entry lapsed before the request was sent";
         NotReady, "not-ready", 503, "come back after Retry-After: this entry has no catalogue yet";
         NoUpstream, "no-upstream", 503, "come back after Retry-After: the queue's pool has no upstream in service";
         UpstreamUnreachable, "upstream-unreachable", 503, "come back after Retry-After: no upstream took the connection";
--- a/crates/serve/tests/decisions/random.rs
+++ b/crates/serve/tests/decisions/random.rs
@@ -23,7 +23,7 @@
             self.waiting.retain(|known| *known != work);
             assert_eq!(self.waiting.len() + 1, before, "{work:?} waited");
             if wake == Wake::Start {
-                let upstream = f.dispatch.pick(work, None, f.now);
+                let upstream = f.dispatch.pick(work, None, f.now).ok();
                 self.running.push((work, upstream));
             }
         }
@@ -35,7 +35,7 @@
         match kind % 8 {
             0..=2 => match f.offer(queue, team, Duration::from_secs(u64::from(detail) + 1)) {
                 Decision::Start(work) => {
-                    let upstream = f.dispatch.pick(work, None, f.now);
+                    let upstream = f.dispatch.pick(work, None, f.now).ok();
                     self.running.push((work, upstream));
                 }
                 Decision::Wait(work) => self.waiting.push(work),
