--- a/crates/bench/src/bin/share/main.rs
+++ b/crates/bench/src/bin/share/main.rs
@@ -2,7 +2,7 @@
 //!
 //! `cargo run --release -p goldcrest-bench --bin share` prints a table: the scheduler beside first in first out, strict
 //! priority and round-robin over teams, each on the same seeded trace. Sizes and run times are off by up to a factor
-//! of four either way, reports lag, one worker fails all it starts. Options: `--workers N`, `--minutes N`, `--seed N`,
+//! of four either way, reports lag, one worker fails all it starts. Options: `--workers N`, `--minutes N`, `--seed N`, `--backlog N`,
 //! `--scheduler-only`.
 
 mod policy;
@@ -30,6 +30,8 @@
 /// The tasks that wait for each team at any time.
 const BACKLOG: usize = 200;
 const TICKS_A_MINUTE: usize = 240;
+/// The wait after which a backfill that was overtaken counts as starved.
+const STARVED: Duration = Duration::from_mins(5);
 const BACKFILL_EVERY_TICKS: usize = 20;
 
 /// What a run is made of.
@@ -38,6 +40,7 @@
     workers: usize,
     minutes: usize,
     seed: u64,
+    backlog: usize,
 }
 
 /// What a run shows.
@@ -51,11 +54,15 @@
     backfills: usize,
     backfills_ended: usize,
     backfill_wait_worst: Duration,
+    /// Backfills that have waited for [`STARVED`], still wait, and were overtaken.
+    backfills_starved: usize,
+    /// The most later tasks of its own queue and team that started before one backfill.
+    backfill_overtaken: usize,
     ended: usize,
     moves: u32,
     used_percent: f64,
     bad_worker_failures: usize,
-    worst_round: Duration,
+    rounds: Vec<Duration>,
     most_over_limit: u32,
 }
 
@@ -133,7 +140,7 @@
             .collect(),
         workers: workers.into_iter().map(|worker| worker.name).collect(),
         limits: limits(setting),
-        worst_round: Duration::ZERO,
+        rounds: Vec::new(),
     }))
 }
 
@@ -142,12 +149,13 @@
     rng: StdRng,
     errors: Vec<[Error; 3]>,
     waiting: Vec<usize>,
+    backlog: usize,
     first_unstarted: usize,
 }
 
 impl Trace {
-    fn new(seed: u64) -> Self {
-        let mut rng = StdRng::seed_from_u64(seed);
+    fn new(setting: &Setting) -> Self {
+        let mut rng = StdRng::seed_from_u64(setting.seed);
         let errors = (0..TEAMS)
             .map(|_| [0; 3].map(|_| Error::draw(&mut rng)))
             .collect();
@@ -155,6 +163,7 @@
             rng,
             errors,
             waiting: vec![0; TEAMS],
+            backlog: setting.backlog,
             first_unstarted: 0,
         }
     }
@@ -194,7 +203,7 @@
     fn arrive(&mut self, sim: &mut Sim, policy: &mut Policy, tick: usize) {
         self.count_waiting(sim);
         for team in 0..TEAMS {
-            for _ in self.waiting[team]..BACKLOG {
+            for _ in self.waiting[team]..self.backlog {
                 let class = if self.rng.random_bool(0.3) {
                     Class::Interactive
                 } else {
@@ -235,7 +244,7 @@
 
 fn run(setting: &Setting, mut policy: Policy) -> Figures {
     let mut sim = Sim::new(setting.workers);
-    let mut trace = Trace::new(setting.seed);
+    let mut trace = Trace::new(setting);
     let mut figures = Figures::default();
     let mut used = vec![Resources::ZERO; TEAMS];
     let limits = limits(setting);
@@ -259,7 +268,8 @@
     }
     figures.bad_worker_failures = sim.workers[setting.workers / 2].failed;
     if let Policy::Scheduler(ours) = &policy {
-        figures.worst_round = ours.worst_round;
+        figures.rounds.clone_from(&ours.rounds);
+        figures.rounds.sort_unstable();
     }
     close(&sim, &mut figures);
     figures
@@ -328,12 +338,28 @@
         figures.backfills_ended += usize::from(task.ended.is_some());
         let waited = task.first_start.unwrap_or(sim.now) - task.submitted;
         figures.backfill_wait_worst = figures.backfill_wait_worst.max(waited);
+        let overtaken = overtaken(sim, task);
+        figures.backfill_overtaken = figures.backfill_overtaken.max(overtaken);
+        let is_starved = task.first_start.is_none() && waited >= STARVED && overtaken > 0;
+        figures.backfills_starved += usize::from(is_starved);
     }
     figures.urgent_waits.sort_unstable();
     figures.interactive_waits.sort_unstable();
     figures.deviations.sort_by(f64::total_cmp);
 }
 
+/// How many later tasks of the same queue and team started before `task`.
+fn overtaken(sim: &Sim, task: &SimTask) -> usize {
+    let start = task.first_start.unwrap_or(sim.now);
+    let passes = |other: &&SimTask| {
+        other.team == task.team
+            && other.class == task.class
+            && other.submitted > task.submitted
+            && other.first_start.is_some_and(|at| at < start)
+    };
+    sim.tasks.iter().filter(passes).count()
+}
+
 /// The value that `percent` of a sorted list do not pass.
 fn at<T: Copy + Default>(sorted: &[T], percent: usize) -> T {
     let last = sorted.len().saturating_sub(1);
@@ -347,7 +373,7 @@
     let devs = &figures.deviations;
     let mean: f64 = devs.iter().sum::<f64>() / f64::from(u32::try_from(devs.len()).unwrap_or(1));
     println!(
-        "| {label} | {:.1} | {:.1} | {:.1} | {:.2} | {:.2} | {} | {:.0} | {}/{} | {:.0} | {:.1} | {} | {} | {} | {} | {:.1} |",
+        "| {label} | {:.1} | {:.1} | {:.1} | {:.2} | {:.2} | {} | {:.0} | {}/{} | {:.0} | {} | {} | {:.1} | {} | {} | {} | {} | {:.1} | {:.1} |",
         100.0 * mean,
         100.0 * at(devs, 95),
         100.0 * at(devs, 100),
@@ -358,12 +384,15 @@
         figures.backfills_ended,
         figures.backfills,
         figures.backfill_wait_worst.as_secs_f64(),
+        figures.backfill_overtaken,
+        figures.backfills_starved,
         figures.used_percent,
         figures.ended,
         figures.moves,
         figures.bad_worker_failures,
         figures.most_over_limit,
-        figures.worst_round.as_secs_f64() * 1000.0,
+        at(&figures.rounds, 50).as_secs_f64() * 1000.0,
+        at(&figures.rounds, 99).as_secs_f64() * 1000.0,
     );
 }
 
@@ -373,12 +402,13 @@
         workers: args.value_from_str("--workers").unwrap_or(1500),
         minutes: args.value_from_str("--minutes").unwrap_or(12),
         seed: args.value_from_str("--seed").unwrap_or(1),
+        backlog: args.value_from_str("--backlog").unwrap_or(BACKLOG),
     };
     println!("{setting:?}");
     println!(
-        "| candidate | share off mean % | p95 % | worst % | urgent p99 s | worst s | not started | interactive p99 s | backfills ended | worst wait s | used % | ended | moves | bad worker's failures | above limit | worst round ms |"
+        "| candidate | share off mean % | p95 % | worst % | urgent p99 s | worst s | not started | interactive p99 s | backfills ended | worst wait s | overtaken by | starved | used % | ended | moves | bad worker's failures | above limit | round p50 ms | p99 ms |"
     );
-    println!("|{}", " --- |".repeat(16));
+    println!("|{}", " --- |".repeat(19));
     let limits = limits(&setting);
     print("scheduler", &run(&setting, ours(&setting, Instant::now())));
     if args.contains("--scheduler-only") {
--- a/crates/bench/src/bin/share/policy.rs
+++ b/crates/bench/src/bin/share/policy.rs
@@ -35,7 +35,7 @@
     pub queues: Vec<[QueueName; 3]>,
     pub workers: Vec<VmName>,
     pub limits: Vec<Slots>,
-    pub worst_round: Duration,
+    pub rounds: Vec<Duration>,
 }
 
 /// A simple candidate.
@@ -110,7 +110,7 @@
         self.sched.set_grants(grants, until);
         let begin = std::time::Instant::now();
         self.sched.round(sim.now, &mut self.out);
-        self.worst_round = self.worst_round.max(begin.elapsed());
+        self.rounds.push(begin.elapsed());
         let breaches = verify(self.sched.state(), &self.out, sim.now);
         assert!(breaches.is_empty(), "{breaches}");
         for start in &self.out.starts {
--- a/crates/sched/src/order/mod.rs
+++ b/crates/sched/src/order/mod.rs
@@ -17,7 +17,7 @@
 
 use crate::decision::{Decisions, Start};
 use crate::estimate::{larger, run_time};
-use crate::hold::{HoldScratch, hold_for_old, hold_room};
+use crate::hold::{HoldScratch, hold_room};
 use crate::place::{PlaceScratch, could_ever_fit, place};
 use crate::reason::Reason;
 use crate::share;
@@ -29,6 +29,9 @@
 /// How far a team's usage with the room that is kept for it may pass its entitlement, to make up for the past.
 const HELD_MAX: f64 = 1.3;
 
+/// How far the same may pass it for a task that has waited long.
+const HELD_OLD_MAX: f64 = 1.1;
+
 /// A team's place in the order.
 #[derive(Debug)]
 struct Turn {
@@ -82,6 +85,8 @@
     turns: BinaryHeap<Turn>,
     stash: Vec<(LaneId, Entry)>,
     tried: SecondaryMap<LaneId, u32>,
+    /// For how many tasks of a lane room is kept.
+    held: SecondaryMap<LaneId, u32>,
     /// The usage for each unit of weight to which a hungry team is entitled.
     level: f64,
     holds: HoldScratch,
@@ -91,13 +96,6 @@
     pub unplaced: Vec<TaskId>,
 }
 
-impl OrderScratch {
-    /// Keeps room for tasks that found none and have waited too long.
-    pub fn hold_for_old(&mut self, state: &mut State, now: Instant) {
-        hold_for_old(state, &mut self.holds, &self.unplaced, now);
-    }
-}
-
 /// Starts waiting tasks until none finds room.
 pub fn start_waiting(
     state: &mut State,
@@ -110,6 +108,7 @@
     scratch.level = level;
     scratch.unplaced.clear();
     scratch.tried.clear();
+    scratch.held.clear();
     for (id, team) in state.teams.iter() {
         scratch.used[id] = team.charge + team.elsewhere;
     }
@@ -128,6 +127,7 @@
         if let Some(hold) = worker.hold {
             let lane = state.tasks[hold.task].lane;
             scratch.used[state.lanes[lane].team] += hold.need;
+            scratch.held[lane] += 1;
         }
     }
 }
@@ -282,14 +282,25 @@
     let team = state.lanes[lane].team;
     // Others give way to an urgent task, which is sooner.
     let is_urgent = state.lanes[lane].class == Class::Urgent;
-    if !is_urgent
-        && is_below_share(state, scratch, team)
-        && hold_room(state, &mut scratch.holds, id, need, now)
-    {
+    let may_hold = is_below_share(state, scratch, team) || is_due_room(state, scratch, id, now);
+    if !is_urgent && may_hold && hold_room(state, &mut scratch.holds, id, need, now) {
         scratch.used[team] += need;
+        scratch.held[lane] += 1;
     }
 }
 
+/// Whether a task has waited so long that room is kept for it although its team has its share: one of a lane at a time.
+fn is_due_room(state: &State, scratch: &OrderScratch, id: TaskId, now: Instant) -> bool {
+    let task = &state.tasks[id];
+    let lane = &state.lanes[task.lane];
+    let waited = now.saturating_duration_since(task.submitted);
+    let used = dominant(&scratch.used[lane.team], &state.whole());
+    let team = &state.teams[lane.team];
+    waited >= state.cfg.hold_after(lane.class)
+        && scratch.held[task.lane] == 0
+        && used < HELD_OLD_MAX * scratch.level * team.weight()
+}
+
 /// Whether a team's usage, with its excess, is below what it is entitled to.
 fn is_below_share(state: &State, scratch: &OrderScratch, id: TeamId) -> bool {
     let team = &state.teams[id];
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -358,7 +358,6 @@
         start_waiting(state, &mut self.order, &mut self.places, level, now, out);
         preempt::for_urgent(state, &mut self.preempts, &self.order.unplaced, now, out);
         preempt::take_back(state, now, out);
-        self.order.hold_for_old(state, now);
         self.list_changes(out);
         debug_assert!(
             verify::verify(&self.state, out, now).is_empty(),
