quota, claims: an idle slot for every entry, and a leaving home sends claims on

Cause: after a burst one data centre held all of a team's slots; an entry with none refused the team's work for a whole outage (6 of 10 open requests passed their deadline). During an orderly stop one of 318 claims met the leaving home between its hand-over and the news of it, and was answered 'unknown'. Change: every entry that holds a row is due one slot of every team as far as it goes round, as a floor; a leaving home answers 'moved', and the asker tries the next home. Ledger, session and peer tests pass.

--- a/crates/daemon/src/peers/claims.rs
+++ b/crates/daemon/src/peers/claims.rs
@@ -51,7 +51,7 @@
             ClaimAnswer::Granted => Claim::Granted,
             ClaimAnswer::AlreadySeen { by } if by == request => Claim::Granted,
             ClaimAnswer::AlreadySeen { .. } => Claim::Seen,
-            ClaimAnswer::Unknown => Claim::Unknown,
+            ClaimAnswer::Unknown | ClaimAnswer::Moved => Claim::Unknown,
         }
     }
 
--- a/crates/demo/src/callers/mod.rs
+++ b/crates/demo/src/callers/mod.rs
@@ -50,6 +50,7 @@
 
 impl Tally {
     /// The codes of the refusals, for people.
+    #[must_use]
     pub fn codes_text(&self) -> String {
         if self.codes.is_empty() {
             return String::new();
--- a/crates/demo/src/main.rs
+++ b/crates/demo/src/main.rs
@@ -1,13 +1,9 @@
 //! `goldcrest demo`: the whole system in one process, on embedded stand-ins.
 
-mod account;
-mod callers;
-mod lab;
-mod story;
-
 use std::process::ExitCode;
 use std::sync::Arc;
 
+use goldcrest_demo::story;
 use goldcrest_obs::logs::{self, Format, Level};
 use goldcrest_types::clock::SystemClock;
 use pico_args::Arguments;
--- a/crates/demo/src/story/mod.rs
+++ b/crates/demo/src/story/mod.rs
@@ -1,6 +1,6 @@
 //! The demonstration, step by step.
 
-mod setup;
+pub mod setup;
 mod steps;
 
 use std::time::Duration;
--- a/crates/demo/src/story/setup.rs
+++ b/crates/demo/src/story/setup.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, PoisonError};
 
-use goldcrest_api::{EditRequest, Status};
+use goldcrest_api::{EditRequest, Status, TeamStatus};
 use goldcrest_ctl::client::Client;
 use goldcrest_ledger::catalogue::{Change, diff};
 use goldcrest_types::catalogue::parse;
@@ -30,7 +30,12 @@
 }
 
 impl Stage {
-    /// Starts everything and waits until the catalogue is in force and every VM is in a pool.
+    /// Starts everything and waits until the catalogue is in force, every VM is in a pool, and every team may use some
+    /// slots through every entry.
+    ///
+    /// # Errors
+    ///
+    /// Something could not be started, or did not come about in time.
     pub async fn build() -> Result<Self, StoryError> {
         let large = Sizes {
             entries: 2,
@@ -60,12 +65,17 @@
         let waited = stage.wait_in_force(revision).await?;
         println!("in force on all entries after {} ms", waited.as_millis());
         stage.wait_for_pools().await?;
+        stage.wait_for_quota().await?;
         stage.refresh_targets();
         println!("{VMS} VMs are in service in their pools");
         Ok(stage)
     }
 
     /// The operators' interface of the first entry that runs.
+    ///
+    /// # Errors
+    ///
+    /// No entry runs.
     pub fn client(&self) -> Result<Client, StoryError> {
         let first = self.lab.entries().next();
         let (_, _, addresses) = first.ok_or_else(|| StoryError::Timeout("an entry".into()))?;
@@ -73,6 +83,10 @@
     }
 
     /// Applies an edit through the first entry.
+    ///
+    /// # Errors
+    ///
+    /// The entry refuses it or does not answer.
     pub async fn edit(&self, changes: Vec<Change>) -> Result<Revision, StoryError> {
         let id = EditId::new(rand::random());
         let answer = self.client()?.edit(&EditRequest { id, changes }).await?;
@@ -80,6 +94,10 @@
     }
 
     /// Waits until `revision` is in force on every entry, and returns how long it took.
+    ///
+    /// # Errors
+    ///
+    /// It took too long.
     pub async fn wait_in_force(
         &self,
         revision: Revision,
@@ -110,6 +128,25 @@
         Err(StoryError::Timeout("every VM in a pool".into()))
     }
 
+    async fn wait_for_quota(&self) -> Result<(), StoryError> {
+        let started = Instant::now();
+        for (_, _, addresses) in self.lab.entries() {
+            let client = Client::new(addresses.operator, OPERATOR_SECRET)?;
+            while started.elapsed() < STEP_TIMEOUT {
+                let status = client.status().await?;
+                let has_some = |team: &TeamStatus| !team.usable_slots.is_zero();
+                if !status.teams.is_empty() && status.teams.iter().all(has_some) {
+                    break;
+                }
+                sleep(LOOK_INTERVAL).await;
+            }
+        }
+        if started.elapsed() < STEP_TIMEOUT {
+            return Ok(());
+        }
+        Err(StoryError::Timeout("slots for every team".into()))
+    }
+
     /// Shows the callers the entries that run, as the balancer does.
     pub fn refresh_targets(&self) {
         let addresses: Vec<SocketAddr> = self
@@ -144,6 +181,10 @@
         };
         let (caller, operator) = (addresses.caller, addresses.operator);
         println!();
+        println!(
+            "export CALLER={caller} TASKS={} OPERATOR={operator}",
+            addresses.task
+        );
         println!("try:");
         println!("  curl -i http://{caller}/q/status/hello");
         println!(
--- a/crates/ledger/src/quota/portions.rs
+++ b/crates/ledger/src/quota/portions.rs
@@ -10,7 +10,8 @@
 use goldcrest_types::units::Slots;
 
 use super::fill::fill;
-use super::{DcQuota, FleetQuota, TeamPortions, TeamSlots};
+use super::rebalance::IDLE_SLOTS;
+use super::{DcQuota, FleetQuota, RowPhase, TeamPortions, TeamSlots};
 
 /// What data centres want of each team, and what their documents say.
 #[derive(Debug, Clone, Copy)]
@@ -58,7 +59,8 @@
     let targets = fill(reachable(portions, views), &demands);
     let mut short = portions.owed;
     for (view, (target, demand)) in views.iter().zip(targets.iter().zip(&demands)) {
-        short += (*target).min(*demand) - portions.portion(view.dc);
+        let due = (*demand).max(idle_slots(view.quota));
+        short += (*target).min(due) - portions.portion(view.dc);
     }
     let mut free = portions.free;
     for (index, view) in views.iter().enumerate() {
@@ -76,6 +78,13 @@
     }
 }
 
+/// What a data centre is due of every team without any demand: [`IDLE_SLOTS`] for each entry that holds a row.
+fn idle_slots(quota: &DcQuota) -> Slots {
+    let rows = quota.rows().values();
+    let held = rows.filter(|row| row.phase == RowPhase::Held);
+    held.map(|_| IDLE_SLOTS).sum()
+}
+
 /// What can be divided over the data centres in view: the limit without the portions of the others.
 fn reachable(portions: &TeamPortions, views: &[DcView<'_>]) -> Slots {
     let is_in_view = |dc: &DcName| views.iter().any(|view| view.dc == dc);
--- a/crates/ledger/src/quota/rebalance.rs
+++ b/crates/ledger/src/quota/rebalance.rs
@@ -16,6 +16,10 @@
 /// How much room above the demand a floor is given when it is raised, as one part in this many.
 const FLOOR_HEADROOM: u32 = 4;
 
+/// What every entry is due of every team without any demand, as far as it goes round. An entry that holds nothing of a
+/// team could start none of its work through an outage of the key-value service.
+pub const IDLE_SLOTS: Slots = Slots::new(1);
+
 /// What entries want of each team: running and waiting together.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Demand {
@@ -139,7 +143,7 @@
 fn is_other_short(ctx: &RebalanceContext, quota: &TeamQuota, targets: &[Slots], at: usize) -> bool {
     let mut missing = Slots::ZERO;
     for (index, row) in ctx.takers.iter().enumerate() {
-        let due = targets[index].min(ctx.demands[index]);
+        let due = targets[index].min(ctx.demands[index].max(IDLE_SLOTS));
         if index != at {
             missing += due - quota.part(*row).total();
         }
@@ -150,11 +154,11 @@
 /// Divides `total` into floor and lent part. The floor covers the demand, so that an outage of the key-value service
 /// cuts no work; it is raised with some room and lowered only when the total changes.
 fn divided(before: Part, total: Slots, demand: Slots) -> Part {
-    let covers = before.floor >= demand.min(total);
+    let covers = before.floor >= demand.max(IDLE_SLOTS).min(total);
     if total == before.total() && covers {
         return before;
     }
     let room = Slots::new(demand.get().div_ceil(FLOOR_HEADROOM));
-    let floor = total.min(demand + room);
+    let floor = total.min((demand + room).max(IDLE_SLOTS));
     Part::new(floor, total - floor)
 }
--- a/crates/peer/src/message/mod.rs
+++ b/crates/peer/src/message/mod.rs
@@ -298,6 +298,8 @@
     },
     /// It is not known whether another request has claimed the key, so it may not run.
     Unknown,
+    /// The answerer leaves and grants no more; it has not seen the key. The next home is to be asked.
+    Moved,
 }
 
 /// What a former home knows of a key. It does not grant the key any more once it has answered.
--- a/crates/peer/src/peers/claiming.rs
+++ b/crates/peer/src/peers/claiming.rs
@@ -23,12 +23,28 @@
 /// The wait between two such tries.
 const RELEASE_PAUSE: Duration = Duration::from_secs(2);
 
+/// How often a claim is put to the home anew while the home is leaving.
+const MOVED_TRIES: u32 = 8;
+
+/// The wait before that.
+const MOVED_PAUSE: Duration = Duration::from_millis(50);
+
 /// The most claims in one message of a hand-over.
 const HAND_OVER_CLAIMS: usize = 2_000;
 
 impl<C: Clock + Clone> Peers<C> {
     /// Claims the right to run a non-idempotent request at its key's home. No answer counts as unknown.
     pub async fn claim(&self, ask: ClaimAsk) -> ClaimAnswer {
+        for _ in 0..MOVED_TRIES {
+            match self.claim_once(ask.clone()).await {
+                ClaimAnswer::Moved => tokio::time::sleep(MOVED_PAUSE).await,
+                answer => return answer,
+            }
+        }
+        ClaimAnswer::Unknown
+    }
+
+    async fn claim_once(&self, ask: ClaimAsk) -> ClaimAnswer {
         match self.at_home(&ask, Request::Claim(ask.clone())).await {
             Asked::Here => self.claim_here(&ask).await,
             Asked::There(Ok(Reply::Claim(answer))) => answer,
@@ -74,7 +90,12 @@
     /// was lost on the way for one that was never claimed.
     pub async fn hand_over_claims(&self) -> usize {
         let now = self.now();
-        let Some(by_home) = self.state().claiming().give_up(now) else {
+        let by_home = {
+            let mut state = self.state();
+            state.is_leaving = state.homes.stands(now);
+            state.claiming().give_up(now)
+        };
+        let Some(by_home) = by_home else {
             info!("claims: nothing handed over, since this entry was not sure of its standing");
             return 0;
         };
@@ -130,6 +151,9 @@
             if answer != ClaimAnswer::Unknown {
                 return answer;
             }
+            if state.is_leaving {
+                return ClaimAnswer::Moved;
+            }
             state.claiming().former_home(ask, now)
         };
         let Some(former) = former else {
