maintenance: reboot a VM only when every entry knows that it drains

Cause: an entry that can't read the fleet documents goes on sending work to a VM that drains elsewhere's view; its requests would be cut by the reboot. Change: each entry tells by which version of the fleet documents it sends work; the holder counts VMs that drain as busy until every listed entry works by a document in which they drain.

--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -58,6 +58,8 @@
     let listing = world.listing.borrow().clone();
     let fleets = world.fleets.borrow().clone();
     world.front.set_upstreams(upstream_set(&listing, &fleets));
+    // Only now is it true that this entry sends work by these documents.
+    world.peers.set_fleet_seen(fleets.versions());
 }
 
 /// Serves callers. The listener stays open while this part is restarted.
--- a/crates/daemon/src/maintenance/mod.rs
+++ b/crates/daemon/src/maintenance/mod.rs
@@ -5,10 +5,12 @@
 //! step is stored before the command that goes with it, and the next plan waits until the documents that this entry
 //! follows show what it has stored. The role is checked again right before each reboot.
 //!
+//! - [`acknowledge`]: whether every entry knows of the VMs that drain.
 //! - [`view`]: documents and list as the plan sees them.
 //! - [`edits`]: steps as edits of the documents.
 //! - [`cycle`]: the cycle as it is stored.
 
+pub mod acknowledge;
 pub mod cycle;
 pub mod edits;
 pub mod view;
@@ -116,6 +118,9 @@
     let tasks = running_tasks(world, cat, &held.view).await;
     let now = world.now();
     held.view.set_work(cat, &tasks, now);
+    let unseen = acknowledge::unseen(world, &fleets, &held.view).await;
+    held.view.hold_busy(&unseen);
+    let now = world.now();
     let steps = held.ctx.plan(&held.view.fleet, cat, now).to_vec();
     say_hold(&mut held);
     carry_out(world, cat, &mut held, &steps).await?;
--- a/crates/daemon/src/maintenance/view.rs
+++ b/crates/daemon/src/maintenance/view.rs
@@ -2,7 +2,7 @@
 //!
 //! A VM gets its dense id when it is first seen and keeps it for as long as this entry holds the role.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
 use goldcrest_ledger::fleet::{FleetVm, Purpose, VmState as Stored};
@@ -145,6 +145,25 @@
         }
     }
 
+    /// The data centres of VMs that drain or move and have no work left, as far as is known.
+    #[must_use]
+    pub fn idle_dcs(&self) -> BTreeSet<DcName> {
+        let vms = self.fleet.vms.iter();
+        let out = vms.filter(|(_, vm)| matches!(vm.state, VmState::Draining | VmState::Moving(_)));
+        let idle = out.filter(|(_, vm)| vm.work.running == 0);
+        idle.map(|(id, _)| self.places[id].dc.clone()).collect()
+    }
+
+    /// Counts the VMs that drain or move in these data centres as busy.
+    pub fn hold_busy(&mut self, dcs: &BTreeSet<DcName>) {
+        for (id, vm) in self.fleet.vms.iter_mut() {
+            let is_out = matches!(vm.state, VmState::Draining | VmState::Moving(_));
+            if is_out && dcs.contains(&self.places[id].dc) {
+                vm.work.running = vm.work.running.max(1);
+            }
+        }
+    }
+
     /// Workers that drain, whose reports are needed.
     pub fn draining_workers<'a>(&'a self, cat: &'a Catalogue) -> impl Iterator<Item = VmId> + 'a {
         let vms = self.fleet.vms.iter();
--- a/crates/daemon/src/world/mod.rs
+++ b/crates/daemon/src/world/mod.rs
@@ -11,6 +11,7 @@
 use goldcrest_ledger::fleet::FleetDoc;
 use goldcrest_ledger::freshness::{Freshness, StaleReason};
 use goldcrest_obs::metrics::Metrics;
+use goldcrest_peer::message::FleetSeen;
 use goldcrest_peer::peers::ExplainQuery;
 use goldcrest_platform::fleet::VmListing;
 use goldcrest_platform::http::{HttpFleet, HttpStore, HttpWorkers};
@@ -19,7 +20,7 @@
 use goldcrest_types::catalogue::{Catalogue, CatalogueSpec};
 use goldcrest_types::clock::Clock;
 use goldcrest_types::names::{DcName, EntryId};
-use goldcrest_types::units::Revision;
+use goldcrest_types::units::{Revision, StoreVersion};
 use tokio::sync::{Mutex, mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
@@ -52,24 +53,42 @@
 /// The fleet documents of all data centres that could be read.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Fleets {
-    docs: BTreeMap<DcName, Arc<FleetDoc>>,
+    docs: BTreeMap<DcName, (StoreVersion, Arc<FleetDoc>)>,
 }
 
 impl Fleets {
     /// The document of a data centre.
     #[must_use]
     pub fn get(&self, dc: &DcName) -> Option<&FleetDoc> {
-        self.docs.get(dc).map(Arc::as_ref)
+        self.docs.get(dc).map(|(_, doc)| doc.as_ref())
     }
 
     /// All documents, by data centre.
     pub fn iter(&self) -> impl Iterator<Item = (&DcName, &FleetDoc)> {
-        self.docs.iter().map(|(dc, doc)| (dc, doc.as_ref()))
+        self.docs.iter().map(|(dc, (_, doc))| (dc, doc.as_ref()))
+    }
+
+    /// The version of the document of a data centre, or zero.
+    #[must_use]
+    pub fn version(&self, dc: &DcName) -> StoreVersion {
+        let held = self.docs.get(dc);
+        held.map_or(StoreVersion::ZERO, |(version, _)| *version)
+    }
+
+    /// The versions of all documents.
+    #[must_use]
+    pub fn versions(&self) -> Vec<FleetSeen> {
+        let held = self.docs.iter();
+        let seen = held.map(|(dc, (version, _))| FleetSeen {
+            dc: dc.clone(),
+            version: *version,
+        });
+        seen.collect()
     }
 
     /// Takes in a document.
-    pub fn set(&mut self, dc: DcName, doc: Arc<FleetDoc>) {
-        self.docs.insert(dc, doc);
+    pub fn set(&mut self, dc: DcName, version: StoreVersion, doc: Arc<FleetDoc>) {
+        self.docs.insert(dc, (version, doc));
     }
 }
 
--- a/crates/daemon/tests/maintenance.rs
+++ b/crates/daemon/tests/maintenance.rs
@@ -13,7 +13,7 @@
 use goldcrest_platform::fleet::{VmListing, VmPhase, VmRecord, VmRole};
 use goldcrest_types::catalogue::{Catalogue, parse};
 use goldcrest_types::names::{DcName, EditId, EntryId};
-use goldcrest_types::units::{Epoch, Resources, Revision};
+use goldcrest_types::units::{Epoch, Resources, Revision, StoreVersion};
 use goldcrest_upkeep::fleet::VmState;
 use goldcrest_upkeep::maintenance::{Action, Context, Hold, Step};
 
@@ -75,7 +75,8 @@
         let mut doc = self.fleets.get(dc).cloned().unwrap_or_default();
         self.edits += 1;
         doc.apply(EditId::new(self.edits), steps)?;
-        self.fleets.set(dc.clone(), Arc::new(doc));
+        self.fleets
+            .set(dc.clone(), StoreVersion::new(1), Arc::new(doc));
         Ok(())
     }
 
--- a/crates/peer/src/message/mod.rs
+++ b/crates/peer/src/message/mod.rs
@@ -33,6 +33,8 @@
     Explain(ExplainAsk),
     /// By which revision each entry of the data centre works.
     InForce,
+    /// By which versions of the fleet documents the answerer sends work.
+    FleetSeen,
 }
 
 /// A message from an entry that answers.
@@ -52,6 +54,8 @@
     Explain(Option<Box<str>>),
     /// By which revision each entry of the data centre works.
     InForce(Vec<InForce>),
+    /// By which versions of the fleet documents the answerer sends work.
+    FleetSeen(Vec<FleetSeen>),
     /// The message was not understood. Nothing was done.
     Refused(Refused),
 }
@@ -363,6 +367,17 @@
     pub revision: Revision,
 }
 
+/// The version of a data centre's fleet document by which an entry sends work.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FleetSeen {
+    /// The data centre.
+    #[serde(rename = "d")]
+    pub dc: DcName,
+    /// The version.
+    #[serde(rename = "v")]
+    pub version: StoreVersion,
+}
+
 /// The numbers of the kinds. They are never used again for another kind.
 mod kind {
     pub const GOSSIP: u16 = 1;
@@ -374,6 +389,7 @@
     pub const PAST: u16 = 7;
     pub const HAND_OVER: u16 = 8;
     pub const DONE: u16 = 9;
+    pub const FLEET_SEEN: u16 = 10;
     pub const REFUSED: u16 = 0xffff;
 }
 
@@ -390,6 +406,7 @@
             Self::HandOver(body) => Packet::new(kind::HAND_OVER, body),
             Self::Explain(body) => Packet::new(kind::EXPLAIN, body),
             Self::InForce => Packet::new(kind::IN_FORCE, &()),
+            Self::FleetSeen => Packet::new(kind::FLEET_SEEN, &()),
         }
     }
 
@@ -408,6 +425,7 @@
             kind::HAND_OVER => packet.read().map(Self::HandOver),
             kind::EXPLAIN => packet.read().map(Self::Explain),
             kind::IN_FORCE => Ok(Self::InForce),
+            kind::FLEET_SEEN => Ok(Self::FleetSeen),
             unknown => Err(PacketError::UnknownKind(unknown)),
         }
     }
@@ -425,6 +443,7 @@
             Self::Done => Packet::new(kind::DONE, &()),
             Self::Explain(body) => Packet::new(kind::EXPLAIN, body),
             Self::InForce(body) => Packet::new(kind::IN_FORCE, body),
+            Self::FleetSeen(body) => Packet::new(kind::FLEET_SEEN, body),
             Self::Refused(body) => Packet::new(kind::REFUSED, body),
         }
     }
@@ -443,6 +462,7 @@
             kind::DONE => Ok(Self::Done),
             kind::EXPLAIN => packet.read().map(Self::Explain),
             kind::IN_FORCE => packet.read().map(Self::InForce),
+            kind::FLEET_SEEN => packet.read().map(Self::FleetSeen),
             kind::REFUSED => packet.read().map(Self::Refused),
             unknown => Err(PacketError::UnknownKind(unknown)),
         }
--- a/crates/peer/src/peers/mod.rs
+++ b/crates/peer/src/peers/mod.rs
@@ -10,6 +10,7 @@
 mod targets;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -24,7 +25,9 @@
 use crate::handshake::Hello;
 use crate::link::LinkLimits;
 use crate::membership::{MembershipConfig, Standing};
-use crate::message::{CatalogueCopy, ExplainAsk, InForce, Member, Refused, Reply, Request};
+use crate::message::{
+    CatalogueCopy, ExplainAsk, FleetSeen, InForce, Member, Refused, Reply, Request,
+};
 use crate::server::Answer;
 use crate::transport::Traffic;
 use crate::usage::Usage;
@@ -280,6 +283,22 @@
         all
     }
 
+    /// Notes by which versions of the fleet documents this entry sends work.
+    pub fn set_fleet_seen(&self, seen: Vec<FleetSeen>) {
+        self.state().fleet_seen = seen;
+    }
+
+    /// By which versions of the fleet documents the entry at `address` sends work; none without an answer.
+    pub async fn fleet_seen(&self, address: SocketAddr) -> Option<Vec<FleetSeen>> {
+        if address == self.inner.hello.member.address {
+            return Some(self.state().fleet_seen.clone());
+        }
+        match self.inner.links.call(address, &Request::FleetSeen).await {
+            Ok(Reply::FleetSeen(seen)) => Some(seen),
+            Ok(_) | Err(_) => None,
+        }
+    }
+
     async fn explain_here(&self, ask: ExplainAsk) -> Option<Box<str>> {
         let (answer, answered) = oneshot::channel();
         let query = ExplainQuery { ask, answer };
@@ -355,6 +374,7 @@
                 Reply::Done
             }
             Request::Explain(ask) => Reply::Explain(self.explain_here(ask).await),
+            Request::FleetSeen => Reply::FleetSeen(self.state().fleet_seen.clone()),
             Request::InForce => Reply::InForce(self.state().in_force()),
         }
     }
--- a/crates/peer/src/peers/state.rs
+++ b/crates/peer/src/peers/state.rs
@@ -10,7 +10,9 @@
 
 use crate::claims::{Claiming, Claims};
 use crate::membership::{Homes, Membership};
-use crate::message::{CatalogueCopy, Delta, Gossip, InForce, Member, OutageReport, ProofAge};
+use crate::message::{
+    CatalogueCopy, Delta, FleetSeen, Gossip, InForce, Member, OutageReport, ProofAge,
+};
 use crate::peers::PeersConfig;
 use crate::usage::{Board, CELLS_MAX, CELLS_MAX_WANTED, Usage};
 
@@ -93,6 +95,7 @@
     pub(super) homes: Homes,
     pub(super) claims: Claims,
     pub(super) is_leaving: bool,
+    pub(super) fleet_seen: Vec<FleetSeen>,
     pub(super) own: OwnView,
     pub(super) copy: Option<CatalogueCopy>,
     pub(super) seeds: BTreeSet<Seed>,
@@ -117,6 +120,7 @@
             homes: Homes::new(),
             claims: Claims::new(cfg.claims),
             is_leaving: false,
+            fleet_seen: Vec::new(),
             own: OwnView::default(),
             copy: None,
             seeds: BTreeSet::new(),
