--- a/crates/upkeep/tests/upkeep/moves.rs
+++ b/crates/upkeep/tests/upkeep/moves.rs
@@ -147,3 +147,20 @@
     let broken = verify::moves(&tight.fleet, &tight.cat, &[leave(0)]);
     assert!(broken.to_string().contains("budget 0"), "{broken}");
 }
+
+#[test]
+fn apply_move_repeated_late() {
+    let mut world = world(Policy::Lazy);
+    let vm = world.fleet.vms.keys().next().expect("a VM");
+    let step = Move {
+        vm,
+        from: PoolId::new(0),
+        to: PoolId::new(1),
+        reason: Reason::Bounds,
+    };
+    world.fleet.apply_move(&step, world.now);
+    assert_eq!(world.fleet.vms[vm].state, VmState::Moving(step.to));
+    world.fleet.vms[vm].enter(VmState::Failed, world.now);
+    world.fleet.apply_move(&step, world.now);
+    assert_eq!(world.fleet.vms[vm].state, VmState::Failed);
+}
