demo: tasks, maintenance, and a watch over pools, budgets and revisions

Cause: two promises were not checked by the demonstration. Change: at every look the stored fleet documents are verified for one pool and for the budgets, and each entry's revision for never falling; tasks of two teams run while VMs are rebooted under load.

--- a/crates/demo/src/lab/mod.rs
+++ b/crates/demo/src/lab/mod.rs
@@ -20,7 +20,7 @@
 use goldcrest_types::clock::{Clock, SystemClock};
 use goldcrest_types::key::KeyDigest;
 use goldcrest_types::names::{DcName, VmName};
-use goldcrest_types::units::{Accelerators, Bytes, CpuMillis, PerSecond, Resources};
+use goldcrest_types::units::{Accelerators, Bytes, CpuMillis, PerSecond, Resources, Revision};
 use quick_error::quick_error;
 use tokio::runtime::{Builder, Runtime};
 use tokio_util::sync::CancellationToken;
@@ -261,6 +261,24 @@
             .map(|(vm, running)| (vm, &running.dc, running.entry.addresses()))
     }
 
+    /// The data centres.
+    pub fn data_centres(&self) -> impl Iterator<Item = &DcName> {
+        self.dcs.iter().map(|place| &place.name)
+    }
+
+    /// The revision in force on every entry that runs.
+    pub fn revisions(&self) -> impl Iterator<Item = (VmName, Revision)> {
+        let running = self.running.iter();
+        running.map(|(vm, running)| (vm.clone(), running.entry.world().revision()))
+    }
+
+    /// Switches a fault of the key-value service on or off for one data centre.
+    pub fn set_store_fault_in(&self, dc: &str, fault: KvFault) {
+        for place in self.dcs.iter().filter(|place| place.name.as_str() == dc) {
+            self.kv.set_fault(&place.name, fault);
+        }
+    }
+
     /// Switches a fault of the key-value service on or off for all data centres.
     pub fn set_store_fault(&self, fault: KvFault) {
         for place in &self.dcs {
--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -7,3 +7,5 @@
 pub mod callers;
 pub mod lab;
 pub mod story;
+pub mod submitters;
+pub mod watch;
--- a/crates/standin/src/kv/mod.rs
+++ b/crates/standin/src/kv/mod.rs
@@ -12,6 +12,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use bytes::Bytes;
 use goldcrest_platform::http::store::{
     GrantLease, KeyListing, LEASE_HEADER, LeaseGranted, VERSION_HEADER,
 };
@@ -93,6 +94,12 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// The value under a key, past all faults.
+    #[must_use]
+    pub fn value(&self, key: &StoreKey) -> Option<Bytes> {
+        self.table().get(key).map(|found| found.value)
+    }
+
     /// How many calls were answered, waiting watches among them.
     #[must_use]
     pub fn calls(&self) -> u64 {
