daemon: the wave and tasks in status and explain

Cause: operators could see neither how a wave stands nor where a task is. Change: the entry that runs the wave tells it when asked by any other; tasks are explained from their documents.

--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -224,6 +224,7 @@
         fleets: watch::Sender::new(Fleets::default()),
         split: Split::new(),
         roles,
+        waves: watch::Sender::default(),
         intake,
         writers: Mutex::new(writers),
         stopping: CancellationToken::new(),
--- a/crates/daemon/src/maintenance/mod.rs
+++ b/crates/daemon/src/maintenance/mod.rs
@@ -29,7 +29,7 @@
 use goldcrest_types::entity::VmId;
 use goldcrest_types::names::{DcName, EditId};
 use goldcrest_types::units::Epoch;
-use goldcrest_upkeep::maintenance::{Action, Context, Hold, Step};
+use goldcrest_upkeep::maintenance::{Action, Context, Hold, Status, Step};
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
@@ -66,6 +66,7 @@
         let epoch = world.roles.epoch(&upkeep_role());
         let (Some(epoch), Some(cat)) = (epoch, world.cat()) else {
             holding = None;
+            world.waves.send_replace(Vec::new());
             continue;
         };
         let held = holding.take().filter(|held| held.editor.epoch == epoch);
@@ -123,6 +124,7 @@
     let now = world.now();
     let steps = held.ctx.plan(&held.view.fleet, cat, now).to_vec();
     say_hold(&mut held);
+    world.waves.send_replace(wave_lines(cat, &held.ctx.status()));
     carry_out(world, cat, &mut held, &steps).await?;
     Some(held)
 }
@@ -157,6 +159,32 @@
     tasks
 }
 
+/// How the wave stands, for operators.
+fn wave_lines(cat: &Catalogue, status: &Status) -> Vec<Box<str>> {
+    let domain = status.domain.and_then(|dc| cat.dcs.get(dc));
+    let place = domain.map_or_else(|| "no data centre".into(), |dc| dc.name.to_string());
+    let mut lines = vec![
+        format!(
+            "maintenance cycle {}: {} VMs done, {} due, {} in work, {} failed, in {place}",
+            status.cycle, status.done, status.due, status.in_work, status.failed
+        )
+        .into(),
+    ];
+    let outlook = if status.is_late() { "late" } else { "in time" };
+    lines.push(
+        format!(
+            "the rest is expected to take {} s of {} s left: {outlook}",
+            status.needed.as_secs(),
+            status.left.as_secs()
+        )
+        .into(),
+    );
+    if let Some(hold) = &status.hold {
+        lines.push(format!("no further VM now: {hold}").into());
+    }
+    lines
+}
+
 fn say_hold(holding: &mut Holding) {
     let hold = holding.ctx.status().hold;
     let is_other = match (&holding.last_hold, &hold) {
--- a/crates/daemon/src/operator/explain.rs
+++ b/crates/daemon/src/operator/explain.rs
@@ -2,17 +2,21 @@
 
 use goldcrest_api::{Explanation, Subject};
 use goldcrest_ledger::fleet::{FleetVm, Purpose};
+use goldcrest_ledger::jobs::{JobsDoc, Task, TaskState};
 use goldcrest_peer::message::ExplainAsk;
 use goldcrest_serve::outcome::{NotRunCode, UnknownCode};
-use goldcrest_types::names::{DcName, RequestId, TeamName, VmName};
+use goldcrest_types::names::{DcName, RequestId, TaskKey, TeamName, VmName};
 
 use super::status;
+use crate::scheduler::jobs_key;
+use crate::scheduler::plan::shard_of;
 use crate::world::World;
 
 /// Explains a request, task, VM, team or refusal, or none if no entry knows anything of it.
 pub async fn explain(world: &World, subject: Subject, id: &str) -> Option<Explanation> {
     let lines = match subject {
-        Subject::Request | Subject::Task => match known_here(world, id) {
+        Subject::Task => task(world, id.parse().ok()?).await?,
+        Subject::Request => match known_here(world, id) {
             Some(found) => split(&found),
             None => split(&world.peers.explain(ExplainAsk { id: id.into() }).await?),
         },
@@ -48,8 +52,59 @@
 /// What this entry knows about the request or task with this id, as one text.
 #[must_use]
 pub fn known_here(world: &World, id: &str) -> Option<Box<str>> {
-    let lines = request(world, &id.parse().ok()?)?;
-    Some(lines.join("\n").into())
+    let lines = match id {
+        status::WAVES => world.waves.borrow().clone(),
+        id => request(world, &id.parse().ok()?)?,
+    };
+    (!lines.is_empty()).then(|| lines.join("\n").into())
+}
+
+/// What the documents of tasks tell of a task, in this data centre first.
+async fn task(world: &World, key: TaskKey) -> Option<Vec<Box<str>>> {
+    let cat = world.cat()?;
+    let own = &world.settings.entry.data_centre;
+    let others = cat.dcs.values().map(|dc| &dc.name).filter(|dc| *dc != own);
+    for dc in std::iter::once(own).chain(others) {
+        let doc_key = jobs_key(dc, shard_of(key));
+        let Ok((doc, _)) = world.session.read::<JobsDoc>(&doc_key).await else {
+            continue;
+        };
+        if let Some(task) = doc.tasks().get(&key) {
+            return Some(task_lines(key, dc, task));
+        }
+        if let Some(outcome) = doc.outcome(key) {
+            return Some(vec![format!("task {key} in {dc}: {outcome}").into()]);
+        }
+    }
+    None
+}
+
+fn task_lines(key: TaskKey, dc: &DcName, task: &Task) -> Vec<Box<str>> {
+    let state = match &task.state {
+        TaskState::Waiting => "waits for a place".into(),
+        TaskState::Running {
+            worker,
+            attempt,
+            epoch,
+        } => format!("was given to {worker} as attempt {attempt} in epoch {epoch}"),
+        TaskState::Parked { reason } => format!("is parked: {reason}"),
+    };
+    let of = format!(
+        "task {key} in {dc}: queue {}, team {}, {} class",
+        task.queue, task.team, task.class
+    );
+    let needs = format!(
+        "declared to need {} thousandths of a core and {} bytes for {} ms",
+        task.need.cpu_millis, task.need.memory_bytes, task.run_ms
+    );
+    let mut lines: Vec<Box<str>> = vec![of.into(), needs.into(), format!("it {state}").into()];
+    if task.is_cancelled {
+        lines.push("it was cancelled while it ran and is being stopped".into());
+    }
+    if task.attempts > 0 {
+        lines.push(format!("given to workers {} times so far", task.attempts).into());
+    }
+    lines
 }
 
 fn request(world: &World, id: &RequestId) -> Option<Vec<Box<str>>> {
--- a/crates/daemon/src/operator/server.rs
+++ b/crates/daemon/src/operator/server.rs
@@ -68,7 +68,7 @@
     match (request.method(), path) {
         (&Method::GET, path::CATALOGUE) => json(StatusCode::OK, &catalogue(world)),
         (&Method::GET, path::IN_FORCE) => json(StatusCode::OK, &status::in_force(world).await),
-        (&Method::GET, path::STATUS) => json(StatusCode::OK, &status::status(world)),
+        (&Method::GET, path::STATUS) => json(StatusCode::OK, &status::whole_status(world).await),
         (&Method::POST, path::EDITS) => edit(world, operator, request).await,
         (&Method::GET, path) => explain_path(world, path).await,
         _ => not_found(),
--- a/crates/daemon/src/operator/status.rs
+++ b/crates/daemon/src/operator/status.rs
@@ -6,10 +6,14 @@
 use goldcrest_front::{TeamGrants, TeamUsage};
 use goldcrest_ledger::fleet::{FleetDoc, VmState};
 use goldcrest_ledger::freshness::Freshness;
+use goldcrest_ledger::jobs::{JobsDoc, TaskState};
+use goldcrest_peer::message::ExplainAsk;
 use goldcrest_types::catalogue::{Catalogue, Pool};
 use goldcrest_types::names::{DcName, TeamName};
 use goldcrest_types::units::{Slots, VmCount};
 
+use crate::scheduler::jobs_key;
+use crate::scheduler::plan::SHARDS;
 use crate::world::World;
 
 /// Why the balancer must not send callers, or none if it may.
@@ -38,7 +42,50 @@
     }
 }
 
-/// The state of things as this entry knows it.
+/// The question by which the entry that runs the maintenance wave is asked about it.
+pub const WAVES: &str = "waves";
+
+/// The state of things as this entry knows it, with what other entries and the key-value service have to be asked for.
+pub async fn whole_status(world: &World) -> Status {
+    let mut status = status(world);
+    status.waves = waves(world).await;
+    status.tasks = tasks(world).await;
+    status
+}
+
+/// How the maintenance wave stands. Only the entry that runs it knows.
+async fn waves(world: &World) -> Vec<Box<str>> {
+    let own = world.waves.borrow().clone();
+    if !own.is_empty() {
+        return own;
+    }
+    match world.peers.explain(ExplainAsk { id: WAVES.into() }).await {
+        Some(told) => told.lines().map(Into::into).collect(),
+        None => vec!["no entry runs the maintenance wave now".into()],
+    }
+}
+
+/// The tasks of this data centre, counted by state.
+async fn tasks(world: &World) -> Vec<Box<str>> {
+    let dc = &world.settings.entry.data_centre;
+    let (mut waiting, mut running, mut parked) = (0, 0, 0);
+    for shard in 0..SHARDS {
+        let doc = match world.session.read::<JobsDoc>(&jobs_key(dc, shard)).await {
+            Ok((doc, _)) => doc,
+            Err(error) => return vec![format!("tasks in {dc}: {error}").into()],
+        };
+        for task in doc.tasks().values() {
+            match task.state {
+                TaskState::Waiting => waiting += 1,
+                TaskState::Running { .. } => running += 1,
+                TaskState::Parked { .. } => parked += 1,
+            }
+        }
+    }
+    vec![format!("tasks in {dc}: {waiting} waiting, {running} running, {parked} parked").into()]
+}
+
+/// The state of things as this process knows it, without asking anybody.
 #[must_use]
 pub fn status(world: &World) -> Status {
     let cat = world.cat();
--- a/crates/daemon/src/world/mod.rs
+++ b/crates/daemon/src/world/mod.rs
@@ -126,6 +126,8 @@
     pub fleets: watch::Sender<Fleets>,
     /// The quota row of this entry, divided between the serving path and the scheduler.
     pub split: Split,
+    /// How the maintenance wave stands, a line each, while this entry runs it; written by the maintenance part.
+    pub waves: watch::Sender<Vec<Box<str>>>,
     /// Takes requests about tasks.
     pub intake: Intake,
     /// The writing side of the intake; used by the tasks part.
