peer: an entry learns the usage of all data centres unless it says otherwise

Cause: the mover of quota may run at any entry, and an entry that had not asked for the usage of all data centres saw no demand to move for. Change: entries want it at first; one that needs it not may say so and spare the bytes.

--- a/crates/peer/src/peers/mod.rs
+++ b/crates/peer/src/peers/mod.rs
@@ -214,7 +214,8 @@
         demand
     }
 
-    /// Sets whether this entry wants the usage of all data centres. Without it only the relay learns it.
+    /// Sets whether this entry wants the usage of all data centres, as it does at first. Otherwise it learns it only
+    /// while it is the relay, which spares most of the bytes inside a data centre.
     pub fn want_dc_usage(&self, wants: bool) {
         self.state().wants_dcs = wants;
     }
--- a/crates/peer/src/peers/state.rs
+++ b/crates/peer/src/peers/state.rs
@@ -124,7 +124,7 @@
             own: OwnView::default(),
             copy: None,
             seeds: BTreeSet::new(),
-            wants_dcs: false,
+            wants_dcs: true,
             window: cfg.claims.window,
             heartbeat_time: cfg.membership.heartbeat,
             is_relay: false,
