daemon, ctl, standin: one spawn for parts, one way to the changes of a file, one listen

Cause: spawn_parts had grown to 86 lines of the same shape; diff and apply, and the four fakes, repeated each other.

--- a/crates/ctl/src/command/edit.rs
+++ b/crates/ctl/src/command/edit.rs
@@ -24,23 +24,11 @@
 const RESEND_MAX: u32 = 3;
 
 pub async fn diff(client: &Client, file: &Path, output: &mut Output<'_>) -> Exit {
-    let wanted = match read_catalogue(file, output) {
-        Ok(spec) => spec,
-        Err(exit) => return exit,
-    };
-    let view = match client.catalogue().await {
-        Ok(view) => view,
-        Err(error) => return fail(&error, output),
-    };
-    let changes = changes_between(&view.spec, &wanted);
-    if changes.is_empty() {
-        output.line(&format!("no difference to revision {}", view.revision));
-        return Exit::Done;
-    }
-    for change in &changes {
-        output.line(&text::change(change));
+    match changes_of(client, file, output).await {
+        Ok(changes) if changes.is_empty() => Exit::Done,
+        Ok(_) => Exit::Found,
+        Err(exit) => exit,
     }
-    Exit::Found
 }
 
 pub async fn apply(
@@ -49,23 +37,30 @@
     options: ApplyOptions,
     output: &mut Output<'_>,
 ) -> Exit {
-    let wanted = match read_catalogue(file, output) {
-        Ok(spec) => spec,
-        Err(exit) => return exit,
-    };
-    let view = match client.catalogue().await {
-        Ok(view) => view,
-        Err(error) => return fail(&error, output),
-    };
-    let changes = changes_between(&view.spec, &wanted);
-    if changes.is_empty() {
-        output.line(&format!("no difference to revision {}", view.revision));
-        return Exit::Done;
+    match changes_of(client, file, output).await {
+        Ok(changes) if changes.is_empty() => Exit::Done,
+        Ok(changes) => send(client, changes, options, output).await,
+        Err(exit) => exit,
     }
+}
+
+/// The changes that lead from the catalogue in force to a file, which are shown.
+async fn changes_of(
+    client: &Client,
+    file: &Path,
+    output: &mut Output<'_>,
+) -> Result<Vec<Change>, Exit> {
+    let wanted = read_catalogue(file, output)?;
+    let view = client.catalogue().await;
+    let view = view.map_err(|error| fail(&error, output))?;
+    let changes = changes_between(&view.spec, &wanted);
     for change in &changes {
         output.line(&text::change(change));
     }
-    send(client, changes, options, output).await
+    if changes.is_empty() {
+        output.line(&format!("no difference to revision {}", view.revision));
+    }
+    Ok(changes)
 }
 
 pub async fn grant(
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -248,89 +248,52 @@
     });
 }
 
+/// Starts a part that needs nothing but the world.
+fn spawn<R, F>(supervisor: &mut Supervisor, world: &Arc<World>, part: Part, run: R)
+where
+    R: Fn(Arc<World>, CancellationToken) -> F + Send + 'static,
+    F: Future<Output = ()> + Send + 'static,
+{
+    let world = Arc::clone(world);
+    supervisor.spawn(part, move |stop| run(Arc::clone(&world), stop));
+}
+
 fn spawn_parts(supervisor: &mut Supervisor, world: &Arc<World>, listeners: &Listeners) {
-    let shared = Arc::clone(world);
-    supervisor.spawn(Part::Catalogue, move |stop| {
-        catalogue::follow(Arc::clone(&shared), stop)
-    });
-    let shared = Arc::clone(world);
-    supervisor.spawn(Part::Catalogue, move |stop| {
-        catalogue::exchange(Arc::clone(&shared), stop)
-    });
-    let shared = Arc::clone(world);
-    supervisor.spawn(Part::Fleet, move |stop| {
-        fleet::poll_list(Arc::clone(&shared), stop)
-    });
-    let shared = Arc::clone(world);
-    supervisor.spawn(Part::Fleet, move |stop| {
-        fleet::follow_documents(Arc::clone(&shared), stop)
-    });
-    let shared = Arc::clone(world);
-    supervisor.spawn(Part::Fleet, move |stop| {
-        fleet::enrol::run(Arc::clone(&shared), stop)
-    });
-    let shared = Arc::clone(world);
-    supervisor.spawn(Part::Front, move |stop| {
-        front::feed(Arc::clone(&shared), stop)
-    });
-    let shared = Arc::clone(world);
+    spawn(supervisor, world, Part::Catalogue, catalogue::follow);
+    spawn(supervisor, world, Part::Catalogue, catalogue::exchange);
+    spawn(supervisor, world, Part::Fleet, fleet::poll_list);
+    spawn(supervisor, world, Part::Fleet, fleet::follow_documents);
+    spawn(supervisor, world, Part::Fleet, fleet::enrol::run);
+    spawn(supervisor, world, Part::Front, front::feed);
+    spawn(supervisor, world, Part::Peers, peers::run);
+    spawn(supervisor, world, Part::Peers, peers::feed);
+    spawn(supervisor, world, Part::Peers, peers::answer_queries);
+    spawn(supervisor, world, Part::Quota, quota::keep);
+    spawn(supervisor, world, Part::Quota, quota::observe);
+    spawn(supervisor, world, Part::Quota, quota::move_portions);
+    spawn(supervisor, world, Part::Store, roles::keep);
+    spawn(supervisor, world, Part::Scheduler, scheduler::run);
+    spawn(supervisor, world, Part::Scheduler, tasks::write);
+    spawn(supervisor, world, Part::Maintenance, maintenance::run);
+    spawn_servers(supervisor, world, listeners);
+}
+
+/// Starts the parts with a listener, which stays open while its part is restarted.
+fn spawn_servers(supervisor: &mut Supervisor, world: &Arc<World>, listeners: &Listeners) {
     let caller = Arc::clone(&listeners.caller);
-    supervisor.spawn(Part::Front, move |stop| {
-        front::serve(Arc::clone(&shared), Arc::clone(&caller), stop)
+    spawn(supervisor, world, Part::Front, move |world, stop| {
+        front::serve(world, Arc::clone(&caller), stop)
     });
-    let shared = Arc::clone(world);
-    supervisor.spawn(Part::Peers, move |stop| {
-        peers::run(Arc::clone(&shared), stop)
-    });
-    let shared = Arc::clone(world);
-    supervisor.spawn(Part::Peers, move |stop| {
-        peers::feed(Arc::clone(&shared), stop)
-    });
-    let shared = Arc::clone(world);
-    supervisor.spawn(Part::Peers, move |stop| {
-        peers::answer_queries(Arc::clone(&shared), stop)
-    });
-    let shared = Arc::clone(world);
     let peer = Arc::clone(&listeners.peer);
-    supervisor.spawn(Part::Peers, move |stop| {
-        peers::serve(Arc::clone(&shared), Arc::clone(&peer), stop)
-    });
-    let shared = Arc::clone(world);
-    supervisor.spawn(Part::Quota, move |stop| {
-        quota::keep(Arc::clone(&shared), stop)
-    });
-    let shared = Arc::clone(world);
-    supervisor.spawn(Part::Quota, move |stop| {
-        quota::observe(Arc::clone(&shared), stop)
-    });
-    let shared = Arc::clone(world);
-    supervisor.spawn(Part::Quota, move |stop| {
-        quota::move_portions(Arc::clone(&shared), stop)
-    });
-    let shared = Arc::clone(world);
-    supervisor.spawn(Part::Store, move |stop| {
-        roles::keep(Arc::clone(&shared), stop)
-    });
-    let shared = Arc::clone(world);
-    supervisor.spawn(Part::Scheduler, move |stop| {
-        scheduler::run(Arc::clone(&shared), stop)
-    });
-    let shared = Arc::clone(world);
-    supervisor.spawn(Part::Scheduler, move |stop| {
-        tasks::write(Arc::clone(&shared), stop)
-    });
-    let shared = Arc::clone(world);
-    let submitters = Arc::clone(&listeners.task);
-    supervisor.spawn(Part::Scheduler, move |stop| {
-        tasks::serve(Arc::clone(&shared), Arc::clone(&submitters), stop)
+    spawn(supervisor, world, Part::Peers, move |world, stop| {
+        peers::serve(world, Arc::clone(&peer), stop)
     });
-    let shared = Arc::clone(world);
-    supervisor.spawn(Part::Maintenance, move |stop| {
-        maintenance::run(Arc::clone(&shared), stop)
+    let task = Arc::clone(&listeners.task);
+    spawn(supervisor, world, Part::Scheduler, move |world, stop| {
+        tasks::serve(world, Arc::clone(&task), stop)
     });
-    let shared = Arc::clone(world);
     let operators = Arc::clone(&listeners.operator);
-    supervisor.spawn(Part::Operator, move |stop| {
-        operator::serve(Arc::clone(&shared), Arc::clone(&operators), stop)
+    spawn(supervisor, world, Part::Operator, move |world, stop| {
+        operator::serve(world, Arc::clone(&operators), stop)
     });
 }
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -63,15 +63,13 @@
     ///
     /// The error of the operating system.
     pub async fn listen(&self, dc: DcName, stop: CancellationToken) -> io::Result<SocketAddr> {
-        let (listener, address) = server::bind().await?;
         let fake = self.clone();
         let handle = move |request| {
             let fake = fake.clone();
             let dc = dc.clone();
             async move { fake.handle(&dc, request).await }
         };
-        tokio::spawn(server::serve(listener, stop, handle));
-        Ok(address)
+        server::listen(stop, handle).await
     }
 
     /// Adds a VM or replaces its record.
--- a/crates/standin/src/kv/mod.rs
+++ b/crates/standin/src/kv/mod.rs
@@ -76,15 +76,13 @@
     ///
     /// The error of the operating system.
     pub async fn listen(&self, dc: DcName, stop: CancellationToken) -> io::Result<SocketAddr> {
-        let (listener, address) = server::bind().await?;
         let fake = self.clone();
         let handle = move |request| {
             let fake = fake.clone();
             let dc = dc.clone();
             async move { fake.handle(&dc, request).await }
         };
-        tokio::spawn(server::serve(listener, stop, handle));
-        Ok(address)
+        server::listen(stop, handle).await
     }
 
     /// Switches a fault on or off for one data centre.
--- a/crates/standin/src/server/mod.rs
+++ b/crates/standin/src/server/mod.rs
@@ -45,6 +45,21 @@
     Ok((listener, address))
 }
 
+/// Answers connections at an address from the kernel with `handle` until `stop`, and returns the address.
+///
+/// # Errors
+///
+/// The error of the operating system.
+pub async fn listen<H, F>(stop: CancellationToken, handle: H) -> io::Result<SocketAddr>
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Result<Answer, HangUp>> + Send + 'static,
+{
+    let (listener, address) = bind().await?;
+    tokio::spawn(serve(listener, stop, handle));
+    Ok(address)
+}
+
 /// Answers connections with `handle` until `stop`. Connections that are open at that moment are cut.
 pub async fn serve<H, F>(listener: TcpListener, stop: CancellationToken, handle: H)
 where
--- a/crates/standin/src/upstream/mod.rs
+++ b/crates/standin/src/upstream/mod.rs
@@ -136,14 +136,12 @@
     ///
     /// The error of the operating system.
     pub async fn listen(&self, stop: CancellationToken) -> io::Result<SocketAddr> {
-        let (listener, address) = server::bind().await?;
         let fake = self.clone();
         let handle = move |request| {
             let fake = fake.clone();
             async move { fake.handle(request).await }
         };
-        tokio::spawn(server::serve(listener, stop, handle));
-        Ok(address)
+        server::listen(stop, handle).await
     }
 
     /// Switches a fault on or off.
--- a/crates/standin/src/worker/mod.rs
+++ b/crates/standin/src/worker/mod.rs
@@ -138,14 +138,12 @@
     ///
     /// The error of the operating system.
     pub async fn listen(&self, stop: CancellationToken) -> io::Result<SocketAddr> {
-        let (listener, address) = server::bind().await?;
         let fake = self.clone();
         let handle = move |request| {
             let fake = fake.clone();
             async move { fake.handle(request).await }
         };
-        tokio::spawn(server::serve(listener, stop, handle));
-        Ok(address)
+        server::listen(stop, handle).await
     }
 
     /// Sets whether every task fails as soon as it has started.
