front: hold the port of an address that refuses connections

Cause: 1 of 40 runs of the front tests failed in retry_unreachable_upstream_elsewhere. Its dead address was a port that had been given back, so another test's fake could come to listen there and answer. Change: the port stays bound without a listener; the assertions are as they were.

--- a/crates/front/tests/front/common/upstream.rs
+++ b/crates/front/tests/front/common/upstream.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, Semaphore};
 
 /// What an upstream does with a request.
@@ -121,6 +121,26 @@
     }
 }
 
+/// An address that refuses connections. Its port is held, so that nobody else comes to listen there.
+#[derive(Debug)]
+pub struct Dead {
+    pub address: SocketAddr,
+    _socket: TcpSocket,
+}
+
+impl Dead {
+    pub fn new() -> Self {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        let any = ([127, 0, 0, 1], 0).into();
+        socket.bind(any).expect("a free port");
+        let address = socket.local_addr().expect("an address");
+        Self {
+            address,
+            _socket: socket,
+        }
+    }
+}
+
 impl State {
     fn next(&self) -> Act {
         let mut acts = self.acts.lock().expect("no panic");
--- a/crates/front/tests/front/once.rs
+++ b/crates/front/tests/front/once.rs
@@ -11,7 +11,7 @@
 use tokio::sync::Notify;
 
 use crate::common::caller::{ask, request};
-use crate::common::upstream::{Act, Upstream};
+use crate::common::upstream::{Act, Dead, Upstream};
 use crate::common::{Entry, TOURS, catalogue, cfg, grants, set};
 
 const KEY: &str = "idempotency-key: booking-7\r\n";
@@ -91,9 +91,8 @@
 #[tokio::test]
 async fn once_released_if_not_run() {
     let upstream = Upstream::start(&[Act::Answer("applied")]).await;
-    let dead = tokio::net::TcpListener::bind("127.0.0.1:0").await;
-    let dead = dead.expect("a free port").local_addr().expect("an address");
-    let entry = Entry::plain(&[dead]).await;
+    let dead = Dead::new();
+    let entry = Entry::plain(&[dead.address]).await;
     let text = request("POST", "/q/merge/x", KEY, "b");
     let refused = ask(entry.address, &text).await;
     assert_eq!(
--- a/crates/front/tests/front/retries.rs
+++ b/crates/front/tests/front/retries.rs
@@ -1,22 +1,13 @@
 //! Retries: only what may run twice or did not run, within the budget and the deadline.
 
 use crate::common::caller::{Caller, ask, request};
-use crate::common::upstream::{Act, Upstream};
+use crate::common::upstream::{Act, Dead, Upstream};
 use crate::common::{DESK, TOURS};
 use crate::common::{Entry, catalogue, set};
 
 const REFUSED: &str =
     "HTTP/1.1 503 Busy\r\nx-request-id: {id}\r\nx-outcome: not-run\r\ncontent-length: 0\r\n\r\n";
 
-/// An address that refuses connections.
-async fn dead() -> std::net::SocketAddr {
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await;
-    listener
-        .expect("a free port")
-        .local_addr()
-        .expect("an address")
-}
-
 #[tokio::test]
 async fn retry_idempotent_lost_answer() {
     let upstream = Upstream::start(&[Act::Close, Act::Answer("second")]).await;
@@ -52,7 +43,8 @@
 #[tokio::test]
 async fn retry_unreachable_upstream_elsewhere() {
     let upstream = Upstream::start(&[Act::Answer("here")]).await;
-    let entry = Entry::plain(&[dead().await, upstream.address]).await;
+    let dead = Dead::new();
+    let entry = Entry::plain(&[dead.address, upstream.address]).await;
     for _ in 0..20 {
         // Nothing left for the dead one, so even a POST goes on to the other.
         let answer = ask(entry.address, &request("POST", "/q/merge/x", "", "b")).await;
@@ -63,7 +55,8 @@
 
 #[tokio::test]
 async fn retry_unreachable_upstreams_all() {
-    let entry = Entry::plain(&[dead().await]).await;
+    let dead = Dead::new();
+    let entry = Entry::plain(&[dead.address]).await;
     let answer = ask(entry.address, &request("POST", "/q/merge/x", "", "b")).await;
     assert_eq!(
         answer.refusal(),
