session, peer, front: logs under the part's name

Cause: records of these crates carried module paths, and the part as a word in the sentence. Change: the part is the record's target, as in the daemon; sentences begin with a capital and end with a period.

--- a/crates/front/src/ingress/conn.rs
+++ b/crates/front/src/ingress/conn.rs
@@ -167,7 +167,7 @@
 }
 
 async fn shed_listener(error: &io::Error) {
-    log::warn!("front: cannot take a connection: {error}");
+    log::warn!(target: "front", "Cannot take a connection: {error}.");
     tokio::time::sleep(Duration::from_millis(10)).await;
 }
 
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod membership;
 pub mod message;
 pub mod pace;
+mod part;
 pub mod peers;
 pub mod server;
 mod service;
--- a/crates/peer/src/link/mod.rs
+++ b/crates/peer/src/link/mod.rs
@@ -20,6 +20,7 @@
 use crate::handshake::{self, HandshakeError, Hello};
 use crate::message::{Member, Refused, Reply, Request};
 use crate::pace::Pace;
+use crate::part;
 use crate::service::ExchangeClient;
 use crate::transport::{self, FrameTransport, Traffic};
 use crate::wire::PacketError;
@@ -283,8 +284,10 @@
         loop {
             match self.serve_once().await {
                 Ok(()) => tries = 0,
-                Err(error) if tries == 0 => info!("peer: {}: {error}", self.inner.address),
-                Err(error) => debug!("peer: {}: {error}", self.inner.address),
+                Err(error) if tries == 0 => {
+                    info!(target: part::PEERS, "{}: {error}.", self.inner.address);
+                }
+                Err(error) => debug!(target: part::PEERS, "{}: {error}.", self.inner.address),
             }
             tokio::time::sleep(self.redial_wait(tries)).await;
             tries += 1;
@@ -305,10 +308,10 @@
         tokio::select! {
             ended = new.dispatch => {
                 if let Err(error) = ended {
-                    info!("peer: the link to {} broke: {error}", inner.address);
+                    info!(target: part::PEERS, "The link to {} broke: {error}.", inner.address);
                 }
             }
-            () = inner.dead.notified() => info!("peer: {} does not answer", inner.address),
+            () = inner.dead.notified() => info!(target: part::PEERS, "{} does not answer.", inner.address),
         }
         inner.open.send_replace(None);
         Ok(())
@@ -320,7 +323,7 @@
         let mut socket = dialled.await.map_err(unreached)??;
         let greeted = handshake::greet(&mut socket, &inner.hello).await;
         let (hello, version) = greeted.map_err(LinkError::Handshake)?;
-        debug!("peer: link to {} in version {version}", inner.address);
+        debug!(target: part::PEERS, "Link to {} in version {version}.", inner.address);
         let transport = FrameTransport::new(socket, Arc::clone(&inner.traffic));
         Ok((transport, hello.member))
     }
--- a/crates/peer/src/peers/claiming.rs
+++ b/crates/peer/src/peers/claiming.rs
@@ -16,6 +16,7 @@
 use crate::link::LinkError;
 use crate::membership::Standing;
 use crate::message::{ClaimAnswer, ClaimAsk, ClaimPast, HandOver, HeldClaim, Reply, Request};
+use crate::part;
 
 /// How often a claim with a lost answer is taken back at most.
 const RELEASE_TRIES: u32 = 5;
@@ -78,7 +79,7 @@
             tokio::time::sleep(RELEASE_PAUSE).await;
         }
         debug!(
-            "claims: a claim of request {} stays until it ends",
+            target: part::CLAIMS, "A claim of request {} stays until it ends.",
             ask.request
         );
     }
@@ -96,14 +97,14 @@
             state.claiming().give_up(now)
         };
         let Some(by_home) = by_home else {
-            info!("claims: nothing handed over, since this entry was not sure of its standing");
+            info!(target: part::CLAIMS, "Nothing handed over, since this entry was not sure of its standing.");
             return 0;
         };
         let homes: Vec<EntryId> = by_home.keys().copied().collect();
         let parts = by_home.into_iter();
         let sent = join_all(parts.map(|(home, held)| self.hand_over(home, held))).await;
         if !sent.into_iter().all(|is_taken| is_taken) {
-            info!("claims: a next home could not be reached, so the others learn of the gap");
+            info!(target: part::CLAIMS, "A next home could not be reached, so the others learn of the gap.");
             return 0;
         }
         let last = HandOver {
--- a/crates/peer/src/peers/run.rs
+++ b/crates/peer/src/peers/run.rs
@@ -17,6 +17,7 @@
 use crate::handshake::Hello;
 use crate::link::{Link, LinkError, LinkLimits};
 use crate::message::{CatalogueAsk, Gossip, Reply, Request};
+use crate::part;
 use crate::transport::Traffic;
 
 /// A link that nobody has used for so long is closed.
@@ -161,9 +162,9 @@
         let request = Request::Gossip(Box::new(gossip));
         match self.inner.links.call(target.address, &request).await {
             Ok(Reply::Gossip(reply)) => self.heard(&reply, asked_at),
-            Ok(_) => debug!("peer: {} answered something else", target.address),
+            Ok(_) => debug!(target: part::PEERS, "{} answered something else.", target.address),
             Err(error) => {
-                debug!("peer: {}: {error}", target.address);
+                debug!(target: part::PEERS, "{}: {error}.", target.address);
                 if let Some(member) = &target.member {
                     self.state().members.not_reached(member.entry, asked_at);
                 }
@@ -191,11 +192,13 @@
             let request = Request::Catalogue(CatalogueAsk { above });
             match self.inner.links.call(ahead.address, &request).await {
                 Ok(Reply::Catalogue(Some(copy))) if copy.revision > above => {
-                    info!("peer: catalogue {} from {}", copy.revision, ahead.address);
+                    info!(target: part::PEERS, "Catalogue {} from {}.", copy.revision, ahead.address);
                     self.offer_catalogue(copy);
                 }
                 Ok(_) => {}
-                Err(error) => debug!("peer: no catalogue from {}: {error}", ahead.address),
+                Err(error) => {
+                    debug!(target: part::PEERS, "No catalogue from {}: {error}.", ahead.address);
+                }
             }
         }
     }
--- a/crates/peer/src/server/mod.rs
+++ b/crates/peer/src/server/mod.rs
@@ -16,6 +16,7 @@
 
 use crate::handshake::{self, Hello};
 use crate::message::{Refused, Reply, Request};
+use crate::part;
 use crate::service::Exchange;
 use crate::transport::{self, FrameTransport, Traffic};
 use crate::wire::Packet;
@@ -93,7 +94,7 @@
                     });
                 }
                 Err(error) => {
-                    warn!("peer: no socket accepted: {error}");
+                    warn!(target: part::PEERS, "No socket accepted: {error}.");
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
             }
@@ -109,19 +110,19 @@
     traffic: Arc<Traffic>,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
-        debug!("peer: {address}: {error}");
+        debug!(target: part::PEERS, "{address}: {error}.");
     }
     let cfg = Some(transport::socket_config());
     let upgrade = tokio_tungstenite::accept_async_with_config(stream, cfg);
     let timed = tokio::time::timeout(handshake::HANDSHAKE_TIMEOUT, upgrade).await;
     let Ok(Ok(mut socket)) = timed else {
-        debug!("peer: {address}: no WebSocket");
+        debug!(target: part::PEERS, "{address}: no WebSocket.");
         return;
     };
     match handshake::greet_back(&mut socket, &own).await {
         Ok((other, version)) => {
             debug!(
-                "peer: {address} is {} in version {version}",
+                target: part::PEERS, "{address} is {} in version {version}.",
                 other.member.entry
             );
             let server = ExchangeServer {
@@ -131,7 +132,7 @@
             let transport = FrameTransport::new(socket, traffic).with_idle_end();
             serve_calls(transport, server).await;
         }
-        Err(error) => info!("peer: {address} refused: {error}"),
+        Err(error) => info!(target: part::PEERS, "{address} refused: {error}."),
     }
 }
 
--- a/crates/session/src/follow/mod.rs
+++ b/crates/session/src/follow/mod.rs
@@ -21,6 +21,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::keys;
+use crate::part;
 use crate::session::Session;
 use crate::update::{UpdateError, Updated};
 
@@ -197,7 +198,7 @@
             }
         });
         if is_new {
-            info!("catalogue: revision {revision} in force here");
+            info!(target: part::CATALOGUE, "Revision {revision} in force here.");
         }
         Ok(self.revision())
     }
@@ -255,7 +256,7 @@
         };
         let bytes = Bytes::from(head.encode().map_err(UpdateError::Document)?);
         if let Err(error) = self.adopt(&bytes, version.unwrap_or(StoreVersion::ZERO)) {
-            warn!("catalogue: {error}");
+            warn!(target: part::CATALOGUE, "{error}.");
         }
         Ok(())
     }
@@ -288,7 +289,7 @@
                 Ok(()) => is_lost = false,
                 Err(error) => {
                     if !is_lost {
-                        warn!("catalogue: the head can't be read: {error}");
+                        warn!(target: part::CATALOGUE, "The head can't be read: {error}.");
                     }
                     is_lost = true;
                     tokio::time::sleep(self.inner.cfg.pause).await;
@@ -338,7 +339,7 @@
         match self.adopt(&found.value, found.version) {
             Ok(revision) => self.prove(sent, revision),
             // Without a proof this entry refuses keyed work rather than serve by an older catalogue.
-            Err(error) => warn!("catalogue: {error}"),
+            Err(error) => warn!(target: part::CATALOGUE, "{error}."),
         }
     }
 
--- a/crates/session/src/lease/mod.rs
+++ b/crates/session/src/lease/mod.rs
@@ -18,6 +18,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::keys;
+use crate::part;
 use crate::session::Session;
 
 /// A lease as its holder sees it.
@@ -157,7 +158,7 @@
                     self.lose();
                 }
                 Err(error) => {
-                    warn!("session: no lease yet: {error}");
+                    warn!(target: part::STORE, "No lease yet: {error}.");
                     tokio::time::sleep(self.session.backoff(tries)).await;
                     tries += 1;
                 }
@@ -180,7 +181,7 @@
             .inner
             .lease
             .send_replace(LeaseState::Held(held));
-        info!("session: lease {lease} held, generation {generation}");
+        info!(target: part::STORE, "Lease {lease} held, generation {generation}.");
         Ok(held)
     }
 
@@ -229,7 +230,7 @@
                 Err(error) => {
                     tries += 1;
                     if tries == 1 {
-                        warn!("session: lease {} not renewed: {error}", held.lease);
+                        warn!(target: part::STORE, "Lease {} not renewed: {error}.", held.lease);
                     }
                 }
             }
@@ -251,7 +252,7 @@
     fn lose(&self) {
         let before = self.session.inner.lease.send_replace(LeaseState::Absent);
         if let LeaseState::Held(held) = before {
-            warn!("session: lease {} has ended", held.lease);
+            warn!(target: part::STORE, "Lease {} has ended.", held.lease);
         }
     }
 
@@ -260,7 +261,7 @@
         if let Ok(Some(found)) = self.session.get(&key).await
             && let Err(error) = self.session.remove(&key, found.version).await
         {
-            info!("session: the record stays until its lease lapses: {error}");
+            info!(target: part::STORE, "The record stays until its lease lapses: {error}.");
         }
     }
 }
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod follow;
 pub mod keys;
 pub mod lease;
+mod part;
 pub mod quota;
 pub mod retry;
 pub mod role;
--- a/crates/session/src/quota/keeper.rs
+++ b/crates/session/src/quota/keeper.rs
@@ -23,6 +23,7 @@
 
 use super::cached::Cached;
 use crate::keys;
+use crate::part;
 use crate::session::Session;
 use crate::update::{UpdateError, Updated};
 
@@ -131,7 +132,7 @@
             match stop.run_until_cancelled(self.look()).await {
                 None => break,
                 Some(Ok(())) => {}
-                Some(Err(error)) => debug!("quota: {error}"),
+                Some(Err(error)) => debug!(target: part::QUOTA, "{error}."),
             }
             let pause = tokio::time::sleep(LOOK_PAUSE);
             if stop.run_until_cancelled(pause).await.is_none() {
@@ -314,7 +315,7 @@
         match (updated, next) {
             (Updated::Applied { version, .. }, Some(doc)) => self.doc.put(doc, version, sent),
             (Updated::Refused(refusal), _) => {
-                debug!("quota: {refusal}");
+                debug!(target: part::QUOTA, "{refusal}.");
                 self.doc.expire();
             }
             (Updated::Applied { .. } | Updated::AppliedEarlier, _) => self.doc.expire(),
@@ -340,7 +341,7 @@
         let edit = self.session.draw_edit();
         let open = Open::new(edit, DcEdit::Leave { owner }, Vec::new());
         if let Err(error) = self.apply(open).await {
-            warn!("quota: the row stays until it is reclaimed: {error}");
+            warn!(target: part::QUOTA, "The row stays until it is reclaimed: {error}.");
         }
     }
 }
--- a/crates/session/src/quota/mover.rs
+++ b/crates/session/src/quota/mover.rs
@@ -21,6 +21,7 @@
 
 use super::cached::Cached;
 use crate::keys;
+use crate::part;
 use crate::role::{RoleName, Roles};
 use crate::session::Session;
 use crate::update::{UpdateError, Updated};
@@ -98,7 +99,7 @@
                 Some(Ok(true)) => pause = LOOK_PAUSE,
                 Some(Ok(false)) => pause = (pause * 2).min(LOOK_PAUSE_MAX),
                 Some(Err(error)) => {
-                    debug!("quota: nothing moved: {error}");
+                    debug!(target: part::QUOTA, "Nothing moved: {error}.");
                     self.forget();
                 }
             }
@@ -335,7 +336,7 @@
         match (updated, next) {
             (Updated::Applied { version, .. }, Some(doc)) => quota.put(doc, version, sent),
             (Updated::Refused(refusal), _) => {
-                warn!("quota: {refusal}");
+                warn!(target: part::QUOTA, "{refusal}.");
                 quota.expire();
             }
             (Updated::Applied { .. } | Updated::AppliedEarlier, _) => quota.expire(),
@@ -368,7 +369,7 @@
                 true
             }
             (Updated::Refused(refusal), _) => {
-                warn!("quota: {refusal}");
+                warn!(target: part::QUOTA, "{refusal}.");
                 self.fleet.expire();
                 false
             }
--- a/crates/session/src/quota/observer.rs
+++ b/crates/session/src/quota/observer.rs
@@ -16,6 +16,7 @@
 
 use super::cached::Cached;
 use crate::keys;
+use crate::part;
 use crate::session::Session;
 use crate::update::{UpdateError, Updated};
 
@@ -67,7 +68,7 @@
                 match stop.run_until_cancelled(self.look()).await {
                     None => return,
                     Some(Ok(())) => {}
-                    Some(Err(error)) => debug!("quota: rows not tended: {error}"),
+                    Some(Err(error)) => debug!(target: part::QUOTA, "Rows not tended: {error}."),
                 }
             }
             let pause = tokio::time::sleep(LOOK_PAUSE);
@@ -109,8 +110,10 @@
         let steps = [step];
         let change = |doc: &mut DcQuota| doc.apply(edit, &steps);
         match self.session.update(self.doc.key(), edit, change).await? {
-            Updated::Applied { .. } | Updated::AppliedEarlier => info!("quota: {steps:?}"),
-            Updated::Refused(refusal) => debug!("quota: {refusal}"),
+            Updated::Applied { .. } | Updated::AppliedEarlier => {
+                info!(target: part::QUOTA, "{steps:?}.");
+            }
+            Updated::Refused(refusal) => debug!(target: part::QUOTA, "{refusal}."),
         }
         Ok(())
     }
--- a/crates/session/src/role/mod.rs
+++ b/crates/session/src/role/mod.rs
@@ -23,6 +23,7 @@
 
 use crate::keys;
 use crate::lease::HeldLease;
+use crate::part;
 use crate::session::Session;
 use crate::update::{UpdateError, Updated};
 
@@ -193,10 +194,10 @@
                 let generation = lease.generation;
                 let held = HeldRole { epoch, generation };
                 self.state().held.insert(role.clone(), held);
-                info!("roles: {role} held in epoch {epoch}");
+                info!(target: part::ROLES, "{role} held in epoch {epoch}.");
             }
             Ok(None) => {}
-            Err(error) => warn!("roles: {role} not taken: {error}"),
+            Err(error) => warn!(target: part::ROLES, "{role} not taken: {error}."),
         }
     }
 
@@ -249,8 +250,10 @@
         let released: Result<Updated<Epoch, RoleRefusal>, UpdateError> =
             session.update(&keys::role(role), edit, change).await;
         match released {
-            Ok(_) => info!("roles: {role} released"),
-            Err(error) => warn!("roles: {role} stays until the session lapses: {error}"),
+            Ok(_) => info!(target: part::ROLES, "{role} released."),
+            Err(error) => {
+                warn!(target: part::ROLES, "{role} stays until the session lapses: {error}.");
+            }
         }
     }
 }
