quota: count what an observer sees from its next look on

Cause: the contract of quota::reclaim asked for a document read at or after the moment that goes with it. A row that lapsed while a slow read was under way was then counted as lapsed for the time of the read as well, and could be reclaimed that much too early. And an observer with an older list could orphan a row that another had just marked as listed. Change: a row's time counts from the look after the one that first saw it as it is, whatever the order of clock and read; a VM's absence from the list counts only for a row known for longer than the list can lag. The traces give each look a list of another age. A reclaim comes one look later than before.

--- a/crates/ledger/src/quota/reclaim.rs
+++ b/crates/ledger/src/quota/reclaim.rs
@@ -28,11 +28,15 @@
 pub struct ReclaimBounds {
     /// The longest time that anything admitted against a row can still run.
     pub run_max: Duration,
-    /// The longest time after which a started VM is on the platform's list.
+    /// The longest time after which a started VM is on the platform's list, the age of the list as it is handed in
+    /// included.
     pub list_lag_max: Duration,
 }
 
 /// Since when an observer has seen each row as it is.
+///
+/// What a call sees counts from the next call on: a document can be read later than the moment that goes with it, and
+/// the row may have changed in between.
 #[derive(Debug, Default)]
 pub struct ReclaimContext {
     seen: BTreeMap<RowId, Seen>,
@@ -41,7 +45,10 @@
 #[derive(Debug, Clone, Copy)]
 struct Seen {
     waited: Waited,
-    since: Instant,
+    /// The call after the one that first saw the row as it is.
+    since: Option<Instant>,
+    /// The call after the one that first saw the row at all.
+    known_since: Option<Instant>,
 }
 
 impl ReclaimContext {
@@ -51,29 +58,45 @@
         Self::default()
     }
 
-    /// Notes the rows of `doc`, which was read from the service at `now` or later.
+    /// Notes the rows of `doc`.
     fn note(&mut self, doc: &DcQuota, now: Instant) {
         self.seen.retain(|id, _| doc.rows().contains_key(id));
         for (id, row) in doc.rows() {
             let waited = row.waited();
-            let seen = self.seen.entry(*id);
-            let seen = seen.or_insert(Seen { waited, since: now });
-            if seen.waited != waited {
-                *seen = Seen { waited, since: now };
+            let Some(seen) = self.seen.get_mut(id) else {
+                let first = Seen {
+                    waited,
+                    since: None,
+                    known_since: None,
+                };
+                self.seen.insert(*id, first);
+                continue;
+            };
+            seen.known_since.get_or_insert(now);
+            if seen.waited == waited {
+                seen.since.get_or_insert(now);
+            } else {
+                seen.waited = waited;
+                seen.since = None;
             }
         }
     }
 
+    /// For how long the row has been as it is, for certain.
     fn measured(&self, id: RowId, now: Instant) -> Duration {
-        let seen = self.seen.get(&id);
-        seen.map_or(Duration::ZERO, |seen| {
-            now.saturating_duration_since(seen.since)
-        })
+        let since = self.seen.get(&id).and_then(|seen| seen.since);
+        since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+    }
+
+    /// For how long the row has been there, for certain.
+    fn known(&self, id: RowId, now: Instant) -> Option<Duration> {
+        let since = self.seen.get(&id)?.known_since?;
+        Some(now.saturating_duration_since(since))
     }
 }
 
 /// The edits that rows of `doc` are due for at `now`, each to be applied by itself: one that is refused holds back no
-/// other. `doc` must have been read from the service at or after the `now` of this call.
+/// other. Calls are made one after the other, each with a `now` and a `doc` taken after the call before.
 #[must_use]
 pub fn tend(
     ctx: &mut ReclaimContext,
@@ -87,7 +110,7 @@
     for (id, row) in doc.rows() {
         let measured = ctx.measured(*id, now);
         tend_listing(*id, row, sightings, &mut out);
-        if let Some(proof) = gone_proof(doc, *id, row, sightings, bounds) {
+        if let Some(proof) = gone_proof(ctx, doc, *id, sightings, bounds, now) {
             out.push(DcEdit::Orphan { row: *id, proof });
         } else if row.phase == RowPhase::Held {
             tend_session(*id, row, sightings, &mut out);
@@ -115,12 +138,14 @@
 
 /// What shows that the owner of a row is gone, if anything does.
 fn gone_proof(
+    ctx: &ReclaimContext,
     doc: &DcQuota,
     id: RowId,
-    row: &Row,
     sightings: &Sightings,
     bounds: ReclaimBounds,
+    now: Instant,
 ) -> Option<GoneProof> {
+    let row = doc.rows().get(&id)?;
     if row.phase == RowPhase::Orphaned {
         return None;
     }
@@ -133,9 +158,14 @@
         return Some(GoneProof::Successor { row: *later });
     }
     let lag_max_ms = millis(bounds.list_lag_max);
+    let is_known = ctx
+        .known(id, now)
+        .is_some_and(|known| known >= bounds.list_lag_max);
     match sightings.listed.as_ref()?.get(&row.vm) {
         Some(boots) if *boots > row.boots => Some(GoneProof::Rebooted { boots: *boots }),
-        None if row.can_be_off_list(lag_max_ms) => Some(GoneProof::OffList { lag_max_ms }),
+        None if is_known && row.can_be_off_list(lag_max_ms) => {
+            Some(GoneProof::OffList { lag_max_ms })
+        }
         Some(_) | None => None,
     }
 }
--- a/crates/ledger/tests/quota.rs
+++ b/crates/ledger/tests/quota.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use goldcrest_ledger::Document;
+use goldcrest_ledger::quota::reclaim::{ReclaimBounds, ReclaimContext, Sightings, tend};
 use goldcrest_ledger::quota::{
     DcEdit, DcQuota, GoneProof, Grants, Moved, Part, QuotaRefusal, RowId, Session, SessionId,
     TeamPart, Transfer,
@@ -230,3 +231,43 @@
     apply(&mut doc, reclaim()).expect("reclaimed");
     assert_eq!(doc.teams()[&team()].held(), Slots::new(4));
 }
+
+const BOUNDS: ReclaimBounds = ReclaimBounds {
+    run_max: Duration::from_millis(BOUND_MS),
+    list_lag_max: Duration::from_secs(2),
+};
+
+#[test]
+fn tend_row_lapsed_after_now() {
+    let mut doc = quota();
+    let mut ctx = ReclaimContext::new();
+    let (start, nothing) = (Instant::now(), Sightings::default());
+    // The read took as long as the run bound, and the row lapsed right before its answer.
+    apply(&mut doc, lapse(1)).expect("lapsed");
+    assert_eq!(tend(&mut ctx, &doc, &nothing, BOUNDS, start), []);
+    let bound = Duration::from_millis(BOUND_MS);
+    let now = start + bound;
+    assert_eq!(tend(&mut ctx, &doc, &nothing, BOUNDS, now), []);
+    let edits = tend(&mut ctx, &doc, &nothing, BOUNDS, now + bound);
+    assert_eq!(edits, [wait(&doc, BOUND_MS), reclaim()]);
+}
+
+#[test]
+fn tend_list_older_than_row() {
+    let mut doc = quota();
+    // Another observer has seen the VMs on a younger list.
+    for row in doc.rows().clone().into_keys() {
+        apply(&mut doc, DcEdit::Listed { row }).expect("listed");
+    }
+    let mut ctx = ReclaimContext::new();
+    let start = Instant::now();
+    let sightings = Sightings {
+        listed: Some([].into()),
+        ..Sightings::default()
+    };
+    let mut edits = |after| {
+        let now = start + Duration::from_secs(after);
+        tend(&mut ctx, &doc, &sightings, BOUNDS, now).len()
+    };
+    assert_eq!([edits(0), edits(1), edits(2), edits(3)], [0, 0, 0, 2]);
+}
--- a/crates/ledger/tests/world/mod.rs
+++ b/crates/ledger/tests/world/mod.rs
@@ -30,7 +30,7 @@
 const PROCESSES: usize = 4;
 const TTL: u64 = 2;
 const RUN_BOUND: u64 = 5;
-const LIST_LAG: u64 = 1;
+const LIST_LAG: u64 = 2;
 const PAUSE_MAX: u64 = 12;
 
 #[derive(Debug, Clone)]
@@ -266,9 +266,10 @@
         self.lists.push(self.vms.clone());
     }
 
-    /// The list of VMs, as the platform knew them some ticks ago.
-    fn list(&self) -> Option<&BTreeMap<VmName, u64>> {
-        let lag = usize::try_from(LIST_LAG).expect("a small number");
+    /// The list of VMs, as the platform knew them at some time within the lag.
+    fn list(&self, arg: u8) -> Option<&BTreeMap<VmName, u64>> {
+        let lag = u64::from(arg) % (LIST_LAG + 1);
+        let lag = usize::try_from(lag).expect("a small number");
         let at = self.lists.len().checked_sub(lag + 1)?;
         self.lists.get(at)
     }
@@ -468,7 +469,7 @@
         let doc = self.dcs[self.processes[who].dc].clone();
         let sessions = doc.rows().values().map(|row| row.session);
         let gone = sessions.filter(|session| self.is_gone(*session)).collect();
-        let listed = self.list().cloned();
+        let listed = self.list(arg).cloned();
         let sightings = Sightings { gone, listed };
         let run_max = match self.rule {
             Rule::ReclaimEarly => Duration::ZERO,
--- a/crates/ledger/tests/world/step.rs
+++ b/crates/ledger/tests/world/step.rs
@@ -26,7 +26,7 @@
 }
 
 /// The kinds of steps, the frequent ones several times.
-const KINDS: [Kind; 46] = [
+const KINDS: [Kind; 49] = [
     Kind::Tick,
     Kind::Tick,
     Kind::Tick,
@@ -60,6 +60,9 @@
     Kind::Serve,
     Kind::Tend,
     Kind::Tend,
+    Kind::Tend,
+    Kind::Tend,
+    Kind::Tend,
     Kind::ReadFleet,
     Kind::ReadFleet,
     Kind::BeginRelease,
