quota: a lost entry's slots are bound by the lease of its tasks, not by the longest run

Change: a task runs on only while a scheduler renews it, and a scheduler renews no more tasks of a team than it has slots for; so a lost entry's row is free again after the longest deadline or the tasks' lease, whichever is longer. The lease and the list's lag are settings.

--- a/crates/daemon/src/quota/mod.rs
+++ b/crates/daemon/src/quota/mod.rs
@@ -17,7 +17,7 @@
 use goldcrest_session::quota::{
     DcDemand, Gate, Listed, Mover, Needs, Observer, QuotaKeeper, RowOwner,
 };
-use goldcrest_types::catalogue::Catalogue;
+use goldcrest_types::catalogue::{Catalogue, PoolKind};
 use goldcrest_types::names::{TeamName, VmName};
 use goldcrest_types::units::Slots;
 use tokio::sync::watch;
@@ -28,8 +28,8 @@
 
 const PART: &str = Part::Quota.as_str();
 
-/// The longest time after which a started VM is on the platform's list.
-const LIST_LAG_MAX: Duration = Duration::from_mins(1);
+/// How long after its lease a task may still run: the time for a start or renewal to be written and to arrive.
+const TASK_MARGIN: Duration = Duration::from_secs(10);
 
 /// Keeps this entry's row once the platform's list shows the VM it runs on.
 pub async fn keep(world: Arc<World>, stop: CancellationToken) {
@@ -80,8 +80,10 @@
             let vms = vms_by_boots(&listing.borrow_and_update());
             listed.send_replace(Listed {
                 vms,
-                run_max: world.cat().map_or(Duration::MAX, |cat| run_max(&cat)),
-                list_lag_max: LIST_LAG_MAX,
+                run_max: world
+                    .cat()
+                    .map_or(Duration::MAX, |cat| run_max(&world, &cat)),
+                list_lag_max: world.settings.platform.list_lag_max(),
             });
         }
     };
@@ -99,10 +101,17 @@
     Some(vms.collect())
 }
 
-/// The longest time that anything admitted through any queue can still run.
+/// The longest time that anything which an entry has started can go on without it. A request ends by its deadline. A task
+/// ends with its lease, unless another scheduler renews it, and that one counts it against its own row.
 #[must_use]
-pub fn run_max(cat: &Catalogue) -> Duration {
-    let bounds = cat.queues.keys().map(|queue| cat.run_bound(queue));
+pub fn run_max(world: &World, cat: &Catalogue) -> Duration {
+    let bounds = cat
+        .queues
+        .values()
+        .map(|queue| match cat.pools[queue.pool].kind {
+            PoolKind::Workers => world.settings.tasks.lease() + TASK_MARGIN,
+            PoolKind::Upstreams | PoolKind::Spare => queue.limits.deadline_max(),
+        });
     bounds.max().unwrap_or(Duration::ZERO)
 }
 
--- a/crates/daemon/src/scheduler/mod.rs
+++ b/crates/daemon/src/scheduler/mod.rs
@@ -21,9 +21,9 @@
 use goldcrest_peer::usage::Usage;
 use goldcrest_platform::store::{StoreKey, Versioned};
 use goldcrest_sched::state::Run;
-use goldcrest_sched::{Config, Start, StartOutcome};
+use goldcrest_sched::{CommandKind, Config, Start, StartOutcome};
 use goldcrest_session::update::Updated;
-use goldcrest_types::names::{DcName, TeamName};
+use goldcrest_types::names::{DcName, TaskKey, TeamName};
 use goldcrest_types::units::{Epoch, Slots, StoreVersion};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
@@ -45,9 +45,6 @@
 /// The wait before a look whether the role is held.
 const ROLE_LOOK: Duration = Duration::from_secs(1);
 
-/// How long a task runs without a renewal. It outlasts short outages of the key-value service, in which no role is held.
-const LEASE: Duration = Duration::from_mins(5);
-
 /// The longest wait of one watch of a document of tasks.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 
@@ -89,7 +86,9 @@
     for (team, usage) in &usage {
         world.split.reserve(&world.front, team, usage.running, now);
     }
-    let run_max = world.cat().map_or(Duration::MAX, |cat| run_max(&cat));
+    let run_max = world
+        .cat()
+        .map_or(Duration::MAX, |cat| run_max(world, &cat));
     let world = Arc::clone(world);
     tokio::spawn(async move {
         sleep(run_max).await;
@@ -115,10 +114,11 @@
 /// Schedules until the role is lost.
 async fn schedule(world: Arc<World>, dc: DcName, epoch: Epoch) {
     let call_max = WRITE_MAX + world.settings.platform.timeout();
+    let lease = world.settings.tasks.lease();
     let cfg = Config {
         call_max,
-        lease: LEASE,
-        renew_after: LEASE / 3,
+        lease,
+        renew_after: lease / 3,
         ..Config::default()
     };
     let (sender, mut reads) = mpsc::channel(SHARDS);
@@ -136,6 +136,7 @@
         plan: TaskPlan::new(cfg, epoch),
         workers: WorkerSet::default(),
         times: ReportTimes::default(),
+        grants: BTreeMap::new(),
         versions: [None; SHARDS],
         world,
         dc,
@@ -211,6 +212,8 @@
     calls: Calls,
     workers: WorkerSet,
     times: ReportTimes,
+    /// What this entry may run of each team.
+    grants: BTreeMap<TeamName, Slots>,
     /// The versions of the documents, once they were read.
     versions: [Option<StoreVersion>; SHARDS],
 }
@@ -302,10 +305,14 @@
         // The other entries divide the teams' slots by this, too.
         self.world.task_usage.send_replace(usage);
         self.plan.set_grants(&grants, now + 2 * ROUND);
+        self.grants = grants;
     }
 
     fn send_commands(&mut self) {
         for command in self.plan.commands() {
+            if command.kind == CommandKind::Renew && !self.may_renew(command.key) {
+                continue;
+            }
             let name = self.plan.sched().worker_name(command.worker);
             let address = name.and_then(|name| self.workers.addresses.get(name));
             if let Some(address) = address {
@@ -314,6 +321,17 @@
         }
     }
 
+    /// Whether a task may go on for another lease. A scheduler that has taken over more running tasks of a team than it has
+    /// slots for lets the rest end with their leases: the slots that they run on are free by then.
+    fn may_renew(&self, key: TaskKey) -> bool {
+        let Some(task) = self.plan.task(key) else {
+            return false;
+        };
+        let granted = self.grants.get(&task.team).copied().unwrap_or(Slots::ZERO);
+        let rank = self.plan.running_before(&task.team, key);
+        rank < granted
+    }
+
     /// Writes the steps of a round, all documents at once, and sends the starts that were written.
     async fn write(&mut self, steps: [Vec<JobEdit>; SHARDS], decided_at: Instant) -> bool {
         let mut writes = JoinSet::new();
--- a/crates/daemon/src/scheduler/plan.rs
+++ b/crates/daemon/src/scheduler/plan.rs
@@ -296,6 +296,16 @@
         self.docs[shard_of(key)].tasks().get(&key)
     }
 
+    /// How many tasks of `team` run whose keys come before `key`.
+    #[must_use]
+    pub fn running_before(&self, team: &TeamName, key: TaskKey) -> Slots {
+        let tasks = self.docs.iter().flat_map(|doc| doc.tasks());
+        let runs = |task: &Task| matches!(task.state, TaskState::Running { .. });
+        let before =
+            tasks.filter(|(other, task)| **other < key && task.team == *team && runs(task));
+        Slots::new(u32::try_from(before.count()).unwrap_or(u32::MAX))
+    }
+
     /// How many slots each team could use: what it runs and what waits.
     #[must_use]
     pub fn demand(&self, now: Instant) -> BTreeMap<TeamName, (Slots, Slots)> {
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -22,6 +22,8 @@
     pub entry: EntrySettings,
     /// Where the platform is.
     pub platform: PlatformSettings,
+    /// Tasks on workers.
+    pub tasks: TaskSettings,
     /// How entries talk to each other.
     pub peers: PeerSettings,
     /// The bounds on callers and their requests.
@@ -67,6 +69,9 @@
     /// How often the list of VMs is read, in milliseconds.
     #[serde(default = "fleet_poll_ms")]
     pub fleet_poll_ms: u64,
+    /// The longest time after which a started VM is on the list, in milliseconds.
+    #[serde(default = "list_lag_max_ms")]
+    pub list_lag_max_ms: u64,
 }
 
 fn platform_timeout_ms() -> u64 {
@@ -77,7 +82,17 @@
     1_000
 }
 
+fn list_lag_max_ms() -> u64 {
+    60_000
+}
+
 impl PlatformSettings {
+    /// The longest time after which a started VM is on the list.
+    #[must_use]
+    pub const fn list_lag_max(&self) -> Duration {
+        Duration::from_millis(self.list_lag_max_ms)
+    }
+
     /// The longest wait for one answer.
     #[must_use]
     pub const fn timeout(&self) -> Duration {
@@ -129,6 +144,29 @@
     }
 }
 
+/// Tasks on workers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct TaskSettings {
+    /// How long a task runs without a renewal, in milliseconds. It should outlast short outages of the key-value
+    /// service, in which nobody renews; the slots of a lost entry's tasks are free again only after it.
+    pub lease_ms: u64,
+}
+
+impl Default for TaskSettings {
+    fn default() -> Self {
+        Self { lease_ms: 300_000 }
+    }
+}
+
+impl TaskSettings {
+    /// How long a task runs without a renewal.
+    #[must_use]
+    pub const fn lease(&self) -> Duration {
+        Duration::from_millis(self.lease_ms)
+    }
+}
+
 /// The bounds on callers and their requests.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -285,6 +323,7 @@
     entry: Option<Record>,
     platform: Option<Record>,
     peers: Option<Record>,
+    tasks: Option<Record>,
     front: Option<Record>,
     store: Option<Record>,
     stop: Option<Record>,
@@ -304,10 +343,12 @@
     let entry = required(outline.entry.as_ref(), "entry", &mut errors);
     let platform = required(outline.platform.as_ref(), "platform", &mut errors);
     let peers = required(outline.peers.as_ref(), "peers", &mut errors);
+    let tasks = optional(outline.tasks.as_ref(), &mut errors);
     let front = optional(outline.front.as_ref(), &mut errors);
     let store = optional(outline.store.as_ref(), &mut errors);
     let stop = optional(outline.stop.as_ref(), &mut errors);
     let log = optional(outline.log.as_ref(), &mut errors);
+    check_tasks(&tasks, outline.tasks.as_ref(), &mut errors);
     check_front(&front, outline.front.as_ref(), &mut errors);
     check_store(&store, outline.store.as_ref(), &mut errors);
     errors.errors.sort_by_key(|error| error.line);
@@ -315,6 +356,7 @@
         (Some(entry), Some(platform), Some(peers)) if errors.errors.is_empty() => Ok(Settings {
             entry,
             platform,
+            tasks,
             peers,
             front,
             store,
@@ -359,6 +401,21 @@
     }
 }
 
+/// The shortest lease of a task that survives a few lost renewals, in milliseconds.
+const TASK_LEASE_MIN_MS: u64 = 10_000;
+
+fn check_tasks(tasks: &TaskSettings, record: Option<&Record>, errors: &mut SettingsErrors) {
+    let Some(record) = record else {
+        return;
+    };
+    if tasks.lease_ms < TASK_LEASE_MIN_MS {
+        errors.push(
+            record.line_of("lease_ms"),
+            format!("lease_ms is below {TASK_LEASE_MIN_MS} and a short outage would stop every task: raise it"),
+        );
+    }
+}
+
 fn check_front(front: &FrontSettings, record: Option<&Record>, errors: &mut SettingsErrors) {
     let Some(record) = record else {
         return;
--- a/crates/demo/src/lab/mod.rs
+++ b/crates/demo/src/lab/mod.rs
@@ -11,7 +11,7 @@
 use goldcrest_daemon::entry::{Addresses, Entry, StartError};
 use goldcrest_daemon::settings::{
     EntrySettings, FrontSettings, LogSettings, PeerSettings, PlatformSettings, Secret, Settings,
-    StopSettings, StoreSettings,
+    StopSettings, StoreSettings, TaskSettings,
 };
 use goldcrest_platform::fleet::{VmPhase, VmRecord, VmRole};
 use goldcrest_standin::upstream::CallBook;
@@ -209,12 +209,14 @@
                 fleet_address: place.list,
                 timeout_ms: 1_000,
                 fleet_poll_ms: 300,
+                list_lag_max_ms: 2_000,
             },
             peers: PeerSettings {
                 address: any,
                 secret: Secret::new("between-entries".into()),
                 first_addresses: self.peers.clone(),
             },
+            tasks: TaskSettings { lease_ms: 10_000 },
             front: FrontSettings::default(),
             store: StoreSettings {
                 calls_per_second: PerSecond::new(50),
