session: earn quota writes slowly, with many saved up

Change: one write is earned in 5 s instead of 2, and twelve are saved up instead of five, eight of them for moves. All 43 session tests pass, the shift of demand within 5 s included.

--- a/crates/session/src/quota/keeper.rs
+++ b/crates/session/src/quota/keeper.rs
@@ -40,13 +40,13 @@
 const AGE_MAX_EDITED: Duration = Duration::from_millis(500);
 
 /// The time in which one write is earned.
-const WRITE_INTERVAL: Duration = Duration::from_secs(2);
+const WRITE_INTERVAL: Duration = Duration::from_secs(5);
 
 /// How many writes may be saved up, so that a shift of demand is answered at once.
-const WRITES_SAVED: u32 = 5;
+const WRITES_SAVED: u32 = 12;
 
 /// How many of them are kept for moving slots: a floor that is only shifted under the same sum can wait.
-const WRITES_FOR_MOVES: u32 = 2;
+const WRITES_FOR_MOVES: u32 = 8;
 
 /// Where grants are put in force: the daemon's admission.
 pub trait Gate: Send + Sync + 'static {
