--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -23,6 +23,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::operator::explain;
+use crate::roles::quota_role;
 use crate::world::{DaemonClock, World};
 
 const PART: &str = Part::Peers.as_str();
@@ -34,7 +35,7 @@
 const FEED_INTERVAL: Duration = Duration::from_millis(250);
 
 /// How often the live sessions are read.
-const SESSIONS_INTERVAL: Duration = Duration::from_secs(2);
+const SESSIONS_INTERVAL: Duration = Duration::from_secs(3);
 
 /// Answers other entries. The listener stays open while this part is restarted.
 pub async fn serve(world: Arc<World>, listener: Arc<StdListener>, stop: CancellationToken) {
@@ -64,6 +65,10 @@
             read_sessions(&world, &mut sessions).await;
         }
         feed_usage(&world);
+        // Only the entry that moves portions needs to know what the other data centres want.
+        world
+            .peers
+            .want_dc_usage(world.roles.epoch(&quota_role()).is_some());
         feed_listing(&world);
         standing.extend(&world, standing_until(&world, &sessions));
         tokio::select! {
