peer: pass on the catalogue as what has changed

Change: the asker's own copy is the dictionary of a compressor at the answerer, which remembers four revisions; a digest checks the result, and the whole is asked for when anything does not fit. Older versions refuse the message and are asked for the whole.

--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -8,6 +8,7 @@
 //! [`usage`].
 
 pub mod claims;
+pub mod delta;
 pub mod handshake;
 pub mod link;
 pub mod membership;
--- a/crates/peer/src/message/mod.rs
+++ b/crates/peer/src/message/mod.rs
@@ -12,6 +12,7 @@
 use goldcrest_types::units::{Revision, Slots, StoreVersion};
 use serde::{Deserialize, Serialize};
 
+use crate::delta::CatalogueDelta;
 use crate::wire::{Packet, PacketError};
 
 /// A message from an entry that asks.
@@ -21,6 +22,8 @@
     Gossip(Box<Gossip>),
     /// The catalogue, if it is above a revision.
     Catalogue(CatalogueAsk),
+    /// The same, as what has changed since that revision.
+    CatalogueDelta(CatalogueAsk),
     /// Whether a non-idempotent request may run.
     Claim(ClaimAsk),
     /// Takes a claim back, since its request certainly did not run.
@@ -44,6 +47,8 @@
     Gossip(Box<Gossip>),
     /// The catalogue, or none if there is none above the revision.
     Catalogue(Option<CatalogueCopy>),
+    /// What has changed in the catalogue, or none if the answerer does not have the revision that was named.
+    CatalogueDelta(Option<CatalogueDelta>),
     /// Whether the request may run.
     Claim(ClaimAnswer),
     /// What the answerer knows of the key.
@@ -390,6 +395,7 @@
     pub const HAND_OVER: u16 = 8;
     pub const DONE: u16 = 9;
     pub const FLEET_SEEN: u16 = 10;
+    pub const CATALOGUE_DELTA: u16 = 11;
     pub const REFUSED: u16 = 0xffff;
 }
 
@@ -400,6 +406,7 @@
         match self {
             Self::Gossip(body) => Packet::new(kind::GOSSIP, body),
             Self::Catalogue(body) => Packet::new(kind::CATALOGUE, body),
+            Self::CatalogueDelta(body) => Packet::new(kind::CATALOGUE_DELTA, body),
             Self::Claim(body) => Packet::new(kind::CLAIM, body),
             Self::Release(body) => Packet::new(kind::RELEASE, body),
             Self::Past(body) => Packet::new(kind::PAST, body),
@@ -419,6 +426,7 @@
         match packet.kind {
             kind::GOSSIP => packet.read().map(Self::Gossip),
             kind::CATALOGUE => packet.read().map(Self::Catalogue),
+            kind::CATALOGUE_DELTA => packet.read().map(Self::CatalogueDelta),
             kind::CLAIM => packet.read().map(Self::Claim),
             kind::RELEASE => packet.read().map(Self::Release),
             kind::PAST => packet.read().map(Self::Past),
@@ -438,6 +446,7 @@
         match self {
             Self::Gossip(body) => Packet::new(kind::GOSSIP, body),
             Self::Catalogue(body) => Packet::new(kind::CATALOGUE, body),
+            Self::CatalogueDelta(body) => Packet::new(kind::CATALOGUE_DELTA, body),
             Self::Claim(body) => Packet::new(kind::CLAIM, body),
             Self::Past(body) => Packet::new(kind::PAST, body),
             Self::Done => Packet::new(kind::DONE, &()),
@@ -457,6 +466,7 @@
         match packet.kind {
             kind::GOSSIP => packet.read().map(Self::Gossip),
             kind::CATALOGUE => packet.read().map(Self::Catalogue),
+            kind::CATALOGUE_DELTA => packet.read().map(Self::CatalogueDelta),
             kind::CLAIM => packet.read().map(Self::Claim),
             kind::PAST => packet.read().map(Self::Past),
             kind::DONE => Ok(Self::Done),
--- a/crates/peer/src/peers/mod.rs
+++ b/crates/peer/src/peers/mod.rs
@@ -22,6 +22,7 @@
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 
 use crate::claims::ClaimsConfig;
+use crate::delta::{self, CatalogueDelta};
 use crate::handshake::Hello;
 use crate::link::LinkLimits;
 use crate::membership::{MembershipConfig, Standing};
@@ -39,6 +40,9 @@
 /// Questions about requests that wait for the daemon at one time.
 const EXPLAIN_WAITING_MAX: usize = 64;
 
+/// How many earlier copies of the catalogue are kept, on which changes can be based.
+const EARLIER_COPIES: usize = 4;
+
 /// The longest wait for the daemon's answer to such a question.
 const EXPLAIN_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -155,7 +159,11 @@
         if copy.revision <= known {
             return;
         }
-        state.copy = Some(copy.clone());
+        let before = state.copy.replace(copy.clone());
+        state.earlier.extend(before);
+        if state.earlier.len() > EARLIER_COPIES {
+            state.earlier.pop_front();
+        }
         drop(state);
         self.inner.copy.send_replace(Some(copy));
         self.inner.hint.notify_one();
@@ -308,6 +316,16 @@
         timed.ok()?.ok()?
     }
 
+    /// What has changed since the revision `above`, if that is remembered.
+    fn delta_above(&self, above: Revision) -> Option<CatalogueDelta> {
+        let (base, copy) = {
+            let state = self.state();
+            let base = state.earlier.iter().find(|copy| copy.revision == above)?;
+            (base.clone(), state.copy.clone()?)
+        };
+        delta::pack(&base, &copy)
+    }
+
     fn copy_above(&self, above: Revision) -> Option<CatalogueCopy> {
         let state = self.state();
         let copy = state.copy.as_ref()?;
@@ -359,6 +377,7 @@
                 Reply::Gossip(Box::new(reply))
             }
             Request::Catalogue(ask) => Reply::Catalogue(self.copy_above(ask.above)),
+            Request::CatalogueDelta(ask) => Reply::CatalogueDelta(self.delta_above(ask.above)),
             Request::Claim(ask) => Reply::Claim(self.claim_here(&ask).await),
             Request::Release(ask) => {
                 self.state().claims.release(&ask);
--- a/crates/peer/src/peers/run.rs
+++ b/crates/peer/src/peers/run.rs
@@ -7,6 +7,7 @@
 
 use futures_util::future::join_all;
 use goldcrest_types::clock::Clock;
+use goldcrest_types::units::Revision;
 use log::{debug, info};
 use rand::Rng;
 use tokio_util::sync::CancellationToken;
@@ -14,9 +15,10 @@
 
 use super::targets::{Target, targets};
 use super::{Peers, lock};
+use crate::delta;
 use crate::handshake::Hello;
 use crate::link::{Link, LinkError, LinkLimits};
-use crate::message::{CatalogueAsk, Gossip, Reply, Request};
+use crate::message::{CatalogueAsk, CatalogueCopy, Gossip, Reply, Request};
 use crate::part;
 use crate::transport::Traffic;
 
@@ -189,16 +191,43 @@
             if ahead.revision <= above {
                 continue;
             }
-            let request = Request::Catalogue(CatalogueAsk { above });
-            match self.inner.links.call(ahead.address, &request).await {
-                Ok(Reply::Catalogue(Some(copy))) if copy.revision > above => {
-                    info!(target: part::PEERS, "Catalogue {} from {}.", copy.revision, ahead.address);
-                    self.offer_catalogue(copy);
-                }
-                Ok(_) => {}
-                Err(error) => {
-                    debug!(target: part::PEERS, "No catalogue from {}: {error}.", ahead.address);
-                }
+            let fetched = match self.fetch_changes(ahead.address, above).await {
+                Some(copy) => Some(copy),
+                None => self.fetch_whole(ahead.address, above).await,
+            };
+            if let Some(copy) = fetched {
+                info!(target: part::PEERS, "Catalogue {} from {}.", copy.revision, ahead.address);
+                self.offer_catalogue(copy);
+            }
+        }
+    }
+
+    /// Asks for what has changed since this entry's own copy. None if the whole is to be asked for.
+    async fn fetch_changes(&self, address: SocketAddr, above: Revision) -> Option<CatalogueCopy> {
+        let base = self.state().copy.clone();
+        let base = base.filter(|copy| copy.revision == above)?;
+        let request = Request::CatalogueDelta(CatalogueAsk { above });
+        let answer = self.inner.links.call(address, &request).await;
+        let Ok(Reply::CatalogueDelta(Some(delta))) = answer else {
+            return None;
+        };
+        match delta::unpack(&base, &delta) {
+            Ok(copy) => (copy.revision > above).then_some(copy),
+            Err(error) => {
+                debug!(target: part::PEERS, "Changes from {address}: {error}.");
+                None
+            }
+        }
+    }
+
+    async fn fetch_whole(&self, address: SocketAddr, above: Revision) -> Option<CatalogueCopy> {
+        let request = Request::Catalogue(CatalogueAsk { above });
+        match self.inner.links.call(address, &request).await {
+            Ok(Reply::Catalogue(Some(copy))) if copy.revision > above => Some(copy),
+            Ok(_) => None,
+            Err(error) => {
+                debug!(target: part::PEERS, "No catalogue from {address}: {error}.");
+                None
             }
         }
     }
--- a/crates/peer/src/peers/state.rs
+++ b/crates/peer/src/peers/state.rs
@@ -1,6 +1,6 @@
 //! What this entry knows from its peers: the state behind [`Peers`](super::Peers), without I/O.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -98,6 +98,8 @@
     pub(super) fleet_seen: Vec<FleetSeen>,
     pub(super) own: OwnView,
     pub(super) copy: Option<CatalogueCopy>,
+    /// The copies before the present one, oldest first.
+    pub(super) earlier: VecDeque<CatalogueCopy>,
     pub(super) seeds: BTreeSet<Seed>,
     pub(super) wants_dcs: bool,
     pub(super) is_relay: bool,
@@ -123,6 +125,7 @@
             fleet_seen: Vec::new(),
             own: OwnView::default(),
             copy: None,
+            earlier: VecDeque::new(),
             seeds: BTreeSet::new(),
             wants_dcs: true,
             window: cfg.claims.window,
--- a/crates/peer/tests/peer/main.rs
+++ b/crates/peer/tests/peer/main.rs
@@ -2,6 +2,7 @@
 
 mod claims;
 mod common;
+mod delta;
 mod link;
 mod membership;
 mod messages;
--- a/crates/types/src/key/mod.rs
+++ b/crates/types/src/key/mod.rs
@@ -31,7 +31,13 @@
     /// The digest of `secret`.
     #[must_use]
     pub fn of(secret: &str) -> Self {
-        Self(Sha256::digest(secret.as_bytes()).into())
+        Self::of_bytes(secret.as_bytes())
+    }
+
+    /// The digest of any bytes.
+    #[must_use]
+    pub fn of_bytes(bytes: &[u8]) -> Self {
+        Self(Sha256::digest(bytes).into())
     }
 
     /// The first eight bytes, to find candidates in a table without a comparison of whole digests.
