--- a/crates/peer/src/peers/claiming.rs
+++ b/crates/peer/src/peers/claiming.rs
@@ -54,7 +54,10 @@
                 tokio::spawn(async move { peers.release_until_done(ask).await });
                 ClaimAnswer::Unknown
             }
-            Asked::Nobody => ClaimAnswer::Unknown,
+            Asked::Nobody => {
+                debug!(target: part::CLAIMS, "The home of a key is silent.");
+                ClaimAnswer::Unknown
+            }
         }
     }
 
@@ -158,6 +161,7 @@
             state.claiming().former_home(ask, now)
         };
         let Some(former) = former else {
+            debug!(target: part::CLAIMS, "No home of a key, or not sure of it.");
             return ClaimAnswer::Unknown;
         };
         let request = Request::Past(ask.clone());
@@ -167,6 +171,9 @@
             Ok(_) | Err(_) => ClaimPast::Unknown,
         };
         let now = self.now();
+        if past == ClaimPast::Unknown {
+            debug!(target: part::CLAIMS, "{} does not know a key's past either.", former.entry);
+        }
         self.state().claiming().claim_by_past(ask, past, now)
     }
 
