quota: even out idle slots between data centres

Change: the mover also acts when a data centre lacks the slot that each of its entries is due without demand, if the limit goes round.

--- a/crates/ledger/src/quota/portions.rs
+++ b/crates/ledger/src/quota/portions.rs
@@ -79,7 +79,8 @@
 }
 
 /// What a data centre is due of every team without any demand: [`IDLE_SLOTS`] for each entry that holds a row.
-fn idle_slots(quota: &DcQuota) -> Slots {
+#[must_use]
+pub fn idle_slots(quota: &DcQuota) -> Slots {
     let rows = quota.rows().values();
     let held = rows.filter(|row| row.phase == RowPhase::Held);
     held.map(|_| IDLE_SLOTS).sum()
--- a/crates/session/src/quota/mover.rs
+++ b/crates/session/src/quota/mover.rs
@@ -3,13 +3,15 @@
 //! The holder of the quota role does this, one step of each move in each document at a time, in the order in which a
 //! crash can only leave slots unissued: lowered in the data centre's document, then freed in the fleet's; taken in the
 //! fleet's, then raised in the data centre's. A move that an earlier holder left half done is completed first. Nothing is
-//! read while no data centre is short and no limit has changed.
+//! read while no data centre is short, none lacks the slots that its entries are due without demand, and no limit has
+//! changed.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use goldcrest_ledger::quota::portions::{DcPlan, DcView, plan};
+use goldcrest_ledger::quota::portions::{DcPlan, DcView, idle_slots, plan};
+use goldcrest_ledger::quota::rebalance::IDLE_SLOTS;
 use goldcrest_ledger::quota::{DcEdit, DcQuota, FleetEdit, FleetQuota, QuotaRefusal, TeamSlots};
 use goldcrest_platform::store::Store;
 use goldcrest_types::catalogue::Catalogue;
@@ -176,7 +178,18 @@
                 })
             })
         };
-        is_behind || is_open || is_owing || self.views.iter().any(is_short)
+        is_behind || is_open || is_owing || self.views.iter().any(is_short) || self.is_uneven()
+    }
+
+    /// Whether a data centre lacks the slots that its entries are due without any demand, though they go round.
+    fn is_uneven(&self) -> bool {
+        let due = |view: &View| idle_slots(view.quota.doc()).max(IDLE_SLOTS);
+        let due_in_all: Slots = self.views.iter().map(due).sum();
+        let mut teams = self.fleet.doc().teams().values();
+        teams.any(|team| {
+            let lacks = |view: &View| team.portion(&view.dc) < due(view);
+            team.limit >= due_in_all && self.views.iter().any(lacks)
+        })
     }
 
     /// Completes the moves that are open.
--- a/crates/session/tests/session/quota.rs
+++ b/crates/session/tests/session/quota.rs
@@ -234,3 +234,29 @@
         }
     }
 }
+
+/// Found in the demonstration: after a burst one data centre kept all of a team's slots, and the others could start none
+/// of its work through an outage.
+#[tokio::test(start_paused = true)]
+async fn run_outage_after_a_burst() {
+    let (_, fleet, entries) = world(3, 2).await;
+    fleet.want(entries[0].id, 200);
+    pass(&fleet, &entries, 15, LIMIT).await;
+    assert!(fleet.running() >= 95, "{} running", fleet.running());
+    fleet.want(entries[0].id, 0);
+    pass(&fleet, &entries, 20, LIMIT).await;
+    for entry in &entries {
+        entry.store.set_faults(Faults {
+            down: true,
+            ..Faults::default()
+        });
+    }
+    pass(&fleet, &entries, 15, LIMIT).await;
+    for entry in &entries {
+        fleet.want(entry.id, 1);
+    }
+    pass(&fleet, &entries, 1, LIMIT).await;
+    for entry in &entries {
+        assert_eq!(fleet.running_at(entry.id), 1, "at entry {}", entry.id);
+    }
+}
