platform: a connection of its own for each start of a task

Cause: a start on a kept connection that the worker closes at that moment has an unknown outcome, and a task that is not idempotent is then given up although it never started. Change: starts open a connection each; commands and reports go on sharing.

--- a/crates/platform/src/http/call.rs
+++ b/crates/platform/src/http/call.rs
@@ -74,13 +74,24 @@
     /// A caller that waits at most `timeout` for each whole answer.
     #[must_use]
     pub fn new(timeout: Duration) -> Self {
+        Self::with_idle(timeout, IDLE_CONNECTIONS_MAX)
+    }
+
+    /// A caller that opens a connection for each call. On a kept connection that the other side closes at that moment, a
+    /// call that was never read counts as one without an answer.
+    #[must_use]
+    pub fn without_idle(timeout: Duration) -> Self {
+        Self::with_idle(timeout, 0)
+    }
+
+    fn with_idle(timeout: Duration, idle_max: usize) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
-            .pool_max_idle_per_host(IDLE_CONNECTIONS_MAX)
+            .pool_max_idle_per_host(idle_max)
             // A repeat of a compare-and-swap would see its own first try as a conflict.
             .retry_canceled_requests(false)
             .build(connector);
--- a/crates/platform/src/http/worker.rs
+++ b/crates/platform/src/http/worker.rs
@@ -16,6 +16,8 @@
 #[derive(Debug, Clone)]
 pub struct HttpWorkers {
     caller: HttpCaller,
+    /// For starts: a task that is not idempotent is given up when it is not known whether it started.
+    starter: HttpCaller,
 }
 
 impl HttpWorkers {
@@ -24,21 +26,20 @@
     pub fn new(timeout: Duration) -> Self {
         Self {
             caller: HttpCaller::new(timeout),
+            starter: HttpCaller::without_idle(timeout),
         }
     }
 
     async fn post<T: Serialize>(
-        &self,
+        caller: &HttpCaller,
         worker: SocketAddr,
         path: &str,
         message: &T,
     ) -> Result<(), WorkerError> {
         let body = serde_json::to_vec(message)
             .map_err(|error| WorkerError::Malformed(error.to_string().into()))?;
-        let answer = self
-            .call(Method::POST, worker, path, body.into())
-            .await
-            .map_err(worker_error)?;
+        let answer = call(caller, Method::POST, worker, path, body.into());
+        let answer = answer.await.map_err(worker_error)?;
         match answer.status {
             StatusCode::ACCEPTED => Ok(()),
             StatusCode::CONFLICT | StatusCode::SERVICE_UNAVAILABLE => {
@@ -47,32 +48,26 @@
             _ => Err(WorkerError::Malformed(answer.detail())),
         }
     }
-
-    async fn call(
-        &self,
-        method: Method,
-        worker: SocketAddr,
-        path: &str,
-        body: Bytes,
-    ) -> Result<Answer, CallError> {
-        self.caller
-            .call(method, worker, path, HeaderMap::new(), body, Duration::ZERO)
-            .await
-    }
 }
 
 impl Workers for HttpWorkers {
     async fn start(&self, worker: SocketAddr, start: &StartTask) -> Result<(), WorkerError> {
-        self.post(worker, "/v1/tasks", start).await
+        Self::post(&self.starter, worker, "/v1/tasks", start).await
     }
 
     async fn command(&self, worker: SocketAddr, command: &CommandTask) -> Result<(), WorkerError> {
-        self.post(worker, "/v1/commands", command).await
+        Self::post(&self.caller, worker, "/v1/commands", command).await
     }
 
     async fn report(&self, worker: SocketAddr) -> Result<WorkerReport, WorkerError> {
-        let answer = self
-            .call(Method::GET, worker, "/v1/report", Bytes::new())
+        let report = call(
+            &self.caller,
+            Method::GET,
+            worker,
+            "/v1/report",
+            Bytes::new(),
+        );
+        let answer = report
             .await
             // A read changes nothing, so its outcome is never unknown.
             .map_err(|_| WorkerError::Unreachable)?;
@@ -84,6 +79,18 @@
     }
 }
 
+async fn call(
+    caller: &HttpCaller,
+    method: Method,
+    worker: SocketAddr,
+    path: &str,
+    body: Bytes,
+) -> Result<Answer, CallError> {
+    caller
+        .call(method, worker, path, HeaderMap::new(), body, Duration::ZERO)
+        .await
+}
+
 fn worker_error(error: CallError) -> WorkerError {
     match error {
         CallError::NotSent => WorkerError::Unreachable,
