--- a/crates/demo/src/story/steps.rs
+++ b/crates/demo/src/story/steps.rs
@@ -308,11 +308,16 @@
         "{} of {TASKS} tasks accepted, ended after {waited_ms} ms",
         tasks.len()
     );
-    let lost = tasks.iter().filter(|(key, _)| runs.succeeded(*key) == 0);
-    let lost = lost.count();
-    if lost > 0 || tasks.len() < TASKS {
+    for (key, submitter) in tasks.iter().filter(|(key, _)| runs.succeeded(*key) == 0) {
+        let told = submitter.state(*key).await;
+        let starts = runs.started(*key);
         account.fail(format!(
-            "{lost} accepted tasks did not end, {} accepted",
+            "task {key} did not end well: {starts} starts, told as {told:?}"
+        ));
+    }
+    if tasks.len() < TASKS {
+        account.fail(format!(
+            "only {} of {TASKS} tasks were accepted",
             tasks.len()
         ));
     }
