sched: keep room for an old backfill after 2 minutes

Cause: 2 of 144 backfills starved; their teams sit just above their share, so room was kept for them only after 5 minutes. Change: hold_after_batch is 2 minutes.

--- a/crates/sched/src/config/mod.rs
+++ b/crates/sched/src/config/mod.rs
@@ -104,7 +104,7 @@
             starts_max: 2000,
             candidates: 4,
             hold_after_interactive: Duration::from_secs(30),
-            hold_after_batch: Duration::from_mins(5),
+            hold_after_batch: Duration::from_mins(2),
             hold_max: Duration::from_mins(10),
             held_percent_max: 50,
             interactive_due: Duration::from_hours(1),
