demo: an entry's stop is judged by what was cut

Cause: a run from a fresh clone failed on 53 'unknown' answers while an entry stopped; all 53 were refusals with the code past-unknown, from the gap that the entry lost two steps before had left, and the stop itself cut 0. Change: the check counts requests that the stop cut and requests without a whole answer; refusals that say 'unknown' are whole answers and are listed by code as before.

--- a/crates/demo/src/callers/mod.rs
+++ b/crates/demo/src/callers/mod.rs
@@ -40,8 +40,10 @@
     pub not_run: u64,
     /// Refused as not run although it had run.
     pub not_run_but_ran: u64,
-    /// Ended with an unknown outcome, by a refusal that says so or by a lost connection.
+    /// Ended with an unknown outcome, by a refusal that says so or without a whole answer.
     pub unknown: u64,
+    /// Those of them without a whole answer: they were cut.
+    pub cut: u64,
     /// Refused with neither word.
     pub unclear: u64,
     /// The codes of the refusals, with how often each came.
@@ -216,6 +218,7 @@
             }
             Err(CallError::NoAnswer | CallError::BadRequest(_)) => {
                 tally.unknown += 1;
+                tally.cut += 1;
                 return;
             }
         };
--- a/crates/demo/src/story/steps.rs
+++ b/crates/demo/src/story/steps.rs
@@ -271,7 +271,7 @@
         Promise::GracefulShutdown,
         "an entry stopped under load",
         tally.sent,
-        cut + tally.unknown,
+        cut + tally.cut,
     );
     check_tally(account, "requests while an entry stops", &tally);
     Ok(())
