--- a/crates/bench/src/bin/placement.rs
+++ b/crates/bench/src/bin/placement.rs
@@ -259,49 +259,51 @@
     begin.elapsed() / u32::try_from(keys.max(1)).unwrap_or(u32::MAX)
 }
 
+/// The sizes that are measured: letter 1's, and each of its dimensions by itself.
+const ROWS: [Size; 9] = [
+    LETTER,
+    Size { pools: 1, ..LETTER },
+    Size {
+        workers: 750,
+        accelerators: 1050,
+        ..LETTER
+    },
+    Size {
+        workers: 3000,
+        accelerators: 4200,
+        ..LETTER
+    },
+    Size {
+        teams: 50,
+        ..LETTER
+    },
+    Size {
+        teams: 200,
+        ..LETTER
+    },
+    Size {
+        waiting: 25_000,
+        ..LETTER
+    },
+    Size {
+        waiting: 100_000,
+        ..LETTER
+    },
+    Size {
+        workers: 136,
+        accelerators: 192,
+        teams: 100,
+        waiting: 4545,
+        pools: 20,
+    },
+];
+
 fn main() {
     println!(
         "| workers | accelerators | teams | waiting | pools | empty fleet ms | starts | full ms | full worst ms | 1 in 10 ends ms | cancel ns |"
     );
     println!("| ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |");
-    let rows = [
-        LETTER,
-        Size { pools: 1, ..LETTER },
-        Size {
-            workers: 750,
-            accelerators: 1050,
-            ..LETTER
-        },
-        Size {
-            workers: 3000,
-            accelerators: 4200,
-            ..LETTER
-        },
-        Size {
-            teams: 50,
-            ..LETTER
-        },
-        Size {
-            teams: 200,
-            ..LETTER
-        },
-        Size {
-            waiting: 25_000,
-            ..LETTER
-        },
-        Size {
-            waiting: 100_000,
-            ..LETTER
-        },
-        Size {
-            workers: 136,
-            accelerators: 192,
-            teams: 100,
-            waiting: 4545,
-            pools: 20,
-        },
-    ];
-    for size in rows {
+    for size in ROWS {
         let row = measure(&size);
         let ms = |time: Duration| time.as_secs_f64() * 1000.0;
         println!(
