scheduler: test that a refused start is not sent

Cause: no test showed it: with the check left out all tests still passed. Change: a task is cancelled between the decision and the write; the document refuses the start. Result: written_refused_start passes, and fails with the check left out (one start instead of none).

--- a/crates/daemon/tests/tasks.rs
+++ b/crates/daemon/tests/tasks.rs
@@ -350,3 +350,38 @@
     assert_eq!(world.outcome(key), Some(TaskOutcome::Stopped));
     assert_eq!(world.runs.get(&key), Some(&1));
 }
+
+/// A start that the document refuses, since the task was cancelled between the decision and the write, is not sent.
+#[test]
+fn written_refused_start() {
+    let mut world = World::new(3);
+    world.faults = false;
+    let key = TaskKey::new(9);
+    let shard = shard_of(key);
+    world.edit(
+        JobEdit::Accept {
+            key,
+            task: task(false),
+        },
+        key,
+    );
+    world.now += Duration::from_millis(500);
+    world.report();
+    world.read_documents();
+    let until = world.now + Duration::from_secs(1);
+    let grants = BTreeMap::from([("a".parse().expect("a name"), Slots::new(6))]);
+    world.plan.set_grants(&grants, until);
+    let steps = world.plan.round(world.now);
+    assert!(
+        steps[shard]
+            .iter()
+            .any(|step| matches!(step, JobEdit::Start { .. })),
+        "the round decides to start it"
+    );
+    world.edit(JobEdit::Cancel { key }, key);
+    world.edits += 1;
+    let answers = world.docs[shard].apply(EditId::new(world.edits), &steps[shard]);
+    let starts = world.plan.written(&steps[shard], &answers, world.now);
+    assert_eq!(starts, Some(Vec::new()));
+    assert_eq!(world.outcome(key), Some(TaskOutcome::NeverRan));
+}
