--- a/crates/daemon/src/quota/split.rs
+++ b/crates/daemon/src/quota/split.rs
@@ -11,7 +11,6 @@
 use goldcrest_front::{Front, TeamGrant, TeamGrants};
 use goldcrest_ledger::quota::Grants;
 use goldcrest_types::catalogue::Catalogue;
-use goldcrest_types::entity::TeamId;
 use goldcrest_types::names::TeamName;
 use goldcrest_types::units::Slots;
 
@@ -135,14 +134,6 @@
     pub fn front_grants(&self) -> TeamGrants {
         self.state().rests()
     }
-
-    /// What of `team` is reserved for tasks.
-    #[must_use]
-    pub fn reserved(&self, cat: &Catalogue, team: TeamId) -> Slots {
-        let state = self.state();
-        let split = state.teams.get(&cat.teams[team].name);
-        split.map_or(Slots::ZERO, |split| split.reserved)
-    }
 }
 
 /// Puts the serving path's grants in force, and returns what it runs.
