daemon: the settings for heads and upstream connections take effect

Cause: front.header_bytes and front.connect_timeout_ms were read, checked and documented, but never handed to the serving path, which worked by defaults of the same values. Change: the serving path's bounds are made of the settings in one function; header_bytes below the HTTP library's least is refused, since the library panics on it.

--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -200,11 +200,6 @@
         burst: settings.store.calls_per_second.get(),
     };
     let session = DaemonSession::new(store, Arc::clone(&clock), session_cfg);
-    let connections = usize::try_from(settings.front.connections).unwrap_or(usize::MAX);
-    let front_cfg = FrontCfg::new(dc)
-        .with_connections_max(connections)
-        .with_header_read_timeout(settings.front.header_timeout())
-        .with_drain(settings.stop.settle(), settings.stop.settle());
     let follower = DaemonFollower::new(session.clone(), FollowConfig::default());
     let roles = DaemonRoles::new(session.clone());
     let (intake, writers) = Intake::new();
@@ -214,7 +209,7 @@
         session,
         platform: HttpFleet::new(settings.platform.fleet_address, timeout),
         workers: HttpWorkers::new(timeout),
-        front: Front::new(front_cfg, Arc::clone(&clock)).with_claims(Arc::new(claims)),
+        front: Front::new(front_cfg(&settings), Arc::clone(&clock)).with_claims(Arc::new(claims)),
         peers,
         queries: Mutex::new(queries),
         metrics: Metrics::new(),
@@ -234,6 +229,19 @@
     }
 }
 
+/// The serving path's bounds, as the settings give them.
+fn front_cfg(settings: &Settings) -> FrontCfg {
+    let connections = usize::try_from(settings.front.connections).unwrap_or(usize::MAX);
+    let header_bytes = usize::try_from(settings.front.header_bytes.get()).unwrap_or(usize::MAX);
+    let mut cfg = FrontCfg::new(settings.entry.data_centre.clone())
+        .with_connections_max(connections)
+        .with_header_read_timeout(settings.front.header_timeout())
+        .with_drain(settings.stop.settle(), settings.stop.settle());
+    cfg.connect_timeout = settings.front.connect_timeout();
+    cfg.header_bytes_max = header_bytes;
+    cfg
+}
+
 /// The lease has a supervisor of its own, since it ends last.
 fn spawn_lease(lease: &mut Supervisor, world: &Arc<World>, peer_address: SocketAddr) {
     let record = SessionRecord {
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -416,6 +416,9 @@
     }
 }
 
+/// The least that the HTTP library takes as the bound of a head.
+const HEADER_BYTES_MIN: Bytes = Bytes::new(8 << 10);
+
 fn check_front(front: &FrontSettings, record: Option<&Record>, errors: &mut SettingsErrors) {
     let Some(record) = record else {
         return;
@@ -426,6 +429,12 @@
             "connections is 0 and no caller could connect: set it to 1 or more",
         );
     }
+    if front.header_bytes < HEADER_BYTES_MIN {
+        errors.push(
+            record.line_of("header_bytes"),
+            format!("header_bytes is below {HEADER_BYTES_MIN} and the HTTP library can't work with less: raise it"),
+        );
+    }
     if front.header_timeout_ms == 0 {
         errors.push(
             record.line_of("header_timeout_ms"),
