--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -221,6 +221,7 @@
         roles,
         waves: watch::Sender::default(),
         task_usage: watch::Sender::default(),
+        task_pools: watch::Sender::default(),
         intake,
         writers: Mutex::new(writers),
         stopping: CancellationToken::new(),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,7 +3,7 @@
 //! Start with [`entry::Entry`], which starts and stops a process. [`world::World`] is what its parts share,
 //! [`supervisor`] keeps them running, [`settings`] is what a process is told. Each part has a folder: [`catalogue`],
 //! [`fleet`], [`front`], [`operator`], [`peers`], [`quota`],
-//! [`roles`].
+//! [`roles`], [`sizing`].
 
 pub mod catalogue;
 pub mod entry;
@@ -18,6 +18,7 @@
 pub mod roles;
 pub mod scheduler;
 pub mod settings;
+pub mod sizing;
 pub mod supervisor;
 pub mod tasks;
 pub mod world;
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -24,6 +24,7 @@
 
 use crate::operator::explain;
 use crate::roles::quota_role;
+use crate::sizing::demand;
 use crate::world::{DaemonClock, World};
 
 const PART: &str = Part::Peers.as_str();
@@ -198,7 +199,7 @@
     }
 }
 
-/// What each team has here: its requests, and its tasks while this entry schedules them.
+/// What each team and each pool has here: requests, and tasks while this entry schedules them.
 fn feed_usage(world: &World) {
     let mut usage = world.task_usage.borrow().clone();
     for of_team in world.front.usage() {
@@ -207,6 +208,7 @@
         cell.waiting += of_team.waiting;
     }
     world.peers.set_usage(&usage);
+    world.peers.set_pool_usage(&demand::own_usage(world));
 }
 
 fn feed_listing(world: &World) {
--- a/crates/daemon/src/scheduler/mod.rs
+++ b/crates/daemon/src/scheduler/mod.rs
@@ -82,6 +82,7 @@
 /// holder counts it as well, but may not have the slots for it yet.
 fn keep_running_reserved(world: &Arc<World>) {
     let usage = world.task_usage.send_replace(BTreeMap::new());
+    world.task_pools.send_replace(BTreeMap::new());
     let now = world.now();
     for (team, usage) in &usage {
         world.split.reserve(&world.front, team, usage.running, now);
@@ -304,6 +305,7 @@
         }
         // The other entries divide the teams' slots by this, too.
         self.world.task_usage.send_replace(usage);
+        self.world.task_pools.send_replace(self.plan.pool_demand());
         self.plan.set_grants(&grants, now + 2 * ROUND);
         self.grants = grants;
     }
--- a/crates/daemon/src/scheduler/plan.rs
+++ b/crates/daemon/src/scheduler/plan.rs
@@ -13,12 +13,13 @@
 use goldcrest_ledger::jobs::{
     JobAnswer, JobEdit, JobRefusal, JobsDoc, RequeueCause, Task, TaskOutcome, TaskState,
 };
+use goldcrest_peer::usage::Usage;
 use goldcrest_sched::{
     Availability, CancelOutcome, Command, Config, Decisions, Outcome, Progress, Reason, Scheduler,
     Start, StartOutcome, TaskSpec, WorkerSpec,
 };
 use goldcrest_types::catalogue::Catalogue;
-use goldcrest_types::names::{TaskKey, TeamName, VmName};
+use goldcrest_types::names::{PoolName, TaskKey, TeamName, VmName};
 use goldcrest_types::units::{Epoch, Resources, Slots};
 
 /// Over how many documents the tasks of a data centre are spread.
@@ -317,6 +318,22 @@
         });
         demand.collect()
     }
+
+    /// What the tasks of each pool have running and waiting.
+    #[must_use]
+    pub fn pool_demand(&self) -> BTreeMap<PoolName, Usage> {
+        let state = self.sched.state();
+        let mut demand: BTreeMap<PoolName, Usage> = BTreeMap::new();
+        for (_, lane) in state.lanes.iter() {
+            let Some(pool) = state.teams.pool_names.name(lane.pool) else {
+                continue;
+            };
+            let usage = demand.entry(pool.clone()).or_default();
+            usage.running += Slots::new(lane.running);
+            usage.waiting += Slots::new(u32::try_from(lane.waiting).unwrap_or(u32::MAX));
+        }
+        demand
+    }
 }
 
 const fn key_of(step: &JobEdit) -> TaskKey {
--- a/crates/daemon/src/world/mod.rs
+++ b/crates/daemon/src/world/mod.rs
@@ -20,7 +20,7 @@
 use goldcrest_session::{Follower, Session};
 use goldcrest_types::catalogue::{Catalogue, CatalogueSpec};
 use goldcrest_types::clock::Clock;
-use goldcrest_types::names::{DcName, EntryId, TeamName};
+use goldcrest_types::names::{DcName, EntryId, PoolName, TeamName};
 use goldcrest_types::units::{Revision, StoreVersion};
 use tokio::sync::{Mutex, mpsc, watch};
 use tokio_util::sync::CancellationToken;
@@ -131,6 +131,9 @@
     pub waves: watch::Sender<Vec<Box<str>>>,
     /// What the tasks of each team want while this entry schedules them; written by the scheduler part.
     pub task_usage: watch::Sender<BTreeMap<TeamName, Usage>>,
+    /// What the tasks of each pool have running and waiting while this entry schedules them; written by the scheduler
+    /// part.
+    pub task_pools: watch::Sender<BTreeMap<PoolName, Usage>>,
     /// Takes requests about tasks.
     pub intake: Intake,
     /// The writing side of the intake; used by the tasks part.
--- a/crates/front/src/front/mod.rs
+++ b/crates/front/src/front/mod.rs
@@ -13,7 +13,7 @@
 use std::sync::{Arc, PoisonError};
 use std::time::{Duration, Instant};
 
-use goldcrest_serve::admission::{TeamGrants, TeamUsage};
+use goldcrest_serve::admission::{PoolUsage, TeamGrants, TeamUsage};
 use goldcrest_serve::routing::{UpstreamSet, UpstreamState};
 use goldcrest_types::catalogue::Catalogue;
 use goldcrest_types::clock::Clock;
@@ -175,6 +175,12 @@
         self.shared.desk(|d, _| d.usage())
     }
 
+    /// What each pool has running and waiting from here.
+    #[must_use]
+    pub fn pool_usage(&self) -> Vec<PoolUsage> {
+        self.shared.desk(|d, _| d.pool_usage())
+    }
+
     /// Whether the balancer may send work: there is a catalogue and no drain.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -24,5 +24,5 @@
 pub use drain::DrainReport;
 pub use explain::{Explanation, Step};
 pub use front::{Front, FrontError, FrontStatus, KeyFreshness, OutcomeCounts, UpstreamStatus};
-pub use goldcrest_serve::admission::{TeamGrant, TeamGrants, TeamUsage};
+pub use goldcrest_serve::admission::{PoolUsage, TeamGrant, TeamGrants, TeamUsage};
 pub use goldcrest_serve::routing::{UpstreamSet, UpstreamSpec, UpstreamState};
--- a/crates/peer/src/message/mod.rs
+++ b/crates/peer/src/message/mod.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use goldcrest_ledger::freshness::Proof;
-use goldcrest_types::names::{DcName, EntryId, QueueName, RequestId, TeamName, VmName};
+use goldcrest_types::names::{DcName, EntryId, PoolName, QueueName, RequestId, TeamName, VmName};
 use goldcrest_types::units::{Revision, Slots, StoreVersion};
 use serde::{Deserialize, Serialize};
 
@@ -38,6 +38,8 @@
     InForce,
     /// By which versions of the fleet documents the answerer sends work.
     FleetSeen,
+    /// What each pool has from the answerer.
+    PoolUsage(PoolUsageAsk),
 }
 
 /// A message from an entry that answers.
@@ -61,6 +63,8 @@
     InForce(Vec<InForce>),
     /// By which versions of the fleet documents the answerer sends work.
     FleetSeen(Vec<FleetSeen>),
+    /// What each pool has from the answerer.
+    PoolUsage(PoolUsageTold),
     /// The message was not understood. Nothing was done.
     Refused(Refused),
 }
@@ -142,42 +146,44 @@
     pub heard_ms: u64,
 }
 
-/// What one entry or data centre has of a team. It is sent as a list without field names.
+/// What one entry or data centre has of a team or of a pool. It is sent as a list without field names.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(from = "CellForm", into = "CellForm")]
-pub struct Cell {
+#[serde(from = "CellForm<S>", into = "CellForm<S>")]
+#[serde(bound(serialize = "S: Clone + Serialize"))]
+pub struct Cell<S = TeamName> {
     /// Which of the keys of the [`Delta`].
     pub key: u16,
-    /// The team.
-    pub team: TeamName,
+    /// The team or the pool.
+    pub subject: S,
     /// Slots running.
     pub running: Slots,
     /// Slots waiting.
     pub waiting: Slots,
 }
 
-type CellForm = (u16, TeamName, Slots, Slots);
+type CellForm<S> = (u16, S, Slots, Slots);
 
-impl From<CellForm> for Cell {
-    fn from((key, team, running, waiting): CellForm) -> Self {
+impl<S> From<CellForm<S>> for Cell<S> {
+    fn from((key, subject, running, waiting): CellForm<S>) -> Self {
         Self {
             key,
-            team,
+            subject,
             running,
             waiting,
         }
     }
 }
 
-impl From<Cell> for CellForm {
-    fn from(cell: Cell) -> Self {
-        (cell.key, cell.team, cell.running, cell.waiting)
+impl<S> From<Cell<S>> for CellForm<S> {
+    fn from(cell: Cell<S>) -> Self {
+        (cell.key, cell.subject, cell.running, cell.waiting)
     }
 }
 
 /// Usage that changed since the other side last heard.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Delta<K> {
+#[serde(bound(serialize = "K: Serialize, S: Clone + Serialize"))]
+pub struct Delta<K, S = TeamName> {
     /// The sequence number up to which this tells all.
     #[serde(rename = "n")]
     pub upto: u64,
@@ -186,7 +192,7 @@
     pub keys: Vec<K>,
     /// What changed.
     #[serde(rename = "c")]
-    pub cells: Vec<Cell>,
+    pub cells: Vec<Cell<S>>,
 }
 
 /// What one entry tells another each second.
@@ -383,6 +389,28 @@
     pub version: StoreVersion,
 }
 
+/// A question what each pool has from the answerer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoolUsageAsk {
+    /// The process that the asker has heard from at this address, if any.
+    #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
+    pub entry: Option<EntryId>,
+    /// Up to where the asker has heard it.
+    #[serde(rename = "h", default)]
+    pub have: u64,
+}
+
+/// What has changed in what each pool has from the answerer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoolUsageTold {
+    /// The answerer. Another one than the asker had heard from tells everything anew.
+    #[serde(rename = "e")]
+    pub entry: EntryId,
+    /// What has changed.
+    #[serde(rename = "d")]
+    pub delta: Delta<EntryId, PoolName>,
+}
+
 /// The numbers of the kinds. They are never used again for another kind.
 mod kind {
     pub const GOSSIP: u16 = 1;
@@ -396,6 +424,7 @@
     pub const DONE: u16 = 9;
     pub const FLEET_SEEN: u16 = 10;
     pub const CATALOGUE_DELTA: u16 = 11;
+    pub const POOL_USAGE: u16 = 12;
     pub const REFUSED: u16 = 0xffff;
 }
 
@@ -414,6 +443,7 @@
             Self::Explain(body) => Packet::new(kind::EXPLAIN, body),
             Self::InForce => Packet::new(kind::IN_FORCE, &()),
             Self::FleetSeen => Packet::new(kind::FLEET_SEEN, &()),
+            Self::PoolUsage(body) => Packet::new(kind::POOL_USAGE, body),
         }
     }
 
@@ -434,6 +464,7 @@
             kind::EXPLAIN => packet.read().map(Self::Explain),
             kind::IN_FORCE => Ok(Self::InForce),
             kind::FLEET_SEEN => Ok(Self::FleetSeen),
+            kind::POOL_USAGE => packet.read().map(Self::PoolUsage),
             unknown => Err(PacketError::UnknownKind(unknown)),
         }
     }
@@ -453,6 +484,7 @@
             Self::Explain(body) => Packet::new(kind::EXPLAIN, body),
             Self::InForce(body) => Packet::new(kind::IN_FORCE, body),
             Self::FleetSeen(body) => Packet::new(kind::FLEET_SEEN, body),
+            Self::PoolUsage(body) => Packet::new(kind::POOL_USAGE, body),
             Self::Refused(body) => Packet::new(kind::REFUSED, body),
         }
     }
@@ -473,6 +505,7 @@
             kind::EXPLAIN => packet.read().map(Self::Explain),
             kind::IN_FORCE => packet.read().map(Self::InForce),
             kind::FLEET_SEEN => packet.read().map(Self::FleetSeen),
+            kind::POOL_USAGE => packet.read().map(Self::PoolUsage),
             kind::REFUSED => packet.read().map(Self::Refused),
             unknown => Err(PacketError::UnknownKind(unknown)),
         }
--- a/crates/peer/src/peers/mod.rs
+++ b/crates/peer/src/peers/mod.rs
@@ -5,6 +5,7 @@
 //! `claiming` puts claims on idempotency keys to their homes. [`Peers`] also answers for this entry behind a [`PeerServer`](crate::server::PeerServer).
 
 mod claiming;
+mod pool_usage;
 mod run;
 mod state;
 mod targets;
@@ -33,6 +34,7 @@
 use crate::transport::Traffic;
 use crate::usage::Usage;
 
+pub use pool_usage::PoolUsageHeard;
 use run::Links;
 use state::State;
 pub use state::{Ahead, Outage, OwnView, PeerEvidence, Seed};
@@ -396,6 +398,7 @@
             Request::Explain(ask) => Reply::Explain(self.explain_here(ask).await),
             Request::FleetSeen => Reply::FleetSeen(self.state().fleet_seen.clone()),
             Request::InForce => Reply::InForce(self.state().in_force()),
+            Request::PoolUsage(ask) => Reply::PoolUsage(self.tell_pool_usage(ask)),
         }
     }
 }
--- a/crates/peer/src/peers/state.rs
+++ b/crates/peer/src/peers/state.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use goldcrest_ledger::freshness::Proof;
-use goldcrest_types::names::{DcName, EntryId, TeamName};
+use goldcrest_types::names::{DcName, EntryId, PoolName, TeamName};
 use goldcrest_types::units::Revision;
 
 use crate::claims::{Claiming, Claims};
@@ -112,6 +112,8 @@
     outages: BTreeMap<DcName, Proof>,
     entries: Board<EntryId>,
     dcs: Board<DcName>,
+    /// What each pool has from this entry.
+    pub(super) pools: Board<EntryId, PoolName>,
     peers: BTreeMap<EntryId, PeerState>,
 }
 
@@ -138,6 +140,7 @@
             outages: BTreeMap::new(),
             entries: Board::new(),
             dcs: Board::new(),
+            pools: Board::new(),
             peers: BTreeMap::new(),
         }
     }
@@ -166,6 +169,7 @@
         if self.heartbeat.is_multiple_of(SETTLE_HEARTBEATS) {
             self.entries.settle();
             self.dcs.settle();
+            self.pools.settle();
         }
         let dcs = self.members.dcs();
         self.outages.retain(|dc, _| dcs.contains(dc));
--- a/crates/peer/src/usage/mod.rs
+++ b/crates/peer/src/usage/mod.rs
@@ -1,4 +1,4 @@
-//! Usage by team, told as what changed.
+//! Usage by team or by pool, told as what changed.
 //!
 //! A [`Board`] numbers its changes. The other side says up to which number it has heard, and is told the cells above it,
 //! the oldest first and so many at one time. A small change of a large figure keeps its old number, and is told only when
@@ -23,7 +23,7 @@
 /// A change of less than one part in this many is not told at once.
 const TELL_PART: u32 = 4;
 
-/// What one entry or data centre has of a team.
+/// What one entry or data centre has of a team or of a pool.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Usage {
     /// Slots running.
@@ -56,16 +56,16 @@
     seq: u64,
 }
 
-/// The usage of entries or of data centres, with the order of its changes.
+/// The usage of entries or of data centres by team or by pool, with the order of its changes.
 #[derive(Debug, Clone)]
-pub struct Board<K> {
+pub struct Board<K, S = TeamName> {
     seq: u64,
-    cells: BTreeMap<K, BTreeMap<TeamName, Entry>>,
-    by_seq: BTreeMap<u64, (K, TeamName)>,
-    inexact: BTreeSet<(K, TeamName)>,
+    cells: BTreeMap<K, BTreeMap<S, Entry>>,
+    by_seq: BTreeMap<u64, (K, S)>,
+    inexact: BTreeSet<(K, S)>,
 }
 
-impl<K: Clone + Ord> Board<K> {
+impl<K: Clone + Ord, S: Clone + Ord> Board<K, S> {
     /// An empty board.
     #[must_use]
     pub fn new() -> Self {
@@ -78,69 +78,72 @@
     }
 
     /// Sets one cell, and notes the change if it is worth telling.
-    pub fn set(&mut self, key: &K, team: &TeamName, usage: Usage) {
-        let teams = self.cells.entry(key.clone()).or_default();
-        let old = teams.get(team).copied();
+    pub fn set(&mut self, key: &K, subject: &S, usage: Usage) {
+        let subjects = self.cells.entry(key.clone()).or_default();
+        let old = subjects.get(subject).copied();
         if old.is_none() && usage == Usage::default() {
             return;
         }
         if let Some(old) = old {
             if old.told.is_near(usage) {
                 let entry = Entry { usage, ..old };
-                teams.insert(team.clone(), entry);
+                subjects.insert(subject.clone(), entry);
                 if old.told != usage {
-                    self.inexact.insert((key.clone(), team.clone()));
+                    self.inexact.insert((key.clone(), subject.clone()));
                 }
                 return;
             }
             self.by_seq.remove(&old.seq);
         }
-        self.number(key, team, usage);
+        self.number(key, subject, usage);
     }
 
     /// Gives a cell the next number, so that it is told.
-    fn number(&mut self, key: &K, team: &TeamName, usage: Usage) {
+    fn number(&mut self, key: &K, subject: &S, usage: Usage) {
         self.seq += 1;
         let seq = self.seq;
         let told = usage;
-        let teams = self.cells.entry(key.clone()).or_default();
-        teams.insert(team.clone(), Entry { usage, told, seq });
-        self.by_seq.insert(seq, (key.clone(), team.clone()));
+        let subjects = self.cells.entry(key.clone()).or_default();
+        subjects.insert(subject.clone(), Entry { usage, told, seq });
+        self.by_seq.insert(seq, (key.clone(), subject.clone()));
     }
 
     /// Lets some of the small changes be told that were not worth it at once.
     pub fn settle(&mut self) {
         for _ in 0..SETTLED_MAX {
-            let Some((key, team)) = self.inexact.pop_first() else {
+            let Some((key, subject)) = self.inexact.pop_first() else {
                 return;
             };
-            let entry = self.cells.get(&key).and_then(|teams| teams.get(&team));
+            let entry = self
+                .cells
+                .get(&key)
+                .and_then(|subjects| subjects.get(&subject));
             let Some(entry) = entry.copied().filter(|entry| entry.usage != entry.told) else {
                 continue;
             };
             self.by_seq.remove(&entry.seq);
-            self.number(&key, &team, entry.usage);
+            self.number(&key, &subject, entry.usage);
         }
     }
 
-    /// Sets all teams of one key; teams that are not given have nothing.
-    pub fn set_all(&mut self, key: &K, usage: &BTreeMap<TeamName, Usage>) {
+    /// Sets all teams or pools of one key; those that are not given have nothing.
+    pub fn set_all(&mut self, key: &K, usage: &BTreeMap<S, Usage>) {
         let known = self.cells.get(key);
-        let known: Vec<TeamName> = known
-            .map(|teams| teams.keys().cloned().collect())
+        let known: Vec<S> = known
+            .map(|subjects| subjects.keys().cloned().collect())
             .unwrap_or_default();
-        for team in known.iter().filter(|team| !usage.contains_key(*team)) {
-            self.set(key, team, Usage::default());
+        for subject in known.iter().filter(|subject| !usage.contains_key(*subject)) {
+            self.set(key, subject, Usage::default());
         }
-        for (team, usage) in usage {
-            self.set(key, team, *usage);
+        for (subject, usage) in usage {
+            self.set(key, subject, *usage);
         }
     }
 
     /// Forgets a key.
     pub fn forget(&mut self, key: &K) {
-        if let Some(teams) = self.cells.remove(key) {
-            for entry in teams.values() {
+        if let Some(subjects) = self.cells.remove(key) {
+            for entry in subjects.values() {
                 self.by_seq.remove(&entry.seq);
             }
         }
@@ -149,7 +152,7 @@
     /// What changed above `have`, of all keys or of one only, in at most `cells_max` cells. A number from another board, which is higher than any
     /// here, counts as none.
     #[must_use]
-    pub fn delta(&self, have: u64, only: Option<&K>, cells_max: usize) -> Delta<K> {
+    pub fn delta(&self, have: u64, only: Option<&K>, cells_max: usize) -> Delta<K, S> {
         let from = if have > self.seq { 0 } else { have };
         let mut delta = Delta {
             upto: self.seq,
@@ -158,14 +161,14 @@
         };
         let news = self.by_seq.range(from + 1..);
         let news = news.filter(|(_, (key, _))| only.is_none_or(|only| only == key));
-        for (seq, (key, team)) in news {
+        for (seq, (key, subject)) in news {
             if delta.cells.len() == cells_max {
                 break;
             }
-            let usage = self.usage(key, team);
+            let usage = self.usage(key, subject);
             delta.cells.push(Cell {
                 key: key_index(&mut delta.keys, key),
-                team: team.clone(),
+                subject: subject.clone(),
                 running: usage.running,
                 waiting: usage.waiting,
             });
@@ -177,7 +180,7 @@
     }
 
     /// Takes in what another board told, of all keys but `own`, which this side knows better.
-    pub fn apply(&mut self, delta: &Delta<K>, own: Option<&K>) {
+    pub fn apply(&mut self, delta: &Delta<K, S>, own: Option<&K>) {
         for cell in &delta.cells {
             let Some(key) = delta.keys.get(usize::from(cell.key)) else {
                 continue;
@@ -187,30 +190,37 @@
                     running: cell.running,
                     waiting: cell.waiting,
                 };
-                self.set(key, &cell.team, usage);
+                self.set(key, &cell.subject, usage);
             }
         }
     }
 
-    /// What one key has of a team.
+    /// What one key has of a team or a pool.
     #[must_use]
-    pub fn usage(&self, key: &K, team: &TeamName) -> Usage {
-        let entry = self.cells.get(key).and_then(|teams| teams.get(team));
+    pub fn usage(&self, key: &K, subject: &S) -> Usage {
+        let entry = self
+            .cells
+            .get(key)
+            .and_then(|subjects| subjects.get(subject));
         entry.map(|entry| entry.usage).unwrap_or_default()
     }
 
     /// All cells.
-    pub fn iter(&self) -> impl Iterator<Item = (&K, &TeamName, Usage)> {
+    pub fn iter(&self) -> impl Iterator<Item = (&K, &S, Usage)> {
         let cells = self.cells.iter();
-        cells.flat_map(|(key, teams)| teams.iter().map(move |(team, e)| (key, team, e.usage)))
+        cells.flat_map(|(key, subjects)| {
+            subjects
+                .iter()
+                .map(move |(subject, e)| (key, subject, e.usage))
+        })
     }
 
-    /// What all keys have together, by team.
+    /// What all keys have together, by team or by pool.
     #[must_use]
-    pub fn sums(&self) -> BTreeMap<TeamName, Usage> {
-        let mut sums: BTreeMap<TeamName, Usage> = BTreeMap::new();
-        for (_, team, usage) in self.iter() {
-            let sum = sums.entry(team.clone()).or_default();
+    pub fn sums(&self) -> BTreeMap<S, Usage> {
+        let mut sums: BTreeMap<S, Usage> = BTreeMap::new();
+        for (_, subject, usage) in self.iter() {
+            let sum = sums.entry(subject.clone()).or_default();
             sum.running += usage.running;
             sum.waiting += usage.waiting;
         }
@@ -218,7 +228,7 @@
     }
 }
 
-impl<K: Clone + Ord> Default for Board<K> {
+impl<K: Clone + Ord, S: Clone + Ord> Default for Board<K, S> {
     fn default() -> Self {
         Self::new()
     }
--- a/crates/peer/tests/peer/peers.rs
+++ b/crates/peer/tests/peer/peers.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use goldcrest_ledger::freshness::Proof;
 use goldcrest_peer::message::{CatalogueCopy, ClaimAnswer, ClaimAsk, ClaimDigest};
-use goldcrest_peer::peers::{OwnView, Seed};
+use goldcrest_peer::peers::{OwnView, PoolUsageHeard, Seed};
 use goldcrest_peer::usage::Usage;
 use goldcrest_types::names::RequestId;
 use goldcrest_types::units::{Revision, Slots, StoreVersion};
@@ -252,3 +252,25 @@
     };
     assert_eq!(soon(missing).await, [all[2].member().entry]);
 }
+
+#[tokio::test]
+async fn hear_pool_usage_without_answer_stays() {
+    let all = entries(&["lis-1", "lis-2"]).await;
+    let usage = Usage {
+        running: Slots::new(7),
+        waiting: Slots::new(2),
+    };
+    let usage = BTreeMap::from([("web".parse().expect("a name"), usage)]);
+    all[1].peers.set_pool_usage(&usage);
+    let address = all[1].member().address;
+    let mut heard = PoolUsageHeard::new();
+    soon(all[0].peers.hear_pool_usage(address, &mut heard)).await;
+    assert_eq!(heard.usage(), usage);
+    let asked_at = heard.asked_at();
+    assert!(asked_at.is_some());
+    // Nobody listens there.
+    let gone = "127.0.0.1:1".parse().expect("an address");
+    soon(all[0].peers.hear_pool_usage(gone, &mut heard)).await;
+    assert_eq!(heard.asked_at(), asked_at);
+    assert_eq!(heard.usage(), usage);
+}
--- a/crates/peer/tests/peer/usage.rs
+++ b/crates/peer/tests/peer/usage.rs
@@ -1,9 +1,12 @@
 //! Usage told as what changed.
 
 use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
 
-use goldcrest_peer::usage::{Board, CELLS_MAX, Usage};
-use goldcrest_types::names::{EntryId, TeamName};
+use goldcrest_peer::message::{PoolUsageAsk, PoolUsageTold, Reply, Request};
+use goldcrest_peer::peers::PoolUsageHeard;
+use goldcrest_peer::usage::{Board, CELLS_MAX, CELLS_MAX_WANTED, Usage};
+use goldcrest_types::names::{EntryId, PoolName, TeamName};
 use goldcrest_types::units::Slots;
 use quickcheck::{Gen, QuickCheck};
 
@@ -88,3 +91,80 @@
         .rng(Gen::from_size_and_seed(100, 2))
         .quickcheck(is_told_in_the_end as fn(Vec<(u8, u8, bool)>) -> bool);
 }
+
+fn pool(number: u32) -> PoolName {
+    format!("pool-{number}").parse().expect("a name")
+}
+
+fn told(entry: EntryId, board: &Board<EntryId, PoolName>, have: u64) -> PoolUsageTold {
+    let delta = board.delta(have, None, CELLS_MAX_WANTED);
+    PoolUsageTold { entry, delta }
+}
+
+#[test]
+fn pool_usage_of_restarted_entry_replaces_old() {
+    let now = Instant::now();
+    let (old, new) = (EntryId::new(1), EntryId::new(2));
+    let mut board = Board::new();
+    board.set(&old, &pool(1), usage(9, 0));
+    let mut heard = PoolUsageHeard::new();
+    heard.take(&told(old, &board, 0), now);
+    assert_eq!(heard.ask().entry, Some(old));
+    let mut board = Board::new();
+    board.set(&new, &pool(2), usage(3, 1));
+    heard.take(&told(new, &board, 0), now + Duration::from_secs(1));
+    let expected = BTreeMap::from([(pool(2), usage(3, 1))]);
+    assert_eq!(heard.usage(), expected);
+}
+
+#[test]
+fn pool_usage_no_longer_told_falls_to_nothing() {
+    let now = Instant::now();
+    let own = EntryId::new(1);
+    let mut board = Board::new();
+    board.set_all(&own, &BTreeMap::from([(pool(1), usage(9, 4))]));
+    let mut heard = PoolUsageHeard::new();
+    heard.take(&told(own, &board, heard.ask().have), now);
+    board.set_all(&own, &BTreeMap::new());
+    heard.take(&told(own, &board, heard.ask().have), now);
+    assert_eq!(heard.usage()[&pool(1)], usage(0, 0));
+}
+
+#[test]
+fn pool_usage_is_aged_by_whole_answers_only() {
+    let now = Instant::now();
+    let own = EntryId::new(1);
+    let mut board = Board::new();
+    let cells = u32::try_from(CELLS_MAX_WANTED).expect("a small number");
+    for number in 0..=cells {
+        board.set(&own, &pool(number), usage(1, 0));
+    }
+    let mut heard = PoolUsageHeard::new();
+    heard.take(&told(own, &board, heard.ask().have), now);
+    assert_eq!(heard.asked_at(), None);
+    heard.take(&told(own, &board, heard.ask().have), now);
+    assert_eq!(heard.asked_at(), Some(now));
+    assert_eq!(heard.usage().len(), CELLS_MAX_WANTED + 1);
+}
+
+/// The bytes of one question and its answer when every pool of the planned size has changed.
+#[test]
+fn pool_usage_bytes_are_bounded() {
+    const POOLS: u32 = 81;
+    const BYTES_MAX: usize = 2_048;
+    let own = EntryId::new(u128::MAX);
+    let mut board = Board::new();
+    for number in 0..POOLS {
+        board.set(&own, &pool(number), usage(300, 40));
+    }
+    let ask = PoolUsageAsk {
+        entry: Some(own),
+        have: 1_000_000,
+    };
+    let ask = Request::PoolUsage(ask).to_packet();
+    let all = Reply::PoolUsage(told(own, &board, 0)).to_packet();
+    let none = Reply::PoolUsage(told(own, &board, u64::from(POOLS))).to_packet();
+    let [ask, all, none] = [ask, all, none].map(|packet| packet.body.len());
+    println!("ask {ask} B, all pools {all} B, no change {none} B");
+    assert!(ask + all < BYTES_MAX, "{ask} and {all} bytes");
+}
--- a/crates/serve/src/admission/mod.rs
+++ b/crates/serve/src/admission/mod.rs
@@ -16,6 +16,7 @@
 mod lane;
 mod offer;
 mod turn;
+mod usage;
 
 use std::time::{Duration, Instant};
 
@@ -26,6 +27,7 @@
 pub use grants::{TeamGrant, TeamGrants, TeamUsage};
 pub use lane::Lane;
 pub use turn::Turn;
+pub use usage::PoolUsage;
 
 use crate::outcome::NotRunCode;
 use estimate::Pace;
--- a/crates/serve/src/dispatch/mod.rs
+++ b/crates/serve/src/dispatch/mod.rs
@@ -13,7 +13,7 @@
 use rand::rngs::SmallRng;
 
 use crate::admission::{
-    Admission, AdmissionCfg, Ask, Decision, Phase, TeamGrants, TeamUsage, Turn, WorkId,
+    Admission, AdmissionCfg, Ask, Decision, Phase, PoolUsage, TeamGrants, TeamUsage, Turn, WorkId,
 };
 use crate::outcome::NotRunCode;
 use crate::retry::{RetryBudget, backoff};
@@ -80,6 +80,13 @@
         cat.map_or_else(Vec::new, |cat| self.admission.usage(cat))
     }
 
+    /// What each pool has running and waiting from here.
+    #[must_use]
+    pub fn pool_usage(&self) -> Vec<PoolUsage> {
+        let cat = self.cat.as_deref();
+        cat.map_or_else(Vec::new, |cat| self.admission.pool_usage(cat))
+    }
+
     /// Puts a catalogue in force, unless it is older than the one in force. Answers whether it was taken.
     pub fn set_catalogue(&mut self, cat: Arc<Catalogue>, now: Instant) -> bool {
         let old = self.cat.take();
