scheduler: tasks accepted during a write of the scheduler are taken

Cause: the scheduler writes its steps by read and compare-and-swap, so the value that it writes also holds what other entries have accepted since its last reading. That value was noted as the newest version, but no tasks were taken from it; the reading that would have brought them was then dropped as old, and nobody writes again until something else happens. Such a task waited until the next change of its document. Beside it, a task whose queue the scheduler's catalogue did not have yet was refused once and never offered again. Change: one path takes in documents, whether read or written, and the plan holds their versions. Refused tasks are offered again each round.

--- a/crates/daemon/src/scheduler/mod.rs
+++ b/crates/daemon/src/scheduler/mod.rs
@@ -138,7 +138,6 @@
         workers: WorkerSet::default(),
         times: ReportTimes::default(),
         grants: BTreeMap::new(),
-        versions: [None; SHARDS],
         world,
         dc,
     };
@@ -215,8 +214,6 @@
     times: ReportTimes,
     /// What this entry may run of each team.
     grants: BTreeMap<TeamName, Slots>,
-    /// The versions of the documents, once they were read.
-    versions: [Option<StoreVersion>; SHARDS],
 }
 
 impl Driver {
@@ -226,12 +223,8 @@
             doc,
             version,
         } = read;
-        // What this entry has written itself may be newer than what was on its way.
-        if self.versions[shard].is_none_or(|known| known < version) {
-            self.plan
-                .take_document(shard, Arc::new(doc), self.world.now());
-            self.versions[shard] = Some(version);
-        }
+        let now = self.world.now();
+        self.plan.take_document(shard, Arc::new(doc), version, now);
     }
 
     fn take_call(&mut self, called: Called) {
@@ -265,7 +258,7 @@
         }
         self.refresh();
         self.ask_reports();
-        if self.versions.iter().any(Option::is_none) {
+        if !self.plan.has_documents() {
             return true;
         }
         self.reserve();
@@ -353,10 +346,8 @@
                 self.plan.not_written(&steps, now);
                 continue;
             };
-            if let Some(version) = written.version {
-                self.versions[shard] = Some(version);
-            }
-            self.plan.take_written(shard, written.doc);
+            self.plan
+                .take_written(shard, written.doc, written.version, now);
             let Some(starts) = self.plan.written(&steps, &written.answers, now) else {
                 return false;
             };
--- a/crates/daemon/src/scheduler/plan.rs
+++ b/crates/daemon/src/scheduler/plan.rs
@@ -5,7 +5,7 @@
 //! written. A start that was not written, or not sent, is taken back; should its step have reached the document after all, the
 //! step that takes it back undoes it there too.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -20,7 +20,7 @@
 };
 use goldcrest_types::catalogue::Catalogue;
 use goldcrest_types::names::{PoolName, TaskKey, TeamName, VmName};
-use goldcrest_types::units::{Epoch, Resources, Slots};
+use goldcrest_types::units::{Epoch, Resources, Slots, StoreVersion};
 
 /// Over how many documents the tasks of a data centre are spread.
 pub const SHARDS: usize = 4;
@@ -37,6 +37,10 @@
 pub struct TaskPlan {
     sched: Scheduler,
     docs: [Arc<JobsDoc>; SHARDS],
+    /// The versions of the documents, once they were read.
+    versions: [Option<StoreVersion>; SHARDS],
+    /// Tasks of the documents that the scheduler refused, to be offered again.
+    refused: BTreeSet<TaskKey>,
     listed: Vec<WorkerSpec>,
     epoch: Epoch,
     out: Decisions,
@@ -50,6 +54,8 @@
         Self {
             sched: Scheduler::new(cfg),
             docs: Default::default(),
+            versions: [None; SHARDS],
+            refused: BTreeSet::new(),
             listed: Vec::new(),
             epoch,
             out: Decisions::new(),
@@ -104,8 +110,45 @@
         }
     }
 
-    /// Takes in a document: new tasks, cancellations, and tasks that it no longer holds.
-    pub fn take_document(&mut self, shard: usize, doc: Arc<JobsDoc>, now: Instant) {
+    /// Whether every document was read.
+    #[must_use]
+    pub fn has_documents(&self) -> bool {
+        self.versions.iter().all(Option::is_some)
+    }
+
+    /// Takes in a document that was read, unless it is older than what is known: what this entry has written itself may be
+    /// newer than what was on its way.
+    pub fn take_document(
+        &mut self,
+        shard: usize,
+        doc: Arc<JobsDoc>,
+        version: StoreVersion,
+        now: Instant,
+    ) {
+        if self.versions[shard].is_some_and(|known| known >= version) {
+            return;
+        }
+        self.versions[shard] = Some(version);
+        self.take_tasks(shard, doc, now);
+    }
+
+    /// Takes in a document as this entry wrote it. It may hold tasks that other entries have accepted meanwhile, and no
+    /// newer reading may ever come.
+    pub fn take_written(
+        &mut self,
+        shard: usize,
+        doc: JobsDoc,
+        version: Option<StoreVersion>,
+        now: Instant,
+    ) {
+        if let Some(version) = version {
+            self.versions[shard] = Some(version);
+        }
+        self.take_tasks(shard, Arc::new(doc), now);
+    }
+
+    /// Takes new tasks, cancellations, and that a document no longer holds some tasks.
+    fn take_tasks(&mut self, shard: usize, doc: Arc<JobsDoc>, now: Instant) {
         for (key, task) in doc.tasks() {
             if self.sched.explain(key, now).is_none() {
                 self.take_task(*key, task, now);
@@ -126,6 +169,16 @@
         self.docs[shard] = doc;
     }
 
+    /// Offers the refused tasks again: their queue may be in the catalogue by now, or their worker's pool.
+    fn retake_refused(&mut self, now: Instant) {
+        for key in std::mem::take(&mut self.refused) {
+            let doc = Arc::clone(&self.docs[shard_of(key)]);
+            if let Some(task) = doc.tasks().get(&key) {
+                self.take_task(key, task, now);
+            }
+        }
+    }
+
     fn take_task(&mut self, key: TaskKey, task: &Task, now: Instant) {
         let spec = spec(key, task);
         let taken = match &task.state {
@@ -142,7 +195,8 @@
             }
         };
         if let Err(error) = taken {
-            log::debug!(target: super::PART, task:% = key; "Not taken: {error}.");
+            log::debug!(target: super::PART, task:% = key; "Not taken yet: {error}.");
+            self.refused.insert(key);
         }
     }
 
@@ -174,6 +228,7 @@
 
     /// Decides what is due at `now`, and returns the steps to write, by document.
     pub fn round(&mut self, now: Instant) -> [Vec<JobEdit>; SHARDS] {
+        self.retake_refused(now);
         let mut out = std::mem::take(&mut self.out);
         self.sched.round(now, &mut out);
         self.note_ends(&out);
@@ -238,11 +293,6 @@
         }
     }
 
-    /// Takes in a document as this entry wrote it.
-    pub fn take_written(&mut self, shard: usize, doc: JobsDoc) {
-        self.docs[shard] = Arc::new(doc);
-    }
-
     /// Takes in that `steps` were written, with the answers to them. Returns the starts to send now, or none if a newer
     /// scheduler has taken over.
     pub fn written(
--- a/crates/daemon/tests/tasks.rs
+++ b/crates/daemon/tests/tasks.rs
@@ -6,14 +6,18 @@
 use std::time::{Duration, Instant};
 
 use goldcrest_daemon::scheduler::plan::{SHARDS, TaskPlan, shard_of};
-use goldcrest_ledger::jobs::{JobEdit, JobsDoc, Task, TaskOutcome, TaskState};
+use goldcrest_ledger::jobs::{
+    JobAnswer, JobEdit, JobRefusal, JobsDoc, Task, TaskOutcome, TaskState,
+};
 use goldcrest_sched::{
     Availability, CommandKind, Config, ObservedPhase, Start, StartOutcome, TaskObservation,
     WorkerSpec,
 };
 use goldcrest_types::catalogue::{Catalogue, Class, parse};
 use goldcrest_types::names::{EditId, TaskKey, VmName};
-use goldcrest_types::units::{Accelerators, Bytes, CpuMillis, Epoch, Resources, Revision, Slots};
+use goldcrest_types::units::{
+    Accelerators, Bytes, CpuMillis, Epoch, Resources, Revision, Slots, StoreVersion,
+};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -55,6 +59,7 @@
 struct World {
     rng: StdRng,
     docs: [JobsDoc; SHARDS],
+    versions: [StoreVersion; SHARDS],
     plan: TaskPlan,
     epoch: u64,
     edits: u128,
@@ -81,12 +86,18 @@
     (0..3).map(worker).collect()
 }
 
+fn catalogue(text: &str) -> Catalogue {
+    let spec = parse(text).expect("a catalogue");
+    Catalogue::resolve(&spec, Revision::new(1)).expect("a catalogue")
+}
+
 impl World {
     fn new(seed: u64) -> Self {
         let now = Instant::now();
         let mut world = Self {
             rng: StdRng::seed_from_u64(seed),
             docs: Default::default(),
+            versions: [StoreVersion::new(1); SHARDS],
             plan: TaskPlan::new(Config::default(), Epoch::new(0)),
             epoch: 0,
             edits: 0,
@@ -104,10 +115,8 @@
 
     fn take_role(&mut self) {
         self.epoch += 1;
-        let spec = parse(CATALOGUE).expect("a catalogue");
-        let cat = Catalogue::resolve(&spec, Revision::new(1)).expect("a catalogue");
         self.plan = TaskPlan::new(Config::default(), Epoch::new(self.epoch));
-        self.plan.set_catalogue(&cat);
+        self.plan.set_catalogue(&catalogue(CATALOGUE));
         self.plan.set_workers(workers(), self.now);
         self.read_documents();
     }
@@ -115,20 +124,36 @@
     fn read_documents(&mut self) {
         for (shard, doc) in self.docs.iter().enumerate() {
             let doc = Arc::new(doc.clone());
-            self.plan.take_document(shard, doc, self.now);
+            self.plan
+                .take_document(shard, doc, self.versions[shard], self.now);
         }
     }
 
-    fn edit(&mut self, step: JobEdit, key: TaskKey) {
+    /// Applies steps to a document, as a write of anybody does.
+    fn apply(&mut self, shard: usize, steps: &[JobEdit]) -> Vec<Result<JobAnswer, JobRefusal>> {
         self.edits += 1;
-        let answers = self.docs[shard_of(key)].apply(EditId::new(self.edits), &[step]);
+        let next = self.versions[shard].get() + 1;
+        self.versions[shard] = StoreVersion::new(next);
+        self.docs[shard].apply(EditId::new(self.edits), steps)
+    }
+
+    fn edit(&mut self, step: JobEdit, key: TaskKey) {
+        let answers = self.apply(shard_of(key), &[step]);
         assert_eq!(answers.len(), 1);
     }
 
+    fn take_written(&mut self, shard: usize) {
+        let doc = self.docs[shard].clone();
+        let version = Some(self.versions[shard]);
+        self.plan.take_written(shard, doc, version, self.now);
+    }
+
     fn round(&mut self) {
         self.now += Duration::from_millis(500);
         self.report();
-        self.read_documents();
+        if !self.faults || self.rng.random_bool(0.5) {
+            self.read_documents();
+        }
         let until = self.now + Duration::from_secs(1);
         let grants = BTreeMap::from([("a".parse().expect("a name"), Slots::new(6))]);
         self.plan.set_grants(&grants, until);
@@ -166,13 +191,12 @@
             self.plan.not_written(steps, self.now);
             return;
         }
-        self.edits += 1;
-        let answers = self.docs[shard].apply(EditId::new(self.edits), steps);
+        let answers = self.apply(shard, steps);
         if fate == Write::AnswerLost {
             self.plan.not_written(steps, self.now);
             return;
         }
-        self.plan.take_written(shard, self.docs[shard].clone());
+        self.take_written(shard);
         let starts = self.plan.written(steps, &answers, self.now);
         for start in starts.expect("the newest scheduler") {
             self.start(&start);
@@ -313,9 +337,8 @@
         epoch: world.plan.epoch(),
         outcome: TaskOutcome::Failed,
     };
-    world.edits += 1;
     let steps = [late];
-    let answers = world.docs[shard_of(key)].apply(EditId::new(world.edits), &steps);
+    let answers = world.apply(shard_of(key), &steps);
     assert_eq!(world.plan.written(&steps, &answers, world.now), None);
     assert_eq!(world.outcome(key), None);
 }
@@ -379,9 +402,66 @@
         "the round decides to start it"
     );
     world.edit(JobEdit::Cancel { key }, key);
-    world.edits += 1;
-    let answers = world.docs[shard].apply(EditId::new(world.edits), &steps[shard]);
+    let answers = world.apply(shard, &steps[shard]);
     let starts = world.plan.written(&steps[shard], &answers, world.now);
     assert_eq!(starts, Some(Vec::new()));
     assert_eq!(world.outcome(key), Some(TaskOutcome::NeverRan));
 }
+
+/// A task that another entry accepts while a write of the scheduler is under way is in the document as it was written, and no
+/// later reading brings it: it has to be taken from there.
+#[test]
+fn take_written_accepted_meanwhile() {
+    let mut world = World::new(4);
+    world.faults = false;
+    let shards = u128::try_from(SHARDS).expect("a few");
+    let (first, second) = (TaskKey::new(1), TaskKey::new(1 + shards));
+    let shard = shard_of(first);
+    assert_eq!(shard, shard_of(second));
+    let accept = |key| JobEdit::Accept {
+        key,
+        task: task(true),
+    };
+    world.edit(accept(first), first);
+    world.read_documents();
+    let until = world.now + Duration::from_secs(1);
+    let grants = BTreeMap::from([("a".parse().expect("a name"), Slots::new(6))]);
+    world.plan.set_grants(&grants, until);
+    let steps = world.plan.round(world.now);
+    world.edit(accept(second), second);
+    let read_late = (Arc::new(world.docs[shard].clone()), world.versions[shard]);
+    let answers = world.apply(shard, &steps[shard]);
+    world.take_written(shard);
+    let starts = world.plan.written(&steps[shard], &answers, world.now);
+    assert_eq!(starts.map(|starts| starts.len()), Some(1));
+    let (doc, version) = read_late;
+    world.plan.take_document(shard, doc, version, world.now);
+    assert!(
+        world.plan.sched().explain(&second, world.now).is_some(),
+        "the scheduler knows the task"
+    );
+}
+
+/// A task of a queue that this entry's catalogue does not have yet is taken as soon as the catalogue has it.
+#[test]
+fn take_document_queue_not_known_yet() {
+    let mut world = World::new(5);
+    world.faults = false;
+    let older = CATALOGUE.replace("name: q,", "name: other,");
+    world.plan = TaskPlan::new(Config::default(), Epoch::new(world.epoch));
+    world.plan.set_catalogue(&catalogue(&older));
+    world.plan.set_workers(workers(), world.now);
+    let key = TaskKey::new(2);
+    let accept = JobEdit::Accept {
+        key,
+        task: task(true),
+    };
+    world.edit(accept, key);
+    world.round();
+    assert_eq!(world.runs.get(&key), None);
+    world.plan.set_catalogue(&catalogue(CATALOGUE));
+    for _ in 0..10 {
+        world.round();
+    }
+    assert_eq!(world.outcome(key), Some(TaskOutcome::Succeeded));
+}
