peer, session: an hour cut off, on a paused clock

Cause: follower, links, proofs and admission were tested one by one. That an edit is in force within 6 s of a data centre's return, and that a key withdrawn meanwhile never works there again, was shown by no test that runs them together. Change: a stream to another entry is opened by the trait Dial, by default over TCP, so that a test can link entries by in-memory streams on a paused clock. Evidence is put together in one place for daemon, bench and tests.

--- a/crates/bench/src/entries/mod.rs
+++ b/crates/bench/src/entries/mod.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use goldcrest_ledger::freshness::{Bound, Evidence, Freshness, evaluate};
+use goldcrest_ledger::freshness::{Bound, Freshness, evaluate};
 use goldcrest_peer::handshake::Hello;
 use goldcrest_peer::message::{CatalogueCopy, Member};
 use goldcrest_peer::peers::{OwnView, Peers, PeersConfig, Seed};
@@ -203,18 +203,7 @@
     fn weigh(&self) -> Option<Freshness> {
         let head = self.follower.head().borrow().clone()?;
         let told = self.peers.evidence();
-        let mut evidence = Evidence {
-            revision: head.revision(),
-            own: self.follower.proof(),
-            peer: told.peer,
-            dc_count: head.catalogue.dcs.len(),
-            ..Evidence::default()
-        };
-        for outage in told.outages {
-            if let Some(dc) = head.catalogue.dc(outage.dc.as_str()) {
-                evidence.outages[dc] = Some(outage.proof);
-            }
-        }
+        let evidence = told.weighed_with(&head.catalogue, self.follower.proof());
         Some(evaluate(&evidence, Bound::DEFAULT, self.session.now()))
     }
 
--- a/crates/daemon/src/catalogue/mod.rs
+++ b/crates/daemon/src/catalogue/mod.rs
@@ -129,21 +129,12 @@
 
 /// What this entry and its peers know, in the form that the ledger weighs.
 fn evidence(world: &World) -> Evidence {
-    let mut evidence = Evidence {
-        revision: world.revision(),
-        own: world.follower.proof(),
-        ..Evidence::default()
-    };
-    let Some(cat) = world.cat() else {
-        return evidence;
-    };
-    evidence.dc_count = cat.dcs.len();
-    let told = world.peers.evidence();
-    evidence.peer = told.peer;
-    for outage in told.outages {
-        if let Some(dc) = cat.dc(outage.dc.as_str()) {
-            evidence.outages[dc] = Some(outage.proof);
-        }
+    let own = world.follower.proof();
+    match world.cat() {
+        Some(cat) => world.peers.evidence().weighed_with(&cat, own),
+        None => Evidence {
+            own,
+            ..Evidence::default()
+        },
     }
-    evidence
 }
--- a/crates/peer/src/handshake/mod.rs
+++ b/crates/peer/src/handshake/mod.rs
@@ -11,7 +11,7 @@
 use goldcrest_types::names::EntryId;
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
-use tokio::net::TcpStream;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
 
@@ -108,8 +108,8 @@
 /// # Errors
 ///
 /// Why the other side is not spoken to.
-pub async fn greet(
-    socket: &mut WebSocketStream<TcpStream>,
+pub async fn greet<S: AsyncRead + AsyncWrite + Unpin>(
+    socket: &mut WebSocketStream<S>,
     own: &Hello,
 ) -> Result<(Hello, u16), HandshakeError> {
     let exchange = async {
@@ -127,8 +127,8 @@
 /// # Errors
 ///
 /// Why the other side is not spoken to.
-pub async fn greet_back(
-    socket: &mut WebSocketStream<TcpStream>,
+pub async fn greet_back<S: AsyncRead + AsyncWrite + Unpin>(
+    socket: &mut WebSocketStream<S>,
     own: &Hello,
 ) -> Result<(Hello, u16), HandshakeError> {
     let timed = tokio::time::timeout(HANDSHAKE_TIMEOUT, receive(socket)).await;
@@ -138,15 +138,17 @@
     Ok((other, version))
 }
 
-async fn send(
-    socket: &mut WebSocketStream<TcpStream>,
+async fn send<S: AsyncRead + AsyncWrite + Unpin>(
+    socket: &mut WebSocketStream<S>,
     hello: &Hello,
 ) -> Result<(), HandshakeError> {
     let frame = Message::Binary(wire::to_bytes(hello));
     socket.send(frame).await.map_err(no_answer)
 }
 
-async fn receive(socket: &mut WebSocketStream<TcpStream>) -> Result<Hello, HandshakeError> {
+async fn receive<S: AsyncRead + AsyncWrite + Unpin>(
+    socket: &mut WebSocketStream<S>,
+) -> Result<Hello, HandshakeError> {
     match socket.next().await {
         Some(Ok(Message::Binary(bytes))) => wire::from_bytes(&bytes).map_err(no_answer),
         Some(Ok(_)) => Err(no_hello("another kind of frame")),
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod claims;
 pub mod delta;
+pub mod dial;
 pub mod handshake;
 pub mod link;
 pub mod membership;
--- a/crates/peer/src/link/mod.rs
+++ b/crates/peer/src/link/mod.rs
@@ -13,10 +13,11 @@
 use log::{debug, info};
 use quick_error::quick_error;
 use rand::Rng;
-use tokio::net::TcpStream;
 use tokio::sync::{Notify, watch};
+use tokio_tungstenite::WebSocketStream;
 use tokio_util::sync::CancellationToken;
 
+use crate::dial::{Dial, TcpDial};
 use crate::handshake::{self, HandshakeError, Hello};
 use crate::message::{Member, Refused, Reply, Request};
 use crate::pace::Pace;
@@ -118,8 +119,9 @@
     member: Member,
 }
 
-struct Inner<C> {
+struct Inner<C, D> {
     address: SocketAddr,
+    dial: D,
     hello: Hello,
     limits: LinkLimits,
     clock: C,
@@ -133,11 +135,11 @@
 }
 
 /// The link to one other entry.
-pub struct Link<C> {
-    inner: Arc<Inner<C>>,
+pub struct Link<C, D = TcpDial> {
+    inner: Arc<Inner<C, D>>,
 }
 
-impl<C> Clone for Link<C> {
+impl<C, D> Clone for Link<C, D> {
     fn clone(&self) -> Self {
         Self {
             inner: Arc::clone(&self.inner),
@@ -150,25 +152,28 @@
 }
 
 impl<C: Clock> Link<C> {
-    /// A link to `address` that is not dialled before it runs.
+    /// A link to `address` over TCP that is not dialled before it runs.
     #[must_use]
     pub fn new(address: SocketAddr, hello: Hello, limits: LinkLimits, clock: C) -> Self {
-        Self::with_traffic(address, hello, limits, clock, Arc::default())
+        Self::with_dial(address, hello, limits, clock, TcpDial)
     }
+}
 
-    /// The same, with its bytes added to `traffic`.
+impl<C: Clock, D: Dial> Link<C, D> {
+    /// A link to `address` that `dial` reaches.
     #[must_use]
-    pub fn with_traffic(
+    pub fn with_dial(
         address: SocketAddr,
         hello: Hello,
         limits: LinkLimits,
         clock: C,
-        traffic: Arc<Traffic>,
+        dial: D,
     ) -> Self {
         let pace = Pace::new(limits.rate, limits.burst, clock.now());
         let (open, _) = watch::channel(None);
         let inner = Inner {
             address,
+            dial,
             hello,
             limits,
             clock,
@@ -178,13 +183,23 @@
             unanswered: AtomicU32::new(0),
             dead: Notify::new(),
             counters: Counters::default(),
-            traffic,
+            traffic: Arc::default(),
         };
         Self {
             inner: Arc::new(inner),
         }
     }
 
+    /// The same, with its bytes added to `traffic`.
+    #[must_use]
+    pub fn with_traffic(mut self, traffic: Arc<Traffic>) -> Self {
+        // Nobody else has this link yet, so its state is not shared.
+        if let Some(inner) = Arc::get_mut(&mut self.inner) {
+            inner.traffic = traffic;
+        }
+        self
+    }
+
     /// Where the link leads.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
@@ -317,9 +332,11 @@
         Ok(())
     }
 
-    async fn dial<In, Out>(&self) -> Result<(FrameTransport<In, Out>, Member), LinkError> {
+    async fn dial<In, Out>(
+        &self,
+    ) -> Result<(FrameTransport<D::Stream, In, Out>, Member), LinkError> {
         let inner = &self.inner;
-        let dialled = tokio::time::timeout(handshake::HANDSHAKE_TIMEOUT, connect(inner.address));
+        let dialled = tokio::time::timeout(handshake::HANDSHAKE_TIMEOUT, self.connect());
         let mut socket = dialled.await.map_err(unreached)??;
         let greeted = handshake::greet(&mut socket, &inner.hello).await;
         let (hello, version) = greeted.map_err(LinkError::Handshake)?;
@@ -328,6 +345,16 @@
         Ok((transport, hello.member))
     }
 
+    async fn connect(&self) -> Result<WebSocketStream<D::Stream>, LinkError> {
+        let address = self.inner.address;
+        let stream = self.inner.dial.dial(address).await.map_err(unreached)?;
+        let url = format!("ws://{address}/peer");
+        let cfg = Some(transport::socket_config());
+        let connected = tokio_tungstenite::client_async_with_config(url, stream, cfg).await;
+        let (socket, _) = connected.map_err(unreached)?;
+        Ok(socket)
+    }
+
     fn redial_wait(&self, tries: u32) -> Duration {
         let limits = &self.inner.limits;
         let bound = limits.redial_first * (1 << tries.min(10));
@@ -339,17 +366,3 @@
 fn unreached<E: std::fmt::Display>(error: E) -> LinkError {
     LinkError::Dial(error.to_string().into())
 }
-
-async fn connect(
-    address: SocketAddr,
-) -> Result<tokio_tungstenite::WebSocketStream<TcpStream>, LinkError> {
-    let stream = TcpStream::connect(address).await.map_err(unreached)?;
-    stream.set_nodelay(true).map_err(unreached)?;
-    let url = format!("ws://{address}/peer");
-    let cfg = Some(transport::socket_config());
-    let connected = tokio_tungstenite::client_async_with_config(url, stream, cfg).await;
-    match connected {
-        Ok((socket, _)) => Ok(socket),
-        Err(error) => Err(unreached(error)),
-    }
-}
--- a/crates/peer/src/peers/claiming.rs
+++ b/crates/peer/src/peers/claiming.rs
@@ -13,6 +13,7 @@
 use log::{debug, info};
 
 use super::Peers;
+use crate::dial::Dial;
 use crate::link::LinkError;
 use crate::membership::Standing;
 use crate::message::{ClaimAnswer, ClaimAsk, ClaimPast, HandOver, HeldClaim, Reply, Request};
@@ -33,7 +34,7 @@
 /// The most claims in one message of a hand-over.
 const HAND_OVER_CLAIMS: usize = 2_000;
 
-impl<C: Clock + Clone> Peers<C> {
+impl<C: Clock + Clone, D: Dial> Peers<C, D> {
     /// Claims the right to run a non-idempotent request at its key's home. No answer counts as unknown.
     pub async fn claim(&self, ask: ClaimAsk) -> ClaimAnswer {
         for _ in 0..MOVED_TRIES {
--- a/crates/peer/src/peers/mod.rs
+++ b/crates/peer/src/peers/mod.rs
@@ -24,6 +24,7 @@
 
 use crate::claims::ClaimsConfig;
 use crate::delta::{self, CatalogueDelta};
+use crate::dial::{Dial, TcpDial};
 use crate::handshake::Hello;
 use crate::link::LinkLimits;
 use crate::membership::{MembershipConfig, Standing};
@@ -68,12 +69,12 @@
     pub answer: oneshot::Sender<Option<Box<str>>>,
 }
 
-struct Inner<C> {
+struct Inner<C, D> {
     hello: Hello,
     cfg: PeersConfig,
     clock: C,
     state: Mutex<State>,
-    links: Links<C>,
+    links: Links<C, D>,
     copy: watch::Sender<Option<CatalogueCopy>>,
     relay: watch::Sender<bool>,
     ahead: Mutex<Option<Ahead>>,
@@ -83,11 +84,11 @@
 }
 
 /// What an entry knows from its peers. It is cheap to clone.
-pub struct Peers<C> {
-    inner: Arc<Inner<C>>,
+pub struct Peers<C, D = TcpDial> {
+    inner: Arc<Inner<C, D>>,
 }
 
-impl<C> Clone for Peers<C> {
+impl<C, D> Clone for Peers<C, D> {
     fn clone(&self) -> Self {
         Self {
             inner: Arc::clone(&self.inner),
@@ -103,10 +104,23 @@
     /// A handle for the entry that `hello` names, and the questions that the daemon is to answer.
     #[must_use]
     pub fn new(hello: Hello, cfg: PeersConfig, clock: C) -> (Self, mpsc::Receiver<ExplainQuery>) {
+        Self::with_dial(hello, cfg, clock, TcpDial)
+    }
+}
+
+impl<C: Clock + Clone, D: Dial> Peers<C, D> {
+    /// The same, with other entries reached by `dial`.
+    #[must_use]
+    pub fn with_dial(
+        hello: Hello,
+        cfg: PeersConfig,
+        clock: C,
+        dial: D,
+    ) -> (Self, mpsc::Receiver<ExplainQuery>) {
         let (explain, queries) = mpsc::channel(EXPLAIN_WAITING_MAX);
         let state = State::new(hello.member.clone(), &cfg, clock.now());
         let inner = Inner {
-            links: Links::new(hello.clone(), cfg.limits, clock.clone()),
+            links: Links::new(hello.clone(), cfg.limits, clock.clone(), dial),
             hello,
             cfg,
             state: Mutex::new(state),
@@ -362,7 +376,7 @@
     pub standing: Standing,
 }
 
-impl<C: Clock + Clone> Answer for Peers<C> {
+impl<C: Clock + Clone, D: Dial> Answer for Peers<C, D> {
     async fn answer(&self, from: &Hello, request: Request) -> Reply {
         match request {
             Request::Gossip(gossip) if gossip.from != from.member => Reply::Refused(Refused {
--- a/crates/peer/src/peers/pool_usage.rs
+++ b/crates/peer/src/peers/pool_usage.rs
@@ -11,6 +11,7 @@
 use goldcrest_types::names::{EntryId, PoolName};
 
 use super::Peers;
+use crate::dial::Dial;
 use crate::message::{PoolUsageAsk, PoolUsageTold, Reply, Request};
 use crate::usage::{Board, CELLS_MAX_WANTED, Usage};
 
@@ -67,7 +68,7 @@
     }
 }
 
-impl<C: Clock + Clone> Peers<C> {
+impl<C: Clock + Clone, D: Dial> Peers<C, D> {
     /// Notes what each pool has running and waiting from this entry.
     pub fn set_pool_usage(&self, usage: &BTreeMap<PoolName, Usage>) {
         let own = self.hello().member.entry;
--- a/crates/peer/src/peers/run.rs
+++ b/crates/peer/src/peers/run.rs
@@ -16,6 +16,7 @@
 use super::targets::{Target, targets};
 use super::{Peers, lock};
 use crate::delta;
+use crate::dial::Dial;
 use crate::handshake::Hello;
 use crate::link::{Link, LinkError, LinkLimits};
 use crate::message::{CatalogueAsk, CatalogueCopy, Gossip, Reply, Request};
@@ -25,28 +26,30 @@
 /// A link that nobody has used for so long is closed.
 const IDLE_MAX: Duration = Duration::from_mins(1);
 
-struct Kept<C> {
-    link: Link<C>,
+struct Kept<C, D> {
+    link: Link<C, D>,
     stop: CancellationToken,
     used: Instant,
 }
 
 /// The links of an entry, by address. They are dialled at their first use.
-pub(super) struct Links<C> {
+pub(super) struct Links<C, D> {
     hello: Hello,
     limits: LinkLimits,
     clock: C,
+    dial: D,
     traffic: Arc<Traffic>,
-    kept: Mutex<HashMap<SocketAddr, Kept<C>>>,
+    kept: Mutex<HashMap<SocketAddr, Kept<C, D>>>,
     tasks: TaskTracker,
 }
 
-impl<C: Clock + Clone> Links<C> {
-    pub(super) fn new(hello: Hello, limits: LinkLimits, clock: C) -> Self {
+impl<C: Clock + Clone, D: Dial> Links<C, D> {
+    pub(super) fn new(hello: Hello, limits: LinkLimits, clock: C, dial: D) -> Self {
         Self {
             hello,
             limits,
             clock,
+            dial,
             traffic: Arc::default(),
             kept: Mutex::new(HashMap::new()),
             tasks: TaskTracker::new(),
@@ -59,13 +62,13 @@
     }
 
     /// The link to `address`, which is dialled if there is none yet.
-    fn link(&self, address: SocketAddr) -> Link<C> {
+    fn link(&self, address: SocketAddr) -> Link<C, D> {
         let now = self.clock.now();
         let mut kept = lock(&self.kept);
         let kept = kept.entry(address).or_insert_with(|| {
             let (hello, clock) = (self.hello.clone(), self.clock.clone());
-            let traffic = Arc::clone(&self.traffic);
-            let link = Link::with_traffic(address, hello, self.limits, clock, traffic);
+            let link = Link::with_dial(address, hello, self.limits, clock, self.dial.clone());
+            let link = link.with_traffic(Arc::clone(&self.traffic));
             let stop = CancellationToken::new();
             self.tasks.spawn(link.clone().run(stop.clone()));
             Kept {
@@ -110,7 +113,7 @@
     }
 }
 
-impl<C: Clock + Clone> Peers<C> {
+impl<C: Clock + Clone, D: Dial> Peers<C, D> {
     /// Asks other entries once a heartbeat until `stop`.
     pub async fn run(self, stop: CancellationToken) {
         let beats = self.beat();
--- a/crates/peer/src/peers/state.rs
+++ b/crates/peer/src/peers/state.rs
@@ -4,7 +4,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use goldcrest_ledger::freshness::Proof;
+use goldcrest_ledger::freshness::{Evidence, Proof};
+use goldcrest_types::catalogue::Catalogue;
 use goldcrest_types::names::{DcName, EntryId, PoolName, TeamName};
 use goldcrest_types::units::Revision;
 
@@ -63,6 +64,26 @@
     pub outages: Vec<Outage>,
 }
 
+impl PeerEvidence {
+    /// The evidence in the form that is weighed, for an entry that works by `cat` and whose last own read is `own`.
+    #[must_use]
+    pub fn weighed_with(&self, cat: &Catalogue, own: Option<Proof>) -> Evidence {
+        let mut evidence = Evidence {
+            revision: cat.revision(),
+            own,
+            peer: self.peer,
+            dc_count: cat.dcs.len(),
+            ..Evidence::default()
+        };
+        for outage in &self.outages {
+            if let Some(dc) = cat.dc(outage.dc.as_str()) {
+                evidence.outages[dc] = Some(outage.proof);
+            }
+        }
+        evidence
+    }
+}
+
 /// What is kept for each peer.
 #[derive(Debug, Clone, Copy, Default)]
 struct PeerState {
--- a/crates/peer/src/server/mod.rs
+++ b/crates/peer/src/server/mod.rs
@@ -9,6 +9,7 @@
 use futures_util::StreamExt;
 use log::{debug, info, warn};
 use tarpc::server::{BaseChannel, Channel};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
@@ -47,8 +48,11 @@
 
 impl<A: Answer> PeerServer<A> {
     fn serve(&self, stream: TcpStream, address: SocketAddr) -> impl Future<Output = ()> + use<A> {
+        if let Err(error) = stream.set_nodelay(true) {
+            debug!(target: part::PEERS, "{address}: {error}.");
+        }
         let (hello, answer) = (self.hello.clone(), Arc::clone(&self.answer));
-        serve(stream, address, hello, answer, Arc::clone(&self.traffic))
+        serve_stream(stream, address, hello, answer, Arc::clone(&self.traffic))
     }
 
     /// A listener that answers by `answer`.
@@ -102,16 +106,17 @@
     }
 }
 
-async fn serve<A: Answer>(
-    stream: TcpStream,
+/// Serves one stream from `address` until it ends.
+pub async fn serve_stream<S, A>(
+    stream: S,
     address: SocketAddr,
     own: Hello,
     answer: Arc<A>,
     traffic: Arc<Traffic>,
-) {
-    if let Err(error) = stream.set_nodelay(true) {
-        debug!(target: part::PEERS, "{address}: {error}.");
-    }
+) where
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    A: Answer,
+{
     let cfg = Some(transport::socket_config());
     let upgrade = tokio_tungstenite::accept_async_with_config(stream, cfg);
     let timed = tokio::time::timeout(handshake::HANDSHAKE_TIMEOUT, upgrade).await;
@@ -136,13 +141,17 @@
     }
 }
 
-async fn serve_calls<A: Answer>(
+async fn serve_calls<S, A>(
     transport: FrameTransport<
+        S,
         tarpc::ClientMessage<crate::service::ExchangeRequest>,
         tarpc::Response<crate::service::ExchangeResponse>,
     >,
     server: ExchangeServer<A>,
-) {
+) where
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    A: Answer,
+{
     let cfg = tarpc::server::Config {
         pending_response_buffer: IN_FLIGHT_MAX,
     };
--- a/crates/peer/src/transport/mod.rs
+++ b/crates/peer/src/transport/mod.rs
@@ -15,7 +15,7 @@
 use futures_util::{Sink, Stream};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::net::TcpStream;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::time::{Instant, Sleep};
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
@@ -84,19 +84,19 @@
     }
 }
 
-/// A WebSocket that carries messages `In` and `Out`.
+/// A WebSocket over a stream `S` that carries messages `In` and `Out`.
 #[derive(Debug)]
-pub struct FrameTransport<In, Out> {
-    socket: WebSocketStream<TcpStream>,
+pub struct FrameTransport<S, In, Out> {
+    socket: WebSocketStream<S>,
     idle: Option<Pin<Box<Sleep>>>,
     traffic: Arc<Traffic>,
     messages: PhantomData<fn(Out) -> In>,
 }
 
-impl<In, Out> FrameTransport<In, Out> {
+impl<S, In, Out> FrameTransport<S, In, Out> {
     /// Messages over `socket`, on which the handshake is done. Their bytes are added to `traffic`.
     #[must_use]
-    pub fn new(socket: WebSocketStream<TcpStream>, traffic: Arc<Traffic>) -> Self {
+    pub fn new(socket: WebSocketStream<S>, traffic: Arc<Traffic>) -> Self {
         Self {
             socket,
             idle: None,
@@ -137,7 +137,11 @@
     io::Error::new(io::ErrorKind::InvalidData, error)
 }
 
-impl<In: DeserializeOwned, Out> Stream for FrameTransport<In, Out> {
+impl<S, In, Out> Stream for FrameTransport<S, In, Out>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+    In: DeserializeOwned,
+{
     type Item = io::Result<In>;
 
     fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
@@ -163,7 +167,11 @@
     }
 }
 
-impl<In, Out: Serialize> Sink<Out> for FrameTransport<In, Out> {
+impl<S, In, Out> Sink<Out> for FrameTransport<S, In, Out>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+    Out: Serialize,
+{
     type Error = io::Error;
 
     fn poll_ready(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- /dev/null
+++ b/crates/session/tests/session/network.rs
@@ -0,0 +1,131 @@
+//! In-memory streams between the entries of a test, and data centres that are cut off from each other.
+//!
+//! Nothing tells the ends of a stream that the way between them is cut: bytes just stop, as on a real network.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use goldcrest_peer::dial::Dial;
+use goldcrest_peer::peers::{Peers, Seed};
+use goldcrest_peer::server::serve_stream;
+use goldcrest_peer::transport::Traffic;
+use goldcrest_types::names::DcName;
+use tokio::io::DuplexStream;
+use tokio::sync::watch;
+
+use crate::common::TokioClock;
+
+/// How long it takes to open a stream.
+const DIAL_TIME: Duration = Duration::from_millis(1);
+
+/// What one stream holds that was not read yet, in bytes.
+const STREAM_BYTES: usize = 64 << 10;
+
+/// The links of an entry of a test.
+pub type TestPeers = Peers<TokioClock, Dialer>;
+
+/// The entries that listen, and the data centres that are cut off.
+#[derive(Clone)]
+pub struct Network {
+    listening: Arc<Mutex<BTreeMap<SocketAddr, TestPeers>>>,
+    cut: watch::Sender<BTreeSet<DcName>>,
+}
+
+impl Network {
+    pub fn new() -> Self {
+        Self {
+            listening: Arc::default(),
+            cut: watch::Sender::new(BTreeSet::new()),
+        }
+    }
+
+    /// Cuts these data centres off from each other and from all others, and joins the rest.
+    pub fn cut(&self, dcs: impl IntoIterator<Item = DcName>) {
+        self.cut.send_replace(dcs.into_iter().collect());
+    }
+
+    pub fn listen(&self, peers: TestPeers) {
+        let address = peers.hello().member.address;
+        let mut listening = self.listening.lock().expect("a lock");
+        listening.insert(address, peers);
+    }
+
+    /// Where entries can be asked.
+    pub fn seeds(&self) -> BTreeSet<Seed> {
+        let listening = self.listening.lock().expect("a lock");
+        let members = listening.values().map(|peers| &peers.hello().member);
+        let seeds = members.map(|member| Seed {
+            dc: member.dc.clone(),
+            address: member.address,
+        });
+        seeds.collect()
+    }
+
+    fn at(&self, address: SocketAddr) -> Option<TestPeers> {
+        let listening = self.listening.lock().expect("a lock");
+        listening.get(&address).cloned()
+    }
+}
+
+fn is_cut(cut: &BTreeSet<DcName>, from: &DcName, to: &DcName) -> bool {
+    from != to && (cut.contains(from) || cut.contains(to))
+}
+
+/// Opens streams for an entry of a data centre.
+#[derive(Clone)]
+pub struct Dialer {
+    network: Network,
+    from: DcName,
+}
+
+impl Dialer {
+    pub fn new(network: &Network, from: &DcName) -> Self {
+        Self {
+            network: network.clone(),
+            from: from.clone(),
+        }
+    }
+
+    /// Waits until the way to `to` is cut.
+    async fn until_cut(&self, to: &DcName) {
+        let mut cut = self.network.cut.subscribe();
+        drop(cut.wait_for(|cut| is_cut(cut, &self.from, to)).await);
+    }
+
+    async fn carry(self, to: DcName, mut near: DuplexStream, mut far: DuplexStream) {
+        tokio::select! {
+            ended = tokio::io::copy_bidirectional(&mut near, &mut far) => drop(ended),
+            () = self.until_cut(&to) => {
+                // Both ends stay open and hear nothing more.
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+}
+
+impl Dial for Dialer {
+    type Stream = DuplexStream;
+
+    async fn dial(&self, address: SocketAddr) -> io::Result<DuplexStream> {
+        let Some(peers) = self.network.at(address) else {
+            return Err(io::ErrorKind::ConnectionRefused.into());
+        };
+        let hello = peers.hello().clone();
+        let to = hello.member.dc.clone();
+        tokio::time::sleep(DIAL_TIME).await;
+        if is_cut(&self.network.cut.borrow(), &self.from, &to) {
+            // The first packet is lost, and the dialer hears nothing, also when the way is open again.
+            return std::future::pending().await;
+        }
+        let (own, near) = tokio::io::duplex(STREAM_BYTES);
+        let (far, theirs) = tokio::io::duplex(STREAM_BYTES);
+        tokio::spawn(self.clone().carry(to, near, far));
+        let traffic: Arc<Traffic> = Arc::default();
+        let answer = Arc::new(peers);
+        tokio::spawn(serve_stream(theirs, address, hello, answer, traffic));
+        Ok(own)
+    }
+}
