daemon: size pools by the demand of all entries

Cause: pools had the sizes of their first VMs for good; the policies were not called. Change: the holder of the upkeep role asks all entries for the demand each 30 s, plans on the fleet as it is after the steps of maintenance, and begins moves as drains with a permit, which the plan of maintenance carries further. It makes none, and says why, while a listed entry has told nothing of late, a fleet document is unread or the lease may have lapsed; such a time is not counted as demand. `vm_slots` of a pool says what a VM is meant to run; pools without it keep their bounds only. No VM goes to a pool of another kind. `explain vm` prints why a VM was moved, `status` and metrics the sizes. Off by default. Tests of one running entry stand in one crate, `entry`, so that they share their stand-ins without unused parts. Result: `move_is_begun_and_explained` moves a VM through a running entry; it could not be written before.

--- a/crates/bench/src/bin/decision.rs
+++ b/crates/bench/src/bin/decision.rs
@@ -165,6 +165,7 @@
             min_vms: VmCount::ZERO,
             max_vms: VmCount::MAX,
             max_unavailable_vms: VmCount::new(1),
+            vm_slots: Slots::ZERO,
         });
         spec.queues.push(QueueSpec {
             name: format!("queue{index}").parse()?,
--- a/crates/bench/src/bin/ledger.rs
+++ b/crates/bench/src/bin/ledger.rs
@@ -118,6 +118,7 @@
         min_vms: VmCount::new(2),
         max_vms: VmCount::new(60),
         max_unavailable_vms: VmCount::new(2),
+        vm_slots: Slots::ZERO,
     };
     let queue = |index: usize| QueueSpec {
         name: name("queue", index),
--- a/crates/bench/src/bin/placement.rs
+++ b/crates/bench/src/bin/placement.rs
@@ -64,6 +64,7 @@
             min_vms: VmCount::ZERO,
             max_vms: VmCount::MAX,
             max_unavailable_vms: VmCount::new(1),
+            vm_slots: Slots::ZERO,
         });
     }
     for team in 0..size.teams {
--- a/crates/bench/src/bin/rollout/trace.rs
+++ b/crates/bench/src/bin/rollout/trace.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use goldcrest_types::catalogue::{CatalogueSpec, DcSpec, PoolKind, PoolSpec};
-use goldcrest_types::units::VmCount;
+use goldcrest_types::units::{Slots, VmCount};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -160,6 +160,7 @@
             min_vms: VmCount::ZERO,
             max_vms: VmCount::MAX,
             max_unavailable_vms: VmCount::new(budget),
+            vm_slots: Slots::ZERO,
         });
         pool
     }
--- a/crates/bench/src/bin/share/main.rs
+++ b/crates/bench/src/bin/share/main.rs
@@ -96,6 +96,7 @@
         min_vms: VmCount::ZERO,
         max_vms: VmCount::MAX,
         max_unavailable_vms: VmCount::new(1),
+        vm_slots: Slots::ZERO,
     });
     for team in 0..TEAMS {
         spec.teams.push(TeamSpec {
--- a/crates/bench/src/bin/sizing/fake.rs
+++ b/crates/bench/src/bin/sizing/fake.rs
@@ -4,7 +4,7 @@
 
 use goldcrest_types::catalogue::{Catalogue, CatalogueSpec, DcSpec, PoolKind, PoolSpec, Weights};
 use goldcrest_types::entity::{DcId, EntityRef, PoolId, RackId, VmId};
-use goldcrest_types::units::{Revision, VmCount};
+use goldcrest_types::units::{Revision, Slots, VmCount};
 use goldcrest_upkeep::fleet::{Fleet, Seen, Vm, VmState};
 use goldcrest_upkeep::sizing::{Demand, Move};
 use goldcrest_upkeep::verify;
@@ -173,6 +173,11 @@
             min_vms: VmCount::new(min),
             max_vms: VmCount::MAX,
             max_unavailable_vms: VmCount::new(budget),
+            vm_slots: if kind == PoolKind::Spare {
+                Slots::ZERO
+            } else {
+                Slots::new(1)
+            },
         });
     }
     spec
--- a/crates/bench/src/entries/spec.rs
+++ b/crates/bench/src/entries/spec.rs
@@ -65,6 +65,7 @@
                 min_vms: VmCount::new(1),
                 max_vms: VmCount::new(40),
                 max_unavailable_vms: VmCount::new(1),
+                vm_slots: Slots::ZERO,
             })
             .collect(),
         teams: (0..teams)
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -220,6 +220,7 @@
         split: Split::new(),
         roles,
         waves: watch::Sender::default(),
+        sizing: watch::Sender::default(),
         task_usage: watch::Sender::default(),
         task_pools: watch::Sender::default(),
         intake,
--- a/crates/daemon/src/gauges/mod.rs
+++ b/crates/daemon/src/gauges/mod.rs
@@ -22,6 +22,12 @@
     state: &'static str,
 }
 
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct SizeLabels {
+    pool: String,
+    kind: &'static str,
+}
+
 #[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct TeamLabels {
     team: String,
@@ -78,6 +84,7 @@
         )?;
         encode_calls(&world, &mut encoder)?;
         encode_pools(&status.pools, &mut encoder)?;
+        encode_sizing(&world, &mut encoder)?;
         encode_teams(&status.teams, &mut encoder)
     }
 }
@@ -154,6 +161,34 @@
     family(encoder, "pool_vms", help, rows)
 }
 
+/// The sizes of pools, in thousandths of a VM, from the entry that sizes them; others have no rows.
+fn encode_sizing(world: &World, encoder: &mut DescriptorEncoder<'_>) -> Result<(), fmt::Error> {
+    let sizing = world.sizing.borrow().clone();
+    let moves = as_gauge(sizing.moves);
+    single(
+        encoder,
+        "moves_begun",
+        "Moves of VMs that this entry has begun",
+        moves,
+    )?;
+    let rows = sizing.pools.iter().flat_map(|pool| {
+        let of_kind = [
+            ("demand", pool.demand_millis),
+            ("buffer", pool.buffer_millis()),
+            ("unmet", pool.unmet_millis()),
+        ];
+        of_kind.map(|(kind, millis)| {
+            let labels = SizeLabels {
+                pool: pool.pool.to_string(),
+                kind,
+            };
+            (labels, as_gauge(millis))
+        })
+    });
+    let help = "Demand, buffer and unmet demand of a pool, in thousandths of a VM";
+    family(encoder, "pool_size_vm_millis", help, rows)
+}
+
 fn encode_teams(
     teams: &[TeamStatus],
     encoder: &mut DescriptorEncoder<'_>,
--- a/crates/daemon/src/maintenance/edits.rs
+++ b/crates/daemon/src/maintenance/edits.rs
@@ -8,6 +8,7 @@
 use goldcrest_types::units::Epoch;
 use goldcrest_upkeep::fleet::VmState;
 use goldcrest_upkeep::maintenance::{Action, Step};
+use goldcrest_upkeep::sizing::Move;
 
 use super::view::View;
 
@@ -39,6 +40,36 @@
         edits
     }
 
+    /// The edits that begin `moves` in each data centre, in order.
+    #[must_use]
+    pub fn moves(
+        self,
+        cat: &Catalogue,
+        view: &View,
+        moves: &[Move],
+    ) -> BTreeMap<DcName, Vec<VmEdit>> {
+        let mut edits: BTreeMap<DcName, Vec<VmEdit>> = BTreeMap::new();
+        for step in moves {
+            let place = view.place(step.vm);
+            let to = cat.pools[step.to].name.clone();
+            let edit = VmEdit::Drain {
+                vm: place.vm.clone(),
+                permit: self.permit(Purpose::Move { to }),
+                budget: cat.pools[step.from].max_unavailable_vms,
+            };
+            edits.entry(place.dc.clone()).or_default().push(edit);
+        }
+        edits
+    }
+
+    fn permit(self, purpose: Purpose) -> Permit {
+        Permit {
+            holder: self.holder,
+            epoch: self.epoch,
+            purpose,
+        }
+    }
+
     /// The edits by which this entry takes over every pool in one data centre.
     #[must_use]
     pub fn take_over(self, cat: &Catalogue) -> Vec<VmEdit> {
@@ -58,13 +89,9 @@
         Some(match (step.action, record.state) {
             (Action::Drain, _) => VmEdit::Drain {
                 vm,
-                permit: Permit {
-                    holder: self.holder,
-                    epoch,
-                    purpose: Purpose::Maintain {
-                        wave: view.fleet.cycle.number,
-                    },
-                },
+                permit: self.permit(Purpose::Maintain {
+                    wave: view.fleet.cycle.number,
+                }),
                 budget: cat.pools[record.pool].max_unavailable_vms,
             },
             (Action::Return, VmState::Draining | VmState::Moving(_)) => {
--- a/crates/daemon/src/maintenance/mod.rs
+++ b/crates/daemon/src/maintenance/mod.rs
@@ -1,5 +1,7 @@
 //! Maintenance waves: joins the plan with the fleet documents, the role and the platform.
 //!
+//! The same loop begins the moves that [`sizing`](crate::sizing) decides on and carries them further.
+//!
 //! One entry at a time holds the role for all data centres, so that one data centre at a time is worked on. A new
 //! holder first writes its epoch into every fleet document; an older holder's edits are refused from then on. Each
 //! step is stored before the command that goes with it, and the next plan waits until the documents that this entry
@@ -30,10 +32,12 @@
 use goldcrest_types::names::{DcName, EditId};
 use goldcrest_types::units::Epoch;
 use goldcrest_upkeep::maintenance::{Action, Context, Hold, Status, Step};
+use goldcrest_upkeep::sizing::Move;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
 use crate::roles::upkeep_role;
+use crate::sizing::{self, Sizing};
 use crate::world::World;
 
 use edits::Editor;
@@ -48,6 +52,7 @@
 struct Holding {
     editor: Editor,
     ctx: Context,
+    sizing: Sizing,
     view: View,
     saved_at: Instant,
     /// Edits that the followed documents do not show yet.
@@ -67,6 +72,7 @@
         let (Some(epoch), Some(cat)) = (epoch, world.cat()) else {
             holding = None;
             world.waves.send_replace(Vec::new());
+            sizing::show_idle(&world);
             continue;
         };
         let held = holding.take().filter(|held| held.editor.epoch == epoch);
@@ -98,6 +104,7 @@
     Some(Holding {
         editor,
         ctx: Context::new(),
+        sizing: Sizing::new(world),
         view: View::new(cycle, now),
         saved_at: now,
         unseen,
@@ -116,18 +123,21 @@
     }
     save_cycle(world, cat, &mut held).await?;
     held.view.refresh(cat, &fleets, &listing, world.now());
-    let tasks = running_tasks(world, cat, &held.view).await;
+    let ask = held.sizing.ask(world);
+    let (tasks, ()) = tokio::join!(running_tasks(world, cat, &held.view), ask);
     let now = world.now();
     held.view.set_work(cat, &tasks, now);
     let unseen = acknowledge::unseen(world, &fleets, &held.view).await;
     held.view.hold_busy(&unseen);
     let now = world.now();
     let steps = held.ctx.plan(&held.view.fleet, cat, now).to_vec();
+    let moves = held.sizing.look(world, cat, &fleets, &held.view, &steps);
     say_hold(&mut held);
-    world
-        .waves
-        .send_replace(wave_lines(cat, &held.ctx.status()));
+    let mut lines = wave_lines(cat, &held.ctx.status());
+    lines.extend(held.sizing.lines());
+    world.waves.send_replace(lines);
     carry_out(world, cat, &mut held, &steps).await?;
+    begin_moves(world, cat, &mut held, &moves).await?;
     Some(held)
 }
 
@@ -233,6 +243,35 @@
     Some(())
 }
 
+/// Stores that VMs are taken out of service to change their pool. What follows is up to the plan of maintenance.
+async fn begin_moves(
+    world: &World,
+    cat: &Catalogue,
+    held: &mut Holding,
+    moves: &[Move],
+) -> Option<()> {
+    for (dc, edits) in held.editor.moves(cat, &held.view, moves) {
+        match store(world, &dc, &edits).await {
+            Stored::Yes(edit) => {
+                let here = moves
+                    .iter()
+                    .filter(|step| held.view.place(step.vm).dc == dc);
+                let here: Vec<&Move> = here.collect();
+                for step in &here {
+                    let vm = &held.view.place(step.vm).vm;
+                    let to = &cat.pools[step.to].name;
+                    log::info!(target: PART, vm:%, to:%, why:% = step.reason; "Moved.");
+                }
+                held.sizing.note_moves(world, cat, &held.view, &here);
+                held.unseen.push((dc, edit));
+            }
+            Stored::Refused => {}
+            Stored::Uncertain => return None,
+        }
+    }
+    Some(())
+}
+
 /// What came of storing edits.
 enum Stored {
     /// They are in the document, as this edit.
--- a/crates/daemon/src/maintenance/view.rs
+++ b/crates/daemon/src/maintenance/view.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use goldcrest_ledger::fleet::{FleetVm, Purpose, VmState as Stored};
-use goldcrest_platform::fleet::{VmListing, VmPhase, VmRecord};
+use goldcrest_platform::fleet::{VmListing, VmPhase, VmRecord, VmRole};
 use goldcrest_types::catalogue::{Catalogue, PoolKind};
 use goldcrest_types::entity::{EntityRef, PoolId, PrimaryMap, RackId, VmId};
 use goldcrest_types::names::{DcName, RackName, VmName};
@@ -209,4 +209,14 @@
         vm.seen_since = now;
     }
     vm.boots = record.map_or(vm.boots, |record| record.boots);
+    vm.kind = record.map_or(vm.kind, |record| kind_of(record.role));
+}
+
+/// The kind of pool whose work a VM can do.
+const fn kind_of(role: VmRole) -> Option<PoolKind> {
+    match role {
+        VmRole::Entry => None,
+        VmRole::Upstream => Some(PoolKind::Upstreams),
+        VmRole::Worker => Some(PoolKind::Workers),
+    }
 }
--- a/crates/daemon/src/operator/explain.rs
+++ b/crates/daemon/src/operator/explain.rs
@@ -20,7 +20,7 @@
             Some(found) => split(&found),
             None => split(&world.peers.explain(ExplainAsk { id: id.into() }).await?),
         },
-        Subject::Vm => vm(world, &id.parse().ok()?)?,
+        Subject::Vm => vm(world, &id.parse().ok()?).await?,
         Subject::Team => team(world, &id.parse().ok()?)?,
         Subject::Refusal => refusal(id)?,
     };
@@ -52,6 +52,10 @@
 /// What this entry knows about the request or task with this id, as one text.
 #[must_use]
 pub fn known_here(world: &World, id: &str) -> Option<Box<str>> {
+    if let Some(vm) = id.strip_prefix(MOVE) {
+        let vm = vm.parse().ok()?;
+        return world.sizing.borrow().explain(&vm, world.now());
+    }
     let lines = match id {
         status::WAVES => world.waves.borrow().clone(),
         id => request(world, &id.parse().ok()?)?,
@@ -123,7 +127,21 @@
     Some(lines)
 }
 
-fn vm(world: &World, name: &VmName) -> Option<Vec<Box<str>>> {
+/// What stands before a VM's name in the question why it was moved.
+const MOVE: &str = "move/";
+
+async fn vm(world: &World, name: &VmName) -> Option<Vec<Box<str>>> {
+    let mut lines = vm_lines(world, name)?;
+    let id: Box<str> = format!("{MOVE}{name}").into();
+    let moved = match known_here(world, &id) {
+        Some(moved) => Some(moved),
+        None => world.peers.explain(ExplainAsk { id }).await,
+    };
+    lines.extend(moved);
+    Some(lines)
+}
+
+fn vm_lines(world: &World, name: &VmName) -> Option<Vec<Box<str>>> {
     let mut lines = Vec::new();
     let listing = world.listing.borrow();
     if let Some(listed) = listing.vms.iter().find(|vm| vm.name == *name) {
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -15,6 +15,8 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use crate::sizing::settings::SizingSettings;
+
 /// The settings of one entry process.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Settings {
@@ -32,6 +34,8 @@
     pub store: StoreSettings,
     /// The order and the bounds of a stop.
     pub stop: StopSettings,
+    /// How pools are sized.
+    pub sizing: SizingSettings,
     /// The logs.
     pub log: LogSettings,
 }
@@ -327,6 +331,7 @@
     front: Option<Record>,
     store: Option<Record>,
     stop: Option<Record>,
+    sizing: Option<Record>,
     log: Option<Record>,
 }
 
@@ -347,10 +352,14 @@
     let front = optional(outline.front.as_ref(), &mut errors);
     let store = optional(outline.store.as_ref(), &mut errors);
     let stop = optional(outline.stop.as_ref(), &mut errors);
+    let sizing: SizingSettings = optional(outline.sizing.as_ref(), &mut errors);
     let log = optional(outline.log.as_ref(), &mut errors);
     check_tasks(&tasks, outline.tasks.as_ref(), &mut errors);
     check_front(&front, outline.front.as_ref(), &mut errors);
     check_store(&store, outline.store.as_ref(), &mut errors);
+    if let Some(record) = &outline.sizing {
+        errors.errors.extend(sizing.check(record));
+    }
     errors.errors.sort_by_key(|error| error.line);
     match (entry, platform, peers) {
         (Some(entry), Some(platform), Some(peers)) if errors.errors.is_empty() => Ok(Settings {
@@ -361,6 +370,7 @@
             front,
             store,
             stop,
+            sizing,
             log,
         }),
         _ => Err(errors),
--- a/crates/daemon/src/world/mod.rs
+++ b/crates/daemon/src/world/mod.rs
@@ -29,6 +29,7 @@
 use crate::quota::split::Split;
 use crate::scheduler::intake::{Intake, Writers};
 use crate::settings::Settings;
+use crate::sizing::status::Status as SizingStatus;
 
 /// The clock of a process, as its parts hold it.
 pub type DaemonClock = Arc<dyn Clock>;
@@ -129,6 +130,8 @@
     pub split: Split,
     /// How the maintenance wave stands, a line each, while this entry runs it; written by the maintenance part.
     pub waves: watch::Sender<Vec<Box<str>>>,
+    /// What sizing has seen and done; written by the maintenance part.
+    pub sizing: watch::Sender<SizingStatus>,
     /// What the tasks of each team want while this entry schedules them; written by the scheduler part.
     pub task_usage: watch::Sender<BTreeMap<TeamName, Usage>>,
     /// What the tasks of each pool have running and waiting while this entry schedules them; written by the scheduler
--- a/crates/daemon/tests/access.rs
+++ b/crates/daemon/tests/entry/access.rs
@@ -1,11 +1,9 @@
 //! Who may ask what of an entry, over real connections to one entry on stand-ins.
 
-mod common;
-
 use goldcrest_api::path;
 use http::{Method, StatusCode};
 
-use common::{AGENCIES, Fixture, GUIDES, OPERATOR};
+use crate::common::{AGENCIES, Fixture, GUIDES, OPERATOR, TASK};
 
 #[tokio::test]
 async fn operator_without_key() {
@@ -82,7 +80,7 @@
 async fn task_without_key() {
     let fix = Fixture::start().await;
     for key in [None, Some("wrong")] {
-        let answer = fix.task(Method::POST, "/v1/tasks", key, common::TASK).await;
+        let answer = fix.task(Method::POST, "/v1/tasks", key, TASK).await;
         assert_eq!(answer.status, StatusCode::UNAUTHORIZED, "with {key:?}");
         assert_eq!(answer.headers["x-outcome"], "not-run");
     }
@@ -93,16 +91,13 @@
 async fn task_bad_message() {
     let fix = Fixture::start().await;
     let oversize = format!("{{\"payload\":\"{}\"}}", "x".repeat(64 << 10));
-    let unknown = common::TASK.replace("payload", "paylode");
-    let no_workers = common::TASK.replace("backfill", "merge");
+    let unknown = TASK.replace("payload", "paylode");
+    let no_workers = TASK.replace("backfill", "merge");
     let bad = [
         (oversize, StatusCode::BAD_REQUEST),
         (unknown, StatusCode::BAD_REQUEST),
         (no_workers, StatusCode::BAD_REQUEST),
-        (
-            common::TASK.replace("backfill", "backfil"),
-            StatusCode::NOT_FOUND,
-        ),
+        (TASK.replace("backfill", "backfil"), StatusCode::NOT_FOUND),
     ];
     for (body, status) in bad {
         let answer = fix
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/entry/common/mod.rs
@@ -9,7 +9,7 @@
 use goldcrest_daemon::entry::{Addresses, Entry};
 use goldcrest_daemon::settings;
 use goldcrest_ledger::catalogue::diff;
-use goldcrest_ledger::fleet::{FleetVm, VmState};
+use goldcrest_ledger::fleet::{FleetVm, Purpose, VmState};
 use goldcrest_platform::fleet::{VmPhase, VmRecord, VmRole};
 use goldcrest_platform::http::HttpCaller;
 use goldcrest_platform::http::call::Answer;
@@ -18,7 +18,7 @@
 use goldcrest_types::catalogue::{CatalogueSpec, parse};
 use goldcrest_types::clock::SystemClock;
 use goldcrest_types::key::KeyDigest;
-use goldcrest_types::names::{DcName, EditId};
+use goldcrest_types::names::{DcName, EditId, PoolName, VmName};
 use goldcrest_types::units::{Accelerators, CpuMillis, Resources};
 use http::header::AUTHORIZATION;
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
@@ -37,8 +37,8 @@
     stop: CancellationToken,
 }
 
-fn spec() -> CatalogueSpec {
-    parse(include_str!("../../../../examples/demo.yaml")).expect("the example is valid")
+pub fn example() -> CatalogueSpec {
+    parse(include_str!("../../../../../examples/demo.yaml")).expect("the example is valid")
 }
 
 fn record(name: &str, role: VmRole, address: SocketAddr) -> VmRecord {
@@ -61,6 +61,11 @@
 impl Fixture {
     /// Starts an entry and waits until it has a catalogue and proof that it is fresh.
     pub async fn start() -> Self {
+        Self::start_with("", &example(), 1).await
+    }
+
+    /// The same with further sections of the settings, another catalogue, and so many upstreams.
+    pub async fn start_with(sections: &str, spec: &CatalogueSpec, upstreams: u16) -> Self {
         let stop = CancellationToken::new();
         let dc: DcName = "lis-a".parse().expect("a name");
         let kv = KvFake::new();
@@ -69,30 +74,33 @@
         let list = fleet.listen(dc, stop.clone()).await.expect("a port");
         let upstream = UpstreamFake::new(Arc::new(CallBook::default()));
         let address = upstream.listen(stop.clone()).await.expect("a port");
-        fleet.put(record("up-1", VmRole::Upstream, address));
+        for number in 1..=upstreams {
+            fleet.put(record(&format!("up-{number}"), VmRole::Upstream, address));
+        }
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        fleet.put(record("entry-1", VmRole::Entry, any));
         let text = format!(
             "entry:\n  vm: entry-1\n  data_centre: lis-a\n  caller_address: {any}\n  task_address: {any}\n  \
              operator_address: {any}\n  first_operator_digest: {}\nplatform:\n  store_address: {store}\n  \
              fleet_address: {list}\npeers:\n  address: {any}\n  secret: test\nstop:\n  settle_ms: 1\n  \
-             drain_max_ms: 5000\nstore:\n  calls_per_second: 100\n",
+             drain_max_ms: 5000\nstore:\n  calls_per_second: 100\n{sections}",
             KeyDigest::of("at-first")
         );
         let settings = settings::parse(&text).unwrap_or_else(|errors| panic!("{errors}"));
         let entry = Entry::start(settings, Arc::new(SystemClock)).expect("it starts");
+        let addresses = entry.addresses();
+        fleet.put(record("entry-1", VmRole::Entry, addresses.peer));
         let fix = Self {
-            addresses: entry.addresses(),
+            addresses,
             entry,
             http: HttpCaller::new(Duration::from_secs(20)),
             stop,
         };
-        fix.apply().await;
+        fix.apply(spec).await;
         fix
     }
 
-    async fn apply(&self) {
-        let changes = diff(&CatalogueSpec::default(), &spec());
+    async fn apply(&self, spec: &CatalogueSpec) {
+        let changes = diff(&CatalogueSpec::default(), spec);
         let edit = EditRequest {
             id: EditId::new(1),
             changes,
@@ -109,6 +117,29 @@
         fresh.await.expect("the entry runs");
     }
 
+    /// Waits until a VM is taken out of service for a move, and returns it with its new pool.
+    pub async fn wait_for_move(&self) -> (VmName, PoolName) {
+        let mut fleets = self.entry.world().fleets.subscribe();
+        let mut found = None;
+        let moved = fleets.wait_for(|fleets| {
+            let vms = fleets.iter().flat_map(|(_, doc)| doc.vms());
+            let mut moves = vms.filter_map(|(vm, record)| {
+                let purpose = &record.permit.as_ref()?.purpose;
+                let Purpose::Move { to } = purpose else {
+                    return None;
+                };
+                Some((vm.clone(), to.clone()))
+            });
+            found = moves.next();
+            found.is_some()
+        });
+        moved.await.expect("the entry runs");
+        let mut sizing = self.entry.world().sizing.subscribe();
+        let noted = sizing.wait_for(|sizing| sizing.moves > 0);
+        noted.await.expect("the entry runs");
+        found.expect("a move")
+    }
+
     /// Waits until the upstream is in service in its pool.
     pub async fn wait_for_pools(&self) {
         let mut fleets = self.entry.world().fleets.subscribe();
--- /dev/null
+++ b/crates/daemon/tests/entry/main.rs
@@ -0,0 +1,5 @@
+//! One entry on stand-ins: who may ask what, and what becomes of it.
+
+mod access;
+mod common;
+mod moves;
--- a/crates/demo/src/lab/mod.rs
+++ b/crates/demo/src/lab/mod.rs
@@ -13,6 +13,7 @@
     EntrySettings, FrontSettings, LogSettings, PeerSettings, PlatformSettings, Secret, Settings,
     StopSettings, StoreSettings, TaskSettings,
 };
+use goldcrest_daemon::sizing::settings::SizingSettings;
 use goldcrest_platform::fleet::{VmPhase, VmRecord, VmRole};
 use goldcrest_standin::upstream::CallBook;
 use goldcrest_standin::worker::RunBook;
@@ -223,6 +224,7 @@
                 lease_ttl_ms: 10_000,
                 key_freshness_ms: 4_000,
             },
+            sizing: SizingSettings::default(),
             stop: StopSettings {
                 settle_ms: 300,
                 drain_max_ms: 10_000,
--- a/crates/types/src/catalogue/check.rs
+++ b/crates/types/src/catalogue/check.rs
@@ -209,6 +209,13 @@
             );
             out.push(Section::Pools, index, message);
         }
+        if pool.kind == PoolKind::Spare && !pool.vm_slots.is_zero() {
+            let message = format!(
+                "pool '{}': vm_slots {} has no meaning for a spare pool, which does no work: remove it",
+                pool.name, pool.vm_slots
+            );
+            out.push(Section::Pools, index, message);
+        }
         if pool.max_unavailable_vms.is_zero() && spec.maintenance.enabled {
             let message = format!(
                 "pool '{}': max_unavailable_vms 0 lets no VM be maintained: set it to 1 or more, or set maintenance.enabled to false",
--- a/crates/types/src/catalogue/resolve.rs
+++ b/crates/types/src/catalogue/resolve.rs
@@ -34,6 +34,8 @@
     pub max_vms: VmCount,
     /// How many of its VMs in one data centre may be out of service at one time.
     pub max_unavailable_vms: VmCount,
+    /// How many requests or tasks one of its VMs is meant to run at one time; 0 if its size does not follow its demand.
+    pub vm_slots: Slots,
 }
 
 /// A team.
@@ -233,6 +235,7 @@
                 min_vms: pool.min_vms,
                 max_vms: pool.max_vms,
                 max_unavailable_vms: pool.max_unavailable_vms,
+                vm_slots: pool.vm_slots,
             });
             self.pool_ids.insert(pool.name.clone(), id);
         }
--- a/crates/types/src/catalogue/spec.rs
+++ b/crates/types/src/catalogue/spec.rs
@@ -71,6 +71,14 @@
     pub max_vms: VmCount,
     /// The availability budget: how many of its VMs in one data centre may be out of service at one time.
     pub max_unavailable_vms: VmCount,
+    /// How many requests or tasks one of its VMs is meant to run at one time. Its size follows its demand by this; with
+    /// 0 it does not.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub vm_slots: Slots,
+}
+
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
 }
 
 fn max_vms() -> VmCount {
--- a/crates/upkeep/src/fleet/mod.rs
+++ b/crates/upkeep/src/fleet/mod.rs
@@ -7,7 +7,7 @@
 use std::fmt;
 use std::time::{Duration, Instant};
 
-use goldcrest_types::catalogue::MaintenanceSpec;
+use goldcrest_types::catalogue::{MaintenanceSpec, PoolKind};
 use goldcrest_types::entity::{DcId, EntityRef, PoolId, PrimaryMap, RackId, VmId};
 use goldcrest_types::units::VmCount;
 
@@ -81,6 +81,10 @@
     pub boots: u64,
     /// What runs on it.
     pub work: Work,
+    /// The kind of pool whose work it can do; none if it can do any.
+    pub kind: Option<PoolKind>,
+    /// Whether it is not to change its pool now.
+    pub is_pinned: bool,
 }
 
 impl Vm {
@@ -100,9 +104,18 @@
             seen_since: now,
             boots: 0,
             work: Work::default(),
+            kind: None,
+            is_pinned: false,
         }
     }
 
+    /// Whether it can be in a pool of this kind.
+    #[must_use]
+    pub fn suits(&self, kind: PoolKind) -> bool {
+        let is_same = self.kind.is_none_or(|own| own == kind);
+        is_same || kind == PoolKind::Spare
+    }
+
     /// Whether it counts against the availability budget of its pool.
     ///
     /// A joining VM does not: its pool has not had its service yet.
--- a/crates/upkeep/src/sizing/assign.rs
+++ b/crates/upkeep/src/sizing/assign.rs
@@ -82,7 +82,7 @@
 }
 
 fn is_movable(vm: &Vm) -> bool {
-    vm.state == VmState::Serving && vm.seen == Seen::Live && !vm.permit
+    vm.state == VmState::Serving && vm.seen == Seen::Live && !vm.permit && !vm.is_pinned
 }
 
 /// Moves one VM to `pool` from the pool with most to give, spares last. Whether there was one.
@@ -136,8 +136,12 @@
     let max = cat.pools[from].max_unavailable_vms;
     let movable = &ctx.scratch.movable[from.index()];
     let fit = movable.iter().enumerate().filter(|(_, id)| {
-        let dc = fleet.vms[**id].dc;
-        headroom(ctx.census.group(Group { pool: from, dc }), max) > 0
+        let vm = &fleet.vms[**id];
+        let group = Group {
+            pool: from,
+            dc: vm.dc,
+        };
+        vm.suits(cat.pools[to].kind) && headroom(ctx.census.group(group), max) > 0
     });
     let best = fit.min_by_key(|(_, id)| {
         let vm = &fleet.vms[**id];
--- a/crates/upkeep/src/sizing/mod.rs
+++ b/crates/upkeep/src/sizing/mod.rs
@@ -26,7 +26,7 @@
 
 pub use policy::Policy;
 pub use reason::Reason;
-pub(crate) use supply::counts_for;
+pub use supply::counts_for;
 
 /// How long a move is expected to take: drain and boot.
 pub const MOVE_TIME: Duration = Duration::from_mins(2);
@@ -130,6 +130,11 @@
         self
     }
 
+    /// Leaves out the time up to the next plan, of which nobody knows the demand.
+    pub fn pause(&mut self) {
+        self.last = None;
+    }
+
     /// The moves to begin now. The caller stores each before it does anything else.
     ///
     /// Call it at even intervals, a few for each move time.
@@ -158,7 +163,7 @@
     fn want(&mut self, demand: &Demand, cat: &Catalogue, step: Duration, now: Instant) {
         self.wants.clear();
         for (id, pool) in cat.pools.iter() {
-            if pool.kind == PoolKind::Spare {
+            if pool.kind == PoolKind::Spare || pool.vm_slots.is_zero() {
                 self.wants.push(None);
                 continue;
             }
--- a/crates/upkeep/src/sizing/supply.rs
+++ b/crates/upkeep/src/sizing/supply.rs
@@ -44,7 +44,8 @@
 }
 
 /// The pool whose size a VM counts for. One that failed or leaves counts for none, so that a spare takes its place.
-pub(crate) fn counts_for(vm: &Vm) -> Option<PoolId> {
+#[must_use]
+pub fn counts_for(vm: &Vm) -> Option<PoolId> {
     match vm.state {
         VmState::Failed | VmState::Gone => None,
         VmState::Moving(pool) => Some(pool),
--- a/crates/upkeep/tests/upkeep/world.rs
+++ b/crates/upkeep/tests/upkeep/world.rs
@@ -5,7 +5,7 @@
 
 use goldcrest_types::catalogue::{Catalogue, CatalogueSpec, DcSpec, PoolKind, PoolSpec};
 use goldcrest_types::entity::{DcId, EntityRef, PoolId, RackId, VmId};
-use goldcrest_types::units::{Revision, VmCount};
+use goldcrest_types::units::{Revision, Slots, VmCount};
 use goldcrest_upkeep::fleet::{Fleet, Seen, Vm, VmState, Work};
 use goldcrest_upkeep::maintenance::{self, Action, Step};
 use goldcrest_upkeep::sizing::{self, Demand, Move, Policy};
@@ -75,6 +75,11 @@
             min_vms: VmCount::new(sizes.0),
             max_vms: VmCount::new(sizes.1),
             max_unavailable_vms: VmCount::new(budget),
+            vm_slots: if kind == PoolKind::Spare {
+                Slots::ZERO
+            } else {
+                Slots::new(1)
+            },
         });
     }
 
