--- a/crates/daemon/src/sizing/driver.rs
+++ b/crates/daemon/src/sizing/driver.rs
@@ -8,12 +8,12 @@
 
 use std::time::{Duration, Instant};
 
-use goldcrest_types::catalogue::Catalogue;
+use goldcrest_types::catalogue::{Catalogue, PoolKind};
 use goldcrest_types::entity::{PoolId, SecondaryMap, VmId};
 use goldcrest_types::names::PoolName;
 use goldcrest_upkeep::fleet::{Fleet, VmState};
 use goldcrest_upkeep::maintenance::{Action, Reason as StepReason, Step};
-use goldcrest_upkeep::sizing::{Context, Demand, Move, Policy, counts_for};
+use goldcrest_upkeep::sizing::{Context, Demand, Move, Policy, Reason, counts_for};
 use goldcrest_upkeep::verify;
 
 use super::demand::Summed;
@@ -23,6 +23,10 @@
 use crate::maintenance::view::View;
 use crate::world::Fleets;
 
+/// How long the demand was looked at without a gap before a pool is made smaller. It is as long as the policy's memory: by
+/// less, a pool would give up VMs between two bursts and take them back.
+pub const LEARN: Duration = Duration::from_mins(30);
+
 /// Decides on moves while this entry holds the role.
 #[derive(Debug)]
 pub struct Driver {
@@ -30,6 +34,8 @@
     /// The pools by their ids, which the context has learned by.
     pools: Vec<PoolName>,
     looked_at: Option<Instant>,
+    /// Since when the demand was looked at without a gap.
+    seen_since: Option<Instant>,
     /// Until when VMs stay whose move was given up.
     stays_until: SecondaryMap<VmId, Option<Instant>>,
     status: Status,
@@ -43,6 +49,7 @@
             ctx: Context::new(Policy::default()),
             pools: Vec::new(),
             looked_at: None,
+            seen_since: None,
             stays_until: SecondaryMap::new(),
             status,
         }
@@ -64,6 +71,7 @@
     /// Makes no move at this look, and says why.
     pub fn hold(&mut self, hold: Hold, now: Instant) {
         self.looked_at = Some(now);
+        self.seen_since = None;
         self.ctx.pause();
         self.status.hold = Some(hold);
     }
@@ -90,7 +98,11 @@
         }
         self.pin(&mut fleet, steps, now);
         let demand = demand(cat, summed);
-        let moves = self.ctx.plan(&fleet, &demand, cat, now).to_vec();
+        let mut moves = self.ctx.plan(&fleet, &demand, cat, now).to_vec();
+        let seen_since = *self.seen_since.get_or_insert(now);
+        if now.saturating_duration_since(seen_since) < LEARN {
+            moves.retain(|step| is_growth(cat, step));
+        }
         self.status.hold = None;
         self.status.age = summed.age;
         self.status.entries = summed.entries;
@@ -115,6 +127,7 @@
         let names: Vec<PoolName> = cat.pools.values().map(|pool| pool.name.clone()).collect();
         if names != self.pools {
             self.pools = names;
+            self.seen_since = None;
             self.ctx = Context::new(Policy::default());
         }
     }
@@ -141,6 +154,11 @@
     }
 }
 
+/// Whether a move makes no pool smaller that does work, unless the catalogue's bounds ask for it.
+fn is_growth(cat: &Catalogue, step: &Move) -> bool {
+    cat.pools[step.from].kind == PoolKind::Spare || step.reason == Reason::Bounds
+}
+
 fn is_given_up(fleet: &Fleet, step: &Step) -> bool {
     let is_moving = matches!(fleet.vms[step.vm].state, VmState::Moving(_));
     let is_timeout = matches!(step.reason, StepReason::DrainTimedOut { .. });
