sched: long tasks leave a worker that drains, with their work kept

Cause: tasks on a worker that was drained for maintenance or a move were waited for, and a VM with a task of more than `drain_max_ms` was never maintained. Change: the scheduler sees in the fleet document that a worker drains. It tells a task there to save its state if it is expected to run longer than its move is worth by the catalogue's weights, or if the drain has waited for as long; it resumes elsewhere. Without the pass `drain_long_task_resumes_elsewhere_with_its_work` and `drain_moves_what_outlasts_its_declaration` fail.

--- a/crates/daemon/src/scheduler/fleet.rs
+++ b/crates/daemon/src/scheduler/fleet.rs
@@ -39,6 +39,7 @@
     let availability = match (record.state, vm.phase) {
         (VmState::Serving, VmPhase::Live) => Availability::Open,
         (_, VmPhase::Leaving) => Availability::Leaving,
+        (VmState::Draining, VmPhase::Live) => Availability::Draining,
         _ => Availability::Cordoned,
     };
     Some(WorkerSpec {
--- a/crates/sched/src/config/mod.rs
+++ b/crates/sched/src/config/mod.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use goldcrest_types::catalogue::Class;
+use goldcrest_types::catalogue::{Class, Weights};
 
 /// The bounds of a scheduler.
 #[derive(Debug, Clone)]
@@ -71,6 +71,8 @@
     pub take_back_after: Duration,
     /// The least time between two such preemptions for one team.
     pub take_back_every: Duration,
+    /// The wait that weighs as much as a move of one task, as the catalogue's weights have it.
+    pub move_worth: Duration,
     /// How long a worker may stay overloaded before the next stronger measure.
     pub overload_step: Duration,
     /// The quantile of observed sizes that a new task is packed by, in thousandths.
@@ -83,6 +85,15 @@
     pub share_half_life: Duration,
 }
 
+/// The wait that weighs as much as a move of one task.
+#[must_use]
+pub fn move_worth(weights: &Weights) -> Duration {
+    const HOUR_MS: u64 = 3_600_000;
+    let move_ms = u64::from(weights.one_move) * HOUR_MS;
+    let worth_ms = move_ms.checked_div(weights.roll_out_hour.into());
+    worth_ms.map_or(Duration::MAX, Duration::from_millis)
+}
+
 impl Default for Config {
     fn default() -> Self {
         Self {
@@ -118,6 +129,7 @@
             checkpoint_grace: Duration::from_millis(1500),
             take_back_after: Duration::from_secs(30),
             take_back_every: Duration::from_secs(5),
+            move_worth: move_worth(&Weights::default()),
             overload_step: Duration::from_secs(5),
             size_quantile_permille: 900,
             headroom_permille: 100,
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -6,11 +6,12 @@
 //!
 //! 1. [`lease`]: renewals, lost workers, the longest run.
 //! 2. [`overload`]: throttle, checkpoint, stop on a worker that measures above its capacity.
-//! 3. [`share`]: what each team is entitled to, by weighted max-min over the dominant resource.
-//! 4. [`hold`]: workers that are kept free for one task that waited too long.
-//! 5. [`order`]: which task is next; it calls [`place`] for each.
-//! 6. [`preempt`]: urgent tasks without room, and shares taken back.
-//! 7. [`verify`]: the promises, as a debug assertion.
+//! 3. [`evacuate`]: long tasks leave workers that drain.
+//! 4. [`share`]: what each team is entitled to, by weighted max-min over the dominant resource.
+//! 5. [`hold`]: workers that are kept free for one task that waited too long.
+//! 6. [`order`]: which task is next; it calls [`place`] for each.
+//! 7. [`preempt`]: urgent tasks without room, and shares taken back.
+//! 8. [`verify`]: the promises, as a debug assertion.
 //!
 //! [`report`], [`retry`] and [`health`] run when a report comes in, [`estimate`] learns from it. Every decision
 //! carries a [`reason::Reason`]. Time is passed in; nothing here does I/O.
@@ -18,6 +19,7 @@
 pub mod config;
 pub mod decision;
 pub mod estimate;
+pub mod evacuate;
 pub mod health;
 pub mod hold;
 pub mod lease;
--- a/crates/sched/src/reason/mod.rs
+++ b/crates/sched/src/reason/mod.rs
@@ -116,6 +116,11 @@
         /// What its tasks use.
         used: Resources,
     },
+    /// Its worker drains, and waiting for it weighs more than moving it.
+    Drained {
+        /// The worker.
+        worker: VmId,
+    },
     /// Its submitter cancelled it.
     Cancelled,
     /// It ran longer than its queue allows.
@@ -160,6 +165,7 @@
             | Self::Held { worker }
             | Self::Preempting { worker, .. }
             | Self::Overload { worker, .. }
+            | Self::Drained { worker }
             | Self::WorkerLost { worker }
             | Self::Missing { worker }
             | Self::Refused { worker }
@@ -242,6 +248,9 @@
             Self::Overload { used, .. } => {
                 write!(f, "{worker} is overloaded with {}", Shown(*used))
             }
+            Self::Drained { .. } => {
+                write!(f, "{worker} drains, and waiting costs more than a move")
+            }
             Self::Cancelled => f.write_str("cancelled"),
             Self::RunMax { run_max } => write!(f, "ran longer than {} ms", run_max.as_millis()),
             Self::Renewal => f.write_str("runs: the lease goes on"),
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -11,7 +11,7 @@
 use quick_error::quick_error;
 use smallvec::SmallVec;
 
-use crate::config::Config;
+use crate::config::{Config, move_worth};
 use crate::decision::{Decisions, Ended, Parked};
 use crate::order::{OrderScratch, start_waiting};
 use crate::place::PlaceScratch;
@@ -21,7 +21,7 @@
 use crate::retry::end_cancelled;
 use crate::share::ShareScratch;
 use crate::state::{LaneId, Phase, Progress, Run, State, Task, TaskSpec, TaskState, WorkerSpec};
-use crate::{health, hold, lease, overload, preempt, share, verify};
+use crate::{evacuate, health, hold, lease, overload, preempt, share, verify};
 
 pub use explain::{Explanation, Snapshot, TeamStatus};
 
@@ -89,6 +89,7 @@
     pub fn set_catalogue(&mut self, cat: &Catalogue) {
         let state = &mut self.state;
         state.teams.set_catalogue(cat);
+        state.cfg.move_worth = move_worth(&cat.weights);
         for (_, lane) in state.lanes.iter_mut() {
             let queue = &state.teams.queues[lane.queue];
             lane.class = queue.class;
@@ -349,6 +350,7 @@
         out.commands.append(&mut state.strays);
         lease::keep(state, now, out);
         overload::relieve(state, now, out);
+        evacuate::run(state, now, out);
         health::readmit(state, now);
         state.workers.open_at(state.cfg.contact_max, now);
         share::divide(state, &mut self.shares, now);
--- a/crates/sched/src/state/worker.rs
+++ b/crates/sched/src/state/worker.rs
@@ -26,6 +26,8 @@
     Open,
     /// It gets no new task; those that it runs go on.
     Cordoned,
+    /// It gets no new task; those that it runs end, or go on elsewhere.
+    Draining,
     /// It leaves the fleet; those that it runs end.
     Leaving,
     /// It is no longer on the list.
@@ -94,6 +96,8 @@
     pub capacity: Resources,
     /// Whether it may take tasks.
     pub availability: Availability,
+    /// Since when it drains.
+    pub draining_since: Option<Instant>,
     /// What its tasks are packed by, in all.
     pub reserved: Resources,
     /// The tasks that count as running on it.
@@ -217,6 +221,7 @@
         for (id, worker) in self.all.iter_mut() {
             if !listed[id] && worker.availability != Availability::Gone {
                 worker.availability = Availability::Gone;
+                worker.draining_since = None;
                 worker.hold = None;
                 is_same = false;
             }
@@ -244,6 +249,8 @@
         worker.pool = pool;
         worker.capacity = spec.capacity;
         worker.availability = spec.availability;
+        let drains = spec.availability == Availability::Draining;
+        worker.draining_since = drains.then(|| worker.draining_since.unwrap_or(now));
         is_same
     }
 
@@ -424,6 +431,7 @@
         pool,
         capacity: spec.capacity,
         availability: spec.availability,
+        draining_since: (spec.availability == Availability::Draining).then_some(now),
         reserved: Resources::ZERO,
         tasks: Vec::new(),
         seen_at: now,
--- a/crates/sched/tests/cases.rs
+++ b/crates/sched/tests/cases.rs
@@ -1,8 +1,8 @@
 //! Runs every file of `tests/cases`: a fleet, an event a line, and after each `>` what is expected.
 //!
 //! Lines: `team NAME SHARE LIMIT`, `queue NAME CLASS POOL RUN_MAX_MS`, `worker NAME RACK POOL CPU MIB ACCELERATORS
-//! [cordoned|leaving]`, `fleet` (takes the lines above over), `grant TEAM SLOTS`, `at MS`, `submit KEY TEAM QUEUE CPU MIB
-//! ACCELERATORS [checkpoint] [once]`, `cancel KEY`, `started KEY ATTEMPT OUTCOME`, `report WORKER [KEY ATTEMPT PHASE CPU
+//! [cordoned|draining|leaving]`, `fleet` (takes the lines above over), `grant TEAM SLOTS`, `at MS`, `submit KEY TEAM QUEUE CPU MIB
+//! ACCELERATORS [checkpoint] [long] [once]`, `cancel KEY`, `started KEY ATTEMPT OUTCOME`, `report WORKER [KEY ATTEMPT PHASE CPU
 //! MIB]...`, `round`, `explain KEY`, `unpark KEY`.
 
 mod common;
@@ -105,6 +105,7 @@
         let mut spec = common::worker(words[1], words[2], words[3], capacity);
         spec.availability = match words.get(7) {
             Some(&"cordoned") => Availability::Cordoned,
+            Some(&"draining") => Availability::Draining,
             Some(&"leaving") => Availability::Leaving,
             _ => Availability::Open,
         };
@@ -131,6 +132,9 @@
         let number: u128 = number(words[1].trim_start_matches('t'));
         let mut spec = common::task(number, words[2], words[3], declared);
         spec.checkpointable = words.contains(&"checkpoint");
+        if words.contains(&"long") {
+            spec.declared_run = Duration::from_hours(2);
+        }
         spec.idempotent = !words.contains(&"once");
         match self.sched.submit(&spec, self.now) {
             Ok(_) => String::new(),
