peer: a new home waits until the others must know of it

In the code: a key granted by the old home 7.5 s after the join was granted again 22.5 s later, within its window of 30 s.

--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -13,10 +13,10 @@
 
 use goldcrest_ledger::freshness::{Freshness, ProofKind};
 use goldcrest_obs::logs::Part;
+use goldcrest_peer::membership::homes::STANDING_TERM;
 use goldcrest_peer::peers::{Peers, Seed};
 use goldcrest_peer::server::PeerServer;
 use goldcrest_platform::fleet::{VmListing, VmRole};
-use goldcrest_types::catalogue::spec::REPEAT_WINDOW_MIN_MS;
 use goldcrest_types::names::EntryId;
 use tokio::net::TcpListener;
 use tokio::time::sleep;
@@ -99,11 +99,6 @@
 /// How long after a failed read of the live sessions they are read again.
 const SESSIONS_RETRY: Duration = Duration::from_millis(500);
 
-/// How old the list of live sessions may be for this entry to act as a home of keys. It is below the shortest window of
-/// repetition: a home answers by its own knowledge only after that window, and by then every other entry that acts has
-/// read a list with it.
-const STANDING_TERM: Duration = Duration::from_millis(REPEAT_WINDOW_MIN_MS - 2_000);
-
 /// Until when this entry acts as a home of idempotency keys.
 #[derive(Debug, Default)]
 struct Standing {
--- a/crates/peer/src/membership/homes.rs
+++ b/crates/peer/src/membership/homes.rs
@@ -2,16 +2,22 @@
 //!
 //! An entry is the home of a key for as long as no member with a higher score is there. So it can know the past of a key
 //! back to when the last member that ranks above it left, but no further than its own unbroken standing: the time in
-//! which it could be sure that the others count it as a member. An entry that was paused or cut off starts anew.
+//! which it could be sure that the others count it as a member. An entry that was paused or cut off starts anew. Others
+//! may act by an older list of members for [`STANDING_TERM`] after it began to stand, so its knowledge begins only then.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use goldcrest_types::catalogue::spec::REPEAT_WINDOW_MIN_MS;
 use goldcrest_types::names::EntryId;
 
 use super::Membership;
 use goldcrest_types::rendezvous::HashKey;
 
+/// How old the list of live sessions may be for an entry to act as a home of keys. It is below the shortest window of
+/// repetition.
+pub const STANDING_TERM: Duration = Duration::from_millis(REPEAT_WINDOW_MIN_MS - 2_000);
+
 /// The members that left of late, and this entry's own standing.
 #[derive(Debug, Clone, Default)]
 pub struct Homes {
@@ -93,6 +99,7 @@
         let ranked_above = |entry: &EntryId| key.score(*entry) > own_score;
         let above = self.left.iter().filter(|(entry, _)| ranked_above(entry));
         let last_left = above.map(|(_, at)| *at).max();
-        self.standing_since.max(last_left)
+        let known_to_all = self.standing_since.map(|since| since + STANDING_TERM);
+        known_to_all.max(last_left)
     }
 }
