model: roles with fencing epochs

Cause: one holder of a role, and a paused holder's late command, were tested but not in any specification. Change: spec/Role: takes by session, commands that travel for any time, a receiver that refuses older epochs.

--- a/crates/model/tests/spec.rs
+++ b/crates/model/tests/spec.rs
@@ -151,6 +151,13 @@
     states_min: 20_000,
 };
 
+static ROLE: Model = Model {
+    name: "Role",
+    sizes: &[("Term", 1), ("Takes", 3)],
+    rules: &["WaitsSession", "ChecksSession", "RaisesEpoch", "Fences"],
+    states_min: 1_900,
+};
+
 #[test]
 fn quota_holds() {
     holds(&QUOTA);
@@ -210,3 +217,13 @@
 fn home_needs_each_rule() {
     needs_each_rule(&HOME);
 }
+
+#[test]
+fn role_holds() {
+    holds(&ROLE);
+}
+
+#[test]
+fn role_needs_each_rule() {
+    needs_each_rule(&ROLE);
+}
