roles: a data centre's tasks are scheduled by one of its own entries

Change: a role has a scope, the fleet or one data centre, and its candidate is drawn from the live entries of that scope.

--- a/crates/bench/src/entries/mod.rs
+++ b/crates/bench/src/entries/mod.rs
@@ -20,7 +20,7 @@
 use goldcrest_peer::server::PeerServer;
 use goldcrest_session::lease::{LeaseKeeper, SessionRecord};
 use goldcrest_session::quota::{Listed, Mover, Observer, QuotaKeeper, RowOwner};
-use goldcrest_session::role::{RoleName, Roles};
+use goldcrest_session::role::{Role, RoleName, Roles};
 use goldcrest_session::{FollowConfig, Follower, HeadCopy, Session, SessionConfig};
 use goldcrest_types::key::KeyDigest;
 use goldcrest_types::names::{DcName, EntryId, VmName};
@@ -143,7 +143,7 @@
         tokio::spawn(self.follower.clone().run(stop.clone()));
         let role: RoleName = "quota".parse().expect("a name");
         let roles = Roles::new(session.clone());
-        roles.set_roles(BTreeSet::from([role.clone()]));
+        roles.set_roles(BTreeSet::from([Role::new(role.clone())]));
         tokio::spawn(roles.clone().run(stop.clone()));
         let owner = RowOwner {
             vm: member.vm.clone(),
@@ -210,8 +210,8 @@
     async fn feed_sessions(&self) {
         loop {
             if let Ok(live) = self.session.sessions().await {
-                let live: BTreeSet<EntryId> = live.iter().map(|live| live.entry).collect();
-                self.peers.set_sessions(&live);
+                let entries: BTreeSet<EntryId> = live.iter().map(|live| live.entry).collect();
+                self.peers.set_sessions(&entries);
                 self.roles.set_live(live);
                 if let Some(until) = self.session.valid_until(self.session.now()) {
                     self.peers.extend_standing(until);
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -151,9 +151,9 @@
     view.tried_at = Some(asked_at);
     match world.session.sessions().await {
         Ok(live) => {
-            let live: BTreeSet<EntryId> = live.into_iter().map(|session| session.entry).collect();
-            world.peers.set_sessions(&live);
-            view.is_listed |= live.contains(&world.entry);
+            let entries: BTreeSet<EntryId> = live.iter().map(|session| session.entry).collect();
+            world.peers.set_sessions(&entries);
+            view.is_listed |= entries.contains(&world.entry);
             view.has_failed = false;
             world.roles.set_live(live);
             view.read_at = Some(asked_at);
--- a/crates/daemon/src/roles/mod.rs
+++ b/crates/daemon/src/roles/mod.rs
@@ -1,12 +1,13 @@
 //! The roles that entries share out among them.
 //!
 //! Each role is held by one entry at a time, with a fencing epoch; they spread over all entries by rendezvous hashing of
-//! the live sessions. Which roles there are follows from the catalogue.
+//! the live sessions. The scheduler of a data centre is one of its own entries, which has that data centre's part of the
+//! teams' limits and reaches its workers when it is cut off. Which roles there are follows from the catalogue.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use goldcrest_session::role::RoleName;
+use goldcrest_session::role::{Role, RoleName};
 use goldcrest_types::catalogue::Catalogue;
 use goldcrest_types::names::DcName;
 use tokio_util::sync::CancellationToken;
@@ -39,9 +40,10 @@
     }
 }
 
-fn roles(cat: &Catalogue) -> BTreeSet<RoleName> {
-    let mut roles = BTreeSet::from([quota_role(), upkeep_role()]);
-    roles.extend(cat.dcs.values().map(|dc| tasks_role(&dc.name)));
+fn roles(cat: &Catalogue) -> BTreeSet<Role> {
+    let mut roles = BTreeSet::from([Role::new(quota_role()), Role::new(upkeep_role())]);
+    let names = cat.dcs.values().map(|dc| dc.name.clone());
+    roles.extend(names.map(|dc| Role::new(tasks_role(&dc)).with_data_centre(dc)));
     roles
 }
 
--- a/crates/session/src/role/mod.rs
+++ b/crates/session/src/role/mod.rs
@@ -1,7 +1,7 @@
 //! Roles that one entry holds at a time, each with a fencing epoch.
 //!
-//! The candidate for a role is its home among the live sessions, so roles spread over all entries and a role moves only
-//! when its home does. Only the candidate and the holder ever call the service for a role. The holder releases what it is
+//! The candidate for a role is its home among the live sessions of the role's [`Scope`], so roles spread over all entries
+//! and a role moves only when its home does. Only the candidate and the holder ever call the service for a role. The holder releases what it is
 //! no longer the candidate for; the candidate takes what is free, or what a holder left whose session is gone. An epoch
 //! is handed out only while the session under which the role was taken is valid, to be asked right before each effect.
 
@@ -15,14 +15,14 @@
 use goldcrest_ledger::role::{Holder, RoleDoc, RoleEdit, RoleRefusal};
 use goldcrest_platform::store::{Store, StoreKey, StoreKeyError};
 use goldcrest_types::clock::Clock;
-use goldcrest_types::names::EntryId;
+use goldcrest_types::names::{DcName, EntryId};
 use goldcrest_types::rendezvous::HashKey;
 use goldcrest_types::units::Epoch;
 use log::{info, warn};
 use tokio_util::sync::CancellationToken;
 
 use crate::keys;
-use crate::lease::HeldLease;
+use crate::lease::{HeldLease, LiveSession};
 use crate::part;
 use crate::session::Session;
 use crate::update::{UpdateError, Updated};
@@ -60,6 +60,58 @@
     }
 }
 
+/// Which entries may hold a role.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Scope {
+    /// Every entry.
+    Fleet,
+    /// The entries of one data centre. While it has none, nobody holds the role.
+    DataCentre(DcName),
+}
+
+impl Scope {
+    fn has(&self, session: &LiveSession) -> bool {
+        match self {
+            Self::Fleet => true,
+            Self::DataCentre(dc) => session.dc == *dc,
+        }
+    }
+}
+
+/// A role with the entries that may hold it.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Role {
+    name: RoleName,
+    scope: Scope,
+}
+
+impl Role {
+    /// A role that every entry may hold.
+    #[must_use]
+    pub const fn new(name: RoleName) -> Self {
+        Self {
+            name,
+            scope: Scope::Fleet,
+        }
+    }
+
+    /// The same, held by an entry of `dc` only.
+    #[must_use]
+    pub fn with_data_centre(self, dc: DcName) -> Self {
+        Self {
+            scope: Scope::DataCentre(dc),
+            ..self
+        }
+    }
+
+    /// The entry that is to hold it among the live ones.
+    fn candidate(&self, live: &[LiveSession]) -> Option<EntryId> {
+        let able = live.iter().filter(|session| self.scope.has(session));
+        let entries = able.map(|session| session.entry);
+        HashKey::of_name(self.name.as_str()).home(entries)
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct HeldRole {
     epoch: Epoch,
@@ -68,8 +120,8 @@
 
 #[derive(Debug, Default)]
 struct State {
-    roles: BTreeSet<RoleName>,
-    live: Option<BTreeSet<EntryId>>,
+    roles: BTreeSet<Role>,
+    live: Option<Vec<LiveSession>>,
     held: BTreeMap<RoleName, HeldRole>,
 }
 
@@ -110,12 +162,12 @@
     }
 
     /// Sets which roles there are.
-    pub fn set_roles(&self, roles: BTreeSet<RoleName>) {
+    pub fn set_roles(&self, roles: BTreeSet<Role>) {
         self.state().roles = roles;
     }
 
     /// Notes which entries have a live session.
-    pub fn set_live(&self, live: BTreeSet<EntryId>) {
+    pub fn set_live(&self, live: Vec<LiveSession>) {
         self.state().live = Some(live);
     }
 
@@ -175,16 +227,13 @@
         }
     }
 
-    /// Every role with its home among the live sessions.
+    /// Every role with its candidate; those that no live entry may hold are left out.
     fn candidates(&self) -> Vec<(RoleName, EntryId)> {
         let state = self.state();
         let Some(live) = &state.live else {
             return Vec::new();
         };
-        let candidate = |role: &RoleName| {
-            let home = HashKey::of_name(role.as_str()).home(live.iter().copied())?;
-            Some((role.clone(), home))
-        };
+        let candidate = |role: &Role| Some((role.name.clone(), role.candidate(live)?));
         state.roles.iter().filter_map(candidate).collect()
     }
 
--- a/crates/session/tests/session/main.rs
+++ b/crates/session/tests/session/main.rs
@@ -8,5 +8,6 @@
 mod network;
 mod partition;
 mod quota;
+mod roles;
 mod update;
 mod world;
--- a/crates/session/tests/session/world.rs
+++ b/crates/session/tests/session/world.rs
@@ -9,7 +9,7 @@
 use goldcrest_ledger::quota::{DcQuota, Grants};
 use goldcrest_session::lease::{LeaseKeeper, SessionRecord};
 use goldcrest_session::quota::{DcDemand, Gate, Mover, Needs, QuotaKeeper, RowOwner};
-use goldcrest_session::role::{RoleName, Roles};
+use goldcrest_session::role::{Role, RoleName, Roles};
 use goldcrest_session::{Session, SessionConfig, keys};
 use goldcrest_types::catalogue::{Catalogue, CatalogueSpec, DcSpec, TeamSpec};
 use goldcrest_types::clock::Clock;
@@ -179,7 +179,7 @@
             peer_address: "127.0.0.1:1".parse().expect("an address"),
         };
         let roles = Roles::new(session.clone());
-        roles.set_roles(BTreeSet::from([quota_role()]));
+        roles.set_roles(BTreeSet::from([Role::new(quota_role())]));
         let gate = Arc::new(EntryGate {
             fleet: Arc::clone(fleet),
             entry: id,
@@ -234,7 +234,6 @@
         if step % 10 == 0 {
             for entry in entries {
                 if let Ok(live) = entry.session.sessions().await {
-                    let live = live.into_iter().map(|session| session.entry).collect();
                     entry.roles.set_live(live);
                 }
             }
