--- a/crates/bench/src/bin/sizing/fake.rs
+++ b/crates/bench/src/bin/sizing/fake.rs
@@ -11,6 +11,9 @@
 
 use crate::trace::{Trace, vms_f64};
 
+/// How many requests a VM is meant to run, so that one is a thousandth of a VM.
+pub const VM_SLOTS: u32 = 1_000;
+
 /// How long a VM drains before it leaves its pool.
 const DRAIN: Duration = Duration::from_secs(20);
 
@@ -176,7 +179,7 @@
             vm_slots: if kind == PoolKind::Spare {
                 Slots::ZERO
             } else {
-                Slots::new(1)
+                Slots::new(VM_SLOTS)
             },
         });
     }
--- a/crates/bench/src/bin/sizing/main.rs
+++ b/crates/bench/src/bin/sizing/main.rs
@@ -2,15 +2,16 @@
 //!
 //! `cargo run --release -p goldcrest-bench --bin sizing -- [--seed N]` prints one table.
 
+mod candidate;
 mod fake;
 mod optimum;
 mod trace;
 
 use std::time::Instant;
 
+use candidate::{Candidate, Decider};
 use fake::{Fake, Tally};
 use goldcrest_types::catalogue::Weights;
-use goldcrest_upkeep::sizing::{Context, Policy};
 use trace::{Shape, Trace};
 
 const SEED: u64 = 1;
@@ -30,9 +31,8 @@
     println!("|---|---|---|---|---|---|---|---|---|");
     for shape in Shape::ALL {
         let trace = Trace::new(shape, seed);
-        print_row(shape, "static", &row(&trace, None));
-        for policy in Policy::ALL {
-            print_row(shape, &policy.to_string(), &row(&trace, Some(policy)));
+        for candidate in Candidate::all() {
+            print_row(shape, &candidate.to_string(), &row(&trace, candidate));
         }
         let weights = Weights::default();
         let best = optimum::run(&trace, &weights, f64::from(weights.unmet_vm_hour));
@@ -42,23 +42,20 @@
     Ok(())
 }
 
-fn row(trace: &Trace, policy: Option<Policy>) -> Row {
-    let tally = simulate(trace, policy);
+fn row(trace: &Trace, candidate: Candidate) -> Row {
+    let tally = simulate(trace, candidate);
     let equal = optimum::at_equal_unmet(trace, &Weights::default(), tally.unmet_vm_hours);
     Row { tally, equal }
 }
 
-fn simulate(trace: &Trace, policy: Option<Policy>) -> Tally {
+fn simulate(trace: &Trace, candidate: Candidate) -> Tally {
     let mut fake = Fake::new(trace);
-    let mut ctx = policy.map(Context::new);
+    let mut decider = Decider::new(candidate);
     for tick in 0..trace.ticks() {
         fake.begin(tick);
-        if let Some(ctx) = &mut ctx {
-            let begin = Instant::now();
-            let moves = ctx.plan(&fake.fleet, &fake.demand, &fake.cat, fake.now);
-            let took = begin.elapsed();
-            let moves = moves.to_vec();
-            fake.carry_out(&moves, took);
+        let begin = Instant::now();
+        if let Some(moves) = decider.decide(&fake) {
+            fake.carry_out(&moves, begin.elapsed());
         }
         fake.end();
     }
