session: a service restored from an older copy reverts nothing

Cause: with versions gone back, a watch above the known version stays empty, which counted as proof that the catalogue was the accepted one; an edit on the older head could be accepted beside it, and later take the place of what was in force. Change: after each loss of contact and each new lease the head is read whole. An older one is replaced by the one in force by a swap on the version read, if the one in force holds the last acceptance of the older. Otherwise the entry keeps what it has, takes no proof, refuses edits (EditRefusal::Restored, with the page that says what to do), reads every 10 s, and says so in its log. A head that was not taken over was read again at once, without end; that has ended too. Not mended: tasks, quota and roles that the copy lacks.

--- a/crates/ledger/src/catalogue/mod.rs
+++ b/crates/ledger/src/catalogue/mod.rs
@@ -51,6 +51,17 @@
     pub revision: Revision,
 }
 
+/// How a head stands to an acceptance that was in force before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Descent {
+    /// It holds the acceptance.
+    Follows,
+    /// It lacks the acceptance, or has another edit in its place.
+    Departs,
+    /// So many edits came between that it can't tell.
+    Unknown,
+}
+
 quick_error! {
     /// Why an edit was refused. Nothing was changed.
     #[derive(Debug, Clone, PartialEq, Eq)]
@@ -63,6 +74,10 @@
         Invalid(findings: Findings) {
             display("the catalogue would not be valid:\n{findings}correct the edit")
         }
+        /// The stored catalogue lacks edits that are in force.
+        Restored(stored: Revision, known: Revision) {
+            display("the key-value service has revision {stored}, which lacks edits of revision {known} in force here, so it was restored from an older copy: send the edit again in some seconds, and if that does not help, see 'restored from an older copy' in docs/operations/outages.md")
+        }
         /// The edit changes nothing.
         Empty {
             display("the edit holds no change: compare the file with the catalogue in force")
@@ -104,6 +119,28 @@
         self.accepted.iter().find(|accepted| accepted.edit == edit)
     }
 
+    /// The last acceptance.
+    #[must_use]
+    pub fn newest(&self) -> Option<&Accepted> {
+        self.accepted.back()
+    }
+
+    /// How this head stands to `earlier`, the last acceptance of another head.
+    #[must_use]
+    pub fn descent(&self, earlier: Option<&Accepted>) -> Descent {
+        let Some(earlier) = earlier else {
+            return Descent::Follows;
+        };
+        let mut remembered = self.accepted.iter();
+        let same = remembered.find(|accepted| accepted.revision == earlier.revision);
+        match same {
+            Some(accepted) if accepted.edit == earlier.edit => Descent::Follows,
+            Some(_) => Descent::Departs,
+            None if earlier.revision > self.revision => Descent::Departs,
+            None => Descent::Unknown,
+        }
+    }
+
     /// Applies an edit and returns its acceptance. An edit that was applied before is answered with the revision it
     /// made then.
     ///
--- a/crates/session/src/follow/mod.rs
+++ b/crates/session/src/follow/mod.rs
@@ -3,15 +3,20 @@
 //! One entry in each data centre, the watcher, has a watch waiting on the head; the others hear of changes from it. An
 //! entry whose youngest proof grows old reads the head itself, asking only whether there is a higher version. The
 //! revision in force here never goes down, whoever offers another one.
+//!
+//! The service may have been restored from an older copy whenever contact was lost, so the first read after that asks for
+//! the whole head; `restored` says what becomes of an older one.
+
+mod restored;
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use goldcrest_ledger::catalogue::{Accepted, CatalogueEdit, EditRefusal, Head};
+use goldcrest_ledger::catalogue::{Accepted, CatalogueEdit, Descent, EditRefusal, Head};
 use goldcrest_ledger::freshness::Proof;
 use goldcrest_ledger::{Document, DocumentError};
-use goldcrest_platform::store::{Store, StoreError, Versioned};
+use goldcrest_platform::store::{Store, StoreError};
 use goldcrest_types::catalogue::{Catalogue, Findings};
 use goldcrest_types::clock::Clock;
 use goldcrest_types::units::{Revision, StoreVersion};
@@ -25,6 +30,11 @@
 use crate::session::Session;
 use crate::update::{UpdateError, Updated};
 
+use restored::{Era, Reading};
+
+/// The time between reads of a head that is not taken over. Each of them moves the whole head.
+const REFUSED_PAUSE: Duration = Duration::from_secs(10);
+
 /// How the head is followed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FollowConfig {
@@ -74,6 +84,10 @@
             display("the catalogue's head can't be read: {cause}")
             source(cause)
         }
+        /// It lacks edits that are in force.
+        Departs(offered: Revision, known: Revision) {
+            display("revision {offered} of the catalogue lacks edits of revision {known} in force here: see 'restored from an older copy' in docs/operations/outages.md")
+        }
         /// The catalogue in it is not valid for this version.
         Invalid(findings: Findings) {
             display("the stored catalogue is not valid here:\n{findings}apply a corrected catalogue")
@@ -93,6 +107,8 @@
     head: watch::Sender<Option<HeadCopy>>,
     watcher: watch::Sender<bool>,
     proofs: Mutex<Proofs>,
+    newest: Mutex<Option<Accepted>>,
+    checked: Mutex<Option<Era>>,
 }
 
 /// Follows the head of the catalogue. It is cheap to clone.
@@ -118,6 +134,8 @@
             head: watch::channel(None).0,
             watcher: watch::channel(false).0,
             proofs: Mutex::new(Proofs::default()),
+            newest: Mutex::new(None),
+            checked: Mutex::new(None),
         };
         Self {
             inner: Arc::new(inner),
@@ -170,18 +188,35 @@
             .send_if_modified(|watcher| std::mem::replace(watcher, is_watcher) != is_watcher);
     }
 
-    /// Takes over a head that a peer sent or that was read, unless it is not above the one in force. Returns the
-    /// revision in force then.
+    /// Takes over a head that a peer sent, unless it is not above the one in force. Returns the revision in force then.
     ///
     /// # Errors
     ///
-    /// The head can't be read, or is not valid here.
+    /// The head can't be read, lacks edits that are in force, or is not valid here.
     pub fn adopt(&self, bytes: &Bytes, version: StoreVersion) -> Result<Revision, HeadError> {
         let head = Head::decode(bytes).map_err(HeadError::Document)?;
+        let revision = self.adopt_head(&head, bytes, version)?;
+        if head.revision() == revision {
+            self.learn_version(revision, version);
+        }
+        Ok(revision)
+    }
+
+    fn adopt_head(
+        &self,
+        head: &Head,
+        bytes: &Bytes,
+        version: StoreVersion,
+    ) -> Result<Revision, HeadError> {
         let revision = head.revision();
-        if revision <= self.revision() {
-            self.note_version(revision, version);
-            return Ok(self.revision());
+        // Held to the end, so that of two heads that are taken over at one time each is compared with the other.
+        let mut newest = lock(&self.inner.newest);
+        let known = self.revision();
+        if revision <= known {
+            return Ok(known);
+        }
+        if head.descent(newest.as_ref()) == Descent::Departs {
+            return Err(HeadError::Departs(revision, known));
         }
         let resolved = Catalogue::resolve(head.spec(), revision);
         let catalogue = Arc::new(resolved.map_err(HeadError::Invalid)?);
@@ -190,26 +225,27 @@
             bytes: bytes.clone(),
             catalogue,
         };
-        let is_new = self.inner.head.send_if_modified(|known| match known {
-            Some(known) if known.revision() >= revision => false,
-            _ => {
-                *known = Some(copy);
-                true
-            }
-        });
-        if is_new {
-            info!(target: part::CATALOGUE, "Revision {revision} in force here.");
+        *newest = head.newest().cloned();
+        self.inner.head.send_replace(Some(copy));
+        info!(target: part::CATALOGUE, "Revision {revision} in force here.");
+        Ok(revision)
+    }
+
+    /// Takes the version of the revision in force from a peer, unless this entry has read it itself.
+    fn learn_version(&self, revision: Revision, version: StoreVersion) {
+        let known = self.inner.head.borrow().clone();
+        if known.is_some_and(|known| known.version == StoreVersion::ZERO) {
+            self.note_version(revision, version);
         }
-        Ok(self.revision())
     }
 
-    /// Learns the version of the revision in force, if it came without one.
+    /// Notes the version under which the service has the revision in force.
     fn note_version(&self, revision: Revision, version: StoreVersion) {
         self.inner.head.send_if_modified(|known| {
             if let Some(known) = known
                 && known.revision() == revision
             {
-                known.version = known.version.max(version);
+                known.version = version;
             }
             false
         });
@@ -224,10 +260,28 @@
     pub async fn edit(
         &self,
         edit: &CatalogueEdit,
+    ) -> Result<Updated<Accepted, EditRefusal>, UpdateError> {
+        match self.try_edit(edit).await? {
+            Updated::Refused(EditRefusal::Restored(..)) => {
+                // The whole read offers the head in force again, if it can.
+                self.forget_check();
+                self.read(Duration::ZERO)
+                    .await
+                    .map_err(UpdateError::NotApplied)?;
+                self.try_edit(edit).await
+            }
+            updated => Ok(updated),
+        }
+    }
+
+    async fn try_edit(
+        &self,
+        edit: &CatalogueEdit,
     ) -> Result<Updated<Accepted, EditRefusal>, UpdateError> {
         let session = &self.inner.session;
         let mut next = None;
         let change = |head: &mut Head| {
+            self.check_stored(head)?;
             let accepted = head.apply(edit)?;
             next = Some(head.clone());
             Ok(accepted)
@@ -238,7 +292,9 @@
             Updated::Applied { version, .. } => self.adopt_own(next, *version)?,
             Updated::AppliedEarlier => {
                 let read = self.read(Duration::ZERO).await;
-                read.map_err(|_| UpdateError::Unresolved(edit.id))?;
+                if read != Ok(Reading::Taken) {
+                    return Err(UpdateError::Unresolved(edit.id));
+                }
             }
             Updated::Refused(_) => {}
         }
@@ -255,7 +311,8 @@
             return Ok(());
         };
         let bytes = Bytes::from(head.encode().map_err(UpdateError::Document)?);
-        if let Err(error) = self.adopt(&bytes, version.unwrap_or(StoreVersion::ZERO)) {
+        let version = version.unwrap_or(StoreVersion::ZERO);
+        if let Err(error) = self.adopt_head(&head, &bytes, version) {
             warn!(target: part::CATALOGUE, "{error}.");
         }
         Ok(())
@@ -286,7 +343,9 @@
                 Duration::ZERO
             };
             match self.read(wait).await {
-                Ok(()) => is_lost = false,
+                Ok(Reading::Taken) => is_lost = false,
+                Ok(Reading::Overtaken) => tokio::time::sleep(self.inner.cfg.pause).await,
+                Ok(Reading::Refused) => tokio::time::sleep(REFUSED_PAUSE).await,
                 Err(error) => {
                     if !is_lost {
                         warn!(target: part::CATALOGUE, "The head can't be read: {error}.");
@@ -312,35 +371,22 @@
         youngest.is_none_or(is_old)
     }
 
-    /// Reads the head if it is above the one in force, waiting for that for up to `wait`.
-    async fn read(&self, wait: Duration) -> Result<(), StoreError> {
+    /// Reads the head if it is above the one in force, waiting for that for up to `wait`, or else whole if the service
+    /// may have been restored since it was read whole.
+    async fn read(&self, wait: Duration) -> Result<Reading, StoreError> {
         let session = &self.inner.session;
         let key = keys::catalogue_head();
         let known = self.inner.head.borrow().clone();
+        let era = Era::of(session);
         let sent = session.now();
-        let found = match &known {
-            Some(known) => session.watch(&key, known.version, wait).await?,
-            None => session.get(&key).await?,
+        let Some(known) = known.filter(|_| self.is_checked(era)) else {
+            return self.read_whole(era, sent, wait).await;
         };
-        match (found, known) {
-            (Some(found), _) => self.take_over(&found, sent),
-            (None, Some(known)) => self.prove(sent, known.revision()),
-            (None, None) => {
-                let waited = session.watch(&key, StoreVersion::ZERO, wait).await?;
-                if let Some(found) = waited {
-                    self.take_over(&found, sent);
-                }
-            }
-        }
-        Ok(())
-    }
-
-    fn take_over(&self, found: &Versioned, sent: Instant) {
-        match self.adopt(&found.value, found.version) {
-            Ok(revision) => self.prove(sent, revision),
-            // Without a proof this entry refuses keyed work rather than serve by an older catalogue.
-            Err(error) => warn!(target: part::CATALOGUE, "{error}."),
+        if let Some(found) = session.watch(&key, known.version, wait).await? {
+            return self.take_over(&found, sent).await;
         }
+        self.prove(sent, known.revision());
+        Ok(Reading::Taken)
     }
 
     fn prove(&self, at: Instant, revision: Revision) {
@@ -351,7 +397,10 @@
     }
 
     fn proofs(&self) -> MutexGuard<'_, Proofs> {
-        let proofs = self.inner.proofs.lock();
-        proofs.unwrap_or_else(PoisonError::into_inner)
+        lock(&self.inner.proofs)
     }
 }
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/session/src/session/mod.rs
+++ b/crates/session/src/session/mod.rs
@@ -66,6 +66,8 @@
     pub answered: Option<Instant>,
     /// When the first of the calls without an answer since then had been sent.
     pub lost_since: Option<Instant>,
+    /// How often contact was lost.
+    pub losses: u64,
 }
 
 pub(crate) struct Inner<S, C> {
@@ -297,7 +299,10 @@
                 contact.lost_since = None;
             }
             Some(StoreError::Unreachable | StoreError::OutcomeUnknown) => {
-                contact.lost_since.get_or_insert(sent);
+                if contact.lost_since.is_none() {
+                    contact.lost_since = Some(sent);
+                    contact.losses += 1;
+                }
             }
             Some(StoreError::Throttled) => lock(&self.inner.bucket).drain(self.now()),
             Some(StoreError::Malformed(_)) => {}
--- a/crates/session/tests/session/common/mod.rs
+++ b/crates/session/tests/session/common/mod.rs
@@ -111,6 +111,13 @@
     }
 }
 
+/// All values of the service at some moment.
+#[derive(Debug, Clone)]
+pub struct StoreCopy {
+    records: BTreeMap<StoreKey, Record>,
+    last_version: u64,
+}
+
 #[derive(Debug, Default)]
 struct Shared {
     state: Mutex<State>,
@@ -156,6 +163,26 @@
         lock(&self.shared.state).find(key)
     }
 
+    /// All values as they are now.
+    #[must_use]
+    pub fn copy(&self) -> StoreCopy {
+        let state = lock(&self.shared.state);
+        StoreCopy {
+            records: state.records.clone(),
+            last_version: state.last_version,
+        }
+    }
+
+    /// Puts all values and their versions back to a copy. Leases are lost.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut state = lock(&self.shared.state);
+        state.records.clone_from(&copy.records);
+        state.last_version = copy.last_version;
+        state.leases.clear();
+        state.expire(TokioClock.now());
+        self.shared.changed.notify_waiters();
+    }
+
     /// Ends every lease, as after an outage that outlasted them.
     pub fn lapse_leases(&self) {
         let mut state = lock(&self.shared.state);
