bench: share tells which teams are off, and by how much they had to be

Change: share --by-team prints the team-minutes that are farthest off; the table gets a bound for each team-minute: the work that no order of service could have left out (urgent tasks, and tasks that ran when the minute began and can't save their state).

--- a/crates/bench/src/bin/share/main.rs
+++ b/crates/bench/src/bin/share/main.rs
@@ -3,10 +3,11 @@
 //! `cargo run --release -p goldcrest-bench --bin share` prints a table: the scheduler beside first in first out, strict
 //! priority and round-robin over teams, each on the same seeded trace. Sizes and run times are off by up to a factor
 //! of four either way, reports lag, one worker fails all it starts. Options: `--workers N`, `--minutes N`, `--seed N`, `--backlog N`,
-//! `--scheduler-only`.
+//! `--scheduler-only`, `--by-team` for the teams that are farthest off.
 
 mod policy;
 mod sim;
+mod teams;
 
 use std::time::{Duration, Instant};
 
@@ -21,7 +22,8 @@
 use policy::{Order, Ours, Policy, baseline};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use sim::{CAPACITY, Error, REPORT_TICKS, Sim, SimTask, TICK};
+use sim::{CAPACITY, Error, REPORT_TICKS, Sim, SimTask, TICK, Usage};
+use teams::TeamMinute;
 
 const TEAMS: usize = 100;
 /// Teams with an upper limit below their share.
@@ -46,8 +48,8 @@
 /// What a run shows.
 #[derive(Debug, Default)]
 struct Figures {
-    /// Relative deviations from the share, of each team in each minute.
-    deviations: Vec<f64>,
+    /// Each team in each minute.
+    minutes: Vec<TeamMinute>,
     urgent_waits: Vec<Duration>,
     urgent_unstarted: usize,
     interactive_waits: Vec<Duration>,
@@ -247,12 +249,12 @@
     let mut sim = Sim::new(setting.workers);
     let mut trace = Trace::new(setting);
     let mut figures = Figures::default();
-    let mut used = vec![Resources::ZERO; TEAMS];
+    let mut usage = Usage::new(TEAMS, sim.now);
     let limits = limits(setting);
     sim.workers[setting.workers / 2].is_bad = true;
     for tick in 0..setting.minutes * TICKS_A_MINUTE {
         trace.arrive(&mut sim, &mut policy, tick);
-        sim.step(&mut used);
+        sim.step(&mut usage);
         for worker in (tick % REPORT_TICKS..setting.workers).step_by(REPORT_TICKS) {
             let report = sim.report(worker);
             policy.report(&sim, worker, &report);
@@ -262,9 +264,9 @@
         if (tick + 1).is_multiple_of(TICKS_A_MINUTE) {
             let minute = tick / TICKS_A_MINUTE;
             if minute >= WARM_UP_MINUTES {
-                close_minute(&used, setting, &mut figures);
+                close_minute(&usage, minute, setting, &mut figures);
             }
-            used.fill(Resources::ZERO);
+            usage = Usage::new(TEAMS, sim.now);
         }
     }
     figures.bad_worker_failures = sim.workers[setting.workers / 2].failed;
@@ -289,31 +291,19 @@
     over.max().unwrap_or(0)
 }
 
-fn dominant(used: &Resources, workers: f64) -> f64 {
-    let cpu = f64::from(used.cpu_millis.get()) / f64::from(CAPACITY.cpu_millis.get());
-    let mib = |bytes: Bytes| f64::from(u32::try_from(bytes.get() >> 20).unwrap_or(u32::MAX));
-    let memory = mib(used.memory_bytes) / mib(CAPACITY.memory_bytes);
-    cpu.max(memory) / workers
-}
-
-fn close_minute(used: &[Resources], setting: &Setting, figures: &mut Figures) {
-    let workers = f64::from(u32::try_from(setting.workers * TICKS_A_MINUTE).unwrap_or(u32::MAX));
-    let parts: Vec<f64> = used.iter().map(|used| dominant(used, workers)).collect();
-    let free = &parts[LIMITED_TEAMS..];
-    let sum: f64 = free.iter().sum();
-    let weights: f64 = (LIMITED_TEAMS..TEAMS)
-        .map(|team| f64::from(weight(team)))
-        .sum();
-    for (nth, part) in free.iter().enumerate() {
-        let share = sum * f64::from(weight(LIMITED_TEAMS + nth)) / weights;
-        figures.deviations.push((part / share - 1.0).abs());
-    }
-    let cpu: f64 = used
+fn close_minute(usage: &Usage, minute: usize, setting: &Setting, figures: &mut Figures) {
+    let ticks = setting.workers * TICKS_A_MINUTE;
+    figures
+        .minutes
+        .extend(teams::of_minute(usage, minute, ticks));
+    let cpu: f64 = usage
+        .used
         .iter()
         .map(|used| f64::from(used.cpu_millis.get()))
         .sum();
     let minutes = f64::from(u32::try_from(setting.minutes - WARM_UP_MINUTES).unwrap_or(1));
-    figures.used_percent += 100.0 * cpu / f64::from(CAPACITY.cpu_millis.get()) / workers / minutes;
+    let ticks = f64::from(u32::try_from(ticks).unwrap_or(u32::MAX));
+    figures.used_percent += 100.0 * cpu / f64::from(CAPACITY.cpu_millis.get()) / ticks / minutes;
 }
 
 fn close(sim: &Sim, figures: &mut Figures) {
@@ -346,7 +336,6 @@
     }
     figures.urgent_waits.sort_unstable();
     figures.interactive_waits.sort_unstable();
-    figures.deviations.sort_by(f64::total_cmp);
 }
 
 /// How many later tasks of the same queue and team started before `task`.
@@ -371,13 +360,15 @@
 }
 
 fn print(label: &str, figures: &Figures) {
-    let devs = &figures.deviations;
-    let mean: f64 = devs.iter().sum::<f64>() / f64::from(u32::try_from(devs.len()).unwrap_or(1));
+    let devs = teams::sorted(&figures.minutes, TeamMinute::off);
+    let bounds = teams::sorted(&figures.minutes, TeamMinute::bound);
     println!(
-        "| {label} | {:.1} | {:.1} | {:.1} | {:.2} | {:.2} | {} | {:.0} | {}/{} | {:.0} | {} | {} | {:.1} | {} | {} | {} | {} | {:.1} | {:.1} |",
-        100.0 * mean,
-        100.0 * at(devs, 95),
-        100.0 * at(devs, 100),
+        "| {label} | {:.1} | {:.1} | {:.1} | {:.1} | {:.1} | {:.2} | {:.2} | {} | {:.0} | {}/{} | {:.0} | {} | {} | {:.1} | {} | {} | {} | {} | {:.1} | {:.1} |",
+        100.0 * teams::mean(&devs),
+        100.0 * at(&devs, 95),
+        100.0 * at(&devs, 100),
+        100.0 * teams::mean(&bounds),
+        100.0 * at(&bounds, 100),
         at(&figures.urgent_waits, 99).as_secs_f64(),
         at(&figures.urgent_waits, 100).as_secs_f64(),
         figures.urgent_unstarted,
@@ -407,11 +398,15 @@
     };
     println!("{setting:?}");
     println!(
-        "| candidate | share off mean % | p95 % | worst % | urgent p99 s | worst s | not started | interactive p99 s | backfills ended | worst wait s | overtaken by | starved | used % | ended | moves | bad worker's failures | above limit | round p50 ms | p99 ms |"
+        "| candidate | share off mean % | p95 % | worst % | bound mean % | bound worst % | urgent p99 s | worst s | not started | interactive p99 s | backfills ended | worst wait s | overtaken by | starved | used % | ended | moves | bad worker's failures | above limit | round p50 ms | p99 ms |"
     );
-    println!("|{}", " --- |".repeat(19));
+    println!("|{}", " --- |".repeat(21));
     let limits = limits(&setting);
-    print("scheduler", &run(&setting, ours(&setting, Instant::now())));
+    let figures = run(&setting, ours(&setting, Instant::now()));
+    print("scheduler", &figures);
+    if args.contains("--by-team") {
+        teams::print(&figures.minutes);
+    }
     if args.contains("--scheduler-only") {
         return;
     }
--- a/crates/bench/src/bin/share/sim.rs
+++ b/crates/bench/src/bin/share/sim.rs
@@ -112,6 +112,28 @@
     u32::try_from(millis.as_secs()).unwrap_or(u32::MAX)
 }
 
+/// What the teams used in one minute.
+#[derive(Debug)]
+pub struct Usage {
+    /// When the minute began.
+    pub since: Instant,
+    /// In all.
+    pub used: Vec<Resources>,
+    /// By tasks that no order of service could have left out of this minute: urgent ones, and those that ran when
+    /// it began and can't save their state.
+    pub carried: Vec<Resources>,
+}
+
+impl Usage {
+    pub fn new(teams: usize, since: Instant) -> Self {
+        Self {
+            since,
+            used: vec![Resources::ZERO; teams],
+            carried: vec![Resources::ZERO; teams],
+        }
+    }
+}
+
 /// The fleet.
 #[derive(Debug)]
 pub struct Sim {
@@ -160,15 +182,20 @@
         }
     }
 
-    /// One tick passes. `used` gets what each team really used in it.
-    pub fn step(&mut self, used: &mut [Resources]) {
+    /// One tick passes. `usage` gets what each team really used in it.
+    pub fn step(&mut self, usage: &mut Usage) {
         self.now += TICK;
         for worker in &mut self.workers {
             let rate = rate(worker, &self.tasks);
             for one in &mut worker.tries {
                 if one.phase == ObservedPhase::Running {
                     let task = &mut self.tasks[one.task];
-                    used[task.team] += at_rate(&task.truth, rate);
+                    let size = at_rate(&task.truth, rate);
+                    usage.used[task.team] += size;
+                    let is_carried = one.since < usage.since && !task.checkpointable;
+                    if is_carried || task.class == Class::Urgent {
+                        usage.carried[task.team] += size;
+                    }
                     advance(one, task, rate, worker.is_bad, self.now);
                     worker.failed += usize::from(one.phase == ObservedPhase::Failed);
                 }
