sched: wait for a checkpoint until its report can have come

Cause: an urgent task gave up the worker that it makes room on after 1.5 s. A checkpoint takes a second and the report of it comes up to a second later, so the room was often given up just before it was free, and with more workers than one round looks at another worker was emptied in turn. Change: checkpoint_grace 2.5 s instead of 1.5 s.

--- a/crates/sched/src/config/mod.rs
+++ b/crates/sched/src/config/mod.rs
@@ -126,7 +126,7 @@
             hold_search: 32,
             take_back_teams_max: 2,
             preemptions_max: 2,
-            checkpoint_grace: Duration::from_millis(1500),
+            checkpoint_grace: Duration::from_millis(2500),
             take_back_after: Duration::from_secs(30),
             take_back_every: Duration::from_secs(5),
             move_worth: move_worth(&Weights::default()),
