sched: a nearly full pool lends no more while a team below its share waits

Cause: the gaps that the next tasks do not fit into all went to teams with small tasks, which rose to twice their share. Change: in a pool of which 95 % is reserved and which a team below its share waits for, a team above its share starts nothing. The reason is typed: the explanation says that its team is above its share. Other pools lend on.

--- a/crates/sched/src/order/mod.rs
+++ b/crates/sched/src/order/mod.rs
@@ -1,12 +1,15 @@
 //! Which task starts next.
 //!
 //! Urgent tasks come first, over all teams; then all others. Among teams the one with the least [`share::turn`] goes
-//! first, and only while it is below its upper limit here. Inside a team, lanes whose first task is past its latest
+//! first, and only while it is below its upper limit here; in a pool that is nearly full, only while it is not above
+//! its share (`lend`). Inside a team, lanes whose first task is past its latest
 //! start come first, by due time; else the lane that uses least for the weight of its class, so that batch work
 //! always advances beside interactive work. Inside a lane, tasks go by due time, and every task has one, so none
 //! waits for ever. A task that finds no room lets a few after it be tried, and is then held a worker for
 //! ([`crate::hold`]).
 
+mod lend;
+
 use std::cmp::Ordering;
 use std::collections::BinaryHeap;
 use std::time::Instant;
@@ -18,10 +21,11 @@
 use crate::decision::{Decisions, Start};
 use crate::estimate::{larger, run_time};
 use crate::hold::{HoldScratch, hold_room};
-use crate::place::{PlaceScratch, could_ever_fit, place};
+use crate::place::{PlaceScratch, could_ever_fit, has_room, place};
 use crate::reason::Reason;
 use crate::share;
 use crate::state::{Entry, LaneId, Phase, Progress, Run, State, dominant};
+use lend::Lending;
 
 /// How much more interactive than batch work of one team runs when both wait.
 const INTERACTIVE_WEIGHT: f64 = 4.0;
@@ -90,6 +94,7 @@
     /// The usage for each unit of weight to which a hungry team is entitled.
     level: f64,
     holds: HoldScratch,
+    lending: Lending,
     /// What each team uses, with what this round has started.
     used: SecondaryMap<TeamId, Resources>,
     /// The tasks that found no room, most urgent first.
@@ -141,6 +146,9 @@
     out: &mut Decisions,
 ) {
     let whole = state.whole();
+    if round == Round::Others {
+        note_wants(state, scratch, &whole, now);
+    }
     scratch.turns.clear();
     for id in state.teams.ids() {
         queue_up(state, scratch, id, &whole);
@@ -160,6 +168,27 @@
     }
 }
 
+/// Notes in which pools teams below their share wait for room.
+fn note_wants(state: &State, scratch: &mut OrderScratch, whole: &Resources, now: Instant) {
+    scratch.lending.begin(state);
+    for (id, team) in state.teams.iter() {
+        if team.running >= team.usable(now) || turn_of(state, scratch, id, whole) >= scratch.level {
+            continue;
+        }
+        for id in &team.lanes {
+            let lane = &state.lanes[*id];
+            if lane.waiting > 0 && !is_throttled(state, *id) {
+                scratch.lending.want(lane.pool);
+            }
+        }
+    }
+}
+
+fn turn_of(state: &State, scratch: &OrderScratch, id: TeamId, whole: &Resources) -> f64 {
+    let used = dominant(&scratch.used[id], whole);
+    share::turn(&state.teams[id], used, state.cfg.share_horizon)
+}
+
 fn queue_up(state: &State, scratch: &mut OrderScratch, id: TeamId, whole: &Resources) {
     let team = &state.teams[id];
     if !team.is_known
@@ -170,8 +199,7 @@
     {
         return;
     }
-    let used = dominant(&scratch.used[id], whole);
-    let turn = share::turn(team, used, state.cfg.share_horizon);
+    let turn = turn_of(state, scratch, id, whole);
     scratch.turns.push(Turn { turn, team: id });
 }
 
@@ -184,14 +212,19 @@
     now: Instant,
 ) -> Option<LaneId> {
     let whole = state.whole();
+    let is_lent = round == Round::Others && turn_of(state, scratch, team, &whole) > scratch.level;
     let mut best: Option<(Rank, LaneId)> = None;
     for index in 0..state.teams[team].lanes.len() {
         let id = state.teams[team].lanes[index];
-        let lane = &mut state.lanes[id];
+        let lane = &state.lanes[id];
         let is_done = scratch.tried[id] >= state.cfg.lookahead_tasks;
         if lane.waiting == 0 || !round.takes(lane.class) || is_done || is_throttled(state, id) {
             continue;
         }
+        if is_lent && scratch.lending.is_closed(lane.pool) {
+            note_above(state, id);
+            continue;
+        }
         let Some(entry) = state.lanes[id].peek(&state.tasks) else {
             continue;
         };
@@ -203,6 +236,25 @@
     best.map(|(_, id)| id)
 }
 
+/// Notes why the first task of a lane whose team is above its share waits.
+fn note_above(state: &mut State, id: LaneId) {
+    let Some(Entry { task, .. }) = state.lanes[id].peek(&state.tasks) else {
+        return;
+    };
+    let reason = &state.tasks[task].reason;
+    if matches!(reason, Reason::Held { .. } | Reason::Preempting { .. }) {
+        return;
+    }
+    let Some(estimate) = need(state, task) else {
+        return;
+    };
+    state.tasks[task].reason = if has_room(state, task, &estimate) {
+        Reason::AboveShare
+    } else {
+        Reason::NoRoom { estimate }
+    };
+}
+
 /// Whether a lane that fails everywhere has enough tasks running.
 #[must_use]
 pub fn is_throttled(state: &State, id: LaneId) -> bool {
@@ -276,6 +328,7 @@
         };
         let charge = start(state, id, vm, need, reason, now, out);
         scratch.used[state.lanes[lane].team] += charge;
+        scratch.lending.add(state.lanes[lane].pool, &need);
         return;
     }
     put_aside(state, scratch, entry, lane, need);
@@ -304,9 +357,10 @@
 /// Whether a team's usage, with its excess, is below what it is entitled to.
 fn is_below_share(state: &State, scratch: &OrderScratch, id: TeamId) -> bool {
     let team = &state.teams[id];
-    let used = dominant(&scratch.used[id], &state.whole());
-    let turn = share::turn(team, used, state.cfg.share_horizon);
-    turn < scratch.level && used < HELD_MAX * scratch.level * team.weight()
+    let whole = state.whole();
+    let used = dominant(&scratch.used[id], &whole);
+    turn_of(state, scratch, id, &whole) < scratch.level
+        && used < HELD_MAX * scratch.level * team.weight()
 }
 
 fn put_aside(
--- a/crates/sched/src/place/mod.rs
+++ b/crates/sched/src/place/mod.rs
@@ -117,6 +117,16 @@
     }
 }
 
+/// Whether some worker has room for a task that is packed by `need`.
+#[must_use]
+pub fn has_room(state: &State, id: TaskId, need: &Resources) -> bool {
+    let pool = state.lanes[state.tasks[id].lane].pool;
+    let index = state.workers.in_pool(pool);
+    let len = index.vms.len();
+    let mut trees = trees(index, need).into_iter().flatten();
+    trees.any(|tree| tree.find(0, len, need).is_some())
+}
+
 /// Whether some worker of the task's pool, empty, would have room for `need`.
 #[must_use]
 pub fn could_ever_fit(state: &State, id: TaskId, need: &Resources) -> bool {
--- a/crates/sched/src/reason/mod.rs
+++ b/crates/sched/src/reason/mod.rs
@@ -33,6 +33,8 @@
     Accepted,
     /// Other tasks of its team and queue come first.
     Behind,
+    /// Its team is above its share, and a team below its share waits for the pool, which is nearly full.
+    AboveShare,
     /// Started: it was next and the worker had room for its estimate.
     Placed {
         /// The worker.
@@ -197,6 +199,9 @@
         match self {
             Self::Accepted => f.write_str("accepted, waits for the next round"),
             Self::Behind => f.write_str("waits: other tasks of its team come first"),
+            Self::AboveShare => f.write_str(
+                "waits: its team is above its share, others wait and the pool is nearly full",
+            ),
             Self::Placed { estimate, .. } => {
                 write!(f, "started: {worker} had room for {}", Shown(*estimate))
             }
