--- a/crates/session/tests/session/main.rs
+++ b/crates/session/tests/session/main.rs
@@ -8,6 +8,7 @@
 mod network;
 mod partition;
 mod quota;
+mod replaced;
 mod restored;
 mod roles;
 mod update;
