standin, daemon: a drained worker's task resumes through a running entry

Cause: that a task resumes elsewhere was shown on workers in memory only; the worker's stand-in forgot saved work. Change: the stand-in keeps the work that a task has saved and takes it up when a later try resumes. A test drains a worker in the fleet document of a running entry while a task that may run once runs there.

--- a/crates/daemon/tests/entry/common/mod.rs
+++ b/crates/daemon/tests/entry/common/mod.rs
@@ -7,19 +7,22 @@
 use bytes::Bytes;
 use goldcrest_api::{EditRequest, path};
 use goldcrest_daemon::entry::{Addresses, Entry};
+use goldcrest_daemon::roles::upkeep_role;
 use goldcrest_daemon::settings;
 use goldcrest_ledger::catalogue::diff;
-use goldcrest_ledger::fleet::{FleetVm, Purpose, VmState};
+use goldcrest_ledger::fleet::{FleetDoc, FleetVm, Permit, Purpose, VmEdit, VmState};
 use goldcrest_platform::fleet::{VmPhase, VmRecord, VmRole};
 use goldcrest_platform::http::HttpCaller;
 use goldcrest_platform::http::call::Answer;
+use goldcrest_session::{Updated, keys};
 use goldcrest_standin::upstream::CallBook;
-use goldcrest_standin::{FleetFake, KvFake, UpstreamFake};
+use goldcrest_standin::worker::RunBook;
+use goldcrest_standin::{FleetFake, KvFake, UpstreamFake, WorkerFake};
 use goldcrest_types::catalogue::{CatalogueSpec, parse};
 use goldcrest_types::clock::SystemClock;
 use goldcrest_types::key::KeyDigest;
 use goldcrest_types::names::{DcName, EditId, PoolName, VmName};
-use goldcrest_types::units::{Accelerators, CpuMillis, Resources};
+use goldcrest_types::units::{Accelerators, CpuMillis, Resources, VmCount};
 use http::header::AUTHORIZATION;
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
 use tokio_util::sync::CancellationToken;
@@ -34,9 +37,24 @@
     entry: Entry,
     addresses: Addresses,
     http: HttpCaller,
+    fleet: FleetFake,
     stop: CancellationToken,
 }
 
+/// The longest that any test waits for what must come.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Waits until `is_so` holds, looking again whenever other tasks have run.
+pub async fn until(mut is_so: impl FnMut() -> bool) {
+    let wait = async {
+        while !is_so() {
+            tokio::task::yield_now().await;
+        }
+    };
+    let timed = tokio::time::timeout(PATIENCE, wait).await;
+    timed.expect("it must come in time");
+}
+
 pub fn example() -> CatalogueSpec {
     parse(include_str!("../../../../../examples/demo.yaml")).expect("the example is valid")
 }
@@ -93,6 +111,7 @@
             addresses,
             entry,
             http: HttpCaller::new(Duration::from_secs(20)),
+            fleet,
             stop,
         };
         fix.apply(spec).await;
@@ -117,6 +136,36 @@
         fresh.await.expect("the entry runs");
     }
 
+    /// Lists a worker, which comes into service by itself.
+    pub async fn add_worker(&self, name: &str, book: &Arc<RunBook>) {
+        let worker = WorkerFake::new(Arc::clone(book));
+        let address = worker.listen(self.stop.clone()).await.expect("a port");
+        self.fleet.put(record(name, VmRole::Worker, address));
+    }
+
+    /// Takes a worker out of service, as the holder of the upkeep role does.
+    pub async fn drain(&self, name: &str) {
+        let world = self.entry.world();
+        let role = upkeep_role();
+        until(|| world.roles.epoch(&role).is_some()).await;
+        let to = "grid".parse().expect("a name");
+        let step = VmEdit::Drain {
+            vm: name.parse().expect("a name"),
+            permit: Permit {
+                holder: world.entry,
+                epoch: world.roles.epoch(&role).expect("the role"),
+                purpose: Purpose::Move { to },
+            },
+            budget: VmCount::new(1),
+        };
+        let edit = EditId::new(2);
+        let key = keys::fleet(&"lis-a".parse().expect("a name"));
+        let change = |doc: &mut FleetDoc| doc.apply(edit, std::slice::from_ref(&step));
+        let updated = world.session.update(&key, edit, change).await;
+        let updated = updated.expect("the service answers");
+        assert!(matches!(updated, Updated::Applied { .. }), "{updated:?}");
+    }
+
     /// Waits until a VM is taken out of service for a move, and returns it with its new pool.
     pub async fn wait_for_move(&self) -> (VmName, PoolName) {
         let mut fleets = self.entry.world().fleets.subscribe();
@@ -197,7 +246,12 @@
 
     /// Submits a task and returns its key.
     pub async fn submit(&self, key: &str) -> String {
-        let answer = self.task(Method::POST, "/v1/tasks", Some(key), TASK).await;
+        self.submit_task(key, TASK).await
+    }
+
+    /// Submits this task and returns its key.
+    pub async fn submit_task(&self, key: &str, task: &str) -> String {
+        let answer = self.task(Method::POST, "/v1/tasks", Some(key), task).await;
         let text = String::from_utf8_lossy(&answer.body).into_owned();
         assert_eq!(answer.status, StatusCode::ACCEPTED, "{text}");
         let value: serde_json::Value = serde_json::from_str(&text).expect("it is JSON");
--- a/crates/daemon/tests/entry/main.rs
+++ b/crates/daemon/tests/entry/main.rs
@@ -2,4 +2,5 @@
 
 mod access;
 mod common;
+mod drains;
 mod moves;
--- a/crates/standin/src/worker/mod.rs
+++ b/crates/standin/src/worker/mod.rs
@@ -1,7 +1,7 @@
 //! A worker that runs tasks by their payload.
 //!
 //! A payload is words: `run_ms=200` sets the run time, `fail` makes the task fail at its end. A task whose lease is
-//! not renewed is stopped. For each task the fake counts how many attempts ran at one time over all workers of a
+//! not renewed is stopped. A task that saves its state goes on where it was when a later try of it resumes. For each task the fake counts how many attempts ran at one time over all workers of a
 //! [`RunBook`], so a test can show that no task ever ran twice at once.
 
 use std::collections::HashMap;
@@ -39,6 +39,8 @@
     most_by_team: HashMap<TeamName, u32>,
     started: HashMap<TaskKey, u32>,
     succeeded: HashMap<TaskKey, u32>,
+    resumed: HashMap<TaskKey, u32>,
+    saved: HashMap<TaskKey, Duration>,
     overlaps: u32,
 }
 
@@ -65,6 +67,20 @@
         self.lock().succeeded.get(&task).copied().unwrap_or(0)
     }
 
+    /// How many attempts of `task` took up saved work.
+    #[must_use]
+    pub fn resumed(&self, task: TaskKey) -> u32 {
+        self.lock().resumed.get(&task).copied().unwrap_or(0)
+    }
+
+    /// Takes up the saved work of `task`, and returns how much it is.
+    fn take_up(&self, task: TaskKey) -> Duration {
+        let mut book = self.lock();
+        let saved = book.saved.get(&task).copied().unwrap_or_default();
+        *book.resumed.entry(task).or_default() += u32::from(!saved.is_zero());
+        saved
+    }
+
     /// The most tasks of `team` that ever ran at one time.
     #[must_use]
     pub fn most_running(&self, team: &TeamName) -> u32 {
@@ -106,6 +122,9 @@
     lease_ends: Instant,
     signal: Arc<Notify>,
     order: Option<TaskPhase>,
+    since: Instant,
+    /// The work that was done before it began.
+    saved: Duration,
 }
 
 #[derive(Debug, Default)]
@@ -200,8 +219,15 @@
             return server::text(StatusCode::ACCEPTED, "");
         }
         let signal = Arc::new(Notify::new());
-        let run_time = run_time(&start, state.fails_everything);
+        let saved = if start.resume {
+            self.book.take_up(start.task)
+        } else {
+            Duration::ZERO
+        };
+        let run_time = run_time(&start, state.fails_everything).saturating_sub(saved);
         let run = Run {
+            since: Instant::now(),
+            saved,
             lease_ends: Instant::now() + start.lease(),
             phase: TaskPhase::Running,
             signal: Arc::clone(&signal),
@@ -273,6 +299,10 @@
     fn finish(&self, id: (TaskKey, u32), phase: TaskPhase) {
         if let Some(run) = self.state().runs.get_mut(&id) {
             run.phase = phase;
+            if phase == TaskPhase::Checkpointed {
+                let saved = run.saved + run.since.elapsed();
+                self.book.lock().saved.insert(run.start.task, saved);
+            }
             self.book.end(run.start.task, &run.start.team, phase);
         }
     }
