operator: why a task waits, and the shares that teams reach

Cause: `explain task` told only what the documents hold, so a waiting task had no reason, and `status` told each team's share and not what it reaches. Which tasks a scheduler lets go was counted anew over all documents for each renewal. Change: the scheduler of a data centre answers other entries' questions about tasks and publishes the teams' shares each round; `explain task`, `explain team` and `status` show them. The tasks beyond a team's slots are found once in a round. Result: ctl_explain_task_too_large (reason with remedy, two percentages in the table) and beyond_grants_fewer_slots pass; the count over the documents goes from one for each renewal to one for each round.

--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -139,6 +139,18 @@
     pub waiting_slots: Slots,
 }
 
+/// What part of the workers of one data centre a team's tasks use, beside what the team is entitled to when all is full.
+/// Both are parts of the whole from 0 to 1, of the resource of which the team uses the largest part.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct TeamShare {
+    /// The team.
+    pub team: TeamName,
+    /// What its tasks use.
+    pub used_ratio: f64,
+    /// What it is entitled to.
+    pub entitled_ratio: f64,
+}
+
 /// How an entry stands with the key-value service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreStatus {
@@ -153,7 +165,7 @@
 }
 
 /// What one entry knows of itself and the fleet.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Status {
     /// The process.
     pub entry: EntryId,
@@ -171,6 +183,9 @@
     pub pools: Vec<PoolStatus>,
     /// The teams.
     pub teams: Vec<TeamStatus>,
+    /// The teams' shares of the workers of this data centre; empty while nobody schedules its tasks.
+    #[serde(default)]
+    pub shares: Vec<TeamShare>,
     /// The maintenance waves, a line each.
     pub waves: Vec<Box<str>>,
     /// The tasks, a line each count.
--- a/crates/ctl/src/command/show.rs
+++ b/crates/ctl/src/command/show.rs
@@ -1,6 +1,6 @@
 //! The commands that show something.
 
-use goldcrest_api::{Explanation, PoolStatus, Status, Subject, TeamStatus};
+use goldcrest_api::{Explanation, PoolStatus, Status, Subject, TeamShare, TeamStatus};
 use serde::Serialize;
 use tokio::time::sleep;
 
@@ -111,7 +111,7 @@
         status.store.key_freshness
     ));
     show_table(&pool_table(&status.pools), output);
-    show_table(&team_table(&status.teams), output);
+    show_table(&team_table(&status.teams, &status.shares), output);
     for line in status.waves.iter().chain(&status.tasks) {
         output.line(line);
     }
@@ -150,19 +150,24 @@
     table
 }
 
-fn team_table(teams: &[TeamStatus]) -> Table {
+fn team_table(teams: &[TeamStatus], shares: &[TeamShare]) -> Table {
     let mut table = Table::new(&[
         "team",
         "share",
+        "uses of workers",
+        "entitled to",
         "limit",
         "usable here",
         "running",
         "waiting",
     ]);
     for team in teams {
+        let share = shares.iter().find(|share| share.team == team.team);
         table.row([
             team.team.to_string(),
             team.share.to_string(),
+            percent(share.map(|share| share.used_ratio)),
+            percent(share.map(|share| share.entitled_ratio)),
             team.upper_limit_slots.to_string(),
             team.usable_slots.to_string(),
             team.running_slots.to_string(),
@@ -171,3 +176,8 @@
     }
     table
 }
+
+/// A part of a whole in percent, or a dash while nobody knows it.
+fn percent(ratio: Option<f64>) -> String {
+    ratio.map_or_else(|| "-".into(), |ratio| format!("{:.1}%", ratio * 100.0))
+}
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -223,6 +223,8 @@
         sizing: watch::Sender::default(),
         task_usage: watch::Sender::default(),
         task_pools: watch::Sender::default(),
+        task_shares: watch::Sender::default(),
+        task_questions: watch::Sender::default(),
         intake,
         writers: Mutex::new(writers),
         stopping: CancellationToken::new(),
--- a/crates/daemon/src/operator/explain.rs
+++ b/crates/daemon/src/operator/explain.rs
@@ -10,18 +10,16 @@
 use super::status;
 use crate::scheduler::jobs_key;
 use crate::scheduler::plan::shard_of;
+use crate::scheduler::told;
 use crate::world::World;
 
 /// Explains a request, task, VM, team or refusal, or none if no entry knows anything of it.
 pub async fn explain(world: &World, subject: Subject, id: &str) -> Option<Explanation> {
     let lines = match subject {
         Subject::Task => task(world, id.parse().ok()?).await?,
-        Subject::Request => match known_here(world, id) {
-            Some(found) => split(&found),
-            None => split(&world.peers.explain(ExplainAsk { id: id.into() }).await?),
-        },
+        Subject::Request => split(&known_somewhere(world, id).await?),
         Subject::Vm => vm(world, &id.parse().ok()?).await?,
-        Subject::Team => team(world, &id.parse().ok()?)?,
+        Subject::Team => team(world, &id.parse().ok()?).await?,
         Subject::Refusal => refusal(id)?,
     };
     Some(Explanation { lines })
@@ -49,9 +47,22 @@
     ])
 }
 
-/// What this entry knows about the request or task with this id, as one text.
-#[must_use]
-pub fn known_here(world: &World, id: &str) -> Option<Box<str>> {
+/// What this entry knows under this id, or else the first other entry that knows something.
+async fn known_somewhere(world: &World, id: &str) -> Option<Box<str>> {
+    match known_here(world, id).await {
+        Some(found) => Some(found),
+        None => world.peers.explain(ExplainAsk { id: id.into() }).await,
+    }
+}
+
+/// What this entry knows about the request or task with this id, or what else entries ask each other, as one text.
+pub async fn known_here(world: &World, id: &str) -> Option<Box<str>> {
+    if let Some(key) = id.strip_prefix(TASK) {
+        return told::task_reason(world, key.parse().ok()?).await;
+    }
+    if let Some(dc) = id.strip_prefix(status::SHARES) {
+        return status::shares_text(world, dc);
+    }
     if let Some(vm) = id.strip_prefix(MOVE) {
         let vm = vm.parse().ok()?;
         return world.sizing.borrow().explain(&vm, world.now());
@@ -74,7 +85,12 @@
             continue;
         };
         if let Some(task) = doc.tasks().get(&key) {
-            return Some(task_lines(key, dc, task));
+            let mut lines = task_lines(key, dc, task);
+            let id = format!("{TASK}{key}");
+            if let Some(reason) = known_somewhere(world, &id).await {
+                lines.push(format!("its scheduler says: {reason}").into());
+            }
+            return Some(lines);
         }
         if let Some(outcome) = doc.outcome(key) {
             return Some(vec![format!("task {key} in {dc}: {outcome}").into()]);
@@ -127,17 +143,15 @@
     Some(lines)
 }
 
+/// What stands before a task's key in the question why it stands where it does.
+const TASK: &str = "task/";
+
 /// What stands before a VM's name in the question why it was moved.
 const MOVE: &str = "move/";
 
 async fn vm(world: &World, name: &VmName) -> Option<Vec<Box<str>>> {
     let mut lines = vm_lines(world, name)?;
-    let id: Box<str> = format!("{MOVE}{name}").into();
-    let moved = match known_here(world, &id) {
-        Some(moved) => Some(moved),
-        None => world.peers.explain(ExplainAsk { id }).await,
-    };
-    lines.extend(moved);
+    lines.extend(known_somewhere(world, &format!("{MOVE}{name}")).await);
     Some(lines)
 }
 
@@ -184,7 +198,7 @@
     lines
 }
 
-fn team(world: &World, name: &TeamName) -> Option<Vec<Box<str>>> {
+async fn team(world: &World, name: &TeamName) -> Option<Vec<Box<str>>> {
     let status = status::status(world);
     let row = status.teams.iter().find(|row| row.team == *name)?;
     let quota = format!(
@@ -196,5 +210,15 @@
         row.running_slots, row.waiting_slots
     );
     let keys = format!("keyed work is {}", status.store.key_freshness);
-    Some(vec![quota.into(), work.into(), keys.into()])
+    let mut lines: Vec<Box<str>> = vec![quota.into(), work.into(), keys.into()];
+    let shares = status::shares(world).await;
+    if let Some(share) = shares.iter().find(|share| share.team == *name) {
+        let (used, entitled) = (share.used_ratio, share.entitled_ratio);
+        let dc = &world.settings.entry.data_centre;
+        let line = format!(
+            "its tasks use {used:.3} of the workers of {dc}, and may use {entitled:.3} when all is full"
+        );
+        lines.push(line.into());
+    }
+    Some(lines)
 }
--- a/crates/daemon/src/operator/status.rs
+++ b/crates/daemon/src/operator/status.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use goldcrest_api::{EntryRevision, InForce, PoolStatus, Status, StoreStatus, TeamStatus};
+use goldcrest_api::{
+    EntryRevision, InForce, PoolStatus, Status, StoreStatus, TeamShare, TeamStatus,
+};
 use goldcrest_front::{TeamGrants, TeamUsage};
 use goldcrest_ledger::fleet::{FleetDoc, VmState};
 use goldcrest_ledger::freshness::Freshness;
@@ -50,9 +52,36 @@
     let mut status = status(world);
     status.waves = waves(world).await;
     status.tasks = tasks(world).await;
+    status.shares = shares(world).await;
     status
 }
 
+/// What stands before a data centre's name in the question by which the entry that schedules its tasks is asked for the
+/// teams' shares.
+pub const SHARES: &str = "shares/";
+
+/// The teams' shares as this entry tells others, if it schedules.
+pub fn shares_text(world: &World, dc: &str) -> Option<Box<str>> {
+    if world.settings.entry.data_centre.as_str() != dc {
+        return None;
+    }
+    let shares = world.task_shares.borrow();
+    let text = serde_json::to_string(&*shares).ok()?;
+    (!shares.is_empty()).then(|| text.into())
+}
+
+/// The teams' shares of this data centre's workers. Only the entry that schedules its tasks knows.
+pub async fn shares(world: &World) -> Vec<TeamShare> {
+    let own = world.task_shares.borrow().clone();
+    if !own.is_empty() {
+        return own;
+    }
+    let id = format!("{SHARES}{}", world.settings.entry.data_centre).into();
+    let told = world.peers.explain(ExplainAsk { id }).await;
+    let shares = told.and_then(|text| serde_json::from_str(&text).ok());
+    shares.unwrap_or_default()
+}
+
 /// How the maintenance wave stands. Only the entry that runs it knows.
 async fn waves(world: &World) -> Vec<Box<str>> {
     let own = world.waves.borrow().clone();
@@ -99,6 +128,7 @@
         store: store(world),
         pools: cat.map_or_else(Vec::new, |cat| pools(world, cat)),
         teams: cat.map_or_else(Vec::new, |cat| teams(world, cat)),
+        shares: Vec::new(),
         waves: Vec::new(),
         tasks: Vec::new(),
     }
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -90,7 +90,7 @@
         let Some(query) = query else {
             return;
         };
-        let found = explain::known_here(&world, &query.ask.id);
+        let found = explain::known_here(&world, &query.ask.id).await;
         // The asker may have gone meanwhile.
         let _ = query.answer.send(found);
     }
--- a/crates/daemon/src/scheduler/mod.rs
+++ b/crates/daemon/src/scheduler/mod.rs
@@ -9,6 +9,7 @@
 pub mod fleet;
 pub mod intake;
 pub mod plan;
+pub mod told;
 
 use std::collections::BTreeMap;
 use std::convert::Infallible;
@@ -18,12 +19,11 @@
 use goldcrest_ledger::Document;
 use goldcrest_ledger::jobs::{JobAnswer, JobEdit, JobRefusal, JobsDoc};
 use goldcrest_obs::logs::Part;
-use goldcrest_peer::usage::Usage;
 use goldcrest_platform::store::{StoreKey, Versioned};
 use goldcrest_sched::state::Run;
 use goldcrest_sched::{CommandKind, Config, Start, StartOutcome};
 use goldcrest_session::update::Updated;
-use goldcrest_types::names::{DcName, TaskKey, TeamName};
+use goldcrest_types::names::{DcName, TeamName};
 use goldcrest_types::units::{Epoch, Slots, StoreVersion};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
@@ -33,6 +33,7 @@
 use self::calls::{Called, Calls, ReportTimes};
 use self::fleet::{WorkerSet, worker_set};
 use self::plan::{SHARDS, TaskPlan};
+use self::told::{QUESTIONS_MAX, TaskQuestion};
 use crate::quota::run_max;
 use crate::roles;
 use crate::world::World;
@@ -72,6 +73,7 @@
             let scheduling = schedule(Arc::clone(&world), dc.clone(), epoch);
             stop.run_until_cancelled(scheduling).await;
             log::info!(target: PART, epoch:%; "No longer scheduling.");
+            told::end(&world);
             keep_running_reserved(&world);
         }
         stop.run_until_cancelled(sleep(ROLE_LOOK)).await;
@@ -123,6 +125,8 @@
         ..Config::default()
     };
     let (sender, mut reads) = mpsc::channel(SHARDS);
+    let (asks, mut questions) = mpsc::channel(QUESTIONS_MAX);
+    world.task_questions.send_replace(Some(asks));
     let mut followers = JoinSet::new();
     for shard in 0..SHARDS {
         followers.spawn(follow(
@@ -151,6 +155,7 @@
                 driver.take_document(read);
             }
             called = driver.calls.next() => driver.take_call(called),
+            Some(question) = questions.recv() => driver.answer(question),
             _ = rounds.tick() => if !driver.round().await { return },
         }
     }
@@ -285,17 +290,18 @@
     /// Reserves a part of this entry's quota row for what the teams run and have waiting here.
     fn reserve(&mut self) {
         let now = self.world.now();
+        let snapshot = self.plan.sched().snapshot(now);
+        let usage = told::usage(&snapshot);
         let mut grants: BTreeMap<TeamName, Slots> = BTreeMap::new();
-        let mut usage: BTreeMap<TeamName, Usage> = BTreeMap::new();
-        for (team, (running, wanted)) in self.plan.demand(now) {
-            let waiting = wanted - running;
-            usage.insert(team.clone(), Usage { running, waiting });
+        for (team, usage) in &usage {
+            let wanted = usage.demand();
             let given = self
                 .world
                 .split
-                .reserve(&self.world.front, &team, wanted, now);
-            grants.insert(team, given);
+                .reserve(&self.world.front, team, wanted, now);
+            grants.insert(team.clone(), given);
         }
+        self.world.task_shares.send_replace(told::shares(&snapshot));
         // The other entries divide the teams' slots by this, too.
         self.world.task_usage.send_replace(usage);
         self.world.task_pools.send_replace(self.plan.pool_demand());
@@ -303,9 +309,12 @@
         self.grants = grants;
     }
 
+    /// Sends the commands of a round. A scheduler that has taken over more running tasks of a team than it has slots for lets
+    /// the rest end with their leases: the slots that they run on are free by then.
     fn send_commands(&mut self) {
+        let ends = self.plan.beyond_grants(&self.grants);
         for command in self.plan.commands() {
-            if command.kind == CommandKind::Renew && !self.may_renew(command.key) {
+            if command.kind == CommandKind::Renew && ends.contains(&command.key) {
                 continue;
             }
             let name = self.plan.sched().worker_name(command.worker);
@@ -316,15 +325,12 @@
         }
     }
 
-    /// Whether a task may go on for another lease. A scheduler that has taken over more running tasks of a team than it has
-    /// slots for lets the rest end with their leases: the slots that they run on are free by then.
-    fn may_renew(&self, key: TaskKey) -> bool {
-        let Some(task) = self.plan.task(key) else {
-            return false;
-        };
-        let granted = self.grants.get(&task.team).copied().unwrap_or(Slots::ZERO);
-        let rank = self.plan.running_before(&task.team, key);
-        rank < granted
+    /// Tells why a task stands where it does.
+    fn answer(&self, question: TaskQuestion) {
+        let found = self.plan.sched().explain(&question.key, self.world.now());
+        let reason = found.map(|found| found.text);
+        // The asker may have gone meanwhile.
+        let _ = question.answer.send(reason);
     }
 
     /// Writes the steps of a round, all documents at once, and sends the starts that were written.
--- a/crates/daemon/src/scheduler/plan.rs
+++ b/crates/daemon/src/scheduler/plan.rs
@@ -347,26 +347,22 @@
         self.docs[shard_of(key)].tasks().get(&key)
     }
 
-    /// How many tasks of `team` run whose keys come before `key`.
+    /// The running tasks beyond what `grants` allow each team, the last ones by key.
     #[must_use]
-    pub fn running_before(&self, team: &TeamName, key: TaskKey) -> Slots {
+    pub fn beyond_grants(&self, grants: &BTreeMap<TeamName, Slots>) -> BTreeSet<TaskKey> {
+        let mut running: BTreeMap<&TeamName, BTreeSet<TaskKey>> = BTreeMap::new();
         let tasks = self.docs.iter().flat_map(|doc| doc.tasks());
-        let runs = |task: &Task| matches!(task.state, TaskState::Running { .. });
-        let before =
-            tasks.filter(|(other, task)| **other < key && task.team == *team && runs(task));
-        Slots::new(u32::try_from(before.count()).unwrap_or(u32::MAX))
-    }
-
-    /// How many slots each team could use: what it runs and what waits.
-    #[must_use]
-    pub fn demand(&self, now: Instant) -> BTreeMap<TeamName, (Slots, Slots)> {
-        let teams = self.sched.snapshot(now).teams.into_iter();
-        let demand = teams.map(|team| {
-            let waiting = u32::try_from(team.waiting).unwrap_or(u32::MAX);
-            let wanted = team.running + Slots::new(waiting);
-            (team.team, (team.running, wanted))
+        for (key, task) in tasks {
+            if let TaskState::Running { .. } = task.state {
+                running.entry(&task.team).or_default().insert(*key);
+            }
+        }
+        let beyond = running.into_iter().flat_map(|(team, keys)| {
+            let granted = grants.get(team).copied().unwrap_or(Slots::ZERO);
+            let granted = usize::try_from(granted.get()).unwrap_or(usize::MAX);
+            keys.into_iter().skip(granted)
         });
-        demand.collect()
+        beyond.collect()
     }
 
     /// What the tasks of each pool have running and waiting.
--- a/crates/daemon/src/world/mod.rs
+++ b/crates/daemon/src/world/mod.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use goldcrest_api::TeamShare;
 use goldcrest_front::Front;
 use goldcrest_ledger::fleet::FleetDoc;
 use goldcrest_ledger::freshness::{Freshness, StaleReason};
@@ -28,6 +29,7 @@
 use crate::peers::DaemonPeers;
 use crate::quota::split::Split;
 use crate::scheduler::intake::{Intake, Writers};
+use crate::scheduler::told::TaskQuestion;
 use crate::settings::Settings;
 use crate::sizing::status::Status as SizingStatus;
 
@@ -137,6 +139,10 @@
     /// What the tasks of each pool have running and waiting while this entry schedules them; written by the scheduler
     /// part.
     pub task_pools: watch::Sender<BTreeMap<PoolName, Usage>>,
+    /// The teams' shares of the workers while this entry schedules them; written by the scheduler part.
+    pub task_shares: watch::Sender<Vec<TeamShare>>,
+    /// Where to ask why a task stands where it does, while this entry schedules; written by the scheduler part.
+    pub task_questions: watch::Sender<Option<mpsc::Sender<TaskQuestion>>>,
     /// Takes requests about tasks.
     pub intake: Intake,
     /// The writing side of the intake; used by the tasks part.
--- a/crates/daemon/tests/tasks.rs
+++ b/crates/daemon/tests/tasks.rs
@@ -465,3 +465,28 @@
     }
     assert_eq!(world.outcome(key), Some(TaskOutcome::Succeeded));
 }
+
+/// Of the running tasks of a team that has fewer slots than it runs, the last ones by key are let go, over all documents.
+#[test]
+fn beyond_grants_fewer_slots() {
+    let mut world = World::new(6);
+    world.faults = false;
+    let keys: Vec<TaskKey> = (1..=6).map(TaskKey::new).collect();
+    for key in &keys {
+        let accept = JobEdit::Accept {
+            key: *key,
+            task: task(true),
+        };
+        world.edit(accept, *key);
+    }
+    world.round();
+    assert!(keys.iter().all(|key| world.runs.get(key) == Some(&1)));
+    let beyond = |slots| {
+        let grants = BTreeMap::from([("a".parse().expect("a name"), Slots::new(slots))]);
+        world.plan.beyond_grants(&grants).into_iter().collect()
+    };
+    let found: Vec<TaskKey> = beyond(4);
+    assert_eq!(found, keys[4..]);
+    let found: Vec<TaskKey> = beyond(6);
+    assert!(found.is_empty());
+}
--- a/crates/demo/tests/tour.rs
+++ b/crates/demo/tests/tour.rs
@@ -10,8 +10,10 @@
 use goldcrest_ctl::Output;
 use goldcrest_ctl::exit::Exit;
 use goldcrest_demo::story::setup::Stage;
+use goldcrest_demo::story::{LOOK_INTERVAL, STEP_TIMEOUT};
 use goldcrest_platform::http::HttpCaller;
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use tokio::time::{Instant, sleep};
 
 struct Addresses {
     caller: SocketAddr,
@@ -231,3 +233,41 @@
     }
     stage.lab.shut_down().await;
 }
+
+/// Runs a command until it tells `wanted`; the stage's longest wait bounds only a failing run.
+async fn ctl_until(line: &str, operator: SocketAddr, wanted: &str) -> String {
+    let started = Instant::now();
+    loop {
+        let (exit, told) = ctl(line, operator).await;
+        let is_told = exit == Exit::Done && told.contains(wanted);
+        if is_told || started.elapsed() > STEP_TIMEOUT {
+            return told;
+        }
+        sleep(LOOK_INTERVAL).await;
+    }
+}
+
+/// A task that is too large for every worker waits, and the operator is told why by the entry that schedules it.
+#[tokio::test(flavor = "multi_thread")]
+async fn ctl_explain_task_too_large() {
+    let stage = Stage::build().await.expect("the stage stands");
+    let addresses = Addresses::of(&stage);
+    let body = r#"{"queue":"backfill","need":{"cpu_millis":900000,"memory_bytes":1000000},"run_ms":500,"payload":"x"}"#;
+    let line = format!(
+        "curl -i -H 'Authorization: Bearer guides-example' -d '{body}' http://$TASKS/v1/tasks"
+    );
+    let (status, told) = curl(&addresses.fill(&line)).await;
+    assert_eq!(status, 202, "{told}");
+    let (_, key) = told.split_once("\"key\":\"").expect("a key");
+    let (key, _) = key.split_once('"').expect("a key");
+    let explain = format!("ctl explain task {key}");
+    let wanted = "its scheduler says: ";
+    let found = ctl_until(&explain, addresses.operator, wanted).await;
+    let (_, reason) = found.split_once(wanted).expect("a reason");
+    assert!(reason.contains("larger worker"), "{found}");
+    let found = ctl_until("ctl status", addresses.operator, "%").await;
+    let guides = found.lines().find(|line| line.starts_with("guides"));
+    let percents = guides.map(|line| line.matches('%').count());
+    assert_eq!(percents, Some(2), "{found}");
+    stage.lab.shut_down().await;
+}
