ledger: documents of a newer version are read, and not written back with a loss

Cause: the head refused fields that a newer version had written, so an older entry stood still during a roll-out; the other documents passed them over and dropped them at the next write. Change: a document that the strict reader refuses is read once more without the fields that its records do not know. Before an update the document is written as this version would and compared with what was read; a field that would be lost makes it read-only here (DocumentError::Newer names its path). Operators' YAML and edits stay strict. Time not measured: one comparison for each version of a document that others wrote.

--- a/crates/ledger/src/document/mod.rs
+++ b/crates/ledger/src/document/mod.rs
@@ -1,9 +1,13 @@
 //! What all stored documents have in common.
 //!
 //! A [`Document`] is one value of the key-value service, in CBOR. Fields that this version does not know are passed
-//! over when it is read. Each document carries the ids of its last edits in [`RecentEdits`], so a writer that got no
+//! over when it is read ([`lenient`]), and a document that has such fields is not written back, since they would be lost
+//! ([`Document::lost_field`]). Each document carries the ids of its last edits in [`RecentEdits`], so a writer that got no
 //! answer reads the value back and finds out whether its edit is in it, instead of writing it a second time.
 
+mod lenient;
+mod lost;
+
 use std::collections::VecDeque;
 use std::fmt;
 
@@ -30,6 +34,10 @@
         Malformed(detail: Box<str>) {
             display("the stored value can't be read ({detail}): check its key, or restore it from a copy")
         }
+        /// A newer version has written a field that this one would lose.
+        Newer(field: Box<str>) {
+            display("the stored value has '{field}', which this version does not know and would lose: finish the roll-out of the version that wrote it")
+        }
     }
 }
 
@@ -69,7 +77,19 @@
         if bytes.len() > DOCUMENT_BYTES_MAX {
             return Err(DocumentError::TooLarge(bytes.len()));
         }
-        ciborium::from_reader(bytes).map_err(malformed)
+        let read = ciborium::from_reader(bytes);
+        read.or_else(|_| lenient::read(bytes)).map_err(malformed)
+    }
+
+    /// The first field of `bytes`, from which this document was read, that would be lost if it were written back. Another
+    /// version has written it.
+    fn lost_field(&self, bytes: &[u8]) -> Option<Box<str>> {
+        let mut written = Vec::new();
+        ciborium::into_writer(self, &mut written).ok()?;
+        if written == bytes {
+            return None;
+        }
+        lost::first_lost(bytes, &written)
     }
 }
 
--- a/crates/session/src/session/mod.rs
+++ b/crates/session/src/session/mod.rs
@@ -3,6 +3,7 @@
 //! A [`Session`] takes a token for each call, bounds the call's time, and notes when the service last answered.
 //! A call that is cut off by its bound counts as one without an answer.
 
+use std::collections::HashMap;
 use std::future::Future;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -80,6 +81,7 @@
     contact: Mutex<Contact>,
     rng: Mutex<StdRng>,
     generation: AtomicU64,
+    writable: Mutex<HashMap<StoreKey, StoreVersion>>,
 }
 
 impl<S, C> Inner<S, C> {
@@ -126,6 +128,7 @@
             contact: Mutex::new(Contact::default()),
             rng: Mutex::new(rng),
             generation: AtomicU64::new(0),
+            writable: Mutex::new(HashMap::new()),
         };
         Self {
             inner: Arc::new(inner),
@@ -235,6 +238,15 @@
         self.call(CallKind::Lease, Duration::ZERO, renew).await
     }
 
+    /// Whether this version is known to lose nothing of `key` at `version` when it writes it back.
+    pub(crate) fn is_writable(&self, key: &StoreKey, version: StoreVersion) -> bool {
+        lock(&self.inner.writable).get(key) == Some(&version)
+    }
+
+    pub(crate) fn note_writable(&self, key: &StoreKey, version: StoreVersion) {
+        lock(&self.inner.writable).insert(key.clone(), version);
+    }
+
     /// Draws the id of a new edit.
     #[must_use]
     pub fn draw_edit(&self) -> EditId {
--- a/crates/session/src/update/mod.rs
+++ b/crates/session/src/update/mod.rs
@@ -3,7 +3,8 @@
 //! Every edit has an id that is stored with the document. When the answer to a swap is lost, the document is read
 //! back: it holds the edit, or it has moved on without it, or it still stands at the version on which the edit was
 //! based. In the last case the lost swap may still arrive, so the very same bytes are sent once more: both swaps name
-//! one version, so at most one of them takes effect. A change is computed anew only once an earlier one can no
+//! one version, so at most one of them takes effect. A document with fields of a newer version is not changed, since this
+//! one would lose them. A change is computed anew only once an earlier one can no
 //! longer take effect.
 
 use std::time::Instant;
@@ -178,6 +179,11 @@
                 if doc.has_edit(edit) {
                     return Try::Done(Updated::AppliedEarlier);
                 }
+                if let Some(found) = &found
+                    && let Err(cause) = self.check_writable(key, &doc, found)
+                {
+                    return Try::Failed(UpdateError::Document(cause));
+                }
                 let base_total = doc.recent().total();
                 let value = match change(&mut doc) {
                     Ok(value) => value,
@@ -201,13 +207,33 @@
         self.send(key, next).await
     }
 
+    /// Refuses to change a document of which this version would lose a field.
+    fn check_writable<D: Document>(
+        &self,
+        key: &StoreKey,
+        doc: &D,
+        found: &Versioned,
+    ) -> Result<(), DocumentError> {
+        if self.is_writable(key, found.version) {
+            return Ok(());
+        }
+        if let Some(field) = doc.lost_field(&found.value) {
+            return Err(DocumentError::Newer(field));
+        }
+        self.note_writable(key, found.version);
+        Ok(())
+    }
+
     async fn send<T, R>(&self, key: &StoreKey, pending: Pending<T>) -> Try<T, R> {
         let bytes = pending.bytes.clone();
         match self.swap(key, pending.base, bytes, None).await {
-            Ok(version) => Try::Done(Updated::Applied {
-                value: pending.value,
-                version: Some(version),
-            }),
+            Ok(version) => {
+                self.note_writable(key, version);
+                Try::Done(Updated::Applied {
+                    value: pending.value,
+                    version: Some(version),
+                })
+            }
             // A conflict may come from an earlier sending of these very bytes, so the swap stays pending.
             Err(cause) => Try::Again(Some(pending), cause),
         }
--- a/crates/session/tests/session/update.rs
+++ b/crates/session/tests/session/update.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
-use goldcrest_ledger::Document;
+use bytes::Bytes;
+use ciborium::Value;
 use goldcrest_ledger::catalogue::{Accepted, CatalogueEdit, Change, Delta, EditRefusal, Head};
-use goldcrest_platform::store::StoreError;
+use goldcrest_ledger::{Document, DocumentError};
+use goldcrest_platform::store::{Expect, StoreError};
 use goldcrest_session::{Session, SessionConfig, UpdateError, Updated, keys};
 use goldcrest_types::catalogue::TeamSpec;
 use goldcrest_types::names::{EditId, EntryId};
@@ -220,3 +222,42 @@
     let again = apply(&session(&store, 2), &grant).await;
     assert_eq!(again, Ok(Updated::AppliedEarlier));
 }
+
+/// Puts a field into the stored catalogue that only a newer version knows.
+async fn write_newer(store: &FakeStore) -> Bytes {
+    let found = store.peek(&keys::catalogue_head()).expect("a head");
+    let mut value: Value = ciborium::from_reader(found.value.as_ref()).expect("a value");
+    let fields = value.as_map_mut().expect("a map");
+    fields.push((Value::from("newer"), Value::from(7)));
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&value, &mut bytes).expect("a value");
+    let bytes = Bytes::from(bytes);
+    write_over(store, Expect::Version(found.version), bytes.clone()).await;
+    bytes
+}
+
+async fn write_over(store: &FakeStore, at: Expect, bytes: Bytes) {
+    let (other, key) = (session(store, 50), keys::catalogue_head());
+    let swapped = other.swap(&key, at, bytes, None).await;
+    assert!(swapped.is_ok(), "{swapped:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn update_of_newer_document_loses_nothing() {
+    let store = store().await;
+    let older = session(&store, 1);
+    let first = apply(&older, &edit(2, Delta::put(team("guides", 1)))).await;
+    assert_eq!(revision(&first), Revision::new(2));
+    let bytes = write_newer(&store).await;
+    assert_eq!(head(&store).revision(), Revision::new(2), "it can be read");
+    let refused = apply(&older, &edit(3, Delta::put(team("agencies", 1)))).await;
+    let newer = DocumentError::Newer("newer".into());
+    assert_eq!(refused, Err(UpdateError::Document(newer)));
+    let stored = store.peek(&keys::catalogue_head()).expect("a head");
+    assert_eq!(stored.value, bytes);
+    // Once the field is gone again, so is the refusal.
+    let plain = Bytes::from(head(&store).encode().expect("a document"));
+    write_over(&store, Expect::Version(stored.version), plain).await;
+    let taken = apply(&older, &edit(3, Delta::put(team("agencies", 1)))).await;
+    assert_eq!(revision(&taken), Revision::new(3));
+}
