daemon: a key is judged by the catalogue that its proof is for

Cause: a submitted task was judged by the catalogue from before its body was read, with the freshness from after. A key that was withdrawn while the body came, for as long as that took, was accepted. The serving path could be handed a proof of the next revision just before that revision, and take a withdrawn key for a moment. Change: tasks look at the proof first and take the catalogue after it, anew once the body has come. The serving path's feed hands over the catalogue before each proof. The serving path's order is by reasoning; no test brings that moment about. With a stale proof a keyed submission to an unknown queue is now refused as keys-not-fresh in place of no such queue.

--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -7,10 +7,11 @@
 use goldcrest_ledger::freshness::Freshness;
 use goldcrest_obs::logs::Part;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 use crate::fleet::upstreams::upstream_set;
-use crate::world::World;
+use crate::world::{InForce, World};
 
 const PART: &str = Part::Front.as_str();
 
@@ -32,13 +33,13 @@
                 if changed.is_err() {
                     return;
                 }
-                let in_force = catalogue.borrow_and_update().clone();
-                if let Some(in_force) = in_force {
-                    world.front.set_catalogue(in_force.cat);
-                }
+                feed_catalogue(&world, &mut catalogue);
             }
             _ = freshness.changed() => {
                 let until = keys_until(&freshness.borrow_and_update());
+                // A proof is for a revision that was put in force before it was weighed, perhaps since the last look: a key
+                // that it withdraws must not be taken by that proof.
+                feed_catalogue(&world, &mut catalogue);
                 world.front.set_key_freshness(KeyFreshness { until });
             }
             _ = listing.changed() => feed_upstreams(&world),
@@ -47,6 +48,13 @@
     }
 }
 
+fn feed_catalogue(world: &World, catalogue: &mut watch::Receiver<Option<InForce>>) {
+    let in_force = catalogue.borrow_and_update().clone();
+    if let Some(in_force) = in_force {
+        world.front.set_catalogue(in_force.cat);
+    }
+}
+
 fn keys_until(freshness: &Freshness) -> Option<std::time::Instant> {
     match freshness {
         Freshness::Fresh { until, .. } => Some(*until),
--- a/crates/daemon/src/tasks/mod.rs
+++ b/crates/daemon/src/tasks/mod.rs
@@ -104,8 +104,8 @@
         .and_then(|rest| rest.strip_prefix('/'))
         .and_then(|text| text.parse().ok())
         .ok_or(Refusal::NoPath)?;
-    let cat = world.cat().ok_or(Refusal::NotReady)?;
-    let team = team_of_key(world, &cat, request.headers())?;
+    let cat = catalogue_for(world, request.headers())?;
+    let team = team_of_key(&cat, request.headers())?;
     match *request.method() {
         Method::GET => look(world, &cat, team, key).await.map(|view| found(&view)),
         Method::DELETE => cancel(world, &cat, team, key).await,
@@ -117,13 +117,16 @@
     if world.stopping.is_cancelled() {
         return Err(Refusal::NotReady);
     }
-    let cat = world.cat().ok_or(Refusal::NotReady)?;
     let headers = request.headers().clone();
+    // No body is read that would be refused in any case.
+    catalogue_for(world, &headers)?;
     let payload_max = usize::try_from(world.settings.front.task_bytes.get()).unwrap_or(usize::MAX);
     let bytes_max = payload_max.saturating_add(ENVELOPE_BYTES);
     let sent: Submission = read_json(request.into_body(), bytes_max)
         .await
         .map_err(|error| Refusal::Message(error.to_string().into()))?;
+    // The body may have taken its time, in which the key may have been withdrawn.
+    let cat = catalogue_for(world, &headers)?;
     let queue = cat.queue(sent.queue.as_str()).ok_or(Refusal::NoQueue)?;
     let record = &cat.queues[queue];
     if cat.pools[record.pool].kind != PoolKind::Workers {
@@ -133,7 +136,7 @@
     let team = if record.access == Access::Open && !has_key {
         record.owner
     } else {
-        team_of_key(world, &cat, &headers)?
+        team_of_key(&cat, &headers)?
     };
     let key = sent
         .key
@@ -156,12 +159,18 @@
     Ok(accepted(key))
 }
 
-/// The team whose key came with the request.
-fn team_of_key(world: &World, cat: &Catalogue, headers: &HeaderMap) -> Result<TeamId, Refusal> {
-    let secret = bearer(headers).ok_or(Refusal::NoKey)?;
-    if !world.freshness.borrow().holds(world.now()) {
+/// The catalogue by which a request is judged at this moment.
+fn catalogue_for(world: &World, headers: &HeaderMap) -> Result<Arc<Catalogue>, Refusal> {
+    if bearer(headers).is_some() && !world.freshness.borrow().holds(world.now()) {
         return Err(Refusal::KeysNotFresh);
     }
+    // Taken after the proof was looked at, it is at least of the revision that the proof is for.
+    world.cat().ok_or(Refusal::NotReady)
+}
+
+/// The team whose key came with the request.
+fn team_of_key(cat: &Catalogue, headers: &HeaderMap) -> Result<TeamId, Refusal> {
+    let secret = bearer(headers).ok_or(Refusal::NoKey)?;
     let key = cat.key(secret).ok_or(Refusal::UnknownKey)?;
     Ok(cat.keys[key].team)
 }
--- a/crates/daemon/tests/entry/access.rs
+++ b/crates/daemon/tests/entry/access.rs
@@ -1,7 +1,10 @@
 //! Who may ask what of an entry, over real connections to one entry on stand-ins.
 
-use goldcrest_api::path;
+use goldcrest_api::{CatalogueView, EditRequest, path};
+use goldcrest_ledger::catalogue::Change;
+use goldcrest_types::names::EditId;
 use http::{Method, StatusCode};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 use crate::common::{AGENCIES, Fixture, GUIDES, OPERATOR, TASK};
 
@@ -87,6 +90,33 @@
     fix.stop().await;
 }
 
+#[tokio::test]
+async fn task_key_withdrawn_while_body_comes() {
+    let fix = Fixture::start().await;
+    fix.submit(AGENCIES).await;
+    let mut task = fix.begin_task(AGENCIES, TASK.len()).await;
+    let view = fix
+        .operator(Method::GET, path::CATALOGUE, Some(OPERATOR), "")
+        .await;
+    let view: CatalogueView = serde_json::from_slice(&view.body).expect("a catalogue");
+    let edit = EditRequest {
+        id: EditId::new(77),
+        changes: Change::withdraw_all(&view.spec, &"agencies".parse().expect("a name")),
+    };
+    let edit = serde_json::to_string(&edit).expect("it is JSON");
+    let edited = fix
+        .operator(Method::POST, path::EDITS, Some(OPERATOR), &edit)
+        .await;
+    assert_eq!(edited.status, StatusCode::OK);
+    task.write_all(TASK.as_bytes()).await.expect("a connection");
+    let mut answer = String::new();
+    let read = task.read_to_string(&mut answer).await;
+    read.expect("a connection");
+    assert!(answer.starts_with("HTTP/1.1 401"), "{answer}");
+    assert!(answer.contains("x-outcome: not-run"), "{answer}");
+    fix.stop().await;
+}
+
 #[tokio::test]
 async fn task_bad_message() {
     let fix = Fixture::start().await;
--- a/crates/daemon/tests/entry/common/mod.rs
+++ b/crates/daemon/tests/entry/common/mod.rs
@@ -25,6 +25,8 @@
 use goldcrest_types::units::{Accelerators, CpuMillis, Resources, VmCount};
 use http::header::AUTHORIZATION;
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 
 pub const AGENCIES: &str = "agencies-example";
@@ -238,6 +240,25 @@
             .await
     }
 
+    /// Sends the head of a task's submission, and returns once the entry waits for its body.
+    pub async fn begin_task(&self, key: &str, body_bytes: usize) -> TcpStream {
+        let mut stream = TcpStream::connect(self.addresses.task)
+            .await
+            .expect("a connection");
+        let head = format!(
+            "POST /v1/tasks HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {key}\r\n\
+             content-length: {body_bytes}\r\nexpect: 100-continue\r\nconnection: close\r\n\r\n"
+        );
+        stream
+            .write_all(head.as_bytes())
+            .await
+            .expect("a connection");
+        let mut told = [0; 25];
+        stream.read_exact(&mut told).await.expect("a connection");
+        assert_eq!(&told, b"HTTP/1.1 100 Continue\r\n\r\n");
+        stream
+    }
+
     /// Sends a caller's request.
     pub async fn caller(&self, path: &str, key: Option<&str>) -> Answer {
         self.call(Method::GET, self.addresses.caller, path, key, "")
