--- a/crates/sched/tests/cases.rs
+++ b/crates/sched/tests/cases.rs
@@ -10,6 +10,7 @@
 use std::fmt::Write as _;
 use std::time::{Duration, Instant};
 
+use goldcrest_cases::Cases;
 use goldcrest_sched::verify::verify;
 use goldcrest_sched::{
     Availability, Config, Decisions, ObservedPhase, Scheduler, StartOutcome, TaskObservation,
@@ -243,21 +244,7 @@
 
 #[test]
 fn cases_all_files() {
-    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/cases");
-    let mut files: Vec<_> = std::fs::read_dir(folder)
-        .expect("the folder of cases")
-        .map(|file| file.expect("a file").path())
-        .collect();
-    files.sort();
-    assert!(files.len() >= 10, "only {} cases found", files.len());
-    let mut wrong = String::new();
-    for file in files {
-        let text = std::fs::read_to_string(&file).expect("a case");
-        let told = run(&text);
-        if told != text {
-            let name = file.file_name().unwrap_or_default().display();
-            writeln!(wrong, "--- {name}: this is what is decided:\n{told}").unwrap();
-        }
-    }
-    assert!(wrong.is_empty(), "{wrong}");
+    Cases::new(env!("CARGO_MANIFEST_DIR"))
+        .with_least(10)
+        .check(run);
 }
--- a/crates/types/tests/catalogue.rs
+++ b/crates/types/tests/catalogue.rs
@@ -1,45 +1,34 @@
 //! Catalogues as files: each case is a catalogue, a line `---- findings`, and what the check must say.
 
-use std::fs;
-use std::path::PathBuf;
-
+use goldcrest_cases::{Cases, split};
 use goldcrest_types::catalogue::{Catalogue, parse};
 use goldcrest_types::units::Revision;
 
-fn case_dir() -> PathBuf {
-    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("tests/cases")
+/// What stands above the findings.
+const MARK: &str = "---- findings\n";
+
+fn cases() -> Cases {
+    Cases::new(env!("CARGO_MANIFEST_DIR")).with_least(20)
 }
 
-fn findings_of(text: &str) -> String {
-    match parse(text) {
+fn run(case: &str) -> String {
+    let text = split(case, MARK);
+    let findings = match parse(text) {
         Ok(_) => "none\n".to_owned(),
         Err(findings) => findings.to_string(),
-    }
+    };
+    format!("{text}{MARK}{findings}")
 }
 
 #[test]
 fn parse_case_files() {
-    let mut cases = 0;
-    let mut wrong = Vec::new();
-    for entry in fs::read_dir(case_dir()).unwrap() {
-        let path = entry.unwrap().path();
-        let case = fs::read_to_string(&path).unwrap();
-        let (text, expected) = case.split_once("---- findings\n").unwrap();
-        let found = findings_of(text);
-        cases += 1;
-        if found != expected {
-            wrong.push(format!("{}:\n{found}", path.display()));
-        }
-    }
-    assert!(cases >= 20, "only {cases} case files were found");
-    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+    cases().check(run);
 }
 
 #[test]
 fn key_withdrawn() {
-    let text = fs::read_to_string(case_dir().join("whole.yaml")).unwrap();
-    let (text, _) = text.split_once("---- findings\n").unwrap();
-    let mut spec = parse(text).unwrap();
+    let case = cases().read("whole.yaml");
+    let mut spec = parse(split(&case, MARK)).unwrap();
     let cat = Catalogue::resolve(&spec, Revision::new(1)).unwrap();
     let key = cat.key("hello").unwrap();
     assert_eq!(cat.teams[cat.keys[key].team].name.as_str(), "agency");
--- a/crates/upkeep/tests/upkeep/cases.rs
+++ b/crates/upkeep/tests/upkeep/cases.rs
@@ -5,9 +5,9 @@
 //! Set `GOLDCREST_BLESS` to write what a run gave into the file, and read the difference before it is kept.
 
 use std::fmt::Write as _;
-use std::path::Path;
 use std::time::Duration;
 
+use goldcrest_cases::Cases;
 use goldcrest_types::catalogue::PoolKind;
 use goldcrest_types::entity::{DcId, EntityRef, PoolId, RackId, VmId};
 use goldcrest_types::units::VmCount;
@@ -22,21 +22,9 @@
 
 #[test]
 fn cases_as_recorded() {
-    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/cases");
-    let mut files: Vec<_> = std::fs::read_dir(&folder)
-        .expect("the folder of cases")
-        .map(|entry| entry.expect("an entry").path())
-        .collect();
-    files.sort();
-    assert!(files.len() >= 8, "only {} cases were found", files.len());
-    for file in files {
-        let text = std::fs::read_to_string(&file).expect("a case");
-        let got = run(&text);
-        if std::env::var_os("GOLDCREST_BLESS").is_some() {
-            std::fs::write(&file, &got).expect("a writable case");
-        }
-        assert_eq!(text, got, "{}", file.display());
-    }
+    Cases::new(env!("CARGO_MANIFEST_DIR"))
+        .with_least(8)
+        .check(run);
 }
 
 fn run(text: &str) -> String {
