bench: roll-out against bounds with settling and with failures

Cause: the bound knew neither that a drain must settle and the list lags in each turn, nor that reboots fail, so the table could not say what of the distance a plan could make up. Change: two more columns: to the bound with the settling of a drain and the lag of the list in each turn, and to the bound where a reboot that fails keeps its place in the budget until its VM is mended. The old columns stay, and so do the targets.

--- a/crates/bench/src/bin/rollout/fake.rs
+++ b/crates/bench/src/bin/rollout/fake.rs
@@ -7,7 +7,7 @@
 use goldcrest_types::entity::{DcId, EntityRef, PoolId, RackId, VmId};
 use goldcrest_types::units::Revision;
 use goldcrest_upkeep::fleet::{Census, Fleet, Group, Seen, Vm, VmState, Work};
-use goldcrest_upkeep::maintenance::{Action, Step};
+use goldcrest_upkeep::maintenance::{Action, DRAIN_SETTLE, Step};
 use goldcrest_upkeep::verify;
 use rand::Rng;
 
@@ -51,6 +51,10 @@
     pub bound: Duration,
     /// The same, and no VM before the task has ended that ran first and can't be checkpointed.
     pub task_bound: Duration,
+    /// The least with the settling of each drain and the lag of the list in each turn.
+    pub turn_bound: Duration,
+    /// The least if reboots fail as they do and every other VM serves.
+    pub fault_bound: Duration,
     pub violations: u64,
     pub overrun_s: u64,
     pub failed: u64,
@@ -352,6 +356,26 @@
         total
     }
 
+    /// The least time where a reboot that fails keeps its place in the budget until operators have mended the VM, as
+    /// a mean over which reboots fail. While the image is bad, a turn takes that much longer by its chance.
+    fn fault_bound(&self) -> Duration {
+        let bound = self.out.bound;
+        let Some(image) = self.trace.bad_image else {
+            return bound;
+        };
+        let vms = u32::try_from(self.trace.vms.len()).unwrap_or(u32::MAX);
+        let turn = self.trace.vms.iter().map(|vm| vm.reboot).sum::<Duration>() / vms.max(1);
+        let slow = turn + image.back_after * image.fails_percent / 100;
+        let left = bound.saturating_sub(image.from);
+        let left_in_window = left.mul_f64(slow.as_secs_f64() / turn.as_secs_f64());
+        let window = image.until.saturating_sub(image.from);
+        if left_in_window <= window {
+            return bound.min(image.from) + left_in_window;
+        }
+        let done = window.mul_f64(turn.as_secs_f64() / slow.as_secs_f64());
+        bound + window.saturating_sub(done)
+    }
+
     pub fn outcome(mut self) -> Outcome {
         self.out.is_done = self.now - self.start < END;
         self.out.took = self.now - self.start;
@@ -360,6 +384,8 @@
         let vms = self.machines.iter().enumerate();
         let last = vms.map(|(vm, machine)| machine.fixed + reboot(vm)).max();
         self.out.task_bound = self.out.bound.max(last.unwrap_or_default());
+        self.out.turn_bound = self.bound(|vm| reboot(vm) + DRAIN_SETTLE + LAG);
+        self.out.fault_bound = self.fault_bound();
         self.out
     }
 }
--- a/crates/bench/src/bin/rollout/main.rs
+++ b/crates/bench/src/bin/rollout/main.rs
@@ -72,6 +72,8 @@
     failed: u64,
     ratios: Vec<f64>,
     task_ratios: Vec<f64>,
+    turn_ratios: Vec<f64>,
+    fault_ratios: Vec<f64>,
     hours: f64,
     bound_hours: f64,
     plans: u64,
@@ -89,22 +91,28 @@
         self.failed += outcome.failed;
         self.hours += hours(outcome.took);
         self.bound_hours += hours(outcome.bound);
-        self.ratios
-            .push(outcome.took.as_secs_f64() / outcome.bound.as_secs_f64());
-        self.task_ratios
-            .push(outcome.took.as_secs_f64() / outcome.task_bound.as_secs_f64());
+        let to = |bound: Duration| outcome.took.as_secs_f64() / bound.as_secs_f64();
+        self.ratios.push(to(outcome.bound));
+        self.task_ratios.push(to(outcome.task_bound));
+        self.turn_ratios.push(to(outcome.turn_bound));
+        self.fault_ratios.push(to(outcome.fault_bound));
         self.plans += outcome.plans;
         self.plan_time += outcome.plan_time;
     }
 
     fn print(&mut self, size: Size, faults: Faults, load: Load, candidate: Candidate) {
-        self.ratios.sort_by(f64::total_cmp);
-        self.task_ratios.sort_by(f64::total_cmp);
-        let at = |part: usize| self.ratios[(self.ratios.len() - 1) * part / 100];
-        let task_p50 = self.task_ratios[(self.task_ratios.len() - 1) / 2];
+        let lists = [
+            &mut self.ratios,
+            &mut self.task_ratios,
+            &mut self.turn_ratios,
+            &mut self.fault_ratios,
+        ];
+        for ratios in lists {
+            ratios.sort_by(f64::total_cmp);
+        }
         let waves = self.waves.max(1);
         println!(
-            "| {} | {} | {} | {} | {} | {:.2} | {:.2} | {:.3} | {:.3} | {:.3} | {} | {} | {} | {:.1} | {} | {} | {:.0} |",
+            "| {} | {} | {} | {} | {} | {:.2} | {:.2} | {:.3} | {:.3} | {:.3} | {:.3} | {:.3} | {:.3} | {} | {} | {} | {:.1} | {} | {} | {:.0} |",
             size.name(),
             faults.name(),
             load.name(),
@@ -112,9 +120,12 @@
             self.waves,
             self.hours / per(waves),
             self.bound_hours / per(waves),
-            at(50),
-            at(95),
-            task_p50,
+            at(&self.ratios, 50),
+            at(&self.ratios, 95),
+            at(&self.task_ratios, 50),
+            at(&self.turn_ratios, 50),
+            at(&self.fault_ratios, 50),
+            at(&self.fault_ratios, 95),
             self.violations,
             self.overrun_s / waves,
             self.failed,
@@ -126,6 +137,11 @@
     }
 }
 
+/// The value that `percent` of a sorted list do not pass.
+fn at(sorted: &[f64], percent: usize) -> f64 {
+    sorted[(sorted.len() - 1) * percent / 100]
+}
+
 fn hours(time: Duration) -> f64 {
     time.as_secs_f64() / 3_600.0
 }
@@ -140,10 +156,10 @@
     let only: Option<String> = args.opt_value_from_str("--tasks")?;
     let seed = args.opt_value_from_str("--seed")?.unwrap_or(SEED);
     println!(
-        "| size | faults | tasks | candidate | waves | hours | bound | ratio p50 | p95 | to task bound | violations | over budget s \
+        "| size | faults | tasks | candidate | waves | hours | bound | ratio p50 | p95 | to task bound | to turn bound | to fault bound p50 | p95 | violations | over budget s \
          | failed | tasks moved | cut | unfinished | plan us |"
     );
-    println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
+    println!("|{}", "---|".repeat(20));
     for size in Size::ALL {
         for faults in Faults::ALL {
             let chosen = |load: &Load| only.as_deref().is_none_or(|name| name == load.name());
--- a/crates/upkeep/src/maintenance/mod.rs
+++ b/crates/upkeep/src/maintenance/mod.rs
@@ -34,6 +34,7 @@
 
 pub use health::Pace;
 pub use reason::{Hold, Reason};
+pub use settle::DRAIN_SETTLE;
 pub use step::{Action, Step};
 
 /// The longest time by which the platform's list lags.
