sizing: a policy that plans an hour ahead by a short forecast

Cause: lazy takes all of the demand's noise and a trend of 30 min as they are, and pays for both in buffer. Change: forecast, a policy to choose: a line through 90 min, the strays from it and how soon they come back, and the cheapest way through the next hour by the catalogue's weights.

--- a/crates/upkeep/src/sizing/mod.rs
+++ b/crates/upkeep/src/sizing/mod.rs
@@ -8,6 +8,7 @@
 //! leaves its least and greatest size; a move takes no VM out of service beyond its group's budget.
 
 mod assign;
+mod forecast;
 mod history;
 mod lazy;
 mod multi;
@@ -90,6 +91,7 @@
     history: history::History,
     band: Option<u32>,
     lazy: lazy::Work,
+    forecast: forecast::Model,
 }
 
 /// Plans moves and keeps what it has learned from one plan to the next.
--- a/crates/upkeep/src/sizing/policy.rs
+++ b/crates/upkeep/src/sizing/policy.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use super::{PoolState, View, Want, lazy, multi, quantile, thresholds};
+use super::{PoolState, View, Want, forecast, lazy, multi, quantile, thresholds};
 
 /// How the size of a pool is decided.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -18,16 +18,19 @@
     /// Lazy capacity provisioning: moves only when the optimum of the past leaves no other choice.
     #[default]
     Lazy,
+    /// The cheapest way through the next hour, as a short forecast has it.
+    Forecast,
 }
 
 impl Policy {
     /// Every policy.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::TwoThresholds,
         Self::ThreeThresholds,
         Self::MultiThreshold,
         Self::Quantile,
         Self::Lazy,
+        Self::Forecast,
     ];
 
     /// The size that one pool should have, or none to leave it.
@@ -38,6 +41,7 @@
             Self::MultiThreshold => multi::want(state, view),
             Self::Quantile => quantile::want(state, view),
             Self::Lazy => lazy::want(state, view),
+            Self::Forecast => forecast::want(state, view),
         }
     }
 }
@@ -50,6 +54,7 @@
             Self::MultiThreshold => "multi-threshold",
             Self::Quantile => "quantile",
             Self::Lazy => "lazy",
+            Self::Forecast => "forecast",
         })
     }
 }
--- a/crates/upkeep/tests/upkeep/moves.rs
+++ b/crates/upkeep/tests/upkeep/moves.rs
@@ -61,6 +61,27 @@
     }
 }
 
+/// A rise of one VM in twenty minutes, with a swing that is gone within two: the pool grows ahead of the rise, and does
+/// not follow the swing.
+#[test]
+fn plan_rise_with_swing() {
+    const MINUTES: u64 = 160;
+    const LEARN_MINUTES: u64 = 40;
+    let mut world = world(Policy::Forecast);
+    let mut moves = 0;
+    for minute in 0..MINUTES {
+        let swing = if minute % 4 < 2 { 0 } else { 400 };
+        let demand = 2_000 + minute * 50 + swing;
+        moves += run(&mut world, demand, 1);
+        let has = web(&world) as u64 * 1_000;
+        assert!(
+            minute < LEARN_MINUTES || has >= demand.min(12_000),
+            "{has} for {demand} in minute {minute}"
+        );
+    }
+    assert!(moves <= 12, "{moves} moves");
+}
+
 #[test]
 fn plan_bounds_hold() {
     for policy in Policy::ALL {
