quota: slots follow demand between data centres within 5 s

Cause: the mover heard of a shift after some 8 s, since usage went from relay to relay every fourth heartbeat; rows saw that they were asked back after up to 3.5 s; the mover looked less and less often meanwhile, and issued what it had released only in its next look. Of small changes of usage the same cells were always told first. Change: the mover asks each relay for its data centre's usage once a heartbeat, and relays no longer tell each other. Small changes are told in the order in which they came. Demand in the tests is now heard as late as it is on the links. Tests of peers ask only as entries do that hold no role.

--- a/crates/bench/src/bin/link.rs
+++ b/crates/bench/src/bin/link.rs
@@ -104,9 +104,10 @@
     let first = args.opt_value_from_str("--first")?.unwrap_or(0);
     println!(
         "| data centres | entries | teams | reads/s all | changes/s all | leases/s all | watches/s all \
-         | service B/s entry | peer B/s entry | peer B/s busiest | frames/s busiest | core % entry | MB entry |"
+         | service B/s entry | peer B/s entry | peer B/s busiest | frames/s busiest \
+         | both B/s relay | both B/s busiest | core % entry | MB entry |"
     );
-    println!("|{}", " --- |".repeat(13));
+    println!("|{}", " --- |".repeat(15));
     for (index, size) in SIZES.iter().skip(first).take(sizes).enumerate() {
         run(*size, options, index == 0).await;
     }
@@ -121,6 +122,7 @@
     leases: u64,
     watches: u64,
     service_bytes: u64,
+    node_bytes: Vec<u64>,
     peer_bytes: Vec<u64>,
     peer_frames: Vec<u64>,
     cpu_s: f64,
@@ -137,10 +139,12 @@
         sum.changes += counts.changes;
         sum.leases += counts.leases;
         sum.watches += counts.watches;
-        sum.service_bytes += counts.sent_bytes + counts.received_bytes;
+        let service_bytes = counts.sent_bytes + counts.received_bytes;
+        sum.service_bytes += service_bytes;
         let traffic = entry.peers.traffic();
-        sum.peer_bytes
-            .push(traffic.sent_bytes() + traffic.received_bytes());
+        let peer_bytes = traffic.sent_bytes() + traffic.received_bytes();
+        sum.peer_bytes.push(peer_bytes);
+        sum.node_bytes.push(service_bytes + peer_bytes);
         sum.peer_frames.push(traffic.frames());
     }
     sum
@@ -174,7 +178,15 @@
     let after = spent(&entries);
     let memory = resident_bytes() - resident;
     let memory = is_first.then_some(memory);
-    report(size, options, &before, &after, memory);
+    let are_relays = entries.iter().map(|entry| *entry.peers.is_relay().borrow());
+    let are_relays: Vec<bool> = are_relays.collect();
+    let measured = Measured {
+        before,
+        after,
+        are_relays,
+        memory,
+    };
+    report(size, options, &measured);
     for entry in &entries {
         entry.crash();
     }
@@ -216,7 +228,21 @@
     f64::from(u32::try_from(count).unwrap_or(u32::MAX))
 }
 
-fn report(size: Size, options: Options, before: &Spent, after: &Spent, memory: Option<f64>) {
+/// What was spent before and after the measurement.
+struct Measured {
+    before: Spent,
+    after: Spent,
+    are_relays: Vec<bool>,
+    memory: Option<f64>,
+}
+
+fn report(size: Size, options: Options, measured: &Measured) {
+    let Measured {
+        before,
+        after,
+        are_relays,
+        memory,
+    } = measured;
     let entries = real(u64::try_from(size.dcs * size.per_dc).unwrap_or(u64::MAX));
     let seconds = real(options.seconds);
     let rate = |before: u64, after: u64| real(after - before) / seconds;
@@ -228,8 +254,12 @@
     };
     let peer = rates(&before.peer_bytes, &after.peer_bytes);
     let frames = rates(&before.peer_frames, &after.peer_frames);
+    let node = rates(&before.node_bytes, &after.node_bytes);
+    let relays = node.iter().zip(are_relays);
+    let relays = relays.filter(|(_, is_relay)| **is_relay);
+    let relays: Vec<f64> = relays.map(|(rate, _)| *rate).collect();
     println!(
-        "| {} | {} | {} | {:.1} | {:.1} | {:.1} | {:.1} | {:.0} | {:.0} | {:.0} | {:.0} | {:.2} | {} |",
+        "| {} | {} | {} | {:.1} | {:.1} | {:.1} | {:.1} | {:.0} | {:.0} | {:.0} | {:.0} | {:.0} | {:.0} | {:.2} | {} |",
         size.dcs,
         entries,
         size.teams,
@@ -241,6 +271,8 @@
         peer.iter().sum::<f64>() / entries,
         peer.iter().copied().fold(0.0, f64::max),
         frames.iter().copied().fold(0.0, f64::max),
+        relays.iter().sum::<f64>() / real(u64::try_from(relays.len().max(1)).unwrap_or(1)),
+        node.iter().copied().fold(0.0, f64::max),
         (after.cpu_s - before.cpu_s) / seconds / entries * 100.0,
         memory.map_or_else(
             || "-".to_owned(),
--- a/crates/bench/src/entries/gate.rs
+++ b/crates/bench/src/entries/gate.rs
@@ -11,7 +11,7 @@
 use goldcrest_session::HeadCopy;
 use goldcrest_session::quota::{DcDemand, Gate, Needs};
 use goldcrest_types::catalogue::Catalogue;
-use goldcrest_types::names::TeamName;
+use goldcrest_types::names::{DcName, TeamName};
 use goldcrest_types::units::Slots;
 use tokio::sync::watch;
 
@@ -113,4 +113,8 @@
         });
         demand.collect()
     }
+
+    fn tell_changed(&self, dc: &DcName) {
+        self.peers.tell_quota_changed(dc);
+    }
 }
--- a/crates/daemon/src/quota/mod.rs
+++ b/crates/daemon/src/quota/mod.rs
@@ -18,7 +18,7 @@
     DcDemand, Gate, Listed, Mover, Needs, Observer, QuotaKeeper, RowOwner,
 };
 use goldcrest_types::catalogue::{Catalogue, PoolKind};
-use goldcrest_types::names::{TeamName, VmName};
+use goldcrest_types::names::{DcName, TeamName, VmName};
 use goldcrest_types::units::Slots;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -43,6 +43,7 @@
     });
     log::info!(target: PART, boots; "Keeping a row.");
     QuotaKeeper::new(world.session.clone(), owner, gate)
+        .with_told(world.peers.quota_told())
         .run(stop)
         .await;
 }
@@ -165,4 +166,8 @@
         });
         wanted.collect()
     }
+
+    fn tell_changed(&self, dc: &DcName) {
+        self.world.peers.tell_quota_changed(dc);
+    }
 }
--- a/crates/peer/src/message/mod.rs
+++ b/crates/peer/src/message/mod.rs
@@ -46,6 +46,10 @@
     FleetSeen,
     /// What each pool has from the answerer.
     PoolUsage(PoolUsageAsk),
+    /// What the answerer's data centre has of each team.
+    DcUsage(UsageAsk),
+    /// The quota document of the answerer's data centre has changed in a way that concerns its entries.
+    QuotaChanged,
 }
 
 /// A message from an entry that answers.
@@ -71,10 +75,20 @@
     FleetSeen(Vec<FleetSeen>),
     /// What each pool has from the answerer.
     PoolUsage(PoolUsageTold),
+    /// What changed of what the data centre has; none from an entry that is not its relay.
+    DcUsage(Option<Delta<DcName>>),
     /// The message was not understood. Nothing was done.
     Refused(Refused),
 }
 
+/// A question for what a data centre has of each team.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageAsk {
+    /// Up to where the asker has heard the answerer's board of data centres.
+    #[serde(rename = "n")]
+    pub have: u64,
+}
+
 /// A refusal of a message.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refused {
@@ -360,6 +374,8 @@
     pub const FLEET_SEEN: u16 = 10;
     pub const CATALOGUE_DELTA: u16 = 11;
     pub const POOL_USAGE: u16 = 12;
+    pub const QUOTA_CHANGED: u16 = 13;
+    pub const DC_USAGE: u16 = 14;
     pub const REFUSED: u16 = 0xffff;
 }
 
@@ -379,6 +395,8 @@
             Self::InForce => Packet::new(kind::IN_FORCE, &()),
             Self::FleetSeen => Packet::new(kind::FLEET_SEEN, &()),
             Self::PoolUsage(body) => Packet::new(kind::POOL_USAGE, body),
+            Self::DcUsage(body) => Packet::new(kind::DC_USAGE, body),
+            Self::QuotaChanged => Packet::new(kind::QUOTA_CHANGED, &()),
         }
     }
 
@@ -400,6 +418,8 @@
             kind::IN_FORCE => Ok(Self::InForce),
             kind::FLEET_SEEN => Ok(Self::FleetSeen),
             kind::POOL_USAGE => packet.read().map(Self::PoolUsage),
+            kind::DC_USAGE => packet.read().map(Self::DcUsage),
+            kind::QUOTA_CHANGED => Ok(Self::QuotaChanged),
             unknown => Err(PacketError::UnknownKind(unknown)),
         }
     }
@@ -420,6 +440,7 @@
             Self::InForce(body) => Packet::new(kind::IN_FORCE, body),
             Self::FleetSeen(body) => Packet::new(kind::FLEET_SEEN, body),
             Self::PoolUsage(body) => Packet::new(kind::POOL_USAGE, body),
+            Self::DcUsage(body) => Packet::new(kind::DC_USAGE, body),
             Self::Refused(body) => Packet::new(kind::REFUSED, body),
         }
     }
@@ -441,6 +462,7 @@
             kind::IN_FORCE => packet.read().map(Self::InForce),
             kind::FLEET_SEEN => packet.read().map(Self::FleetSeen),
             kind::POOL_USAGE => packet.read().map(Self::PoolUsage),
+            kind::DC_USAGE => packet.read().map(Self::DcUsage),
             kind::REFUSED => packet.read().map(Self::Refused),
             unknown => Err(PacketError::UnknownKind(unknown)),
         }
--- a/crates/peer/src/peers/mod.rs
+++ b/crates/peer/src/peers/mod.rs
@@ -2,10 +2,11 @@
 //!
 //! [`Peers`] is the handle that the daemon's parts share: they tell it what this entry knows, and ask it what others do.
 //! [`Peers::run`] asks other entries once a heartbeat, and fetches the catalogue from a peer that has a higher revision.
-//! `claiming` puts claims on idempotency keys to their homes. [`Peers`] also answers for this entry behind a [`PeerServer`](crate::server::PeerServer).
+//! `claiming` puts claims on idempotency keys to their homes; `quota` tells entries that their quota has changed. [`Peers`] also answers for this entry behind a [`PeerServer`](crate::server::PeerServer).
 
 mod claiming;
 mod pool_usage;
+mod quota;
 mod run;
 mod state;
 mod targets;
@@ -36,6 +37,7 @@
 use crate::usage::Usage;
 
 pub use pool_usage::PoolUsageHeard;
+use quota::QuotaWords;
 use run::Links;
 use state::State;
 pub use state::{Ahead, Outage, OwnView, PeerEvidence, Seed};
@@ -80,6 +82,7 @@
     ahead: Mutex<Option<Ahead>>,
     wake: Notify,
     hint: Notify,
+    quota: QuotaWords,
     explain: mpsc::Sender<ExplainQuery>,
 }
 
@@ -129,6 +132,7 @@
             ahead: Mutex::new(None),
             wake: Notify::new(),
             hint: Notify::new(),
+            quota: QuotaWords::new(),
             explain,
             clock,
         };
@@ -238,8 +242,8 @@
         demand
     }
 
-    /// Sets whether this entry wants the usage of all data centres, as it does at first. Otherwise it learns it only
-    /// while it is the relay, which spares most of the bytes inside a data centre.
+    /// Sets whether this entry wants the usage of all data centres, as it does at first. While it does, it asks the relay
+    /// of each of them once a heartbeat; otherwise it learns only that of its own data centre, if it is the relay.
     pub fn want_dc_usage(&self, wants: bool) {
         self.state().wants_dcs = wants;
     }
@@ -411,6 +415,11 @@
             }
             Request::Explain(ask) => Reply::Explain(self.explain_here(ask).await),
             Request::FleetSeen => Reply::FleetSeen(self.state().fleet_seen.clone()),
+            Request::DcUsage(ask) => Reply::DcUsage(self.state().own_dc_usage(ask.have)),
+            Request::QuotaChanged => {
+                self.quota_told().notify_one();
+                Reply::Done
+            }
             Request::InForce => Reply::InForce(self.state().in_force()),
             Request::PoolUsage(ask) => Reply::PoolUsage(self.tell_pool_usage(ask)),
         }
--- a/crates/peer/src/peers/run.rs
+++ b/crates/peer/src/peers/run.rs
@@ -13,13 +13,13 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use super::targets::{Target, targets};
+use super::targets::{Target, targets, usage_relays};
 use super::{Peers, lock};
 use crate::delta;
 use crate::dial::Dial;
 use crate::handshake::Hello;
 use crate::link::{Link, LinkError, LinkLimits};
-use crate::message::{CatalogueAsk, CatalogueCopy, Gossip, Reply, Request};
+use crate::message::{CatalogueAsk, CatalogueCopy, Gossip, Member, Reply, Request, UsageAsk};
 use crate::part;
 use crate::transport::Traffic;
 
@@ -119,7 +119,8 @@
         let beats = self.beat();
         let pulls = self.pull();
         let hints = self.hint();
-        let all = async { tokio::join!(beats, pulls, hints) };
+        let words = self.tell_quota();
+        let all = async { tokio::join!(beats, pulls, hints, words) };
         let ended = stop.run_until_cancelled(all).await;
         debug_assert!(ended.is_none(), "the loops end only by the token");
         self.inner.links.close_all();
@@ -128,7 +129,7 @@
     async fn beat(&self) {
         let mut beat = u64::from(rand::rng().random::<u16>());
         loop {
-            let targets = {
+            let (targets, relays) = {
                 let now = self.now();
                 let mut state = self.state();
                 state.tick(now);
@@ -136,9 +137,11 @@
                     let is_relay = state.is_relay;
                     std::mem::replace(relay, is_relay) != is_relay
                 });
-                targets(&state, beat, now)
+                (targets(&state, beat, now), usage_relays(&state, now))
             };
-            let round = join_all(targets.iter().map(|target| self.ask(target)));
+            let asked = join_all(targets.iter().map(|target| self.ask(target)));
+            let usage = join_all(relays.iter().map(|relay| self.ask_usage(relay)));
+            let round = async { tokio::join!(asked, usage) };
             let pause = self.heartbeat();
             let jitter = pause.mul_f64(rand::rng().random_range(0.9..1.1));
             tokio::join!(round, tokio::time::sleep(jitter));
@@ -177,6 +180,21 @@
         }
     }
 
+    /// Asks a relay what its data centre has of each team.
+    async fn ask_usage(&self, relay: &Member) {
+        let have = self.state().heard_dcs(relay.entry);
+        let request = Request::DcUsage(UsageAsk { have });
+        let asked_at = self.now();
+        match self.inner.links.call(relay.address, &request).await {
+            Ok(Reply::DcUsage(Some(delta))) => self.state().take_dcs(relay.entry, &delta),
+            Ok(_) => debug!(target: part::PEERS, "{} is no relay.", relay.address),
+            Err(error) => {
+                debug!(target: part::PEERS, "{}: {error}.", relay.address);
+                self.state().members.not_reached(relay.entry, asked_at);
+            }
+        }
+    }
+
     fn heard(&self, reply: &Gossip, asked_at: Instant) {
         let now = self.now();
         let ahead = self.state().take_in(reply, Some(asked_at), now);
--- a/crates/peer/src/peers/state.rs
+++ b/crates/peer/src/peers/state.rs
@@ -15,7 +15,7 @@
     CatalogueCopy, Delta, FleetSeen, Gossip, InForce, Member, OutageReport, ProofAge,
 };
 use crate::peers::PeersConfig;
-use crate::usage::{Board, CELLS_MAX, CELLS_MAX_WANTED, Usage};
+use crate::usage::{Board, CELLS_MAX, CELLS_MAX_DC, SETTLED_MAX, Usage};
 
 /// The shortest time between two tellings of all members to one peer, in heartbeats.
 const MEMBERS_PAUSE: u32 = 2;
@@ -23,9 +23,6 @@
 /// The longest time between two tellings of the same members to one peer whose list differs, in heartbeats.
 const MEMBERS_PAUSE_MAX: u32 = 64;
 
-/// Small changes of usage are told once in so many heartbeats.
-const SETTLE_HEARTBEATS: u64 = 4;
-
 /// Where a data centre can be asked.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Seed {
@@ -127,6 +124,8 @@
     window: Duration,
     heartbeat_time: Duration,
     heartbeat: u64,
+    /// How many small changes of usage may still be told in this heartbeat.
+    settle_left: usize,
     peer_proof: Option<Proof>,
     no_contact: BTreeMap<EntryId, Proof>,
     in_force: BTreeMap<EntryId, Revision>,
@@ -155,6 +154,7 @@
             heartbeat_time: cfg.membership.heartbeat,
             is_relay: false,
             heartbeat: 0,
+            settle_left: SETTLED_MAX,
             peer_proof: None,
             no_contact: BTreeMap::new(),
             in_force: BTreeMap::new(),
@@ -181,19 +181,49 @@
             self.peers.remove(&entry);
         }
         self.homes.expire(self.window, now);
-        let dc = self.own_dc();
         self.is_relay = self.members.is_relay(now);
+        self.settle_left = SETTLED_MAX;
+        self.settle();
+        self.pools.settle(SETTLED_MAX);
+        self.sum_up();
+        let dcs = self.members.dcs();
+        self.outages.retain(|dc, _| dcs.contains(dc));
+    }
+
+    /// Sums up what this data centre has, if this entry is the relay.
+    fn sum_up(&mut self) {
         if self.is_relay {
+            let dc = self.own_dc();
             let sums = self.entries.sums();
             self.dcs.set_all(&dc, &sums);
         }
-        if self.heartbeat.is_multiple_of(SETTLE_HEARTBEATS) {
-            self.entries.settle();
-            self.dcs.settle();
-            self.pools.settle();
-        }
-        let dcs = self.members.dcs();
-        self.outages.retain(|dc, _| dcs.contains(dc));
+    }
+
+    /// Lets small changes be told, as many as there may be in a heartbeat.
+    fn settle(&mut self) {
+        self.settle_left -= self.entries.settle(self.settle_left);
+    }
+
+    /// What changed of what this data centre has above `have`, if this entry is its relay.
+    pub(super) fn own_dc_usage(&mut self, have: u64) -> Option<Delta<DcName>> {
+        self.sum_up();
+        self.dcs.settle(SETTLED_MAX);
+        let dc = self.own_dc();
+        self.is_relay
+            .then(|| self.dcs.delta(have, Some(&dc), CELLS_MAX_DC))
+    }
+
+    /// Up to where this entry has heard a relay's board of data centres.
+    pub(super) fn heard_dcs(&self, relay: EntryId) -> u64 {
+        self.peers.get(&relay).map_or(0, |peer| peer.heard_dcs)
+    }
+
+    /// Takes in what a relay told of its data centre.
+    pub(super) fn take_dcs(&mut self, relay: EntryId, delta: &Delta<DcName>) {
+        self.peers.entry(relay).or_default().heard_dcs = delta.upto;
+        let own = self.own_dc();
+        let summed_here = self.is_relay.then_some(&own);
+        self.dcs.apply(delta, summed_here);
     }
 
     /// The highest revision that this entry has.
@@ -222,6 +252,7 @@
     pub(super) fn set_usage(&mut self, usage: &BTreeMap<TeamName, Usage>) {
         let own = self.members.own().entry;
         self.entries.set_all(&own, usage);
+        self.settle();
     }
 
     pub(super) fn entry_usage(&self) -> &Board<EntryId> {
@@ -243,6 +274,10 @@
         let is_near = to.is_some_and(|to| to.dc == own.dc);
         let told = to.and_then(|to| self.peers.get(&to.entry)).copied();
         let told = told.unwrap_or_default();
+        if is_near && told.wants_dcs {
+            self.sum_up();
+            self.dcs.settle(SETTLED_MAX);
+        }
         let all = self.tell_members(to, to_digest, now);
         let only = if self.is_relay {
             None
@@ -271,15 +306,10 @@
         }
     }
 
-    /// What a relay tells of data centres: all to a member of its own that wants it, and its own to the other relays.
+    /// What a relay tells of its data centre to a member of it that wants it. Those of other data centres ask for it.
     fn tell_dcs(&self, own: &Member, is_near: bool, told: PeerState) -> Option<Delta<DcName>> {
-        if self.is_relay && is_near && told.wants_dcs {
-            Some(self.dcs.delta(told.told_dcs, None, CELLS_MAX_WANTED))
-        } else if self.is_relay && !is_near {
-            Some(self.dcs.delta(told.told_dcs, Some(&own.dc), CELLS_MAX))
-        } else {
-            None
-        }
+        let is_told = self.is_relay && is_near && told.wants_dcs;
+        is_told.then(|| self.dcs.delta(told.told_dcs, Some(&own.dc), CELLS_MAX_DC))
     }
 
     /// Whether to tell a peer all members: when its list differs, and less and less often while that lasts.
@@ -343,10 +373,7 @@
             self.entries.apply(delta, Some(&own.entry));
         }
         if let Some(delta) = &gossip.dcs {
-            peer.heard_dcs = delta.upto;
-            // Only the relay sums up this data centre; the others learn the sum from it.
-            let summed_here = self.is_relay.then_some(&own.dc);
-            self.dcs.apply(delta, summed_here);
+            self.take_dcs(gossip.from.entry, delta);
         }
     }
 
--- a/crates/peer/src/peers/targets.rs
+++ b/crates/peer/src/peers/targets.rs
@@ -1,8 +1,9 @@
 //! Whom to ask in one heartbeat.
 //!
 //! An entry asks its data centre's relay, and every other member there once in [`NEAR_HEARTBEATS`]. Of two data centres
-//! the relay of the one that is first by name asks the other's every [`FAR_HEARTBEATS`]; both learn from it. Without contact with the key-value service the relay asks everyone it can, since
-//! proof that the catalogue is fresh then only comes from others.
+//! the relay of the one that is first by name asks the other's every [`FAR_HEARTBEATS`]; both learn from it. An entry that
+//! wants the usage of all data centres asks each relay for that only, once a heartbeat. Without contact with the key-value service the relay asks
+//! everyone it can, since proof that the catalogue is fresh then only comes from others.
 
 use std::net::SocketAddr;
 use std::time::Instant;
@@ -66,6 +67,18 @@
     out
 }
 
+/// The relays that are to be asked for the usage of their data centres.
+pub(super) fn usage_relays(state: &State, now: Instant) -> Vec<Member> {
+    if !state.wants_dcs {
+        return Vec::new();
+    }
+    let own = &state.members.own().dc;
+    let dcs = state.members.dcs();
+    let others = dcs.iter().filter(|dc| *dc != own);
+    let relays = others.filter_map(|dc| state.members.relay(dc, now));
+    relays.cloned().collect()
+}
+
 /// The relay of each other data centre, or one of its listed addresses if no member is known there. Unless `all` are
 /// wanted, a data centre that comes before this one and has a known member asks by itself.
 fn far(state: &State, beat: u64, now: Instant, all: bool) -> Vec<Target> {
--- a/crates/peer/src/usage/mod.rs
+++ b/crates/peer/src/usage/mod.rs
@@ -2,9 +2,9 @@
 //!
 //! A [`Board`] numbers its changes. The other side says up to which number it has heard, and is told the cells above it,
 //! the oldest first and so many at one time. A small change of a large figure keeps its old number, and is told only when
-//! [`Board::settle`] is called now and then.
+//! [`Board::settle`] lets it be, in the order in which the cells became inexact.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, VecDeque};
 
 use goldcrest_types::names::TeamName;
 use goldcrest_types::units::Slots;
@@ -14,11 +14,14 @@
 /// How many cells are told at one time.
 pub const CELLS_MAX: usize = 48;
 
-/// How many cells are told at one time to an entry that wants all data centres.
+/// How many cells of pools are told at one time to the entry that asks for them.
 pub const CELLS_MAX_WANTED: usize = 256;
 
-/// How many small changes are told at one time.
-pub const SETTLED_MAX: usize = 32;
+/// How many cells of a data centre are told at one time to an entry that wants all data centres.
+pub const CELLS_MAX_DC: usize = 24;
+
+/// How many small changes are told in one heartbeat.
+pub const SETTLED_MAX: usize = 8;
 
 /// A change of less than one part in this many is not told at once.
 const TELL_PART: u32 = 4;
@@ -54,6 +57,8 @@
     usage: Usage,
     told: Usage,
     seq: u64,
+    /// Whether it is among the cells that are told when they may be.
+    is_queued: bool,
 }
 
 /// The usage of entries or of data centres by team or by pool, with the order of its changes.
@@ -62,7 +67,7 @@
     seq: u64,
     cells: BTreeMap<K, BTreeMap<S, Entry>>,
     by_seq: BTreeMap<u64, (K, S)>,
-    inexact: BTreeSet<(K, S)>,
+    inexact: VecDeque<(K, S)>,
 }
 
 impl<K: Clone + Ord, S: Clone + Ord> Board<K, S> {
@@ -73,7 +78,7 @@
             seq: 0,
             cells: BTreeMap::new(),
             by_seq: BTreeMap::new(),
-            inexact: BTreeSet::new(),
+            inexact: VecDeque::new(),
         }
     }
 
@@ -86,44 +91,60 @@
         }
         if let Some(old) = old {
             if old.told.is_near(usage) {
-                let entry = Entry { usage, ..old };
-                subjects.insert(subject.clone(), entry);
-                if old.told != usage {
-                    self.inexact.insert((key.clone(), subject.clone()));
+                let is_inexact = old.told != usage;
+                if is_inexact && !old.is_queued {
+                    self.inexact.push_back((key.clone(), subject.clone()));
                 }
+                let entry = Entry {
+                    usage,
+                    is_queued: old.is_queued || is_inexact,
+                    ..old
+                };
+                subjects.insert(subject.clone(), entry);
                 return;
             }
             self.by_seq.remove(&old.seq);
         }
-        self.number(key, subject, usage);
+        let is_queued = old.is_some_and(|old| old.is_queued);
+        self.number(key, subject, usage, is_queued);
     }
 
     /// Gives a cell the next number, so that it is told.
-    fn number(&mut self, key: &K, subject: &S, usage: Usage) {
+    fn number(&mut self, key: &K, subject: &S, usage: Usage, is_queued: bool) {
         self.seq += 1;
         let seq = self.seq;
         let told = usage;
         let subjects = self.cells.entry(key.clone()).or_default();
-        subjects.insert(subject.clone(), Entry { usage, told, seq });
+        let entry = Entry {
+            usage,
+            told,
+            seq,
+            is_queued,
+        };
+        subjects.insert(subject.clone(), entry);
         self.by_seq.insert(seq, (key.clone(), subject.clone()));
     }
 
-    /// Lets some of the small changes be told that were not worth it at once.
-    pub fn settle(&mut self) {
-        for _ in 0..SETTLED_MAX {
-            let Some((key, subject)) = self.inexact.pop_first() else {
-                return;
+    /// Lets at most `cells_max` of the small changes be told that were not worth it at once; how many it were.
+    pub fn settle(&mut self, cells_max: usize) -> usize {
+        let mut settled = 0;
+        while settled < cells_max {
+            let Some((key, subject)) = self.inexact.pop_front() else {
+                break;
             };
-            let entry = self
-                .cells
-                .get(&key)
-                .and_then(|subjects| subjects.get(&subject));
-            let Some(entry) = entry.copied().filter(|entry| entry.usage != entry.told) else {
+            let subjects = self.cells.get_mut(&key);
+            let Some(cell) = subjects.and_then(|subjects| subjects.get_mut(&subject)) else {
                 continue;
             };
-            self.by_seq.remove(&entry.seq);
-            self.number(&key, &subject, entry.usage);
+            cell.is_queued = false;
+            let cell = *cell;
+            if cell.usage != cell.told {
+                self.by_seq.remove(&cell.seq);
+                self.number(&key, &subject, cell.usage, false);
+                settled += 1;
+            }
         }
+        settled
     }
 
     /// Sets all teams or pools of one key; those that are not given have nothing.
--- a/crates/peer/tests/peer/peers.rs
+++ b/crates/peer/tests/peer/peers.rs
@@ -13,7 +13,7 @@
 
 use crate::common::{Entry, soon};
 
-/// Entries that each know the address of every other.
+/// Entries that each know the address of every other, and of which none wants the usage of all data centres.
 async fn entries(dcs: &[&str]) -> Vec<Entry> {
     let mut all = Vec::new();
     for (bits, dc) in (1..).zip(dcs) {
@@ -28,6 +28,7 @@
         .collect();
     for entry in &all {
         entry.peers.set_listing(&BTreeSet::new(), seeds.clone());
+        entry.peers.want_dc_usage(false);
         entry.run();
     }
     all
@@ -93,6 +94,7 @@
     };
     late.peers
         .set_listing(&BTreeSet::new(), BTreeSet::from([seed]));
+    late.peers.want_dc_usage(false);
     late.run();
     until(|| has(&late, 5)).await;
 }
@@ -201,6 +203,9 @@
 #[tokio::test]
 async fn demand_reaches_every_entry_of_the_dc() {
     let all = entries(&["lis-1", "lis-1", "lis-1", "lis-2"]).await;
+    for entry in &all {
+        entry.peers.want_dc_usage(true);
+    }
     let team = "guides".parse().expect("a name");
     for (entry, running) in all.iter().zip([10, 20, 30, 40]) {
         let usage = Usage {
@@ -227,6 +232,39 @@
     until(|| all.iter().all(far)).await;
 }
 
+#[tokio::test]
+async fn dc_usage_only_to_who_wants_it() {
+    let all = entries(&["lis-1", "lis-2", "lis-3", "lis-3"]).await;
+    for entry in &all {
+        let usage = Usage {
+            running: Slots::new(7),
+            waiting: Slots::ZERO,
+        };
+        let team = "guides".parse().expect("a name");
+        entry.peers.set_usage(&BTreeMap::from([(team, usage)]));
+    }
+    all[3].peers.want_dc_usage(true);
+    let dcs = |entry: &Entry| {
+        let usage = entry.peers.dc_usage();
+        let dcs = usage.iter().map(|cell| cell.dc.to_string());
+        dcs.collect::<BTreeSet<_>>()
+    };
+    until(|| dcs(&all[3]).len() == 3).await;
+    assert_eq!(dcs(&all[0]), BTreeSet::from(["lis-1".to_owned()]));
+    assert_eq!(dcs(&all[1]), BTreeSet::from(["lis-2".to_owned()]));
+}
+
+#[tokio::test]
+async fn tell_quota_changed_reaches_the_entries_of_a_dc() {
+    let all = entries(&["lis-1", "lis-2", "lis-2"]).await;
+    until(|| all.iter().all(|entry| entry.peers.members().len() == 3)).await;
+    let told: Vec<_> = all.iter().map(|entry| entry.peers.quota_told()).collect();
+    all[0].peers.tell_quota_changed(&all[1].member().dc);
+    soon(async { tokio::join!(told[1].notified(), told[2].notified()) }).await;
+    all[0].peers.tell_quota_changed(&all[0].member().dc);
+    soon(told[0].notified()).await;
+}
+
 #[tokio::test]
 async fn in_force_names_who_is_missing() {
     let all = entries(&["lis-1", "lis-1", "lis-2"]).await;
--- a/crates/peer/tests/peer/usage.rs
+++ b/crates/peer/tests/peer/usage.rs
@@ -76,7 +76,7 @@
             heard.apply(&delta, Some(&other));
         }
     }
-    board.settle();
+    board.settle(usize::MAX);
     heard.apply(&board.delta(have, None, CELLS_MAX), Some(&other));
     last.iter().all(|(number, value)| {
         let told = heard.usage(&own, &team(*number)).running.get();
--- a/crates/session/src/quota/keeper.rs
+++ b/crates/session/src/quota/keeper.rs
@@ -7,7 +7,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use goldcrest_ledger::quota::grants::Session as RowSession;
 use goldcrest_ledger::quota::rebalance::{Demand, RebalanceContext, rebalance};
@@ -18,10 +18,11 @@
 use goldcrest_types::names::{EditId, TeamName, VmName};
 use goldcrest_types::units::Slots;
 use log::{debug, warn};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 
 use super::cached::Cached;
+use super::pace::WritePace;
 use crate::keys;
 use crate::part;
 use crate::session::Session;
@@ -36,18 +37,49 @@
 /// How old the document may be while a team wants more here than it holds.
 const AGE_MAX_SHORT: Duration = Duration::from_secs(1);
 
+/// How old the document may be when this entry was told of a change.
+const AGE_MAX_TOLD: Duration = Duration::from_millis(250);
+
 /// How old the document may be after an edit that was refused or whose version is not known.
 const AGE_MAX_EDITED: Duration = Duration::from_millis(500);
 
 /// The time in which one write is earned.
-const WRITE_INTERVAL: Duration = Duration::from_secs(5);
+const WRITE_INTERVAL: Duration = Duration::from_secs(6);
 
 /// How many writes may be saved up, so that a shift of demand is answered at once.
-const WRITES_SAVED: u32 = 12;
+const WRITES_SAVED: u32 = 14;
+
+/// How many of them are kept for slots that others wait for, and for a first slot.
+const WRITES_FOR_NEEDED: u32 = 4;
 
-/// How many of them are kept for moving slots: a floor that is only shifted under the same sum can wait.
+/// How many more are kept for other moves of slots: a floor that is only shifted under the same sum can wait.
 const WRITES_FOR_MOVES: u32 = 8;
 
+/// An entry misses a good part of a team's limit if it is more than one part in this many.
+const SHORT_PART: u32 = 20;
+
+/// How much it matters that parts are written now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Urgency {
+    /// A floor is shifted under the same sum.
+    Shift,
+    /// Slots are given back or taken.
+    Move,
+    /// Slots are given back that others wait for, or taken by who misses a good part of the limit or holds none.
+    Needed,
+}
+
+impl Urgency {
+    /// How many writes must stay saved up.
+    const fn writes_kept(self) -> u32 {
+        match self {
+            Self::Shift => WRITES_FOR_NEEDED + WRITES_FOR_MOVES,
+            Self::Move => WRITES_FOR_NEEDED,
+            Self::Needed => 0,
+        }
+    }
+}
+
 /// Where grants are put in force: the daemon's admission.
 pub trait Gate: Send + Sync + 'static {
     /// Puts `grants` in force and returns what runs of each team. Both happen under the lock of admission, so whatever
@@ -98,7 +130,9 @@
     doc: Cached<DcQuota>,
     ctx: RebalanceContext,
     open: Option<Open>,
-    writes_full_at: Instant,
+    pace: WritePace,
+    told: Arc<Notify>,
+    is_told: bool,
     grants: watch::Sender<Grants>,
 }
 
@@ -107,7 +141,7 @@
     #[must_use]
     pub fn new(session: Session<S, C>, owner: RowOwner, gate: Arc<G>) -> Self {
         let key = keys::quota(&session.cfg().dc);
-        let writes_full_at = session.now();
+        let pace = WritePace::new(WRITE_INTERVAL, WRITES_SAVED, session.now());
         Self {
             session,
             owner,
@@ -115,11 +149,20 @@
             doc: Cached::new(key),
             ctx: RebalanceContext::new(),
             open: None,
-            writes_full_at,
+            pace,
+            told: Arc::default(),
+            is_told: false,
             grants: watch::channel(Grants::new()).0,
         }
     }
 
+    /// The same keeper, which looks at the document at once whenever `told` is notified.
+    #[must_use]
+    pub fn with_told(mut self, told: Arc<Notify>) -> Self {
+        self.told = told;
+        self
+    }
+
     /// The grants in force, and every change of them.
     #[must_use]
     pub fn grants(&self) -> watch::Receiver<Grants> {
@@ -134,26 +177,36 @@
                 Some(Ok(())) => {}
                 Some(Err(error)) => debug!(target: part::QUOTA, "{error}."),
             }
-            let pause = tokio::time::sleep(LOOK_PAUSE);
-            if stop.run_until_cancelled(pause).await.is_none() {
+            if stop.run_until_cancelled(self.pause()).await.is_none() {
                 break;
             }
         }
         self.leave().await;
     }
 
+    /// Waits for the next look, or until this entry is told that the document has changed.
+    async fn pause(&mut self) {
+        let told = Arc::clone(&self.told);
+        let told = tokio::time::timeout(LOOK_PAUSE, told.notified()).await;
+        self.is_told |= told.is_ok();
+    }
+
     /// One look at the demand.
     async fn look(&mut self) -> Result<(), UpdateError> {
         let running = self.install(&[]);
         if let Some(open) = self.open.take() {
             return self.apply(open).await;
         }
-        let age_max = if self.is_short() {
+        let age_max = if self.is_told {
+            AGE_MAX_TOLD
+        } else if self.is_short() {
             AGE_MAX_SHORT
         } else {
             AGE_MAX
         };
+        let known_at = self.doc.read_at();
         self.doc.refresh(&self.session, age_max).await?;
+        self.is_told &= self.doc.read_at() == known_at;
         self.install(&[]);
         let Some(session) = self.row_session() else {
             return Ok(());
@@ -258,25 +311,34 @@
 
     /// Whether `parts` may be written now; if so the write is counted.
     fn take_write(&mut self, parts: &[TeamPart]) -> bool {
+        let urgency = parts.iter().map(|part| self.urgency(part)).max();
+        let kept = urgency.unwrap_or(Urgency::Shift).writes_kept();
+        let now = self.session.now();
+        if self.pace.saved(now) <= kept {
+            return false;
+        }
+        self.pace.take(1, now);
+        true
+    }
+
+    fn urgency(&self, part: &TeamPart) -> Urgency {
         let doc = self.doc.doc();
         let row = doc.row_of(self.session.cfg().entry);
-        let held = |part: &TeamPart| match (row, doc.teams().get(&part.team)) {
-            (Some(row), Some(quota)) => quota.part(row).total(),
-            _ => Slots::ZERO,
+        let (Some(row), Some(quota)) = (row, doc.teams().get(&part.team)) else {
+            return Urgency::Needed;
         };
-        let is_move = parts.iter().any(|part| part.part.total() != held(part));
-        let saved = if is_move {
-            WRITES_SAVED
+        let (before, after) = (quota.part(row).total(), part.part.total());
+        let is_waited_for =
+            quota.keep.is_some() || doc.rows().keys().any(|row| quota.part(*row) == Part::NONE);
+        let taken = after - before;
+        let is_far_short = taken.get() > quota.limit.get() / SHORT_PART;
+        if before == after {
+            Urgency::Shift
+        } else if before.is_zero() || is_far_short || (after < before && is_waited_for) {
+            Urgency::Needed
         } else {
-            WRITES_SAVED - WRITES_FOR_MOVES
-        };
-        let now = self.session.now();
-        let full_at = self.writes_full_at.max(now) + WRITE_INTERVAL;
-        if full_at > now + WRITE_INTERVAL * saved {
-            return false;
+            Urgency::Move
         }
-        self.writes_full_at = full_at;
-        true
     }
 
     /// Applies an edit, and keeps it open for as long as its outcome is unknown.
--- a/crates/session/tests/session/quota.rs
+++ b/crates/session/tests/session/quota.rs
@@ -2,11 +2,18 @@
 
 use std::time::Duration;
 
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+
 use crate::common::{FakeStore, Faults};
-use crate::world::{Entry, Fleet, dc_quota, pass, quota_role};
+use crate::world::{Entry, Fleet, dc_quota, pass, pass_until, quota_role};
 
 const LIMIT: u32 = 100;
 
+/// Within so many seconds of a shift of demand a team can use 0.95 of its limit.
+const SHIFT_S: u32 = 5;
+
 async fn world(dcs: usize, per_dc: u128) -> (FakeStore, std::sync::Arc<Fleet>, Vec<Entry>) {
     let store = FakeStore::default();
     let fleet = Fleet::new(dcs, LIMIT);
@@ -41,11 +48,11 @@
 async fn run_shift_of_demand_between_dcs() {
     let (_, fleet, entries) = world(3, 2).await;
     fleet.want(entries[0].id, 200);
-    pass(&fleet, &entries, 15, LIMIT).await;
+    pass(&fleet, &entries, SHIFT_S, LIMIT).await;
     assert!(fleet.running() >= 95, "{} running", fleet.running());
     fleet.want(entries[0].id, 0);
     fleet.want(entries[5].id, 200);
-    pass(&fleet, &entries, 15, LIMIT).await;
+    pass(&fleet, &entries, SHIFT_S, LIMIT).await;
     assert!(
         fleet.running_at(entries[5].id) >= 95,
         "{} running",
@@ -53,6 +60,56 @@
     );
 }
 
+/// Sets the demand of all entries to `weights`, scaled so that it is the limit in sum or more.
+fn spread(fleet: &Fleet, entries: &[Entry], weights: &[u32]) {
+    let sum: u32 = weights.iter().sum();
+    for (entry, weight) in entries.iter().zip(weights) {
+        fleet.want(entry.id, (weight * LIMIT).div_ceil(sum.max(1)));
+    }
+}
+
+/// Shifts between random spreads, each some seconds after the one before. The calls of all entries take 20 ms, and keep
+/// to each entry's rate.
+async fn shift_at_random(dcs: usize, per_dc: u128, shifts: usize, seed: u64) {
+    let (_, fleet, entries) = world(dcs, per_dc).await;
+    for entry in &entries {
+        entry.store.set_faults(Faults {
+            latency: Duration::from_millis(20),
+            ..Faults::default()
+        });
+    }
+    let mut rng = StdRng::seed_from_u64(seed);
+    for shift in 0..shifts {
+        // Few entries have demand in some spreads, all of them in others.
+        let some = rng.random_range(1..=entries.len());
+        let mut weights: Vec<u32> = entries.iter().map(|_| rng.random_range(0..10)).collect();
+        weights[some..].fill(0);
+        weights[some - 1] += 1;
+        weights.shuffle(&mut rng);
+        spread(&fleet, &entries, &weights);
+        // Work that the shift has ended is gone by the next moment.
+        pass(&fleet, &entries, 1, LIMIT).await;
+        let took = pass_until(&fleet, &entries, SHIFT_S - 1, LIMIT, 95).await;
+        println!("shift {shift}: {} ms", took.as_millis() + 1_000);
+        let running = fleet.running();
+        assert!(
+            running >= 95,
+            "{running} running after shift {shift} to {weights:?}"
+        );
+        pass(&fleet, &entries, 15, LIMIT).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn run_random_shifts_between_three_dcs() {
+    shift_at_random(3, 2, 12, 1).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn run_random_shifts_between_eleven_dcs() {
+    shift_at_random(11, 6, 4, 2).await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn run_service_down_for_all_keeps_floors() {
     let (_, fleet, entries) = world(2, 2).await;
--- a/crates/session/tests/session/world.rs
+++ b/crates/session/tests/session/world.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use goldcrest_ledger::Document;
 use goldcrest_ledger::quota::rebalance::Demand;
@@ -15,23 +15,44 @@
 use goldcrest_types::clock::Clock;
 use goldcrest_types::names::{DcName, EntryId, TeamName};
 use goldcrest_types::units::{Revision, Share, Slots};
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 use crate::common::{FakeStore, TokioClock};
 
+/// How old the demand of another entry can be: it is fed to the links each quarter of a second, told to the relay of its
+/// data centre in the next heartbeat of at most 1.1 s, and to whoever needs it in another one.
+const HEARD_AFTER: Duration = Duration::from_millis(2_450);
+
+/// How long a word from the mover is on its way to an entry.
+const TOLD_AFTER: Duration = Duration::from_millis(50);
+
 /// What an entry is asked for and runs, of the one team.
 #[derive(Default)]
 struct Load {
+    /// What was wanted since when.
+    asked: Vec<(Instant, u32)>,
     wanted: u32,
     running: u32,
     grants: Grants,
 }
 
+impl Load {
+    /// What others have heard that is wanted.
+    fn heard(&self) -> Slots {
+        let now = TokioClock.now();
+        let is_heard = |(at, _): &&(Instant, u32)| now.duration_since(*at) >= HEARD_AFTER;
+        let heard = self.asked.iter().rev().find(is_heard);
+        Slots::new(heard.map_or(0, |(_, wanted)| *wanted))
+    }
+}
+
 /// What all entries of a test share: what each wants and runs, and the catalogue.
 #[derive(Default)]
 pub struct Fleet {
     loads: Mutex<BTreeMap<EntryId, Load>>,
     dcs: Mutex<BTreeMap<EntryId, DcName>>,
+    told: Mutex<BTreeMap<EntryId, Arc<Notify>>>,
     catalogue: Mutex<Option<Arc<Catalogue>>>,
 }
 
@@ -72,7 +93,9 @@
 
     pub fn want(&self, entry: EntryId, wanted: u32) {
         let mut loads = self.loads.lock().expect("a lock");
-        loads.entry(entry).or_default().wanted = wanted;
+        let load = loads.entry(entry).or_default();
+        load.wanted = wanted;
+        load.asked.push((TokioClock.now(), wanted));
     }
 
     /// Runs as much of what is wanted as the grants allow, and ends what is wanted no longer.
@@ -119,7 +142,13 @@
     fn demand(&self) -> Demand {
         let mut demand = Demand::new();
         for (entry, load) in self.fleet.loads.lock().expect("a lock").iter() {
-            demand.set(*entry, &team(), Slots::new(load.wanted));
+            let is_own = *entry == self.entry;
+            let wanted = if is_own {
+                Slots::new(load.wanted)
+            } else {
+                load.heard()
+            };
+            demand.set(*entry, &team(), wanted);
         }
         demand
     }
@@ -135,7 +164,7 @@
         let dcs = self.fleet.dcs.lock().expect("a lock");
         let mut sums: BTreeMap<DcName, Slots> = BTreeMap::new();
         for (entry, load) in loads.iter() {
-            *sums.entry(dcs[entry].clone()).or_default() += Slots::new(load.wanted);
+            *sums.entry(dcs[entry].clone()).or_default() += load.heard();
         }
         let demand = sums.into_iter().map(|(dc, slots)| DcDemand {
             dc,
@@ -144,6 +173,19 @@
         });
         demand.collect()
     }
+
+    fn tell_changed(&self, dc: &DcName) {
+        let dcs = self.fleet.dcs.lock().expect("a lock");
+        for (entry, told) in self.fleet.told.lock().expect("a lock").iter() {
+            if dcs[entry] == *dc {
+                let told = Arc::clone(told);
+                tokio::spawn(async move {
+                    tokio::time::sleep(TOLD_AFTER).await;
+                    told.notify_one();
+                });
+            }
+        }
+    }
 }
 
 /// An entry with its lease, roles, row and mover.
@@ -188,7 +230,11 @@
         tokio::spawn(LeaseKeeper::new(session.clone(), record).run(lease_stop.clone()));
         tokio::spawn(roles.clone().run(stop.clone()));
         let owner = RowOwner { vm, boots: 1 };
-        let keeper = QuotaKeeper::new(session.clone(), owner, Arc::clone(&gate));
+        let told = Arc::new(Notify::new());
+        let mut all_told = fleet.told.lock().expect("a lock");
+        all_told.insert(id, Arc::clone(&told));
+        drop(all_told);
+        let keeper = QuotaKeeper::new(session.clone(), owner, Arc::clone(&gate)).with_told(told);
         tokio::spawn(keeper.run(stop.clone()));
         let mover = Mover::new(session.clone(), roles.clone(), quota_role(), gate);
         tokio::spawn(mover.run(stop.clone()));
@@ -227,22 +273,45 @@
     }
 }
 
+/// The time between the moments at which work is admitted.
+const STEP: Duration = Duration::from_millis(100);
+
 /// Lets `seconds` pass, in which work is admitted ten times a second and the live sessions are told each second. No
 /// team may pass `limit` at any of these moments.
 pub async fn pass(fleet: &Arc<Fleet>, entries: &[Entry], seconds: u32, limit: u32) {
     for step in 0..seconds * 10 {
-        if step % 10 == 0 {
-            for entry in entries {
-                if let Ok(live) = entry.session.sessions().await {
-                    entry.roles.set_live(live);
-                }
+        pass_step(fleet, entries, step, limit).await;
+    }
+}
+
+/// Lets time pass in the same way until the team runs `wanted` slots, for at most `seconds`; the time that it took.
+pub async fn pass_until(
+    fleet: &Arc<Fleet>,
+    entries: &[Entry],
+    seconds: u32,
+    limit: u32,
+    wanted: u32,
+) -> Duration {
+    let mut step = 0;
+    while step < seconds * 10 && fleet.running() < wanted {
+        pass_step(fleet, entries, step, limit).await;
+        step += 1;
+    }
+    STEP * step
+}
+
+async fn pass_step(fleet: &Arc<Fleet>, entries: &[Entry], step: u32, limit: u32) {
+    if step.is_multiple_of(10) {
+        for entry in entries {
+            if let Ok(live) = entry.session.sessions().await {
+                entry.roles.set_live(live);
             }
         }
-        fleet.admit();
-        let running = fleet.running();
-        assert!(running <= limit, "{running} running, upper limit {limit}");
-        tokio::time::sleep(Duration::from_millis(100)).await;
     }
+    fleet.admit();
+    let running = fleet.running();
+    assert!(running <= limit, "{running} running, upper limit {limit}");
+    tokio::time::sleep(STEP).await;
 }
 
 pub fn dc_quota(store: &FakeStore, number: usize) -> DcQuota {
