front: nothing is sent by a claim that has lapsed

Cause: the deadline, key and quota were looked at when an upstream was picked, and the claim on an idempotency key never after it was granted. An entry paused after that look, or one whose claim was kept for less than the deadline, woke up and sent a request whose key another entry may have been granted meanwhile.

Change: a grant names how long it is kept, counted from before it was asked for. Deadline and claim are looked at before the request is handed to the connection, key and quota again if the connection took 50 ms or longer, and a fence in the body holds back what has lapsed until hyper writes the head.

Conclusion: left open is a pause between the fence and the write itself, which no look can close.

--- a/crates/daemon/src/peers/claims.rs
+++ b/crates/daemon/src/peers/claims.rs
@@ -1,5 +1,7 @@
 //! The serving path's claims, put to the entry that is the home of a key.
 
+use std::time::Duration;
+
 use goldcrest_front::{Claim, Claims};
 use goldcrest_peer::message::{ClaimAnswer, ClaimAsk, ClaimDigest};
 use goldcrest_types::key::KeyDigest;
@@ -47,9 +49,10 @@
         let Some(ask) = self.ask(queue, digest, request) else {
             return Claim::Unavailable;
         };
+        let keep = Duration::from_millis(ask.keep_ms);
         match self.peers.claim(ask).await {
-            ClaimAnswer::Granted => Claim::Granted,
-            ClaimAnswer::AlreadySeen { by } if by == request => Claim::Granted,
+            ClaimAnswer::Granted => Claim::Granted { keep },
+            ClaimAnswer::AlreadySeen { by } if by == request => Claim::Granted { keep },
             ClaimAnswer::AlreadySeen { .. } => Claim::Seen,
             ClaimAnswer::Unknown | ClaimAnswer::Moved => Claim::Unknown,
         }
--- a/crates/front/src/body/mod.rs
+++ b/crates/front/src/body/mod.rs
@@ -5,6 +5,7 @@
 //! upstream's answer on and ends the request's bookkeeping with its last frame. [`OutBody`] is what callers get.
 
 mod answer;
+mod fence;
 mod request;
 
 use std::pin::Pin;
@@ -17,6 +18,8 @@
 
 pub use answer::AnswerBody;
 pub(crate) use answer::{AnswerEnd, OpenAnswer};
+pub(crate) use fence::Fence;
+pub(crate) use request::RequestFault;
 pub use request::{RequestBody, RequestSource};
 
 quick_error! {
@@ -36,6 +39,10 @@
         Deadline {
             display("the deadline passed midway: look at the result and allow a longer deadline")
         }
+        /// The request was held up until it may not be sent any more.
+        Lapsed {
+            display("the request was held up until it may not be sent any more: look at the result before sending it again")
+        }
         /// The send that this body belonged to was given up.
         Superseded {
             display("the send was given up: another one has the body")
--- a/crates/front/src/body/request.rs
+++ b/crates/front/src/body/request.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 
 use super::BodyError;
+use super::fence::Fence;
 
 /// Why a caller's body ended early.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -17,6 +18,8 @@
     Lost,
     /// It passed the queue's limit.
     TooLarge,
+    /// It was held up until it may not be sent any more.
+    Lapsed,
 }
 
 #[derive(Debug)]
@@ -57,12 +60,13 @@
 
     /// Lends the body to a new send. An earlier send gets nothing more of it.
     #[must_use]
-    pub fn lend(&self) -> RequestBody {
+    pub fn lend(&self, fence: Fence) -> RequestBody {
         let mut state = self.lock();
         state.lent += 1;
         RequestBody {
             source: self.clone(),
             number: state.lent,
+            fence,
         }
     }
 
@@ -81,9 +85,6 @@
     /// Why the body ended early, if it did.
     #[must_use]
     pub fn fault(&self) -> Option<RequestFault> {
-        if self.is_empty {
-            return None;
-        }
         self.lock().fault
     }
 
@@ -97,6 +98,7 @@
 pub struct RequestBody {
     source: RequestSource,
     number: u32,
+    fence: Fence,
 }
 
 impl State {
@@ -137,18 +139,29 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let mut state = self.source.lock();
-        if state.lent != self.number {
+        let this = self.get_mut();
+        let mut state = this.source.lock();
+        if state.lent != this.number {
             return Poll::Ready(Some(Err(BodyError::Superseded)));
         }
+        if !this.fence.pass() {
+            state.fault = Some(RequestFault::Lapsed);
+            return Poll::Ready(Some(Err(BodyError::Lapsed)));
+        }
         state.poll(cx)
     }
 
+    /// It is not ended if it has lapsed: hyper then asks for a frame before it writes anything, and gets the error.
     fn is_end_stream(&self) -> bool {
-        self.source.is_empty || self.source.lock().body.is_end_stream()
+        let is_ended = self.source.is_empty || self.source.lock().body.is_end_stream();
+        is_ended && self.fence.may_end()
     }
 
+    /// A body that has lapsed has no known size: hyper would write the head at once if the size were 0.
     fn size_hint(&self) -> SizeHint {
+        if !self.fence.is_open() {
+            return SizeHint::default();
+        }
         if self.source.is_empty {
             return SizeHint::with_exact(0);
         }
--- a/crates/front/src/call/claim.rs
+++ b/crates/front/src/call/claim.rs
@@ -1,6 +1,7 @@
 //! The claim on the idempotency key of a request that may run only once.
 
 use std::sync::{Arc, PoisonError};
+use std::time::Instant;
 
 use goldcrest_serve::outcome::{NotRunCode, Refusal, UnknownCode, Unsent};
 use goldcrest_types::key::KeyDigest;
@@ -16,9 +17,15 @@
     queue: QueueName,
     digest: KeyDigest,
     request: RequestId,
+    until: Instant,
 }
 
 impl Granted {
+    /// Until when no other request can be granted the key, by this entry's clock.
+    pub(super) const fn until(&self) -> Instant {
+        self.until
+    }
+
     /// Gives the claim back, since the request did not run.
     pub(super) async fn release(self, shared: &Shared) {
         let claims = claims(shared);
@@ -46,18 +53,24 @@
     }
     // Names hold no line break, so no two scopes run together.
     let scoped = format!("{}\n{}\n{key}", admitted.team, admitted.queue);
-    let granted = Granted {
-        queue: admitted.queue.clone(),
-        digest: KeyDigest::of(&scoped),
-        request,
-    };
+    let digest = KeyDigest::of(&scoped);
     let claims = claims(shared);
-    let asked = claims.claim(&granted.queue, granted.digest, granted.request);
+    // The home can't have granted the key before this, so it keeps the claim for no less than from here on.
+    let asked_at = shared.clock.now();
+    let asked = claims.claim(&admitted.queue, digest, request);
     let wait = shared.cfg.claim_timeout.min(admitted.ticket.left());
     let answer = tokio::time::timeout(wait, asked).await;
     let after = Some(std::time::Duration::from_secs(1));
     match answer.unwrap_or(Claim::Unavailable) {
-        Claim::Granted => Ok((Some(granted), unsent)),
+        Claim::Granted { keep } => {
+            let granted = Granted {
+                queue: admitted.queue.clone(),
+                digest,
+                request,
+                until: asked_at + keep,
+            };
+            Ok((Some(granted), unsent))
+        }
         // This request did not run, but the work behind its key may have.
         Claim::Seen => Err(unsent.sent().refuse(UnknownCode::DuplicateRequest)),
         Claim::Unknown => Err(unsent.sent().refuse(UnknownCode::PastUnknown)),
--- a/crates/front/src/call/mod.rs
+++ b/crates/front/src/call/mod.rs
@@ -65,6 +65,7 @@
     let job = send::Job {
         shared,
         is_idempotent: head.is_idempotent,
+        claimed_until: claim.as_ref().map(claim::Granted::until),
         target: head.target,
         source: RequestSource::new(body, limits.request_bytes.get()),
         parts,
--- a/crates/front/src/call/send.rs
+++ b/crates/front/src/call/send.rs
@@ -6,7 +6,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use goldcrest_serve::outcome::{NotRunCode, Refusal, Sent, UnknownCode, Unsent};
 use goldcrest_serve::retry::ATTEMPTS_MAX;
@@ -18,7 +18,7 @@
 use http::{HeaderValue, Request, Response, StatusCode, Uri, Version, request};
 use hyper::body::Incoming;
 
-use crate::body::{RequestBody, RequestSource};
+use crate::body::{Fence, RequestBody, RequestFault, RequestSource};
 use crate::cfg::UpstreamProtocol;
 use crate::explain::Step;
 use crate::front::{Record, Shared, Ticket};
@@ -26,10 +26,19 @@
 use crate::refusal::X_OUTCOME;
 use crate::upstream::{Answer, AnswerLease, SendError};
 
+/// A connection that took longer than this to get is a reason to look again whether the request may be sent. It is far
+/// below the terms of keys and quota, and above the time that a connection inside a data centre takes.
+const LOOK_AGAIN_AFTER: Duration = Duration::from_millis(50);
+
+/// A request begins to leave in this time after the last look, or not at all: whatever that look saw may have lapsed
+/// while this process was paused.
+const BEGIN_WITHIN: Duration = Duration::from_secs(1);
+
 /// A request that is to be sent.
 pub(super) struct Job<'a> {
     pub(super) shared: &'a Arc<Shared>,
     pub(super) is_idempotent: bool,
+    pub(super) claimed_until: Option<Instant>,
     pub(super) target: PathAndQuery,
     pub(super) parts: request::Parts,
     pub(super) source: RequestSource,
@@ -75,7 +84,7 @@
     /// Whether another send does no harm and may help.
     const fn allows_send(&self, is_idempotent: bool) -> bool {
         match self {
-            Self::Unsent(_, NotRunCode::DeadlinePassed) => false,
+            Self::Unsent(_, NotRunCode::DeadlinePassed | NotRunCode::ClaimsUnavailable) => false,
             Self::Unsent(..) => true,
             Self::Sent(_, code) => {
                 is_idempotent
@@ -193,7 +202,11 @@
             ));
         }
     };
-    let Some(request) = build(job, address, id, ticket.left()) else {
+    let fence = match look_again(job, ticket, began) {
+        Ok(fence) => fence,
+        Err(code) => return Err(Failed::not_sent(code, Finish::Neutral)),
+    };
+    let Some(request) = build(job, address, id, ticket.left(), fence) else {
         return Err(Failed::not_sent(NotRunCode::BadPath, Finish::Neutral));
     };
     ticket.sending();
@@ -215,6 +228,29 @@
     }
 }
 
+/// Looks whether the request may still be sent, which was known at `looked`, and says until when it may begin to leave.
+fn look_again(job: &Job<'_>, ticket: &Ticket, looked: Instant) -> Result<Fence, NotRunCode> {
+    let shared = job.shared;
+    let mut now = shared.clock.now();
+    if now.saturating_duration_since(looked) >= LOOK_AGAIN_AFTER {
+        ticket.may_send()?;
+        now = shared.clock.now();
+    }
+    let deadline = ticket.deadline();
+    let until = job
+        .claimed_until
+        .map_or(deadline, |claimed| claimed.min(deadline));
+    if until <= now {
+        return Err(if deadline <= now {
+            NotRunCode::DeadlinePassed
+        } else {
+            NotRunCode::ClaimsUnavailable
+        });
+    }
+    let begin_until = until.min(now + BEGIN_WITHIN);
+    Ok(Fence::new(Arc::clone(&shared.clock), begin_until, until))
+}
+
 fn fault(job: &Job<'_>, ticket: &mut Ticket, error: SendError) -> Failed {
     match error {
         SendError::NotSent(unsent) => {
@@ -224,10 +260,16 @@
                 finish: Finish::Neutral,
             }
         }
-        SendError::Failed(sent, _) if job.source.fault().is_some() => {
-            Failed::unknown(sent, UnknownCode::RequestBodyLost, Finish::Neutral)
-        }
-        SendError::Failed(sent, code) => Failed::unknown(sent, code, Finish::Failed),
+        SendError::Failed(sent, code) => match job.source.fault() {
+            // The part before the fence may have left.
+            Some(RequestFault::Lapsed) => {
+                Failed::unknown(sent, UnknownCode::DeadlineRunning, Finish::Neutral)
+            }
+            Some(RequestFault::Lost | RequestFault::TooLarge) => {
+                Failed::unknown(sent, UnknownCode::RequestBodyLost, Finish::Neutral)
+            }
+            None => Failed::unknown(sent, code, Finish::Failed),
+        },
     }
 }
 
@@ -273,8 +315,9 @@
     address: SocketAddr,
     id: RequestId,
     left: Duration,
+    fence: Fence,
 ) -> Option<Request<RequestBody>> {
-    let mut request = Request::new(job.source.lend());
+    let mut request = Request::new(job.source.lend(fence));
     *request.method_mut() = job.parts.method.clone();
     *request.headers_mut() = job.parts.headers.clone();
     set_per_send(request.headers_mut(), id, left);
--- a/crates/front/src/claims/mod.rs
+++ b/crates/front/src/claims/mod.rs
@@ -22,8 +22,11 @@
 /// The answer to a claim.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Claim {
-    /// The request may run; no other with this key has or will.
-    Granted,
+    /// The request may run; no other with this key has or will, until the claim is forgotten.
+    Granted {
+        /// How long the claim is kept at least, from when it was asked for. Nothing is sent after it.
+        keep: Duration,
+    },
     /// A request with this key was granted before.
     Seen,
     /// Whether one was granted before cannot be known.
@@ -132,7 +135,7 @@
         table.order.push_back((now + LOCAL_WINDOW, digest, request));
         let bucket = table.granted.entry(digest.prefix()).or_default();
         bucket.push((digest, request));
-        Claim::Granted
+        Claim::Granted { keep: LOCAL_WINDOW }
     }
 
     fn release_now(&self, digest: KeyDigest, request: RequestId) {
--- a/crates/front/src/front/ticket.rs
+++ b/crates/front/src/front/ticket.rs
@@ -46,6 +46,17 @@
             .saturating_duration_since(self.shared.clock.now())
     }
 
+    /// When the request has to be answered.
+    pub(crate) const fn deadline(&self) -> Instant {
+        self.deadline
+    }
+
+    /// Whether the request may still be sent now.
+    pub(crate) fn may_send(&self) -> Result<(), NotRunCode> {
+        let work = self.work;
+        self.shared.desk(|d, now| d.admission().may_send(work, now))
+    }
+
     /// Picks an upstream and opens a send to it, unless the request may not be sent any more.
     pub(crate) fn open_send(
         &mut self,
--- a/crates/front/tests/front/once.rs
+++ b/crates/front/tests/front/once.rs
@@ -1,7 +1,8 @@
 //! The same non-idempotent request twice runs at most once.
 
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant, SystemTime};
 
 use goldcrest_front::{Claim, Claims, Front, KeyFreshness, LocalClaims};
 use goldcrest_types::clock::{Clock, ManualClock};
@@ -16,6 +17,9 @@
 
 const KEY: &str = "idempotency-key: booking-7\r\n";
 
+/// How long the claims of these tests are kept.
+const KEEP: Duration = Duration::from_mins(5);
+
 /// Claims that answer what a test says, and note what was given back.
 #[derive(Debug)]
 struct Scripted {
@@ -126,7 +130,7 @@
     async fn claim(&self, _: &QueueName, _: KeyDigest, _: RequestId) -> Claim {
         self.asked.notify_one();
         self.go.notified().await;
-        Claim::Granted
+        Claim::Granted { keep: KEEP }
     }
 
     async fn release(&self, _: &QueueName, _: KeyDigest, _: RequestId) {}
@@ -172,3 +176,104 @@
     });
     assert_eq!(late.await, ("deadline-passed".to_owned(), 0));
 }
+
+/// A clock that stands still but for one look, before which the process was paused for longer than claims are kept.
+#[derive(Debug)]
+struct PauseClock {
+    time: Arc<ManualClock>,
+    looks: AtomicUsize,
+    paused_before: usize,
+}
+
+impl PauseClock {
+    fn looks(&self) -> usize {
+        self.looks.load(Ordering::SeqCst)
+    }
+}
+
+impl Clock for PauseClock {
+    fn now(&self) -> Instant {
+        if self.looks.fetch_add(1, Ordering::SeqCst) == self.paused_before {
+            self.time.advance(SHORT_KEEP);
+        }
+        self.time.now()
+    }
+
+    fn wall(&self) -> SystemTime {
+        self.time.wall()
+    }
+}
+
+/// How long a claim is kept that a pause outlasts. The deadline is later.
+const SHORT_KEEP: Duration = Duration::from_secs(10);
+
+/// Claims that are kept for a short time, and note how many looks at the clock came before the first.
+#[derive(Debug)]
+struct Short {
+    clock: Arc<PauseClock>,
+    looks: AtomicUsize,
+}
+
+impl Claims for Short {
+    async fn claim(&self, _: &QueueName, _: KeyDigest, _: RequestId) -> Claim {
+        self.looks.store(self.clock.looks(), Ordering::SeqCst);
+        Claim::Granted { keep: SHORT_KEEP }
+    }
+
+    async fn release(&self, _: &QueueName, _: KeyDigest, _: RequestId) {}
+}
+
+/// An entry that is paused before a look at its clock, one of its requests, and the upstream.
+struct Paused {
+    upstream: Upstream,
+    clock: Arc<PauseClock>,
+    claims: Arc<Short>,
+    asking: tokio::task::JoinHandle<crate::common::caller::Answer>,
+}
+
+impl Paused {
+    async fn start(paused_before: usize, body: &'static str) -> Self {
+        let upstream = Upstream::start(&[Act::Gated("done")]).await;
+        let time = Arc::new(ManualClock::new());
+        let clock = Arc::new(PauseClock {
+            time: Arc::clone(&time),
+            looks: AtomicUsize::new(0),
+            paused_before,
+        });
+        let claims = Arc::new(Short {
+            clock: Arc::clone(&clock),
+            looks: AtomicUsize::new(usize::MAX),
+        });
+        let front = Front::new(cfg(), clock.clone()).with_claims(claims.clone());
+        let address = Entry::serve(front, time, &[upstream.address]).await.address;
+        let text = request("POST", "/q/merge/x", KEY, body);
+        let asking = tokio::spawn(async move { ask(address, &text).await });
+        Self {
+            upstream,
+            clock,
+            claims,
+            asking,
+        }
+    }
+}
+
+/// Wherever an entry is paused between its claim and the first byte, it does not send by a claim that has lapsed.
+#[tokio::test]
+async fn once_paused_after_claim() {
+    for body in ["", "b"] {
+        let whole = Paused::start(usize::MAX, body).await;
+        whole.upstream.arrived(1).await;
+        let last = whole.clock.looks();
+        whole.upstream.open_gate();
+        assert_eq!(whole.asking.await.expect("no panic").text(), "done");
+        let first = whole.claims.looks.load(Ordering::SeqCst);
+        assert!(first < last, "{first} {last}");
+        for look in first..last {
+            let paused = Paused::start(look, body).await;
+            paused.upstream.open_gate();
+            let answer = paused.asking.await.expect("no panic");
+            assert!(answer.header("x-outcome").is_some(), "{look} of {last}");
+            assert_eq!(paused.upstream.runs(), 0, "{look} of {last}");
+        }
+    }
+}
