front: an open queue refuses nothing because keys cease to be fresh

Cause: a request that came to an open queue with a key counted for that key's team. When keys ceased to be fresh while it waited, it was refused as keys-not-fresh, though the queue takes work without a key.

Change: such a request is looked at again, and then counts for the queue's owner.

--- a/crates/front/src/call/admit.rs
+++ b/crates/front/src/call/admit.rs
@@ -31,6 +31,13 @@
     key: Option<KeyId>,
 }
 
+impl Authority {
+    /// Whether a request that came with a key would be taken without it.
+    fn may_go_on_keyless(&self, view: &View) -> bool {
+        self.key.is_some() && view.cat.queues[self.queue].access == Access::Open
+    }
+}
+
 /// What the lock's holder said.
 enum Offer {
     Decided(Decision),
@@ -66,6 +73,8 @@
         };
         let ticket = match ticket {
             Ok(ticket) => ticket,
+            // Keys ceased to be fresh while it waited: an open queue takes it without one.
+            Err((NotRunCode::KeysNotFresh, _)) if authority.may_go_on_keyless(&view) => continue,
             Err((code, after)) => return Err(unsent.refuse(code, Some(after))),
         };
         record.started();
--- a/crates/front/tests/front/refusal.rs
+++ b/crates/front/tests/front/refusal.rs
@@ -199,3 +199,19 @@
     }
     assert_eq!(upstream.runs(), 0);
 }
+
+#[tokio::test]
+async fn refuse_open_queue_not_for_stale_keys() {
+    let upstream = Upstream::start(&[Act::Answer("yes")]).await;
+    let entry = Entry::plain(&[upstream.address]).await;
+    entry.front.set_grants(grants(0, 0, None));
+    let address = entry.address;
+    let text = request("GET", "/q/public/x", "", "");
+    let asking = tokio::spawn(async move { ask(address, &text).await });
+    entry.until(|status| status.waiting.get() == 1).await;
+    // The key that it came with ceases to be fresh while it waits.
+    entry.front.set_key_freshness(KeyFreshness { until: None });
+    entry.front.set_grants(grants(1, 0, None));
+    assert_eq!(asking.await.expect("no panic").status, 200);
+    assert_eq!(upstream.runs(), 1);
+}
