bench: the memory of an entry that holds 10,000 streams of HTTP/1.1

Cause: callers, entry and upstream in one process need four descriptors a stream, and a process may have 20,000.

Change: streams runs as one of three parts, each started by hand, with HTTP/2 from the entry to the upstream.

--- a/crates/bench/src/bin/streams.rs
+++ b/crates/bench/src/bin/streams.rs
@@ -5,10 +5,20 @@
 //! Callers, entry and upstream share this process. With `--direct` the callers go to the upstream without an entry, so
 //! the difference of two runs is the entry's part. By default both sides speak HTTP/2; with `--http1` each stream has
 //! a connection of its own on each side, which takes four file descriptors a stream here.
+//!
+//! Many streams of HTTP/1.1 need more descriptors than one process may have. Then three processes, started by hand in
+//! this order, hold them together; the entry speaks HTTP/2 to the upstream and prints its own memory:
+//!
+//! ```text
+//! streams --part upstream                            # prints its address
+//! streams --part entry --to ADDRESS --streams N      # prints its address, then its memory at N streams
+//! streams --part callers --to ADDRESS --streams N    # HTTP/1.1, or HTTP/2 with --http2
+//! ```
 
 use std::convert::Infallible;
 use std::error::Error;
 use std::net::SocketAddr;
+use std::str::FromStr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -39,19 +49,85 @@
 /// What each stream has sent before it goes silent.
 const FIRST: &[u8] = &[b's'; 1_024];
 
+/// How long the callers of a run over three processes hold their streams.
+const HOLD: Duration = Duration::from_secs(20);
+/// The time between two looks at the streams of an entry.
+const LOOK: Duration = Duration::from_millis(500);
+
+/// What this process is in a run over three processes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Part {
+    Upstream,
+    Entry,
+    Callers,
+}
+
+impl FromStr for Part {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "upstream" => Ok(Self::Upstream),
+            "entry" => Ok(Self::Entry),
+            "callers" => Ok(Self::Callers),
+            _ => Err(format!(
+                "'{text}' is no part: say upstream, entry or callers"
+            )),
+        }
+    }
+}
+
 #[tokio::main]
 async fn main() -> Result<(), AnyError> {
     let mut args = pico_args::Arguments::from_env();
-    let streams: usize = args.value_from_str("--streams")?;
-    let is_direct = args.contains("--direct");
-    let is_h1 = args.contains("--http1");
-    let upstream = start_upstream().await?;
-    let front = (!is_direct).then(|| front(upstream, is_h1)).transpose()?;
-    let target = match &front {
-        Some(front) => serve(front).await?,
-        None => upstream,
-    };
+    let part: Option<Part> = args.opt_value_from_str("--part")?;
+    match part {
+        Some(Part::Upstream) => {
+            println!("{}", start_upstream().await?);
+            std::future::pending().await
+        }
+        Some(Part::Entry) => {
+            entry(
+                args.value_from_str("--to")?,
+                args.value_from_str("--streams")?,
+            )
+            .await
+        }
+        Some(Part::Callers) => {
+            let is_h1 = !args.contains("--http2");
+            let streams = args.value_from_str("--streams")?;
+            let open = open_all(args.value_from_str("--to")?, streams, is_h1).await?;
+            println!("{} streams open", open.len());
+            tokio::time::sleep(HOLD).await;
+            Ok(())
+        }
+        None => together(args).await,
+    }
+}
+
+/// An entry that tells its memory before the first stream and with `streams` of them, and ends with the last.
+async fn entry(upstream: SocketAddr, streams: u32) -> Result<(), AnyError> {
+    let front = front(upstream, false)?;
+    println!("{}", serve(&front).await?);
     let before = resident_kb()?;
+    let running = || front.status().running.get();
+    while running() < streams {
+        tokio::time::sleep(LOOK).await;
+    }
+    let (after, open) = (resident_kb()?, std::fs::read_dir("/proc/self/fd")?.count());
+    println!("{} streams run at the entry, {open} descriptors", running());
+    println!(
+        "resident before {before} kB, after {after} kB, {} kB more",
+        after - before
+    );
+    Ok(())
+}
+
+async fn open_all(
+    target: SocketAddr,
+    streams: usize,
+    is_h1: bool,
+) -> Result<Vec<Incoming>, AnyError> {
     let mut open = Vec::with_capacity(streams);
     if is_h1 {
         for _ in 0..streams {
@@ -63,6 +139,21 @@
             open.extend(open_h2(target, count).await?);
         }
     }
+    Ok(open)
+}
+
+async fn together(mut args: pico_args::Arguments) -> Result<(), AnyError> {
+    let streams: usize = args.value_from_str("--streams")?;
+    let is_direct = args.contains("--direct");
+    let is_h1 = args.contains("--http1");
+    let upstream = start_upstream().await?;
+    let front = (!is_direct).then(|| front(upstream, is_h1)).transpose()?;
+    let target = match &front {
+        Some(front) => serve(front).await?,
+        None => upstream,
+    };
+    let before = resident_kb()?;
+    let open = open_all(target, streams, is_h1).await?;
     let after = resident_kb()?;
     let running = front
         .as_ref()
