tasks: a submitter says whether its task can save its state

Cause: every task was taken as one that can checkpoint, so one that can't was asked to whenever its worker drained or a more urgent one needed room. Change: `checkpointable` in a submission, true if missing; in the record an enum that also holds whether a state was saved.

--- a/crates/bench/src/bin/ledger.rs
+++ b/crates/bench/src/bin/ledger.rs
@@ -8,7 +8,7 @@
 use goldcrest_ledger::Document;
 use goldcrest_ledger::catalogue::{CatalogueEdit, Change, Delta, Head, diff};
 use goldcrest_ledger::fleet::{FleetDoc, Permit, Purpose, VmEdit};
-use goldcrest_ledger::jobs::{JobEdit, JobsDoc, Task, TaskState};
+use goldcrest_ledger::jobs::{Checkpoint, JobEdit, JobsDoc, Task, TaskState};
 use goldcrest_ledger::quota::rebalance::{Demand, RebalanceContext, rebalance};
 use goldcrest_ledger::quota::{
     DcEdit, DcQuota, FleetEdit, FleetQuota, Grants, Moved, Part, SessionId, TeamPart, TeamSlots,
@@ -311,7 +311,7 @@
         payload: "x".repeat(PAYLOAD_BYTES).into(),
         is_idempotent: true,
         attempts: 0,
-        is_checkpointed: false,
+        checkpoint: Checkpoint::Possible,
         is_cancelled: false,
         state: TaskState::Waiting,
     }
--- a/crates/daemon/src/scheduler/plan.rs
+++ b/crates/daemon/src/scheduler/plan.rs
@@ -11,7 +11,7 @@
 
 use goldcrest_ledger::jobs::task::ParkReason;
 use goldcrest_ledger::jobs::{
-    JobAnswer, JobEdit, JobRefusal, JobsDoc, RequeueCause, Task, TaskOutcome, TaskState,
+    Checkpoint, JobAnswer, JobEdit, JobRefusal, JobsDoc, RequeueCause, Task, TaskOutcome, TaskState,
 };
 use goldcrest_peer::usage::Usage;
 use goldcrest_sched::{
@@ -402,13 +402,13 @@
         declared: task.need,
         declared_run: Duration::from_millis(task.run_ms),
         deadline: None,
-        checkpointable: true,
+        checkpointable: task.checkpoint != Checkpoint::Impossible,
         idempotent: task.is_idempotent,
     }
 }
 
 const fn progress(task: &Task) -> Progress {
-    if task.is_checkpointed {
+    if matches!(task.checkpoint, Checkpoint::Saved) {
         Progress::Checkpointed
     } else if task.attempts > 0 {
         Progress::HasRun
--- a/crates/daemon/src/tasks/mod.rs
+++ b/crates/daemon/src/tasks/mod.rs
@@ -9,7 +9,7 @@
 use std::net::TcpListener as StdListener;
 use std::sync::Arc;
 
-use goldcrest_ledger::jobs::{JobAnswer, JobsDoc, Task, TaskState};
+use goldcrest_ledger::jobs::{Checkpoint, JobAnswer, JobsDoc, Task, TaskState};
 use goldcrest_obs::logs::Part;
 use goldcrest_session::UpdateError;
 use goldcrest_types::catalogue::{Access, Catalogue, PoolKind};
@@ -54,6 +54,14 @@
     /// Whether it may run again after it may have run.
     #[serde(default)]
     idempotent: bool,
+    /// Whether it can save its state and resume from it.
+    #[serde(default = "can_checkpoint")]
+    checkpointable: bool,
+}
+
+/// The platform's workers can checkpoint a task unless its submitter says otherwise.
+const fn can_checkpoint() -> bool {
+    true
 }
 
 /// A task's key in its text form.
@@ -150,7 +158,11 @@
         payload: sent.payload,
         is_idempotent: sent.idempotent,
         attempts: 0,
-        is_checkpointed: false,
+        checkpoint: if sent.checkpointable {
+            Checkpoint::Possible
+        } else {
+            Checkpoint::Impossible
+        },
         is_cancelled: false,
         state: TaskState::Waiting,
     };
--- a/crates/daemon/tests/drain.rs
+++ b/crates/daemon/tests/drain.rs
@@ -10,7 +10,7 @@
 use goldcrest_daemon::scheduler::plan::{SHARDS, TaskPlan, shard_of};
 use goldcrest_daemon::world::Fleets;
 use goldcrest_ledger::fleet::{FleetDoc, Permit, Purpose, VmEdit};
-use goldcrest_ledger::jobs::{JobEdit, JobsDoc, Task, TaskOutcome, TaskState};
+use goldcrest_ledger::jobs::{Checkpoint, JobEdit, JobsDoc, Task, TaskOutcome, TaskState};
 use goldcrest_platform::fleet::{VmListing, VmPhase, VmRecord, VmRole};
 use goldcrest_sched::{CommandKind, Config, ObservedPhase, Start, StartOutcome, TaskObservation};
 use goldcrest_types::catalogue::{Catalogue, Class, parse};
@@ -131,7 +131,7 @@
             payload: "work".into(),
             is_idempotent: true,
             attempts: 0,
-            is_checkpointed: false,
+            checkpoint: Checkpoint::Possible,
             is_cancelled: false,
             state: TaskState::Waiting,
         };
--- a/crates/daemon/tests/tasks.rs
+++ b/crates/daemon/tests/tasks.rs
@@ -7,7 +7,7 @@
 
 use goldcrest_daemon::scheduler::plan::{SHARDS, TaskPlan, shard_of};
 use goldcrest_ledger::jobs::{
-    JobAnswer, JobEdit, JobRefusal, JobsDoc, Task, TaskOutcome, TaskState,
+    Checkpoint, JobAnswer, JobEdit, JobRefusal, JobsDoc, Task, TaskOutcome, TaskState,
 };
 use goldcrest_sched::{
     Availability, CommandKind, Config, ObservedPhase, Start, StartOutcome, TaskObservation,
@@ -42,7 +42,7 @@
         payload: "work".into(),
         is_idempotent,
         attempts: 0,
-        is_checkpointed: false,
+        checkpoint: Checkpoint::Possible,
         is_cancelled: false,
         state: TaskState::Waiting,
     }
@@ -490,3 +490,25 @@
     let found: Vec<TaskKey> = beyond(6);
     assert!(found.is_empty());
 }
+
+/// What the submitter said of a task's state reaches the scheduler, and a record without it stands for a task that can save it.
+#[test]
+fn take_document_not_checkpointable() {
+    let mut world = World::new(7);
+    world.faults = false;
+    let (fixed, movable) = (TaskKey::new(1), TaskKey::new(2));
+    let once = Task {
+        checkpoint: Checkpoint::Impossible,
+        ..task(true)
+    };
+    for (key, task) in [(fixed, once), (movable, task(true))] {
+        world.edit(JobEdit::Accept { key, task }, key);
+    }
+    world.read_documents();
+    let can_save = |key| {
+        let tasks = &world.plan.sched().state().tasks;
+        tasks.find(&key).map(|id| tasks[id].checkpointable)
+    };
+    assert_eq!(can_save(fixed), Some(false));
+    assert_eq!(can_save(movable), Some(true));
+}
--- a/crates/demo/tests/tour.rs
+++ b/crates/demo/tests/tour.rs
@@ -261,9 +261,11 @@
     let (_, key) = told.split_once("\"key\":\"").expect("a key");
     let (key, _) = key.split_once('"').expect("a key");
     let explain = format!("ctl explain task {key}");
-    let wanted = "its scheduler says: ";
-    let found = ctl_until(&explain, addresses.operator, wanted).await;
-    let (_, reason) = found.split_once(wanted).expect("a reason");
+    // Before the team has slots here, that is the reason told.
+    let found = ctl_until(&explain, addresses.operator, "larger worker").await;
+    let (_, reason) = found
+        .split_once("its scheduler says: ")
+        .expect("its scheduler's reason");
     assert!(reason.contains("larger worker"), "{found}");
     let found = ctl_until("ctl status", addresses.operator, "%").await;
     let guides = found.lines().find(|line| line.starts_with("guides"));
--- a/crates/ledger/src/jobs/mod.rs
+++ b/crates/ledger/src/jobs/mod.rs
@@ -19,7 +19,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use edit::{JobAnswer, JobEdit, JobRefusal, RequeueCause};
-pub use task::{Ended, Task, TaskOutcome, TaskState};
+pub use task::{Checkpoint, Ended, Task, TaskOutcome, TaskState};
 
 use crate::document::{DOCUMENT_BYTES_MAX, Document, RecentEdits};
 use crate::verify;
--- a/crates/ledger/src/jobs/task.rs
+++ b/crates/ledger/src/jobs/task.rs
@@ -85,6 +85,19 @@
     },
 }
 
+/// Whether a task can save its state, and has.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Checkpoint {
+    /// It can, and has not.
+    #[default]
+    Possible,
+    /// Its submitter says that it can't.
+    Impossible,
+    /// The next attempt is to take up what an earlier one saved.
+    Saved,
+}
+
 /// An accepted task.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Task {
@@ -112,9 +125,9 @@
     /// How often it was given to a worker that may have run it.
     #[serde(rename = "a", default)]
     pub attempts: u32,
-    /// Whether a checkpoint of an earlier attempt is to be taken up.
+    /// Whether it can save its state, and has.
     #[serde(rename = "k", default)]
-    pub is_checkpointed: bool,
+    pub checkpoint: Checkpoint,
     /// Whether it was cancelled while it ran.
     #[serde(rename = "x", default)]
     pub is_cancelled: bool,
@@ -178,7 +191,7 @@
         self.check_running(key, attempt)?;
         match cause {
             RequeueCause::NotStarted => self.attempts -= 1,
-            RequeueCause::Checkpointed => self.is_checkpointed = true,
+            RequeueCause::Checkpointed => self.checkpoint = Checkpoint::Saved,
             RequeueCause::Failed | RequeueCause::Lost => {
                 if !self.is_idempotent {
                     return Err(JobRefusal::MayHaveRun(key));
--- a/crates/ledger/src/verify/mod.rs
+++ b/crates/ledger/src/verify/mod.rs
@@ -12,7 +12,7 @@
 
 use crate::catalogue::Head;
 use crate::fleet::FleetDoc;
-use crate::jobs::JobsDoc;
+use crate::jobs::{Checkpoint, JobsDoc};
 use crate::quota::{DcQuota, FleetQuota};
 use crate::role::RoleDoc;
 
@@ -177,7 +177,7 @@
         if ended.contains(key) {
             out.push(Promise::AtMostOnce, format!("task {key}: ended and live"));
         }
-        if !task.is_idempotent && task.attempts > 1 && !task.is_checkpointed {
+        if !task.is_idempotent && task.attempts > 1 && task.checkpoint != Checkpoint::Saved {
             let detail = format!("task {key}: non-idempotent, {} attempts", task.attempts);
             out.push(Promise::AtMostOnce, detail);
         }
--- a/crates/ledger/tests/job_cases.rs
+++ b/crates/ledger/tests/job_cases.rs
@@ -10,7 +10,7 @@
 use goldcrest_cases::Cases;
 use goldcrest_ledger::jobs::task::ParkReason;
 use goldcrest_ledger::jobs::{
-    JobAnswer, JobEdit, JobRefusal, JobsDoc, RequeueCause, Task, TaskOutcome, TaskState,
+    Checkpoint, JobAnswer, JobEdit, JobRefusal, JobsDoc, RequeueCause, Task, TaskOutcome, TaskState,
 };
 use goldcrest_types::catalogue::Class;
 use goldcrest_types::names::{EditId, TaskKey};
@@ -41,7 +41,7 @@
         payload: "work".into(),
         is_idempotent,
         attempts: 0,
-        is_checkpointed: false,
+        checkpoint: Checkpoint::Possible,
         is_cancelled: false,
         state: TaskState::Waiting,
     }
--- a/crates/ledger/tests/jobs.rs
+++ b/crates/ledger/tests/jobs.rs
@@ -2,8 +2,8 @@
 
 use goldcrest_ledger::Document;
 use goldcrest_ledger::jobs::{
-    ENDED_KEPT, JobAnswer, JobEdit, JobRefusal, JobsDoc, RequeueCause, TASK_BYTES_MAX, Task,
-    TaskOutcome, TaskState,
+    Checkpoint, ENDED_KEPT, JobAnswer, JobEdit, JobRefusal, JobsDoc, RequeueCause, TASK_BYTES_MAX,
+    Task, TaskOutcome, TaskState,
 };
 use goldcrest_ledger::verify;
 use goldcrest_types::breach::Breaches;
@@ -22,7 +22,7 @@
         payload: "x".repeat(payload_bytes).into(),
         is_idempotent,
         attempts: 0,
-        is_checkpointed: false,
+        checkpoint: Checkpoint::Possible,
         is_cancelled: false,
         state: TaskState::Waiting,
     }
--- a/crates/session/tests/session/replaced.rs
+++ b/crates/session/tests/session/replaced.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use goldcrest_ledger::Document;
-use goldcrest_ledger::jobs::{JobAnswer, JobEdit, JobRefusal, JobsDoc, Task, TaskState};
+use goldcrest_ledger::jobs::{
+    Checkpoint, JobAnswer, JobEdit, JobRefusal, JobsDoc, Task, TaskState,
+};
 use goldcrest_platform::store::StoreKey;
 use goldcrest_session::{FollowConfig, Follower, Updated, keys};
 use goldcrest_types::catalogue::Class;
@@ -59,7 +61,7 @@
         payload: "x".into(),
         is_idempotent: false,
         attempts: 0,
-        is_checkpointed: false,
+        checkpoint: Checkpoint::Possible,
         is_cancelled: false,
         state: TaskState::Waiting,
     }
--- a/crates/session/tests/session/roles.rs
+++ b/crates/session/tests/session/roles.rs
@@ -35,7 +35,7 @@
     for draw in 0..8_u128 {
         let (store, fleet) = (FakeStore::default(), Fleet::new(DCS, 6));
         let numbers = 0..2 * DCS;
-        let id = |number: usize| (draw << 64) + 7919 * (u128::try_from(number).expect("few") + 1);
+        let id = |number: usize| (16 * draw + u128::try_from(number).expect("few") + 1) << 64;
         let entries: Vec<Entry> = numbers
             .map(|number| start(&store, &fleet, id(number), number / 2))
             .collect();
