bench: the fault run over whole entries, with claims over the peer links

Cause: two entries shared one table of claims; pauses, outages of the service and several faults at once were not run.

Change: each row runs three whole entries in two data centres. New rows: entry killed and restarted, paused 10 s and 15 s, the service down for 5 minutes of real time, one data centre cut off, three rows of several faults. The row "keys not known to be fresh" is replaced by the data centre that is cut off, which asks the same of keyed work and besides that open work is not refused. An upstream's fault must befell a request: in a trial the struck upstream was a drained one, and five rows showed nothing.

Conclusion: the window of repetition must outlast callers' repeats and a pause. A killed entry costs the others about half of their requests for seconds; its cause is only likely.

--- a/crates/bench/src/bin/faultrun/upstream.rs
+++ b/crates/bench/src/bin/faultrun/upstream.rs
@@ -4,6 +4,7 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -44,6 +45,8 @@
     address: SocketAddr,
     fault: Mutex<Fault>,
     last: Mutex<(String, String)>,
+    taken: AtomicUsize,
+    taken_wrong: AtomicUsize,
     killed: CancellationToken,
 }
 
@@ -51,6 +54,7 @@
 #[derive(Debug)]
 pub struct Pool {
     upstreams: Vec<Arc<Upstream>>,
+    struck: AtomicUsize,
     runs: Arc<Mutex<HashMap<usize, u32>>>,
 }
 
@@ -69,12 +73,19 @@
                 address: listener.local_addr()?,
                 fault: Mutex::new(Fault::None),
                 last: Mutex::default(),
+                taken: AtomicUsize::new(0),
+                taken_wrong: AtomicUsize::new(0),
                 killed: CancellationToken::new(),
             });
             tokio::spawn(serve(Arc::clone(&upstream), listener, Arc::clone(&runs)));
             upstreams.push(upstream);
         }
-        Ok(Arc::new(Self { upstreams, runs }))
+        let struck = AtomicUsize::new(0);
+        Ok(Arc::new(Self {
+            upstreams,
+            struck,
+            runs,
+        }))
     }
 
     /// Where the upstreams listen.
@@ -82,14 +93,37 @@
         self.upstreams.iter().map(|up| up.address).collect()
     }
 
-    /// Has an upstream do something wrong from now on.
-    pub fn set(&self, index: usize, fault: Fault) {
-        *lock(&self.upstreams[index].fault) = fault;
+    /// Chooses the upstream that has taken the most requests by now: one that is drained would show nothing.
+    pub fn choose(&self) {
+        let taken = |index: &usize| self.upstreams[*index].taken.load(Ordering::Relaxed);
+        let busiest = (0..self.upstreams.len()).max_by_key(taken);
+        self.struck.store(busiest.unwrap_or(0), Ordering::Relaxed);
     }
 
-    /// Ends an upstream with all its connections, in the midst of what it does.
-    pub fn kill(&self, index: usize) {
-        self.upstreams[index].killed.cancel();
+    fn chosen(&self) -> &Upstream {
+        &self.upstreams[self.struck.load(Ordering::Relaxed)]
+    }
+
+    /// Has the chosen upstream do something wrong from now on.
+    pub fn set(&self, fault: Fault) {
+        *lock(&self.chosen().fault) = fault;
+    }
+
+    /// Ends the chosen upstream with all its connections, in the midst of what it does.
+    pub fn kill(&self) {
+        self.chosen().killed.cancel();
+    }
+
+    /// How many requests the chosen upstream has taken: all of them if it was killed, else those while it did something
+    /// wrong.
+    pub fn struck(&self) -> usize {
+        let upstream = self.chosen();
+        let taken = if upstream.killed.is_cancelled() {
+            &upstream.taken
+        } else {
+            &upstream.taken_wrong
+        };
+        taken.load(Ordering::Relaxed)
     }
 
     /// How often the request of this number ran.
@@ -135,6 +169,11 @@
     };
     let (id, number) = (header("x-request-id"), header("x-number"));
     let fault = *lock(&upstream.fault);
+    if number.parse::<usize>().is_ok() {
+        upstream.taken.fetch_add(1, Ordering::Relaxed);
+        let is_wrong = usize::from(fault != Fault::None);
+        upstream.taken_wrong.fetch_add(is_wrong, Ordering::Relaxed);
+    }
     if fault == Fault::Refuses {
         let mut refusal = reply(&id, "", Fault::None);
         *refusal.status_mut() = hyper::StatusCode::SERVICE_UNAVAILABLE;
--- a/crates/demo/src/lab/mod.rs
+++ b/crates/demo/src/lab/mod.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::Arc;
+use std::sync::{Arc, Barrier};
 use std::time::Duration;
 
 use goldcrest_daemon::entry::{Addresses, Entry, StartError};
@@ -14,6 +14,7 @@
     StopSettings, StoreSettings, TaskSettings,
 };
 use goldcrest_daemon::sizing::settings::SizingSettings;
+use goldcrest_front::DrainReport;
 use goldcrest_platform::fleet::{VmPhase, VmRecord, VmRole};
 use goldcrest_standin::upstream::CallBook;
 use goldcrest_standin::worker::RunBook;
@@ -32,6 +33,9 @@
 /// How far the list of VMs lags.
 const LIST_LAG: Duration = Duration::from_millis(300);
 
+/// The threads of an entry.
+const ENTRY_THREADS: usize = 2;
+
 /// The key of the first operator.
 pub const OPERATOR_SECRET: &str = "first";
 
@@ -175,7 +179,7 @@
         let vm: VmName = name(vm)?;
         let settings = self.settings(&vm, dc)?;
         let runtime = Builder::new_multi_thread()
-            .worker_threads(2)
+            .worker_threads(ENTRY_THREADS)
             .enable_all()
             .build()?;
         let started = runtime.spawn(async move {
@@ -233,17 +237,48 @@
         })
     }
 
+    /// Adds an upstream that somebody else serves.
+    ///
+    /// # Errors
+    ///
+    /// A text that is no name.
+    pub fn put_upstream(&self, vm: &str, dc: &str, address: SocketAddr) -> Result<(), LabError> {
+        let (vm, dc): (VmName, DcName) = (name(vm)?, name(dc)?);
+        self.fleet.put(record(&vm, &dc, VmRole::Upstream, address)?);
+        Ok(())
+    }
+
     /// Stops an entry gracefully. Returns how many requests the stop cut off.
     pub async fn stop_entry(&mut self, vm: &str) -> u64 {
-        let Some(running) = self.running.remove(vm) else {
-            return 0;
-        };
+        let report = self.drain_entry(vm).await;
+        report.map_or(0, |report| report.cut)
+    }
+
+    /// Stops an entry gracefully. Returns what became of its requests and connections, if it ran.
+    pub async fn drain_entry(&mut self, vm: &str) -> Option<DrainReport> {
+        let running = self.running.remove(vm)?;
         let address = running.entry.addresses().peer;
         let stopped = running.runtime.spawn(running.entry.stop());
-        let cut = stopped.await.map_or(0, |report| report.cut);
+        let report = stopped.await.ok();
         running.runtime.shutdown_background();
         self.peers.retain(|peer| *peer != address);
-        cut
+        report
+    }
+
+    /// Pauses an entry, as a pause of its VM does: its threads do nothing for `time`, then go on with what they had.
+    pub fn pause(&self, vm: &str, time: Duration) {
+        let Some(running) = self.running.get(vm) else {
+            return;
+        };
+        let gathered = Arc::new(Barrier::new(ENTRY_THREADS));
+        for _ in 0..ENTRY_THREADS {
+            let gathered = Arc::clone(&gathered);
+            running.runtime.spawn(async move {
+                // Each thread waits here for the others, so none of them takes two of these.
+                gathered.wait();
+                std::thread::sleep(time);
+            });
+        }
     }
 
     /// Ends an entry at once, as the loss of its VM does.
