quota: a backlog of tasks leaves a slot for requests; what runs stays counted over two terms

Cause, both found by reading: waiting tasks reserved every slot of a team on the entry that schedules, so a request of the team waited there for the end of a task and was refused `deadline-passed`, in an outage for as long as it lasted. And an entry that lost the scheduler's role, had it again and lost it within the run bound gave up at the end of the first term what was kept for the second, by which a team could pass its upper limit. Change: tasks leave free what the team's requests run and have waiting, up to half of the row and one slot at least, if there are upstreams at all. The end of what is kept lies in the split itself and is set anew by each term; no task sleeps for it. Price: a team with tasks alone reaches one slot less on each scheduling entry.

--- a/crates/daemon/src/quota/mod.rs
+++ b/crates/daemon/src/quota/mod.rs
@@ -136,7 +136,10 @@
         let Some(cat) = self.world.cat() else {
             return BTreeMap::new();
         };
-        self.world.split.install(&self.world.front, &cat, grants)
+        let now = self.world.now();
+        self.world
+            .split
+            .install(&self.world.front, &cat, grants, now)
     }
 
     fn catalogue(&self) -> Option<Arc<Catalogue>> {
--- a/crates/daemon/src/quota/split.rs
+++ b/crates/daemon/src/quota/split.rs
@@ -10,7 +10,8 @@
 
 use goldcrest_front::{Front, TeamGrant, TeamGrants};
 use goldcrest_ledger::quota::Grants;
-use goldcrest_types::catalogue::Catalogue;
+use goldcrest_peer::usage::Usage;
+use goldcrest_types::catalogue::{Catalogue, PoolKind};
 use goldcrest_types::names::TeamName;
 use goldcrest_types::units::Slots;
 
@@ -20,6 +21,8 @@
     floor: Slots,
     lent: Slots,
     reserved: Slots,
+    /// When the reservation ends by itself, if nobody schedules any more.
+    kept_until: Option<Instant>,
 }
 
 impl TeamSplit {
@@ -46,9 +49,40 @@
 struct State {
     teams: BTreeMap<TeamName, TeamSplit>,
     lent_until: Option<Instant>,
+    /// Whether there are queues that upstreams serve.
+    has_upstreams: bool,
 }
 
 impl State {
+    /// Gives back what was kept for tasks of which none can run any more.
+    fn end_kept(&mut self, now: Instant) {
+        let teams = self.teams.values_mut();
+        let over = teams.filter(|split| split.kept_until.is_some_and(|until| until <= now));
+        for split in over {
+            split.reserved = Slots::ZERO;
+            split.kept_until = None;
+        }
+    }
+
+    /// How many of a team's slots waiting tasks must leave free: what its requests run and have waiting, up to half of
+    /// the slots, and one at least, so that a request never waits for a task's end. None if there are no upstreams, or
+    /// only one slot.
+    fn for_requests(&self, front: &Front, team: &TeamName, has_lent: bool) -> Slots {
+        const LEAST: Slots = Slots::new(1);
+        let usable = self
+            .teams
+            .get(team)
+            .map_or(Slots::ZERO, |split| split.usable(has_lent));
+        let half = Slots::new(usable.get() / 2);
+        if !self.has_upstreams || half.is_zero() {
+            return Slots::ZERO;
+        }
+        let usage = front.usage();
+        let asked = usage.iter().find(|usage| usage.team == *team);
+        let asked = asked.map_or(Slots::ZERO, |usage| usage.running + usage.waiting);
+        asked.clamp(LEAST, half)
+    }
+
     fn rests(&self) -> TeamGrants {
         let teams = self.teams.iter().map(|(team, split)| split.rest(team));
         TeamGrants {
@@ -81,9 +115,15 @@
         front: &Front,
         cat: &Catalogue,
         grants: &Grants,
+        now: Instant,
     ) -> BTreeMap<TeamName, Slots> {
         let mut state = self.state();
+        state.end_kept(now);
         state.lent_until = grants.lent_until();
+        state.has_upstreams = cat
+            .pools
+            .values()
+            .any(|pool| pool.kind == PoolKind::Upstreams);
         for split in state.teams.values_mut() {
             split.floor = Slots::ZERO;
             split.lent = Slots::ZERO;
@@ -101,17 +141,21 @@
         running
     }
 
-    /// Sets what the scheduler has reserved of a team to `wanted`, or as much as the serving path leaves. Returns what
-    /// is reserved then. What runs already stays counted: the scheduler must not ask for less than it runs.
-    pub fn reserve(&self, front: &Front, team: &TeamName, wanted: Slots, now: Instant) -> Slots {
+    /// Sets what the scheduler has reserved of a team to what its tasks want, or as much as the serving path leaves; some
+    /// is left for requests (see [`State::for_requests`]). Returns what is reserved then. What runs already stays counted: the
+    /// scheduler must not ask for less than it runs.
+    pub fn reserve(&self, front: &Front, team: &TeamName, tasks: Usage, now: Instant) -> Slots {
         let mut state = self.state();
         let has_lent = state.lent_until.is_some_and(|until| now < until);
+        let for_requests = state.for_requests(front, team, has_lent);
         let Some(split) = state.teams.get_mut(team) else {
             return Slots::ZERO;
         };
         let before = split.reserved;
-        split.reserved = wanted.min(split.usable(has_lent).max(before));
         let usable = split.usable(has_lent);
+        let for_tasks = (usable - for_requests).max(tasks.running);
+        split.reserved = tasks.demand().min(for_tasks);
+        split.kept_until = None;
         let reserved = split.reserved;
         let running = running_of(front, state.rests());
         if reserved <= before {
@@ -129,6 +173,26 @@
         given
     }
 
+    /// Reserves `running` of a team until `until` and then nothing, unless a scheduler sets it anew before. It is called when
+    /// this entry no longer schedules, for what it has started and can't tell the end of.
+    pub fn keep(
+        &self,
+        front: &Front,
+        team: &TeamName,
+        running: Slots,
+        now: Instant,
+        until: Instant,
+    ) {
+        let tasks = Usage {
+            running,
+            waiting: Slots::ZERO,
+        };
+        self.reserve(front, team, tasks, now);
+        if let Some(split) = self.state().teams.get_mut(team) {
+            split.kept_until = Some(until);
+        }
+    }
+
     /// What the serving path may use now, for the status.
     #[must_use]
     pub fn front_grants(&self) -> TeamGrants {
--- a/crates/daemon/src/scheduler/mod.rs
+++ b/crates/daemon/src/scheduler/mod.rs
@@ -52,6 +52,9 @@
 /// The longest wait of a start for its step to be written. One that waits longer is not sent.
 const WRITE_MAX: Duration = Duration::from_secs(3);
 
+/// How long slots stay reserved for tasks of which no end can be told.
+const KEPT_MAX: Duration = Duration::from_hours(24 * 365);
+
 /// The key of one document of a data centre's tasks.
 #[must_use]
 pub fn jobs_key(dc: &DcName, shard: usize) -> StoreKey {
@@ -86,25 +89,15 @@
     let usage = world.task_usage.send_replace(BTreeMap::new());
     world.task_pools.send_replace(BTreeMap::new());
     let now = world.now();
-    for (team, usage) in &usage {
-        world.split.reserve(&world.front, team, usage.running, now);
-    }
     let run_max = world
         .cat()
         .map_or(Duration::MAX, |cat| run_max(world, &cat));
-    let world = Arc::clone(world);
-    tokio::spawn(async move {
-        sleep(run_max).await;
-        let role = roles::tasks_role(&world.settings.entry.data_centre);
-        if world.roles.epoch(&role).is_some() {
-            // This entry schedules again and sets what it needs itself.
-            return;
-        }
-        let now = world.now();
-        for team in usage.keys() {
-            world.split.reserve(&world.front, team, Slots::ZERO, now);
-        }
-    });
+    // A bound that can't be told is one that never ends.
+    let until = now.checked_add(run_max).unwrap_or(now + KEPT_MAX);
+    for (team, usage) in &usage {
+        let running = usage.running;
+        world.split.keep(&world.front, team, running, now, until);
+    }
 }
 
 /// A document of tasks that was read.
@@ -294,11 +287,8 @@
         let usage = told::usage(&snapshot);
         let mut grants: BTreeMap<TeamName, Slots> = BTreeMap::new();
         for (team, usage) in &usage {
-            let wanted = usage.demand();
-            let given = self
-                .world
-                .split
-                .reserve(&self.world.front, team, wanted, now);
+            let split = &self.world.split;
+            let given = split.reserve(&self.world.front, team, *usage, now);
             grants.insert(team.clone(), given);
         }
         self.world.task_shares.send_replace(told::shares(&snapshot));
