front: a claim is asked for before the slot; no send by slots or keys that lapsed in a pause

Cause, three matters of one path: 1. A request held its slot while it waited for its claim. After an entry's loss its keys' home answers nobody for 1 s a claim, so a third of the POSTs held nearly all slots. The look again after a slow connection counted from after the pick's look at quota and keys. A pause just there let a request out after the team's slots had lapsed (once_paused_after_claim, Quota, look 6 of 12). 3. A claim's scope was the team that the request counted for. On a queue that is open to all that is the key's team at an entry with fresh keys and the owner at another, so the same request through both could run twice. Change: the claim comes first, after a look whether admission would refuse the request now; a claim is given back if its caller goes while it waits; 1,024 requests at most wait for claims. The look again counts from before the pick. Open queues have one scope. The unknown are past-unknown: a new home's first seconds. Tests changed: once_lapsed_before_first_byte held requests back in their claim, which now is before the slot. It is replaced by once_lapsed_before_slot, by pauses at every look after the claim for claim, slots and freshness (only claims before), and by pick_lapsed_after_start for all four codes. The pause was also counted from the setup on, so some looks were never paused.

--- a/crates/front/src/call/admit.rs
+++ b/crates/front/src/call/admit.rs
@@ -1,7 +1,7 @@
 //! Queue, team and slot of a request.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use goldcrest_serve::admission::{Ask, Decision};
 use goldcrest_serve::dispatch::Wake;
@@ -10,15 +10,16 @@
 use goldcrest_types::entity::{KeyId, QueueId, TeamId};
 use goldcrest_types::names::QueueName;
 
-use super::not_ready;
 use crate::explain::Step;
 use crate::front::{Record, Shared, Ticket, View};
 use crate::ingress::head::Head;
 
+/// When a caller should come back to an entry that has no catalogue yet.
+const NOT_READY_AFTER: Duration = Duration::from_secs(1);
+
 /// A request that has its slot.
 pub(super) struct Admitted {
     pub(super) ticket: Ticket,
-    pub(super) queue: QueueName,
     pub(super) team: Box<str>,
     pub(super) limits: QueueLimits,
 }
@@ -45,6 +46,99 @@
     Outdated,
 }
 
+/// What a request is by the catalogue in force, before it has a slot.
+struct Looked {
+    view: Arc<View>,
+    authority: Authority,
+    deadline: Instant,
+}
+
+impl Looked {
+    fn ask(&self) -> Ask {
+        Ask {
+            queue: self.authority.queue,
+            team: self.authority.team,
+            key: self.authority.key,
+            deadline: self.deadline,
+        }
+    }
+
+    fn limits(&self) -> &QueueLimits {
+        &self.view.cat.queues[self.authority.queue].limits
+    }
+}
+
+/// What a claim needs to know of a request.
+pub(super) struct Place {
+    pub(super) queue: QueueName,
+    /// Whose keys of repetition these are: the team's, or on a queue that is open to all the owner's, since there a team's key
+    /// counts at one entry and not at another.
+    pub(super) scope: Box<str>,
+    pub(super) deadline: Instant,
+}
+
+/// Why a request is refused, and after how long it may come back.
+type Why = (NotRunCode, Option<Duration>);
+
+fn look(shared: &Shared, head: &Head, record: &mut Record) -> Result<Looked, Why> {
+    let Some(view) = shared.view() else {
+        return Err((NotRunCode::NotReady, Some(NOT_READY_AFTER)));
+    };
+    let authority = authorise(shared, &view, head).map_err(|code| (code, None))?;
+    record.place(&view, authority.queue, authority.team);
+    let limits = &view.cat.queues[authority.queue].limits;
+    let limit_bytes = limits.request_bytes.get();
+    if head.length_bytes.is_some_and(|length| length > limit_bytes) {
+        return Err((NotRunCode::RequestTooLarge, None));
+    }
+    let wanted = head.deadline.unwrap_or(limits.deadline());
+    let deadline = record.arrived() + wanted.min(limits.deadline_max());
+    Ok(Looked {
+        view,
+        authority,
+        deadline,
+    })
+}
+
+/// Finds queue and team without taking a slot. A request that would be refused now is refused, so that it claims nothing.
+pub(super) fn place(
+    shared: &Arc<Shared>,
+    head: &Head,
+    unsent: Unsent,
+    record: &mut Record,
+) -> Result<(Place, Unsent), Refusal> {
+    let looked = match look(shared, head, record) {
+        Ok(looked) => looked,
+        Err((code, after)) => return Err(unsent.refuse(code, after)),
+    };
+    let (cat, authority) = (&looked.view.cat, looked.authority);
+    let refused = shared.desk(|dispatch, now| {
+        let in_force = dispatch.catalogue();
+        let is_same = in_force.is_some_and(|known| known.revision() == cat.revision());
+        // A request that came by another catalogue is looked at again when it asks for its slot.
+        is_same
+            .then(|| dispatch.refusal(&looked.ask(), now))
+            .flatten()
+    });
+    match refused {
+        Some(Decision::Refuse(NotRunCode::KeysNotFresh, _))
+            if authority.may_go_on_keyless(&looked.view) => {}
+        Some(Decision::Refuse(code, after)) => return Err(unsent.refuse(code, Some(after))),
+        Some(Decision::Start(_) | Decision::Wait(_)) | None => {}
+    }
+    let queue = &cat.queues[authority.queue];
+    let scope = match queue.access {
+        Access::Open => queue.owner,
+        Access::Keyed => authority.team,
+    };
+    let place = Place {
+        queue: queue.name.clone(),
+        scope: cat.teams[scope].name.as_str().into(),
+        deadline: looked.deadline,
+    };
+    Ok((place, unsent))
+}
+
 /// Finds queue and team, and waits for a slot.
 pub(super) async fn admit(
     shared: &Arc<Shared>,
@@ -53,36 +147,25 @@
     record: &mut Record,
 ) -> Result<(Admitted, Unsent), Refusal> {
     loop {
-        let Some(view) = shared.view() else {
-            return Err(not_ready(unsent));
-        };
-        let authority = match authorise(shared, &view, head) {
-            Ok(authority) => authority,
-            Err(code) => return Err(unsent.refuse(code, None)),
+        let looked = match look(shared, head, record) {
+            Ok(looked) => looked,
+            Err((code, after)) => return Err(unsent.refuse(code, after)),
         };
-        record.place(&view, authority.queue, authority.team);
-        let limits = &view.cat.queues[authority.queue].limits;
-        let limit_bytes = limits.request_bytes.get();
-        if head.length_bytes.is_some_and(|length| length > limit_bytes) {
-            return Err(unsent.refuse(NotRunCode::RequestTooLarge, None));
-        }
-        let wanted = head.deadline.unwrap_or(limits.deadline());
-        let deadline = record.arrived() + wanted.min(limits.deadline_max());
-        let Some(ticket) = slot(shared, &view, authority, deadline, record).await else {
+        let Some(ticket) = slot(shared, &looked, record).await else {
             continue;
         };
+        let (view, authority) = (&looked.view, looked.authority);
         let ticket = match ticket {
             Ok(ticket) => ticket,
             // Keys ceased to be fresh while it waited: an open queue takes it without one.
-            Err((NotRunCode::KeysNotFresh, _)) if authority.may_go_on_keyless(&view) => continue,
+            Err((NotRunCode::KeysNotFresh, _)) if authority.may_go_on_keyless(view) => continue,
             Err((code, after)) => return Err(unsent.refuse(code, Some(after))),
         };
         record.started();
         let admitted = Admitted {
             ticket,
-            queue: view.cat.queues[authority.queue].name.clone(),
             team: view.cat.teams[authority.team].name.as_str().into(),
-            limits: limits.clone(),
+            limits: looked.limits().clone(),
         };
         return Ok((admitted, unsent));
     }
@@ -120,17 +203,10 @@
 /// A slot, or why there is none. None: the catalogue has changed, so the request is to be looked at again.
 async fn slot(
     shared: &Arc<Shared>,
-    view: &View,
-    authority: Authority,
-    deadline: Instant,
+    looked: &Looked,
     record: &mut Record,
-) -> Option<Result<Ticket, (NotRunCode, std::time::Duration)>> {
-    let ask = Ask {
-        queue: authority.queue,
-        team: authority.team,
-        key: authority.key,
-        deadline,
-    };
+) -> Option<Result<Ticket, (NotRunCode, Duration)>> {
+    let (ask, view, deadline) = (looked.ask(), &looked.view, looked.deadline);
     let (offer, wake) = shared.desk_waiting(|dispatch, now| {
         let in_force = dispatch.catalogue();
         if in_force.is_none_or(|cat| cat.revision() != view.cat.revision()) {
@@ -161,10 +237,7 @@
                     None => None,
                 }
             };
-            let late = (
-                NotRunCode::DeadlinePassed,
-                std::time::Duration::from_secs(1),
-            );
+            let late = (NotRunCode::DeadlinePassed, Duration::from_secs(1));
             Some(match tokio::time::timeout(ticket.left(), turn).await {
                 Ok(Some(Wake::Start)) => Ok(ticket),
                 Ok(Some(Wake::Refuse(code, after))) => Err((code, after)),
--- a/crates/front/src/call/claim.rs
+++ b/crates/front/src/call/claim.rs
@@ -1,23 +1,31 @@
 //! The claim on the idempotency key of a request that may run only once.
 
 use std::sync::{Arc, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use goldcrest_serve::outcome::{NotRunCode, Refusal, UnknownCode, Unsent};
 use goldcrest_types::key::KeyDigest;
 use goldcrest_types::names::{QueueName, RequestId};
+use tokio::runtime::Handle;
+use tokio::time::timeout;
 
-use super::admit::Admitted;
+use super::admit;
 use crate::claims::{AnyClaims, Claim};
-use crate::front::Shared;
+use crate::front::{Record, Shared};
 use crate::ingress::head::Head;
 
-/// A claim that was granted.
+/// When a caller should come back after its key's home did not answer.
+const COME_BACK: Duration = Duration::from_secs(1);
+
+/// A claim that was granted. One that is dropped before [`Granted::begin`] gives itself back: its caller has gone while it
+/// waited, and nothing was sent.
 pub(super) struct Granted {
+    shared: Arc<Shared>,
     queue: QueueName,
     digest: KeyDigest,
     request: RequestId,
     until: Instant,
+    is_begun: bool,
 }
 
 impl Granted {
@@ -26,24 +34,46 @@
         self.until
     }
 
+    /// From here on the request may be sent, so the claim stays unless it is released.
+    pub(super) fn begin(&mut self) {
+        self.is_begun = true;
+    }
+
     /// Gives the claim back, since the request did not run.
-    pub(super) async fn release(self, shared: &Shared) {
-        let claims = claims(shared);
-        let release = claims.release(&self.queue, self.digest, self.request);
-        // A claim that stays only costs the caller a new key.
-        tokio::time::timeout(shared.cfg.claim_timeout, release)
-            .await
-            .ok();
+    pub(super) async fn release(mut self) {
+        self.is_begun = true;
+        give_back(&self.shared, &self.queue, self.digest, self.request).await;
+    }
+}
+
+impl Drop for Granted {
+    fn drop(&mut self) {
+        let Ok(runtime) = Handle::try_current() else {
+            return;
+        };
+        if self.is_begun {
+            return;
+        }
+        let (shared, queue) = (Arc::clone(&self.shared), self.queue.clone());
+        let (digest, request) = (self.digest, self.request);
+        runtime.spawn(async move { give_back(&shared, &queue, digest, request).await });
     }
 }
 
-/// Claims the key, if the request has one and may run only once.
+async fn give_back(shared: &Shared, queue: &QueueName, digest: KeyDigest, request: RequestId) {
+    let claims = claims(shared);
+    let release = claims.release(queue, digest, request);
+    // A claim that stays only costs the caller a new key.
+    timeout(shared.cfg.claim_timeout, release).await.ok();
+}
+
+/// Claims the key, if the request has one and may run only once. It has no slot yet: a home that does not answer must not
+/// hold up the work of others.
 pub(super) async fn claim(
     shared: &Arc<Shared>,
     head: &Head,
-    admitted: &Admitted,
     unsent: Unsent,
-    request: RequestId,
+    record: &mut Record,
 ) -> Result<(Option<Granted>, Unsent), Refusal> {
     let Some(key) = &head.idempotency_key else {
         return Ok((None, unsent));
@@ -51,30 +81,36 @@
     if head.is_idempotent {
         return Ok((None, unsent));
     }
+    let (place, unsent) = admit::place(shared, head, unsent, record)?;
+    let Ok(_asking) = shared.asking.try_acquire() else {
+        return Err(unsent.refuse(NotRunCode::ClaimsUnavailable, Some(COME_BACK)));
+    };
+    let request = record.request();
     // Names hold no line break, so no two scopes run together.
-    let scoped = format!("{}\n{}\n{key}", admitted.team, admitted.queue);
+    let scoped = format!("{}\n{}\n{key}", place.scope, place.queue);
     let digest = KeyDigest::of(&scoped);
     let claims = claims(shared);
     // The home can't have granted the key before this, so it keeps the claim for no less than from here on.
     let asked_at = shared.clock.now();
-    let asked = claims.claim(&admitted.queue, digest, request);
-    let wait = shared.cfg.claim_timeout.min(admitted.ticket.left());
-    let answer = tokio::time::timeout(wait, asked).await;
-    let after = Some(std::time::Duration::from_secs(1));
+    let left = place.deadline.saturating_duration_since(asked_at);
+    let asked = claims.claim(&place.queue, digest, request);
+    let answer = timeout(shared.cfg.claim_timeout.min(left), asked).await;
     match answer.unwrap_or(Claim::Unavailable) {
         Claim::Granted { keep } => {
             let granted = Granted {
-                queue: admitted.queue.clone(),
+                shared: Arc::clone(shared),
+                queue: place.queue,
                 digest,
                 request,
                 until: asked_at + keep,
+                is_begun: false,
             };
             Ok((Some(granted), unsent))
         }
         // This request did not run, but the work behind its key may have.
         Claim::Seen => Err(unsent.sent().refuse(UnknownCode::DuplicateRequest)),
         Claim::Unknown => Err(unsent.sent().refuse(UnknownCode::PastUnknown)),
-        Claim::Unavailable => Err(unsent.refuse(NotRunCode::ClaimsUnavailable, after)),
+        Claim::Unavailable => Err(unsent.refuse(NotRunCode::ClaimsUnavailable, Some(COME_BACK))),
     }
 }
 
--- a/crates/front/src/call/mod.rs
+++ b/crates/front/src/call/mod.rs
@@ -1,7 +1,7 @@
 //! One request, from its head to its answer.
 //!
-//! The steps, each in its own file: [`admit`] finds queue, team and slot; [`claim`] claims the idempotency key of a
-//! request that may run only once; [`send`] sends it and decides on retries; [`reply`] hands the answer on. A
+//! The steps, each in its own file: [`claim`] claims the idempotency key of a request that may run only once; [`admit`]
+//! finds queue, team and slot; [`send`] sends it and decides on retries; [`reply`] hands the answer on. A
 //! refusal at any step is made from the request's token, so it is true.
 
 mod admit;
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use goldcrest_serve::outcome::{NotRunCode, Refusal, Unsent};
+use goldcrest_serve::outcome::{Refusal, Unsent};
 use goldcrest_types::names::RequestId;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
@@ -58,9 +58,12 @@
         Ok(head) => head,
         Err(code) => return Err(unsent.refuse(code, None)),
     };
+    let (mut claim, unsent) = claim::claim(shared, &head, unsent, record).await?;
     let (admitted, unsent) = admit::admit(shared, &head, unsent, record).await?;
     crate::ingress::headers::to_upstream(&mut parts.headers, &parts.uri, &admitted.team);
-    let (claim, unsent) = claim::claim(shared, &head, &admitted, unsent, record.request()).await?;
+    if let Some(claim) = &mut claim {
+        claim.begin();
+    }
     let limits = admitted.limits;
     let job = send::Job {
         shared,
@@ -74,7 +77,7 @@
     let result = send::run(&job, admitted.ticket, unsent, record).await;
     let result = result.map(|answered| reply::Reply::new(&job, conn, answered));
     if let (Err(Refusal::NotRun { .. }), Some(claim)) = (&result, claim) {
-        claim.release(shared).await;
+        claim.release().await;
     }
     result
 }
@@ -100,11 +103,3 @@
     *answer.status_mut() = status;
     answer
 }
-
-/// The refusal of a request whose queue cannot be told.
-const fn not_ready(unsent: Unsent) -> Refusal {
-    unsent.refuse(
-        NotRunCode::NotReady,
-        Some(std::time::Duration::from_secs(1)),
-    )
-}
--- a/crates/front/src/call/send.rs
+++ b/crates/front/src/call/send.rs
@@ -130,12 +130,15 @@
     let mut tried = None;
     let mut attempt = 1;
     loop {
+        // Taken before the pick looks, so that no pause comes between that look and this time unseen.
+        let looked = job.shared.clock.now();
         let (upstream, address) = match ticket.open_send(tried) {
             Ok(picked) => picked,
             Err(code) => return Err(standing.then(Standing::lapsed(code)).refuse()),
         };
         record.step(Step::SentTo(address));
-        let failed = match send_once(job, &mut ticket, address, record.request()).await {
+        let id = record.request();
+        let failed = match send_once(job, &mut ticket, address, id, looked).await {
             Ok(answer) => {
                 return Ok(Answered {
                     answer: answer.response,
@@ -180,6 +183,7 @@
     ticket: &mut Ticket,
     address: SocketAddr,
     id: RequestId,
+    looked: Instant,
 ) -> Result<Answer, Failed> {
     let shared = job.shared;
     let idle_max = if job.is_idempotent {
@@ -187,8 +191,7 @@
     } else {
         shared.cfg.idle_max_once
     };
-    let began = shared.clock.now();
-    let leasing = shared.connections.lease(address, idle_max, began);
+    let leasing = shared.connections.lease(address, idle_max, looked);
     let lease = match tokio::time::timeout(ticket.left(), leasing).await {
         Ok(Some(lease)) => lease,
         Ok(None) => {
@@ -202,7 +205,7 @@
             ));
         }
     };
-    let fence = match look_again(job, ticket, began) {
+    let fence = match look_again(job, ticket, looked) {
         Ok(fence) => fence,
         Err(code) => return Err(Failed::not_sent(code, Finish::Neutral)),
     };
@@ -213,7 +216,7 @@
     let sending = shared.connections.send(lease, request, id, Unsent::new());
     match tokio::time::timeout(ticket.left(), sending).await {
         Ok(Ok(answer)) => {
-            let latency = shared.clock.now().saturating_duration_since(began);
+            let latency = shared.clock.now().saturating_duration_since(looked);
             judge(job, ticket, answer, latency)
         }
         Ok(Err(error)) => Err(fault(job, ticket, error)),
--- a/crates/front/src/front/shared.rs
+++ b/crates/front/src/front/shared.rs
@@ -13,7 +13,7 @@
 use goldcrest_types::entity::TeamId;
 use goldcrest_types::names::RequestId;
 use goldcrest_types::units::Slots;
-use tokio::sync::oneshot;
+use tokio::sync::{Semaphore, oneshot};
 
 use super::{FrontStatus, OutcomeCounts, UpstreamStatus};
 use crate::cfg::FrontCfg;
@@ -27,6 +27,9 @@
 const VERIFIED_LANES_MAX: usize = 1_024;
 
 /// The decisions, and who waits for them.
+/// The most requests that wait for the answer to a claim. They have no slot yet, so nothing else bounds them.
+const ASKING_MAX: usize = 1_024;
+
 #[derive(Debug)]
 struct Desk {
     dispatch: Dispatch,
@@ -45,6 +48,8 @@
     pub(crate) cfg: Arc<FrontCfg>,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) claims: RwLock<Arc<dyn AnyClaims>>,
+    /// Bounds the requests that wait for the answer to a claim.
+    pub(crate) asking: Semaphore,
     pub(crate) connections: Connections,
     pub(crate) drain: Drain,
     pub(crate) metrics: Metrics,
@@ -69,6 +74,7 @@
         };
         Self {
             claims: RwLock::new(Arc::new(LocalClaims::new(Arc::clone(&clock)))),
+            asking: Semaphore::new(ASKING_MAX),
             connections: Connections::new(Arc::clone(&cfg)),
             drain: Drain::default(),
             metrics: Metrics::new(),
--- a/crates/serve/src/admission/offer.rs
+++ b/crates/serve/src/admission/offer.rs
@@ -5,7 +5,7 @@
 use goldcrest_types::entity::EntityRef;
 use goldcrest_types::units::Slots;
 
-use super::estimate::{Hold, retry_after};
+use super::estimate::retry_after;
 use super::lane::Waiting;
 use super::{Admission, Ask, Decision, LaneId, Phase, Turn, Work, WorkId, id_at};
 use crate::outcome::NotRunCode;
@@ -14,23 +14,46 @@
     /// Decides whether a request starts, waits or is refused. A waiting request that has to make room for it is
     /// added to `turns`.
     pub fn offer(&mut self, ask: &Ask, now: Instant, turns: &mut Vec<Turn>) -> Decision {
+        match self.place(ask, now) {
+            Err(refused) => refused,
+            Ok((lane, None)) => Decision::Start(self.start_new(lane, ask, now)),
+            Ok((lane, Some(wait))) => self.wait_or_shed(lane, ask, wait, turns),
+        }
+    }
+
+    /// The refusal that [`Self::offer`] would answer now, less urgent requests that would make room left aside. It changes
+    /// nothing.
+    #[must_use]
+    pub fn refusal(&self, ask: &Ask, now: Instant) -> Option<Decision> {
+        self.place(ask, now).err()
+    }
+
+    /// The lane of a request with the time it would wait there, none if it can start at once; or its refusal.
+    fn place(&self, ask: &Ask, now: Instant) -> Result<(LaneId, Option<Duration>), Decision> {
         let Some(lane) = self.lane(ask.queue, ask.team) else {
-            return refuse(NotRunCode::QueueUnknown, Duration::ZERO);
+            return Err(refuse(NotRunCode::QueueUnknown, Duration::ZERO));
         };
         if ask.deadline <= now {
-            return refuse(NotRunCode::DeadlinePassed, Duration::ZERO);
+            return Err(refuse(NotRunCode::DeadlinePassed, Duration::ZERO));
         }
         if ask.key.is_some() && !self.keys_fresh(now) {
-            return refuse(NotRunCode::KeysNotFresh, Duration::ZERO);
+            return Err(refuse(NotRunCode::KeysNotFresh, Duration::ZERO));
         }
-        let pool = self.lanes[lane.index()].pool;
-        if self.pools[pool].in_service == 0 {
-            return refuse(NotRunCode::NoUpstream, Duration::ZERO);
+        let state = &self.lanes[lane.index()];
+        if self.pools[state.pool].in_service == 0 {
+            return Err(refuse(NotRunCode::NoUpstream, Duration::ZERO));
         }
-        match self.hold(lane, now) {
-            None => Decision::Start(self.start_new(lane, ask, now)),
-            Some(hold) => self.wait_or_refuse(lane, ask, hold, now, turns),
+        let Some(hold) = self.hold(lane, now) else {
+            return Ok((lane, None));
+        };
+        let wait = self.wait_estimate(lane, hold, now);
+        if state.waiting_len() >= state.waiting_max.get() {
+            return Err(refuse(NotRunCode::QueueFull, wait));
         }
+        if now + wait >= ask.deadline {
+            return Err(refuse(NotRunCode::TooLateToStart, wait));
+        }
+        Ok((lane, Some(wait)))
     }
 
     /// Whether a request that started may be sent at `now`. The process may have been paused since, so all that can
@@ -58,23 +81,14 @@
         Ok(())
     }
 
-    fn wait_or_refuse(
+    fn wait_or_shed(
         &mut self,
         lane: LaneId,
         ask: &Ask,
-        hold: Hold,
-        now: Instant,
+        wait: Duration,
         turns: &mut Vec<Turn>,
     ) -> Decision {
-        let wait = self.wait_estimate(lane, hold, now);
-        let state = &self.lanes[lane.index()];
-        if state.waiting_len() >= state.waiting_max.get() {
-            return refuse(NotRunCode::QueueFull, wait);
-        }
-        if now + wait >= ask.deadline {
-            return refuse(NotRunCode::TooLateToStart, wait);
-        }
-        let class = state.class;
+        let class = self.lanes[lane.index()].class;
         if self.waiting >= self.cfg.waiting_max.get() && !self.shed_below(class, wait, turns) {
             return refuse(NotRunCode::Shed, wait);
         }
--- a/crates/serve/src/dispatch/mod.rs
+++ b/crates/serve/src/dispatch/mod.rs
@@ -145,6 +145,15 @@
         self.admission.offer(ask, now, &mut self.turns)
     }
 
+    /// The refusal that [`Self::offer`] would answer now, if it would. It takes no slot. The ids of `ask` must be of the
+    /// catalogue in force.
+    pub fn refusal(&mut self, ask: &Ask, now: Instant) -> Option<Decision> {
+        let pool = self.cat.as_ref()?.queues[ask.queue].pool;
+        let in_service = self.router.in_service(pool, now);
+        self.admission.set_in_service(pool, in_service);
+        self.admission.refusal(ask, now)
+    }
+
     /// Picks an upstream for a request that starts or is sent again, another one than `tried` if there is one.
     ///
     /// # Errors
--- a/crates/serve/tests/decisions/admission.rs
+++ b/crates/serve/tests/decisions/admission.rs
@@ -1,10 +1,12 @@
 //! What starts, what waits in which order, and what is refused.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use goldcrest_serve::admission::Decision;
+use goldcrest_serve::admission::{Ask, Decision};
 use goldcrest_serve::dispatch::Wake;
 use goldcrest_serve::outcome::NotRunCode;
+use goldcrest_types::key::KeyDigest;
 
 use crate::fixture::{CATALOGUE, Fixture, cat, grants};
 
@@ -179,3 +181,93 @@
     assert_eq!(f.dispatch.admission().running(), 0);
     assert!(!f.dispatch.set_catalogue(cat(CATALOGUE, 1), f.now));
 }
+
+/// What happens to an entry between a request's slot and its first byte.
+#[derive(Debug, Clone, Copy)]
+enum Lapse {
+    Freshness,
+    Key,
+    Quota,
+    Deadline,
+}
+
+fn lapse(f: &mut Fixture, lapse: Lapse) -> NotRunCode {
+    match lapse {
+        Lapse::Freshness => {
+            f.dispatch.set_keys_fresh_until(Some(f.now));
+            NotRunCode::KeysNotFresh
+        }
+        Lapse::Key => {
+            assert!(f.dispatch.set_catalogue(cat(CATALOGUE, 3), f.now));
+            NotRunCode::KeyWithdrawn
+        }
+        Lapse::Quota => {
+            f.dispatch.set_grants(grants(0, 0, 0, None), f.now);
+            NotRunCode::QuotaLapsed
+        }
+        Lapse::Deadline => {
+            f.pass(FAR);
+            NotRunCode::DeadlinePassed
+        }
+    }
+}
+
+/// What lapses after a request has its slot keeps it from being sent, each with its own code.
+#[test]
+fn pick_lapsed_after_start() {
+    let digest = KeyDigest::of("secret");
+    let keyed = format!("{CATALOGUE}keys: [{{name: k, team: desk, digest: \"{digest}\"}}]\n");
+    for what in [Lapse::Freshness, Lapse::Key, Lapse::Quota, Lapse::Deadline] {
+        let mut f = Fixture::new();
+        let cat = cat(&keyed, 2);
+        assert!(f.dispatch.set_catalogue(Arc::clone(&cat), f.now));
+        f.dispatch
+            .set_keys_fresh_until(Some(f.now + Duration::from_hours(1)));
+        let ask = Ask {
+            queue: cat.queue("merge").expect("a queue"),
+            team: cat.team("desk").expect("a team"),
+            key: cat.key("secret"),
+            deadline: f.now + FAR,
+        };
+        assert!(ask.key.is_some());
+        let Decision::Start(work) = f.dispatch.offer(&ask, f.now) else {
+            panic!("there is room");
+        };
+        let code = lapse(&mut f, what);
+        assert_eq!(f.dispatch.pick(work, None, f.now), Err(code), "{what:?}");
+    }
+}
+
+/// The look ahead refuses what an offer would refuse, and takes nothing.
+#[test]
+fn refusal_as_offer_would() {
+    let mut f = Fixture::new();
+    let cat = f.dispatch.catalogue().expect("a catalogue");
+    let ask = |queue: &str| Ask {
+        queue: cat.queue(queue).expect("a queue"),
+        team: cat.team("desk").expect("a team"),
+        key: None,
+        deadline: f.now + FAR,
+    };
+    let (merge, lost) = (ask("merge"), ask("lost"));
+    assert_eq!(f.dispatch.refusal(&merge, f.now), None);
+    assert_eq!(f.dispatch.admission().running(), 0);
+    let found = f.dispatch.refusal(&lost, f.now).expect("no upstream");
+    assert_eq!(refused(found), NotRunCode::NoUpstream);
+    for _ in 0..4 {
+        f.start("merge", "desk");
+    }
+    for _ in 0..4 {
+        assert_eq!(f.dispatch.refusal(&merge, f.now), None);
+        f.wait("merge", "desk", FAR);
+    }
+    let found = f
+        .dispatch
+        .refusal(&merge, f.now)
+        .expect("the queue is full");
+    assert_eq!(refused(found), NotRunCode::QueueFull);
+    assert_eq!(
+        refused(f.offer("merge", "desk", FAR)),
+        NotRunCode::QueueFull
+    );
+}
