--- a/crates/bench/src/entries/mod.rs
+++ b/crates/bench/src/entries/mod.rs
@@ -29,7 +29,7 @@
 use tokio_util::sync::CancellationToken;
 
 pub use gate::Load;
-pub use spec::{dc_name, first_edit, key_edit, team_name};
+pub use spec::{dc_name, first_edit, key_edit, sized_edit, team_name};
 use store::{FakeStore, TokioClock};
 
 /// The time between looks at what the parts of an entry know of each other.
--- a/crates/bench/src/entries/spec.rs
+++ b/crates/bench/src/entries/spec.rs
@@ -50,7 +50,7 @@
     }
 }
 
-fn spec(dcs: usize, teams: usize) -> CatalogueSpec {
+fn spec(dcs: usize, teams: usize, pools: usize) -> CatalogueSpec {
     CatalogueSpec {
         data_centres: (0..dcs)
             .map(|number| DcSpec {
@@ -58,7 +58,7 @@
                 region: named(&format!("region-{}", number % 5)),
             })
             .collect(),
-        pools: (0..POOLS)
+        pools: (0..pools)
             .map(|number| PoolSpec {
                 name: named(&format!("pool-{number}")),
                 kind: PoolKind::Upstreams,
@@ -80,7 +80,7 @@
                 name: named(&format!("queue-{number}")),
                 owner: team_name(number),
                 class: Class::Interactive,
-                pool: named(&format!("pool-{}", number % POOLS)),
+                pool: named(&format!("pool-{}", number % pools)),
                 access: Access::Keyed,
                 limits: QueueLimits::default(),
             })
@@ -95,10 +95,16 @@
 /// The edit that makes the whole catalogue: a queue and a key for each team, and 81 pools.
 #[must_use]
 pub fn first_edit(dcs: usize, teams: usize) -> CatalogueEdit {
+    sized_edit(dcs, teams, POOLS)
+}
+
+/// The same with this many pools, of which there must be one.
+#[must_use]
+pub fn sized_edit(dcs: usize, teams: usize, pools: usize) -> CatalogueEdit {
     CatalogueEdit {
         id: EditId::new(1),
         operator: named("bench"),
-        changes: diff(&CatalogueSpec::default(), &spec(dcs, teams)),
+        changes: diff(&CatalogueSpec::default(), &spec(dcs, teams, pools)),
     }
 }
 
