front: a claim that is granted late is given back

Cause, by reading: the wait for a claim ended by dropping the question, so a home that granted it a moment later kept it. The caller had been told "not run", and its next try with the same key got `duplicate-request`, unknown, for as long as claims are kept. Change: the question is a task of its own; a grant that nobody takes any more gives itself back, as one whose caller goes does.

--- a/crates/front/src/call/claim.rs
+++ b/crates/front/src/call/claim.rs
@@ -7,6 +7,7 @@
 use goldcrest_types::key::KeyDigest;
 use goldcrest_types::names::{QueueName, RequestId};
 use tokio::runtime::Handle;
+use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 use super::admit;
@@ -82,35 +83,77 @@
         return Ok((None, unsent));
     }
     let (place, unsent) = admit::place(shared, head, unsent, record)?;
-    let Ok(_asking) = shared.asking.try_acquire() else {
-        return Err(unsent.refuse(NotRunCode::ClaimsUnavailable, Some(COME_BACK)));
-    };
-    let request = record.request();
+    let left = place.deadline.saturating_duration_since(shared.clock.now());
+    let wait = shared.cfg.claim_timeout.min(left);
     // Names hold no line break, so no two scopes run together.
     let scoped = format!("{}\n{}\n{key}", place.scope, place.queue);
-    let digest = KeyDigest::of(&scoped);
-    let claims = claims(shared);
-    // The home can't have granted the key before this, so it keeps the claim for no less than from here on.
-    let asked_at = shared.clock.now();
-    let left = place.deadline.saturating_duration_since(asked_at);
-    let asked = claims.claim(&place.queue, digest, request);
-    let answer = timeout(shared.cfg.claim_timeout.min(left), asked).await;
-    match answer.unwrap_or(Claim::Unavailable) {
-        Claim::Granted { keep } => {
-            let granted = Granted {
-                shared: Arc::clone(shared),
-                queue: place.queue,
-                digest,
-                request,
+    let asked = Asked {
+        shared: Arc::clone(shared),
+        queue: place.queue,
+        digest: KeyDigest::of(&scoped),
+        request: record.request(),
+    };
+    match asked.answer(wait).await {
+        Answer::Granted(granted) => Ok((Some(granted), unsent)),
+        // This request did not run, but the work behind its key may have.
+        Answer::Seen => Err(unsent.sent().refuse(UnknownCode::DuplicateRequest)),
+        Answer::Unknown => Err(unsent.sent().refuse(UnknownCode::PastUnknown)),
+        Answer::Unavailable => Err(unsent.refuse(NotRunCode::ClaimsUnavailable, Some(COME_BACK))),
+    }
+}
+
+/// What became of a question for a claim.
+enum Answer {
+    Granted(Granted),
+    Seen,
+    Unknown,
+    Unavailable,
+}
+
+/// A question for a claim.
+struct Asked {
+    shared: Arc<Shared>,
+    queue: QueueName,
+    digest: KeyDigest,
+    request: RequestId,
+}
+
+impl Asked {
+    /// Asks, and waits this long for the answer. A claim that is granted later, or to a caller that has gone, is dropped where
+    /// it is and so given back.
+    async fn answer(self, wait: Duration) -> Answer {
+        let Ok(permit) = Arc::clone(&self.shared.asking).try_acquire_owned() else {
+            return Answer::Unavailable;
+        };
+        let (answer, answered) = oneshot::channel();
+        tokio::spawn(async move {
+            let found = self.ask().await;
+            drop(permit);
+            drop(answer.send(found));
+        });
+        match timeout(wait, answered).await {
+            Ok(Ok(found)) => found,
+            Ok(Err(_)) | Err(_) => Answer::Unavailable,
+        }
+    }
+
+    async fn ask(self) -> Answer {
+        let claims = claims(&self.shared);
+        // The home can't have granted the key before this, so it keeps the claim for no less than from here on.
+        let asked_at = self.shared.clock.now();
+        match claims.claim(&self.queue, self.digest, self.request).await {
+            Claim::Granted { keep } => Answer::Granted(Granted {
+                shared: self.shared,
+                queue: self.queue,
+                digest: self.digest,
+                request: self.request,
                 until: asked_at + keep,
                 is_begun: false,
-            };
-            Ok((Some(granted), unsent))
+            }),
+            Claim::Seen => Answer::Seen,
+            Claim::Unknown => Answer::Unknown,
+            Claim::Unavailable => Answer::Unavailable,
         }
-        // This request did not run, but the work behind its key may have.
-        Claim::Seen => Err(unsent.sent().refuse(UnknownCode::DuplicateRequest)),
-        Claim::Unknown => Err(unsent.sent().refuse(UnknownCode::PastUnknown)),
-        Claim::Unavailable => Err(unsent.refuse(NotRunCode::ClaimsUnavailable, Some(COME_BACK))),
     }
 }
 
--- a/crates/front/src/front/shared.rs
+++ b/crates/front/src/front/shared.rs
@@ -49,7 +49,7 @@
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) claims: RwLock<Arc<dyn AnyClaims>>,
     /// Bounds the requests that wait for the answer to a claim.
-    pub(crate) asking: Semaphore,
+    pub(crate) asking: Arc<Semaphore>,
     pub(crate) connections: Connections,
     pub(crate) drain: Drain,
     pub(crate) metrics: Metrics,
@@ -74,7 +74,7 @@
         };
         Self {
             claims: RwLock::new(Arc::new(LocalClaims::new(Arc::clone(&clock)))),
-            asking: Semaphore::new(ASKING_MAX),
+            asking: Arc::new(Semaphore::new(ASKING_MAX)),
             connections: Connections::new(Arc::clone(&cfg)),
             drain: Drain::default(),
             metrics: Metrics::new(),
--- a/crates/front/tests/front/once.rs
+++ b/crates/front/tests/front/once.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime};
 
-use goldcrest_front::{Claim, Claims, Front, KeyFreshness, LocalClaims};
+use goldcrest_front::{Claim, Claims, Front, FrontCfg, KeyFreshness, LocalClaims};
 use goldcrest_types::clock::{Clock, ManualClock};
 use goldcrest_types::key::KeyDigest;
 use goldcrest_types::names::{QueueName, RequestId};
@@ -217,6 +217,31 @@
     assert_eq!(upstream.runs(), 1);
 }
 
+/// A home that grants a claim after the request was given up has it given back: the caller was told "not run", and may come
+/// again with the same key.
+#[tokio::test]
+async fn once_released_if_granted_late() {
+    let upstream = Upstream::start(&[Act::Answer("no")]).await;
+    let clock = Arc::new(ManualClock::new());
+    let claims = Arc::new(Held::default());
+    let short = FrontCfg {
+        claim_timeout: Duration::ZERO,
+        ..cfg()
+    };
+    let front = Front::new(short, clock.clone()).with_claims(claims.clone());
+    let entry = Entry::serve(front, clock, &[upstream.address]).await;
+    let refused = ask(entry.address, &request("POST", "/q/merge/x", KEY, "b")).await;
+    let code = ("claims-unavailable".to_owned(), "not-run");
+    assert_eq!(refused.refusal(), code);
+    claims.asked.notified().await;
+    assert_eq!(claims.released.load(Ordering::SeqCst), 0);
+    claims.go.notify_one();
+    while claims.released.load(Ordering::SeqCst) == 0 {
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(upstream.runs(), 0);
+}
+
 /// On a queue that is open to all, a team's key counts at one entry and not at another whose keys are not fresh. The same
 /// request through both runs once all the same.
 #[tokio::test]
