--- a/crates/front/tests/front/once.rs
+++ b/crates/front/tests/front/once.rs
@@ -37,16 +37,21 @@
     }
 }
 
+/// Two entries over one table of claims.
+async fn two_entries(upstream: &Upstream) -> [Entry; 2] {
+    let clock = Arc::new(ManualClock::new());
+    let claims = Arc::new(LocalClaims::new(clock.clone()));
+    let front = || Front::new(cfg(), clock.clone()).with_claims(claims.clone());
+    [
+        Entry::serve(front(), clock.clone(), &[upstream.address]).await,
+        Entry::serve(front(), clock.clone(), &[upstream.address]).await,
+    ]
+}
+
 #[tokio::test]
 async fn once_over_two_entries() {
     let upstream = Upstream::start(&[Act::Answer("applied")]).await;
-    let clock = Arc::new(ManualClock::new());
-    let claims = Arc::new(LocalClaims::new(clock.clone()));
-    let mut entries = Vec::new();
-    for _ in 0..2 {
-        let front = Front::new(cfg(), clock.clone()).with_claims(claims.clone());
-        entries.push(Entry::serve(front, clock.clone(), &[upstream.address]).await);
-    }
+    let entries = two_entries(&upstream).await;
     let text = request("POST", "/q/merge/x", KEY, "b");
     let (first, second) = tokio::join!(
         ask(entries[0].address, &text),
@@ -247,13 +252,7 @@
 #[tokio::test]
 async fn once_open_queue_stale_entry() {
     let upstream = Upstream::start(&[Act::Answer("applied")]).await;
-    let clock = Arc::new(ManualClock::new());
-    let claims = Arc::new(LocalClaims::new(clock.clone()));
-    let mut entries = Vec::new();
-    for _ in 0..2 {
-        let front = Front::new(cfg(), clock.clone()).with_claims(claims.clone());
-        entries.push(Entry::serve(front, clock.clone(), &[upstream.address]).await);
-    }
+    let entries = two_entries(&upstream).await;
     entries[1]
         .front
         .set_key_freshness(KeyFreshness { until: None });
