catalogue: no queue forgets a key while its request may run

Cause: `repeat_window_ms` below `deadline_max_ms` was accepted, so a key could be granted again while its first request still ran. Change: such a queue is a finding with its line and remedy.

--- a/crates/bench/src/bin/faultrun/site.rs
+++ b/crates/bench/src/bin/faultrun/site.rs
@@ -223,8 +223,10 @@
 fn catalogue(upstreams: usize, repeat_window: Duration) -> String {
     let digest = KeyDigest::of(SECRET);
     let window_ms = repeat_window.as_millis();
+    // No deadline may outlast the time for which a repetition is recognised.
+    let deadline_max_ms = window_ms.min(30_000);
     let limits = format!(
-        "limits: {{upstream_slots: 2, waiting_slots: 64, deadline_ms: 1000, deadline_max_ms: 30000, repeat_window_ms: {window_ms}}}"
+        "limits: {{upstream_slots: 2, waiting_slots: 64, deadline_ms: 1000, deadline_max_ms: {deadline_max_ms}, repeat_window_ms: {window_ms}}}"
     );
     format!(
         "data_centres: [{{name: {LARGE}, region: west}}, {{name: {SMALL}, region: west}}]
--- a/crates/types/src/catalogue/check.rs
+++ b/crates/types/src/catalogue/check.rs
@@ -309,6 +309,13 @@
         );
         out.push(Section::Queues, index, message);
     }
+    if limits.repeat_window_ms < limits.deadline_max_ms {
+        let message = format!(
+            "queue '{}': limits.repeat_window_ms {} is below limits.deadline_max_ms {}, so a key could be granted again while its request runs: raise the one or lower the other",
+            queue.name, limits.repeat_window_ms, limits.deadline_max_ms
+        );
+        out.push(Section::Queues, index, message);
+    }
     if !(REPEAT_WINDOW_MIN_MS..=REPEAT_WINDOW_MAX_MS).contains(&limits.repeat_window_ms) {
         let message = format!(
             "queue '{}': limits.repeat_window_ms {} is not what entries can remember: set it from {REPEAT_WINDOW_MIN_MS} to {REPEAT_WINDOW_MAX_MS}",
