session: the head is watched for half a second at a time

Cause: `service_down_for_all_for_an_hour` failed in 7 of 48 runs, 1.92 s into the outage. A proof counts from the start of its watch, so with watches of 1 s it was 1.98 s old when the service went and ran out at 3.9 s, before the third data centre's report had come (trial with the evidence printed). Ruled out: a report that was lost; it came later. Change: watches of 0.5 s, so a proof is at most about 1 s old then.

--- a/crates/session/src/follow/mod.rs
+++ b/crates/session/src/follow/mod.rs
@@ -38,7 +38,8 @@
 /// How the head is followed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FollowConfig {
-    /// How long one watch waits. It bounds the age of the watcher's proof.
+    /// How long one watch waits. A proof counts from the start of its watch, so the watcher's is up to twice as old when the
+    /// service goes, and the reports of an outage for all have to be there before it has run out.
     pub watch_wait: Duration,
     /// The age of the youngest proof at which an entry reads the head itself.
     pub read_after: Duration,
@@ -49,7 +50,7 @@
 impl Default for FollowConfig {
     fn default() -> Self {
         Self {
-            watch_wait: Duration::from_secs(1),
+            watch_wait: Duration::from_millis(500),
             read_after: Duration::from_millis(2_500),
             pause: Duration::from_millis(500),
         }
