ports: the crate of the product's own edges takes another name

Cause: the users' platform needs a folder `platform/` for its names, formats and calls; the crate `platform` holds the product's own traits and HTTP clients towards its stand-ins, and the two would be confused. Change: crates/platform is crates/ports; nothing else. Ruled out: putting the new adapter into the old crate, which the daemon, the demo and the tests depend on.

--- a/crates/bench/src/bin/memory.rs
+++ b/crates/bench/src/bin/memory.rs
@@ -15,7 +15,7 @@
 use goldcrest_bench::entries::{dc_name, sized_edit};
 use goldcrest_daemon::entry::Entry;
 use goldcrest_daemon::settings::{Settings, parse};
-use goldcrest_platform::fleet::{VmPhase, VmRecord, VmRole};
+use goldcrest_ports::fleet::{VmPhase, VmRecord, VmRole};
 use goldcrest_session::Updated;
 use goldcrest_standin::{FleetFake, KvFake};
 use goldcrest_types::clock::SystemClock;
--- a/crates/ctl/src/client/mod.rs
+++ b/crates/ctl/src/client/mod.rs
@@ -8,8 +8,8 @@
     CatalogueView, EditAnswer, EditRequest, Explanation, InForce, Problem, ProblemCode, Status,
     Subject, path,
 };
-use goldcrest_platform::http::call::Answer;
-use goldcrest_platform::http::{CallError, HttpCaller};
+use goldcrest_ports::http::call::Answer;
+use goldcrest_ports::http::{CallError, HttpCaller};
 use http::header::{AUTHORIZATION, CONTENT_TYPE};
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
 use quick_error::quick_error;
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -14,7 +14,7 @@
 use goldcrest_peer::handshake::Hello;
 use goldcrest_peer::message::Member;
 use goldcrest_peer::peers::PeersConfig;
-use goldcrest_platform::http::{HttpFleet, HttpStore, HttpWorkers};
+use goldcrest_ports::http::{HttpFleet, HttpStore, HttpWorkers};
 use goldcrest_session::calls::CallRate;
 use goldcrest_session::lease::{LeaseKeeper, SessionRecord};
 use goldcrest_session::{FollowConfig, SessionConfig};
--- a/crates/daemon/src/fleet/enrol.rs
+++ b/crates/daemon/src/fleet/enrol.rs
@@ -9,7 +9,7 @@
 
 use goldcrest_ledger::fleet::{FleetDoc, FleetRefusal, VmEdit, VmState};
 use goldcrest_obs::logs::Part;
-use goldcrest_platform::fleet::{VmListing, VmPhase, VmRecord, VmRole};
+use goldcrest_ports::fleet::{VmListing, VmPhase, VmRecord, VmRole};
 use goldcrest_session::{Updated, keys};
 use goldcrest_types::catalogue::{Catalogue, PoolKind};
 use goldcrest_types::names::{DcName, EditId, PoolName};
--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -13,7 +13,7 @@
 use goldcrest_ledger::Document;
 use goldcrest_ledger::fleet::FleetDoc;
 use goldcrest_obs::logs::Part;
-use goldcrest_platform::fleet::Fleet;
+use goldcrest_ports::fleet::Fleet;
 use goldcrest_session::keys;
 use goldcrest_types::names::DcName;
 use goldcrest_types::units::StoreVersion;
--- a/crates/daemon/src/fleet/upstreams.rs
+++ b/crates/daemon/src/fleet/upstreams.rs
@@ -2,7 +2,7 @@
 
 use goldcrest_front::{UpstreamSet, UpstreamSpec};
 use goldcrest_ledger::fleet::VmState;
-use goldcrest_platform::fleet::{VmListing, VmPhase, VmRecord, VmRole};
+use goldcrest_ports::fleet::{VmListing, VmPhase, VmRecord, VmRole};
 
 use crate::world::Fleets;
 
--- a/crates/daemon/src/maintenance/acknowledge.rs
+++ b/crates/daemon/src/maintenance/acknowledge.rs
@@ -9,7 +9,7 @@
 
 use futures_util::future::join_all;
 use goldcrest_peer::message::FleetSeen;
-use goldcrest_platform::fleet::VmRole;
+use goldcrest_ports::fleet::VmRole;
 use goldcrest_types::names::DcName;
 use goldcrest_types::units::StoreVersion;
 
--- a/crates/daemon/src/maintenance/cycle.rs
+++ b/crates/daemon/src/maintenance/cycle.rs
@@ -7,7 +7,7 @@
 
 use goldcrest_ledger::Document;
 use goldcrest_ledger::document::RecentEdits;
-use goldcrest_platform::store::StoreKey;
+use goldcrest_ports::store::StoreKey;
 use goldcrest_session::{UpdateError, Updated};
 use goldcrest_types::names::EditId;
 use goldcrest_upkeep::fleet::Cycle;
--- a/crates/daemon/src/maintenance/view.rs
+++ b/crates/daemon/src/maintenance/view.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use goldcrest_ledger::fleet::{FleetVm, Purpose, VmState as Stored};
-use goldcrest_platform::fleet::{VmListing, VmPhase, VmRecord, VmRole};
+use goldcrest_ports::fleet::{VmListing, VmPhase, VmRecord, VmRole};
 use goldcrest_types::catalogue::{Catalogue, PoolKind};
 use goldcrest_types::entity::{EntityRef, PoolId, PrimaryMap, RackId, VmId};
 use goldcrest_types::names::{DcName, RackName, VmName};
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -16,7 +16,7 @@
 use goldcrest_peer::membership::homes::STANDING_TERM;
 use goldcrest_peer::peers::{Peers, Seed};
 use goldcrest_peer::server::PeerServer;
-use goldcrest_platform::fleet::{VmListing, VmRole};
+use goldcrest_ports::fleet::{VmListing, VmRole};
 use goldcrest_types::names::EntryId;
 use tokio::net::TcpListener;
 use tokio::time::sleep;
--- a/crates/daemon/src/quota/mod.rs
+++ b/crates/daemon/src/quota/mod.rs
@@ -13,7 +13,7 @@
 use goldcrest_ledger::quota::Grants;
 use goldcrest_ledger::quota::rebalance::Demand;
 use goldcrest_obs::logs::Part;
-use goldcrest_platform::fleet::VmListing;
+use goldcrest_ports::fleet::VmListing;
 use goldcrest_session::quota::{
     DcDemand, Gate, Listed, Mover, Needs, Observer, QuotaKeeper, RowOwner,
 };
--- a/crates/daemon/src/scheduler/calls.rs
+++ b/crates/daemon/src/scheduler/calls.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use goldcrest_platform::worker::{
+use goldcrest_ports::worker::{
     CommandTask, StartTask, TaskCommand, TaskPhase, TaskReport, WorkerError, WorkerReport, Workers,
 };
 use goldcrest_sched::{Command, CommandKind, ObservedPhase, Start, StartOutcome, TaskObservation};
--- a/crates/daemon/src/scheduler/fleet.rs
+++ b/crates/daemon/src/scheduler/fleet.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use goldcrest_ledger::fleet::VmState;
-use goldcrest_platform::fleet::{VmListing, VmPhase, VmRecord, VmRole};
+use goldcrest_ports::fleet::{VmListing, VmPhase, VmRecord, VmRole};
 use goldcrest_sched::{Availability, WorkerSpec};
 use goldcrest_types::names::{DcName, VmName};
 
--- a/crates/daemon/src/scheduler/mod.rs
+++ b/crates/daemon/src/scheduler/mod.rs
@@ -19,7 +19,7 @@
 use goldcrest_ledger::Document;
 use goldcrest_ledger::jobs::{JobAnswer, JobEdit, JobRefusal, JobsDoc};
 use goldcrest_obs::logs::Part;
-use goldcrest_platform::store::{StoreKey, Versioned};
+use goldcrest_ports::store::{StoreKey, Versioned};
 use goldcrest_sched::state::Run;
 use goldcrest_sched::{CommandKind, Config, Start, StartOutcome};
 use goldcrest_session::update::Updated;
--- a/crates/daemon/src/sizing/demand.rs
+++ b/crates/daemon/src/sizing/demand.rs
@@ -10,7 +10,7 @@
 use futures_util::future::join_all;
 use goldcrest_peer::peers::PoolUsageHeard;
 use goldcrest_peer::usage::Usage;
-use goldcrest_platform::fleet::{VmListing, VmPhase, VmRole};
+use goldcrest_ports::fleet::{VmListing, VmPhase, VmRole};
 use goldcrest_types::names::{DcName, PoolName};
 
 use crate::peers::DaemonPeers;
--- a/crates/daemon/tests/drain.rs
+++ b/crates/daemon/tests/drain.rs
@@ -11,7 +11,7 @@
 use goldcrest_daemon::world::Fleets;
 use goldcrest_ledger::fleet::{FleetDoc, Permit, Purpose, VmEdit};
 use goldcrest_ledger::jobs::{Checkpoint, JobEdit, JobsDoc, Task, TaskOutcome, TaskState};
-use goldcrest_platform::fleet::{VmListing, VmPhase, VmRecord, VmRole};
+use goldcrest_ports::fleet::{VmListing, VmPhase, VmRecord, VmRole};
 use goldcrest_sched::{CommandKind, Config, ObservedPhase, Start, StartOutcome, TaskObservation};
 use goldcrest_types::catalogue::{Catalogue, Class, parse};
 use goldcrest_types::names::{DcName, EditId, EntryId, TaskKey, VmName};
--- a/crates/daemon/tests/maintenance.rs
+++ b/crates/daemon/tests/maintenance.rs
@@ -10,7 +10,7 @@
 use goldcrest_daemon::maintenance::view::{Place, View};
 use goldcrest_daemon::world::Fleets;
 use goldcrest_ledger::fleet::{FleetDoc, FleetRefusal, VmEdit, VmState as Stored};
-use goldcrest_platform::fleet::{VmListing, VmPhase, VmRecord, VmRole};
+use goldcrest_ports::fleet::{VmListing, VmPhase, VmRecord, VmRole};
 use goldcrest_types::catalogue::{Catalogue, parse};
 use goldcrest_types::names::{DcName, EditId, EntryId};
 use goldcrest_types::units::{Epoch, Resources, Revision, StoreVersion};
--- a/crates/daemon/tests/sizing/bed.rs
+++ b/crates/daemon/tests/sizing/bed.rs
@@ -23,7 +23,7 @@
 use goldcrest_peer::message::PoolUsageTold;
 use goldcrest_peer::peers::PoolUsageHeard;
 use goldcrest_peer::usage::{Board, CELLS_MAX_WANTED, Usage};
-use goldcrest_platform::fleet::{VmListing, VmPhase, VmRecord, VmRole};
+use goldcrest_ports::fleet::{VmListing, VmPhase, VmRecord, VmRole};
 use goldcrest_types::catalogue::{Catalogue, parse};
 use goldcrest_types::names::{DcName, EditId, EntryId, PoolName, VmName};
 use goldcrest_types::units::{Epoch, Resources, Revision, Slots, StoreVersion};
--- a/crates/daemon/tests/sizing/main.rs
+++ b/crates/daemon/tests/sizing/main.rs
@@ -10,7 +10,7 @@
 use goldcrest_daemon::sizing::settings::SizingSettings;
 use goldcrest_daemon::world::Fleets;
 use goldcrest_ledger::fleet::{FleetRefusal, VmState as Stored};
-use goldcrest_platform::fleet::VmPhase;
+use goldcrest_ports::fleet::VmPhase;
 use goldcrest_upkeep::maintenance::{Action, Reason as StepReason};
 use goldcrest_upkeep::sizing::Reason;
 
--- a/crates/demo/src/callers/mod.rs
+++ b/crates/demo/src/callers/mod.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use goldcrest_platform::http::call::Answer;
-use goldcrest_platform::http::{CallError, HttpCaller};
+use goldcrest_ports::http::call::Answer;
+use goldcrest_ports::http::{CallError, HttpCaller};
 use goldcrest_standin::upstream::CallBook;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use serde::Deserialize;
--- a/crates/demo/src/lab/mod.rs
+++ b/crates/demo/src/lab/mod.rs
@@ -15,7 +15,7 @@
 };
 use goldcrest_daemon::sizing::settings::SizingSettings;
 use goldcrest_front::DrainReport;
-use goldcrest_platform::fleet::{VmPhase, VmRecord, VmRole};
+use goldcrest_ports::fleet::{VmPhase, VmRecord, VmRole};
 use goldcrest_standin::upstream::CallBook;
 use goldcrest_standin::worker::RunBook;
 use goldcrest_standin::{FleetFake, KvFake, KvFault, UpstreamFake, WorkerFake};
--- a/crates/demo/src/story/steps.rs
+++ b/crates/demo/src/story/steps.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use goldcrest_ledger::catalogue::Change;
-use goldcrest_platform::fleet::VmPhase;
+use goldcrest_ports::fleet::VmPhase;
 use goldcrest_standin::KvFault;
 use goldcrest_types::breach::Promise;
 use goldcrest_types::names::{KeyName, TaskKey, VmName};
--- a/crates/demo/src/submitters/mod.rs
+++ b/crates/demo/src/submitters/mod.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use goldcrest_platform::http::HttpCaller;
+use goldcrest_ports::http::HttpCaller;
 use goldcrest_types::names::TaskKey;
 use http::header::AUTHORIZATION;
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
--- a/crates/demo/tests/tour.rs
+++ b/crates/demo/tests/tour.rs
@@ -11,7 +11,7 @@
 use goldcrest_ctl::exit::Exit;
 use goldcrest_demo::story::setup::Stage;
 use goldcrest_demo::story::{LOOK_INTERVAL, STEP_TIMEOUT};
-use goldcrest_platform::http::HttpCaller;
+use goldcrest_ports::http::HttpCaller;
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use tokio::time::{Instant, sleep};
 
--- a/crates/session/src/calls/mod.rs
+++ b/crates/session/src/calls/mod.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use goldcrest_platform::store::StoreError;
+use goldcrest_ports::store::StoreError;
 use goldcrest_types::units::PerSecond;
 
 /// What a call is for. The order of the variants is the order of precedence.
--- a/crates/session/src/follow/mod.rs
+++ b/crates/session/src/follow/mod.rs
@@ -16,7 +16,7 @@
 use goldcrest_ledger::catalogue::{Accepted, CatalogueEdit, Descent, EditRefusal, Head};
 use goldcrest_ledger::freshness::Proof;
 use goldcrest_ledger::{Document, DocumentError};
-use goldcrest_platform::store::{Store, StoreError};
+use goldcrest_ports::store::{Store, StoreError};
 use goldcrest_types::catalogue::{Catalogue, Findings};
 use goldcrest_types::clock::Clock;
 use goldcrest_types::units::{Revision, StoreVersion};
--- a/crates/session/src/follow/restored.rs
+++ b/crates/session/src/follow/restored.rs
@@ -10,7 +10,7 @@
 
 use goldcrest_ledger::Document;
 use goldcrest_ledger::catalogue::{Descent, EditRefusal, Head};
-use goldcrest_platform::store::{Expect, Store, StoreError, Versioned};
+use goldcrest_ports::store::{Expect, Store, StoreError, Versioned};
 use goldcrest_types::clock::Clock;
 use goldcrest_types::units::{Revision, StoreVersion};
 use log::{error, warn};
--- a/crates/session/src/keys/mod.rs
+++ b/crates/session/src/keys/mod.rs
@@ -2,7 +2,7 @@
 
 use goldcrest_ledger::catalogue::HEAD_KEY;
 use goldcrest_ledger::quota::FLEET_QUOTA_KEY;
-use goldcrest_platform::store::StoreKey;
+use goldcrest_ports::store::StoreKey;
 use goldcrest_types::names::{DcName, EntryId};
 
 use crate::lease::LiveSession;
--- a/crates/session/src/lease/mod.rs
+++ b/crates/session/src/lease/mod.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use goldcrest_platform::store::{Expect, LeaseId, Store, StoreError};
+use goldcrest_ports::store::{Expect, LeaseId, Store, StoreError};
 use goldcrest_types::clock::Clock;
 use goldcrest_types::names::{DcName, EntryId, VmName};
 use log::{info, warn};
--- a/crates/session/src/quota/cached.rs
+++ b/crates/session/src/quota/cached.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use goldcrest_ledger::Document;
-use goldcrest_platform::store::{Store, StoreError, StoreKey, Versioned};
+use goldcrest_ports::store::{Store, StoreError, StoreKey, Versioned};
 use goldcrest_types::clock::Clock;
 use goldcrest_types::units::StoreVersion;
 
--- a/crates/session/src/quota/keeper.rs
+++ b/crates/session/src/quota/keeper.rs
@@ -14,7 +14,7 @@
 use goldcrest_ledger::quota::{
     DcEdit, DcQuota, Grants, Part, QuotaRefusal, SessionId, TeamPart, TeamQuota,
 };
-use goldcrest_platform::store::Store;
+use goldcrest_ports::store::Store;
 use goldcrest_types::catalogue::Catalogue;
 use goldcrest_types::clock::Clock;
 use goldcrest_types::names::{EditId, TeamName, VmName};
--- a/crates/session/src/quota/mover.rs
+++ b/crates/session/src/quota/mover.rs
@@ -14,7 +14,7 @@
 
 use goldcrest_ledger::quota::portions::{DcPlan, DcView, plan};
 use goldcrest_ledger::quota::{DcEdit, DcQuota, FleetEdit, FleetQuota, QuotaRefusal, TeamSlots};
-use goldcrest_platform::store::Store;
+use goldcrest_ports::store::Store;
 use goldcrest_types::catalogue::Catalogue;
 use goldcrest_types::clock::Clock;
 use goldcrest_types::names::{DcName, TeamName, TransferId};
--- a/crates/session/src/quota/observer.rs
+++ b/crates/session/src/quota/observer.rs
@@ -7,7 +7,7 @@
 
 use goldcrest_ledger::quota::reclaim::{ReclaimBounds, ReclaimContext, Sightings, tend};
 use goldcrest_ledger::quota::{DcEdit, DcQuota};
-use goldcrest_platform::store::Store;
+use goldcrest_ports::store::Store;
 use goldcrest_types::clock::Clock;
 use goldcrest_types::names::{EntryId, VmName};
 use log::{debug, info};
--- a/crates/session/src/quota/view.rs
+++ b/crates/session/src/quota/view.rs
@@ -6,7 +6,7 @@
 use goldcrest_ledger::quota::portions::{DcView, idle_slots};
 use goldcrest_ledger::quota::rebalance::IDLE_SLOTS;
 use goldcrest_ledger::quota::{DcEdit, DcQuota, FleetQuota, QuotaRefusal};
-use goldcrest_platform::store::Store;
+use goldcrest_ports::store::Store;
 use goldcrest_types::clock::Clock;
 use goldcrest_types::names::{DcName, TeamName};
 use goldcrest_types::units::Slots;
--- a/crates/session/src/role/mod.rs
+++ b/crates/session/src/role/mod.rs
@@ -13,7 +13,7 @@
 
 use goldcrest_ledger::quota::SessionId;
 use goldcrest_ledger::role::{Holder, RoleDoc, RoleEdit, RoleRefusal};
-use goldcrest_platform::store::{Store, StoreKey, StoreKeyError};
+use goldcrest_ports::store::{Store, StoreKey, StoreKeyError};
 use goldcrest_types::clock::Clock;
 use goldcrest_types::names::{DcName, EntryId};
 use goldcrest_types::rendezvous::HashKey;
--- a/crates/session/src/session/mod.rs
+++ b/crates/session/src/session/mod.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use goldcrest_platform::store::{Expect, LeaseId, Store, StoreError, StoreKey, Versioned};
+use goldcrest_ports::store::{Expect, LeaseId, Store, StoreError, StoreKey, Versioned};
 use goldcrest_types::clock::Clock;
 use goldcrest_types::names::{DcName, EditId, EntryId};
 use goldcrest_types::units::StoreVersion;
--- a/crates/session/src/update/mod.rs
+++ b/crates/session/src/update/mod.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use goldcrest_ledger::{Document, DocumentError, Outcome};
-use goldcrest_platform::store::{Expect, Store, StoreError, StoreKey, Versioned};
+use goldcrest_ports::store::{Expect, Store, StoreError, StoreKey, Versioned};
 use goldcrest_types::clock::Clock;
 use goldcrest_types::names::EditId;
 use goldcrest_types::units::StoreVersion;
--- a/crates/session/tests/session/calls.rs
+++ b/crates/session/tests/session/calls.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::common::{FakeStore, Faults, TokioClock};
-use goldcrest_platform::store::StoreError;
+use goldcrest_ports::store::StoreError;
 use goldcrest_session::calls::{Bucket, CallKind, CallRate};
 use goldcrest_session::{Session, SessionConfig, keys};
 use goldcrest_types::clock::Clock;
--- a/crates/session/tests/session/common/mod.rs
+++ b/crates/session/tests/session/common/mod.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use bytes::Bytes;
-use goldcrest_platform::store::{Expect, LeaseId, Store, StoreError, StoreKey, Versioned};
+use goldcrest_ports::store::{Expect, LeaseId, Store, StoreError, StoreKey, Versioned};
 use goldcrest_types::clock::Clock;
 use goldcrest_types::units::StoreVersion;
 use tokio::sync::Notify;
--- a/crates/session/tests/session/replaced.rs
+++ b/crates/session/tests/session/replaced.rs
@@ -8,7 +8,7 @@
 use goldcrest_ledger::jobs::{
     Checkpoint, JobAnswer, JobEdit, JobRefusal, JobsDoc, Task, TaskState,
 };
-use goldcrest_platform::store::StoreKey;
+use goldcrest_ports::store::StoreKey;
 use goldcrest_session::{FollowConfig, Follower, Updated, keys};
 use goldcrest_types::catalogue::Class;
 use goldcrest_types::names::{EditId, TaskKey};
--- a/crates/session/tests/session/update.rs
+++ b/crates/session/tests/session/update.rs
@@ -6,7 +6,7 @@
 use ciborium::Value;
 use goldcrest_ledger::catalogue::{Accepted, CatalogueEdit, Change, Delta, EditRefusal, Head};
 use goldcrest_ledger::{Document, DocumentError};
-use goldcrest_platform::store::{Expect, StoreError};
+use goldcrest_ports::store::{Expect, StoreError};
 use goldcrest_session::{Session, SessionConfig, UpdateError, Updated, keys};
 use goldcrest_types::catalogue::TeamSpec;
 use goldcrest_types::names::{EditId, EntryId};
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -11,8 +11,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use goldcrest_platform::fleet::{VmListing, VmPhase, VmRecord};
-use goldcrest_platform::http::fleet::RebootVm;
+use goldcrest_ports::fleet::{VmListing, VmPhase, VmRecord};
+use goldcrest_ports::http::fleet::RebootVm;
 use goldcrest_types::names::{DcName, VmName};
 use goldcrest_types::units::Epoch;
 use http::header::{ETAG, IF_NONE_MATCH};
--- a/crates/standin/src/kv/mod.rs
+++ b/crates/standin/src/kv/mod.rs
@@ -13,10 +13,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use goldcrest_platform::http::store::{
+use goldcrest_ports::http::store::{
     GrantLease, KeyListing, LEASE_HEADER, LeaseGranted, VERSION_HEADER,
 };
-use goldcrest_platform::store::{Expect, LeaseId, StoreError, StoreKey, Versioned};
+use goldcrest_ports::store::{Expect, LeaseId, StoreError, StoreKey, Versioned};
 use goldcrest_types::names::DcName;
 use goldcrest_types::units::StoreVersion;
 use http::header::{IF_MATCH, IF_NONE_MATCH};
--- a/crates/standin/src/worker/mod.rs
+++ b/crates/standin/src/worker/mod.rs
@@ -10,7 +10,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use goldcrest_platform::worker::{
+use goldcrest_ports::worker::{
     CommandTask, StartTask, TaskCommand, TaskPhase, TaskReport, WorkerReport,
 };
 use goldcrest_types::names::{TaskKey, TeamName};
--- a/crates/standin/tests/fleet.rs
+++ b/crates/standin/tests/fleet.rs
@@ -5,8 +5,8 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
-use goldcrest_platform::fleet::{Fleet, FleetError, VmPhase, VmRecord, VmRole};
-use goldcrest_platform::http::HttpFleet;
+use goldcrest_ports::fleet::{Fleet, FleetError, VmPhase, VmRecord, VmRole};
+use goldcrest_ports::http::HttpFleet;
 use goldcrest_standin::FleetFake;
 use goldcrest_types::names::VmName;
 use goldcrest_types::units::{Epoch, Resources};
--- a/crates/standin/tests/kv.rs
+++ b/crates/standin/tests/kv.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use goldcrest_platform::http::HttpStore;
-use goldcrest_platform::store::{Expect, Store, StoreError, StoreKey};
+use goldcrest_ports::http::HttpStore;
+use goldcrest_ports::store::{Expect, Store, StoreError, StoreKey};
 use goldcrest_standin::{KvFake, KvFault};
 use goldcrest_types::names::DcName;
 use goldcrest_types::units::StoreVersion;
@@ -107,6 +107,6 @@
     let value = Bytes::from_static(b"one");
     let put = fix.store.swap(&fix.key, Expect::Absent, value, Some(lease));
     put.await.unwrap();
-    let other = goldcrest_platform::store::LeaseId::new(99);
+    let other = goldcrest_ports::store::LeaseId::new(99);
     assert_eq!(fix.store.renew(other).await, Err(StoreError::LeaseGone));
 }
