--- /dev/null
+++ b/crates/grid/src/calls/cancel.rs
@@ -0,0 +1,102 @@
+//! Cancelling a job.
+
+use goldcrest_jobs::id::JobId;
+use goldcrest_jobs::spec::{JobRecord, JobState};
+
+use crate::calls::{Admitted, RETRY_SOON, Refusal, Reply, job_id};
+use crate::entry::Entry;
+use crate::keys::{self, JobStatus};
+use crate::ports::{CallError, Committed, Item, Platform, Put, Txn};
+
+/// How often a cancellation is tried again because its job has changed meanwhile.
+const ATTEMPTS: u32 = 5;
+
+impl<P: Platform> Entry<P> {
+    pub(super) async fn cancel(&self, admitted: &Admitted) -> Reply {
+        let Ok(id) = job_id(admitted) else {
+            return Reply::NoSuchJob;
+        };
+        if let Some(refused) = self.refusal() {
+            return refused;
+        }
+        for _ in 0..ATTEMPTS {
+            match self.try_cancel(admitted, id).await {
+                Ok(Some(reply)) => {
+                    log::info!(target: "calls", job:% = id, outcome = reply.name(); "Cancellation answered.");
+                    return reply;
+                }
+                Ok(None) => {}
+                Err(CallError::Unknown(why)) => {
+                    log::warn!(target: "calls", job:% = id, why:%; "It is unknown whether the job was cancelled.");
+                    return Reply::Unknown;
+                }
+                Err(error) => {
+                    log::warn!(target: "calls", job:% = id, error:%; "The job was not cancelled.");
+                    return Reply::Refused(Refusal::StoreRefused, RETRY_SOON);
+                }
+            }
+        }
+        Reply::Refused(Refusal::StoreRefused, RETRY_SOON)
+    }
+
+    /// One attempt; `None` if the job has changed under it.
+    async fn try_cancel(
+        &self,
+        admitted: &Admitted,
+        id: JobId,
+    ) -> Result<Option<Reply>, CallError> {
+        let Some((status, item)) = self.read_status(admitted, id).await? else {
+            return Ok(Some(Reply::NoSuchJob));
+        };
+        match status.state {
+            JobState::Cancelled => return Ok(Some(Reply::Cancelled)),
+            JobState::Completed | JobState::Failed => return Ok(Some(Reply::NoSuchJob)),
+            JobState::Queued | JobState::Running => {}
+        }
+        let submitted_key = keys::submitted(&status.pool, id);
+        let Some(submitted) = self.read(&submitted_key).await? else {
+            // It has ended since its status was read.
+            return Ok(None);
+        };
+        let txn = self.cancellation(status, item, submitted)?;
+        match self.commit_within(&txn, self.left(admitted)).await? {
+            Committed::Done(_) => Ok(Some(Reply::Cancelled)),
+            Committed::Conflict(_) => Ok(None),
+        }
+    }
+
+    fn cancellation(
+        &self,
+        status: JobStatus,
+        item: Item,
+        submitted: Item,
+    ) -> Result<Txn, CallError> {
+        let mut record: JobRecord = keys::decode(&submitted.key, &submitted.value)
+            .map_err(|error| CallError::Malformed(error.to_string().into()))?;
+        record.is_cancelled = true;
+        let cancelled = JobStatus {
+            state: JobState::Cancelled,
+            ended_ms: Some(self.wall_ms()),
+            ..status
+        };
+        Ok(Txn {
+            expect: vec![
+                (item.key.clone(), item.revision),
+                (submitted.key.clone(), submitted.revision),
+            ],
+            put: vec![
+                Put {
+                    key: item.key,
+                    value: keys::encode(&cancelled),
+                    lease: None,
+                },
+                Put {
+                    key: submitted.key,
+                    value: keys::encode(&record),
+                    lease: None,
+                },
+            ],
+            ..Txn::default()
+        })
+    }
+}
--- /dev/null
+++ b/crates/grid/src/calls/submit.rs
@@ -0,0 +1,148 @@
+//! Accepting a job.
+
+use std::time::Duration;
+
+use goldcrest_jobs::id::JobId;
+use goldcrest_jobs::spec::{JobRecord, JobSpec, JobState};
+
+use crate::calls::{Admitted, Call, RETRY_SOON, Refusal, Reply, admit, job_id};
+use crate::entry::Entry;
+use crate::keys::{self, JobStatus};
+use crate::operators;
+use crate::ports::{CallError, Committed, Conflict, Platform, Put, Revision, Txn};
+
+/// How often a call is judged anew because the catalogue changed under it.
+const CATALOGUE_CHANGES_MAX: u32 = 4;
+
+impl<P: Platform> Entry<P> {
+    pub(super) async fn submit(&self, call: &Call, admitted: Admitted, spec: &JobSpec) -> Reply {
+        let began_at = self.now();
+        if self.is_store_silent() {
+            return Reply::Refused(Refusal::StoreSilent, RETRY_SOON);
+        }
+        let id = match job_id(&admitted) {
+            Ok(id) => id,
+            Err(reply) => return reply,
+        };
+        if let Err(error) = spec.check() {
+            return Reply::Malformed(error.to_string().into());
+        }
+        let mut admitted = admitted;
+        for _ in 0..CATALOGUE_CHANGES_MAX {
+            let txn = self.acceptance(&admitted, id, spec);
+            let left = self.left(&admitted);
+            if left < ROUND_TRIP_MIN {
+                return Reply::Refused(Refusal::StoreSilent, RETRY_SOON);
+            }
+            match self.commit_within(&txn, left).await {
+                Ok(Committed::Done(_)) => {
+                    let took = self.now().saturating_duration_since(began_at);
+                    let team = admitted.team.as_ref().map(|team| team.as_str());
+                    self.metrics.accepted(team, admitted.queue.as_str(), took);
+                    log::info!(
+                        target: "calls",
+                        job:% = id,
+                        queue:% = admitted.queue,
+                        team = team.unwrap_or("none"),
+                        pool:% = admitted.pool,
+                        catalogue = admitted.version;
+                        "Job accepted."
+                    );
+                    return Reply::Accepted;
+                }
+                Ok(Committed::Conflict(conflict)) => {
+                    match self.after_conflict(call, &admitted, id, conflict) {
+                        Ok(again) => admitted = again,
+                        Err(reply) => return reply,
+                    }
+                }
+                Err(CallError::Unknown(why)) => {
+                    return self.after_silence(&admitted, id, &why).await;
+                }
+                Err(error) => {
+                    log::warn!(target: "calls", job:% = id, error:%; "Job refused: the store did not take it.");
+                    return Reply::Refused(Refusal::StoreRefused, RETRY_SOON);
+                }
+            }
+        }
+        Reply::Refused(Refusal::StaleCatalogue, RETRY_SOON)
+    }
+
+    fn acceptance(&self, admitted: &Admitted, id: JobId, spec: &JobSpec) -> Txn {
+        let status = JobStatus {
+            pool: admitted.pool.clone(),
+            state: JobState::Queued,
+            ended_ms: None,
+        };
+        let record = JobRecord {
+            id,
+            queue: admitted.queue.clone(),
+            team: admitted.team.clone(),
+            accepted_ms: self.wall_ms(),
+            spec: spec.clone(),
+            is_cancelled: false,
+        };
+        let key = keys::job(&admitted.queue, id);
+        Txn {
+            expect_catalogue: Some(admitted.catalogue),
+            expect: vec![(key.clone(), Revision::ABSENT)],
+            put: vec![
+                Put {
+                    key,
+                    value: keys::encode(&status),
+                    lease: None,
+                },
+                Put {
+                    key: keys::submitted(&admitted.pool, id),
+                    value: keys::encode(&record),
+                    lease: None,
+                },
+            ],
+            remove: Vec::new(),
+        }
+    }
+
+    /// Judges the call anew by a newer catalogue, or answers for a job that is accepted already.
+    fn after_conflict(
+        &self,
+        call: &Call,
+        admitted: &Admitted,
+        id: JobId,
+        conflict: Conflict,
+    ) -> Result<Admitted, Reply> {
+        let began_at = self.now();
+        let again = match conflict.catalogue {
+            Some(stored) => {
+                let again = admit(&stored, call, began_at)?;
+                operators::put_in_force(self, stored);
+                Some(again)
+            }
+            None => None,
+        };
+        let key = keys::job(&admitted.queue, id);
+        if conflict.items.iter().any(|item| item.key == key) {
+            log::info!(target: "calls", job:% = id, queue:% = admitted.queue; "Job is accepted already.");
+            return Err(Reply::Accepted);
+        }
+        let again = again.ok_or(Reply::Refused(Refusal::StoreRefused, RETRY_SOON))?;
+        Ok(Admitted {
+            until: admitted.until,
+            ..again
+        })
+    }
+
+    /// The transaction may have been carried out, or still be: only a job that is there is certain.
+    async fn after_silence(&self, admitted: &Admitted, id: JobId, why: &str) -> Reply {
+        if self.left(admitted) >= ROUND_TRIP_MIN
+            && let Ok(Some(_)) = self.read_status(admitted, id).await
+        {
+            log::info!(target: "calls", job:% = id; "Job accepted; the store's answer was lost.");
+            return Reply::Accepted;
+        }
+        log::warn!(target: "calls", job:% = id, why; "It is unknown whether the job was accepted.");
+        Reply::Unknown
+    }
+}
+
+/// With less time left a call to the store is not begun.
+pub(super) const ROUND_TRIP_MIN: Duration = Duration::from_millis(60);
--- /dev/null
+++ b/crates/grid/src/members/view.rs
@@ -0,0 +1,148 @@
+//! Which entries are up and who holds which role, as far as this entry has heard.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{Hash, Hasher};
+
+use siphasher::sip::SipHasher13;
+
+use crate::keys::{self, Role};
+use crate::ports::{Change, Item, LeaseId, Revision};
+
+/// Who holds a role.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Holding {
+    /// The entry.
+    pub name: Box<str>,
+    /// The lease that the role ends with.
+    pub lease: LeaseId,
+    /// The role's token.
+    pub revision: Revision,
+}
+
+/// Entries and roles.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct View {
+    entries: BTreeSet<Box<str>>,
+    roles: BTreeMap<Role, Holding>,
+}
+
+fn role_of(key: &str) -> Option<Role> {
+    let name = key.strip_prefix(keys::ROLES)?;
+    if name == "fleet" {
+        return Some(Role::Fleet);
+    }
+    let pool = name.strip_prefix("pool/")?.parse().ok()?;
+    Some(Role::Pool(pool))
+}
+
+fn score(role: &Role, entry: &str) -> u64 {
+    let mut hasher = SipHasher13::new();
+    role.hash(&mut hasher);
+    entry.hash(&mut hasher);
+    hasher.finish()
+}
+
+impl View {
+    /// Takes a listing.
+    #[must_use]
+    pub fn new(items: Vec<Item>) -> Self {
+        let mut view = Self::default();
+        for item in items {
+            view.put(item);
+        }
+        view
+    }
+
+    /// Takes a key that was written.
+    pub fn put(&mut self, item: Item) {
+        if let Some(entry) = item.key.strip_prefix(keys::ENTRIES) {
+            self.entries.insert(entry.into());
+            return;
+        }
+        let Some(role) = role_of(&item.key) else {
+            return;
+        };
+        match keys::decode(&item.key, &item.value) {
+            Ok(name) => {
+                let lease = item.lease.unwrap_or(LeaseId(0));
+                let revision = item.revision;
+                self.set_role(role, Holding { name, lease, revision });
+            }
+            Err(error) => log::warn!(target: "members", error:%; "A role's key is skipped."),
+        }
+    }
+
+    /// Takes who holds a role.
+    pub fn set_role(&mut self, role: Role, holding: Holding) {
+        let is_newer = self
+            .roles
+            .get(&role)
+            .is_none_or(|known| known.revision <= holding.revision);
+        if is_newer {
+            self.roles.insert(role, holding);
+        }
+    }
+
+    /// Takes changes in their order.
+    pub fn apply(&mut self, changes: Vec<Change>) {
+        for change in changes {
+            match change {
+                Change::Put(item) => self.put(item),
+                Change::Removed { key, revision } => self.remove(&key, revision),
+            }
+        }
+    }
+
+    /// Takes a removal. One that is older than what is known of the role was seen late.
+    fn remove(&mut self, key: &str, revision: Revision) {
+        if let Some(entry) = key.strip_prefix(keys::ENTRIES) {
+            self.entries.remove(entry);
+        } else if let Some(role) = role_of(key)
+            && self.roles.get(&role).is_some_and(|it| it.revision < revision)
+        {
+            self.roles.remove(&role);
+        }
+    }
+
+    /// The roles that are held under a lease, with their tokens.
+    #[must_use]
+    pub fn held_under(&self, lease: LeaseId) -> BTreeMap<Role, Revision> {
+        self.roles
+            .iter()
+            .filter(|(_, holding)| holding.lease == lease)
+            .map(|(role, holding)| (role.clone(), holding.revision))
+            .collect()
+    }
+
+    /// For each vacant role how many entries go before `me`.
+    #[must_use]
+    pub fn ranks(&self, me: &str, wanted: &[Role]) -> BTreeMap<Role, u32> {
+        let mut load: BTreeMap<&str, u32> =
+            self.entries.iter().map(|entry| (&**entry, 0)).collect();
+        load.entry(me).or_default();
+        for holding in self.roles.values() {
+            if let Some(load) = load.get_mut(&*holding.name) {
+                *load += 1;
+            }
+        }
+        let mut ranks = BTreeMap::new();
+        for role in wanted.iter().filter(|role| !self.roles.contains_key(role)) {
+            let mut order: Vec<(u32, u64, &str)> = load
+                .iter()
+                .map(|(entry, load)| (*load, score(role, entry), *entry))
+                .collect();
+            order.sort_unstable();
+            let rank = (0..)
+                .zip(&order)
+                .find(|(_, (_, _, entry))| *entry == me)
+                .map_or(0, |(rank, _)| rank);
+            ranks.insert(role.clone(), rank);
+            if let Some((_, _, first)) = order.first()
+                && let Some(load) = load.get_mut(first)
+            {
+                *load += 1;
+            }
+        }
+        ranks
+    }
+}
--- /dev/null
+++ b/crates/grid/src/metrics/mod.rs
@@ -0,0 +1,224 @@
+//! Counters and latency histograms of an entry.
+//!
+//! Labels come from the catalogue or from closed lists, so callers can't add series. Series of queues and teams are
+//! bounded by [`SERIES_MAX`]; what comes beyond is counted under `other`.
+
+use std::cell::RefCell;
+use std::collections::HashSet;
+use std::time::Duration;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+
+/// The most pairs of team and queue that have series of their own.
+const SERIES_MAX: usize = 500;
+
+/// The label of what has no series of its own.
+const OTHER: &str = "other";
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CallLabels {
+    call: &'static str,
+    outcome: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct JobLabels {
+    team: Box<str>,
+    queue: Box<str>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PoolLabels {
+    pool: Box<str>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EndLabels {
+    pool: Box<str>,
+    how: &'static str,
+}
+
+fn seconds() -> Histogram {
+    // 1 ms to about 65 s.
+    Histogram::new(exponential_buckets(0.001, 2.0, 17))
+}
+
+/// The metrics of an entry.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    calls: Family<CallLabels, Counter>,
+    store: Family<CallLabels, Counter>,
+    store_seconds: Histogram,
+    accept: Family<JobLabels, Histogram>,
+    wait: Family<JobLabels, Histogram>,
+    completion: Family<JobLabels, Histogram>,
+    ends: Family<EndLabels, Counter>,
+    open_jobs: Family<PoolLabels, Gauge>,
+    roles: Gauge,
+    catalogue_version: Gauge,
+    known: RefCell<HashSet<JobLabels>>,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Metrics {
+    /// Metrics that stand at zero.
+    #[must_use]
+    pub fn new() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("goldcrest"),
+            calls: Family::default(),
+            store: Family::default(),
+            store_seconds: seconds(),
+            accept: Family::new_with_constructor(seconds),
+            wait: Family::new_with_constructor(seconds),
+            completion: Family::new_with_constructor(seconds),
+            ends: Family::default(),
+            open_jobs: Family::default(),
+            roles: Gauge::default(),
+            catalogue_version: Gauge::default(),
+            known: RefCell::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("calls", "Calls of submitters by outcome", self.calls.clone());
+        registry.register("store_calls", "Calls to the store by outcome", self.store.clone());
+        registry.register_with_unit(
+            "store_call",
+            "Time of calls to the store",
+            Unit::Seconds,
+            self.store_seconds.clone(),
+        );
+        registry.register_with_unit(
+            "accept",
+            "Time to accept a job",
+            Unit::Seconds,
+            self.accept.clone(),
+        );
+        registry.register_with_unit(
+            "wait",
+            "Time from accepting a job to its first start",
+            Unit::Seconds,
+            self.wait.clone(),
+        );
+        registry.register_with_unit(
+            "completion",
+            "Time from accepting a job to its end",
+            Unit::Seconds,
+            self.completion.clone(),
+        );
+        registry.register("run_ends", "Ends of runs", self.ends.clone());
+        registry.register("open_jobs", "Open jobs", self.open_jobs.clone());
+        registry.register("roles", "Roles held", self.roles.clone());
+        registry.register(
+            "catalogue_version",
+            "Version of the catalogue in force",
+            self.catalogue_version.clone(),
+        );
+    }
+
+    /// Counts a call of a submitter.
+    pub fn call(&self, call: &'static str, outcome: &'static str) {
+        self.calls
+            .get_or_create(&CallLabels { call, outcome })
+            .inc();
+    }
+
+    /// Counts a call to the store.
+    pub fn store_call(&self, call: &'static str, outcome: &'static str, took: Duration) {
+        self.store
+            .get_or_create(&CallLabels { call, outcome })
+            .inc();
+        self.store_seconds.observe(took.as_secs_f64());
+    }
+
+    fn labels(&self, team: Option<&str>, queue: &str) -> JobLabels {
+        let labels = JobLabels {
+            team: team.unwrap_or("none").into(),
+            queue: queue.into(),
+        };
+        let mut known = self.known.borrow_mut();
+        if known.contains(&labels) {
+            return labels;
+        }
+        if known.len() >= SERIES_MAX {
+            return JobLabels {
+                team: OTHER.into(),
+                queue: OTHER.into(),
+            };
+        }
+        known.insert(labels.clone());
+        labels
+    }
+
+    /// A job was accepted.
+    pub fn accepted(&self, team: Option<&str>, queue: &str, took: Duration) {
+        self.accept
+            .get_or_create(&self.labels(team, queue))
+            .observe(took.as_secs_f64());
+    }
+
+    /// The first task of a job was started.
+    pub fn started(&self, team: Option<&str>, queue: &str, waited: Duration) {
+        self.wait
+            .get_or_create(&self.labels(team, queue))
+            .observe(waited.as_secs_f64());
+    }
+
+    /// A job has ended.
+    pub fn ended(&self, team: Option<&str>, queue: &str, took: Duration) {
+        self.completion
+            .get_or_create(&self.labels(team, queue))
+            .observe(took.as_secs_f64());
+    }
+
+    /// A run has ended.
+    pub fn run_ended(&self, pool: &str, how: &'static str) {
+        let pool = pool.into();
+        self.ends.get_or_create(&EndLabels { pool, how }).inc();
+    }
+
+    /// How many jobs of a pool are open.
+    pub fn set_open_jobs(&self, pool: &str, jobs: usize) {
+        let pool = pool.into();
+        self.open_jobs
+            .get_or_create(&PoolLabels { pool })
+            .set(i64::try_from(jobs).unwrap_or(i64::MAX));
+    }
+
+    /// How many roles this entry holds.
+    pub fn set_roles(&self, roles: usize) {
+        self.roles.set(i64::try_from(roles).unwrap_or(i64::MAX));
+    }
+
+    /// The version of the catalogue in force.
+    pub fn set_catalogue_version(&self, version: u64) {
+        self.catalogue_version
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
+    }
+
+    /// All metrics as text.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let is_written = encode(&mut text, &self.registry).is_ok();
+        debug_assert!(is_written);
+        text
+    }
+}
--- /dev/null
+++ b/crates/grid/src/operators/mod.rs
@@ -0,0 +1,99 @@
+//! The operators' orders: the catalogue in force and the maintenance waves.
+//!
+//! A version replaces an older one only. A watch that returns, with or without orders, shows that at the time it was
+//! sent nothing newer was there; that time is kept in `current_at`, against which the freshness of keys is judged.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use crate::entry::{Entry, STORE_TIMEOUT};
+use crate::ports::{CallError, OperatorOrders, Platform, Revision, StoredCatalogue};
+
+/// How long a watch waits. Bounds the age of the proof that the catalogue is current.
+const WATCH_WAIT: Duration = Duration::from_millis(1_200);
+
+/// The pause after a call that failed.
+const RETRY_AFTER: Duration = Duration::from_millis(150);
+
+/// Follows the orders until the entry stops.
+pub async fn run<P: Platform>(entry: Rc<Entry<P>>) {
+    loop {
+        let Some(mut after) = read(&entry).await else {
+            tokio::time::sleep(RETRY_AFTER).await;
+            continue;
+        };
+        while let Some(revision) = follow(&entry, after).await {
+            after = revision;
+        }
+    }
+}
+
+async fn read<P: Platform>(entry: &Entry<P>) -> Option<Revision> {
+    let sent_at = entry.now();
+    let result = entry.platform.read_orders(STORE_TIMEOUT).await;
+    match entry.note("read orders", sent_at, result) {
+        Ok(orders) => Some(take(entry, orders, sent_at)),
+        Err(error) => {
+            log::warn!(target: "catalogue", error:%; "The operators' orders can't be read.");
+            None
+        }
+    }
+}
+
+/// Waits for the next orders; `None` if all are to be read again.
+async fn follow<P: Platform>(entry: &Entry<P>, after: Revision) -> Option<Revision> {
+    let sent_at = entry.now();
+    let watch = entry.platform.watch_orders(after, WATCH_WAIT);
+    let result = tokio::time::timeout(WATCH_WAIT + STORE_TIMEOUT, watch)
+        .await
+        .unwrap_or_else(|_| Err(CallError::Unknown("the watch timed out".into())));
+    match entry.note("watch orders", sent_at, result) {
+        Ok(orders) => Some(take(entry, orders, sent_at)),
+        Err(error) => {
+            log::info!(target: "catalogue", error:%; "The operators' orders are read again.");
+            tokio::time::sleep(RETRY_AFTER).await;
+            None
+        }
+    }
+}
+
+fn take<P: Platform>(entry: &Entry<P>, orders: OperatorOrders, sent_at: Instant) -> Revision {
+    if let Some(stored) = orders.catalogue {
+        put_in_force(entry, stored);
+    }
+    let mut has_new = false;
+    for wave in orders.waves {
+        let number = wave.number;
+        let is_new = entry.waves.borrow_mut().insert(number, wave).is_none();
+        if is_new {
+            log::info!(target: "maintenance", wave = number; "Wave ordered.");
+        }
+        has_new |= is_new;
+    }
+    if has_new {
+        entry.waves_changed.notify_waiters();
+    }
+    if entry.catalogue.borrow().is_some() {
+        entry.current_at.set(Some(sent_at));
+    }
+    orders.revision
+}
+
+/// Puts a catalogue in force if it is newer than the present one.
+pub fn put_in_force<P: Platform>(entry: &Entry<P>, stored: StoredCatalogue) {
+    let present = entry.catalogue.borrow().as_ref().map(|it| it.revision);
+    if present.is_some_and(|present| stored.revision <= present) {
+        return;
+    }
+    let version = stored.catalogue.version;
+    log::info!(
+        target: "catalogue",
+        version,
+        revision:% = stored.revision,
+        queues = stored.catalogue.queues().len(),
+        teams = stored.catalogue.teams().len();
+        "Catalogue in force."
+    );
+    entry.metrics.set_catalogue_version(version);
+    entry.catalogue.send_replace(Some(stored));
+}
--- /dev/null
+++ b/crates/grid/src/pool/events.rs
@@ -0,0 +1,77 @@
+//! Writes what the pool decided to the logs and metrics.
+
+use goldcrest_jobs::pool::Event;
+use goldcrest_jobs::worker::millis;
+
+use crate::pool::Scheduler;
+use crate::ports::Platform;
+
+impl<P: Platform> Scheduler<P> {
+    pub(super) fn log_events(&self) {
+        let events = self.pool.borrow_mut().take_events();
+        for event in events {
+            self.log_event(event);
+        }
+    }
+
+    fn log_event(&self, event: Event) {
+        match event {
+            Event::Started {
+                worker,
+                task,
+                run,
+                room,
+                waited,
+            } => {
+                log::info!(target: "scheduler", task:% = task, run:% = run, worker:% = worker, room:% = room, waited_ms = millis(waited); "Task started.");
+                let pool = self.pool.borrow();
+                if run.0 == 1
+                    && task.index == 0
+                    && task.step.step == 0
+                    && let Some(job) = pool.jobs().get(&task.step.job)
+                {
+                    let team = job.record.team.as_ref().map(|team| team.as_str());
+                    self.entry
+                        .metrics
+                        .started(team, job.queue().as_str(), waited);
+                }
+            }
+            Event::Ended {
+                worker,
+                task,
+                run,
+                how,
+            } => {
+                self.entry.metrics.run_ended(self.name.as_str(), how);
+                log::info!(target: "scheduler", task:% = task, run:% = run, worker:% = worker, how; "Run ended.");
+            }
+            Event::Stopped {
+                worker,
+                task,
+                reason,
+            } => {
+                log::info!(target: "scheduler", task:% = task, worker:% = worker, reason:?; "Run stopped.");
+            }
+            Event::JobEnded {
+                job,
+                state,
+                took,
+                objective,
+            } => {
+                let pool = self.pool.borrow();
+                if let Some(it) = pool.jobs().get(&job) {
+                    let team = it.record.team.as_ref().map(|team| team.as_str());
+                    self.entry.metrics.ended(team, it.queue().as_str(), took);
+                }
+                log::info!(target: "scheduler", job:% = job, state:?, took_ms = millis(took), objective_ms = millis(objective); "Job ended.");
+            }
+            Event::Worker {
+                worker,
+                state,
+                runs,
+            } => {
+                log::info!(target: "scheduler", worker:% = worker, pool:% = self.name, state, runs; "Worker's state changed.");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/grid/src/pool/orders.rs
@@ -0,0 +1,150 @@
+//! Plans, and sends the orders that come of it.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use goldcrest_jobs::id::WorkerRef;
+use goldcrest_jobs::pool::{Order, StartAnswer, StartOrder};
+use tokio::task::JoinSet;
+
+use crate::pool::Scheduler;
+use crate::ports::{OrderError, Platform};
+
+/// The least time between two plans. Facts that arrive together are planned for together.
+const PLAN_GAP: Duration = Duration::from_millis(4);
+
+/// A plan is made at least this often, for what only the time changes.
+const PLAN_EVERY: Duration = Duration::from_millis(400);
+
+/// How long a start may take. A worker answers in a few milliseconds.
+const START_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How often a start is sent again that had no answer. Repeating it on the same worker is harmless.
+const START_ATTEMPTS: u32 = 2;
+
+/// How long a stop or a change of pace may take.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
+
+impl<P: Platform> Scheduler<P> {
+    pub(super) async fn plan_orders(self: Rc<Self>) {
+        let mut sending: JoinSet<()> = JoinSet::new();
+        loop {
+            // A plan is due now and then even if nothing was reported.
+            let _ = tokio::time::timeout(PLAN_EVERY, self.replan.notified()).await;
+            if self.may_order() && self.is_crew_stored() {
+                let orders = self
+                    .pool
+                    .borrow_mut()
+                    .plan(self.now(), self.entry.wall_ms());
+                self.log_events();
+                for order in orders {
+                    sending.spawn_local(Rc::clone(&self).send(order));
+                }
+                if !self.pool.borrow().unsaved().is_empty() {
+                    self.unsaved.notify_one();
+                }
+                self.status_changed.notify_one();
+            }
+            while sending.try_join_next().is_some() {}
+            tokio::time::sleep(PLAN_GAP).await;
+        }
+    }
+
+    async fn send(self: Rc<Self>, order: Order) {
+        match order {
+            Order::Start(order) => self.send_start(order).await,
+            Order::Stop {
+                worker, task, run, ..
+            } => {
+                let Some(to) = self.recipient(worker) else {
+                    return;
+                };
+                let answer = self
+                    .entry
+                    .platform
+                    .stop(&to, task, run, ORDER_TIMEOUT)
+                    .await;
+                let now = self.now();
+                match answer {
+                    Ok(()) => self
+                        .pool
+                        .borrow_mut()
+                        .stop_confirmed(worker, task, run, now),
+                    Err(error) => self.after_refusal(worker, "stop", &error),
+                }
+            }
+            Order::Pace {
+                worker,
+                task,
+                run,
+                percent,
+            } => {
+                let Some(to) = self.recipient(worker) else {
+                    return;
+                };
+                log::info!(target: "scheduler", task:% = task, run:% = run, worker:% = to.worker, percent; "Best-effort task paced.");
+                let paced =
+                    self.entry
+                        .platform
+                        .pace(&to, task, run, percent, ORDER_TIMEOUT);
+                if let Err(error) = paced.await {
+                    self.after_refusal(worker, "pace", &error);
+                }
+            }
+        }
+    }
+
+    async fn send_start(&self, order: StartOrder) {
+        let mut answer = StartAnswer::Unknown;
+        let mut is_sent = false;
+        for _ in 0..START_ATTEMPTS {
+            let Some(to) = self.recipient(order.worker) else {
+                break;
+            };
+            if !self.may_order() {
+                if !is_sent {
+                    answer = StartAnswer::TooLate;
+                }
+                break;
+            }
+            is_sent = true;
+            answer = self
+                .entry
+                .platform
+                .start(&to, &order, None, START_TIMEOUT)
+                .await;
+            if answer != StartAnswer::Unknown {
+                break;
+            }
+        }
+        if answer != StartAnswer::Started {
+            log::warn!(target: "scheduler", task:% = order.task, run:% = order.run, worker:% = order.worker, answer:?; "Task not started.");
+        }
+        let now = self.now();
+        self.pool
+            .borrow_mut()
+            .start_answered(order.worker, order.task, order.run, answer, now);
+        if self.pool.borrow().is_fenced_out() {
+            self.lose("a worker has seen a higher token");
+        }
+        if answer != StartAnswer::Started {
+            self.log_events();
+            self.replan.notify_one();
+        }
+    }
+
+    fn after_refusal(&self, worker: WorkerRef, order: &'static str, error: &OrderError) {
+        log::warn!(target: "scheduler", order, worker:% = worker, error:?; "Order without success.");
+        let now = self.now();
+        match error {
+            OrderError::Fenced => self.lose("a worker has seen a higher token"),
+            OrderError::WrongWorker => {
+                self.pool.borrow_mut().order_refused(worker, false, now);
+                self.replan.notify_one();
+            }
+            OrderError::Unknown(_) => self.pool.borrow_mut().no_answer(worker, now),
+            // The run has ended; the next report lists its end.
+            OrderError::Refused(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/grid/src/pool/reports.rs
@@ -0,0 +1,185 @@
+//! Follows the workers: which there are, and what each runs.
+//!
+//! Each worker has a task that asks for its report again and again; the request extends the leases of its runs and waits for an
+//! end. Ends are taken note of with the next request, once what they changed has been saved.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use goldcrest_jobs::id::WorkerRef;
+use tokio::task::JoinSet;
+
+use crate::pool::Scheduler;
+use crate::ports::{OrderError, Platform};
+
+/// How long a report waits for an end while something runs. Bounds the age of progress and of tails.
+const WAIT_BUSY: Duration = Duration::from_millis(900);
+
+/// How long a report waits while nothing runs.
+const WAIT_IDLE: Duration = Duration::from_millis(2_000);
+
+/// How much longer than it was asked to wait a report may take.
+const REPORT_SLACK: Duration = Duration::from_millis(700);
+
+/// The pause after a report that failed.
+const RETRY_AFTER: Duration = Duration::from_millis(250);
+
+/// How long a report's ends may wait to be saved before the leases are extended again.
+const SAVE_WAIT: Duration = Duration::from_millis(700);
+
+impl<P: Platform> Scheduler<P> {
+    pub(super) async fn follow_workers(self: Rc<Self>) {
+        let mut registry = self.entry.workers.subscribe();
+        let mut followers: JoinSet<()> = JoinSet::new();
+        let mut followed: BTreeMap<WorkerRef, tokio::task::AbortHandle> = BTreeMap::new();
+        loop {
+            self.take_registry(&registry.borrow_and_update().clone());
+            followed.retain(|_, handle| !handle.is_finished());
+            let wanted: Vec<WorkerRef> = {
+                let pool = self.pool.borrow();
+                let live = pool.workers().iter().filter(|(_, it)| !it.is_gone);
+                live.map(|(worker, _)| *worker).collect()
+            };
+            for worker in wanted {
+                followed.entry(worker).or_insert_with(|| {
+                    followers.spawn_local(Rc::clone(&self).follow_worker(worker))
+                });
+            }
+            while followers.try_join_next().is_some() {}
+            if registry.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn take_registry(
+        &self,
+        all: &[(goldcrest_types::names::PoolName, goldcrest_jobs::worker::WorkerInfo)],
+    ) {
+        if all.is_empty() {
+            // Nothing was read yet: an empty fleet is no reason to hold workers for gone.
+            return;
+        }
+        let listed = all
+            .iter()
+            .filter(|(pool, _)| *pool == self.name)
+            .map(|(_, info)| info.clone())
+            .collect();
+        self.pool.borrow_mut().set_workers(listed, self.now());
+        self.apply_evacuation();
+        self.log_events();
+        self.changed();
+    }
+
+    async fn follow_worker(self: Rc<Self>, worker: WorkerRef) {
+        let mut noted = 0;
+        let mut is_first = true;
+        loop {
+            let Some(to) = self.recipient(worker) else {
+                return;
+            };
+            let wait = if is_first {
+                Duration::ZERO
+            } else {
+                self.report_wait(worker, noted)
+            };
+            let now = self.now();
+            let until_ms = self.offer_lease(worker, wait);
+            let answer = self
+                .entry
+                .platform
+                .report(&to, until_ms, noted, wait, wait + REPORT_SLACK)
+                .await;
+            match answer {
+                Ok(report) => {
+                    is_first = false;
+                    let last = report.ended.iter().map(|end| end.number).max();
+                    let arrived_at = self.now();
+                    let has_ends = self
+                        .pool
+                        .borrow_mut()
+                        .report(worker, now, report, arrived_at);
+                    self.log_events();
+                    self.changed();
+                    if has_ends && self.wait_saved().await {
+                        noted = noted.max(last.unwrap_or_default());
+                    }
+                }
+                Err(error) => {
+                    if !self.after_failure(worker, &error) {
+                        return;
+                    }
+                    tokio::time::sleep(RETRY_AFTER).await;
+                }
+            }
+        }
+    }
+
+    /// How long the next report waits for an end. With ends that are not taken note of it would not wait at all.
+    fn report_wait(&self, worker: WorkerRef, noted: u64) -> Duration {
+        let pool = self.pool.borrow();
+        let Some(it) = pool.worker(worker) else {
+            return Duration::ZERO;
+        };
+        if it.last_end > noted {
+            Duration::ZERO
+        } else if it.runs.is_empty() {
+            WAIT_IDLE
+        } else {
+            WAIT_BUSY
+        }
+    }
+
+    fn offer_lease(&self, worker: WorkerRef, wait: Duration) -> Option<u64> {
+        let mut pool = self.pool.borrow_mut();
+        let lease = pool.bounds().lease;
+        // The lease must last beyond this request and the next one.
+        let until_ms = pool
+            .worker(worker)?
+            .deadline_ms(self.now(), lease.max(wait * 2))?;
+        pool.lease_offered(worker, until_ms);
+        Some(until_ms)
+    }
+
+    /// Waits until what a report changed is saved; `false` if that takes too long.
+    async fn wait_saved(&self) -> bool {
+        let number = self.request_save();
+        let mut saved = self.saved.subscribe();
+        let is_saved = tokio::time::timeout(SAVE_WAIT, saved.wait_for(|it| *it >= number)).await;
+        matches!(is_saved, Ok(Ok(_)))
+    }
+
+    /// Returns whether the worker is to be asked again.
+    fn after_failure(&self, worker: WorkerRef, error: &OrderError) -> bool {
+        let now = self.now();
+        let id = self
+            .pool
+            .borrow()
+            .worker(worker)
+            .map(|it| it.info.id.clone());
+        let Some(id) = id else { return false };
+        let is_to_go_on = match error {
+            OrderError::Fenced => {
+                self.lose("a worker has seen a higher token");
+                false
+            }
+            OrderError::WrongWorker => {
+                self.pool.borrow_mut().order_refused(worker, false, now);
+                false
+            }
+            OrderError::Refused(why) => {
+                log::warn!(target: "scheduler", worker:% = id, why:%; "Report refused.");
+                true
+            }
+            OrderError::Unknown(why) => {
+                log::warn!(target: "scheduler", worker:% = id, why:%; "No report.");
+                self.pool.borrow_mut().no_answer(worker, now);
+                true
+            }
+        };
+        self.log_events();
+        self.changed();
+        is_to_go_on
+    }
+}
--- /dev/null
+++ b/crates/grid/src/registry/mod.rs
@@ -0,0 +1,52 @@
+//! The registry of workers, read again and again while a role of this entry needs it.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::entry::{Entry, STORE_TIMEOUT};
+use crate::ports::Platform;
+
+/// The time from one reading to the next. Workers change their entries every second or two.
+const READ_EVERY: Duration = Duration::from_millis(600);
+
+/// Marks that a part needs the registry, until it is dropped.
+pub struct Use<P: Platform> {
+    entry: Rc<Entry<P>>,
+}
+
+impl<P: Platform> Use<P> {
+    /// Begins to need the registry.
+    pub fn new(entry: Rc<Entry<P>>) -> Self {
+        entry.registry_users.set(entry.registry_users.get() + 1);
+        entry.registry_needed.notify_one();
+        Self { entry }
+    }
+}
+
+impl<P: Platform> Drop for Use<P> {
+    fn drop(&mut self) {
+        let users = self.entry.registry_users.get();
+        self.entry.registry_users.set(users.saturating_sub(1));
+    }
+}
+
+/// Reads the registry while it is needed, until the entry stops.
+pub async fn run<P: Platform>(entry: Rc<Entry<P>>) {
+    loop {
+        if entry.registry_users.get() == 0 {
+            entry.registry_needed.notified().await;
+            continue;
+        }
+        let sent_at = entry.now();
+        let result = entry.platform.workers(STORE_TIMEOUT).await;
+        match entry.note("list workers", sent_at, result) {
+            Ok(workers) => {
+                entry.workers.send_replace(workers.into());
+            }
+            Err(error) => {
+                log::warn!(target: "fleet", error:%; "The registry can't be read; the last reading stands.");
+            }
+        }
+        tokio::time::sleep(READ_EVERY).await;
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/catalogue/mod.rs
@@ -0,0 +1,204 @@
+//! The operators' catalogue: queues, pools and teams.
+//!
+//! A catalogue is built whole from one version and never changes. A call finds its queue by host and the longest
+//! matching prefix of its path, and its team by its key.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use goldcrest_types::names::{PoolName, QueueName, TeamName};
+
+use crate::resources::Resources;
+
+/// A queue.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Queue {
+    /// Its name.
+    pub name: QueueName,
+    /// The host that its callers name.
+    pub host: Box<str>,
+    /// What the paths of its jobs begin with.
+    pub prefix: Box<str>,
+    /// The pool whose workers run its jobs.
+    pub pool: PoolName,
+    /// Whether calls need no key.
+    pub is_open: bool,
+    /// Lower numbers go first.
+    pub priority: u32,
+    /// How often a task may fail.
+    pub attempts_max: u32,
+    /// The latency objective, as a multiple of a job's longest chain, in thousandths.
+    pub stretch_milli: u64,
+    /// Added to the latency objective.
+    pub target_latency: Duration,
+    /// How long a call of this queue may take.
+    pub timeout: Duration,
+    /// Placement needs permits of an outside service.
+    pub needs_permits: bool,
+}
+
+impl Queue {
+    /// The time from submission to completion that callers expect of a job with this chain.
+    #[must_use]
+    pub fn objective(&self, longest_chain: Duration) -> Duration {
+        let chain_ms = u64::try_from(longest_chain.as_millis()).unwrap_or(u64::MAX);
+        Duration::from_millis(chain_ms.saturating_mul(self.stretch_milli) / 1_000)
+            + self.target_latency
+    }
+}
+
+/// A pool of workers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PoolSpec {
+    /// Its name.
+    pub name: PoolName,
+    /// Its workers refuse what doesn't fit.
+    pub has_admission_control: bool,
+    /// Its VMs are off and cost nothing.
+    pub is_spare: bool,
+}
+
+/// A team.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Team {
+    /// Its name.
+    pub name: TeamName,
+    /// Its share when all is full.
+    pub weight: u64,
+    /// The most that it may have running. 0 of a kind means no limit.
+    pub cap: Resources,
+}
+
+/// What a call may take of an entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallLimits {
+    /// The largest head, in bytes.
+    pub head_bytes: usize,
+    /// The largest body, in bytes.
+    pub body_bytes: usize,
+    /// How long a head may take to arrive.
+    pub head_time: Duration,
+    /// How long a connection may be idle.
+    pub idle_time: Duration,
+}
+
+impl Default for CallLimits {
+    fn default() -> Self {
+        Self {
+            head_bytes: 16 * 1024,
+            body_bytes: 256 * 1024,
+            head_time: Duration::from_secs(3),
+            idle_time: Duration::from_secs(15),
+        }
+    }
+}
+
+/// One version of the catalogue.
+#[derive(Debug, Clone, Default)]
+pub struct Catalogue {
+    /// The operators' number of this version.
+    pub version: u64,
+    /// What a call may take.
+    pub limits: CallLimits,
+    queues: Vec<Queue>,
+    by_host: HashMap<Box<str>, Vec<usize>>,
+    by_name: HashMap<QueueName, usize>,
+    pools: Vec<PoolSpec>,
+    teams: Vec<Team>,
+    keys: HashMap<Box<str>, usize>,
+}
+
+impl Catalogue {
+    /// Builds a version from its parts. Each team comes with its keys.
+    #[must_use]
+    pub fn new(
+        version: u64,
+        queues: Vec<Queue>,
+        pools: Vec<PoolSpec>,
+        teams: Vec<(Team, Vec<Box<str>>)>,
+    ) -> Self {
+        let mut by_host: HashMap<Box<str>, Vec<usize>> = HashMap::new();
+        let mut by_name = HashMap::new();
+        for (at, queue) in queues.iter().enumerate() {
+            by_host.entry(queue.host.clone()).or_default().push(at);
+            by_name.insert(queue.name.clone(), at);
+        }
+        for of_host in by_host.values_mut() {
+            of_host.sort_by_key(|at| std::cmp::Reverse(queues[*at].prefix.len()));
+        }
+        let mut keys = HashMap::new();
+        let mut without_keys = Vec::with_capacity(teams.len());
+        for (at, (team, of_team)) in teams.into_iter().enumerate() {
+            keys.extend(of_team.into_iter().map(|key| (key, at)));
+            without_keys.push(team);
+        }
+        Self {
+            version,
+            limits: CallLimits::default(),
+            queues,
+            by_host,
+            by_name,
+            pools,
+            teams: without_keys,
+            keys,
+        }
+    }
+
+    /// Sets what a call may take.
+    #[must_use]
+    pub fn with_limits(mut self, limits: CallLimits) -> Self {
+        self.limits = limits;
+        self
+    }
+
+    /// The queue of a call, and the rest of the path after the queue's prefix.
+    #[must_use]
+    pub fn find<'a>(&self, host: &str, path: &'a str) -> Option<(&Queue, &'a str)> {
+        self.by_host.get(host)?.iter().find_map(|at| {
+            let queue = &self.queues[*at];
+            path.strip_prefix(&*queue.prefix).map(|rest| (queue, rest))
+        })
+    }
+
+    /// The queue with this name.
+    #[must_use]
+    pub fn queue(&self, name: &QueueName) -> Option<&Queue> {
+        self.by_name.get(name).map(|at| &self.queues[*at])
+    }
+
+    /// All queues.
+    #[must_use]
+    pub fn queues(&self) -> &[Queue] {
+        &self.queues
+    }
+
+    /// All pools.
+    #[must_use]
+    pub fn pools(&self) -> &[PoolSpec] {
+        &self.pools
+    }
+
+    /// The pool with this name.
+    #[must_use]
+    pub fn pool(&self, name: &PoolName) -> Option<&PoolSpec> {
+        self.pools.iter().find(|pool| pool.name == *name)
+    }
+
+    /// All teams.
+    #[must_use]
+    pub fn teams(&self) -> &[Team] {
+        &self.teams
+    }
+
+    /// The team with this name.
+    #[must_use]
+    pub fn team(&self, name: &TeamName) -> Option<&Team> {
+        self.teams.iter().find(|team| team.name == *name)
+    }
+
+    /// The team that a key belongs to.
+    #[must_use]
+    pub fn team_of_key(&self, key: &str) -> Option<&Team> {
+        self.keys.get(key).map(|at| &self.teams[*at])
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/id/mod.rs
@@ -0,0 +1,209 @@
+//! Names and numbers of jobs, tasks, runs, workers and fencing tokens.
+//!
+//! A [`TaskId`] names a task for good; a [`RunNumber`] tells its starts apart and only rises. A [`WorkerId`] names one
+//! life of a worker process on a VM.
+
+use std::fmt;
+use std::str::FromStr;
+
+use goldcrest_types::entity_id;
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+
+/// The length of a job's id, in hexadecimal digits.
+const JOB_ID_DIGITS: usize = 16;
+
+quick_error! {
+    /// Why a text is not an id.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum IdError {
+        /// A job's id has another form.
+        Job {
+            display("the job's id is not {JOB_ID_DIGITS} hexadecimal digits: draw 64 random bits and print them")
+        }
+        /// A task's id has another form.
+        Task {
+            display("the task's id is not JOB.OCCURRENCE.STEP.INDEX: copy it whole from where it was printed")
+        }
+    }
+}
+
+/// The id of a job, drawn by its submitter.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "Box<str>", into = "Box<str>")]
+pub struct JobId([u8; JOB_ID_DIGITS]);
+
+impl FromStr for JobId {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, IdError> {
+        let digits: [u8; JOB_ID_DIGITS] = text.as_bytes().try_into().map_err(|_| IdError::Job)?;
+        if digits.iter().all(u8::is_ascii_hexdigit) {
+            Ok(Self(digits))
+        } else {
+            Err(IdError::Job)
+        }
+    }
+}
+
+impl fmt::Display for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        // The digits were checked to be ASCII when the id was made.
+        f.pad(std::str::from_utf8(&self.0).unwrap_or_default())
+    }
+}
+
+impl TryFrom<Box<str>> for JobId {
+    type Error = IdError;
+
+    fn try_from(text: Box<str>) -> Result<Self, IdError> {
+        text.parse()
+    }
+}
+
+impl From<JobId> for Box<str> {
+    fn from(id: JobId) -> Self {
+        id.to_string().into()
+    }
+}
+
+/// A step of one occurrence of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StepId {
+    /// The job.
+    pub job: JobId,
+    /// Counts the occurrences of a scheduled job from 0.
+    pub occurrence: u32,
+    /// Counts the steps of the job from 0.
+    pub step: u32,
+}
+
+impl StepId {
+    /// The task with this index.
+    #[must_use]
+    pub fn task(self, index: u32) -> TaskId {
+        TaskId { step: self, index }
+    }
+}
+
+impl fmt::Display for StepId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{}", self.job, self.occurrence, self.step)
+    }
+}
+
+/// A task of a step.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskId {
+    /// The step.
+    pub step: StepId,
+    /// Counts the tasks of the step from 0.
+    pub index: u32,
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.step, self.index)
+    }
+}
+
+impl FromStr for TaskId {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, IdError> {
+        let mut parts = text.split('.');
+        let job = parts.next().ok_or(IdError::Task)?.parse()?;
+        let mut number = || -> Result<u32, IdError> {
+            let part = parts.next().ok_or(IdError::Task)?;
+            part.parse().map_err(|_| IdError::Task)
+        };
+        let step = StepId {
+            job,
+            occurrence: number()?,
+            step: number()?,
+        };
+        let task = step.task(number()?);
+        if parts.next().is_some() {
+            return Err(IdError::Task);
+        }
+        Ok(task)
+    }
+}
+
+/// Counts the starts of a task; it only rises.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RunNumber(pub u64);
+
+impl RunNumber {
+    /// The number of a task's first run.
+    pub const FIRST: Self = Self(1);
+
+    /// The number after this one.
+    #[must_use]
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl fmt::Display for RunNumber {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// A number that rises from one holder of a role to the next. A worker refuses orders with a lower one than it has seen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct FencingToken(pub u64);
+
+impl fmt::Display for FencingToken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+macro_rules! opaque_name {
+    ($(#[$attr:meta])* $name:ident) => {
+        $(#[$attr])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        pub struct $name(Box<str>);
+
+        impl $name {
+            /// The name as text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.pad(&self.0)
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self(text.into())
+            }
+        }
+    };
+}
+
+opaque_name!(
+    /// One life of a worker process. A restart may keep it; the birth time tells the lives apart.
+    WorkerId
+);
+opaque_name!(
+    /// A VM that the platform's list names. It outlives the workers that run on it.
+    VmId
+);
+opaque_name!(
+    /// A property of a worker: its kind or its rack.
+    Label
+);
+
+entity_id!(
+    /// A worker in memory.
+    WorkerRef,
+    "w"
+);
--- /dev/null
+++ b/crates/jobs/src/job/mod.rs
@@ -0,0 +1,404 @@
+//! An open job in memory.
+//!
+//! A [`Job`] has an [`Occurrence`] for each time that is due and not done; a job without a schedule has one,
+//! number 0. A [`Task`] has at most one live run unless its step allows copies, and none once it is done. `live` counts the
+//! runs that may be at work on any worker, including those whose start has not been answered.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use goldcrest_types::names::QueueName;
+
+use crate::id::{JobId, RunNumber, StepId, TaskId};
+use crate::progress::{IndexSet, OccurrenceProgress, Progress, StepProgress, TaskProgress};
+use crate::spec::{JobRecord, JobState, Step};
+
+/// A task of an open job.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Task {
+    /// It has ended as done.
+    pub is_done: bool,
+    /// How often it has failed.
+    pub failures: u32,
+    /// The highest run number that was used.
+    pub last_run: Option<RunNumber>,
+    /// The highest run whose end has been counted.
+    pub last_ended: Option<RunNumber>,
+    /// Where the next run resumes.
+    pub checkpoint: Option<Box<str>>,
+    /// Runs that may be at work.
+    pub live: u32,
+    /// An earlier scheduler may have started it on a worker that has not reported yet.
+    pub is_unknown: bool,
+    /// When its last run ended.
+    pub ended_at: Option<Instant>,
+}
+
+impl Task {
+    /// Whether a run may be started.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        !self.is_done && self.live == 0 && !self.is_unknown
+    }
+
+    fn to_progress(&self, index: u32) -> Option<TaskProgress> {
+        // A first run that is still at work is learned from its worker.
+        let has_ended = self.last_ended.is_some() || self.checkpoint.is_some();
+        let is_lost = self.last_run.is_some() && self.live == 0;
+        (!self.is_done && (has_ended || is_lost)).then(|| TaskProgress {
+            index,
+            failures: self.failures,
+            last_run: self.last_run,
+            last_ended: self.last_ended,
+            checkpoint: self.checkpoint.clone(),
+        })
+    }
+}
+
+/// A step of an occurrence.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct StepState {
+    /// The tasks, by index.
+    pub tasks: Vec<Task>,
+    /// How many are done.
+    pub done: u32,
+    /// How many are idle.
+    pub idle: u32,
+}
+
+impl StepState {
+    fn new(step: &Step) -> Self {
+        Self {
+            tasks: vec![Task::default(); step.tasks as usize],
+            done: 0,
+            idle: step.tasks,
+        }
+    }
+
+    /// Whether all tasks are done.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.done as usize == self.tasks.len()
+    }
+
+    /// Changes a task and keeps the counts.
+    pub fn update<R>(&mut self, index: u32, change: impl FnOnce(&mut Task) -> R) -> Option<R> {
+        let task = self.tasks.get_mut(index as usize)?;
+        let (was_done, was_idle) = (task.is_done, task.is_idle());
+        let result = change(task);
+        self.done = self.done + u32::from(task.is_done) - u32::from(was_done);
+        self.idle = self.idle + u32::from(task.is_idle()) - u32::from(was_idle);
+        Some(result)
+    }
+
+    /// Whether a failure in this run has been counted, for a gang that fails as one.
+    #[must_use]
+    pub fn has_counted(&self, run: RunNumber) -> bool {
+        self.tasks
+            .iter()
+            .any(|task| task.failures > 0 && task.last_ended >= Some(run))
+    }
+
+    /// How many tasks have a run that may be at work.
+    #[must_use]
+    pub fn live(&self) -> u32 {
+        self.tasks.iter().map(|task| task.live).sum()
+    }
+}
+
+/// One time that a job's steps run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Occurrence {
+    /// Its steps, in the order of the job's.
+    pub steps: Vec<StepState>,
+    /// When it became due, or the job was accepted.
+    pub due_at: Instant,
+}
+
+impl Occurrence {
+    /// Whether all steps are done.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.steps.iter().all(StepState::is_done)
+    }
+
+    /// Whether the steps that `step` waits for are done.
+    #[must_use]
+    pub fn is_open(&self, step: &Step) -> bool {
+        step.after.iter().all(|after| {
+            self.steps
+                .get(*after as usize)
+                .is_none_or(StepState::is_done)
+        })
+    }
+}
+
+/// An open job.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Job {
+    /// As it was accepted.
+    pub record: JobRecord,
+    /// Occurrences that are due and not done.
+    pub occurrences: BTreeMap<u32, Occurrence>,
+    /// Occurrences that are done.
+    pub occurrences_done: IndexSet,
+    /// A task has started.
+    pub has_begun: bool,
+    /// No more runs are started, and those at work are stopped.
+    pub outcome: Option<JobState>,
+    /// Its outcome has been logged and noted for storing.
+    pub is_announced: bool,
+    /// When this scheduler first saw it.
+    pub seen_at: Instant,
+    /// When its submission is counted from.
+    pub accepted_at: Instant,
+    /// The time that its submitter expects it to take.
+    pub objective: Duration,
+    /// Run numbers begin here; above all that an earlier scheduler can have used.
+    pub first_run: RunNumber,
+    stored_progress: Option<Progress>,
+}
+
+impl Job {
+    /// A job that no earlier scheduler has worked on.
+    #[must_use]
+    pub fn new(record: JobRecord, objective: Duration, accepted_at: Instant, now: Instant) -> Self {
+        let outcome = record.is_cancelled.then_some(JobState::Cancelled);
+        Self {
+            record,
+            occurrences: BTreeMap::new(),
+            occurrences_done: IndexSet::default(),
+            has_begun: false,
+            outcome,
+            is_announced: false,
+            seen_at: now,
+            accepted_at,
+            objective,
+            first_run: RunNumber::FIRST,
+            stored_progress: None,
+        }
+    }
+
+    /// Goes on from an earlier scheduler. Each of its tasks is unknown until all workers have reported, and run
+    /// numbers begin at `first_run`.
+    #[must_use]
+    pub fn with_progress(mut self, progress: Progress, first_run: RunNumber) -> Self {
+        self.has_begun = progress.has_begun;
+        self.occurrences_done = progress.occurrences_done.clone();
+        self.first_run = first_run;
+        self.stored_progress = Some(progress);
+        self
+    }
+
+    /// The job's id.
+    #[must_use]
+    pub fn id(&self) -> JobId {
+        self.record.id
+    }
+
+    /// The job's queue.
+    #[must_use]
+    pub fn queue(&self) -> &QueueName {
+        &self.record.queue
+    }
+
+    /// Creates the occurrences that are due at `wall_ms`.
+    pub fn open_due(&mut self, wall_ms: u64, now: Instant) {
+        let Some(schedule) = self.record.spec.schedule else {
+            if !self.occurrences_done.contains(0) && self.occurrences.is_empty() {
+                self.open(0, self.accepted_at);
+            }
+            return;
+        };
+        for occurrence in 0..schedule.occurrences {
+            if schedule.due_ms(occurrence) > wall_ms {
+                break;
+            }
+            if !self.occurrences_done.contains(occurrence)
+                && !self.occurrences.contains_key(&occurrence)
+            {
+                self.open(occurrence, now);
+            }
+        }
+    }
+
+    /// When the next occurrence is due that is not open yet, in milliseconds since 1970.
+    #[must_use]
+    pub fn next_due_ms(&self, wall_ms: u64) -> Option<u64> {
+        let schedule = self.record.spec.schedule?;
+        (0..schedule.occurrences)
+            .map(|occurrence| schedule.due_ms(occurrence))
+            .find(|due_ms| *due_ms > wall_ms)
+    }
+
+    /// Creates an occurrence that a run was found of.
+    pub fn open_occurrence(&mut self, occurrence: u32, now: Instant) {
+        let is_known = self.occurrences_done.contains(occurrence)
+            || self.occurrences.contains_key(&occurrence);
+        if !is_known {
+            self.open(occurrence, now);
+        }
+    }
+
+    fn open(&mut self, occurrence: u32, due_at: Instant) {
+        let mut steps: Vec<StepState> = self.record.spec.steps.iter().map(StepState::new).collect();
+        if let Some(progress) = &self.stored_progress {
+            let stored = progress
+                .occurrences
+                .iter()
+                .find(|stored| stored.occurrence == occurrence);
+            for (at, step) in steps.iter_mut().enumerate() {
+                restore(step, stored.and_then(|stored| stored.steps.get(at)));
+            }
+        }
+        self.occurrences
+            .insert(occurrence, Occurrence { steps, due_at });
+    }
+
+    /// All workers have reported: a task that none of them runs is idle.
+    pub fn resolve_unknown(&mut self) {
+        // The wall clock may have been set back since the occurrences were opened.
+        let stored = self.stored_progress.iter().flat_map(|it| &it.occurrences);
+        let begun: Vec<u32> = stored.map(|it| it.occurrence).collect();
+        for occurrence in begun {
+            self.open_occurrence(occurrence, self.seen_at);
+        }
+        self.stored_progress = None;
+        for occurrence in self.occurrences.values_mut() {
+            for step in &mut occurrence.steps {
+                for index in 0..u32::try_from(step.tasks.len()).unwrap_or(u32::MAX) {
+                    step.update(index, |task| task.is_unknown = false);
+                }
+            }
+        }
+    }
+
+    /// The state of a step.
+    #[must_use]
+    pub fn step(&self, id: StepId) -> Option<(&Step, &StepState)> {
+        let spec = self.record.spec.steps.get(id.step as usize)?;
+        let state = self
+            .occurrences
+            .get(&id.occurrence)?
+            .steps
+            .get(id.step as usize)?;
+        Some((spec, state))
+    }
+
+    /// The state of a step, to change it.
+    pub fn step_mut(&mut self, id: StepId) -> Option<(&Step, &mut StepState)> {
+        let spec = self.record.spec.steps.get(id.step as usize)?;
+        let state = self
+            .occurrences
+            .get_mut(&id.occurrence)?
+            .steps
+            .get_mut(id.step as usize)?;
+        Some((spec, state))
+    }
+
+    /// The run number that a new start of the task takes.
+    #[must_use]
+    pub fn next_run(&self, task: TaskId) -> RunNumber {
+        let last = self
+            .step(task.step)
+            .and_then(|(_, state)| state.tasks.get(task.index as usize))
+            .and_then(|task| task.last_run);
+        last.map_or(self.first_run, |last| last.next().max(self.first_run))
+    }
+
+    /// Drops occurrences that are done; returns whether any was.
+    pub fn close_done(&mut self) -> bool {
+        let done: Vec<u32> = self
+            .occurrences
+            .iter()
+            .filter(|(_, occurrence)| occurrence.is_done())
+            .map(|(number, _)| *number)
+            .collect();
+        for number in &done {
+            self.occurrences.remove(number);
+            self.occurrences_done.insert(*number);
+        }
+        let total = self
+            .record
+            .spec
+            .schedule
+            .map_or(1, |schedule| schedule.occurrences);
+        if self.outcome.is_none() && self.occurrences_done.len() >= total {
+            self.outcome = Some(JobState::Completed);
+        }
+        !done.is_empty()
+    }
+
+    /// Runs that may be at work.
+    #[must_use]
+    pub fn live(&self) -> u32 {
+        self.occurrences
+            .values()
+            .flat_map(|occurrence| &occurrence.steps)
+            .map(StepState::live)
+            .sum()
+    }
+
+    /// The state that submitters see.
+    #[must_use]
+    pub fn state(&self) -> JobState {
+        match self.outcome {
+            Some(outcome) => outcome,
+            None if self.has_begun => JobState::Running,
+            None => JobState::Queued,
+        }
+    }
+
+    /// What is to be stored.
+    #[must_use]
+    pub fn to_progress(&self) -> Progress {
+        let occurrences = self
+            .occurrences
+            .iter()
+            .map(|(number, occurrence)| OccurrenceProgress {
+                occurrence: *number,
+                steps: occurrence.steps.iter().map(step_progress).collect(),
+            })
+            .filter(|occurrence| {
+                occurrence
+                    .steps
+                    .iter()
+                    .any(|step| !step.done.is_empty() || !step.ended.is_empty())
+            })
+            .collect();
+        Progress {
+            has_begun: self.has_begun,
+            occurrences_done: self.occurrences_done.clone(),
+            occurrences,
+        }
+    }
+}
+
+fn step_progress(step: &StepState) -> StepProgress {
+    let mut progress = StepProgress::default();
+    for (index, task) in (0..).zip(&step.tasks) {
+        if task.is_done {
+            progress.done.insert(index);
+        } else {
+            progress.ended.extend(task.to_progress(index));
+        }
+    }
+    progress
+}
+
+fn restore(step: &mut StepState, stored: Option<&StepProgress>) {
+    for index in 0..u32::try_from(step.tasks.len()).unwrap_or(u32::MAX) {
+        let is_done = stored.is_some_and(|stored| stored.done.contains(index));
+        let ended = stored.and_then(|stored| stored.ended.iter().find(|it| it.index == index));
+        step.update(index, |task| {
+            task.is_done = is_done;
+            task.is_unknown = !is_done;
+            if let Some(ended) = ended {
+                task.failures = ended.failures;
+                task.last_run = ended.last_run;
+                task.last_ended = ended.last_ended;
+                task.checkpoint = ended.checkpoint.clone();
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/pool/order.rs
@@ -0,0 +1,100 @@
+//! The order in which jobs get room.
+//!
+//! Services come first, as each moment of theirs counts. Among the others those that can still meet their objective go
+//! before those that can't, urgent queues before others, and then the earliest deadline. What has missed three times its
+//! objective comes last and still gets what is left.
+
+use std::time::{Duration, Instant};
+
+use crate::job::Job;
+use crate::pool::Pool;
+
+/// Up to this multiple of the objective a completion still has some value.
+const LATE_FACTOR: u32 = 3;
+
+/// How a job stands against its objective. Earlier variants get room first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    /// A service or a scheduled job, whose value accrues with time.
+    Running,
+    /// The objective can be met.
+    Reachable,
+    /// The objective is missed, but a completion is still worth something.
+    Late,
+    /// Too late to be of value.
+    Lost,
+}
+
+/// Runs the pass.
+pub fn run(pool: &mut Pool, now: Instant) {
+    let mut keyed: Vec<_> = pool
+        .jobs
+        .values()
+        .filter(|job| job.outcome.is_none() && has_idle(job))
+        .map(|job| {
+            let priority = pool
+                .catalogue
+                .queue(job.queue())
+                .map_or(u32::MAX, |queue| queue.priority);
+            (
+                standing(job, now),
+                priority,
+                job.accepted_at + job.objective,
+                job.id(),
+            )
+        })
+        .collect();
+    keyed.sort_unstable();
+    pool.queue_order.clear();
+    pool.queue_order
+        .extend(keyed.into_iter().map(|(.., id)| id));
+}
+
+fn has_idle(job: &Job) -> bool {
+    job.occurrences
+        .values()
+        .flat_map(|occurrence| &occurrence.steps)
+        .any(|step| step.idle > 0)
+}
+
+/// How a job stands against its objective.
+#[must_use]
+pub fn standing(job: &Job, now: Instant) -> Standing {
+    if job.record.spec.is_service() || job.record.spec.schedule.is_some() {
+        return Standing::Running;
+    }
+    let expected = now.saturating_duration_since(job.accepted_at) + remaining_chain(job);
+    if expected <= job.objective {
+        Standing::Reachable
+    } else if expected <= job.objective * LATE_FACTOR {
+        Standing::Late
+    } else {
+        Standing::Lost
+    }
+}
+
+/// The estimated time of the longest chain of steps that aren't done.
+#[must_use]
+pub fn remaining_chain(job: &Job) -> Duration {
+    let Some(occurrence) = job.occurrences.values().next() else {
+        return Duration::ZERO;
+    };
+    let steps = &job.record.spec.steps;
+    let mut ends: Vec<Duration> = Vec::with_capacity(steps.len());
+    for (step, state) in steps.iter().zip(&occurrence.steps) {
+        let start = step
+            .after
+            .iter()
+            .filter_map(|after| ends.get(*after as usize))
+            .max()
+            .copied()
+            .unwrap_or_default();
+        let own = if state.is_done() {
+            Duration::ZERO
+        } else {
+            step.estimate
+        };
+        ends.push(start + own);
+    }
+    ends.into_iter().max().unwrap_or_default()
+}
--- /dev/null
+++ b/crates/jobs/src/pool/release.rs
@@ -0,0 +1,71 @@
+//! Ends what is certain not to be at work any more.
+//!
+//! A worker that doesn't answer keeps its runs until every lease that was offered to it has lapsed on its own clock.
+//! A takeover ends once all workers of the earlier scheduler have reported, or all its leases have lapsed.
+
+use std::time::Instant;
+
+use crate::id::WorkerRef;
+use crate::pool::Pool;
+
+/// Runs the pass.
+pub fn run(pool: &mut Pool, now: Instant) {
+    let lapsed: Vec<WorkerRef> = pool
+        .workers
+        .iter()
+        .filter(|(_, it)| !it.is_gone && it.lapses_at().is_some_and(|at| now >= at))
+        .map(|(worker, _)| *worker)
+        .collect();
+    for worker in lapsed {
+        release(pool, worker, now);
+    }
+    let forgotten: Vec<WorkerRef> = pool
+        .workers
+        .iter()
+        .filter(|(_, it)| !it.is_listed && (it.is_gone || it.clock.is_none()))
+        .map(|(worker, _)| *worker)
+        .collect();
+    for worker in forgotten {
+        if let Some(it) = pool.workers.remove(&worker)
+            && pool.by_id.get(&it.info.id) == Some(&worker)
+        {
+            pool.by_id.remove(&it.info.id);
+        }
+    }
+    end_takeover(pool, now);
+}
+
+fn release(pool: &mut Pool, worker: WorkerRef, now: Instant) {
+    let Some(it) = pool.workers.get_mut(&worker) else {
+        return;
+    };
+    if !it.is_listed {
+        pool.end_life(worker, "gone", now);
+        return;
+    }
+    if it.runs.is_empty() {
+        return;
+    }
+    let keys: Vec<_> = it.runs.keys().copied().collect();
+    pool.note_worker(worker, "leases lapsed");
+    for key in keys {
+        pool.drop_run(worker, key, "lease lapsed", now);
+    }
+}
+
+fn end_takeover(pool: &mut Pool, now: Instant) {
+    let is_over = pool
+        .takeover
+        .as_ref()
+        .is_some_and(|takeover| takeover.awaited.is_empty() || now >= takeover.until);
+    if is_over {
+        pool.takeover = None;
+        for (id, job) in &mut pool.jobs {
+            job.resolve_unknown();
+            // An ended job can be closed now.
+            if job.outcome.is_some() {
+                pool.unsaved.insert(*id);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/pool/report.rs
@@ -0,0 +1,304 @@
+//! A worker's report: what is at work there and what has ended.
+
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+use crate::id::WorkerRef;
+use crate::pool::{Event, Pool};
+use crate::spec::JobState;
+use crate::worker::{EndRow, Phase, Report, Run, RunEnd, RunKey, RunningRow};
+
+/// The most ends that a report lists. With that many there may be more. From the platform's pages.
+const ENDS_PER_REPORT: usize = 500;
+
+/// Failures of different jobs in a row, after which a worker is avoided for a while.
+const FAILURES_IN_A_ROW: u32 = 2;
+
+/// How long a worker is avoided after its first failures in a row; doubles with each further one.
+const AVOIDED: std::time::Duration = std::time::Duration::from_secs(2);
+
+/// The most doublings of the time that a worker is avoided.
+const AVOIDED_DOUBLINGS_MAX: u32 = 3;
+
+impl Pool {
+    /// Takes a report that was asked for at `sent_at`. Returns whether ends came with it, which are to be taken note of
+    /// at the worker once what they changed has been stored.
+    pub fn report(
+        &mut self,
+        worker: WorkerRef,
+        sent_at: Instant,
+        report: Report,
+        now: Instant,
+    ) -> bool {
+        let worker = self.life_of(worker, &report, now);
+        let Some(it) = self.workers.get_mut(&worker) else {
+            return false;
+        };
+        it.clock = Some((report.clock_ms, now));
+        it.answered_at = Some(now);
+        it.is_full = false;
+        if !it.is_fenced {
+            it.is_fenced = true;
+            // Leases that an earlier scheduler has offered.
+            let offered_ms = report.clock_ms + crate::worker::millis(self.bounds.lease);
+            it.lease_until_ms = it.lease_until_ms.max(offered_ms);
+            let id = it.info.id.clone();
+            if let Some(takeover) = &mut self.takeover {
+                takeover.awaited.remove(&id);
+            }
+            self.note_worker(worker, "fenced");
+        }
+        let may_have_more = report.ended.len() >= ENDS_PER_REPORT;
+        let has_ends = !report.ended.is_empty();
+        for row in report.ended {
+            self.take_end(worker, row, now);
+        }
+        let mut listed = BTreeSet::new();
+        for row in report.running {
+            listed.insert((row.task, row.run));
+            self.take_running(worker, row, now);
+        }
+        if !may_have_more {
+            self.drop_unlisted(worker, &listed, sent_at, report.clock_ms, now);
+        }
+        has_ends
+    }
+
+    /// The worker that reports: another one than was asked, if it has begun a new life since.
+    fn life_of(&mut self, worker: WorkerRef, report: &Report, now: Instant) -> WorkerRef {
+        let Some(it) = self.workers.get_mut(&worker) else {
+            return worker;
+        };
+        let is_reborn =
+            matches!((it.info.born_ms, report.born_ms), (Some(old), Some(new)) if old < new);
+        if !is_reborn {
+            it.info.born_ms = it.info.born_ms.or(report.born_ms);
+            return worker;
+        }
+        let mut info = it.info.clone();
+        info.born_ms = report.born_ms;
+        info.is_draining = false;
+        let vm = it.vm.clone();
+        self.end_life(worker, "reborn", now);
+        self.set_reborn(info, vm)
+    }
+
+    fn take_end(&mut self, worker: WorkerRef, row: EndRow, now: Instant) {
+        let Some(it) = self.workers.get_mut(&worker) else {
+            return;
+        };
+        if row.number <= it.last_end {
+            return;
+        }
+        it.last_end = row.number;
+        let id = it.info.id.clone();
+        let key = (row.task, row.run);
+        let run = it.remove(key);
+        let job_id = row.task.step.job;
+        match row.end {
+            RunEnd::Done => it.recent.failed = 0,
+            RunEnd::Failed if it.last_failed_job != Some(job_id) => {
+                it.last_failed_job = Some(job_id);
+                it.recent.failed += 1;
+            }
+            _ => {}
+        }
+        self.avoid_failing(worker, now);
+        self.events.push(Event::Ended {
+            worker: id,
+            task: row.task,
+            run: row.run,
+            how: end_name(row.end),
+        });
+        self.apply_end(&row, run, now);
+    }
+
+    fn avoid_failing(&mut self, worker: WorkerRef, now: Instant) {
+        let is_only_one = self.workers.values().filter(|it| it.takes_work(now)).count() <= 1;
+        let Some(it) = self.workers.get_mut(&worker) else {
+            return;
+        };
+        let Some(extra) = it.recent.failed.checked_sub(FAILURES_IN_A_ROW) else {
+            return;
+        };
+        if is_only_one || it.paused_until.is_some_and(|until| now < until) {
+            return;
+        }
+        it.paused_until = Some(now + AVOIDED * 2_u32.pow(extra.min(AVOIDED_DOUBLINGS_MAX)));
+        self.note_worker(worker, "avoided: fails what it starts");
+    }
+
+    fn apply_end(&mut self, row: &EndRow, run: Option<Run>, now: Instant) {
+        let job_id = row.task.step.job;
+        let Some(job) = self.jobs.get(&job_id) else {
+            return;
+        };
+        let attempts_max = self.attempts_max(job.queue());
+        let team = job.record.team.clone();
+        if let Some(run) = &run
+            && let Some(team) = &team
+            && let Some(usage) = self.usage.get_mut(team)
+        {
+            *usage -= run.reserved;
+        }
+        let Some(job) = self.jobs.get_mut(&job_id) else {
+            return;
+        };
+        job.has_begun = true;
+        let Some((step, state)) = job.step_mut(row.task.step) else {
+            // Its occurrence is done.
+            return;
+        };
+        let (is_gang, is_service) = (step.is_gang, step.is_service);
+        let was_live = run.is_some();
+        let is_counted = is_gang && state.has_counted(row.run);
+        let failures = state.update(row.task.index, |task| {
+            let is_repeated = task.last_ended >= Some(row.run);
+            task.live = task.live.saturating_sub(u32::from(was_live));
+            task.last_run = task.last_run.max(Some(row.run));
+            task.last_ended = task.last_ended.max(Some(row.run));
+            task.ended_at = Some(now);
+            if row.checkpoint.is_some() {
+                task.checkpoint.clone_from(&row.checkpoint);
+            }
+            match row.end {
+                RunEnd::Done => task.is_done = true,
+                RunEnd::Failed if !is_repeated && !is_counted => task.failures += 1,
+                _ => {}
+            }
+            task.failures
+        });
+        if row.end == RunEnd::Done && is_gang {
+            for index in 0..step_len(state) {
+                state.update(index, |task| task.is_done = true);
+            }
+        }
+        let is_failed = row.end == RunEnd::Failed
+            && !is_service
+            && failures.is_some_and(|failures| {
+                let of_gang: u32 = state.tasks.iter().map(|task| task.failures).sum();
+                failures >= attempts_max || (is_gang && of_gang >= attempts_max)
+            });
+        if is_failed && job.outcome.is_none() {
+            job.outcome = Some(JobState::Failed);
+        }
+        self.unsaved.insert(job_id);
+    }
+
+    fn take_running(&mut self, worker: WorkerRef, row: RunningRow, now: Instant) {
+        let key = (row.task, row.run);
+        if self
+            .workers
+            .get(&worker)
+            .is_some_and(|it| !it.runs.contains_key(&key))
+        {
+            self.adopt(worker, key, now);
+        }
+        let Some(run) = self
+            .workers
+            .get_mut(&worker)
+            .and_then(|it| it.runs.get_mut(&key))
+        else {
+            return;
+        };
+        if run.phase == Phase::Ordered {
+            run.phase = Phase::Confirmed;
+            run.closed_at = Some(now);
+        }
+        if row.percent > run.percent {
+            run.progressed_at = now;
+        }
+        run.percent = row.percent;
+        run.load = row.load;
+        if row.checkpoint.is_some() {
+            run.checkpoint = row.checkpoint;
+        }
+        run.over_since = match run.tail_target {
+            Some(target) if row.load > target.as_secs_f64() * 1_000.0 => run.over_since.or(Some(now)),
+            _ => None,
+        };
+    }
+
+    /// A run that this scheduler didn't start, or whose start was held to have failed.
+    fn adopt(&mut self, worker: WorkerRef, key: RunKey, now: Instant) {
+        let (task, number) = key;
+        let mut run = Run {
+            reserved: crate::resources::Resources::ZERO,
+            phase: Phase::Confirmed,
+            started_at: now,
+            start_until_ms: 0,
+            closed_at: Some(now),
+            stop_sent_at: None,
+            percent: 0,
+            progressed_at: now,
+            checkpoint: None,
+            load: 0.0,
+            pace_percent: 100,
+            is_service: false,
+            is_best_effort: false,
+            tail_target: None,
+            over_since: None,
+        };
+        if let Some(job) = self.jobs.get_mut(&task.step.job) {
+            job.has_begun = true;
+            job.open_occurrence(task.step.occurrence, now);
+            let team = job.record.team.clone();
+            if let Some((step, state)) = job.step_mut(task.step) {
+                run = run.with_step(step);
+                state.update(task.index, |task| {
+                    task.live += 1;
+                    task.last_run = task.last_run.max(Some(number));
+                    task.is_unknown = false;
+                });
+            }
+            if let Some(team) = team {
+                *self.usage.entry(team).or_default() += run.reserved;
+            }
+            self.unsaved.insert(task.step.job);
+        }
+        if let Some(it) = self.workers.get_mut(&worker) {
+            it.add(key, run);
+        }
+    }
+
+    fn drop_unlisted(
+        &mut self,
+        worker: WorkerRef,
+        listed: &BTreeSet<RunKey>,
+        sent_at: Instant,
+        clock_ms: u64,
+        now: Instant,
+    ) {
+        let Some(it) = self.workers.get(&worker) else {
+            return;
+        };
+        let absent: Vec<RunKey> = it
+            .runs
+            .iter()
+            .filter(|(key, _)| !listed.contains(key))
+            .filter(|(_, run)| {
+                run.closed_at.is_some_and(|closed_at| closed_at < sent_at)
+                    || (run.phase == Phase::Ordered && clock_ms > run.start_until_ms)
+            })
+            .map(|(key, _)| *key)
+            .collect();
+        for key in absent {
+            self.drop_run(worker, key, "not there", now);
+        }
+    }
+}
+
+fn step_len(state: &crate::job::StepState) -> u32 {
+    u32::try_from(state.tasks.len()).unwrap_or(u32::MAX)
+}
+
+fn end_name(end: RunEnd) -> &'static str {
+    match end {
+        RunEnd::Done => "done",
+        RunEnd::Failed => "failed",
+        RunEnd::Stopped => "stopped",
+        RunEnd::Lapsed => "lease lapsed",
+        RunEnd::Broken => "gang broken",
+        RunEnd::Alone => "gang incomplete",
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/progress/mod.rs
@@ -0,0 +1,105 @@
+//! What is stored of an open job's progress.
+//!
+//! A [`Progress`] holds only what a new scheduler could not learn from the workers: the tasks that are done, the
+//! attempts that have failed, the highest run number and the checkpoint of each task that has ended otherwise. It is
+//! written before an end is taken note of at its worker, so that no end is lost with its scheduler.
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::RunNumber;
+
+/// A set of task indices.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct IndexSet {
+    words: Vec<u64>,
+}
+
+impl IndexSet {
+    /// Adds an index; returns whether it is new.
+    pub fn insert(&mut self, index: u32) -> bool {
+        let word = index as usize / 64;
+        if word >= self.words.len() {
+            self.words.resize(word + 1, 0);
+        }
+        let bit = 1 << (index % 64);
+        let is_new = self.words[word] & bit == 0;
+        self.words[word] |= bit;
+        is_new
+    }
+
+    /// Whether the index is in the set.
+    #[must_use]
+    pub fn contains(&self, index: u32) -> bool {
+        self.words
+            .get(index as usize / 64)
+            .is_some_and(|word| word & (1 << (index % 64)) != 0)
+    }
+
+    /// How many indices the set holds.
+    #[must_use]
+    pub fn len(&self) -> u32 {
+        self.words.iter().map(|word| word.count_ones()).sum()
+    }
+
+    /// Whether the set holds none.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.words.iter().all(|word| *word == 0)
+    }
+}
+
+/// What is stored of a task that has ended without being done.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskProgress {
+    /// The task's place in its step.
+    pub index: u32,
+    /// How often it has failed.
+    pub failures: u32,
+    /// The highest run number that is known to have been used.
+    pub last_run: Option<RunNumber>,
+    /// The highest run whose end has been counted. The end may be reported again after this was stored.
+    pub last_ended: Option<RunNumber>,
+    /// Where a new run resumes.
+    pub checkpoint: Option<Box<str>>,
+}
+
+/// What is stored of a step.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StepProgress {
+    /// The tasks that are done.
+    pub done: IndexSet,
+    /// The tasks that have ended otherwise, by index.
+    pub ended: Vec<TaskProgress>,
+}
+
+/// What is stored of an occurrence.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OccurrenceProgress {
+    /// Which occurrence.
+    pub occurrence: u32,
+    /// Its steps, in the order of the job's.
+    pub steps: Vec<StepProgress>,
+}
+
+impl StepProgress {
+    /// Whether a task, or the step's gang, has used up its attempts.
+    #[must_use]
+    pub fn has_failed(&self, is_gang: bool, attempts_max: u32) -> bool {
+        if is_gang {
+            self.ended.iter().map(|task| task.failures).sum::<u32>() >= attempts_max
+        } else {
+            self.ended.iter().any(|task| task.failures >= attempts_max)
+        }
+    }
+}
+
+/// What is stored of an open job.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Progress {
+    /// A task has started.
+    pub has_begun: bool,
+    /// Occurrences that are done.
+    pub occurrences_done: IndexSet,
+    /// Occurrences that are under way.
+    pub occurrences: Vec<OccurrenceProgress>,
+}
--- /dev/null
+++ b/crates/jobs/src/spec/mod.rs
@@ -0,0 +1,224 @@
+//! What a submitter asks for: a payload and a graph of steps.
+//!
+//! Steps refer to earlier steps only, so a checked [`JobSpec`] has no cycle. A checked spec has at least one step and
+//! each step at least one task.
+
+use std::time::Duration;
+
+use goldcrest_types::names::{QueueName, TeamName};
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+
+use crate::id::{JobId, Label};
+use crate::resources::Resources;
+
+/// The largest payload, in bytes. From the submitters' interface.
+pub const PAYLOAD_BYTES_MAX: usize = 4_000;
+
+/// The most tasks of one occurrence of a job. Bounds the memory that one submission can take.
+pub const TASKS_MAX: u64 = 100_000;
+
+quick_error! {
+    /// Why a job can't be taken.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum SpecError {
+        /// No steps.
+        Empty {
+            display("the job has no steps: give at least one")
+        }
+        /// A step without tasks.
+        NoTasks(step: usize) {
+            display("step {step} has no tasks: give it a count of 1 or more")
+        }
+        /// A step that waits for itself or a later one.
+        Order(step: usize, after: u32) {
+            display("step {step} waits for step {after}: a step may only wait for earlier ones")
+        }
+        /// The payload is too long.
+        Payload(bytes: usize) {
+            display("the payload has {bytes} bytes: give at most {PAYLOAD_BYTES_MAX}")
+        }
+        /// Too many tasks.
+        Tasks(count: u64) {
+            display("the job has {count} tasks: give at most {TASKS_MAX}, or split the job")
+        }
+    }
+}
+
+/// Tasks of one kind, which may run at the same time.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Step {
+    /// How many tasks.
+    pub tasks: u32,
+    /// What each task needs.
+    pub demand: Resources,
+    /// The submitter's guess of a task's run time.
+    pub estimate: Duration,
+    /// Steps that must be done first.
+    pub after: Vec<u32>,
+    /// Tasks save checkpoints and can resume from them.
+    pub is_checkpointing: bool,
+    /// All tasks run together or not at all.
+    pub is_gang: bool,
+    /// The tasks of a gang are slower when they are spread over several racks.
+    pub is_same_rack: bool,
+    /// A label that the worker must have.
+    pub requires: Option<Label>,
+    /// The rack where the data is; elsewhere tasks take longer.
+    pub near: Option<Label>,
+    /// The most tasks of the step on one worker.
+    pub spread: Option<u32>,
+    /// Copies of a task may run in parallel.
+    pub is_speculative: bool,
+    /// The tasks are a service: they run until the job is cancelled.
+    pub is_service: bool,
+    /// What the tasks run. Tasks of one image behave alike.
+    pub image: Option<Box<str>>,
+    /// The bound on the tail of a service's response time.
+    pub tail_target: Option<Duration>,
+    /// Best effort: the tasks use the processors that others leave idle, and don't count against the capacity.
+    pub is_best_effort: bool,
+    /// How many tasks of a service may be unavailable at once by the scheduler's own actions.
+    pub unavailable_max: u32,
+}
+
+impl Step {
+    /// What a task of this step reserves on its worker.
+    #[must_use]
+    pub fn reserved(&self) -> Resources {
+        let cpu_millis = if self.is_best_effort {
+            0
+        } else {
+            self.demand.cpu_millis
+        };
+        Resources {
+            cpu_millis,
+            ..self.demand
+        }
+    }
+}
+
+/// When the occurrences of a scheduled job are due.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Schedule {
+    /// How many occurrences.
+    pub occurrences: u32,
+    /// When the first is due, in milliseconds since 1970.
+    pub first_due_ms: u64,
+    /// The time from one occurrence to the next.
+    pub interval: Duration,
+}
+
+impl Schedule {
+    /// When an occurrence is due, in milliseconds since 1970.
+    #[must_use]
+    pub fn due_ms(&self, occurrence: u32) -> u64 {
+        let interval_ms = u64::try_from(self.interval.as_millis()).unwrap_or(u64::MAX);
+        self.first_due_ms
+            .saturating_add(interval_ms.saturating_mul(u64::from(occurrence)))
+    }
+}
+
+/// What a submitter asks for.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobSpec {
+    /// Handed to each task as it is.
+    pub payload: Box<str>,
+    /// The steps. A step refers to others by their place in this list.
+    pub steps: Vec<Step>,
+    /// Runs the steps several times, each at its time.
+    pub schedule: Option<Schedule>,
+}
+
+impl JobSpec {
+    /// Checks that the steps form a graph that can end.
+    ///
+    /// # Errors
+    ///
+    /// The first thing that is wrong, with the remedy.
+    pub fn check(&self) -> Result<(), SpecError> {
+        if self.steps.is_empty() {
+            return Err(SpecError::Empty);
+        }
+        if self.payload.len() > PAYLOAD_BYTES_MAX {
+            return Err(SpecError::Payload(self.payload.len()));
+        }
+        for (step, it) in self.steps.iter().enumerate() {
+            if it.tasks == 0 {
+                return Err(SpecError::NoTasks(step));
+            }
+            if let Some(after) = it.after.iter().find(|after| **after as usize >= step) {
+                return Err(SpecError::Order(step, *after));
+            }
+        }
+        let count = self.steps.iter().map(|step| u64::from(step.tasks)).sum();
+        if count > TASKS_MAX {
+            return Err(SpecError::Tasks(count));
+        }
+        Ok(())
+    }
+
+    /// The estimated time of the longest chain of steps.
+    #[must_use]
+    pub fn longest_chain(&self) -> Duration {
+        let mut ends: Vec<Duration> = Vec::with_capacity(self.steps.len());
+        for step in &self.steps {
+            let start = step
+                .after
+                .iter()
+                .filter_map(|after| ends.get(*after as usize))
+                .max()
+                .copied()
+                .unwrap_or_default();
+            ends.push(start + step.estimate);
+        }
+        ends.into_iter().max().unwrap_or_default()
+    }
+
+    /// Whether any step is a service, so that the job ends only by a cancellation.
+    #[must_use]
+    pub fn is_service(&self) -> bool {
+        self.steps.iter().any(|step| step.is_service)
+    }
+}
+
+/// An accepted job, as it is stored.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// The job's id.
+    pub id: JobId,
+    /// The queue that it was submitted to.
+    pub queue: QueueName,
+    /// The team whose key came with it. Queues open to all take jobs without one.
+    pub team: Option<TeamName>,
+    /// When it was accepted, in milliseconds since 1970.
+    pub accepted_ms: u64,
+    /// What it asks for.
+    pub spec: JobSpec,
+    /// Its submitter has cancelled it.
+    pub is_cancelled: bool,
+}
+
+/// The state of a job, as its submitter sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobState {
+    /// Accepted; no task has started.
+    Queued,
+    /// A task has started.
+    Running,
+    /// All tasks are done.
+    Completed,
+    /// A task has used up its attempts.
+    Failed,
+    /// Its submitter has cancelled it.
+    Cancelled,
+}
+
+impl JobState {
+    /// Whether nothing of the job will run any more.
+    #[must_use]
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::Completed | Self::Failed | Self::Cancelled)
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/verify/mod.rs
@@ -0,0 +1,101 @@
+//! Checks of the scheduler's promises over a pool's state. Each returns every breach, with its ids.
+
+use std::collections::BTreeMap;
+
+use goldcrest_types::names::TeamName;
+
+use crate::id::TaskId;
+use crate::pool::Pool;
+use crate::resources::Resources;
+
+/// All checks.
+#[must_use]
+pub fn pool(pool: &Pool) -> Vec<Box<str>> {
+    let mut breaches = one_run(pool);
+    breaches.extend(room(pool));
+    breaches.extend(usage(pool));
+    breaches.extend(steps(pool));
+    breaches
+}
+
+/// A task that may not run in copies has one live run at most, and its count is true.
+#[must_use]
+pub fn one_run(pool: &Pool) -> Vec<Box<str>> {
+    let mut live: BTreeMap<TaskId, u32> = BTreeMap::new();
+    for worker in pool.workers().values() {
+        for (task, _) in worker.runs.keys() {
+            *live.entry(*task).or_default() += 1;
+        }
+    }
+    let mut breaches = Vec::new();
+    for (task, runs) in live {
+        let Some((_, state)) = pool
+            .jobs()
+            .get(&task.step.job)
+            .and_then(|job| job.step(task.step))
+        else {
+            continue;
+        };
+        let Some(it) = state.tasks.get(task.index as usize) else {
+            continue;
+        };
+        if it.live != runs {
+            breaches.push(format!("task {task}: {runs} runs, counted {}", it.live).into());
+        }
+    }
+    breaches
+}
+
+/// What a worker's runs reserve is the sum that is kept of them.
+#[must_use]
+pub fn room(pool: &Pool) -> Vec<Box<str>> {
+    pool.workers()
+        .values()
+        .filter_map(|worker| {
+            let sum = worker
+                .runs
+                .values()
+                .fold(Resources::ZERO, |sum, run| sum + run.reserved);
+            (sum != worker.used).then(|| {
+                format!("worker {}: {sum} reserved, counted {}", worker.info.id, worker.used).into()
+            })
+        })
+        .collect()
+}
+
+/// What a team has running is the sum that is kept of it.
+#[must_use]
+pub fn usage(pool: &Pool) -> Vec<Box<str>> {
+    let mut sums: BTreeMap<&TeamName, Resources> = BTreeMap::new();
+    for worker in pool.workers().values() {
+        for ((task, _), run) in &worker.runs {
+            let job = pool.jobs().get(&task.step.job);
+            if let Some(team) = job.and_then(|job| job.record.team.as_ref()) {
+                *sums.entry(team).or_default() += run.reserved;
+            }
+        }
+    }
+    pool.usage()
+        .iter()
+        .filter_map(|(team, counted)| {
+            let sum = sums.get(team).copied().unwrap_or_default();
+            (sum != *counted).then(|| format!("team {team}: {sum} running, counted {counted}").into())
+        })
+        .collect()
+}
+
+/// No task has started before the steps that its step waits for are done.
+#[must_use]
+pub fn steps(pool: &Pool) -> Vec<Box<str>> {
+    let mut breaches = Vec::new();
+    for (id, job) in pool.jobs() {
+        for occurrence in job.occurrences.values() {
+            for (step, state) in job.record.spec.steps.iter().zip(&occurrence.steps) {
+                if state.live() > 0 && !occurrence.is_open(step) {
+                    breaches.push(format!("job {id}: a step runs before its turn").into());
+                }
+            }
+        }
+    }
+    breaches
+}
--- a/crates/obs/src/logs/mod.rs
+++ b/crates/obs/src/logs/mod.rs
@@ -4,6 +4,7 @@
 //! target; the closed list of parts is [`Part`]. Equal lines in a row are counted by [`repeat::Repeats`] and not
 //! written again. Neither keys nor bodies are ever logged: nothing that holds them has a `Display` form.
 
+pub mod bounded;
 mod line;
 pub mod repeat;
 
@@ -97,6 +98,10 @@
         Level {
             display("no such level: use off, error, warn, info, debug or trace")
         }
+        /// The thread that writes can't be started.
+        Thread {
+            display("the thread that writes the logs can't be started: free some memory")
+        }
         /// Another logger is in place.
         InPlace {
             display("a logger is in place already: set up the logs once, at the start of the process")
@@ -138,6 +143,35 @@
     }
 }
 
+/// Sets up the logs of this process on standard output, bounded and without ever blocking.
+///
+/// # Errors
+///
+/// A logger is in place already, or the thread that writes can't be started.
+pub fn init_bounded(level: Level, format: Format, clock: Arc<dyn Clock>) -> Result<(), LogError> {
+    let wall = Arc::clone(&clock);
+    let output = bounded::Output::new(io::stdout()).map_err(|_| LogError::Thread)?;
+    let output: Box<dyn io::Write + Send> = Box::new(output);
+    let (max, inner) = fern::Dispatch::new()
+        .level(level.0)
+        .format(move |out, message, record| match format {
+            Format::Text => line::text(out, message, record, wall.wall()),
+            Format::Json => line::json(out, message, record, wall.wall()),
+        })
+        .chain(output)
+        .into_log();
+    log::set_boxed_logger(Box::new(bounded::Budget::new(inner, clock)))
+        .map_err(|_| LogError::InPlace)?;
+    log::set_max_level(max);
+    Ok(())
+}
+
+/// Gives the lines that wait time to be written, before the process ends.
+pub fn flush() {
+    log::logger().flush();
+    std::thread::park_timeout(bounded::WRITE_EVERY * 2);
+}
+
 /// Sets up the logs of this process on standard error.
 ///
 /// # Errors
--- a/crates/types/src/clock/mod.rs
+++ b/crates/types/src/clock/mod.rs
@@ -11,7 +11,7 @@
     /// Monotonic time. Leases, deadlines and freshness are measured by it.
     fn now(&self) -> Instant;
 
-    /// Wall time. It is only shown to people and never decides anything.
+    /// Wall time. It is shown to people, and says when a scheduled job is due; no lease or deadline depends on it.
     fn wall(&self) -> SystemTime;
 }
 
@@ -39,6 +39,49 @@
     }
 }
 
+/// The operating system's clocks, with the time that the VM was suspended.
+///
+/// [`Instant::now`] leaves that time out, so a lease would seem to last longer than it does.
+#[derive(Debug, Clone, Copy)]
+pub struct BootClock {
+    origin: Instant,
+    booted_at_origin: Duration,
+}
+
+impl BootClock {
+    /// A clock that begins at the moment of the call.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            origin: Instant::now(),
+            booted_at_origin: since_boot(),
+        }
+    }
+}
+
+fn since_boot() -> Duration {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    let secs = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
+    Duration::new(secs, nanos)
+}
+
+impl Default for BootClock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Clock for BootClock {
+    fn now(&self) -> Instant {
+        self.origin + since_boot().saturating_sub(self.booted_at_origin)
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
+
 /// A clock that stands still until it is moved.
 #[derive(Debug)]
 pub struct ManualClock {
