jobs: what a silent worker may run is awaited; shares grow in all kinds alike; failures count by run

Change: a row grows by one fraction of what is short in every kind, and what is not used is given back sooner while the limit is nearly used up; a takeover awaits a worker until it reports, is certainly replaced, or all leases have lapsed; no leases are offered to a silent worker, and it gets no starts; failed runs are kept by number.

--- a/crates/grid/src/calls/cancel.rs
+++ b/crates/grid/src/calls/cancel.rs
@@ -40,11 +40,7 @@
     }
 
     /// One attempt; `None` if the job has changed under it.
-    async fn try_cancel(
-        &self,
-        admitted: &Admitted,
-        id: JobId,
-    ) -> Result<Option<Reply>, CallError> {
+    async fn try_cancel(&self, admitted: &Admitted, id: JobId) -> Result<Option<Reply>, CallError> {
         let Some((status, item)) = self.read_status(admitted, id).await? else {
             return Ok(Some(Reply::NoSuchJob));
         };
--- a/crates/grid/src/calls/mod.rs
+++ b/crates/grid/src/calls/mod.rs
@@ -173,9 +173,9 @@
     /// For how long the catalogue in force has not been proved current.
     fn catalogue_age_ms(&self) -> u64 {
         let now = self.now();
-        self.current_at
-            .get()
-            .map_or(u64::MAX, |at| goldcrest_jobs::worker::millis(now.saturating_duration_since(at)))
+        self.current_at.get().map_or(u64::MAX, |at| {
+            goldcrest_jobs::worker::millis(now.saturating_duration_since(at))
+        })
     }
 
     async fn answer(&self, call: &Call, began_at: Instant) -> Reply {
@@ -240,7 +240,10 @@
     let (queue, rest) = catalogue
         .find(&call.host, &call.path)
         .ok_or(Reply::NoSuchQueue)?;
-    let team = call.key.as_deref().and_then(|key| catalogue.team_of_key(key));
+    let team = call
+        .key
+        .as_deref()
+        .and_then(|key| catalogue.team_of_key(key));
     if team.is_none() && !queue.is_open {
         return Err(Reply::UnknownKey);
     }
--- a/crates/grid/src/entry/mod.rs
+++ b/crates/grid/src/entry/mod.rs
@@ -238,10 +238,8 @@
         wait: Duration,
     ) -> Result<Watched, CallError> {
         let sent_at = self.now();
-        let waited = tokio::time::timeout(
-            wait + WATCH_SLACK,
-            self.platform.watch(prefix, after, wait),
-        );
+        let waited =
+            tokio::time::timeout(wait + WATCH_SLACK, self.platform.watch(prefix, after, wait));
         let result = waited
             .await
             .unwrap_or_else(|_| Err(CallError::Unknown("the watch timed out".into())));
--- a/crates/grid/src/fleet/waves.rs
+++ b/crates/grid/src/fleet/waves.rs
@@ -45,9 +45,7 @@
     async fn take_down(&self, vm: &VmId, wave: u64) -> bool {
         let holder = self.holder();
         let platform = &self.entry.platform;
-        let result = platform
-            .maintain_vm(&holder, vm, wave, ORDER_TIMEOUT)
-            .await;
+        let result = platform.maintain_vm(&holder, vm, wave, ORDER_TIMEOUT).await;
         log::info!(target: "maintenance", vm:% = vm, wave, token:% = self.held.token(), result:?; "VM ordered down for maintenance.");
         let now = self.entry.now();
         match result {
@@ -107,10 +105,7 @@
             .get(&wave)
             .copied()
             .unwrap_or(Revision::ABSENT);
-        let shown = self
-            .entry
-            .platform
-            .wave_status(wave, progress.is_completed);
+        let shown = self.entry.platform.wave_status(wave, progress.is_completed);
         let txn = Txn {
             expect: vec![self.held.guard(), (key.clone(), revision)],
             put: vec![
--- a/crates/grid/src/members/mod.rs
+++ b/crates/grid/src/members/mod.rs
@@ -111,7 +111,12 @@
     /// Registers this entry under a session; `None` if that failed.
     async fn register(&mut self) -> Option<LeaseId> {
         let mut session = self.entry.session.subscribe();
-        let lease = session.wait_for(Option::is_some).await.ok()?.as_ref()?.lease;
+        let lease = session
+            .wait_for(Option::is_some)
+            .await
+            .ok()?
+            .as_ref()?
+            .lease;
         let txn = Txn {
             put: vec![Put {
                 key: keys::entry(&self.entry.settings.name),
@@ -296,7 +301,14 @@
         };
         match self.entry.commit(&txn).await {
             Ok(Committed::Done(revision)) => {
-                self.view.set_role(role, Holding { name, lease, revision });
+                self.view.set_role(
+                    role,
+                    Holding {
+                        name,
+                        lease,
+                        revision,
+                    },
+                );
             }
             Ok(Committed::Conflict(conflict)) => {
                 for item in conflict.items {
@@ -307,7 +319,9 @@
             Err(error @ (CallError::Unknown(_) | CallError::NotDone(_))) => {
                 log::warn!(target: "members", role:%, error:%; "A vacant role could not be taken.");
             }
-            Err(error) => log::warn!(target: "members", role:%, error:%; "A vacant role was not taken."),
+            Err(error) => {
+                log::warn!(target: "members", role:%, error:%; "A vacant role was not taken.")
+            }
         }
     }
 
--- a/crates/grid/src/members/view.rs
+++ b/crates/grid/src/members/view.rs
@@ -66,7 +66,14 @@
             Ok(name) => {
                 let lease = item.lease.unwrap_or(LeaseId(0));
                 let revision = item.revision;
-                self.set_role(role, Holding { name, lease, revision });
+                self.set_role(
+                    role,
+                    Holding {
+                        name,
+                        lease,
+                        revision,
+                    },
+                );
             }
             Err(error) => log::warn!(target: "members", error:%; "A role's key is skipped."),
         }
@@ -98,7 +105,10 @@
         if let Some(entry) = key.strip_prefix(keys::ENTRIES) {
             self.entries.remove(entry);
         } else if let Some(role) = role_of(key)
-            && self.roles.get(&role).is_some_and(|it| it.revision < revision)
+            && self
+                .roles
+                .get(&role)
+                .is_some_and(|it| it.revision < revision)
         {
             self.roles.remove(&role);
         }
--- a/crates/grid/src/metrics/mod.rs
+++ b/crates/grid/src/metrics/mod.rs
@@ -96,8 +96,16 @@
 
     fn register(&mut self) {
         let registry = &mut self.registry;
-        registry.register("calls", "Calls of submitters by outcome", self.calls.clone());
-        registry.register("store_calls", "Calls to the store by outcome", self.store.clone());
+        registry.register(
+            "calls",
+            "Calls of submitters by outcome",
+            self.calls.clone(),
+        );
+        registry.register(
+            "store_calls",
+            "Calls to the store by outcome",
+            self.store.clone(),
+        );
         registry.register_with_unit(
             "store_call",
             "Time of calls to the store",
--- a/crates/grid/src/pool/mod.rs
+++ b/crates/grid/src/pool/mod.rs
@@ -59,6 +59,8 @@
     crew: RefCell<BTreeSet<WorkerId>>,
     /// VMs that are to be emptied, with the worker of each.
     evacuating: RefCell<BTreeMap<WorkerId, VmId>>,
+    /// A team could use more than its share here.
+    pub(crate) share_needed: Notify,
     /// The pool's status should be published soon.
     status_changed: Notify,
     /// No more starts are sent: the role is handed over.
@@ -138,6 +140,7 @@
         saved: watch::Sender::new(0),
         crew: RefCell::default(),
         evacuating: RefCell::default(),
+        share_needed: Notify::new(),
         status_changed: Notify::new(),
         is_leaving: Cell::new(false),
         lost: CancellationToken::new(),
--- a/crates/grid/src/pool/orders.rs
+++ b/crates/grid/src/pool/orders.rs
@@ -43,6 +43,9 @@
                 if !self.pool.borrow().unsaved().is_empty() {
                     self.unsaved.notify_one();
                 }
+                if !self.pool.borrow().short().is_empty() {
+                    self.share_needed.notify_one();
+                }
                 self.status_changed.notify_one();
             }
             while sending.try_join_next().is_some() {}
@@ -83,10 +86,10 @@
                     return;
                 };
                 log::info!(target: "scheduler", task:% = task, run:% = run, worker:% = to.worker, percent; "Best-effort task paced.");
-                let paced =
-                    self.entry
-                        .platform
-                        .pace(&to, task, run, percent, ORDER_TIMEOUT);
+                let paced = self
+                    .entry
+                    .platform
+                    .pace(&to, task, run, percent, ORDER_TIMEOUT);
                 if let Err(error) = paced.await {
                     self.after_refusal(worker, "pace", &error);
                 }
@@ -142,7 +145,8 @@
                 self.pool.borrow_mut().order_refused(worker, false, now);
                 self.replan.notify_one();
             }
-            OrderError::Unknown(_) => self.pool.borrow_mut().no_answer(worker, now),
+            // The next report tells whether the worker answers.
+            OrderError::Unknown(_) | OrderError::NotSent(_) => {}
             // The run has ended; the next report lists its end.
             OrderError::Refused(_) => {}
         }
--- a/crates/grid/src/pool/reports.rs
+++ b/crates/grid/src/pool/reports.rs
@@ -22,9 +22,12 @@
 /// How much longer than it was asked to wait a report may take.
 const REPORT_SLACK: Duration = Duration::from_millis(700);
 
-/// The pause after a report that failed.
+/// The pause after a report that failed; grows with each further one.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// The most steps by which that pause grows.
+const RETRY_STEPS: u32 = 4;
+
 /// How long a report's ends may wait to be saved before the leases are extended again.
 const SAVE_WAIT: Duration = Duration::from_millis(700);
 
@@ -55,7 +58,10 @@
 
     fn take_registry(
         &self,
-        all: &[(goldcrest_types::names::PoolName, goldcrest_jobs::worker::WorkerInfo)],
+        all: &[(
+            goldcrest_types::names::PoolName,
+            goldcrest_jobs::worker::WorkerInfo,
+        )],
     ) {
         if all.is_empty() {
             // Nothing was read yet: an empty fleet is no reason to hold workers for gone.
@@ -75,6 +81,7 @@
     async fn follow_worker(self: Rc<Self>, worker: WorkerRef) {
         let mut noted = 0;
         let mut is_first = true;
+        let mut failures = 0;
         loop {
             let Some(to) = self.recipient(worker) else {
                 return;
@@ -85,7 +92,13 @@
                 self.report_wait(worker, noted)
             };
             let now = self.now();
-            let until_ms = self.offer_lease(worker, wait);
+            // Orders without an answer may be carried out: a worker that has fallen silent is offered no more leases,
+            // so that those that it has can lapse.
+            let until_ms = if failures == 0 {
+                self.offer_lease(worker, wait)
+            } else {
+                None
+            };
             let answer = self
                 .entry
                 .platform
@@ -94,6 +107,10 @@
             match answer {
                 Ok(report) => {
                     is_first = false;
+                    if failures > 0 {
+                        log::info!(target: "scheduler", worker:% = to.worker, failures; "Worker answers again.");
+                    }
+                    failures = 0;
                     let last = report.ended.iter().map(|end| end.number).max();
                     let arrived_at = self.now();
                     let has_ends = self
@@ -107,10 +124,11 @@
                     }
                 }
                 Err(error) => {
-                    if !self.after_failure(worker, &error) {
+                    if !self.after_failure(worker, &error, failures == 0) {
                         return;
                     }
-                    tokio::time::sleep(RETRY_AFTER).await;
+                    failures += 1;
+                    tokio::time::sleep(RETRY_AFTER * failures.min(RETRY_STEPS)).await;
                 }
             }
         }
@@ -151,7 +169,7 @@
     }
 
     /// Returns whether the worker is to be asked again.
-    fn after_failure(&self, worker: WorkerRef, error: &OrderError) -> bool {
+    fn after_failure(&self, worker: WorkerRef, error: &OrderError, is_first: bool) -> bool {
         let now = self.now();
         let id = self
             .pool
@@ -172,9 +190,11 @@
                 log::warn!(target: "scheduler", worker:% = id, why:%; "Report refused.");
                 true
             }
-            OrderError::Unknown(why) => {
-                log::warn!(target: "scheduler", worker:% = id, why:%; "No report.");
-                self.pool.borrow_mut().no_answer(worker, now);
+            OrderError::Unknown(why) | OrderError::NotSent(why) => {
+                if is_first {
+                    log::warn!(target: "scheduler", worker:% = id, why:%; "Worker gives no report.");
+                }
+                self.pool.borrow_mut().no_answer(worker);
                 true
             }
         };
--- a/crates/grid/src/ports/mod.rs
+++ b/crates/grid/src/ports/mod.rs
@@ -45,7 +45,9 @@
 }
 
 /// A count of the store's changes.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct Revision(pub u64);
 
 impl Revision {
@@ -287,6 +289,8 @@
     WrongWorker,
     /// The order had no effect.
     Refused(Box<str>),
+    /// The order did not arrive.
+    NotSent(Box<str>),
     /// No answer.
     Unknown(Box<str>),
 }
@@ -360,10 +364,8 @@
 /// The platform's list of VMs.
 pub trait Vms {
     /// All VMs.
-    fn vms(
-        &self,
-        timeout: Duration,
-    ) -> impl Future<Output = Result<BTreeMap<VmId, Vm>, CallError>>;
+    fn vms(&self, timeout: Duration)
+    -> impl Future<Output = Result<BTreeMap<VmId, Vm>, CallError>>;
 
     /// Moves a VM to another pool. What runs on it ends at once.
     fn move_vm(
@@ -405,9 +407,6 @@
 }
 
 /// All that an entry needs of the outside.
-pub trait Platform:
-    Store + Operators + Registry + Workers + Vms + PermitService + 'static
-{
-}
+pub trait Platform: Store + Operators + Registry + Workers + Vms + PermitService + 'static {}
 
 impl<T: Store + Operators + Registry + Workers + Vms + PermitService + 'static> Platform for T {}
--- a/crates/grid/src/shares/mod.rs
+++ b/crates/grid/src/shares/mod.rs
@@ -10,23 +10,29 @@
 
 use goldcrest_jobs::resources::Resources;
 use goldcrest_jobs::share::Share;
-use goldcrest_types::names::TeamName;
+use goldcrest_types::names::{PoolName, TeamName};
 
 use crate::keys;
 use crate::pool::Scheduler;
 use crate::ports::{CallError, Committed, Item, Platform, Put, Revision, Txn};
 
-/// How often the rows are compared with what is used and wanted.
-const CHECK_EVERY: Duration = Duration::from_millis(60);
+/// The rows are compared with what is used and wanted at least this often, and whenever something is wanted.
+const CHECK_EVERY: Duration = Duration::from_millis(150);
+
+/// The least time between two comparisons.
+const CHECK_GAP: Duration = Duration::from_millis(8);
 
 /// A row that is larger than what is used and wanted for this long is lowered.
 const IDLE: Duration = Duration::from_millis(700);
 
-/// Rows are raised by at least this share of the limit, in percent, so that not each start needs a raise.
-const RAISE_PERCENT: u64 = 8;
+/// The same while the limit is nearly used up.
+const IDLE_CONTENDED: Duration = Duration::from_millis(150);
+
+/// A limit of which less than this share is left, in percent, is nearly used up.
+const CONTENDED_PERCENT: u64 = 15;
 
-/// Less than this share of the limit, in percent, is not worth giving back, unless the pool uses nothing.
-const KEEP_PERCENT: u64 = 5;
+/// A row holds this share of the limit beyond what is used, in percent, so that not each start needs a raise.
+const RESERVE_PERCENT: u64 = 4;
 
 /// How often a share is read again in which this pool finds no room.
 const READ_AGAIN: Duration = Duration::from_millis(300);
@@ -58,7 +64,9 @@
             refresh(&scheduler, &mut known).await;
             adjust(&scheduler, &mut known).await;
         }
-        tokio::time::sleep(CHECK_EVERY).await;
+        // A comparison is due now and then even if nothing is wanted.
+        let _ = tokio::time::timeout(CHECK_EVERY, scheduler.share_needed.notified()).await;
+        tokio::time::sleep(CHECK_GAP).await;
     }
 }
 
@@ -104,19 +112,19 @@
 /// Reads the shares again whose state is unsure, or that left no room.
 async fn refresh<P: Platform>(scheduler: &Scheduler<P>, known: &mut BTreeMap<TeamName, Known>) {
     let now = scheduler.now();
-    let teams = teams(scheduler);
-    let due: Vec<TeamName> = teams
-        .iter()
-        .filter(|(team, cap, _)| {
-            let Some(it) = known.get(team) else {
+    let due: Vec<TeamName> = demands(scheduler)
+        .into_iter()
+        .filter(|demand| {
+            let Some(it) = known.get(&demand.team) else {
                 return false;
             };
             let is_old = it
                 .read_at
                 .is_none_or(|at| now.saturating_duration_since(at) >= READ_AGAIN);
-            it.is_unsure || (is_old && !it.share.is_within(*cap))
+            let is_short = demand.short != Resources::ZERO;
+            it.is_unsure || (is_old && (is_short || !it.share.is_within(demand.cap)))
         })
-        .map(|(team, ..)| team.clone())
+        .map(|demand| demand.team)
         .collect();
     for team in due {
         let key = keys::share(&team);
@@ -132,8 +140,16 @@
     }
 }
 
-/// The teams with a limit: what each may have, and what it uses and wants in this pool.
-fn teams<P: Platform>(scheduler: &Scheduler<P>) -> Vec<(TeamName, Resources, Resources)> {
+/// A team with a limit, and what it uses and lacks in this pool.
+#[derive(Debug)]
+struct Demand {
+    team: TeamName,
+    cap: Resources,
+    used: Resources,
+    short: Resources,
+}
+
+fn demands<P: Platform>(scheduler: &Scheduler<P>) -> Vec<Demand> {
     let catalogue = scheduler.entry.catalogue.borrow();
     let Some(stored) = catalogue.as_ref() else {
         return Vec::new();
@@ -142,10 +158,11 @@
     let limited = stored.catalogue.teams().iter();
     limited
         .filter(|team| team.cap != Resources::ZERO)
-        .map(|team| {
-            let used = pool.usage().get(&team.name).copied().unwrap_or_default();
-            let short = pool.short().get(&team.name).copied().unwrap_or_default();
-            (team.name.clone(), team.cap, used + short)
+        .map(|team| Demand {
+            team: team.name.clone(),
+            cap: team.cap,
+            used: pool.usage().get(&team.name).copied().unwrap_or_default(),
+            short: pool.short().get(&team.name).copied().unwrap_or_default(),
         })
         .collect()
 }
@@ -154,89 +171,67 @@
 async fn adjust<P: Platform>(scheduler: &Scheduler<P>, known: &mut BTreeMap<TeamName, Known>) {
     let now = scheduler.now();
     let mut changes: Vec<(TeamName, Share)> = Vec::new();
-    for (team, cap, wanted) in teams(scheduler) {
-        let it = known.entry(team.clone()).or_default();
+    for demand in demands(scheduler) {
+        let it = known.entry(demand.team.clone()).or_default();
         if it.is_unsure {
             continue;
         }
-        let row = it.share.row(&scheduler.name);
-        let mut share = it.share.clone();
-        let used = used(scheduler, &team);
-        if !wanted.fits(&row) {
-            it.idle_since = None;
-            let least = cap.percent(RAISE_PERCENT);
-            let raised = wanted.max(row).zip(wanted.max(row) + least, |_, more| more);
-            if share.is_within(cap) && share.raise(&scheduler.name, raised, cap) {
-                changes.push((team.clone(), share));
-            } else {
-                lower_to_use(scheduler, it, &team, used, cap, &mut share, &mut changes);
-            }
-        } else {
-            let spare = row - wanted;
-            let is_large = !spare.fits(&cap.percent(KEEP_PERCENT)) || wanted == Resources::ZERO;
-            if row == Resources::ZERO || !is_large {
-                it.idle_since = None;
-            } else if now.saturating_duration_since(*it.idle_since.get_or_insert(now)) >= IDLE
-                || !it.share.is_within(cap)
-            {
-                it.idle_since = None;
-                let kept = if wanted == Resources::ZERO {
-                    wanted
-                } else {
-                    wanted + cap.percent(KEEP_PERCENT)
-                };
-                if share.lower(&scheduler.name, kept) {
-                    // What is given back must not be used from here on.
-                    scheduler
-                        .pool
-                        .borrow_mut()
-                        .set_allowance(team.clone(), share.row(&scheduler.name));
-                    changes.push((team.clone(), share));
-                }
+        if let Some(row) = next_row(&scheduler.name, it, &demand, now) {
+            let mut share = it.share.clone();
+            if share.set(&scheduler.name, row) {
+                changes.push((demand.team.clone(), share));
             }
         }
-        publish_allowance(scheduler, &team, cap, known.get(&team), &changes);
+        publish_allowance(scheduler, &demand, it, &changes);
     }
     for batch in changes.chunks(TEAMS_PER_TXN) {
         write(scheduler, known, batch).await;
     }
 }
 
-fn used<P: Platform>(scheduler: &Scheduler<P>, team: &TeamName) -> Resources {
-    let pool = scheduler.pool.borrow();
-    pool.usage().get(team).copied().unwrap_or_default()
-}
-
-/// There is no room in the share. If its rows are above the limit, what this pool doesn't use is given back.
-fn lower_to_use<P: Platform>(
-    scheduler: &Scheduler<P>,
-    it: &Known,
-    team: &TeamName,
-    used: Resources,
-    cap: Resources,
-    share: &mut Share,
-    changes: &mut Vec<(TeamName, Share)>,
-) {
-    if !it.share.is_within(cap) && share.lower(&scheduler.name, used) {
-        changes.push((team.clone(), share.clone()));
+/// What the pool's row should become, if it should change now.
+fn next_row(pool: &PoolName, it: &mut Known, demand: &Demand, now: Instant) -> Option<Resources> {
+    let row = it.share.row(pool);
+    let reserve = demand.cap.percent(RESERVE_PERCENT);
+    let (used, short, cap) = (demand.used, demand.short, demand.cap);
+    let target = it.share.target(pool, used, short, reserve, cap);
+    let is_within = it.share.is_within(cap);
+    if !target.fits(&row) && is_within {
+        it.idle_since = None;
+        // With room left, what the row holds already is kept.
+        let has_all = (used + short).fits(&target);
+        return Some(if has_all { target.max(row) } else { target });
+    }
+    if (row - target).fits(&reserve) {
+        it.idle_since = None;
+        return None;
+    }
+    let free = cap - it.share.total();
+    let is_contended = !cap.percent(CONTENDED_PERCENT).fits(&free) || !is_within;
+    let patience = if is_contended { IDLE_CONTENDED } else { IDLE };
+    let idle_since = *it.idle_since.get_or_insert(now);
+    if now.saturating_duration_since(idle_since) < patience {
+        return None;
     }
+    it.idle_since = None;
+    // A row that is above the limit with the others keeps nothing that it doesn't use.
+    Some(if is_within { target } else { used }.zip(row, u64::min))
 }
 
 /// Tells the pool what it may start by. Where the rows are above the limit, nothing more is started.
 fn publish_allowance<P: Platform>(
     scheduler: &Scheduler<P>,
-    team: &TeamName,
-    cap: Resources,
-    known: Option<&Known>,
+    demand: &Demand,
+    it: &Known,
     changes: &[(TeamName, Share)],
 ) {
-    let Some(it) = known else { return };
+    let team = &demand.team;
     let mut allowance = it.share.row(&scheduler.name);
     if let Some((_, changed)) = changes.iter().find(|(name, _)| name == team) {
         allowance = allowance.zip(changed.row(&scheduler.name), u64::min);
     }
-    if !it.share.is_within(cap) {
-        allowance = allowance.zip(used(scheduler, team), u64::min);
+    if !it.share.is_within(demand.cap) {
+        allowance = allowance.zip(demand.used, u64::min);
     }
     let mut pool = scheduler.pool.borrow_mut();
     if pool.allowance(team) != allowance {
@@ -273,10 +268,7 @@
                 let it = known.entry(team.clone()).or_default();
                 it.share = share.clone();
                 it.revision = revision;
-                scheduler
-                    .pool
-                    .borrow_mut()
-                    .set_allowance(team.clone(), row);
+                scheduler.pool.borrow_mut().set_allowance(team.clone(), row);
             }
             scheduler.replan.notify_one();
         }
--- a/crates/jobs/src/job/mod.rs
+++ b/crates/jobs/src/job/mod.rs
@@ -4,7 +4,7 @@
 //! number 0. A [`Task`] has at most one live run unless its step allows copies, and none once it is done. `live` counts the
 //! runs that may be at work on any worker, including those whose start has not been answered.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use goldcrest_types::names::QueueName;
@@ -18,12 +18,10 @@
 pub struct Task {
     /// It has ended as done.
     pub is_done: bool,
-    /// How often it has failed.
-    pub failures: u32,
+    /// The runs that have failed.
+    pub failed_runs: Vec<RunNumber>,
     /// The highest run number that was used.
     pub last_run: Option<RunNumber>,
-    /// The highest run whose end has been counted.
-    pub last_ended: Option<RunNumber>,
     /// Where the next run resumes.
     pub checkpoint: Option<Box<str>>,
     /// Runs that may be at work.
@@ -43,13 +41,12 @@
 
     fn to_progress(&self, index: u32) -> Option<TaskProgress> {
         // A first run that is still at work is learned from its worker.
-        let has_ended = self.last_ended.is_some() || self.checkpoint.is_some();
+        let has_ended = !self.failed_runs.is_empty() || self.checkpoint.is_some();
         let is_lost = self.last_run.is_some() && self.live == 0;
         (!self.is_done && (has_ended || is_lost)).then(|| TaskProgress {
             index,
-            failures: self.failures,
+            failed_runs: self.failed_runs.clone(),
             last_run: self.last_run,
-            last_ended: self.last_ended,
             checkpoint: self.checkpoint.clone(),
         })
     }
@@ -91,12 +88,11 @@
         Some(result)
     }
 
-    /// Whether a failure in this run has been counted, for a gang that fails as one.
+    /// How often the tasks have failed together, for a gang.
     #[must_use]
-    pub fn has_counted(&self, run: RunNumber) -> bool {
-        self.tasks
-            .iter()
-            .any(|task| task.failures > 0 && task.last_ended >= Some(run))
+    pub fn gang_failures(&self) -> usize {
+        let of_all = self.tasks.iter().flat_map(|task| &task.failed_runs);
+        of_all.collect::<BTreeSet<_>>().len()
     }
 
     /// How many tasks have a run that may be at work.
@@ -394,10 +390,9 @@
             task.is_done = is_done;
             task.is_unknown = !is_done;
             if let Some(ended) = ended {
-                task.failures = ended.failures;
+                task.failed_runs.clone_from(&ended.failed_runs);
                 task.last_run = ended.last_run;
-                task.last_ended = ended.last_ended;
-                task.checkpoint = ended.checkpoint.clone();
+                task.checkpoint.clone_from(&ended.checkpoint);
             }
         });
     }
--- a/crates/jobs/src/pool/facts.rs
+++ b/crates/jobs/src/pool/facts.rs
@@ -106,6 +106,7 @@
                 Some(worker) if !self.is_new_life(worker, &info) => worker,
                 Some(worker) => {
                     self.end_life(worker, "reborn", now);
+                    self.stop_awaiting(worker);
                     self.add_worker(info.clone())
                 }
                 None => self.add_worker(info.clone()),
@@ -131,7 +132,8 @@
         let Some(it) = self.workers.get(&worker) else {
             return true;
         };
-        let is_reborn = matches!((it.info.born_ms, info.born_ms), (Some(old), Some(new)) if old < new);
+        let is_reborn =
+            matches!((it.info.born_ms, info.born_ms), (Some(old), Some(new)) if old < new);
         is_reborn || (it.is_gone && info.born_ms.is_none())
     }
 
@@ -158,7 +160,8 @@
         let Some(it) = self.workers.get_mut(&worker) else {
             return;
         };
-        let is_older = matches!((it.info.born_ms, info.born_ms), (Some(old), Some(new)) if new < old);
+        let is_older =
+            matches!((it.info.born_ms, info.born_ms), (Some(old), Some(new)) if new < old);
         if is_older {
             return;
         }
@@ -229,12 +232,17 @@
         };
         it.is_gone = true;
         let keys: Vec<RunKey> = it.runs.keys().copied().collect();
-        let id = it.info.id.clone();
         for key in keys {
             self.drop_run(worker, key, "worker gone", now);
         }
-        if let Some(takeover) = &mut self.takeover {
-            takeover.awaited.remove(&id);
+    }
+
+    /// It is certain that the life of the worker which an earlier scheduler may have used has ended.
+    pub(super) fn stop_awaiting(&mut self, worker: WorkerRef) {
+        if let Some(takeover) = &mut self.takeover
+            && let Some(it) = self.workers.get(&worker)
+        {
+            takeover.awaited.remove(&it.info.id);
         }
     }
 
@@ -320,7 +328,10 @@
                 self.is_fenced_out = true;
                 self.drop_run(worker, key, "fenced", now);
             }
-            StartAnswer::WrongWorker => self.end_life(worker, "replaced", now),
+            StartAnswer::WrongWorker => {
+                self.end_life(worker, "replaced", now);
+                self.stop_awaiting(worker);
+            }
         }
     }
 
@@ -342,10 +353,10 @@
         }
     }
 
-    /// A worker did not answer.
-    pub fn no_answer(&mut self, worker: WorkerRef, now: Instant) {
+    /// A worker gave no report; it gets no starts until it does.
+    pub fn no_answer(&mut self, worker: WorkerRef) {
         if let Some(it) = self.workers.get_mut(&worker) {
-            it.paused_until = Some(now + WORKER_PAUSE);
+            it.is_silent = true;
         }
     }
 
@@ -355,6 +366,7 @@
             self.is_fenced_out = true;
         } else {
             self.end_life(worker, "replaced", now);
+            self.stop_awaiting(worker);
         }
     }
 
--- a/crates/jobs/src/pool/pace.rs
+++ b/crates/jobs/src/pool/pace.rs
@@ -81,7 +81,11 @@
         .map(|run| run.pace_percent)
         .max()?;
     let next = if worst_percent > THROTTLE_AT_PERCENT {
-        if present / 2 < HALT_PERCENT { 0 } else { present / 2 }
+        if present / 2 < HALT_PERCENT {
+            0
+        } else {
+            present / 2
+        }
     } else if worst_percent < CALM_PERCENT {
         (present + GIVE_BACK_PERCENT).min(100)
     } else {
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -131,7 +131,14 @@
         .step(step)
         .and_then(|(_, state)| state.tasks.iter().find_map(|task| task.checkpoint.clone()));
     for (task, worker) in tasks.into_iter().zip(workers) {
-        start(pool, task, &spec, worker, Some((run, checkpoint.clone())), now);
+        start(
+            pool,
+            task,
+            &spec,
+            worker,
+            Some((run, checkpoint.clone())),
+            now,
+        );
     }
 }
 
@@ -230,18 +237,17 @@
     let wanted = pool.usage.get(team).copied().unwrap_or_default() + more;
     let allowance = pool.allowance(team);
     // No cap on a kind of resource is written as 0.
-    let limit = cap.zip(allowance, |cap, allowance| {
-        if cap == 0 { u64::MAX } else { allowance }
-    });
+    let limit = cap.zip(
+        allowance,
+        |cap, allowance| {
+            if cap == 0 { u64::MAX } else { allowance }
+        },
+    );
     wanted.fits(&limit)
 }
 
 fn note_short(pool: &mut Pool, job: JobId, reserved: Resources, tasks: u64) {
-    if let Some(team) = pool
-        .jobs
-        .get(&job)
-        .and_then(|job| job.record.team.clone())
-    {
+    if let Some(team) = pool.jobs.get(&job).and_then(|job| job.record.team.clone()) {
         *pool.short.entry(team).or_default() +=
             reserved.zip(Resources::ZERO, |amount, _| amount.saturating_mul(tasks));
     }
--- a/crates/jobs/src/pool/release.rs
+++ b/crates/jobs/src/pool/release.rs
@@ -3,17 +3,21 @@
 //! A worker that doesn't answer keeps its runs until every lease that was offered to it has lapsed on its own clock.
 //! A takeover ends once all workers of the earlier scheduler have reported, or all its leases have lapsed.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::id::WorkerRef;
 use crate::pool::Pool;
+use crate::worker::Worker;
+
+/// A worker without runs that is not listed and has been silent this long is held to have left.
+const SILENCE: Duration = Duration::from_secs(3);
 
 /// Runs the pass.
 pub fn run(pool: &mut Pool, now: Instant) {
     let lapsed: Vec<WorkerRef> = pool
         .workers
         .iter()
-        .filter(|(_, it)| !it.is_gone && it.lapses_at().is_some_and(|at| now >= at))
+        .filter(|(_, it)| !it.is_gone && (has_lapsed(it, now) || has_left(it, now)))
         .map(|(worker, _)| *worker)
         .collect();
     for worker in lapsed {
@@ -35,6 +39,19 @@
     end_takeover(pool, now);
 }
 
+/// Every lease that was offered has lapsed.
+fn has_lapsed(worker: &Worker, now: Instant) -> bool {
+    worker.lapses_at().is_some_and(|at| now >= at)
+}
+
+/// It is not listed, does not answer and runs nothing.
+fn has_left(worker: &Worker, now: Instant) -> bool {
+    let is_silent = worker
+        .answered_at
+        .is_none_or(|at| now.saturating_duration_since(at) >= SILENCE);
+    !worker.is_listed && worker.runs.is_empty() && is_silent
+}
+
 fn release(pool: &mut Pool, worker: WorkerRef, now: Instant) {
     let Some(it) = pool.workers.get_mut(&worker) else {
         return;
--- a/crates/jobs/src/pool/report.rs
+++ b/crates/jobs/src/pool/report.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeSet;
 use std::time::Instant;
 
-use crate::id::WorkerRef;
+use crate::id::{RunNumber, WorkerRef};
+use crate::job::Task;
 use crate::pool::{Event, Pool};
 use crate::spec::JobState;
 use crate::worker::{EndRow, Phase, Report, Run, RunEnd, RunKey, RunningRow};
@@ -37,6 +38,7 @@
         it.clock = Some((report.clock_ms, now));
         it.answered_at = Some(now);
         it.is_full = false;
+        it.is_silent = false;
         if !it.is_fenced {
             it.is_fenced = true;
             // Leases that an earlier scheduler has offered.
@@ -51,7 +53,7 @@
         let may_have_more = report.ended.len() >= ENDS_PER_REPORT;
         let has_ends = !report.ended.is_empty();
         for row in report.ended {
-            self.take_end(worker, row, now);
+            self.take_end(worker, &row, now);
         }
         let mut listed = BTreeSet::new();
         for row in report.running {
@@ -80,10 +82,11 @@
         info.is_draining = false;
         let vm = it.vm.clone();
         self.end_life(worker, "reborn", now);
+        self.stop_awaiting(worker);
         self.set_reborn(info, vm)
     }
 
-    fn take_end(&mut self, worker: WorkerRef, row: EndRow, now: Instant) {
+    fn take_end(&mut self, worker: WorkerRef, row: &EndRow, now: Instant) {
         let Some(it) = self.workers.get_mut(&worker) else {
             return;
         };
@@ -110,11 +113,16 @@
             run: row.run,
             how: end_name(row.end),
         });
-        self.apply_end(&row, run, now);
+        self.apply_end(row, run.as_ref(), now);
     }
 
     fn avoid_failing(&mut self, worker: WorkerRef, now: Instant) {
-        let is_only_one = self.workers.values().filter(|it| it.takes_work(now)).count() <= 1;
+        let is_only_one = self
+            .workers
+            .values()
+            .filter(|it| it.takes_work(now))
+            .count()
+            <= 1;
         let Some(it) = self.workers.get_mut(&worker) else {
             return;
         };
@@ -128,14 +136,14 @@
         self.note_worker(worker, "avoided: fails what it starts");
     }
 
-    fn apply_end(&mut self, row: &EndRow, run: Option<Run>, now: Instant) {
+    fn apply_end(&mut self, row: &EndRow, run: Option<&Run>, now: Instant) {
         let job_id = row.task.step.job;
         let Some(job) = self.jobs.get(&job_id) else {
             return;
         };
         let attempts_max = self.attempts_max(job.queue());
         let team = job.record.team.clone();
-        if let Some(run) = &run
+        if let Some(run) = run
             && let Some(team) = &team
             && let Some(usage) = self.usage.get_mut(team)
         {
@@ -145,40 +153,37 @@
             return;
         };
         job.has_begun = true;
+        let was_live = run.is_some();
         let Some((step, state)) = job.step_mut(row.task.step) else {
             // Its occurrence is done.
             return;
         };
         let (is_gang, is_service) = (step.is_gang, step.is_service);
-        let was_live = run.is_some();
-        let is_counted = is_gang && state.has_counted(row.run);
         let failures = state.update(row.task.index, |task| {
-            let is_repeated = task.last_ended >= Some(row.run);
             task.live = task.live.saturating_sub(u32::from(was_live));
             task.last_run = task.last_run.max(Some(row.run));
-            task.last_ended = task.last_ended.max(Some(row.run));
             task.ended_at = Some(now);
             if row.checkpoint.is_some() {
                 task.checkpoint.clone_from(&row.checkpoint);
             }
             match row.end {
                 RunEnd::Done => task.is_done = true,
-                RunEnd::Failed if !is_repeated && !is_counted => task.failures += 1,
+                RunEnd::Failed => note_failure(task, row.run, is_service),
                 _ => {}
             }
-            task.failures
+            task.failed_runs.len()
         });
         if row.end == RunEnd::Done && is_gang {
             for index in 0..step_len(state) {
                 state.update(index, |task| task.is_done = true);
             }
         }
-        let is_failed = row.end == RunEnd::Failed
-            && !is_service
-            && failures.is_some_and(|failures| {
-                let of_gang: u32 = state.tasks.iter().map(|task| task.failures).sum();
-                failures >= attempts_max || (is_gang && of_gang >= attempts_max)
-            });
+        let failures = if is_gang {
+            state.gang_failures()
+        } else {
+            failures.unwrap_or_default()
+        };
+        let is_failed = !is_service && failures >= attempts_max as usize;
         if is_failed && job.outcome.is_none() {
             job.outcome = Some(JobState::Failed);
         }
@@ -214,7 +219,9 @@
             run.checkpoint = row.checkpoint;
         }
         run.over_since = match run.tail_target {
-            Some(target) if row.load > target.as_secs_f64() * 1_000.0 => run.over_since.or(Some(now)),
+            Some(target) if row.load > target.as_secs_f64() * 1_000.0 => {
+                run.over_since.or(Some(now))
+            }
             _ => None,
         };
     }
@@ -288,6 +295,13 @@
     }
 }
 
+fn note_failure(task: &mut Task, run: RunNumber, is_service: bool) {
+    // The tasks of a service may fail any number of times.
+    if !is_service && !task.failed_runs.contains(&run) {
+        task.failed_runs.push(run);
+    }
+}
+
 fn step_len(state: &crate::job::StepState) -> u32 {
     u32::try_from(state.tasks.len()).unwrap_or(u32::MAX)
 }
--- a/crates/jobs/src/progress/mod.rs
+++ b/crates/jobs/src/progress/mod.rs
@@ -4,6 +4,8 @@
 //! attempts that have failed, the highest run number and the checkpoint of each task that has ended otherwise. It is
 //! written before an end is taken note of at its worker, so that no end is lost with its scheduler.
 
+use std::collections::BTreeSet;
+
 use serde::{Deserialize, Serialize};
 
 use crate::id::RunNumber;
@@ -53,12 +55,10 @@
 pub struct TaskProgress {
     /// The task's place in its step.
     pub index: u32,
-    /// How often it has failed.
-    pub failures: u32,
+    /// The runs that have failed. An end may be reported again after this was stored, and ends may come out of order.
+    pub failed_runs: Vec<RunNumber>,
     /// The highest run number that is known to have been used.
     pub last_run: Option<RunNumber>,
-    /// The highest run whose end has been counted. The end may be reported again after this was stored.
-    pub last_ended: Option<RunNumber>,
     /// Where a new run resumes.
     pub checkpoint: Option<Box<str>>,
 }
@@ -86,9 +86,12 @@
     #[must_use]
     pub fn has_failed(&self, is_gang: bool, attempts_max: u32) -> bool {
         if is_gang {
-            self.ended.iter().map(|task| task.failures).sum::<u32>() >= attempts_max
+            let of_all = self.ended.iter().flat_map(|task| &task.failed_runs);
+            of_all.collect::<BTreeSet<_>>().len() >= attempts_max as usize
         } else {
-            self.ended.iter().any(|task| task.failures >= attempts_max)
+            self.ended
+                .iter()
+                .any(|task| task.failed_runs.len() >= attempts_max as usize)
         }
     }
 }
--- a/crates/jobs/src/share/mod.rs
+++ b/crates/jobs/src/share/mod.rs
@@ -41,36 +41,59 @@
         self.total().fits(&limit)
     }
 
-    /// Raises the row of a pool towards `wanted`, as far as the limit allows; returns whether it changed.
-    pub fn raise(&mut self, pool: &PoolName, wanted: Resources, cap: Resources) -> bool {
-        let row = self.row(pool);
-        let free = cap.zip(self.total(), |cap, total| {
-            if cap == 0 {
-                u64::MAX
-            } else {
-                cap.saturating_sub(total)
-            }
-        });
-        let more = (wanted - row).zip(free, u64::min);
-        if more == Resources::ZERO {
-            return false;
+    /// What the row of a pool should be for what is used there and `short` more, as far as the limit allows. All kinds
+    /// of resource grow by the same fraction of `short`: a row that held much of one kind and none of another would
+    /// keep it from pools that can use it. Beyond that the row keeps `reserve`, if nothing is short.
+    #[must_use]
+    pub fn target(
+        &self,
+        pool: &PoolName,
+        used: Resources,
+        short: Resources,
+        reserve: Resources,
+        cap: Resources,
+    ) -> Resources {
+        let others = self.total() - self.row(pool);
+        let limit = cap.zip(cap, |cap, _| if cap == 0 { u64::MAX } else { cap });
+        let free = limit - others - used;
+        let fraction = parts_of(free, short);
+        let more = short.zip(short, |short, _| scale(short, fraction));
+        if fraction < WHOLE {
+            return used + more;
         }
-        self.rows.insert(pool.clone(), row + more);
-        true
+        used + more + reserve.zip(free - more, u64::min)
     }
 
-    /// Lowers the row of a pool to `kept`; returns whether it changed.
-    pub fn lower(&mut self, pool: &PoolName, kept: Resources) -> bool {
-        let row = self.row(pool);
-        let lower = row.zip(kept, u64::min);
-        if lower == row {
-            return false;
-        }
-        if lower == Resources::ZERO {
+    /// Sets the row of a pool; returns whether it changed.
+    pub fn set(&mut self, pool: &PoolName, row: Resources) -> bool {
+        let is_changed = self.row(pool) != row;
+        if row == Resources::ZERO {
             self.rows.remove(pool);
         } else {
-            self.rows.insert(pool.clone(), lower);
+            self.rows.insert(pool.clone(), row);
         }
-        true
+        is_changed
     }
 }
+
+/// The parts that a whole is divided into when a fraction is taken of it.
+const WHOLE: u64 = 1 << 20;
+
+fn scale(amount: u64, fraction: u64) -> u64 {
+    let scaled = u128::from(amount) * u128::from(fraction) / u128::from(WHOLE);
+    u64::try_from(scaled).unwrap_or(u64::MAX)
+}
+
+/// The largest fraction of `short` that fits into `free`.
+fn parts_of(free: Resources, short: Resources) -> u64 {
+    let of_kind = |free: u64, short: u64| {
+        if short <= free {
+            return WHOLE;
+        }
+        let parts = u128::from(free) * u128::from(WHOLE) / u128::from(short);
+        u64::try_from(parts).unwrap_or(WHOLE)
+    };
+    of_kind(free.cpu_millis, short.cpu_millis)
+        .min(of_kind(free.memory_mb, short.memory_mb))
+        .min(of_kind(free.accelerators, short.accelerators))
+}
--- a/crates/jobs/src/upkeep/mod.rs
+++ b/crates/jobs/src/upkeep/mod.rs
@@ -121,7 +121,10 @@
             .progress
             .begun
             .iter()
-            .filter(|vm| vms.get(vm).is_some_and(|vm| vm.state == VmState::Maintained))
+            .filter(|vm| {
+                vms.get(vm)
+                    .is_some_and(|vm| vm.state == VmState::Maintained)
+            })
             .count();
         if remaining.is_empty() {
             if down == 0 {
--- a/crates/jobs/src/verify/mod.rs
+++ b/crates/jobs/src/verify/mod.rs
@@ -57,7 +57,11 @@
                 .values()
                 .fold(Resources::ZERO, |sum, run| sum + run.reserved);
             (sum != worker.used).then(|| {
-                format!("worker {}: {sum} reserved, counted {}", worker.info.id, worker.used).into()
+                format!(
+                    "worker {}: {sum} reserved, counted {}",
+                    worker.info.id, worker.used
+                )
+                .into()
             })
         })
         .collect()
@@ -79,7 +83,8 @@
         .iter()
         .filter_map(|(team, counted)| {
             let sum = sums.get(team).copied().unwrap_or_default();
-            (sum != *counted).then(|| format!("team {team}: {sum} running, counted {counted}").into())
+            (sum != *counted)
+                .then(|| format!("team {team}: {sum} running, counted {counted}").into())
         })
         .collect()
 }
--- a/crates/jobs/src/worker/mod.rs
+++ b/crates/jobs/src/worker/mod.rs
@@ -132,7 +132,9 @@
     pub lease_until_ms: u64,
     /// When it last answered.
     pub answered_at: Option<Instant>,
-    /// Orders are not sent before this time.
+    /// Its last report did not come.
+    pub is_silent: bool,
+    /// Starts are not sent before this time.
     pub paused_until: Option<Instant>,
     /// The job of the last failure; a job that fails everywhere is no evidence against a worker.
     pub last_failed_job: Option<JobId>,
@@ -172,6 +174,7 @@
             clock: None,
             lease_until_ms: 0,
             answered_at: None,
+            is_silent: false,
             paused_until: None,
             last_failed_job: None,
             paced_at: None,
@@ -193,6 +196,7 @@
             && self.is_listed
             && !self.is_gone
             && !self.is_full
+            && !self.is_silent
             && !self.is_evacuating
             && !self.info.is_draining
             && self.paused_until.is_none_or(|until| now >= until)
--- /dev/null
+++ b/crates/jobs/tests/common/parse.rs
@@ -0,0 +1,157 @@
+//! The words of the lines.
+
+use std::time::Duration;
+
+use goldcrest_jobs::id::{JobId, RunNumber, TaskId};
+use goldcrest_jobs::pool::{Event, StartAnswer};
+use goldcrest_jobs::resources::Resources;
+use goldcrest_jobs::spec::Step;
+use goldcrest_jobs::worker::{EndRow, Report, RunEnd, RunningRow};
+
+pub fn number<T: std::str::FromStr>(word: &str) -> T {
+    word.parse()
+        .unwrap_or_else(|_| panic!("'{word}' can't be read"))
+}
+
+/// A job's id is written without its trailing zeros.
+pub fn job_id(word: &str) -> JobId {
+    number(&format!("{word:0<16}"))
+}
+
+/// A task is written as `JOB.OCCURRENCE.STEP.INDEX`, the job without its trailing zeros.
+pub fn task(word: &str) -> TaskId {
+    let (job, rest) = word.split_once('.').expect("a task has dots");
+    number(&format!("{}.{rest}", job_id(job)))
+}
+
+pub fn short(task: TaskId) -> String {
+    let job = task.step.job.to_string();
+    let (occurrence, step) = (task.step.occurrence, task.step.step);
+    let job = job.trim_end_matches('0');
+    format!("{job}.{occurrence}.{step}.{}", task.index)
+}
+
+pub fn step(word: &str) -> Step {
+    let mut parts = word.split(',');
+    let size = parts.next().unwrap_or_default();
+    let (tasks, rest) = size.split_once('x').expect("a step has tasks");
+    let sizes: Vec<u64> = rest.split('/').map(number).collect();
+    let mut step = Step {
+        tasks: number(tasks),
+        demand: Resources {
+            cpu_millis: sizes[0],
+            memory_mb: sizes[1],
+            accelerators: 0,
+        },
+        estimate: Duration::from_millis(sizes[2]),
+        ..Step::default()
+    };
+    for flag in parts {
+        let (name, value) = flag.split_once(':').unwrap_or((flag, ""));
+        match name {
+            "after" => step.after.push(number(value)),
+            "gang" => step.is_gang = true,
+            "rack" => step.is_same_rack = true,
+            "checkpointing" => step.is_checkpointing = true,
+            "service" => step.is_service = true,
+            "fills" => step.is_best_effort = true,
+            "speculative" => step.is_speculative = true,
+            "miss" => step.unavailable_max = number(value),
+            "spread" => step.spread = Some(number(value)),
+            "near" => step.near = Some(value.into()),
+            "requires" => step.requires = Some(value.into()),
+            "tail" => step.tail_target = Some(Duration::from_millis(number(value))),
+            "image" => step.image = Some(value.into()),
+            _ => panic!("'{flag}' is no flag of a step"),
+        }
+    }
+    step
+}
+
+pub fn answer(word: &str) -> StartAnswer {
+    match word {
+        "yes" => StartAnswer::Started,
+        "no-room" => StartAnswer::NoRoom,
+        "outdated" => StartAnswer::Outdated,
+        "late" => StartAnswer::TooLate,
+        "fenced" => StartAnswer::Fenced,
+        "unhealthy" => StartAnswer::Unhealthy,
+        "wrong" => StartAnswer::WrongWorker,
+        "unknown" => StartAnswer::Unknown,
+        _ => panic!("'{word}' is no answer"),
+    }
+}
+
+fn end(word: &str) -> RunEnd {
+    match word {
+        "done" => RunEnd::Done,
+        "failed" => RunEnd::Failed,
+        "stopped" => RunEnd::Stopped,
+        "lapsed" => RunEnd::Lapsed,
+        "broken" => RunEnd::Broken,
+        "alone" => RunEnd::Alone,
+        _ => panic!("'{word}' is no end"),
+    }
+}
+
+/// `CLOCK [born MS] [run TASK RUN PERCENT LOAD]... [end N TASK RUN HOW[:CHECKPOINT]]...`
+pub fn report(words: &[&str]) -> Report {
+    let mut report = Report {
+        clock_ms: number(words[0]),
+        ..Report::default()
+    };
+    let mut rest = &words[1..];
+    while let Some(kind) = rest.first() {
+        match *kind {
+            "born" => {
+                report.born_ms = Some(number(rest[1]));
+                rest = &rest[2..];
+            }
+            "run" => {
+                report.running.push(RunningRow {
+                    task: task(rest[1]),
+                    run: RunNumber(number(rest[2])),
+                    checkpoint: None,
+                    percent: number(rest[3]),
+                    load: number(rest[4]),
+                });
+                rest = &rest[5..];
+            }
+            "end" => {
+                let (how, checkpoint) = rest[4].split_once(':').unwrap_or((rest[4], ""));
+                report.ended.push(EndRow {
+                    number: number(rest[1]),
+                    task: task(rest[2]),
+                    run: RunNumber(number(rest[3])),
+                    end: end(how),
+                    checkpoint: (!checkpoint.is_empty()).then(|| checkpoint.into()),
+                });
+                rest = &rest[5..];
+            }
+            other => panic!("'{other}' is no part of a report"),
+        }
+    }
+    report
+}
+
+/// What is shown of an event. Starts and stops are shown as orders.
+pub fn told(event: &Event) -> Option<String> {
+    match event {
+        Event::Started { .. } | Event::Stopped { .. } => None,
+        Event::Ended {
+            worker,
+            task,
+            run,
+            how,
+        } => Some(format!("{} run {run} on {worker}: {how}", short(*task))),
+        Event::JobEnded { job, state, .. } => {
+            let job = job.to_string();
+            Some(format!("job {} {state:?}", job.trim_end_matches('0')))
+        }
+        Event::Worker {
+            worker,
+            state,
+            runs,
+        } => Some(format!("worker {worker}: {state}, {runs} runs")),
+    }
+}
--- a/crates/obs/src/logs/bounded.rs
+++ b/crates/obs/src/logs/bounded.rs
@@ -62,8 +62,10 @@
         let count = left_out.swap(0, Ordering::Relaxed);
         if count > 0 {
             batch.extend(
-                format!("{{\"part\":\"logs\",\"message\":\"Lines left out.\",\"lines\":{count}}}\n")
-                    .into_bytes(),
+                format!(
+                    "{{\"part\":\"logs\",\"message\":\"Lines left out.\",\"lines\":{count}}}\n"
+                )
+                .into_bytes(),
             );
         }
         // A standard output that is closed leaves nowhere to say so.
--- a/crates/standin/src/kv/table.rs
+++ b/crates/standin/src/kv/table.rs
@@ -6,9 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use goldcrest_ports::store::{
-    Expect, LeaseId, StoreError, StoreKey, VALUE_BYTES_MAX, Versioned,
-};
+use goldcrest_ports::store::{Expect, LeaseId, StoreError, StoreKey, VALUE_BYTES_MAX, Versioned};
 use goldcrest_types::units::StoreVersion;
 use tokio::time::Instant;
 
