grid: one task saves; a stand-in of the platform on a paused clock; tests of entries

Change: a stop only waits for the saver; a lost role is an error of a save. A newer catalogue that a refused acceptance brings is put in force before the call is judged by it. Parts of a process end with it (their handles abort them). `crates/standin` gains `grid`: store with leases, history and faults, workers with leases, fencing and ends, VMs. Ruled out: the successor's takeover (it waited for the cut worker, which had nothing listed any more), a late transaction.

--- a/crates/grid/src/calls/submit.rs
+++ b/crates/grid/src/calls/submit.rs
@@ -113,9 +113,8 @@
         let began_at = self.now();
         let again = match conflict.catalogue {
             Some(stored) => {
-                let again = admit(&stored, call, began_at)?;
-                operators::put_in_force(self, stored);
-                Some(again)
+                operators::put_in_force(self, stored.clone());
+                Some(admit(&stored, call, began_at)?)
             }
             None => None,
         };
--- a/crates/grid/src/entry/mod.rs
+++ b/crates/grid/src/entry/mod.rs
@@ -17,6 +17,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::AbortOnDropHandle;
 
 use crate::metrics::Metrics;
 use crate::ports::{
@@ -292,7 +293,7 @@
     parts.spawn_local(operators::run(Rc::clone(&entry)));
     parts.spawn_local(session::run(Rc::clone(&entry)));
     parts.spawn_local(registry::run(Rc::clone(&entry)));
-    let members = tokio::task::spawn_local(members::run(Rc::clone(&entry)));
+    let members = AbortOnDropHandle::new(tokio::task::spawn_local(members::run(Rc::clone(&entry))));
     tokio::select! {
         ended = parts.join_next() => {
             if let Some(Err(error)) = ended {
--- a/crates/grid/src/members/mod.rs
+++ b/crates/grid/src/members/mod.rs
@@ -12,7 +12,7 @@
 
 use goldcrest_jobs::id::FencingToken;
 use goldcrest_types::names::PoolName;
-use tokio::task::JoinHandle;
+use tokio_util::task::AbortOnDropHandle;
 
 use crate::entry::Entry;
 use crate::keys::{self, Role};
@@ -66,7 +66,7 @@
 
 struct Running {
     held: Held,
-    task: JoinHandle<()>,
+    task: AbortOnDropHandle<()>,
     hand_over: tokio_util::sync::CancellationToken,
 }
 
@@ -237,7 +237,7 @@
         };
         Running {
             held,
-            task,
+            task: AbortOnDropHandle::new(task),
             hand_over,
         }
     }
--- a/crates/grid/src/pool/mod.rs
+++ b/crates/grid/src/pool/mod.rs
@@ -178,11 +178,10 @@
         }
     }
 
-    /// Stops ordering and saves what has changed.
+    /// Stops ordering and waits until what has changed is saved.
     async fn leave(&self) {
         self.is_leaving.set(true);
-        let saved = tokio::time::timeout(LAST_SAVE, self.save());
-        if saved.await.is_err() {
+        if !self.wait_saved(LAST_SAVE).await {
             log::warn!(target: "scheduler", pool:% = self.name; "The last changes were not saved; the workers' lists hold them.");
         }
     }
--- a/crates/grid/src/pool/reports.rs
+++ b/crates/grid/src/pool/reports.rs
@@ -119,7 +119,7 @@
                         .report(worker, now, report, arrived_at);
                     self.log_events();
                     self.changed();
-                    if has_ends && self.wait_saved().await {
+                    if has_ends && self.wait_saved(SAVE_WAIT).await {
                         noted = noted.max(last.unwrap_or_default());
                     }
                 }
@@ -160,11 +160,11 @@
         Some(until_ms)
     }
 
-    /// Waits until what a report changed is saved; `false` if that takes too long.
-    async fn wait_saved(&self) -> bool {
+    /// Waits until what has changed so far is saved; `false` if that takes too long.
+    pub(super) async fn wait_saved(&self, within: Duration) -> bool {
         let number = self.request_save();
         let mut saved = self.saved.subscribe();
-        let is_saved = tokio::time::timeout(SAVE_WAIT, saved.wait_for(|it| *it >= number)).await;
+        let is_saved = tokio::time::timeout(within, saved.wait_for(|it| *it >= number)).await;
         matches!(is_saved, Ok(Ok(_)))
     }
 
--- a/crates/grid/src/pool/save.rs
+++ b/crates/grid/src/pool/save.rs
@@ -70,8 +70,8 @@
         }
     }
 
-    /// Saves until nothing is left to save.
-    pub(super) async fn save(&self) {
+    /// Saves until nothing is left to save. Only one task may do this: what one round has taken is not seen by another.
+    async fn save(&self) {
         loop {
             let number = self.save_wanted.get();
             let jobs = self.pool.borrow_mut().take_unsaved();
@@ -99,7 +99,10 @@
     }
 
     async fn save_jobs(&self, mut jobs: Vec<JobId>) -> Result<(), CallError> {
-        while !jobs.is_empty() && !self.lost.is_cancelled() {
+        while !jobs.is_empty() {
+            if self.lost.is_cancelled() {
+                return Err(CallError::NotDone("the role is lost".into()));
+            }
             let mut txn = Txn {
                 expect: vec![self.held.guard()],
                 ..Txn::default()
--- /dev/null
+++ b/crates/grid/tests/entry/calls.rs
@@ -0,0 +1,177 @@
+//! Calls: accepting, asking, cancelling.
+
+use std::time::Duration;
+
+use goldcrest_grid::calls::{Refusal, Reply};
+use goldcrest_jobs::spec::JobState;
+use goldcrest_standin::grid::StoreFault;
+use tokio::time::{Instant, sleep};
+
+use crate::common::{Bed, KEY, catalogue, job, local};
+
+const ID: &str = "00000000000000a1";
+
+#[tokio::test(start_paused = true)]
+async fn submit_runs_to_completion() {
+    local(async {
+        let bed = Bed::new(2);
+        bed.start_all(&["e1", "e2", "e3"]).await;
+        assert_eq!(
+            bed.submit("e1", ID, job("", &[3, 2])).await,
+            Reply::Accepted
+        );
+        bed.wait_for("e2", ID, JobState::Completed, Duration::from_secs(3))
+            .await;
+        assert_eq!(bed.world.crew.borrow().starts.len(), 5);
+        bed.check_once();
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn submit_same_id_through_two_entries() {
+    local(async {
+        let bed = Bed::new(1);
+        bed.start_all(&["e1", "e2"]).await;
+        let (first, second) = tokio::join!(
+            bed.submit("e1", ID, job("", &[1])),
+            bed.submit("e2", ID, job("", &[1])),
+        );
+        assert_eq!((first, second), (Reply::Accepted, Reply::Accepted));
+        bed.wait_for("e1", ID, JobState::Completed, Duration::from_secs(3))
+            .await;
+        // A copy that arrives after the end is the same job.
+        assert_eq!(bed.submit("e2", ID, job("", &[1])).await, Reply::Accepted);
+        sleep(Duration::from_secs(2)).await;
+        assert_eq!(bed.world.crew.borrow().starts.len(), 1);
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn submit_withdrawn_key_unheard() {
+    local(async {
+        let bed = Bed::new(1);
+        bed.start_all(&["e1"]).await;
+        // The entry's watch has not returned yet: the transaction itself must tell.
+        bed.world.set_catalogue(catalogue(2, &["second"], 0));
+        let refused = bed.submit_with("e1", ID, KEY, job("", &[1])).await;
+        assert_eq!(refused, Reply::UnknownKey);
+        let taken = bed.submit_with("e1", ID, "second", job("", &[1])).await;
+        assert_eq!(taken, Reply::Accepted);
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn submit_store_refuses() {
+    local(async {
+        let bed = Bed::new(1);
+        bed.start_all(&["e1"]).await;
+        bed.world.set_fault("e1", StoreFault::Refuses);
+        let reply = bed.submit("e1", ID, job("", &[1])).await;
+        assert!(matches!(reply, Reply::Refused(Refusal::StoreRefused, _)));
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn submit_store_silent_is_refused_at_once() {
+    local(async {
+        let bed = Bed::new(1);
+        bed.start_all(&["e1"]).await;
+        bed.world.set_fault("e1", StoreFault::Silent);
+        sleep(Duration::from_secs(6)).await;
+        let began_at = Instant::now();
+        let reply = bed.submit("e1", ID, job("", &[1])).await;
+        assert!(matches!(reply, Reply::Refused(Refusal::StoreSilent, _)));
+        assert!(began_at.elapsed() < Duration::from_millis(50));
+        assert!(!bed.entry("e1").is_ready());
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn submit_answer_lost_is_one_job() {
+    local(async {
+        let bed = Bed::new(1);
+        bed.start_all(&["e1", "e2"]).await;
+        bed.world.set_fault("e1", StoreFault::LosesAnswers);
+        // It was carried out: reading the status shows that.
+        assert_eq!(bed.submit("e1", ID, job("", &[1])).await, Reply::Accepted);
+        bed.world.set_fault("e1", StoreFault::None);
+        bed.wait_for("e2", ID, JobState::Completed, Duration::from_secs(12))
+            .await;
+        assert_eq!(bed.world.crew.borrow().starts.len(), 1);
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn submit_carried_out_late_is_not_called_refused() {
+    local(async {
+        let bed = Bed::new(1);
+        bed.start_all(&["e1", "e2"]).await;
+        let late = StoreFault::CarriesOutLate(Duration::from_secs(4));
+        bed.world.set_fault("e1", late);
+        assert_eq!(bed.submit("e1", ID, job("", &[1])).await, Reply::Unknown);
+        bed.world.set_fault("e1", StoreFault::None);
+        // The caller's next attempt, and the late transaction, are one job.
+        assert_eq!(bed.submit("e2", ID, job("", &[1])).await, Reply::Accepted);
+        sleep(Duration::from_secs(10)).await;
+        bed.wait_for("e2", ID, JobState::Completed, Duration::from_secs(1))
+            .await;
+        assert_eq!(bed.world.crew.borrow().starts.len(), 1);
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn cancel_running_job() {
+    local(async {
+        let bed = Bed::new(1);
+        bed.start_all(&["e1", "e2"]).await;
+        let spec = job("ms=20000", &[2]);
+        assert_eq!(bed.submit("e1", ID, spec).await, Reply::Accepted);
+        bed.wait_for("e1", ID, JobState::Running, Duration::from_secs(2))
+            .await;
+        assert_eq!(bed.cancel("e2", ID).await, Reply::Cancelled);
+        assert_eq!(bed.ask("e1", ID).await, Reply::State(JobState::Cancelled));
+        sleep(Duration::from_secs(1)).await;
+        let noted = bed.world.crew.borrow().noted.len();
+        assert_eq!(noted, 2);
+        // Nothing of it is left but its status.
+        let table = bed.world.table.borrow();
+        assert_eq!(table.list("in/p/job/").items.len(), 0);
+        assert_eq!(table.list("run/p/").items.len(), 0);
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn failing_job_ends_after_its_attempts() {
+    local(async {
+        let bed = Bed::new(2);
+        bed.start_all(&["e1"]).await;
+        let spec = job("ms=100 end=failed", &[1]);
+        assert_eq!(bed.submit("e1", ID, spec).await, Reply::Accepted);
+        bed.wait_for("e1", ID, JobState::Failed, Duration::from_secs(3))
+            .await;
+        assert_eq!(bed.world.crew.borrow().starts.len(), 2);
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn waiting_counts_jobs_without_scheduler() {
+    local(async {
+        let bed = Bed::new(0);
+        bed.start_all(&["e1"]).await;
+        for id in ["00000000000000a1", "00000000000000a2"] {
+            assert_eq!(bed.submit("e1", id, job("", &[1])).await, Reply::Accepted);
+        }
+        sleep(Duration::from_secs(2)).await;
+        assert_eq!(bed.ask("e1", "").await, Reply::Waiting(2));
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/grid/tests/entry/common/mod.rs
@@ -0,0 +1,253 @@
+//! A world with a catalogue and workers, and entries in it.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use goldcrest_grid::calls::{Call, Reply, Request};
+use goldcrest_grid::entry::{self, Entry, Settings};
+use goldcrest_jobs::catalogue::{Catalogue, PoolSpec, Queue, Team};
+use goldcrest_jobs::id::{VmId, WorkerId};
+use goldcrest_jobs::pool::Bounds;
+use goldcrest_jobs::resources::Resources;
+use goldcrest_jobs::spec::{JobSpec, JobState, Step};
+use goldcrest_jobs::upkeep::{Vm, VmState};
+use goldcrest_jobs::worker::WorkerInfo;
+use goldcrest_standin::grid::{Gate, RuntimeClock, World};
+use tokio::task::{JoinHandle, LocalSet};
+use tokio::time::{Instant, sleep};
+
+/// A key of the team `agencies`.
+pub const KEY: &str = "first";
+
+/// Runs a test's body where local tasks can be spawned.
+pub async fn local<F: Future<Output = ()>>(body: F) {
+    LocalSet::new().run_until(body).await;
+}
+
+struct Running {
+    entry: Rc<Entry<Gate>>,
+    task: JoinHandle<()>,
+}
+
+/// A world with entries.
+pub struct Bed {
+    pub world: Rc<World>,
+    entries: RefCell<BTreeMap<String, Running>>,
+}
+
+/// A catalogue with one pool `p` and its queue `q`, and a spare pool.
+pub fn catalogue(version: u64, keys: &[&str], cap_cpu: u64) -> Catalogue {
+    let queue = Queue {
+        name: "q".parse().expect("a name"),
+        host: "host".into(),
+        prefix: "/q/".into(),
+        pool: "p".parse().expect("a name"),
+        is_open: false,
+        priority: 0,
+        attempts_max: 2,
+        stretch_milli: 1_600,
+        target_latency: Duration::from_millis(600),
+        timeout: Duration::from_secs(3),
+        needs_permits: false,
+    };
+    let pool = |name: &str, is_spare| PoolSpec {
+        name: name.parse().expect("a name"),
+        has_admission_control: true,
+        is_spare,
+    };
+    let team = Team {
+        name: "agencies".parse().expect("a name"),
+        weight: 1_000,
+        cap: Resources {
+            cpu_millis: cap_cpu,
+            ..Resources::ZERO
+        },
+    };
+    let keys = keys.iter().map(|key| Box::from(*key)).collect();
+    Catalogue::new(
+        version,
+        vec![queue],
+        vec![pool("p", false), pool("spare", true)],
+        vec![(team, keys)],
+    )
+}
+
+/// A step of tasks of one core each.
+pub fn step(tasks: u32) -> Step {
+    Step {
+        tasks,
+        demand: Resources {
+            cpu_millis: 1_000,
+            memory_mb: 500,
+            accelerators: 0,
+        },
+        estimate: Duration::from_millis(600),
+        ..Step::default()
+    }
+}
+
+/// A job of steps that wait for each other.
+pub fn job(payload: &str, steps: &[u32]) -> JobSpec {
+    let steps = (0..).zip(steps).map(|(at, tasks)| Step {
+        after: (at > 0).then(|| at - 1).into_iter().collect(),
+        ..step(*tasks)
+    });
+    JobSpec {
+        payload: payload.into(),
+        steps: steps.collect(),
+        schedule: None,
+    }
+}
+
+impl Bed {
+    /// A world with `workers` workers of four cores in the pool `p`.
+    pub fn new(workers: u32) -> Self {
+        let world = World::new();
+        world.set_catalogue(catalogue(1, &[KEY], 0));
+        let bed = Self {
+            world,
+            entries: RefCell::default(),
+        };
+        for number in 1..=workers {
+            bed.add_worker(&format!("w{number}"));
+        }
+        bed
+    }
+
+    /// Adds a worker on a VM of its own.
+    pub fn add_worker(&self, name: &str) {
+        let info = WorkerInfo {
+            id: WorkerId::from(name),
+            born_ms: None,
+            address: name.into(),
+            dc: None,
+            capacity: Resources {
+                cpu_millis: 4_000,
+                memory_mb: 8_000,
+                accelerators: 0,
+            },
+            labels: Vec::new(),
+            is_draining: false,
+            remaining: None,
+        };
+        let pool = "p".parse().expect("a name");
+        let mut crew = self.world.crew.borrow_mut();
+        crew.add(pool, info, Instant::now());
+        let vm = VmId::from(&*format!("vm-{name}"));
+        let vm = Vm {
+            id: vm.clone(),
+            pool: "p".parse().expect("a name"),
+            state: VmState::Up,
+            worker: Some(WorkerId::from(name)),
+        };
+        self.world.vms.borrow_mut().insert(vm.id.clone(), vm);
+    }
+
+    /// Starts an entry.
+    pub fn start(&self, name: &str) {
+        let settings = Settings {
+            name: name.into(),
+            key_withdrawal: Duration::from_secs(5),
+            stop_grace: Duration::from_secs(6),
+            pool: Bounds::default(),
+            vm_order_gap: Duration::from_secs(3),
+            maintenance: Duration::from_secs(2),
+        };
+        let gate = self.world.gate(name);
+        let entry = Rc::new(Entry::new(gate, Arc::new(RuntimeClock), settings));
+        let task = tokio::task::spawn_local(entry::run(Rc::clone(&entry)));
+        let running = Running { entry, task };
+        self.entries.borrow_mut().insert(name.into(), running);
+    }
+
+    /// Starts entries and gives them time to take their roles.
+    pub async fn start_all(&self, names: &[&str]) {
+        for name in names {
+            self.start(name);
+        }
+        sleep(Duration::from_secs(4)).await;
+    }
+
+    /// Ends an entry at once.
+    pub fn kill(&self, name: &str) {
+        if let Some(running) = self.entries.borrow_mut().remove(name) {
+            running.task.abort();
+        }
+    }
+
+    /// Tells an entry to stop, as SIGTERM does.
+    pub fn stop(&self, name: &str) {
+        self.entry(name).stopping.cancel();
+    }
+
+    /// An entry.
+    pub fn entry(&self, name: &str) -> Rc<Entry<Gate>> {
+        Rc::clone(&self.entries.borrow()[name].entry)
+    }
+
+    /// The entry that holds the role of the pool `p`.
+    pub fn holder(&self) -> String {
+        let table = self.world.table.borrow();
+        let item = table.get("who/role/pool/p").expect("the role is held");
+        let name: Box<str> =
+            goldcrest_grid::keys::decode(&item.key, &item.value).expect("a holder's name");
+        name.into()
+    }
+
+    async fn call(&self, entry: &str, id: &str, key: &str, request: Request) -> Reply {
+        let entry = self.entry(entry);
+        entry
+            .call(Call {
+                host: "host".into(),
+                path: format!("/q/{id}").into(),
+                key: Some(key.into()),
+                time: Some(Duration::from_secs(3)),
+                request,
+            })
+            .await
+    }
+
+    /// Submits a job.
+    pub async fn submit(&self, entry: &str, id: &str, spec: JobSpec) -> Reply {
+        self.call(entry, id, KEY, Request::Submit(Ok(spec))).await
+    }
+
+    /// Submits a job with a key.
+    pub async fn submit_with(&self, entry: &str, id: &str, key: &str, spec: JobSpec) -> Reply {
+        self.call(entry, id, key, Request::Submit(Ok(spec))).await
+    }
+
+    /// Asks for a job's state, or with an empty id for the count of waiting jobs.
+    pub async fn ask(&self, entry: &str, id: &str) -> Reply {
+        self.call(entry, id, KEY, Request::Ask).await
+    }
+
+    /// Cancels a job.
+    pub async fn cancel(&self, entry: &str, id: &str) -> Reply {
+        self.call(entry, id, KEY, Request::Cancel).await
+    }
+
+    /// Waits until a job has this state; fails after `within`.
+    pub async fn wait_for(&self, entry: &str, id: &str, state: JobState, within: Duration) {
+        let until = Instant::now() + within;
+        loop {
+            let reply = self.ask(entry, id).await;
+            if reply == Reply::State(state) {
+                return;
+            }
+            assert!(Instant::now() < until, "job {id}: {reply:?}, not {state:?}");
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// No task ran twice at the same time, or again after its end was noted.
+    pub fn check_once(&self) {
+        let mut crew = self.world.crew.borrow_mut();
+        crew.settle(Instant::now());
+        assert_eq!(crew.doubled, Vec::new());
+    }
+}
--- /dev/null
+++ b/crates/grid/tests/entry/faults.rs
@@ -0,0 +1,97 @@
+//! Workers and the store misbehave.
+
+use std::time::Duration;
+
+use goldcrest_grid::calls::Reply;
+use goldcrest_jobs::spec::JobState;
+use goldcrest_standin::grid::StoreFault;
+use tokio::time::sleep;
+
+use crate::common::{Bed, job, local};
+
+const ID: &str = "00000000000000a1";
+
+/// A worker is cut off from all entries while it works: its tasks are started elsewhere only after its leases have lapsed.
+#[tokio::test(start_paused = true)]
+async fn worker_cut_off_restarts_after_lapse() {
+    local(async {
+        let bed = Bed::new(2);
+        bed.start_all(&["e1", "e2"]).await;
+        let spec = job("ms=3000", &[4]);
+        assert_eq!(bed.submit("e1", ID, spec).await, Reply::Accepted);
+        sleep(Duration::from_millis(500)).await;
+        for entry in ["e1", "e2"] {
+            bed.world.set_reachable(entry, "w1", false);
+        }
+        sleep(Duration::from_secs(3)).await;
+        bed.world.crew.borrow_mut().set_listed("w1", false);
+        bed.wait_for("e1", ID, JobState::Completed, Duration::from_secs(14))
+            .await;
+        bed.check_once();
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn store_down_keeps_runs() {
+    local(async {
+        let bed = Bed::new(2);
+        bed.start_all(&["e1", "e2"]).await;
+        let spec = job("ms=8000", &[4]);
+        assert_eq!(bed.submit("e1", ID, spec).await, Reply::Accepted);
+        sleep(Duration::from_millis(500)).await;
+        for entry in ["e1", "e2"] {
+            bed.world.set_fault(entry, StoreFault::Refuses);
+        }
+        // Shorter than the session lasts: the role is kept, and with it the runs.
+        sleep(Duration::from_millis(1_500)).await;
+        for entry in ["e1", "e2"] {
+            bed.world.set_fault(entry, StoreFault::None);
+        }
+        bed.wait_for("e1", ID, JobState::Completed, Duration::from_secs(9))
+            .await;
+        assert_eq!(bed.world.crew.borrow().starts.len(), 4);
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn store_forgets_history() {
+    local(async {
+        let bed = Bed::new(1);
+        bed.start_all(&["e1", "e2"]).await;
+        for number in 0..5 {
+            let id = format!("00000000000000b{number}");
+            bed.world.table.borrow_mut().compact();
+            let spec = job("ms=100", &[2, 1]);
+            assert_eq!(bed.submit("e1", &id, spec).await, Reply::Accepted);
+            bed.world.table.borrow_mut().compact();
+            bed.wait_for("e2", &id, JobState::Completed, Duration::from_secs(4))
+                .await;
+        }
+        bed.check_once();
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn store_loses_answers_of_saves() {
+    local(async {
+        let bed = Bed::new(2);
+        bed.start_all(&["e1", "e2"]).await;
+        let holder = bed.holder();
+        let other = if holder == "e1" { "e2" } else { "e1" };
+        assert_eq!(
+            bed.submit(other, ID, job("", &[4, 4, 2])).await,
+            Reply::Accepted
+        );
+        sleep(Duration::from_millis(300)).await;
+        bed.world.set_fault(&holder, StoreFault::LosesAnswers);
+        sleep(Duration::from_millis(2_500)).await;
+        bed.world.set_fault(&holder, StoreFault::None);
+        bed.wait_for(other, ID, JobState::Completed, Duration::from_secs(8))
+            .await;
+        bed.check_once();
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/grid/tests/entry/main.rs
@@ -0,0 +1,7 @@
+//! Entries against a platform in memory, on a paused clock.
+
+mod calls;
+mod common;
+mod faults;
+mod maintenance;
+mod roles;
--- /dev/null
+++ b/crates/grid/tests/entry/maintenance.rs
@@ -0,0 +1,58 @@
+//! Maintenance waves.
+
+use std::time::Duration;
+
+use goldcrest_grid::calls::Reply;
+use goldcrest_jobs::id::VmId;
+use goldcrest_jobs::spec::JobState;
+use goldcrest_jobs::upkeep::{VmState, Wave};
+use tokio::time::sleep;
+
+use crate::common::{Bed, job, local};
+
+#[tokio::test(start_paused = true)]
+async fn wave_one_at_a_time_without_lost_work() {
+    local(async {
+        let bed = Bed::new(3);
+        bed.start_all(&["e1", "e2"]).await;
+        let vms = ["vm-w1", "vm-w2", "vm-w3"];
+        bed.world.order_wave(Wave {
+            number: 1,
+            vms: vms.iter().map(|vm| VmId::from(*vm)).collect(),
+            time: Duration::from_secs(30),
+            at_once: 1,
+        });
+        let id = "00000000000000a1";
+        let spec = job("ms=1000", &[6, 6, 6]);
+        assert_eq!(bed.submit("e1", id, spec).await, Reply::Accepted);
+        let mut seen = 0;
+        for _ in 0..400 {
+            sleep(Duration::from_millis(50)).await;
+            let down: Vec<VmId> = {
+                let vms = bed.world.vms.borrow();
+                let down = vms.values().filter(|vm| vm.state == VmState::Maintained);
+                down.map(|vm| vm.id.clone()).collect()
+            };
+            assert!(down.len() <= 1, "down at once: {down:?}");
+            if let Some(vm) = down.first() {
+                sleep(Duration::from_secs(2)).await;
+                seen += 1;
+                let mut vms = bed.world.vms.borrow_mut();
+                if let Some(vm) = vms.get_mut(vm) {
+                    vm.state = VmState::Up;
+                }
+            }
+            if seen == vms.len() {
+                break;
+            }
+        }
+        sleep(Duration::from_secs(5)).await;
+        assert_eq!(bed.world.maintained.borrow().len(), 3);
+        let shown = bed.world.table.borrow().get("shown/wave/1").cloned();
+        assert_eq!(shown.map(|item| item.value), Some(vec![1]));
+        bed.wait_for("e1", id, JobState::Completed, Duration::from_secs(5))
+            .await;
+        bed.check_once();
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/grid/tests/entry/roles.rs
@@ -0,0 +1,127 @@
+//! Roles: killed, stopped and cut-off schedulers are replaced, and nothing runs twice.
+
+use std::time::Duration;
+
+use goldcrest_grid::calls::Reply;
+use goldcrest_jobs::spec::JobState;
+use goldcrest_standin::grid::StoreFault;
+use tokio::time::{Instant, sleep};
+
+use crate::common::{Bed, job, local};
+
+const ID: &str = "00000000000000a1";
+
+fn other(holder: &str) -> &'static str {
+    if holder == "e1" { "e2" } else { "e1" }
+}
+
+#[tokio::test(start_paused = true)]
+async fn holder_killed_is_replaced() {
+    local(async {
+        let bed = Bed::new(2);
+        bed.start_all(&["e1", "e2"]).await;
+        let holder = bed.holder();
+        let other = other(&holder);
+        let spec = job("ms=1000", &[4, 4]);
+        assert_eq!(bed.submit(&holder, ID, spec).await, Reply::Accepted);
+        sleep(Duration::from_millis(300)).await;
+        bed.kill(&holder);
+        bed.wait_for(other, ID, JobState::Completed, Duration::from_secs(8))
+            .await;
+        assert_eq!(bed.holder(), other);
+        assert_eq!(bed.world.crew.borrow().starts.len(), 8);
+        bed.check_once();
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn holder_stopped_hands_over_at_once() {
+    local(async {
+        let bed = Bed::new(2);
+        bed.start_all(&["e1", "e2"]).await;
+        let holder = bed.holder();
+        let other = other(&holder);
+        let spec = job("ms=1000", &[4, 4]);
+        assert_eq!(bed.submit(other, ID, spec).await, Reply::Accepted);
+        sleep(Duration::from_millis(300)).await;
+        let began_at = Instant::now();
+        bed.stop(&holder);
+        while bed.world.table.borrow().get("who/role/pool/p").is_none() || bed.holder() == holder {
+            sleep(Duration::from_millis(20)).await;
+        }
+        assert!(began_at.elapsed() < Duration::from_millis(1_000));
+        bed.wait_for(other, ID, JobState::Completed, Duration::from_secs(4))
+            .await;
+        bed.check_once();
+    })
+    .await;
+}
+
+/// The scheduler learns of an end, can't store it, and is told to stop. It must not take note of the end at the worker:
+/// its successor would start the task again. The stop comes at each moment around the end in turn.
+#[tokio::test(start_paused = true)]
+async fn end_unsaved_at_stop_is_not_noted() {
+    for stop_ms in (1_000..1_100).step_by(4) {
+        local(async move {
+            let bed = Bed::new(1);
+            bed.start_all(&["e1", "e2"]).await;
+            let holder = bed.holder();
+            let other = other(&holder);
+            let spec = job("ms=1000", &[1, 1]);
+            assert_eq!(bed.submit(other, ID, spec).await, Reply::Accepted);
+            sleep(Duration::from_millis(900)).await;
+            bed.world.set_fault(&holder, StoreFault::Silent);
+            sleep(Duration::from_millis(stop_ms - 900)).await;
+            bed.stop(&holder);
+            bed.wait_for(other, ID, JobState::Completed, Duration::from_secs(16))
+                .await;
+            bed.check_once();
+        })
+        .await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn holder_cut_from_store_stops_starting() {
+    local(async {
+        let bed = Bed::new(1);
+        bed.start_all(&["e1", "e2"]).await;
+        let holder = bed.holder();
+        let other = other(&holder);
+        bed.world.set_fault(&holder, StoreFault::Silent);
+        sleep(Duration::from_secs(6)).await;
+        assert_eq!(bed.holder(), other);
+        assert_eq!(
+            bed.submit(other, ID, job("", &[2, 2])).await,
+            Reply::Accepted
+        );
+        bed.wait_for(other, ID, JobState::Completed, Duration::from_secs(4))
+            .await;
+        bed.world.set_fault(&holder, StoreFault::None);
+        sleep(Duration::from_secs(5)).await;
+        bed.check_once();
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn all_entries_lost_after_acceptance() {
+    local(async {
+        let bed = Bed::new(2);
+        bed.start_all(&["e1", "e2", "e3"]).await;
+        assert_eq!(
+            bed.submit("e1", ID, job("", &[3, 2])).await,
+            Reply::Accepted
+        );
+        for entry in ["e1", "e2", "e3"] {
+            bed.kill(entry);
+        }
+        sleep(Duration::from_millis(600)).await;
+        bed.start_all(&["e1", "e2", "e3"]).await;
+        bed.wait_for("e2", ID, JobState::Completed, Duration::from_secs(8))
+            .await;
+        bed.check_once();
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/standin/src/grid/gate.rs
@@ -0,0 +1,388 @@
+//! An entry's view of the world, with what is wrong between them.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use goldcrest_grid::ports::{
+    CallError, Committed, Conflict, Holder, Item, LeaseId, OperatorOrders, Operators, OrderError,
+    Page, PermitService, Permits, Put, Recipient, Registry, Revision, Store, Txn, VmOrderError,
+    Vms, Watched, Workers,
+};
+use goldcrest_jobs::id::{RunNumber, StepId, TaskId, VmId, WorkerId};
+use goldcrest_jobs::pool::{StartAnswer, StartOrder};
+use goldcrest_jobs::upkeep::{Vm, VmState};
+use goldcrest_jobs::worker::{Report, WorkerInfo};
+use goldcrest_types::names::PoolName;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::grid::{StoreFault, World};
+
+/// How long an order to a worker takes.
+const ORDER_DELAY: Duration = Duration::from_millis(2);
+
+/// An entry's view of the world.
+pub struct Gate {
+    world: Rc<World>,
+    entry: Box<str>,
+}
+
+impl Gate {
+    pub(crate) fn new(world: Rc<World>, entry: Box<str>) -> Self {
+        Self { world, entry }
+    }
+
+    /// Lets a call pass to the store; its fault decides whether it arrives.
+    async fn arrive(&self, within: Duration) -> Result<(), CallError> {
+        match self.world.fault(&self.entry) {
+            StoreFault::Refuses => Err(CallError::NotDone("refused".into())),
+            StoreFault::Silent => {
+                sleep(within).await;
+                Err(CallError::Unknown("silent".into()))
+            }
+            _ => {
+                sleep(self.world.delay.get()).await;
+                let ended = self.world.table.borrow_mut().expire(Instant::now());
+                if ended {
+                    self.world.changed.notify_waiters();
+                }
+                Ok(())
+            }
+        }
+    }
+
+    fn make(&self, txn: &Txn) -> Result<Committed, CallError> {
+        let stored = self.world.catalogue.borrow().clone();
+        let is_outdated = txn
+            .expect_catalogue
+            .is_some_and(|revision| stored.as_ref().is_none_or(|it| it.revision != revision));
+        let mut table = self.world.table.borrow_mut();
+        if is_outdated {
+            let expected = txn.expect.iter();
+            return Ok(Committed::Conflict(Conflict {
+                items: expected
+                    .filter_map(|(key, _)| table.get(key).cloned())
+                    .collect(),
+                catalogue: stored,
+            }));
+        }
+        match table.commit(txn, Instant::now()) {
+            Ok(revision) => {
+                self.world.changed.notify_waiters();
+                Ok(Committed::Done(revision))
+            }
+            Err(Some(items)) => Ok(Committed::Conflict(Conflict {
+                items,
+                catalogue: None,
+            })),
+            Err(None) => Err(CallError::LeaseEnded),
+        }
+    }
+
+    /// Waits until `look` finds something, or the time is over.
+    async fn wait_for<T>(&self, wait: Duration, look: impl Fn() -> Option<T>) -> Option<T> {
+        let until = Instant::now() + wait;
+        loop {
+            let changed = self.world.changed.notified();
+            if let Some(found) = look() {
+                return Some(found);
+            }
+            let expiry = self.world.table.borrow().next_expiry();
+            let next = expiry.map_or(until, |expiry| expiry.min(until));
+            let left = next.saturating_duration_since(Instant::now());
+            // Either a change or the end of a lease may bring what is waited for.
+            let _ = timeout(left.max(Duration::from_millis(1)), changed).await;
+            self.world.table.borrow_mut().expire(Instant::now());
+            if Instant::now() >= until {
+                return look();
+            }
+        }
+    }
+
+    async fn reach(&self, worker: &WorkerId, within: Duration) -> bool {
+        if self.world.is_reachable(&self.entry, worker) {
+            sleep(ORDER_DELAY).await;
+            true
+        } else {
+            sleep(within).await;
+            false
+        }
+    }
+}
+
+impl Store for Gate {
+    async fn read(&self, key: &str, within: Duration) -> Result<Option<Item>, CallError> {
+        self.arrive(within).await?;
+        Ok(self.world.table.borrow().get(key).cloned())
+    }
+
+    async fn list(
+        &self,
+        prefix: &str,
+        _after: Option<&str>,
+        _is_stale: bool,
+        within: Duration,
+    ) -> Result<Page, CallError> {
+        self.arrive(within).await?;
+        Ok(self.world.table.borrow().list(prefix))
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Watched, CallError> {
+        self.arrive(wait).await?;
+        // A watch that waits is cut when the history goes.
+        let look = || match self.world.table.borrow().since(prefix, after) {
+            Some(found) => (!found.changes.is_empty()).then_some(Ok(found)),
+            None => Some(Err(CallError::HistoryGone)),
+        };
+        let found = self.wait_for(wait, look).await;
+        if self.world.fault(&self.entry) == StoreFault::Silent {
+            sleep(wait).await;
+            return Err(CallError::Unknown("silent".into()));
+        }
+        let nothing = || Watched {
+            changes: Vec::new(),
+            revision: self.world.table.borrow().revision(),
+        };
+        found.unwrap_or_else(|| Ok(nothing()))
+    }
+
+    async fn commit(&self, txn: &Txn, within: Duration) -> Result<Committed, CallError> {
+        self.arrive(within).await?;
+        match self.world.fault(&self.entry) {
+            StoreFault::LosesAnswers => {
+                self.make(txn)?;
+                sleep(within).await;
+                Err(CallError::Unknown("the answer was lost".into()))
+            }
+            StoreFault::CarriesOutLate(after) => {
+                let (late, txn) = (self.world.gate(&self.entry), txn.clone());
+                tokio::task::spawn_local(async move {
+                    sleep(after).await;
+                    // Nobody waits for the answer.
+                    let _ = late.make(&txn);
+                });
+                sleep(within).await;
+                Err(CallError::Unknown("carried out late".into()))
+            }
+            _ => self.make(txn),
+        }
+    }
+
+    async fn open_lease(
+        &self,
+        ttl: Duration,
+        within: Duration,
+    ) -> Result<(LeaseId, Duration), CallError> {
+        self.arrive(within).await?;
+        let mut table = self.world.table.borrow_mut();
+        Ok((table.open_lease(ttl, Instant::now()), ttl))
+    }
+
+    async fn renew_lease(&self, lease: LeaseId, within: Duration) -> Result<Duration, CallError> {
+        self.arrive(within).await?;
+        let mut table = self.world.table.borrow_mut();
+        let renewed = table.renew_lease(lease, Instant::now());
+        renewed.ok_or(CallError::LeaseEnded)
+    }
+
+    async fn end_lease(&self, lease: LeaseId, within: Duration) -> Result<(), CallError> {
+        self.arrive(within).await?;
+        self.world.table.borrow_mut().end_lease(lease);
+        self.world.changed.notify_waiters();
+        Ok(())
+    }
+}
+
+impl Operators for Gate {
+    async fn read_orders(&self, within: Duration) -> Result<OperatorOrders, CallError> {
+        self.arrive(within).await?;
+        Ok(self.orders(Revision(0)))
+    }
+
+    async fn watch_orders(
+        &self,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<OperatorOrders, CallError> {
+        self.arrive(wait).await?;
+        let look = || {
+            let orders = self.orders(after);
+            (orders.catalogue.is_some() || !orders.waves.is_empty()).then_some(orders)
+        };
+        let found = self.wait_for(wait, look).await;
+        self.arrive(wait).await?;
+        Ok(found.unwrap_or_else(|| self.orders(self.world.table.borrow().revision())))
+    }
+
+    fn wave_status(&self, wave: u64, is_completed: bool) -> Put {
+        Put {
+            key: format!("shown/wave/{wave}").into(),
+            value: vec![u8::from(is_completed)],
+            lease: None,
+        }
+    }
+}
+
+impl Gate {
+    fn orders(&self, after: Revision) -> OperatorOrders {
+        let catalogue = self.world.catalogue.borrow().clone();
+        let waves = self.world.waves.borrow();
+        OperatorOrders {
+            catalogue: catalogue.filter(|stored| stored.revision > after),
+            waves: waves
+                .iter()
+                .filter(|(revision, _)| *revision > after.0)
+                .map(|(_, wave)| wave.clone())
+                .collect(),
+            revision: self.world.table.borrow().revision(),
+        }
+    }
+}
+
+impl Registry for Gate {
+    async fn workers(&self, within: Duration) -> Result<Vec<(PoolName, WorkerInfo)>, CallError> {
+        self.arrive(within).await?;
+        Ok(self.world.crew.borrow().listed())
+    }
+}
+
+impl Workers for Gate {
+    async fn start(
+        &self,
+        to: &Recipient,
+        order: &StartOrder,
+        _permit: Option<&str>,
+        within: Duration,
+    ) -> StartAnswer {
+        if !self.reach(&to.worker, within).await {
+            return StartAnswer::Unknown;
+        }
+        let mut crew = self.world.crew.borrow_mut();
+        let answer = crew.start(to, order, Instant::now());
+        drop(crew);
+        self.world.changed.notify_waiters();
+        answer
+    }
+
+    async fn stop(
+        &self,
+        to: &Recipient,
+        task: TaskId,
+        run: RunNumber,
+        within: Duration,
+    ) -> Result<(), OrderError> {
+        if !self.reach(&to.worker, within).await {
+            return Err(OrderError::Unknown("cut off".into()));
+        }
+        let mut crew = self.world.crew.borrow_mut();
+        let answer = crew.stop(to, task, run, Instant::now());
+        drop(crew);
+        self.world.changed.notify_waiters();
+        answer
+    }
+
+    async fn pace(
+        &self,
+        to: &Recipient,
+        _task: TaskId,
+        _run: RunNumber,
+        _percent: u32,
+        within: Duration,
+    ) -> Result<(), OrderError> {
+        if self.reach(&to.worker, within).await {
+            Ok(())
+        } else {
+            Err(OrderError::Unknown("cut off".into()))
+        }
+    }
+
+    async fn report(
+        &self,
+        to: &Recipient,
+        until_ms: Option<u64>,
+        ends_noted: u64,
+        wait: Duration,
+        within: Duration,
+    ) -> Result<Report, OrderError> {
+        if !self.reach(&to.worker, within).await {
+            return Err(OrderError::Unknown("cut off".into()));
+        }
+        let due_at = Instant::now() + wait;
+        loop {
+            let now = Instant::now();
+            let mut crew = self.world.crew.borrow_mut();
+            let report = crew.report(to, until_ms, ends_noted, now >= due_at, now)?;
+            drop(crew);
+            if let Some(report) = report {
+                if self.world.is_reachable(&self.entry, &to.worker) {
+                    return Ok(report);
+                }
+                sleep(within).await;
+                return Err(OrderError::Unknown("cut off".into()));
+            }
+            sleep(STEP.min(due_at.saturating_duration_since(now))).await;
+        }
+    }
+}
+
+/// How often a waiting report looks for ends.
+const STEP: Duration = Duration::from_millis(10);
+
+impl Vms for Gate {
+    async fn vms(&self, within: Duration) -> Result<BTreeMap<VmId, Vm>, CallError> {
+        self.arrive(within).await?;
+        Ok(self.world.vms.borrow().clone())
+    }
+
+    async fn move_vm(
+        &self,
+        _by: &Holder,
+        vm: &VmId,
+        pool: &PoolName,
+        _within: Duration,
+    ) -> Result<(), VmOrderError> {
+        let mut vms = self.world.vms.borrow_mut();
+        let vm = vms.get_mut(vm).ok_or(VmOrderError::Invalid)?;
+        vm.pool = pool.clone();
+        Ok(())
+    }
+
+    async fn maintain_vm(
+        &self,
+        _by: &Holder,
+        vm: &VmId,
+        wave: u64,
+        _within: Duration,
+    ) -> Result<(), VmOrderError> {
+        let mut vms = self.world.vms.borrow_mut();
+        let it = vms.get_mut(vm).ok_or(VmOrderError::Invalid)?;
+        if it.state != VmState::Up {
+            return Err(VmOrderError::Busy);
+        }
+        it.state = VmState::Maintained;
+        self.world.maintained.borrow_mut().push((vm.clone(), wave));
+        Ok(())
+    }
+}
+
+impl PermitService for Gate {
+    async fn permits(
+        &self,
+        _step: StepId,
+        workers: &[WorkerId],
+        _within: Duration,
+    ) -> Result<Permits, CallError> {
+        Ok(Permits {
+            by_worker: workers
+                .iter()
+                .map(|worker| (worker.clone(), "permit".into()))
+                .collect(),
+            valid_for: Duration::from_secs(3),
+        })
+    }
+}
