jobs: a successor interrupts no service while an earlier scheduler's stop may still be carried out

Change: a run that was found on a worker counts as at work only in a report that is later than the time a stop may take. Ruled out: two evacuations in one plan (the count is taken again after each stop). Result: the case `evacuation_after_takeover` shows the second stop at 100 ms before, at 1,500 ms now.

--- a/crates/jobs/src/pool/evacuate.rs
+++ b/crates/jobs/src/pool/evacuate.rs
@@ -7,7 +7,7 @@
 
 use crate::id::{StepId, WorkerRef};
 use crate::pool::{Pool, StopReason, place};
-use crate::worker::{Phase, Run, RunKey};
+use crate::worker::{Phase, Run, RunKey, Worker};
 
 /// How long tasks may go on by themselves before they are stopped, if they save checkpoints.
 const FINISH_CHECKPOINTED: Duration = Duration::from_millis(1_500);
@@ -15,6 +15,9 @@
 /// How long other tasks may go on by themselves before they are stopped.
 const FINISH_OTHERS: Duration = Duration::from_secs(6);
 
+/// Added to the time that a stop may take, for its way to the worker.
+const STOP_SLACK: Duration = Duration::from_millis(300);
+
 /// Runs the pass.
 pub fn run(pool: &mut Pool, now: Instant) {
     let mut stops: Vec<(WorkerRef, RunKey)> = Vec::new();
@@ -85,10 +88,17 @@
     let count = pool
         .workers
         .values()
-        .flat_map(|it| &it.runs)
-        .filter(|((task, _), run)| {
-            task.step == step && run.phase == Phase::Confirmed && run.percent >= 100
-        })
+        .flat_map(|it| it.runs.iter().map(move |run| (it, run)))
+        .filter(|(it, ((task, _), run))| task.step == step && is_at_work(pool, it, run))
         .count();
     u32::try_from(count).unwrap_or(u32::MAX)
 }
+
+/// A run that is being stopped by an earlier scheduler's order is listed as before until it has ended.
+fn is_at_work(pool: &Pool, worker: &Worker, run: &Run) -> bool {
+    let is_sure = !run.is_adopted
+        || worker
+            .answered_at
+            .is_some_and(|at| at >= run.started_at + pool.bounds.stop_grace + STOP_SLACK);
+    run.phase == Phase::Confirmed && run.percent >= 100 && is_sure
+}
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -305,6 +305,7 @@
         reserved: Resources::ZERO,
         phase: Phase::Ordered,
         started_at: now,
+        is_adopted: false,
         start_until_ms: until_ms,
         closed_at: None,
         stop_sent_at: None,
--- a/crates/jobs/src/pool/report.rs
+++ b/crates/jobs/src/pool/report.rs
@@ -233,6 +233,7 @@
             reserved: crate::resources::Resources::ZERO,
             phase: Phase::Confirmed,
             started_at: now,
+            is_adopted: true,
             start_until_ms: 0,
             closed_at: Some(now),
             stop_sent_at: None,
--- a/crates/jobs/src/worker/mod.rs
+++ b/crates/jobs/src/worker/mod.rs
@@ -60,6 +60,8 @@
     pub phase: Phase,
     /// When the start was sent, or when an earlier scheduler's run was first seen.
     pub started_at: Instant,
+    /// It was found on the worker; an earlier scheduler may have ordered its stop just before.
+    pub is_adopted: bool,
     /// After this time on the worker's clock the start is refused.
     pub start_until_ms: u64,
     /// From then on, a report that does not list the run proves that it is not there.
