fleet: waves paced over their time by load; spare VMs to the pool whose turn it is

Change: a wave empties as many VMs at once as its time needs, first those of pools with little load, a fifth of a pool at most; `jobs::size` moves spare VMs to a pool with a backlog of more than 1.5 s, and back (or on) once it is calm; the fleet's holder follows the pools' statuses by a watch. A run counts as at work only by a report of the last 2 s. Ruled out: shrinking pools below their home size (an idle VM costs 0.094 a second, its absence when the next turn begins 1.4 a second in late work).

--- a/crates/grid/src/fleet/mod.rs
+++ b/crates/grid/src/fleet/mod.rs
@@ -1,28 +1,39 @@
-//! The fleet's holder: carries out maintenance waves.
+//! The fleet's holder: carries out maintenance waves and sizes the pools.
 //!
-//! It asks the pools' schedulers to empty the VMs that are next, and orders the maintenance of a VM once its scheduler has
-//! published that nothing runs there. Its own progress is stored after each confirmed order; all else is read from the
-//! platform's list and the pools' statuses, so another holder can go on at any time.
+//! It asks the pools' schedulers to empty the VMs that are next, and orders the maintenance or the move of a VM once its
+//! scheduler has published that nothing runs there. All orders about VMs come from this one holder, so their tokens never
+//! fall. Its own progress is stored after each confirmed order; all else is read from the platform's list and the pools'
+//! statuses, so another holder can go on at any time.
 
+mod evacuation;
+mod moves;
 mod waves;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use goldcrest_jobs::id::{VmId, WorkerId};
-use goldcrest_jobs::upkeep::{Running, Upkeep, Vm, VmState, WaveProgress};
+use goldcrest_jobs::id::VmId;
+use goldcrest_jobs::size::Sizes;
+use goldcrest_jobs::upkeep::{Running, Upkeep, Vm, VmState, Wave, WaveProgress};
 use goldcrest_types::names::PoolName;
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 use crate::entry::{Entry, STORE_TIMEOUT};
 use crate::keys::{self, Evacuation, PoolStatus};
 use crate::members::Held;
-use crate::ports::{CallError, Committed, Holder, Platform, Put, Revision, Txn};
+use crate::ports::{CallError, Change, Conflict, Holder, Item, Platform, Revision};
 
-/// The time between two rounds while a wave is under way.
-const ROUND: Duration = Duration::from_millis(350);
+/// The least time between two rounds.
+const ROUND_GAP: Duration = Duration::from_millis(120);
+
+/// A round is due at least this often while VMs are on their way, empty or down.
+const ROUND_BUSY: Duration = Duration::from_millis(350);
+
+/// A round is due at least this often.
+const ROUND_IDLE: Duration = Duration::from_millis(2_000);
 
 /// The pause after a call that failed.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -33,15 +44,22 @@
 /// Added to the time that a VM is down before it is held to be back on the list's word alone.
 const LIST_LAG: Duration = Duration::from_millis(700);
 
+/// How long a watch of the pools' statuses waits.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+
 /// What the holder knows.
 pub struct Fleet<P: Platform> {
     entry: Rc<Entry<P>>,
     held: Held,
     upkeep: RefCell<Upkeep>,
+    sizes: RefCell<Sizes>,
+    statuses: RefCell<BTreeMap<PoolName, PoolStatus>>,
+    status_changed: Notify,
     /// What the store holds of the waves' progress.
     stored: RefCell<BTreeMap<u64, Revision>>,
-    evacuations: RefCell<BTreeMap<PoolName, (Evacuation, Revision)>>,
-    /// Orders that were confirmed or may have been carried out, and when.
+    homes_revision: Cell<Revision>,
+    evacuations: RefCell<BTreeMap<PoolName, Evacuation>>,
+    /// Maintenance that was confirmed or may have been carried out, and when.
     ordered: RefCell<BTreeMap<VmId, Instant>>,
     /// No order is sent before this time: an earlier holder may have sent one just before.
     quiet_until: Instant,
@@ -55,7 +73,11 @@
         entry,
         held,
         upkeep: RefCell::default(),
+        sizes: RefCell::default(),
+        statuses: RefCell::default(),
+        status_changed: Notify::new(),
         stored: RefCell::default(),
+        homes_revision: Cell::new(Revision::ABSENT),
         evacuations: RefCell::default(),
         ordered: RefCell::default(),
         quiet_until,
@@ -65,37 +87,59 @@
         () = fleet.lost.cancelled() => {}
         () = hand_over.cancelled() => {}
         () = fleet.hold() => {}
+        () = fleet.follow_statuses() => {}
     }
 }
 
 impl<P: Platform> Fleet<P> {
     async fn hold(&self) {
         while let Err(error) = self.load().await {
-            log::warn!(target: "maintenance", error:%; "The waves' progress can't be loaded yet.");
+            log::warn!(target: "maintenance", error:%; "The fleet's progress can't be loaded yet.");
             tokio::time::sleep(RETRY_AFTER).await;
         }
         loop {
             self.take_waves();
-            let is_under_way = self
-                .upkeep
-                .borrow()
-                .waves
-                .values()
-                .any(|wave| !wave.progress.is_completed);
-            if !is_under_way {
-                let ordered = self.entry.waves_changed.notified();
-                // A wave may have been ordered while this round was under way.
-                let _ = tokio::time::timeout(Duration::from_secs(1), ordered).await;
-                continue;
-            }
-            if let Err(error) = self.round().await {
-                log::warn!(target: "maintenance", error:%; "A round of maintenance was cut short.");
+            let result = self.round().await;
+            if let Err(error) = &result {
+                log::warn!(target: "maintenance", error:%; "A round was cut short.");
                 tokio::time::sleep(RETRY_AFTER).await;
             }
-            tokio::time::sleep(ROUND).await;
+            let pause = if matches!(result, Ok(true)) {
+                ROUND_BUSY
+            } else {
+                ROUND_IDLE
+            };
+            tokio::time::sleep(ROUND_GAP).await;
+            tokio::select! {
+                () = self.status_changed.notified() => {}
+                () = self.entry.waves_changed.notified() => {}
+                () = tokio::time::sleep(pause) => {}
+            }
         }
     }
 
+    /// One round; returns whether the next one is due soon.
+    async fn round(&self) -> Result<bool, CallError> {
+        self.show_new_waves().await?;
+        let has_waves = self.has_waves();
+        if !has_waves && !self.may_need_moves() {
+            self.order_evacuations(&BTreeMap::new(), &BTreeSet::new())
+                .await?;
+            return Ok(false);
+        }
+        let vms = self.vms().await?;
+        self.store_homes(&vms).await?;
+        let empty = self.emptied(&vms);
+        let waves = self.plan_waves(&vms, &empty);
+        let sizes = self.plan_sizes(&vms, &empty, &waves.evacuate);
+        let evacuate = &waves.evacuate | &sizes.evacuate;
+        self.order_evacuations(&vms, &evacuate).await?;
+        // VMs leave their pools first: those that take work wait for them.
+        self.order_moves(sizes.moves).await;
+        self.carry_out_waves(waves).await?;
+        Ok(has_waves || !evacuate.is_empty())
+    }
+
     /// Whether orders may be sent.
     fn may_order(&self) -> bool {
         self.entry.valid_lease() == Some(self.held.lease) && self.entry.now() >= self.quiet_until
@@ -111,43 +155,48 @@
     async fn load(&self) -> Result<(), CallError> {
         let page = self.entry.list(keys::WAVES, false).await?;
         for item in page.items {
-            let number = item
-                .key
-                .strip_prefix(keys::WAVES)
-                .and_then(|number| number.parse().ok());
-            let progress = keys::decode::<WaveProgress>(&item.key, &item.value);
-            match (number, progress) {
-                (Some(number), Ok(progress)) => {
-                    self.stored.borrow_mut().insert(number, item.revision);
-                    self.upkeep.borrow_mut().waves.insert(
-                        number,
-                        Running {
-                            wave: goldcrest_jobs::upkeep::Wave {
-                                number,
-                                vms: Vec::new(),
-                                time: Duration::ZERO,
-                                at_once: 0,
-                            },
-                            progress,
-                        },
-                    );
-                }
-                (_, Err(error)) => {
-                    log::error!(target: "maintenance", error:%; "A wave's progress is skipped.");
-                }
-                (None, Ok(_)) => {}
-            }
+            self.take_progress(&item);
+        }
+        if let Some(item) = self.entry.read(keys::HOMES).await? {
+            self.take_homes(&item);
         }
         Ok(())
     }
 
+    fn take_progress(&self, item: &Item) {
+        let number = item.key.strip_prefix(keys::WAVES);
+        let Some(number) = number.and_then(|number| number.parse().ok()) else {
+            return;
+        };
+        match keys::decode::<WaveProgress>(&item.key, &item.value) {
+            Ok(progress) => {
+                self.stored.borrow_mut().insert(number, item.revision);
+                // Its order is read apart from this.
+                let wave = Wave {
+                    number,
+                    vms: Vec::new(),
+                    time: Duration::ZERO,
+                    at_once: 0,
+                };
+                let mut upkeep = self.upkeep.borrow_mut();
+                upkeep.waves.insert(number, Running::new(wave, progress));
+            }
+            Err(error) => {
+                log::error!(target: "maintenance", error:%; "A wave's progress is skipped.");
+            }
+        }
+    }
+
     /// Takes the waves that the operators have ordered.
     fn take_waves(&self) {
         let mut upkeep = self.upkeep.borrow_mut();
         for (number, wave) in self.entry.waves.borrow().iter() {
-            let running = upkeep.waves.entry(*number).or_insert_with(|| Running {
-                wave: wave.clone(),
-                progress: WaveProgress::default(),
+            let running = upkeep.waves.entry(*number).or_insert_with(|| {
+                let progress = WaveProgress {
+                    taken_up_ms: self.entry.wall_ms(),
+                    ..WaveProgress::default()
+                };
+                Running::new(wave.clone(), progress)
             });
             if running.wave != *wave {
                 running.wave = wave.clone();
@@ -155,86 +204,91 @@
         }
     }
 
-    /// Reads what the pools' schedulers have published.
-    async fn emptied(&self, vms: &BTreeMap<VmId, Vm>) -> Result<BTreeSet<VmId>, CallError> {
-        let page = self.entry.list(keys::POOL_STATUSES, false).await?;
-        let mut empty = BTreeSet::new();
-        for item in page.items {
-            match keys::decode::<PoolStatus>(&item.key, &item.value) {
-                Ok(status) => empty.extend(status.evacuated),
+    /// Follows what the pools' schedulers publish.
+    async fn follow_statuses(&self) {
+        loop {
+            let mut after = match self.entry.list(keys::POOL_STATUSES, false).await {
+                Ok(page) => {
+                    self.statuses.borrow_mut().clear();
+                    for item in &page.items {
+                        self.take_status(item);
+                    }
+                    page.revision
+                }
                 Err(error) => {
-                    log::warn!(target: "maintenance", error:%; "A pool's status is skipped.");
+                    log::warn!(target: "maintenance", error:%; "The pools' statuses can't be listed.");
+                    tokio::time::sleep(RETRY_AFTER).await;
+                    continue;
+                }
+            };
+            loop {
+                match self
+                    .entry
+                    .watch(keys::POOL_STATUSES, after, WATCH_WAIT)
+                    .await
+                {
+                    Ok(watched) => {
+                        after = watched.revision;
+                        for change in watched.changes {
+                            match change {
+                                Change::Put(item) => self.take_status(&item),
+                                Change::Removed { key, .. } => self.drop_status(&key),
+                            }
+                        }
+                    }
+                    Err(error) => {
+                        log::info!(target: "maintenance", error:%; "The pools' statuses are listed again.");
+                        tokio::time::sleep(RETRY_AFTER).await;
+                        break;
+                    }
                 }
             }
         }
-        let catalogue = self.entry.catalogue.borrow();
-        let pools = catalogue.as_ref().map(|stored| stored.catalogue.pools());
-        let spare: BTreeSet<&PoolName> = pools
-            .into_iter()
-            .flatten()
-            .filter(|pool| pool.is_spare)
-            .map(|pool| &pool.name)
-            .collect();
-        // Nothing runs on the VMs of a spare pool.
-        let idle = vms.values().filter(|vm| spare.contains(&vm.pool));
-        empty.extend(idle.map(|vm| vm.id.clone()));
-        Ok(empty)
     }
 
-    /// Hands each pool's scheduler the VMs that it is to empty.
-    async fn order_evacuations(
-        &self,
-        vms: &BTreeMap<VmId, Vm>,
-        wanted: &BTreeSet<VmId>,
-    ) -> Result<(), CallError> {
-        let mut by_pool: BTreeMap<PoolName, BTreeMap<WorkerId, VmId>> = BTreeMap::new();
-        for pool in self.evacuations.borrow().keys() {
-            by_pool.insert(pool.clone(), BTreeMap::new());
-        }
-        for vm in wanted.iter().filter_map(|vm| vms.get(vm)) {
-            if let Some(worker) = &vm.worker {
-                by_pool
-                    .entry(vm.pool.clone())
-                    .or_default()
-                    .insert(worker.clone(), vm.id.clone());
+    fn take_status(&self, item: &Item) {
+        let pool = item.key.strip_prefix(keys::POOL_STATUSES);
+        let Some(pool) = pool.and_then(|pool| pool.parse::<PoolName>().ok()) else {
+            return;
+        };
+        match keys::decode::<PoolStatus>(&item.key, &item.value) {
+            Ok(status) => {
+                self.statuses.borrow_mut().insert(pool, status);
+                self.status_changed.notify_one();
             }
-        }
-        for (pool, vms) in by_pool {
-            let evacuation = Evacuation { vms };
-            let known = self.evacuations.borrow().get(&pool).cloned();
-            if known.as_ref().is_some_and(|(it, _)| *it == evacuation) {
-                continue;
+            Err(error) => {
+                log::warn!(target: "maintenance", error:%; "A pool's status is skipped.");
             }
-            self.write_evacuation(pool, evacuation).await?;
         }
-        Ok(())
     }
 
-    async fn write_evacuation(
-        &self,
-        pool: PoolName,
-        evacuation: Evacuation,
-    ) -> Result<(), CallError> {
-        let key = keys::evacuation(&pool);
-        let txn = Txn {
-            expect: vec![self.held.guard()],
-            put: vec![Put {
-                key,
-                value: keys::encode(&evacuation),
-                lease: None,
-            }],
-            ..Txn::default()
-        };
-        match self.entry.commit(&txn).await? {
-            Committed::Done(revision) => {
-                log::info!(target: "maintenance", pool:% = pool, vms = evacuation.vms.len(); "VMs to empty ordered.");
-                self.evacuations
-                    .borrow_mut()
-                    .insert(pool, (evacuation, revision));
-            }
-            Committed::Conflict(_) => self.lose(),
+    /// Without a scheduler nothing is known of the pool: none of its VMs counts as empty.
+    fn drop_status(&self, key: &str) {
+        let pool = key.strip_prefix(keys::POOL_STATUSES);
+        if let Some(pool) = pool.and_then(|pool| pool.parse::<PoolName>().ok()) {
+            self.statuses.borrow_mut().remove(&pool);
         }
-        Ok(())
+    }
+
+    /// The spare pool, if the catalogue has one.
+    fn spare(&self) -> Option<PoolName> {
+        let catalogue = self.entry.catalogue.borrow();
+        let pools = catalogue.as_ref()?.catalogue.pools();
+        let spare = pools.iter().find(|pool| pool.is_spare)?;
+        Some(spare.name.clone())
+    }
+
+    /// VMs on which nothing runs and nothing will be started.
+    fn emptied(&self, vms: &BTreeMap<VmId, Vm>) -> BTreeSet<VmId> {
+        let statuses = self.statuses.borrow();
+        let mut empty: BTreeSet<VmId> = statuses
+            .values()
+            .flat_map(|status| status.evacuated.iter().cloned())
+            .collect();
+        let spare = self.spare();
+        let idle = vms.values().filter(|vm| Some(&vm.pool) == spare.as_ref());
+        empty.extend(idle.map(|vm| vm.id.clone()));
+        empty
     }
 
     fn lose(&self) {
@@ -242,9 +296,20 @@
         self.lost.cancel();
     }
 
+    /// Gives the role up if a refused transaction shows that its key has ended.
+    fn check_held(&self, conflict: &Conflict) {
+        let (role, held) = self.held.guard();
+        let mut items = conflict.items.iter();
+        if !items.any(|item| item.key == role && item.revision == held) {
+            self.lose();
+        }
+    }
+
     /// The list of VMs, with those that were just ordered down counted as down.
     async fn vms(&self) -> Result<BTreeMap<VmId, Vm>, CallError> {
-        let mut vms = self.entry.platform.vms(STORE_TIMEOUT).await?;
+        let sent_at = self.entry.now();
+        let listed = self.entry.platform.vms(STORE_TIMEOUT).await;
+        let mut vms = self.entry.note("list VMs", sent_at, listed)?;
         let now = self.entry.now();
         let down_for = self.entry.settings.maintenance + LIST_LAG;
         self.ordered
--- /dev/null
+++ b/crates/grid/src/fleet/moves.rs
@@ -0,0 +1,125 @@
+//! Sizes the pools: plans and orders the moves of VMs.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use goldcrest_jobs::id::VmId;
+use goldcrest_jobs::size::{Facts, PoolLoad, SizePlan};
+use goldcrest_jobs::upkeep::Vm;
+use goldcrest_types::names::PoolName;
+
+use crate::fleet::{Fleet, ORDER_TIMEOUT};
+use crate::keys;
+use crate::ports::{CallError, Committed, Item, Platform, Put, Txn, VmOrderError};
+
+impl<P: Platform> Fleet<P> {
+    /// Whether a move may be due: a pool has a backlog, or VMs beyond its home size may be in one.
+    pub(super) fn may_need_moves(&self) -> bool {
+        if self.spare().is_none() {
+            return false;
+        }
+        let sizes = self.sizes.borrow();
+        let statuses = self.statuses.borrow();
+        sizes.homes.is_empty()
+            || sizes.has_guests()
+            || statuses.values().any(|status| status.backlog > 0)
+    }
+
+    pub(super) fn plan_sizes(
+        &self,
+        vms: &BTreeMap<VmId, Vm>,
+        empty: &BTreeSet<VmId>,
+        in_waves: &BTreeSet<VmId>,
+    ) -> SizePlan {
+        let Some(spare) = self.spare() else {
+            return SizePlan::default();
+        };
+        let loads: BTreeMap<PoolName, PoolLoad> = self
+            .statuses
+            .borrow()
+            .iter()
+            .map(|(pool, status)| {
+                let load = PoolLoad {
+                    capacity_millis: status.capacity.cpu_millis,
+                    used_millis: status.used.cpu_millis,
+                    backlog: status.backlog,
+                    light: status.light.clone(),
+                };
+                (pool.clone(), load)
+            })
+            .collect();
+        let facts = Facts {
+            vms,
+            empty,
+            in_waves,
+            loads: &loads,
+            spare: &spare,
+        };
+        self.sizes.borrow_mut().plan(&facts, self.entry.now())
+    }
+
+    pub(super) async fn order_moves(&self, moves: Vec<(VmId, PoolName)>) {
+        for (vm, pool) in moves {
+            if !self.may_order() {
+                return;
+            }
+            let holder = self.holder();
+            let platform = &self.entry.platform;
+            let result = platform.move_vm(&holder, &vm, &pool, ORDER_TIMEOUT).await;
+            log::info!(target: "sizing", vm:% = vm, to:% = pool, token:% = self.held.token(), result:?; "VM ordered to another pool.");
+            match result {
+                // An order without an answer may have been carried out; the list tells.
+                Ok(()) | Err(VmOrderError::Unknown(_)) => {
+                    let now = self.entry.now();
+                    self.sizes.borrow_mut().moved(&vm, &pool, now);
+                }
+                Err(VmOrderError::Fenced) => {
+                    self.lose();
+                    return;
+                }
+                Err(VmOrderError::Busy | VmOrderError::Invalid | VmOrderError::NotDone(_)) => {}
+            }
+        }
+    }
+
+    pub(super) fn take_homes(&self, item: &Item) {
+        match keys::decode(&item.key, &item.value) {
+            Ok(homes) => {
+                self.sizes.borrow_mut().homes = homes;
+                self.homes_revision.set(item.revision);
+            }
+            Err(error) => log::error!(target: "sizing", error:%; "The VMs' homes are skipped."),
+        }
+    }
+
+    /// Stores the pool of each VM that was not seen before.
+    pub(super) async fn store_homes(&self, vms: &BTreeMap<VmId, Vm>) -> Result<(), CallError> {
+        if !self.sizes.borrow_mut().note_homes(vms) {
+            return Ok(());
+        }
+        let homes = keys::encode(&self.sizes.borrow().homes);
+        let txn = Txn {
+            expect: vec![
+                self.held.guard(),
+                (keys::HOMES.into(), self.homes_revision.get()),
+            ],
+            put: vec![Put {
+                key: keys::HOMES.into(),
+                value: homes,
+                lease: None,
+            }],
+            ..Txn::default()
+        };
+        match self.entry.commit(&txn).await? {
+            Committed::Done(revision) => self.homes_revision.set(revision),
+            Committed::Conflict(conflict) => {
+                self.check_held(&conflict);
+                for item in &conflict.items {
+                    if item.key.as_ref() == keys::HOMES {
+                        self.take_homes(item);
+                    }
+                }
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/grid/src/fleet/waves.rs
+++ b/crates/grid/src/fleet/waves.rs
@@ -1,19 +1,49 @@
-//! A round of maintenance: empty what is next, take down what is empty, and say what is done.
+//! Maintenance waves: takes down what is empty, and says what is done.
+
+use std::collections::{BTreeMap, BTreeSet};
 
 use goldcrest_jobs::id::VmId;
-use goldcrest_jobs::upkeep::UpkeepPlan;
+use goldcrest_jobs::upkeep::{Facts, UpkeepPlan, Vm};
+use goldcrest_types::names::PoolName;
 
 use crate::fleet::{Fleet, ORDER_TIMEOUT};
 use crate::keys;
 use crate::ports::{CallError, Committed, Platform, Put, Revision, Txn, VmOrderError};
 
 impl<P: Platform> Fleet<P> {
-    pub(super) async fn round(&self) -> Result<(), CallError> {
-        self.show_new().await?;
-        let vms = self.vms().await?;
-        let empty = self.emptied(&vms).await?;
-        let plan: UpkeepPlan = self.upkeep.borrow().plan(&vms, &empty);
-        self.order_evacuations(&vms, &plan.evacuate).await?;
+    /// Whether a wave is under way.
+    pub(super) fn has_waves(&self) -> bool {
+        let upkeep = self.upkeep.borrow();
+        let mut waves = upkeep.waves.values();
+        waves.any(|wave| !wave.progress.is_completed)
+    }
+
+    pub(super) fn plan_waves(
+        &self,
+        vms: &BTreeMap<VmId, Vm>,
+        empty: &BTreeSet<VmId>,
+    ) -> UpkeepPlan {
+        let load_milli: BTreeMap<PoolName, u64> = self
+            .statuses
+            .borrow()
+            .iter()
+            .map(|(pool, status)| {
+                let has = status.capacity.cpu_millis.max(1);
+                // The work that waits counts as if it were to be done in a second.
+                let wanted = status.used.cpu_millis + status.backlog / 1_000;
+                (pool.clone(), wanted * 1_000 / has)
+            })
+            .collect();
+        let facts = Facts {
+            vms,
+            empty,
+            load_milli: &load_milli,
+            wall_ms: self.entry.wall_ms(),
+        };
+        self.upkeep.borrow_mut().plan(&facts)
+    }
+
+    pub(super) async fn carry_out_waves(&self, plan: UpkeepPlan) -> Result<(), CallError> {
         for (vm, wave) in plan.take_down {
             if self.may_order() && self.take_down(&vm, wave).await {
                 self.begun(vm, wave).await?;
@@ -26,7 +56,7 @@
     }
 
     /// Shows the operators that waves have been taken up.
-    async fn show_new(&self) -> Result<(), CallError> {
+    pub(super) async fn show_new_waves(&self) -> Result<(), CallError> {
         let new: Vec<u64> = {
             let (upkeep, stored) = (self.upkeep.borrow(), self.stored.borrow());
             let numbers = upkeep.waves.keys();
@@ -69,45 +99,46 @@
     /// Stores that a VM's maintenance has begun.
     async fn begun(&self, vm: VmId, wave: u64) -> Result<(), CallError> {
         if let Some(running) = self.upkeep.borrow_mut().waves.get_mut(&wave) {
+            running.chosen.remove(&vm);
             running.progress.begun.insert(vm);
         }
         self.save(wave).await
     }
 
     async fn complete(&self, wave: u64) -> Result<(), CallError> {
-        if let Some(running) = self.upkeep.borrow_mut().waves.get_mut(&wave) {
-            running.progress.is_completed = true;
-        }
+        self.set_completed(wave, true);
         let saved = self.save(wave).await;
         if saved.is_ok() {
             log::info!(target: "maintenance", wave; "Wave completed.");
-        } else if let Some(running) = self.upkeep.borrow_mut().waves.get_mut(&wave) {
-            running.progress.is_completed = false;
+        } else {
+            self.set_completed(wave, false);
         }
         saved
     }
 
+    fn set_completed(&self, wave: u64, is_completed: bool) {
+        if let Some(running) = self.upkeep.borrow_mut().waves.get_mut(&wave) {
+            running.progress.is_completed = is_completed;
+        }
+    }
+
     /// Stores a wave's progress, and shows the operators how far it is.
     async fn save(&self, wave: u64) -> Result<(), CallError> {
-        let Some(progress) = self
-            .upkeep
-            .borrow()
-            .waves
-            .get(&wave)
-            .map(|running| running.progress.clone())
-        else {
+        let progress = {
+            let upkeep = self.upkeep.borrow();
+            upkeep.waves.get(&wave).map(|it| it.progress.clone())
+        };
+        let Some(progress) = progress else {
             return Ok(());
         };
         let key = keys::wave(wave);
-        let revision = self
-            .stored
-            .borrow()
-            .get(&wave)
-            .copied()
-            .unwrap_or(Revision::ABSENT);
+        let known = self.stored.borrow().get(&wave).copied();
         let shown = self.entry.platform.wave_status(wave, progress.is_completed);
         let txn = Txn {
-            expect: vec![self.held.guard(), (key.clone(), revision)],
+            expect: vec![
+                self.held.guard(),
+                (key.clone(), known.unwrap_or(Revision::ABSENT)),
+            ],
             put: vec![
                 Put {
                     key: key.clone(),
@@ -124,14 +155,7 @@
                 Ok(())
             }
             Committed::Conflict(conflict) => {
-                let (role, held) = self.held.guard();
-                let is_held = conflict
-                    .items
-                    .iter()
-                    .any(|item| item.key == role && item.revision == held);
-                if !is_held {
-                    self.lose();
-                }
+                self.check_held(&conflict);
                 for item in conflict.items {
                     if item.key == key {
                         self.stored.borrow_mut().insert(wave, item.revision);
--- a/crates/grid/src/keys/mod.rs
+++ b/crates/grid/src/keys/mod.rs
@@ -10,6 +10,7 @@
 //! | `at/POOL` | [`PoolStatus`]; ends with the scheduler's lease | the pool's scheduler |
 //! | `share/TEAM` | the team's share of each pool | the schedulers |
 //! | `wave/N` | the progress of a wave | the fleet's holder |
+//! | `homes` | the pool of each VM when it was first seen | the fleet's holder |
 //! | `who/entry/NAME` | an entry; ends with its lease | itself |
 //! | `who/role/ROLE` | the name of the role's holder; ends with its lease; its revision is the fencing token | the holder |
 //!
@@ -93,8 +94,10 @@
     pub capacity: Resources,
     /// What its runs reserve.
     pub used: Resources,
-    /// What its waiting tasks need.
-    pub wanted: Resources,
+    /// The work of tasks that could start if there were room, in thousandths of a core times milliseconds.
+    pub backlog: u64,
+    /// Workers that could leave, those with the least to lose first.
+    pub light: Vec<WorkerId>,
 }
 
 /// A role that one entry holds at a time.
@@ -133,6 +136,9 @@
 /// What the keys of all jobs' statuses begin with.
 pub const JOBS: &str = "job/";
 
+/// The pool of each VM when it was first seen.
+pub const HOMES: &str = "homes";
+
 /// What the keys of all waves' progress begin with.
 pub const WAVES: &str = "wave/";
 
--- a/crates/grid/src/pool/status.rs
+++ b/crates/grid/src/pool/status.rs
@@ -15,6 +15,16 @@
 /// How often a change of the emptied VMs is looked for.
 const LOOK_EVERY: Duration = Duration::from_millis(150);
 
+/// A backlog that has changed by less than this does not matter to the pool's size: a VM's work of some hundred milliseconds.
+const BACKLOG_STEP: u64 = 16_000 * 300;
+
+/// Whether the fleet's holder should hear of the change at once.
+fn is_urgent(published: &PoolStatus, status: &PoolStatus) -> bool {
+    published.evacuated != status.evacuated
+        || published.backlog.abs_diff(status.backlog) > BACKLOG_STEP
+        || (published.backlog == 0) != (status.backlog == 0)
+}
+
 impl<P: Platform> Scheduler<P> {
     pub(super) async fn publish_status(self: Rc<Self>) {
         let mut published: Option<PoolStatus> = None;
@@ -23,9 +33,7 @@
             self.status_changed.notified().await;
             tokio::time::sleep(LOOK_EVERY).await;
             let status = self.status();
-            let is_urgent = published
-                .as_ref()
-                .is_none_or(|it| it.evacuated != status.evacuated);
+            let is_urgent = published.as_ref().is_none_or(|it| is_urgent(it, &status));
             let is_due = self.now().saturating_duration_since(published_at) >= PUBLISH_GAP;
             if published.as_ref() == Some(&status) || !(is_urgent || is_due) {
                 continue;
@@ -56,7 +64,8 @@
             evacuated: pool.evacuated(),
             capacity,
             used,
-            wanted: Resources::ZERO,
+            backlog: pool.backlog(),
+            light: pool.light_workers(),
         }
     }
 
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod progress;
 pub mod resources;
 pub mod share;
+pub mod size;
 pub mod spec;
 pub mod upkeep;
 pub mod verify;
--- a/crates/jobs/src/pool/evacuate.rs
+++ b/crates/jobs/src/pool/evacuate.rs
@@ -18,6 +18,9 @@
 /// Added to the time that a stop may take, for its way to the worker.
 const STOP_SLACK: Duration = Duration::from_millis(300);
 
+/// An older report is no proof that a run is still at work.
+const REPORT_AGE_MAX: Duration = Duration::from_millis(2_000);
+
 /// Runs the pass.
 pub fn run(pool: &mut Pool, now: Instant) {
     let mut stops: Vec<(WorkerRef, RunKey)> = Vec::new();
@@ -76,7 +79,7 @@
     if !has_elsewhere {
         return false;
     }
-    let at_work = at_work(pool, key.0.step);
+    let at_work = at_work(pool, key.0.step, now);
     let away = u32::try_from(state.tasks.len())
         .unwrap_or(u32::MAX)
         .saturating_sub(at_work);
@@ -84,21 +87,25 @@
 }
 
 /// How many tasks of a service are fully at work.
-fn at_work(pool: &Pool, step: StepId) -> u32 {
+fn at_work(pool: &Pool, step: StepId, now: Instant) -> u32 {
     let count = pool
         .workers
         .values()
         .flat_map(|it| it.runs.iter().map(move |run| (it, run)))
-        .filter(|(it, ((task, _), run))| task.step == step && is_at_work(pool, it, run))
+        .filter(|(it, ((task, _), run))| task.step == step && is_at_work(pool, it, run, now))
         .count();
     u32::try_from(count).unwrap_or(u32::MAX)
 }
 
-/// A run that is being stopped by an earlier scheduler's order is listed as before until it has ended.
-fn is_at_work(pool: &Pool, worker: &Worker, run: &Run) -> bool {
-    let is_sure = !run.is_adopted
-        || worker
-            .answered_at
-            .is_some_and(|at| at >= run.started_at + pool.bounds.stop_grace + STOP_SLACK);
-    run.phase == Phase::Confirmed && run.percent >= 100 && is_sure
+/// A run that is being stopped by an earlier scheduler's order is listed as before until it has ended, and a worker that
+/// has crashed goes on being believed in until its leases have lapsed: only a recent report counts.
+fn is_at_work(pool: &Pool, worker: &Worker, run: &Run, now: Instant) -> bool {
+    let Some(answered_at) = worker.answered_at else {
+        return false;
+    };
+    let is_recent = now.saturating_duration_since(answered_at) < REPORT_AGE_MAX;
+    let is_sure =
+        !run.is_adopted || answered_at >= run.started_at + pool.bounds.stop_grace + STOP_SLACK;
+    let is_full = run.phase == Phase::Confirmed && run.percent >= 100;
+    is_full && is_sure && is_recent && !worker.is_silent && !worker.is_gone
 }
--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -30,7 +30,7 @@
 use crate::id::{FencingToken, JobId, RunNumber, TaskId, WorkerId, WorkerRef};
 use crate::job::Job;
 use crate::resources::Resources;
-use crate::worker::Worker;
+use crate::worker::{Worker, millis};
 
 /// Times that the platform or the operators set.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -378,6 +378,46 @@
         waiting
     }
 
+    /// The work of tasks that could start if there were room, in thousandths of a core times milliseconds. Tasks that
+    /// wait for their team's limit are left out.
+    #[must_use]
+    pub fn backlog(&self) -> u64 {
+        let jobs = self.queue_order.iter().filter_map(|id| self.jobs.get(id));
+        let of_step = |job: &Job| -> u64 {
+            let occurrences = job.occurrences.values();
+            occurrences
+                .flat_map(|occurrence| {
+                    let steps = job.record.spec.steps.iter().zip(&occurrence.steps);
+                    steps.filter(|(step, _)| occurrence.is_open(step))
+                })
+                .map(|(step, state)| {
+                    let of_task = step.reserved().cpu_millis * millis(step.estimate);
+                    of_task * u64::from(state.idle)
+                })
+                .sum()
+        };
+        jobs.filter(|job| {
+            let team = job.record.team.as_ref();
+            team.is_none_or(|team| !self.short.contains_key(team))
+        })
+        .map(of_step)
+        .sum()
+    }
+
+    /// Workers that run no service, those with the fewest runs first.
+    #[must_use]
+    pub fn light_workers(&self) -> Vec<WorkerId> {
+        let mut light: Vec<_> = self
+            .workers
+            .values()
+            .filter(|it| it.is_listed && !it.is_gone && !it.info.is_draining)
+            .filter(|it| !it.runs.values().any(|run| run.is_service))
+            .map(|it| (it.runs.len(), it.info.id.clone()))
+            .collect();
+        light.sort_unstable();
+        light.into_iter().map(|(_, id)| id).collect()
+    }
+
     /// Runs the passes and returns the orders to send.
     pub fn plan(&mut self, now: Instant, wall_ms: u64) -> Vec<Order> {
         self.orders.clear();
--- a/crates/jobs/src/upkeep/mod.rs
+++ b/crates/jobs/src/upkeep/mod.rs
@@ -58,6 +58,8 @@
     pub begun: BTreeSet<VmId>,
     /// It is done.
     pub is_completed: bool,
+    /// When it was taken up, in milliseconds since 1970.
+    pub taken_up_ms: u64,
 }
 
 /// A wave that is under way.
@@ -67,6 +69,8 @@
     pub wave: Wave,
     /// How far it is.
     pub progress: WaveProgress,
+    /// VMs that are being emptied for it. They stay chosen until they are taken down.
+    pub chosen: BTreeSet<VmId>,
 }
 
 /// The waves that are under way.
@@ -87,14 +91,36 @@
     pub completed: Vec<u64>,
 }
 
+/// What a plan is made from.
+#[derive(Debug)]
+pub struct Facts<'a> {
+    /// The platform's list.
+    pub vms: &'a BTreeMap<VmId, Vm>,
+    /// VMs on which nothing runs and nothing will be started.
+    pub empty: &'a BTreeSet<VmId>,
+    /// How much of each pool is in use or waited for, in thousandths of what it has. Pools that are not listed have no load.
+    pub load_milli: &'a BTreeMap<PoolName, u64>,
+    /// The time of day in milliseconds since 1970.
+    pub wall_ms: u64,
+}
+
+/// The time that a VM takes from being chosen until it is back in its pool.
+const TURN: Duration = Duration::from_millis(6_000);
+
+/// A wave aims to be done this long before its time is over.
+const RESERVE: Duration = Duration::from_millis(3_500);
+
+/// At most this share of a pool's VMs is chosen at once while a wave is in time, in percent.
+const POOL_PERCENT: usize = 20;
+
 impl Upkeep {
-    /// Decides what is next. `empty` holds the VMs that their schedulers have emptied.
+    /// Decides what is next.
     #[must_use]
-    pub fn plan(&self, vms: &BTreeMap<VmId, Vm>, empty: &BTreeSet<VmId>) -> UpkeepPlan {
+    pub fn plan(&mut self, facts: &Facts<'_>) -> UpkeepPlan {
         let mut plan = UpkeepPlan::default();
-        for (number, running) in &self.waves {
+        for (number, running) in &mut self.waves {
             if !running.progress.is_completed {
-                running.plan(*number, vms, empty, &mut plan);
+                running.plan(*number, facts, &mut plan);
             }
         }
         plan
@@ -102,29 +128,31 @@
 }
 
 impl Running {
-    fn plan(
-        &self,
-        number: u64,
-        vms: &BTreeMap<VmId, Vm>,
-        empty: &BTreeSet<VmId>,
-        plan: &mut UpkeepPlan,
-    ) {
+    /// A wave that has just been ordered, or whose order has not been read yet.
+    #[must_use]
+    pub fn new(wave: Wave, progress: WaveProgress) -> Self {
+        Self {
+            wave,
+            progress,
+            chosen: BTreeSet::new(),
+        }
+    }
+
+    fn plan(&mut self, number: u64, facts: &Facts<'_>, plan: &mut UpkeepPlan) {
         let remaining: Vec<&Vm> = self
             .wave
             .vms
             .iter()
             .filter(|vm| !self.progress.begun.contains(vm))
-            .filter_map(|vm| vms.get(vm))
+            .filter_map(|vm| facts.vms.get(vm))
             .collect();
         // A VM that this wave has taken down counts until it is seen up again.
         let down = self
             .progress
             .begun
             .iter()
-            .filter(|vm| {
-                vms.get(vm)
-                    .is_some_and(|vm| vm.state == VmState::Maintained)
-            })
+            .filter_map(|vm| facts.vms.get(vm))
+            .filter(|vm| vm.state == VmState::Maintained)
             .count();
         if remaining.is_empty() {
             if down == 0 {
@@ -132,17 +160,60 @@
             }
             return;
         }
-        let slots = (self.wave.at_once as usize).saturating_sub(down);
-        let up: Vec<&&Vm> = remaining
-            .iter()
+        let wanted = self.at_once(remaining.len(), facts.wall_ms);
+        let up: Vec<&Vm> = remaining
+            .into_iter()
             .filter(|vm| vm.state == VmState::Up)
             .collect();
-        let ready = up.iter().filter(|vm| empty.contains(&vm.id));
+        self.chosen.retain(|vm| up.iter().any(|it| it.id == *vm));
+        self.choose(&up, wanted.saturating_sub(down), facts);
+        let slots = (self.wave.at_once as usize).saturating_sub(down);
+        let ready = self.chosen.iter().filter(|vm| facts.empty.contains(vm));
         plan.take_down
-            .extend(ready.take(slots).map(|vm| (vm.id.clone(), number)));
-        // The next VMs are emptied while others are down, so that none waits for its turn with work still on it.
-        let ahead = self.wave.at_once as usize + 1;
-        plan.evacuate
-            .extend(up.iter().take(ahead).map(|vm| vm.id.clone()));
+            .extend(ready.take(slots).map(|vm| (vm.clone(), number)));
+        plan.evacuate.extend(self.chosen.iter().cloned());
+    }
+
+    /// How many VMs should be emptied or down at once, so that the wave is done in its time and no sooner than needed.
+    fn at_once(&self, remaining: usize, wall_ms: u64) -> usize {
+        let passed = Duration::from_millis(wall_ms.saturating_sub(self.progress.taken_up_ms));
+        let left = self.wave.time.saturating_sub(passed + RESERVE);
+        let turns = (left.as_millis() / TURN.as_millis()).max(1);
+        let turns = usize::try_from(turns).unwrap_or(usize::MAX);
+        remaining.div_ceil(turns).min(self.wave.at_once as usize)
+    }
+
+    /// Chooses the next VMs: those that are empty already, then those of the pools with the least load.
+    fn choose(&mut self, up: &[&Vm], wanted: usize, facts: &Facts<'_>) {
+        let mut of_pool: BTreeMap<&PoolName, usize> = BTreeMap::new();
+        for vm in facts.vms.values() {
+            *of_pool.entry(&vm.pool).or_default() += 1;
+        }
+        let mut busy: BTreeMap<&PoolName, usize> = BTreeMap::new();
+        for vm in facts.vms.values() {
+            if vm.state != VmState::Up || self.chosen.contains(&vm.id) {
+                *busy.entry(&vm.pool).or_default() += 1;
+            }
+        }
+        let mut candidates: Vec<&&Vm> = up
+            .iter()
+            .filter(|vm| !self.chosen.contains(&vm.id))
+            .collect();
+        candidates.sort_by_key(|vm| {
+            let load = facts.load_milli.get(&vm.pool).copied().unwrap_or_default();
+            (!facts.empty.contains(&vm.id), load, vm.id.clone())
+        });
+        for is_second_pass in [false, true] {
+            for vm in &candidates {
+                if self.chosen.len() >= wanted {
+                    return;
+                }
+                let most = (of_pool[&vm.pool] * POOL_PERCENT).div_ceil(100).max(1);
+                let of_this = busy.entry(&vm.pool).or_default();
+                if (*of_this < most || is_second_pass) && self.chosen.insert(vm.id.clone()) {
+                    *of_this += 1;
+                }
+            }
+        }
     }
 }
