jobs: run times learned by regression; guests leave a pool by need; a repeated start's refusal frees nothing

Cause: (1) guesses of run times are off by a factor that differs by job, and order, objective and backlog were built on them. (2) VMs stayed with a pool whose turn was over while the next pool waited, as its backlog had to be nothing at all. Change: (1) `estimate`: per queue, regression of run times on guesses in logarithms. (2) a pool needs VMs for what it uses and its backlog within 1 s; it gives what it holds beyond that and its home size. (3) after an attempt without an answer only "there" or "can't be any more" is conclusive, and an end is left to the report.

--- a/crates/grid/src/pool/orders.rs
+++ b/crates/grid/src/pool/orders.rs
@@ -110,12 +110,13 @@
                 }
                 break;
             }
-            is_sent = true;
-            answer = self
+            let sent = self
                 .entry
                 .platform
                 .start(&to, &order, None, START_TIMEOUT)
                 .await;
+            answer = if is_sent { sent.after_silence() } else { sent };
+            is_sent = true;
             if answer != StartAnswer::Unknown {
                 break;
             }
--- /dev/null
+++ b/crates/jobs/src/estimate/mod.rs
@@ -0,0 +1,85 @@
+//! How long tasks take, learned from the submitters' guesses and from what the tasks took.
+//!
+//! Load pattern: guesses that are off by a factor that differs from job to job. For each queue the logarithms of guesses and
+//! run times are compared: the slope of their regression says how much a guess is worth. A guess that says nothing is
+//! replaced by the queue's typical run time, one that is right is kept.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use goldcrest_types::names::QueueName;
+
+/// Fewer run times than this teach nothing.
+const LEAST: f64 = 12.0;
+
+/// Older run times count less than this many.
+const MEMORY: f64 = 400.0;
+
+/// The shortest time that is told apart, in seconds.
+const SHORTEST_S: f64 = 0.001;
+
+/// What is known of a queue's tasks, over the natural logarithms of seconds.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+struct Fit {
+    count: f64,
+    mean_guess: f64,
+    mean_time: f64,
+    variance_sum: f64,
+    covariance_sum: f64,
+}
+
+impl Fit {
+    fn add(&mut self, guess: f64, time: f64) {
+        if self.count >= MEMORY {
+            let kept = 1.0 - 1.0 / MEMORY;
+            self.count *= kept;
+            self.variance_sum *= kept;
+            self.covariance_sum *= kept;
+        }
+        self.count += 1.0;
+        let off_guess = guess - self.mean_guess;
+        self.mean_guess += off_guess / self.count;
+        self.mean_time += (time - self.mean_time) / self.count;
+        self.variance_sum += off_guess * (guess - self.mean_guess);
+        self.covariance_sum += off_guess * (time - self.mean_time);
+    }
+
+    fn time(&self, guess: f64) -> f64 {
+        let slope = if self.variance_sum > f64::EPSILON {
+            (self.covariance_sum / self.variance_sum).clamp(0.0, 1.0)
+        } else {
+            0.0
+        };
+        self.mean_time + slope * (guess - self.mean_guess)
+    }
+}
+
+/// What is known of all queues' tasks.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Estimates {
+    by_queue: BTreeMap<QueueName, Fit>,
+}
+
+fn log_seconds(time: Duration) -> f64 {
+    time.as_secs_f64().max(SHORTEST_S).ln()
+}
+
+impl Estimates {
+    /// A task has done its work from the beginning to the end in `time`.
+    pub fn learn(&mut self, queue: &QueueName, guess: Duration, time: Duration) {
+        let fit = self.by_queue.entry(queue.clone()).or_default();
+        fit.add(log_seconds(guess), log_seconds(time));
+    }
+
+    /// How long a task with this guess is expected to take.
+    #[must_use]
+    pub fn expect(&self, queue: &QueueName, guess: Duration) -> Duration {
+        match self.by_queue.get(queue) {
+            Some(fit) if fit.count >= LEAST => {
+                let seconds = fit.time(log_seconds(guess)).exp();
+                Duration::try_from_secs_f64(seconds).unwrap_or(guess)
+            }
+            _ => guess,
+        }
+    }
+}
--- a/crates/jobs/src/job/mod.rs
+++ b/crates/jobs/src/job/mod.rs
@@ -148,6 +148,8 @@
     pub seen_at: Instant,
     /// When its submission is counted from.
     pub accepted_at: Instant,
+    /// How long a task of each step is expected to take.
+    pub step_times: Vec<Duration>,
     /// The time that its submitter expects it to take.
     pub objective: Duration,
     /// Run numbers begin here; above all that an earlier scheduler can have used.
@@ -158,7 +160,13 @@
 impl Job {
     /// A job that no earlier scheduler has worked on.
     #[must_use]
-    pub fn new(record: JobRecord, objective: Duration, accepted_at: Instant, now: Instant) -> Self {
+    pub fn new(
+        record: JobRecord,
+        step_times: Vec<Duration>,
+        objective: Duration,
+        accepted_at: Instant,
+        now: Instant,
+    ) -> Self {
         let outcome = record.is_cancelled.then_some(JobState::Cancelled);
         Self {
             record,
@@ -169,6 +177,7 @@
             is_announced: false,
             seen_at: now,
             accepted_at,
+            step_times,
             objective,
             first_run: RunNumber::FIRST,
             stored_progress: None,
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -9,6 +9,7 @@
 //! Nothing here does I/O; the time is passed in.
 
 pub mod catalogue;
+pub mod estimate;
 pub mod id;
 pub mod job;
 pub mod pool;
--- a/crates/jobs/src/pool/facts.rs
+++ b/crates/jobs/src/pool/facts.rs
@@ -32,13 +32,17 @@
     }
 
     fn open(&self, record: JobRecord, age: std::time::Duration, now: Instant) -> Job {
-        let chain = record.spec.longest_chain();
+        let steps = record.spec.steps.iter();
+        let step_times: Vec<_> = steps
+            .map(|step| self.estimates.expect(&record.queue, step.estimate))
+            .collect();
+        let chain = record.spec.longest_chain(&step_times);
         let objective = self
             .catalogue
             .queue(&record.queue)
             .map_or(chain, |queue| queue.objective(chain));
         let accepted_at = now.checked_sub(age).unwrap_or(now);
-        Job::new(record, objective, accepted_at, now)
+        Job::new(record, step_times, objective, accepted_at, now)
     }
 
     /// Takes over from an earlier scheduler: its open jobs, and the workers that it may have used. What these run is
@@ -321,7 +325,12 @@
                 it.paused_until = Some(now + WORKER_PAUSE);
                 self.drop_run(worker, key, "unhealthy", now);
             }
-            StartAnswer::Outdated => self.drop_run(worker, key, "outdated", now),
+            // An earlier attempt may have been carried out and have come to its end: the next report tells.
+            StartAnswer::Outdated => {
+                if let Some(run) = it.runs.get_mut(&key) {
+                    run.closed_at = Some(now);
+                }
+            }
             StartAnswer::TooLate => self.drop_run(worker, key, "too late", now),
             StartAnswer::Malformed => self.drop_run(worker, key, "malformed", now),
             StartAnswer::Fenced => {
--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -27,6 +27,7 @@
 use goldcrest_types::names::{PoolName, TeamName};
 
 use crate::catalogue::Catalogue;
+use crate::estimate::Estimates;
 use crate::id::{FencingToken, JobId, RunNumber, TaskId, WorkerId, WorkerRef};
 use crate::job::Job;
 use crate::resources::Resources;
@@ -144,6 +145,20 @@
     Unknown,
 }
 
+impl StartAnswer {
+    /// What this answer says if an earlier attempt of the same start had none and may still be carried out: only that the
+    /// run is there, or that it can't be any more, is certain.
+    #[must_use]
+    pub fn after_silence(self) -> Self {
+        match self {
+            Self::Started | Self::Fenced | Self::WrongWorker | Self::Outdated => self,
+            // It can't begin any more, but it may have begun and come to its end.
+            Self::TooLate => Self::Outdated,
+            Self::NoRoom | Self::Unhealthy | Self::Malformed | Self::Unknown => Self::Unknown,
+        }
+    }
+}
+
 /// Workers that an earlier scheduler may have used and that have not reported yet.
 #[derive(Debug, Clone)]
 struct Takeover {
@@ -171,6 +186,7 @@
     orders: Vec<Order>,
     events: Vec<Event>,
     queue_order: Vec<JobId>,
+    estimates: Estimates,
 }
 
 /// A change of what the scheduler believes, for the logs.
@@ -258,6 +274,7 @@
             orders: Vec::new(),
             events: Vec::new(),
             queue_order: Vec::new(),
+            estimates: Estimates::default(),
         }
     }
 
@@ -388,10 +405,11 @@
             occurrences
                 .flat_map(|occurrence| {
                     let steps = job.record.spec.steps.iter().zip(&occurrence.steps);
-                    steps.filter(|(step, _)| occurrence.is_open(step))
+                    let timed = steps.zip(&job.step_times);
+                    timed.filter(|((step, _), _)| occurrence.is_open(step))
                 })
-                .map(|(step, state)| {
-                    let of_task = step.reserved().cpu_millis * millis(step.estimate);
+                .map(|((step, state), time)| {
+                    let of_task = step.reserved().cpu_millis * millis(*time);
                     of_task * u64::from(state.idle)
                 })
                 .sum()
--- a/crates/jobs/src/pool/order.rs
+++ b/crates/jobs/src/pool/order.rs
@@ -79,22 +79,17 @@
     let Some(occurrence) = job.occurrences.values().next() else {
         return Duration::ZERO;
     };
-    let steps = &job.record.spec.steps;
-    let mut ends: Vec<Duration> = Vec::with_capacity(steps.len());
-    for (step, state) in steps.iter().zip(&occurrence.steps) {
-        let start = step
-            .after
-            .iter()
-            .filter_map(|after| ends.get(*after as usize))
-            .max()
-            .copied()
-            .unwrap_or_default();
-        let own = if state.is_done() {
-            Duration::ZERO
-        } else {
-            step.estimate
-        };
-        ends.push(start + own);
-    }
-    ends.into_iter().max().unwrap_or_default()
+    let times: Vec<Duration> = occurrence
+        .steps
+        .iter()
+        .zip(&job.step_times)
+        .map(|(state, time)| {
+            if state.is_done() {
+                Duration::ZERO
+            } else {
+                *time
+            }
+        })
+        .collect();
+    job.record.spec.longest_chain(&times)
 }
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -306,6 +306,7 @@
         phase: Phase::Ordered,
         started_at: now,
         is_adopted: false,
+        was_resumed: checkpoint.is_some(),
         start_until_ms: until_ms,
         closed_at: None,
         stop_sent_at: None,
--- a/crates/jobs/src/pool/report.rs
+++ b/crates/jobs/src/pool/report.rs
@@ -106,6 +106,9 @@
             }
             _ => {}
         }
+        if row.end == RunEnd::Done {
+            self.learn(row, run.as_ref(), now);
+        }
         self.avoid_failing(worker, now);
         self.events.push(Event::Ended {
             worker: id,
@@ -116,6 +119,23 @@
         self.apply_end(row, run.as_ref(), now);
     }
 
+    /// Learns how long a task took that this scheduler saw from its beginning to its end.
+    fn learn(&mut self, row: &EndRow, run: Option<&Run>, now: Instant) {
+        let Some(job) = self.jobs.get(&row.task.step.job) else {
+            return;
+        };
+        let Some((step, _)) = job.step(row.task.step) else {
+            return;
+        };
+        if let Some(run) = run
+            && !run.is_adopted
+            && !run.was_resumed
+        {
+            let time = now.saturating_duration_since(run.started_at);
+            self.estimates.learn(job.queue(), step.estimate, time);
+        }
+    }
+
     fn avoid_failing(&mut self, worker: WorkerRef, now: Instant) {
         let is_only_one = self
             .workers
@@ -234,6 +254,7 @@
             phase: Phase::Confirmed,
             started_at: now,
             is_adopted: true,
+            was_resumed: false,
             start_until_ms: 0,
             closed_at: Some(now),
             stop_sent_at: None,
--- a/crates/jobs/src/size/mod.rs
+++ b/crates/jobs/src/size/mod.rs
@@ -1,10 +1,12 @@
 //! Sizes of pools: which VMs move between the spare pool and the others.
 //!
 //! Load pattern: demand turns from one pool to the next, each asking several times its mean for some seconds and little in between. A
-//! pool whose backlog would take longer than [`HORIZON`] to work off gets VMs from the spare pool at once; a VM beyond a
-//! pool's home size goes back, or on to another pool that lacks VMs, once the pool has been calm for [`CALM`].
-//! A pool is not shrunk below its home size: an idle VM costs little against the work that is late when the next turn begins without
-//! it.
+//! pool whose backlog would take longer than [`HORIZON`] to work off lacks VMs. It gets them at once from the spare
+//! pool, then from pools that hold more than they need and more than their home size. What a pool holds beyond its home
+//! size goes back once it is calm: first to pools below their home size, then to the spare pool.
+//!
+//! A pool is not shrunk below its home size for the spare pool's sake: an idle VM costs little against the work that is
+//! late when the next turn begins without it.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -15,13 +17,10 @@
 use crate::upkeep::{Vm, VmState};
 
 /// A backlog that the pool's VMs work off within this time needs no more of them.
-const HORIZON: Duration = Duration::from_millis(1_500);
-
-/// A pool that has used less than it has for this long gives back VMs beyond its home size.
-const CALM: Duration = Duration::from_millis(1_200);
+const HORIZON: Duration = Duration::from_millis(1_000);
 
-/// A pool below this share of its processors in use, without a backlog, is calm; in thousandths.
-const CALM_MILLI: u64 = 700;
+/// A pool gives back what it holds beyond its home size once it has not needed it for this long.
+const CALM: Duration = Duration::from_millis(1_000);
 
 /// How long a move that was ordered counts before the list shows it.
 const ORDER_LAG: Duration = Duration::from_millis(2_500);
@@ -74,6 +73,30 @@
     pub spare: &'a PoolName,
 }
 
+/// A pool, counted in VMs.
+#[derive(Debug)]
+struct Count {
+    pool: PoolName,
+    /// What it had at first.
+    home: u64,
+    /// What it has, and what is on its way to it.
+    has: u64,
+    /// What it needs for its load.
+    needs: u64,
+    is_calm: bool,
+}
+
+impl Count {
+    fn lacks(&self) -> u64 {
+        self.needs.saturating_sub(self.has)
+    }
+
+    /// What it can give to a pool that lacks VMs.
+    fn can_give(&self) -> u64 {
+        self.has.saturating_sub(self.needs.max(self.home))
+    }
+}
+
 impl Sizes {
     /// Takes VMs that were not seen before; returns whether there were any.
     pub fn note_homes(&mut self, vms: &BTreeMap<VmId, Vm>) -> bool {
@@ -100,66 +123,76 @@
 
     /// Decides which VMs move.
     pub fn plan(&mut self, facts: &Facts<'_>, now: Instant) -> SizePlan {
-        self.ordered.retain(|vm, (pool, at)| {
-            let has_arrived = facts
-                .vms
-                .get(vm)
-                .is_some_and(|it| it.pool == *pool && it.state == VmState::Up);
-            !has_arrived && now.saturating_duration_since(*at) < ORDER_LAG
-        });
+        self.forget_arrived(facts, now);
         self.may_have_guests = facts
             .vms
             .values()
             .any(|vm| self.homes.get(&vm.id).is_some_and(|home| *home != vm.pool));
+        let counts = self.counts(facts, now);
+        let mut wanted = wanted(&counts);
         let mut plan = SizePlan::default();
-        let mut lacking = self.lacking(facts);
-        self.give_spare(facts, &mut lacking, &mut plan);
-        self.give_back(facts, &mut lacking, &mut plan, now);
+        self.give_spare(facts, &mut wanted, &mut plan);
+        self.choose_leaving(facts, &counts, &wanted);
+        self.send_leaving(facts, &counts, &mut wanted, &mut plan);
         plan
     }
 
-    /// How many VMs each pool lacks, beyond those that are on their way. The pool that lacks the most comes first.
-    fn lacking(&self, facts: &Facts<'_>) -> Vec<(PoolName, u64)> {
-        let mut lacking: Vec<(PoolName, u64)> = facts
-            .loads
-            .iter()
-            .filter(|(pool, load)| *pool != facts.spare && load.capacity_millis > 0)
-            .filter_map(|(pool, load)| {
-                let count = self.count(facts, pool).max(1);
-                let of_vm = (load.capacity_millis / count).max(1);
-                let horizon_ms = u64::try_from(HORIZON.as_millis()).unwrap_or(u64::MAX);
-                // Half a VM's work is not worth a move.
-                let wanted = (load.backlog + of_vm * horizon_ms / 2) / (of_vm * horizon_ms);
-                let coming = self.ordered.values().filter(|(to, _)| to == pool).count();
-                let coming = u64::try_from(coming).unwrap_or(u64::MAX);
-                let lacks = wanted.saturating_sub(coming);
-                (lacks > 0).then(|| (pool.clone(), lacks))
-            })
-            .collect();
-        lacking.sort_by_key(|(_, lacks)| std::cmp::Reverse(*lacks));
-        lacking
+    fn forget_arrived(&mut self, facts: &Facts<'_>, now: Instant) {
+        self.ordered.retain(|vm, (pool, at)| {
+            let has_arrived = facts
+                .vms
+                .get(vm)
+                .is_some_and(|it| it.pool == *pool && it.state == VmState::Up);
+            !has_arrived && now.saturating_duration_since(*at) < ORDER_LAG
+        });
+        self.leaving.retain(|vm| facts.vms.contains_key(vm));
     }
 
-    fn count(&self, facts: &Facts<'_>, pool: &PoolName) -> u64 {
-        let there = facts
-            .vms
-            .values()
-            .filter(|vm| vm.pool == *pool && vm.state == VmState::Up)
-            .count();
-        u64::try_from(there).unwrap_or(u64::MAX)
+    /// Where a VM is, or is on its way to.
+    fn place<'a>(&'a self, vm: &'a Vm) -> &'a PoolName {
+        self.ordered.get(&vm.id).map_or(&vm.pool, |(to, _)| to)
     }
 
-    /// VMs whose home is the pool, or that are in it, without those in neither sense.
-    fn beyond_home(&self, facts: &Facts<'_>, pool: &PoolName) -> usize {
-        let of_home = self
-            .homes
-            .iter()
-            .filter(|(vm, home)| *home == pool && facts.vms.contains_key(vm));
-        let there = facts.vms.values().filter(|vm| {
-            let to = self.ordered.get(&vm.id).map_or(&vm.pool, |(to, _)| to);
-            to == pool
-        });
-        there.count().saturating_sub(of_home.count())
+    fn counts(&mut self, facts: &Facts<'_>, now: Instant) -> Vec<Count> {
+        let mut counts = Vec::new();
+        for (pool, load) in facts.loads {
+            if pool == facts.spare || load.capacity_millis == 0 {
+                continue;
+            }
+            let there = facts.vms.values();
+            let up = there
+                .clone()
+                .filter(|vm| vm.pool == *pool && vm.state == VmState::Up);
+            let up = u64::try_from(up.count()).unwrap_or(u64::MAX).max(1);
+            let has = there.filter(|vm| self.place(vm) == pool).count();
+            let homes = self.homes.iter();
+            let home = homes
+                .filter(|(vm, home)| *home == pool && facts.vms.contains_key(vm))
+                .count();
+            let of_vm = (load.capacity_millis / up).max(1);
+            let horizon_ms = u64::try_from(HORIZON.as_millis()).unwrap_or(u64::MAX);
+            let demand = load.used_millis + load.backlog / horizon_ms;
+            // Half a VM's work is not worth a move.
+            let needs = (demand + of_vm / 2) / of_vm;
+            let home = u64::try_from(home).unwrap_or(u64::MAX);
+            let has = u64::try_from(has).unwrap_or(u64::MAX);
+            if needs >= has.max(home) {
+                self.calm_since.remove(pool);
+            }
+            let since = if needs < has {
+                *self.calm_since.entry(pool.clone()).or_insert(now)
+            } else {
+                now
+            };
+            counts.push(Count {
+                pool: pool.clone(),
+                home,
+                has,
+                needs,
+                is_calm: now.saturating_duration_since(since) >= CALM,
+            });
+        }
+        counts
     }
 
     fn is_free(&self, facts: &Facts<'_>, vm: &Vm) -> bool {
@@ -168,101 +201,109 @@
             && !self.ordered.contains_key(&vm.id)
     }
 
-    fn give_spare(&self, facts: &Facts<'_>, lacking: &mut [(PoolName, u64)], plan: &mut SizePlan) {
+    fn give_spare(&self, facts: &Facts<'_>, wanted: &mut [(PoolName, u64)], plan: &mut SizePlan) {
         let spares = facts.vms.values();
         let mut spares = spares.filter(|vm| vm.pool == *facts.spare && self.is_free(facts, vm));
-        for (pool, lacks) in lacking {
-            while *lacks > 0 {
+        for (pool, count) in wanted {
+            while *count > 0 {
                 let Some(vm) = spares.next() else { return };
                 plan.moves.push((vm.id.clone(), pool.clone()));
-                *lacks -= 1;
+                *count -= 1;
             }
         }
     }
 
-    /// Empties the VMs beyond a calm pool's home size, and moves those that are empty to where they are lacking, or back.
-    fn give_back(
-        &mut self,
-        facts: &Facts<'_>,
-        lacking: &mut Vec<(PoolName, u64)>,
-        plan: &mut SizePlan,
-        now: Instant,
-    ) {
-        self.leaving.retain(|vm| facts.vms.contains_key(vm));
-        for (pool, load) in facts.loads {
-            if pool == facts.spare {
-                continue;
-            }
-            let is_calm =
-                load.backlog == 0 && load.used_millis * 1_000 < load.capacity_millis * CALM_MILLI;
-            if !is_calm {
-                self.calm_since.remove(pool);
-                self.leaving
-                    .retain(|vm| facts.vms.get(vm).is_none_or(|vm| vm.pool != *pool));
-                continue;
-            }
-            let since = *self.calm_since.entry(pool.clone()).or_insert(now);
-            let beyond = self.beyond_home(facts, pool);
+    /// Chooses the VMs that are to leave their pools: as many as others want, and what calm pools hold beyond their home size.
+    fn choose_leaving(&mut self, facts: &Facts<'_>, counts: &[Count], wanted: &[(PoolName, u64)]) {
+        let mut open: u64 = wanted.iter().map(|(_, count)| count).sum();
+        for count in counts {
             let leaving_here = self
                 .leaving
                 .iter()
-                .filter(|vm| facts.vms.get(vm).is_some_and(|vm| vm.pool == *pool))
+                .filter(|vm| facts.vms.get(vm).is_some_and(|vm| vm.pool == count.pool))
                 .count();
-            if now.saturating_duration_since(since) >= CALM && beyond > leaving_here {
-                self.choose_leaving(facts, pool, load, beyond - leaving_here);
-            }
-        }
-        for id in self.leaving.clone() {
-            let Some(vm) = facts.vms.get(&id) else {
-                continue;
+            let leaving_here = u64::try_from(leaving_here).unwrap_or(u64::MAX);
+            let beyond = if count.is_calm {
+                count.has.saturating_sub(count.home.max(count.needs))
+            } else {
+                0
             };
-            if !self.is_free(facts, vm) {
+            let for_others = count.can_give().min(open);
+            let goal = beyond.max(for_others);
+            if count.lacks() > 0 || goal == 0 {
+                self.leaving.retain(|vm| {
+                    let vm = facts.vms.get(vm);
+                    vm.is_none_or(|vm| vm.pool != count.pool)
+                });
                 continue;
             }
-            if facts.empty.contains(&id) {
-                let to = next_pool(lacking, &vm.pool).unwrap_or_else(|| facts.spare.clone());
-                plan.moves.push((id.clone(), to));
-            } else {
-                plan.evacuate.insert(id);
+            open -= for_others;
+            if let Some(load) = facts.loads.get(&count.pool) {
+                self.add_leaving(facts, count, load, goal.saturating_sub(leaving_here));
             }
         }
-        // What is being moved stays empty until it is gone.
-        plan.evacuate.extend(
-            plan.moves
-                .iter()
-                .map(|(vm, _)| vm.clone())
-                .filter(|vm| self.leaving.contains(vm)),
-        );
     }
 
-    fn choose_leaving(
-        &mut self,
-        facts: &Facts<'_>,
-        pool: &PoolName,
-        load: &PoolLoad,
-        count: usize,
-    ) {
+    fn add_leaving(&mut self, facts: &Facts<'_>, count: &Count, load: &PoolLoad, more: u64) {
         let by_worker: BTreeMap<&WorkerId, &Vm> = facts
             .vms
             .values()
-            .filter(|vm| vm.pool == *pool)
+            .filter(|vm| vm.pool == count.pool)
             .filter_map(|vm| Some((vm.worker.as_ref()?, vm)))
             .collect();
         let light = load.light.iter().filter_map(|worker| by_worker.get(worker));
         let chosen: Vec<VmId> = light
             .filter(|vm| self.is_free(facts, vm) && !self.leaving.contains(&vm.id))
-            .take(count)
+            .take(usize::try_from(more).unwrap_or(usize::MAX))
             .map(|vm| vm.id.clone())
             .collect();
         self.leaving.extend(chosen);
     }
+
+    /// Empties the VMs that are to leave, and moves those that are empty.
+    fn send_leaving(
+        &self,
+        facts: &Facts<'_>,
+        counts: &[Count],
+        wanted: &mut [(PoolName, u64)],
+        plan: &mut SizePlan,
+    ) {
+        let mut below_home: Vec<(PoolName, u64)> = counts
+            .iter()
+            .map(|count| (count.pool.clone(), count.home.saturating_sub(count.has)))
+            .filter(|(_, count)| *count > 0)
+            .collect();
+        for id in &self.leaving {
+            let Some(vm) = facts.vms.get(id).filter(|vm| self.is_free(facts, vm)) else {
+                continue;
+            };
+            plan.evacuate.insert(id.clone());
+            if facts.empty.contains(id) {
+                let to = take_one(wanted, &vm.pool)
+                    .or_else(|| take_one(&mut below_home, &vm.pool))
+                    .unwrap_or_else(|| facts.spare.clone());
+                plan.moves.push((id.clone(), to));
+            }
+        }
+    }
+}
+
+/// The pools that lack VMs, and how many; those that lack the most come first.
+fn wanted(counts: &[Count]) -> Vec<(PoolName, u64)> {
+    let mut wanted: Vec<(PoolName, u64)> = counts
+        .iter()
+        .map(|count| (count.pool.clone(), count.lacks()))
+        .filter(|(_, lacks)| *lacks > 0)
+        .collect();
+    wanted.sort_by_key(|(_, lacks)| std::cmp::Reverse(*lacks));
+    wanted
 }
 
-/// The pool that lacks VMs the most, other than `from`.
-fn next_pool(lacking: &mut [(PoolName, u64)], from: &PoolName) -> Option<PoolName> {
-    let (pool, lacks) = lacking
+/// The first pool other than `from` that wants one more.
+fn take_one(wanted: &mut [(PoolName, u64)], from: &PoolName) -> Option<PoolName> {
+    let (pool, count) = wanted
         .iter_mut()
-        .find(|(pool, lacks)| pool != from && *lacks > 0)?;
-    *lacks -= 1;
+        .find(|(pool, count)| pool != from && *count > 0)?;
+    *count -= 1;
     Some(pool.clone())
 }
--- a/crates/jobs/src/spec/mod.rs
+++ b/crates/jobs/src/spec/mod.rs
@@ -159,11 +159,11 @@
         Ok(())
     }
 
-    /// The estimated time of the longest chain of steps.
+    /// The time of the longest chain of steps, where `times` holds the time of each step.
     #[must_use]
-    pub fn longest_chain(&self) -> Duration {
+    pub fn longest_chain(&self, times: &[Duration]) -> Duration {
         let mut ends: Vec<Duration> = Vec::with_capacity(self.steps.len());
-        for step in &self.steps {
+        for (step, time) in self.steps.iter().zip(times) {
             let start = step
                 .after
                 .iter()
@@ -171,7 +171,7 @@
                 .max()
                 .copied()
                 .unwrap_or_default();
-            ends.push(start + step.estimate);
+            ends.push(start + *time);
         }
         ends.into_iter().max().unwrap_or_default()
     }
--- a/crates/jobs/src/worker/mod.rs
+++ b/crates/jobs/src/worker/mod.rs
@@ -62,6 +62,8 @@
     pub started_at: Instant,
     /// It was found on the worker; an earlier scheduler may have ordered its stop just before.
     pub is_adopted: bool,
+    /// It resumed from a checkpoint.
+    pub was_resumed: bool,
     /// After this time on the worker's clock the start is refused.
     pub start_until_ms: u64,
     /// From then on, a report that does not list the run proves that it is not there.
--- /dev/null
+++ b/crates/jobs/tests/answers.rs
@@ -0,0 +1,22 @@
+//! What an answer to a repeated start says.
+
+use goldcrest_jobs::pool::StartAnswer;
+
+/// The first attempt had no answer and may be carried out later: a refusal of the second one frees nothing.
+#[test]
+fn after_silence_refusals_are_not_conclusive() {
+    for refusal in [
+        StartAnswer::NoRoom,
+        StartAnswer::Unhealthy,
+        StartAnswer::Malformed,
+        StartAnswer::Unknown,
+    ] {
+        assert_eq!(refusal.after_silence(), StartAnswer::Unknown);
+    }
+}
+
+#[test]
+fn after_silence_an_end_is_left_to_the_report() {
+    assert_eq!(StartAnswer::TooLate.after_silence(), StartAnswer::Outdated);
+    assert_eq!(StartAnswer::Started.after_silence(), StartAnswer::Started);
+}
--- /dev/null
+++ b/crates/jobs/tests/size.rs
@@ -0,0 +1,145 @@
+//! Pools whose demand turns: VMs follow it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use goldcrest_jobs::id::{VmId, WorkerId};
+use goldcrest_jobs::size::{Facts, PoolLoad, SizePlan, Sizes};
+use goldcrest_jobs::upkeep::{Vm, VmState};
+use goldcrest_types::names::PoolName;
+
+/// The processors of a VM, in thousandths of a core.
+const VM_MILLIS: u64 = 16_000;
+
+struct Fleet {
+    vms: BTreeMap<VmId, Vm>,
+    loads: BTreeMap<PoolName, PoolLoad>,
+    empty: BTreeSet<VmId>,
+    sizes: Sizes,
+    now: Instant,
+}
+
+fn pool(name: &str) -> PoolName {
+    name.parse().expect("a name")
+}
+
+impl Fleet {
+    /// Pools `a` and `b` of four VMs each, and four spare VMs.
+    fn new() -> Self {
+        let mut fleet = Self {
+            vms: BTreeMap::new(),
+            loads: BTreeMap::new(),
+            empty: BTreeSet::new(),
+            sizes: Sizes::default(),
+            now: Instant::now(),
+        };
+        for name in ["a", "b", "spare"] {
+            for number in 0..4 {
+                let id = VmId::from(&*format!("{name}{number}"));
+                let vm = Vm {
+                    id: id.clone(),
+                    pool: pool(name),
+                    state: VmState::Up,
+                    worker: Some(WorkerId::from(id.as_str())),
+                };
+                fleet.vms.insert(id, vm);
+            }
+        }
+        fleet.sizes.note_homes(&fleet.vms);
+        fleet
+    }
+
+    fn count(&self, name: &str) -> usize {
+        self.vms.values().filter(|vm| vm.pool == pool(name)).count()
+    }
+
+    /// Sets what a pool uses, in VMs, and its backlog, in seconds of a VM.
+    fn load(&mut self, name: &str, used_vms: u64, backlog_s: u64) {
+        let of_pool = self.vms.values().filter(|vm| vm.pool == pool(name));
+        let light = of_pool.filter_map(|vm| vm.worker.clone()).collect();
+        let load = PoolLoad {
+            capacity_millis: VM_MILLIS * u64::try_from(self.count(name)).unwrap_or(0),
+            used_millis: VM_MILLIS * used_vms,
+            backlog: VM_MILLIS * 1_000 * backlog_s,
+            light,
+        };
+        self.loads.insert(pool(name), load);
+    }
+
+    /// Plans, and carries the moves out at once.
+    fn plan(&mut self) -> SizePlan {
+        let spare = pool("spare");
+        let facts = Facts {
+            vms: &self.vms,
+            empty: &self.empty,
+            in_waves: &BTreeSet::new(),
+            loads: &self.loads,
+            spare: &spare,
+        };
+        let plan = self.sizes.plan(&facts, self.now);
+        for (vm, to) in &plan.moves {
+            self.sizes.moved(vm, to, self.now);
+            if let Some(vm) = self.vms.get_mut(vm) {
+                vm.pool = to.clone();
+            }
+        }
+        self.empty.clone_from(&plan.evacuate);
+        plan
+    }
+
+    fn pass(&mut self, ms: u64) {
+        self.now += Duration::from_millis(ms);
+    }
+}
+
+#[test]
+fn plan_turn_gets_spare_vms_at_once() {
+    let mut fleet = Fleet::new();
+    fleet.load("a", 4, 3);
+    fleet.load("b", 0, 0);
+    fleet.plan();
+    assert_eq!((fleet.count("a"), fleet.count("spare")), (7, 1));
+    // What is on its way is not sent again.
+    fleet.load("a", 4, 3);
+    assert_eq!(fleet.plan().moves, Vec::new());
+}
+
+#[test]
+fn plan_next_turn_gets_them_from_the_last() {
+    let mut fleet = Fleet::new();
+    fleet.load("a", 4, 4);
+    fleet.load("b", 0, 0);
+    fleet.plan();
+    assert_eq!(fleet.count("a"), 8);
+    fleet.pass(3_000);
+    fleet.load("a", 1, 0);
+    fleet.load("b", 4, 3);
+    // They are emptied first.
+    let plan = fleet.plan();
+    assert_eq!((plan.moves.len(), plan.evacuate.len()), (0, 3));
+    fleet.plan();
+    assert_eq!((fleet.count("a"), fleet.count("b")), (5, 7));
+}
+
+#[test]
+fn plan_calm_pool_gives_back_to_spare() {
+    let mut fleet = Fleet::new();
+    fleet.load("a", 4, 4);
+    fleet.load("b", 0, 0);
+    fleet.plan();
+    for _ in 0..4 {
+        fleet.pass(1_200);
+        fleet.load("a", 1, 0);
+        fleet.plan();
+    }
+    // A pool keeps its home size, however calm it is.
+    assert_eq!((fleet.count("a"), fleet.count("spare")), (4, 4));
+}
+
+#[test]
+fn plan_small_backlog_moves_nothing() {
+    let mut fleet = Fleet::new();
+    fleet.load("a", 4, 0);
+    fleet.load("b", 2, 0);
+    assert_eq!(fleet.plan(), SizePlan::default());
+}
