--- a/crates/grid/src/pool/load.rs
+++ b/crates/grid/src/pool/load.rs
@@ -37,6 +37,8 @@
             self.guess_status(&item, &record);
             let progress = by_key.remove(&keys::progress(&self.name, record.id));
             let progress: Progress = self.take_value(progress).unwrap_or_default();
+            let workers = progress.workers.clone();
+            self.noted_workers.borrow_mut().insert(record.id, workers);
             let age = self.age(&record);
             jobs.push((record, progress, age));
         }
--- a/crates/grid/src/pool/mod.rs
+++ b/crates/grid/src/pool/mod.rs
@@ -50,6 +50,8 @@
     unsaved: Notify,
     /// What the store holds of this pool's keys, as far as it was written or read here.
     stored: RefCell<HashMap<Box<str>, Stored>>,
+    /// The workers of each job that are stored with it.
+    noted_workers: RefCell<HashMap<JobId, BTreeSet<WorkerId>>>,
     /// Jobs whose removal has been saved, and when.
     closed: RefCell<BTreeMap<JobId, Instant>>,
     /// Counts the requests to save, and those that were met.
@@ -135,6 +137,7 @@
         replan: Notify::new(),
         unsaved: Notify::new(),
         stored: RefCell::default(),
+        noted_workers: RefCell::default(),
         closed: RefCell::default(),
         save_wanted: Cell::new(0),
         saved: watch::Sender::new(0),
--- a/crates/grid/src/pool/orders.rs
+++ b/crates/grid/src/pool/orders.rs
@@ -22,6 +22,9 @@
 /// How often a start is sent again that had no answer. Repeating it on the same worker is harmless.
 const START_ATTEMPTS: u32 = 2;
 
+/// How long the note that a job may run on a worker may take to be stored.
+const NOTE_WAIT: Duration = Duration::from_millis(900);
+
 /// How long a stop or a change of pace may take.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -100,6 +103,11 @@
     async fn send_start(&self, order: StartOrder) {
         let mut answer = StartAnswer::Unknown;
         let mut is_sent = false;
+        if !self.is_noted(&order) && !self.wait_saved(NOTE_WAIT).await {
+            // Not sent: a scheduler that came after this one would not know of the worker.
+            self.start_answered(&order, StartAnswer::TooLate);
+            return;
+        }
         for _ in 0..START_ATTEMPTS {
             let Some(to) = self.recipient(order.worker) else {
                 break;
@@ -121,6 +129,23 @@
                 break;
             }
         }
+        self.start_answered(&order, answer);
+    }
+
+    /// Whether it is stored that the job may run on the worker.
+    fn is_noted(&self, order: &StartOrder) -> bool {
+        let id = order.task.step.job;
+        let pool = self.pool.borrow();
+        let Some(worker) = pool.worker(order.worker) else {
+            return false;
+        };
+        let noted = self.noted_workers.borrow();
+        noted
+            .get(&id)
+            .is_some_and(|workers| workers.contains(&worker.info.id))
+    }
+
+    fn start_answered(&self, order: &StartOrder, answer: StartAnswer) {
         if answer != StartAnswer::Started {
             log::warn!(target: "scheduler", task:% = order.task, run:% = order.run, worker:% = order.worker, answer:?; "Task not started.");
         }
--- a/crates/grid/src/pool/save.rs
+++ b/crates/grid/src/pool/save.rs
@@ -5,10 +5,11 @@
 //! scheduler that was replaced nor a transaction that is carried out late can undo what came after. If a transaction is
 //! refused, the keys' present content comes with the refusal and the next round starts from that.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
-use goldcrest_jobs::id::JobId;
+use goldcrest_jobs::id::{JobId, WorkerId};
 use goldcrest_jobs::spec::JobState;
 
 use crate::keys::{self, Crew, JobStatus};
@@ -19,7 +20,7 @@
 const ROWS_MAX: usize = 32;
 
 /// Changes within this time are saved together.
-const BATCH: Duration = Duration::from_millis(12);
+const BATCH: Duration = Duration::from_millis(6);
 
 /// How long closed jobs are remembered. Longer than any listing is under way.
 const CLOSED_KEPT: Duration = Duration::from_secs(30);
@@ -40,6 +41,8 @@
     remove: Vec<Box<str>>,
     /// Nothing of it is left to do after this.
     closes: Option<JobId>,
+    /// The workers that are stored with the job after this.
+    workers: Option<(JobId, BTreeSet<WorkerId>)>,
 }
 
 impl Writes {
@@ -109,6 +112,7 @@
             };
             let mut batch = Vec::new();
             let mut closed = Vec::new();
+            let mut workers = Vec::new();
             while let Some(job) = jobs.last() {
                 let writes = self.writes(*job);
                 if txn.rows() + writes.rows() > ROWS_MAX {
@@ -117,6 +121,7 @@
                 batch.extend(jobs.pop());
                 if !writes.is_empty() {
                     closed.extend(writes.closes);
+                    workers.extend(writes.workers.clone());
                     self.add(&mut txn, writes);
                 }
             }
@@ -124,7 +129,10 @@
                 continue;
             }
             match self.entry.commit(&txn).await? {
-                Committed::Done(revision) => self.after_commit(txn, revision, &closed),
+                Committed::Done(revision) => {
+                    self.after_commit(txn, revision, &closed);
+                    self.noted_workers.borrow_mut().extend(workers);
+                }
                 Committed::Conflict(conflict) => {
                     self.after_conflict(&txn, conflict);
                     jobs.extend(batch);
@@ -179,6 +187,7 @@
                 .is_some_and(|it| it.value == progress);
             if !is_same {
                 writes.put.push((progress_key, progress));
+                writes.workers = Some((id, job.workers.clone()));
             }
         }
         writes
@@ -210,6 +219,7 @@
                 stored.remove(&keys::job(it.queue(), *job));
             }
             pool.forget(*job);
+            self.noted_workers.borrow_mut().remove(job);
             self.closed.borrow_mut().insert(*job, self.entry.now());
         }
     }
@@ -287,7 +297,7 @@
         let crew = {
             let pool = self.pool.borrow();
             let workers = pool.workers().values();
-            let mut crew: std::collections::BTreeSet<_> = workers
+            let mut crew: BTreeSet<_> = workers
                 .filter(|it| !it.is_gone)
                 .map(|it| it.info.id.clone())
                 .collect();
--- a/crates/jobs/src/job/mod.rs
+++ b/crates/jobs/src/job/mod.rs
@@ -9,7 +9,7 @@
 
 use goldcrest_types::names::QueueName;
 
-use crate::id::{JobId, RunNumber, StepId, TaskId};
+use crate::id::{JobId, RunNumber, StepId, TaskId, WorkerId};
 use crate::progress::{IndexSet, OccurrenceProgress, Progress, StepProgress, TaskProgress};
 use crate::spec::{JobRecord, JobState, Step};
 
@@ -140,6 +140,10 @@
     pub occurrences_done: IndexSet,
     /// A task has started.
     pub has_begun: bool,
+    /// The workers that may have been told to start a task.
+    pub workers: BTreeSet<WorkerId>,
+    /// Those of them that an earlier scheduler used and that have not reported yet.
+    pub awaited: BTreeSet<WorkerId>,
     /// No more runs are started, and those at work are stopped.
     pub outcome: Option<JobState>,
     /// Its outcome has been logged and noted for storing.
@@ -173,6 +177,8 @@
             occurrences: BTreeMap::new(),
             occurrences_done: IndexSet::default(),
             has_begun: false,
+            workers: BTreeSet::new(),
+            awaited: BTreeSet::new(),
             outcome,
             is_announced: false,
             seen_at: now,
@@ -184,11 +190,13 @@
         }
     }
 
-    /// Goes on from an earlier scheduler. Each of its tasks is unknown until all workers have reported, and run
+    /// Goes on from an earlier scheduler. Each of its tasks is unknown until all its workers have reported, and run
     /// numbers begin at `first_run`.
     #[must_use]
     pub fn with_progress(mut self, progress: Progress, first_run: RunNumber) -> Self {
         self.has_begun = progress.has_begun;
+        self.workers.clone_from(&progress.workers);
+        self.awaited.clone_from(&progress.workers);
         self.occurrences_done = progress.occurrences_done.clone();
         self.first_run = first_run;
         self.stored_progress = Some(progress);
@@ -260,7 +268,13 @@
             .insert(occurrence, Occurrence { steps, due_at });
     }
 
-    /// All workers have reported: a task that none of them runs is idle.
+    /// Whether an earlier scheduler worked on it and its tasks are not all known yet.
+    #[must_use]
+    pub fn is_inherited(&self) -> bool {
+        self.stored_progress.is_some()
+    }
+
+    /// All its workers have reported: a task that none of them runs is idle.
     pub fn resolve_unknown(&mut self) {
         // The wall clock may have been set back since the occurrences were opened.
         let stored = self.stored_progress.iter().flat_map(|it| &it.occurrences);
@@ -373,6 +387,7 @@
             .collect();
         Progress {
             has_begun: self.has_begun,
+            workers: self.workers.clone(),
             occurrences_done: self.occurrences_done.clone(),
             occurrences,
         }
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -285,6 +285,9 @@
         .and_then(|(_, state)| state.tasks.get(task.index as usize))
         .and_then(|task| task.checkpoint.clone());
     let checkpoint = gang.map_or(checkpoint, |(_, of_gang)| of_gang);
+    if job.workers.insert(it.info.id.clone()) {
+        pool.unsaved.insert(task.step.job);
+    }
     let waited = now.saturating_duration_since(job.accepted_at);
     let payload = job.record.spec.payload.clone();
     let team = job.record.team.clone();
--- a/crates/jobs/src/pool/release.rs
+++ b/crates/jobs/src/pool/release.rs
@@ -70,19 +70,24 @@
     }
 }
 
+/// Resolves each job whose workers have all reported; ends the takeover once nothing of the earlier scheduler can run.
 fn end_takeover(pool: &mut Pool, now: Instant) {
-    let is_over = pool
-        .takeover
-        .as_ref()
-        .is_some_and(|takeover| takeover.awaited.is_empty() || now >= takeover.until);
-    if is_over {
-        pool.takeover = None;
-        for (id, job) in &mut pool.jobs {
+    let Some(takeover) = &pool.takeover else {
+        return;
+    };
+    let is_over = takeover.awaited.is_empty() || now >= takeover.until;
+    for (id, job) in &mut pool.jobs {
+        job.awaited
+            .retain(|worker| !is_over && takeover.awaited.contains(worker));
+        if job.awaited.is_empty() && job.is_inherited() {
             job.resolve_unknown();
-            // An ended job can be closed now.
-            if job.outcome.is_some() {
-                pool.unsaved.insert(*id);
-            }
         }
+        // An ended job can be closed now.
+        if is_over && job.outcome.is_some() {
+            pool.unsaved.insert(*id);
+        }
+    }
+    if is_over {
+        pool.takeover = None;
     }
 }
--- a/crates/jobs/src/progress/mod.rs
+++ b/crates/jobs/src/progress/mod.rs
@@ -1,14 +1,15 @@
 //! What is stored of an open job's progress.
 //!
 //! A [`Progress`] holds only what a new scheduler could not learn from the workers: the tasks that are done, the
-//! attempts that have failed, the highest run number and the checkpoint of each task that has ended otherwise. It is
-//! written before an end is taken note of at its worker, so that no end is lost with its scheduler.
+//! attempts that have failed, the highest run number and the checkpoint of each task that has ended otherwise, and which
+//! workers to ask. It is written before an end is taken note of at its worker, so that no end is lost with its scheduler,
+//! and before the first start on a worker, so that a new scheduler need not wait for workers that a job never met.
 
 use std::collections::BTreeSet;
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::RunNumber;
+use crate::id::{RunNumber, WorkerId};
 
 /// A set of task indices.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -101,6 +102,8 @@
 pub struct Progress {
     /// A task has started.
     pub has_begun: bool,
+    /// The workers that may have been told to start a task. Stored before the first start on each is sent.
+    pub workers: BTreeSet<WorkerId>,
     /// Occurrences that are done.
     pub occurrences_done: IndexSet,
     /// Occurrences that are under way.
--- a/crates/jobs/tests/cases.rs
+++ b/crates/jobs/tests/cases.rs
@@ -4,7 +4,8 @@
 //! above), `allow TEAM CPU MB`, `worker NAME CPU MB [LABEL...]` (listed from the next `list` on), `vm WORKER VM`, `drain
 //! NAME`, `born NAME MS`, `unlist NAME`, `list`, `job ID QUEUE TEAM STEP...` with a step as
 //! `TASKSxCPU/MB/ESTIMATE_MS[,FLAG...]`, `due ID COUNT FIRST_MS INTERVAL_MS` (makes the next job scheduled), `inherit` (a job
-//! line after it belongs to the takeover), `done ID STEP INDEX...`, `takeover WORKER...`, `cancel ID`, `at MS`, `wall MS`,
+//! line after it belongs to the takeover), `met ID WORKER...` (workers
+//! stored with the inherited job), `done ID STEP INDEX...`, `takeover WORKER...`, `cancel ID`, `at MS`, `wall MS`,
 //! `started TASK RUN WORKER ANSWER`, `report WORKER CLOCK [run TASK RUN PERCENT LOAD]... [end N TASK RUN HOW]...`, `silent
 //! WORKER`, `stopped TASK RUN WORKER`, `evacuate [VM...]`, `plan`, `events`, `state ID`, `evacuated`.
 
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -116,6 +116,15 @@
             }
             "job" => self.add_job(&words),
             "inherit" => self.is_inheriting = true,
+            "met" => {
+                let id = job_id(words[1]);
+                let mut inherited = self.inherited.iter_mut();
+                let found = inherited.find(|(record, ..)| record.id == id);
+                let (_, progress, _) = found.expect("no such job is inherited");
+                progress.has_begun = true;
+                let workers = words[2..].iter().map(|name| WorkerId::from(*name));
+                progress.workers.extend(workers);
+            }
             "done" => self.add_done(&words),
             "takeover" => {
                 let crew = words[1..].iter().map(|name| WorkerId::from(*name));
