fleet: a new holder leaves only VMs alone that were ordered of late; the session lasts 2.2 s

Change: the VMs of a round are stored before its orders; a successor is bound by the gap between two holders for just these. The session's lease is 2.2 s, renewed each 0.55 s, each renewal bounded by 0.5 s. Ruled out: no gap after a graceful hand-over alone (the roles that matter are lost in cuts).

--- a/crates/grid/src/fleet/mod.rs
+++ b/crates/grid/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 
 mod evacuation;
 mod moves;
+mod recent;
 mod waves;
 
 use std::cell::{Cell, RefCell};
@@ -44,6 +45,9 @@
 /// Added to the time that a VM is down before it is held to be back on the list's word alone.
 const LIST_LAG: Duration = Duration::from_millis(700);
 
+/// Added to the time within which two holders may not give orders about one VM.
+const GAP_MARGIN: Duration = Duration::from_millis(300);
+
 /// How long a watch of the pools' statuses waits.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 
@@ -61,14 +65,19 @@
     evacuations: RefCell<BTreeMap<PoolName, Evacuation>>,
     /// Maintenance that was confirmed or may have been carried out, and when.
     ordered: RefCell<BTreeMap<VmId, Instant>>,
-    /// No order is sent before this time: an earlier holder may have sent one just before.
+    /// VMs about which orders were sent, and when.
+    recent: RefCell<BTreeMap<VmId, Instant>>,
+    /// What the store holds of these.
+    recent_stored: RefCell<(BTreeSet<VmId>, Revision)>,
+    /// VMs about which an earlier holder may have sent an order just before this one took the role.
+    quiet: RefCell<BTreeSet<VmId>>,
     quiet_until: Instant,
     lost: CancellationToken,
 }
 
 /// Holds the role until it is lost or handed over.
 pub async fn run<P: Platform>(entry: Rc<Entry<P>>, held: Held, hand_over: CancellationToken) {
-    let quiet_until = entry.now() + entry.settings.vm_order_gap + LIST_LAG;
+    let quiet_until = entry.now() + entry.settings.vm_order_gap + GAP_MARGIN;
     let fleet = Fleet {
         entry,
         held,
@@ -80,6 +89,9 @@
         homes_revision: Cell::new(Revision::ABSENT),
         evacuations: RefCell::default(),
         ordered: RefCell::default(),
+        recent: RefCell::default(),
+        recent_stored: RefCell::default(),
+        quiet: RefCell::default(),
         quiet_until,
         lost: CancellationToken::new(),
     };
@@ -135,16 +147,14 @@
         let evacuate = &waves.evacuate | &sizes.evacuate;
         self.order_evacuations(&vms, &evacuate).await?;
         // VMs leave their pools first: those that take work wait for them.
+        let mut next: BTreeSet<VmId> = sizes.moves.iter().map(|(vm, _)| vm.clone()).collect();
+        next.extend(waves.take_down.iter().map(|(vm, _)| vm.clone()));
+        self.note_orders(next).await?;
         self.order_moves(sizes.moves).await;
         self.carry_out_waves(waves).await?;
         Ok(has_waves || !evacuate.is_empty())
     }
 
-    /// Whether orders may be sent.
-    fn may_order(&self) -> bool {
-        self.entry.valid_lease() == Some(self.held.lease) && self.entry.now() >= self.quiet_until
-    }
-
     fn holder(&self) -> Holder {
         Holder {
             entry: self.entry.settings.name.clone(),
@@ -160,7 +170,7 @@
         if let Some(item) = self.entry.read(keys::HOMES).await? {
             self.take_homes(&item);
         }
-        Ok(())
+        self.load_recent().await
     }
 
     fn take_progress(&self, item: &Item) {
--- a/crates/grid/src/fleet/moves.rs
+++ b/crates/grid/src/fleet/moves.rs
@@ -59,8 +59,8 @@
 
     pub(super) async fn order_moves(&self, moves: Vec<(VmId, PoolName)>) {
         for (vm, pool) in moves {
-            if !self.may_order() {
-                return;
+            if !self.may_order(&vm) {
+                continue;
             }
             let holder = self.holder();
             let platform = &self.entry.platform;
--- a/crates/grid/src/fleet/waves.rs
+++ b/crates/grid/src/fleet/waves.rs
@@ -45,7 +45,7 @@
 
     pub(super) async fn carry_out_waves(&self, plan: UpkeepPlan) -> Result<(), CallError> {
         for (vm, wave) in plan.take_down {
-            if self.may_order() && self.take_down(&vm, wave).await {
+            if self.may_order(&vm) && self.take_down(&vm, wave).await {
                 self.begun(vm, wave).await?;
             }
         }
--- a/crates/grid/src/keys/mod.rs
+++ b/crates/grid/src/keys/mod.rs
@@ -10,6 +10,7 @@
 //! | `at/POOL` | [`PoolStatus`]; ends with the scheduler's lease | the pool's scheduler |
 //! | `share/TEAM` | the team's share of each pool | the schedulers |
 //! | `wave/N` | the progress of a wave | the fleet's holder |
+//! | `ordered` | VMs about which orders were sent of late, or are about to be | the fleet's holder |
 //! | `homes` | the pool of each VM when it was first seen | the fleet's holder |
 //! | `who/entry/NAME` | an entry; ends with its lease | itself |
 //! | `who/role/ROLE` | the name of the role's holder; ends with its lease; its revision is the fencing token | the holder |
@@ -136,6 +137,9 @@
 /// What the keys of all jobs' statuses begin with.
 pub const JOBS: &str = "job/";
 
+/// VMs about which orders were sent of late, or are about to be.
+pub const ORDERED: &str = "ordered";
+
 /// The pool of each VM when it was first seen.
 pub const HOMES: &str = "homes";
 
--- a/crates/grid/src/session/mod.rs
+++ b/crates/grid/src/session/mod.rs
@@ -10,16 +10,16 @@
 use crate::ports::{CallError, Platform};
 
 /// How long the lease lasts without a renewal. Weighs the time to replace a lost holder against short outages.
-const TTL: Duration = Duration::from_millis(3_000);
+const TTL: Duration = Duration::from_millis(2_200);
 
 /// How often the lease is renewed.
-const RENEW_EVERY: Duration = Duration::from_millis(800);
+const RENEW_EVERY: Duration = Duration::from_millis(550);
 
 /// How long a renewal may take.
-const RENEW_TIMEOUT: Duration = Duration::from_millis(900);
+const RENEW_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The pause after a call that failed.
-const RETRY_AFTER: Duration = Duration::from_millis(200);
+const RETRY_AFTER: Duration = Duration::from_millis(120);
 
 /// Kept from the end of a lease: rates of both clocks, and the time to carry an order out.
 const MARGIN: Duration = Duration::from_millis(300);
