grid: leases of runs are offered only while the role certainly stands

Change: a report carries a deadline only while the session certainly lasts. Ruled out: a worker's clock that is slow (the stop came at 41.0 s, 5.7 s after the takeover), the takeover's own wait.

--- a/crates/grid/src/pool/mod.rs
+++ b/crates/grid/src/pool/mod.rs
@@ -76,11 +76,14 @@
         self.entry.now()
     }
 
-    /// Whether orders may be sent: the role certainly still stands.
+    /// Whether the role certainly still stands.
+    pub(crate) fn holds_role(&self) -> bool {
+        !self.lost.is_cancelled() && self.entry.valid_lease() == Some(self.held.lease)
+    }
+
+    /// Whether orders may be sent.
     pub(crate) fn may_order(&self) -> bool {
-        !self.lost.is_cancelled()
-            && !self.is_leaving.get()
-            && self.entry.valid_lease() == Some(self.held.lease)
+        !self.is_leaving.get() && self.holds_role()
     }
 
     /// Ends the role here, as another holder may have it.
--- a/crates/grid/src/pool/reports.rs
+++ b/crates/grid/src/pool/reports.rs
@@ -93,8 +93,9 @@
             };
             let now = self.now();
             // Orders without an answer may be carried out: a worker that has fallen silent is offered no more leases,
-            // so that those that it has can lapse.
-            let until_ms = if failures == 0 {
+            // so that those that it has can lapse. Nor may a scheduler that may have been replaced keep runs up that its
+            // successor counts as lapsed.
+            let until_ms = if failures == 0 && self.holds_role() {
                 self.offer_lease(worker, wait)
             } else {
                 None
--- a/crates/grid/tests/entry/roles.rs
+++ b/crates/grid/tests/entry/roles.rs
@@ -125,3 +125,27 @@
     })
     .await;
 }
+
+/// A zone is cut off with the scheduler and a worker in it. The scheduler may not keep the worker's runs up: its successor
+/// starts them elsewhere once every lease that was offered while the role was held has lapsed.
+#[tokio::test(start_paused = true)]
+async fn holder_cut_off_with_a_worker_lets_leases_lapse() {
+    local(async {
+        let bed = Bed::new(2);
+        bed.start_all(&["e1", "e2"]).await;
+        let holder = bed.holder();
+        let other = other(&holder);
+        let spec = job("ms=60000", &[6]);
+        assert_eq!(bed.submit(other, ID, spec).await, Reply::Accepted);
+        sleep(Duration::from_millis(1_000)).await;
+        bed.world.set_fault(&holder, StoreFault::Silent);
+        bed.world.set_reachable(other, "w1", false);
+        bed.world.set_reachable(&holder, "w2", false);
+        sleep(Duration::from_secs(16)).await;
+        assert_eq!(bed.holder(), other);
+        bed.check_once();
+        // It could do no more on one worker.
+        assert!(bed.world.crew.borrow().starts.len() > 6);
+    })
+    .await;
+}
