size: a backlog of 0.65 s lacks VMs

Cause: as before, the first two seconds of a turn bind; with a horizon of 1 s the last spare VMs were ordered a second after the first. Change: HORIZON 1 s -> 0.65 s.

--- a/crates/jobs/src/size/mod.rs
+++ b/crates/jobs/src/size/mod.rs
@@ -17,7 +17,7 @@
 use crate::upkeep::{Vm, VmState};
 
 /// A backlog that the pool's VMs work off within this time needs no more of them.
-const HORIZON: Duration = Duration::from_millis(1_000);
+const HORIZON: Duration = Duration::from_millis(650);
 
 /// A pool gives back what it holds beyond its home size once it has not needed it for this long.
 const CALM: Duration = Duration::from_millis(1_000);
