--- a/crates/grid/src/calls/ask.rs
+++ b/crates/grid/src/calls/ask.rs
@@ -9,10 +9,9 @@
 
 impl<P: Platform> Entry<P> {
     pub(super) async fn ask(&self, admitted: &Admitted) -> Reply {
-        let id = match job_id(admitted) {
-            Ok(id) => id,
-            // Nothing with another kind of id was ever accepted.
-            Err(_) => return Reply::NoSuchJob,
+        // Nothing with another kind of id was ever accepted.
+        let Ok(id) = job_id(admitted) else {
+            return Reply::NoSuchJob;
         };
         if let Some(refused) = self.refusal() {
             return refused;
--- a/crates/grid/src/calls/submit.rs
+++ b/crates/grid/src/calls/submit.rs
@@ -4,6 +4,7 @@
 
 use goldcrest_jobs::id::JobId;
 use goldcrest_jobs::spec::{JobRecord, JobSpec, JobState};
+use goldcrest_types::names::TeamName;
 
 use crate::calls::{Admitted, Call, RETRY_SOON, Refusal, Reply, admit, job_id};
 use crate::entry::Entry;
@@ -37,7 +38,7 @@
             match self.commit_within(&txn, left).await {
                 Ok(Committed::Done(_)) => {
                     let took = self.now().saturating_duration_since(began_at);
-                    let team = admitted.team.as_ref().map(|team| team.as_str());
+                    let team = admitted.team.as_ref().map(TeamName::as_str);
                     self.metrics.accepted(team, admitted.queue.as_str(), took);
                     log::info!(
                         target: "calls",
--- a/crates/grid/src/fleet/mod.rs
+++ b/crates/grid/src/fleet/mod.rs
@@ -34,13 +34,13 @@
 const ROUND_BUSY: Duration = Duration::from_millis(350);
 
 /// A round is due at least this often.
-const ROUND_IDLE: Duration = Duration::from_millis(2_000);
+const ROUND_IDLE: Duration = Duration::from_secs(2);
 
 /// The pause after a call that failed.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
 /// How long an order about a VM may take.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(1_000);
+const ORDER_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Added to the time that a VM is down before it is held to be back on the list's word alone.
 const LIST_LAG: Duration = Duration::from_millis(700);
--- a/crates/grid/src/members/mod.rs
+++ b/crates/grid/src/members/mod.rs
@@ -150,7 +150,7 @@
                 }
             };
             let mut after = page.revision;
-            self.view = View::new(page.items);
+            self.view = View::new(&page.items);
             loop {
                 self.reconcile(lease);
                 self.take_vacant(lease).await;
@@ -311,7 +311,7 @@
                 );
             }
             Ok(Committed::Conflict(conflict)) => {
-                for item in conflict.items {
+                for item in &conflict.items {
                     self.view.put(item);
                 }
             }
@@ -320,7 +320,7 @@
                 log::warn!(target: "members", role:%, error:%; "A vacant role could not be taken.");
             }
             Err(error) => {
-                log::warn!(target: "members", role:%, error:%; "A vacant role was not taken.")
+                log::warn!(target: "members", role:%, error:%; "A vacant role was not taken.");
             }
         }
     }
--- a/crates/grid/src/members/view.rs
+++ b/crates/grid/src/members/view.rs
@@ -45,7 +45,7 @@
 impl View {
     /// Takes a listing.
     #[must_use]
-    pub fn new(items: Vec<Item>) -> Self {
+    pub fn new(items: &[Item]) -> Self {
         let mut view = Self::default();
         for item in items {
             view.put(item);
@@ -54,7 +54,7 @@
     }
 
     /// Takes a key that was written.
-    pub fn put(&mut self, item: Item) {
+    pub fn put(&mut self, item: &Item) {
         if let Some(entry) = item.key.strip_prefix(keys::ENTRIES) {
             self.entries.insert(entry.into());
             return;
@@ -94,7 +94,7 @@
     pub fn apply(&mut self, changes: Vec<Change>) {
         for change in changes {
             match change {
-                Change::Put(item) => self.put(item),
+                Change::Put(item) => self.put(&item),
                 Change::Removed { key, revision } => self.remove(&key, revision),
             }
         }
--- a/crates/grid/src/pool/events.rs
+++ b/crates/grid/src/pool/events.rs
@@ -2,6 +2,7 @@
 
 use goldcrest_jobs::pool::Event;
 use goldcrest_jobs::worker::millis;
+use goldcrest_types::names::TeamName;
 
 use crate::pool::Scheduler;
 use crate::ports::Platform;
@@ -30,7 +31,7 @@
                     && task.step.step == 0
                     && let Some(job) = pool.jobs().get(&task.step.job)
                 {
-                    let team = job.record.team.as_ref().map(|team| team.as_str());
+                    let team = job.record.team.as_ref().map(TeamName::as_str);
                     self.entry
                         .metrics
                         .started(team, job.queue().as_str(), waited);
@@ -60,7 +61,7 @@
             } => {
                 let pool = self.pool.borrow();
                 if let Some(it) = pool.jobs().get(&job) {
-                    let team = it.record.team.as_ref().map(|team| team.as_str());
+                    let team = it.record.team.as_ref().map(TeamName::as_str);
                     self.entry.metrics.ended(team, it.queue().as_str(), took);
                 }
                 log::info!(target: "scheduler", job:% = job, state:?, took_ms = millis(took), objective_ms = millis(objective); "Job ended.");
--- a/crates/grid/src/pool/load.rs
+++ b/crates/grid/src/pool/load.rs
@@ -51,7 +51,7 @@
             workers = crew.workers.len();
             "Pool taken over."
         );
-        *self.crew.borrow_mut() = crew.workers.clone();
+        self.crew.borrow_mut().clone_from(&crew.workers);
         self.pool.borrow_mut().take_over(jobs, crew.workers, now);
         self.changed();
         Ok(inbox.revision)
--- a/crates/grid/src/pool/mod.rs
+++ b/crates/grid/src/pool/mod.rs
@@ -36,7 +36,7 @@
 const RETRY_AFTER: Duration = Duration::from_millis(200);
 
 /// How long a scheduler that hands over may take to save its last changes.
-const LAST_SAVE: Duration = Duration::from_millis(1_000);
+const LAST_SAVE: Duration = Duration::from_secs(1);
 
 /// A pool's scheduler.
 pub struct Scheduler<P: Platform> {
--- a/crates/grid/src/pool/orders.rs
+++ b/crates/grid/src/pool/orders.rs
@@ -171,10 +171,8 @@
                 self.pool.borrow_mut().order_refused(worker, false, now);
                 self.replan.notify_one();
             }
-            // The next report tells whether the worker answers.
-            OrderError::Unknown(_) | OrderError::NotSent(_) => {}
-            // The run has ended; the next report lists its end.
-            OrderError::Refused(_) => {}
+            // The run has ended, or the worker does not answer: the next report tells.
+            OrderError::Refused(_) | OrderError::Unknown(_) | OrderError::NotSent(_) => {}
         }
     }
 }
--- a/crates/grid/src/pool/reports.rs
+++ b/crates/grid/src/pool/reports.rs
@@ -17,7 +17,7 @@
 const WAIT_BUSY: Duration = Duration::from_millis(900);
 
 /// How long a report waits while nothing runs.
-const WAIT_IDLE: Duration = Duration::from_millis(2_000);
+const WAIT_IDLE: Duration = Duration::from_secs(2);
 
 /// How much longer than it was asked to wait a report may take.
 const REPORT_SLACK: Duration = Duration::from_millis(700);
--- a/crates/grid/src/pool/save.rs
+++ b/crates/grid/src/pool/save.rs
@@ -283,7 +283,7 @@
         let is_stored = pool
             .workers()
             .values()
-            .filter(|it| it.is_fenced && !it.is_gone)
+            .filter(|it| it.is_fenced() && !it.is_gone)
             .all(|it| crew.contains(&it.info.id));
         drop(pool);
         if !is_stored {
--- a/crates/jobs/src/pool/evacuate.rs
+++ b/crates/jobs/src/pool/evacuate.rs
@@ -7,7 +7,7 @@
 
 use crate::id::{StepId, WorkerRef};
 use crate::pool::{Pool, StopReason, place};
-use crate::worker::{Phase, Run, RunKey, Worker};
+use crate::worker::{Contact, Origin, Phase, Run, RunKey, Worker};
 
 /// How long tasks may go on by themselves before they are stopped, if they save checkpoints.
 const FINISH_CHECKPOINTED: Duration = Duration::from_millis(1_500);
@@ -19,13 +19,13 @@
 const STOP_SLACK: Duration = Duration::from_millis(300);
 
 /// An older report is no proof that a run is still at work.
-const REPORT_AGE_MAX: Duration = Duration::from_millis(2_000);
+const REPORT_AGE_MAX: Duration = Duration::from_secs(2);
 
 /// Runs the pass.
 pub fn run(pool: &mut Pool, now: Instant) {
     let mut stops: Vec<(WorkerRef, RunKey)> = Vec::new();
     for (worker, it) in &pool.workers {
-        if !it.is_evacuating && !it.info.is_draining {
+        if !it.is_evacuating() && !it.info.is_draining {
             continue;
         }
         let since = it.evacuating_since.or(it.draining_since).unwrap_or(now);
@@ -55,7 +55,7 @@
         .jobs
         .get(&key.0.step.job)
         .and_then(|job| job.step(key.0.step))
-        .is_some_and(|(step, _)| step.is_checkpointing);
+        .is_some_and(|(step, _)| step.is_checkpointing());
     if is_checkpointing {
         waited >= FINISH_CHECKPOINTED
     } else {
@@ -72,7 +72,7 @@
     else {
         return true;
     };
-    if !step.is_service {
+    if !step.is_service() {
         return true;
     }
     let has_elsewhere = place::choose(pool, key.0.step, step, now).is_some();
@@ -104,8 +104,8 @@
         return false;
     };
     let is_recent = now.saturating_duration_since(answered_at) < REPORT_AGE_MAX;
-    let is_sure =
-        !run.is_adopted || answered_at >= run.started_at + pool.bounds.stop_grace + STOP_SLACK;
+    let is_sure = run.origin != Origin::Adopted
+        || answered_at >= run.started_at + pool.bounds.stop_grace + STOP_SLACK;
     let is_full = run.phase == Phase::Confirmed && run.percent >= 100;
-    is_full && is_sure && is_recent && !worker.is_silent && !worker.is_gone
+    is_full && is_sure && is_recent && worker.contact == Contact::Answers && !worker.is_gone
 }
--- a/crates/jobs/src/pool/facts.rs
+++ b/crates/jobs/src/pool/facts.rs
@@ -10,7 +10,7 @@
 use crate::pool::{Event, Pool, StartAnswer, Takeover};
 use crate::progress::Progress;
 use crate::spec::{JobRecord, JobState};
-use crate::worker::{Phase, RunKey, Worker, WorkerInfo};
+use crate::worker::{Contact, Phase, RunKey, Worker, WorkerInfo};
 
 /// How long a worker gets no starts after it had no answer or was unhealthy.
 const WORKER_PAUSE: std::time::Duration = std::time::Duration::from_millis(500);
@@ -80,8 +80,8 @@
             .iter()
             .flat_map(|it| it.steps.iter().zip(&record.spec.steps));
         steps
-            .filter(|(_, step)| !step.is_service)
-            .any(|(stored, step)| stored.has_failed(step.is_gang, attempts_max))
+            .filter(|(_, step)| !step.is_service())
+            .any(|(stored, step)| stored.has_failed(step.is_gang(), attempts_max))
     }
 
     pub(super) fn attempts_max(&self, queue: &QueueName) -> u32 {
@@ -196,8 +196,7 @@
         let mut changed = Vec::new();
         for (worker, it) in &mut self.workers {
             let is_evacuating = it.vm.as_ref().is_some_and(|vm| vms.contains(vm));
-            if is_evacuating != it.is_evacuating {
-                it.is_evacuating = is_evacuating;
+            if is_evacuating != it.is_evacuating() {
                 it.evacuating_since = is_evacuating.then_some(now);
                 changed.push((*worker, is_evacuating));
             }
@@ -219,7 +218,7 @@
         let mut busy = BTreeSet::new();
         for it in self.workers.values() {
             let Some(vm) = &it.vm else { continue };
-            if it.runs.is_empty() && it.is_evacuating && self.takeover.is_none() {
+            if it.runs.is_empty() && it.is_evacuating() && self.takeover.is_none() {
                 empty.insert(vm.clone());
             } else if !it.runs.is_empty() {
                 busy.insert(vm.clone());
@@ -364,8 +363,10 @@
 
     /// A worker gave no report; it gets no starts until it does.
     pub fn no_answer(&mut self, worker: WorkerRef) {
-        if let Some(it) = self.workers.get_mut(&worker) {
-            it.is_silent = true;
+        if let Some(it) = self.workers.get_mut(&worker)
+            && it.is_fenced()
+        {
+            it.contact = Contact::Silent;
         }
     }
 
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -11,7 +11,7 @@
 use crate::pool::{Event, Order, Pool, StartOrder};
 use crate::resources::Resources;
 use crate::spec::Step;
-use crate::worker::{Phase, Run, Worker};
+use crate::worker::{Origin, Phase, Run, Worker};
 
 /// Runs the pass.
 pub fn run(pool: &mut Pool, now: Instant) {
@@ -40,7 +40,7 @@
             .jobs
             .get(&id)
             .and_then(|job| job.step(step))
-            .is_some_and(|(spec, _)| spec.is_gang);
+            .is_some_and(|(spec, _)| spec.is_gang());
         if is_gang {
             place_gang(pool, step, now);
         } else {
@@ -150,7 +150,7 @@
         .filter(|(_, it)| it.takes_work(now) && has_required(it, spec))
         .map(|(worker, it)| (*worker, it.room()))
         .collect();
-    if spec.is_same_rack {
+    if spec.is_same_rack() {
         let mut racks: Vec<&Label> = Vec::new();
         for (worker, _) in &all {
             racks.extend(&pool.workers[worker].info.labels);
@@ -308,8 +308,11 @@
         reserved: Resources::ZERO,
         phase: Phase::Ordered,
         started_at: now,
-        is_adopted: false,
-        was_resumed: checkpoint.is_some(),
+        origin: if checkpoint.is_some() {
+            Origin::Resumed
+        } else {
+            Origin::Started
+        },
         start_until_ms: until_ms,
         closed_at: None,
         stop_sent_at: None,
--- a/crates/jobs/src/pool/report.rs
+++ b/crates/jobs/src/pool/report.rs
@@ -7,7 +7,7 @@
 use crate::job::Task;
 use crate::pool::{Event, Pool};
 use crate::spec::JobState;
-use crate::worker::{EndRow, Phase, Report, Run, RunEnd, RunKey, RunningRow};
+use crate::worker::{Contact, EndRow, Origin, Phase, Report, Run, RunEnd, RunKey, RunningRow};
 
 /// The most ends that a report lists. With that many there may be more. From the platform's pages.
 const ENDS_PER_REPORT: usize = 500;
@@ -38,9 +38,9 @@
         it.clock = Some((report.clock_ms, now));
         it.answered_at = Some(now);
         it.is_full = false;
-        it.is_silent = false;
-        if !it.is_fenced {
-            it.is_fenced = true;
+        let is_new = !it.is_fenced();
+        it.contact = Contact::Answers;
+        if is_new {
             // Leases that an earlier scheduler has offered.
             let offered_ms = report.clock_ms + crate::worker::millis(self.bounds.lease);
             it.lease_until_ms = it.lease_until_ms.max(offered_ms);
@@ -128,8 +128,7 @@
             return;
         };
         if let Some(run) = run
-            && !run.is_adopted
-            && !run.was_resumed
+            && run.origin == Origin::Started
         {
             let time = now.saturating_duration_since(run.started_at);
             self.estimates.learn(job.queue(), step.estimate, time);
@@ -178,7 +177,7 @@
             // Its occurrence is done.
             return;
         };
-        let (is_gang, is_service) = (step.is_gang, step.is_service);
+        let (is_gang, is_service) = (step.is_gang(), step.is_service());
         let failures = state.update(row.task.index, |task| {
             task.live = task.live.saturating_sub(u32::from(was_live));
             task.last_run = task.last_run.max(Some(row.run));
@@ -253,8 +252,7 @@
             reserved: crate::resources::Resources::ZERO,
             phase: Phase::Confirmed,
             started_at: now,
-            is_adopted: true,
-            was_resumed: false,
+            origin: Origin::Adopted,
             start_until_ms: 0,
             closed_at: Some(now),
             stop_sent_at: None,
--- a/crates/jobs/src/pool/settle.rs
+++ b/crates/jobs/src/pool/settle.rs
@@ -54,7 +54,7 @@
     }
     let (step, state) = job.step(task.step)?;
     let it = state.tasks.get(task.index as usize)?;
-    let is_copy = it.live > 1 && it.last_run != Some(run) && !step.is_speculative;
+    let is_copy = it.live > 1 && it.last_run != Some(run) && !step.is_speculative();
     (it.is_done || is_copy).then_some(StopReason::Duplicate)
 }
 
--- a/crates/jobs/src/size/mod.rs
+++ b/crates/jobs/src/size/mod.rs
@@ -20,7 +20,7 @@
 const HORIZON: Duration = Duration::from_millis(650);
 
 /// A pool gives back what it holds beyond its home size once it has not needed it for this long.
-const CALM: Duration = Duration::from_millis(1_000);
+const CALM: Duration = Duration::from_secs(1);
 
 /// How long a move that was ordered counts before the list shows it.
 const ORDER_LAG: Duration = Duration::from_millis(2_500);
--- a/crates/jobs/src/upkeep/mod.rs
+++ b/crates/jobs/src/upkeep/mod.rs
@@ -105,7 +105,7 @@
 }
 
 /// The time that a VM takes from being chosen until it is back in its pool.
-const TURN: Duration = Duration::from_millis(6_000);
+const TURN: Duration = Duration::from_secs(6);
 
 /// A wave aims to be done this long before its time is over.
 const RESERVE: Duration = Duration::from_millis(3_500);
--- a/crates/jobs/src/worker/mod.rs
+++ b/crates/jobs/src/worker/mod.rs
@@ -51,6 +51,17 @@
     Stopping,
 }
 
+/// How a run came to be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// This scheduler started it from the beginning.
+    Started,
+    /// This scheduler started it from a checkpoint.
+    Resumed,
+    /// It was found on the worker; an earlier scheduler may have ordered its stop just before.
+    Adopted,
+}
+
 /// A run that may be at work.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Run {
@@ -60,10 +71,8 @@
     pub phase: Phase,
     /// When the start was sent, or when an earlier scheduler's run was first seen.
     pub started_at: Instant,
-    /// It was found on the worker; an earlier scheduler may have ordered its stop just before.
-    pub is_adopted: bool,
-    /// It resumed from a checkpoint.
-    pub was_resumed: bool,
+    /// How it came to be.
+    pub origin: Origin,
     /// After this time on the worker's clock the start is refused.
     pub start_until_ms: u64,
     /// From then on, a report that does not list the run proves that it is not there.
@@ -95,8 +104,8 @@
     #[must_use]
     pub fn with_step(mut self, step: &Step) -> Self {
         self.reserved = step.reserved();
-        self.is_service = step.is_service;
-        self.is_best_effort = step.is_best_effort;
+        self.is_service = step.is_service();
+        self.is_best_effort = step.is_best_effort();
         self.tail_target = step.tail_target;
         self
     }
@@ -105,6 +114,17 @@
 /// A run's key on its worker.
 pub type RunKey = (TaskId, RunNumber);
 
+/// Whether a worker answers this scheduler.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Contact {
+    /// It has not answered under the present token yet.
+    None,
+    /// It has answered the last request for a report.
+    Answers,
+    /// It has answered before, but not the last request for a report.
+    Silent,
+}
+
 /// A worker.
 #[derive(Debug, Clone)]
 pub struct Worker {
@@ -114,14 +134,12 @@
     pub is_listed: bool,
     /// Since when it has been draining.
     pub draining_since: Option<Instant>,
-    /// It has answered under the present token.
-    pub is_fenced: bool,
+    /// Whether it answers.
+    pub contact: Contact,
     /// Nothing may run there any more.
     pub is_gone: bool,
     /// The VM that it runs on, from the platform's list.
     pub vm: Option<VmId>,
-    /// It is to be emptied.
-    pub is_evacuating: bool,
     /// Since when it is to be emptied.
     pub evacuating_since: Option<Instant>,
     /// Runs that may be at work.
@@ -136,8 +154,6 @@
     pub lease_until_ms: u64,
     /// When it last answered.
     pub answered_at: Option<Instant>,
-    /// Its last report did not come.
-    pub is_silent: bool,
     /// Starts are not sent before this time.
     pub paused_until: Option<Instant>,
     /// The job of the last failure; a job that fails everywhere is no evidence against a worker.
@@ -167,10 +183,9 @@
             info,
             is_listed: true,
             draining_since: None,
-            is_fenced: false,
+            contact: Contact::None,
             is_gone: false,
             vm: None,
-            is_evacuating: false,
             evacuating_since: None,
             runs: BTreeMap::new(),
             used: Resources::ZERO,
@@ -178,7 +193,6 @@
             clock: None,
             lease_until_ms: 0,
             answered_at: None,
-            is_silent: false,
             paused_until: None,
             last_failed_job: None,
             paced_at: None,
@@ -193,15 +207,26 @@
         self.info.capacity - self.used
     }
 
+    /// Whether it is to be emptied.
+    #[must_use]
+    pub fn is_evacuating(&self) -> bool {
+        self.evacuating_since.is_some()
+    }
+
+    /// Whether it has answered under the present token.
+    #[must_use]
+    pub fn is_fenced(&self) -> bool {
+        self.contact != Contact::None
+    }
+
     /// Whether new work may be sent to it.
     #[must_use]
     pub fn takes_work(&self, now: Instant) -> bool {
-        self.is_fenced
+        self.contact == Contact::Answers
             && self.is_listed
             && !self.is_gone
             && !self.is_full
-            && !self.is_silent
-            && !self.is_evacuating
+            && !self.is_evacuating()
             && !self.info.is_draining
             && self.paused_until.is_none_or(|until| now >= until)
     }
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -132,6 +132,15 @@
                 self.is_inheriting = false;
                 self.pool().take_over(jobs, crew.collect(), now);
             }
+            _ => return self.happen(&words),
+        }
+        Vec::new()
+    }
+
+    /// Does a line of what happens once the scheduler is at work.
+    fn happen(&mut self, words: &[&str]) -> Vec<String> {
+        let now = self.now;
+        match words[0] {
             "cancel" => self.pool().cancel(job_id(words[1])),
             "at" => {
                 let to = self.start + Duration::from_millis(number(words[1]));
--- a/crates/standin/src/grid/gate.rs
+++ b/crates/standin/src/grid/gate.rs
@@ -315,9 +315,11 @@
         let due_at = Instant::now() + wait;
         loop {
             let now = Instant::now();
-            let mut crew = self.world.crew.borrow_mut();
-            let report = crew.report(to, until_ms, ends_noted, now >= due_at, now)?;
-            drop(crew);
+            let is_due = now >= due_at;
+            let report = {
+                let mut crew = self.world.crew.borrow_mut();
+                crew.report(to, until_ms, ends_noted, is_due, now)
+            }?;
             if let Some(report) = report {
                 if self.world.is_reachable(&self.entry, &to.worker) {
                     return Ok(report);
@@ -365,6 +367,7 @@
             return Err(VmOrderError::Busy);
         }
         it.state = VmState::Maintained;
+        drop(vms);
         self.world.maintained.borrow_mut().push((vm.clone(), wave));
         Ok(())
     }
