--- a/crates/obs/src/logs/bounded.rs
+++ b/crates/obs/src/logs/bounded.rs
@@ -20,7 +20,7 @@
 pub const WRITE_EVERY: Duration = Duration::from_millis(50);
 
 /// The lines of a part in a second. Warnings and errors may take twice as many.
-pub const LINES_PER_SECOND: u32 = 500;
+pub const LINES_PER_SECOND: u32 = 1_500;
 
 /// Hands lines to the writing thread.
 pub struct Output {
--- /dev/null
+++ b/crates/obs/tests/bounded.rs
@@ -0,0 +1,80 @@
+//! Logs that never block and never grow.
+
+use std::io::{self, Write};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use goldcrest_obs::logs::bounded::{Budget, LINES_PER_SECOND, Output};
+use goldcrest_types::clock::ManualClock;
+use log::{Level, Log, Metadata, Record};
+
+/// Counts the lines of each level.
+#[derive(Clone, Default)]
+struct Counted {
+    lines: Arc<Mutex<Vec<String>>>,
+}
+
+impl Log for Counted {
+    fn enabled(&self, _: &Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        lines.push(record.args().to_string());
+    }
+
+    fn flush(&self) {}
+}
+
+fn write(log: &dyn Log, target: &str, times: u32) {
+    for _ in 0..times {
+        log.log(
+            &Record::builder()
+                .target(target)
+                .level(Level::Info)
+                .args(format_args!("a line"))
+                .build(),
+        );
+    }
+}
+
+#[test]
+fn budget_bounds_each_part_and_counts_the_rest() {
+    let counted = Counted::default();
+    let clock = Arc::new(ManualClock::new());
+    let budget = Budget::new(Box::new(counted.clone()), Arc::clone(&clock) as _);
+    write(&budget, "calls", LINES_PER_SECOND + 7);
+    write(&budget, "scheduler", 1);
+    let most = usize::try_from(LINES_PER_SECOND).expect("a size");
+    let len = || counted.lines.lock().map(|lines| lines.len()).unwrap_or(0);
+    assert_eq!(len(), most + 1);
+    clock.advance(Duration::from_secs(1));
+    write(&budget, "calls", 1);
+    let lines = counted.lines.lock().expect("the lines").clone();
+    assert!(lines.contains(&"7 lines of this part left out.".to_owned()));
+}
+
+/// An output that never takes a byte.
+struct Stuck;
+
+impl Write for Stuck {
+    fn write(&mut self, _: &[u8]) -> io::Result<usize> {
+        loop {
+            std::thread::park();
+        }
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Whoever reads the output has stopped: writing a line still returns, however many wait.
+#[test]
+fn output_stuck_reader_does_not_block() {
+    let mut output = Output::new(Stuck).expect("a thread");
+    for number in 0..20_000 {
+        writeln!(output, "line {number}").expect("a line");
+    }
+}
