size: a nearly full pool gets VMs before its backlog

Cause: a turn's first second still binds: the pool is full half a second after the turn begins, and only then was anything ordered. Change: a pool that uses three quarters of what it has needs 1.3 times what it uses; its scheduler publishes that moment at once. Ruled out: the shape of arrivals (a forecast of the next turn needs a whole turn first). Three tests of sizes have loads of half a pool now, where the old ones meant "no headroom"; what they expect is unchanged, one test is new.

--- a/crates/grid/src/fleet/moves.rs
+++ b/crates/grid/src/fleet/moves.rs
@@ -4,7 +4,7 @@
 
 use futures_util::future::join_all;
 use goldcrest_jobs::id::VmId;
-use goldcrest_jobs::size::{Facts, PoolLoad, SizePlan};
+use goldcrest_jobs::size::{Facts, PoolLoad, SizePlan, is_rising};
 use goldcrest_jobs::upkeep::Vm;
 use goldcrest_types::names::PoolName;
 
@@ -22,7 +22,9 @@
         let statuses = self.statuses.borrow();
         sizes.homes.is_empty()
             || sizes.has_guests()
-            || statuses.values().any(|status| status.backlog > 0)
+            || statuses.values().any(|status| {
+                status.backlog > 0 || is_rising(status.used.cpu_millis, status.capacity.cpu_millis)
+            })
     }
 
     pub(super) fn plan_sizes(
--- a/crates/grid/src/pool/status.rs
+++ b/crates/grid/src/pool/status.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use goldcrest_jobs::resources::Resources;
+use goldcrest_jobs::size::is_rising;
 
 use crate::keys::{self, PoolStatus};
 use crate::pool::Scheduler;
@@ -23,6 +24,11 @@
     published.evacuated != status.evacuated
         || published.backlog.abs_diff(status.backlog) > BACKLOG_STEP
         || (published.backlog == 0) != (status.backlog == 0)
+        || is_busy(published) != is_busy(status)
+}
+
+fn is_busy(status: &PoolStatus) -> bool {
+    is_rising(status.used.cpu_millis, status.capacity.cpu_millis)
 }
 
 impl<P: Platform> Scheduler<P> {
--- a/crates/jobs/src/size/mod.rs
+++ b/crates/jobs/src/size/mod.rs
@@ -1,7 +1,8 @@
 //! Sizes of pools: which VMs move between the spare pool and the others.
 //!
 //! Load pattern: demand turns from one pool to the next, each asking several times its mean for some seconds and little in between. A
-//! pool whose backlog would take longer than [`HORIZON`] to work off lacks VMs. It gets them at once from the spare
+//! pool whose backlog would take longer than [`HORIZON`] to work off lacks VMs; so does one that is nearly full, as the next
+//! moment brings the backlog. It gets them at once from the spare
 //! pool, then from pools that hold more than they need and more than their home size. What a pool holds beyond its home
 //! size goes back once it is calm: first to pools below their home size, then to the spare pool.
 //!
@@ -19,12 +20,24 @@
 /// A backlog that the pool's VMs work off within this time needs no more of them.
 const HORIZON: Duration = Duration::from_millis(650);
 
+/// A pool that uses this share of what it has is taken to be at the beginning of its turn, in percent.
+const RISING_PERCENT: u64 = 75;
+
+/// What such a pool needs against what it uses, in percent.
+const HEADROOM_PERCENT: u64 = 130;
+
 /// A pool gives back what it holds beyond its home size once it has not needed it for this long.
 const CALM: Duration = Duration::from_secs(1);
 
 /// How long a move that was ordered counts before the list shows it.
 const ORDER_LAG: Duration = Duration::from_millis(2_500);
 
+/// Whether a pool uses so much of what it has that its turn may have begun.
+#[must_use]
+pub fn is_rising(used_millis: u64, capacity_millis: u64) -> bool {
+    used_millis * 100 >= capacity_millis * RISING_PERCENT
+}
+
 /// What a pool's scheduler says of its load.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct PoolLoad {
@@ -172,6 +185,11 @@
             let of_vm = (load.capacity_millis / up).max(1);
             let horizon_ms = u64::try_from(HORIZON.as_millis()).unwrap_or(u64::MAX);
             let demand = load.used_millis + load.backlog / horizon_ms;
+            let demand = if is_rising(demand, load.capacity_millis) {
+                demand * HEADROOM_PERCENT / 100
+            } else {
+                demand
+            };
             // Half a VM's work is not worth a move.
             let needs = (demand + of_vm / 2) / of_vm;
             let home = u64::try_from(home).unwrap_or(u64::MAX);
