--- /dev/null
+++ b/crates/jobs/tests/upkeep.rs
@@ -0,0 +1,109 @@
+//! Maintenance waves beside demand that turns from pool to pool.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use goldcrest_jobs::id::{VmId, WorkerId};
+use goldcrest_jobs::upkeep::{Facts, Running, Upkeep, UpkeepPlan, Vm, VmState, Wave, WaveProgress};
+use goldcrest_types::names::PoolName;
+
+struct Fleet {
+    vms: BTreeMap<VmId, Vm>,
+    empty: BTreeSet<VmId>,
+    load_milli: BTreeMap<PoolName, u64>,
+    upkeep: Upkeep,
+    wall_ms: u64,
+}
+
+fn pool(name: &str) -> PoolName {
+    name.parse().expect("a name")
+}
+
+impl Fleet {
+    /// Pools `a` and `b` of ten VMs each, all of which are to be maintained in `time`.
+    fn new(time: Duration, at_once: u32) -> Self {
+        let mut vms = BTreeMap::new();
+        for name in ["a", "b"] {
+            for number in 0..10 {
+                let id = VmId::from(&*format!("{name}{number}"));
+                let vm = Vm {
+                    id: id.clone(),
+                    pool: pool(name),
+                    state: VmState::Up,
+                    worker: Some(WorkerId::from(id.as_str())),
+                };
+                vms.insert(id, vm);
+            }
+        }
+        let wave = Wave {
+            number: 1,
+            vms: vms.keys().cloned().collect(),
+            time,
+            at_once,
+        };
+        let mut upkeep = Upkeep::default();
+        let running = Running::new(wave, WaveProgress::default());
+        upkeep.waves.insert(1, running);
+        Self {
+            vms,
+            empty: BTreeSet::new(),
+            load_milli: BTreeMap::from([(pool("a"), 900), (pool("b"), 50)]),
+            upkeep,
+            wall_ms: 0,
+        }
+    }
+
+    fn plan(&mut self) -> UpkeepPlan {
+        let facts = Facts {
+            vms: &self.vms,
+            empty: &self.empty,
+            load_milli: &self.load_milli,
+            wall_ms: self.wall_ms,
+        };
+        self.upkeep.plan(&facts)
+    }
+}
+
+/// There is time for all: few at once, and of the pool whose turn it is not.
+#[test]
+fn plan_in_time_spares_the_busy_pool() {
+    let mut fleet = Fleet::new(Duration::from_secs(123), 9);
+    let plan = fleet.plan();
+    assert_eq!(plan.evacuate.len(), 2);
+    let of_busy = |vm: &VmId| vm.as_str().starts_with('a');
+    assert!(!plan.evacuate.iter().any(of_busy));
+}
+
+#[test]
+fn plan_short_of_time_takes_what_the_cap_allows() {
+    let mut fleet = Fleet::new(Duration::from_secs(12), 9);
+    assert_eq!(fleet.plan().evacuate.len(), 9);
+}
+
+#[test]
+fn plan_takes_down_no_more_than_the_cap() {
+    let mut fleet = Fleet::new(Duration::from_secs(12), 3);
+    fleet.empty = fleet.vms.keys().cloned().collect();
+    let plan = fleet.plan();
+    assert_eq!(plan.take_down.len(), 3);
+    let mut running = fleet.upkeep.waves.remove(&1).expect("the wave");
+    for (vm, _) in plan.take_down {
+        fleet.vms.get_mut(&vm).expect("a VM").state = VmState::Maintained;
+        running.progress.begun.insert(vm);
+    }
+    fleet.upkeep.waves.insert(1, running);
+    assert_eq!(fleet.plan().take_down, Vec::new());
+}
+
+#[test]
+fn plan_completed_only_when_all_are_back() {
+    let mut fleet = Fleet::new(Duration::from_secs(60), 3);
+    let last = VmId::from("a0");
+    let mut running = fleet.upkeep.waves.remove(&1).expect("the wave");
+    running.progress.begun = fleet.vms.keys().cloned().collect();
+    fleet.upkeep.waves.insert(1, running);
+    fleet.vms.get_mut(&last).expect("a VM").state = VmState::Maintained;
+    assert_eq!(fleet.plan().completed, Vec::<u64>::new());
+    fleet.vms.get_mut(&last).expect("a VM").state = VmState::Up;
+    assert_eq!(fleet.plan().completed, vec![1]);
+}
--- a/crates/obs/tests/bounded.rs
+++ b/crates/obs/tests/bounded.rs
@@ -47,7 +47,7 @@
     write(&budget, "calls", LINES_PER_SECOND + 7);
     write(&budget, "scheduler", 1);
     let most = usize::try_from(LINES_PER_SECOND).expect("a size");
-    let len = || counted.lines.lock().map(|lines| lines.len()).unwrap_or(0);
+    let len = || counted.lines.lock().map_or(0, |lines| lines.len());
     assert_eq!(len(), most + 1);
     clock.advance(Duration::from_secs(1));
     write(&budget, "calls", 1);
