fleet: statuses of jobs are removed when nobody may ask for them any more

Change: the fleet's holder lists the statuses each 30 s (stale, at a tenth of the price) and removes those that ended 30 s longer ago than they must be known; each removal expects the status as listed. Ruled out: leases on statuses (they would end while the store is down), removal by the scheduler that ended the job (it may be replaced before). Result: `status_is_removed_when_nobody_may_ask` holds both bounds.

--- a/crates/grid/src/entry/mod.rs
+++ b/crates/grid/src/entry/mod.rs
@@ -50,6 +50,8 @@
     pub vm_order_gap: Duration,
     /// How long a VM is down for maintenance.
     pub maintenance: Duration,
+    /// How long callers may ask for a job that has ended.
+    pub status_kept: Duration,
 }
 
 /// The session with the store.
--- a/crates/grid/src/fleet/mod.rs
+++ b/crates/grid/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod evacuation;
 mod moves;
 mod recent;
+mod sweep;
 mod waves;
 
 use std::cell::{Cell, RefCell};
@@ -100,6 +101,7 @@
         () = hand_over.cancelled() => {}
         () = fleet.hold() => {}
         () = fleet.follow_statuses() => {}
+        () = fleet.keep_sweeping() => {}
     }
 }
 
--- a/crates/grid/tests/entry/calls.rs
+++ b/crates/grid/tests/entry/calls.rs
@@ -175,3 +175,20 @@
     })
     .await;
 }
+
+#[tokio::test(start_paused = true)]
+async fn status_is_removed_when_nobody_may_ask() {
+    local(async {
+        let bed = Bed::new(1);
+        bed.start_all(&["e1", "e2"]).await;
+        assert_eq!(bed.submit("e1", ID, job("", &[1])).await, Reply::Accepted);
+        bed.wait_for("e1", ID, JobState::Completed, Duration::from_secs(3))
+            .await;
+        sleep(Duration::from_secs(120)).await;
+        assert_eq!(bed.ask("e2", ID).await, Reply::State(JobState::Completed));
+        sleep(Duration::from_secs(70)).await;
+        assert_eq!(bed.ask("e2", ID).await, Reply::NoSuchJob);
+        assert_eq!(bed.world.table.borrow().list("job/").items.len(), 0);
+    })
+    .await;
+}
