--- a/crates/grid/src/calls/mod.rs
+++ b/crates/grid/src/calls/mod.rs
@@ -196,7 +196,7 @@
         }
     }
 
-    /// What a call is told when the store can't be used now; `None` while there is hope.
+    /// The refusal while the store can't be used; `None` if it can.
     fn refusal(&self) -> Option<Reply> {
         if self.is_store_silent() {
             Some(Reply::Refused(Refusal::StoreSilent, RETRY_SOON))
--- a/crates/grid/src/fleet/moves.rs
+++ b/crates/grid/src/fleet/moves.rs
@@ -75,7 +75,7 @@
         let result = platform.move_vm(&holder, &vm, &pool, ORDER_TIMEOUT).await;
         log::info!(target: "sizing", vm:% = vm, to:% = pool, token:% = self.held.token(), result:?; "VM ordered to another pool.");
         match result {
-            // An order without an answer may have been carried out; the list tells.
+            // An order without an answer may have been carried out; the list shows it.
             Ok(()) | Err(VmOrderError::Unknown(_)) => {
                 let now = self.entry.now();
                 self.sizes.borrow_mut().moved(&vm, &pool, now);
--- a/crates/grid/src/pool/orders.rs
+++ b/crates/grid/src/pool/orders.rs
@@ -171,7 +171,7 @@
                 self.pool.borrow_mut().order_refused(worker, false, now);
                 self.replan.notify_one();
             }
-            // The run has ended, or the worker does not answer: the next report tells.
+            // The run has ended, or the worker does not answer: the next report shows it.
             OrderError::Refused(_) | OrderError::Unknown(_) | OrderError::NotSent(_) => {}
         }
     }
--- a/crates/grid/tests/entry/calls.rs
+++ b/crates/grid/tests/entry/calls.rs
@@ -184,7 +184,7 @@
         assert_eq!(bed.submit("e1", ID, job("", &[1])).await, Reply::Accepted);
         bed.wait_for("e1", ID, JobState::Completed, Duration::from_secs(3))
             .await;
-        sleep(Duration::from_secs(120)).await;
+        sleep(Duration::from_mins(2)).await;
         assert_eq!(bed.ask("e2", ID).await, Reply::State(JobState::Completed));
         sleep(Duration::from_secs(70)).await;
         assert_eq!(bed.ask("e2", ID).await, Reply::NoSuchJob);
--- a/crates/grid/tests/entry/common/mod.rs
+++ b/crates/grid/tests/entry/common/mod.rs
@@ -156,7 +156,7 @@
             pool: Bounds::default(),
             vm_order_gap: Duration::from_secs(3),
             maintenance: Duration::from_secs(2),
-            status_kept: Duration::from_secs(120),
+            status_kept: Duration::from_mins(2),
         };
         let gate = self.world.gate(name);
         let entry = Rc::new(Entry::new(gate, Arc::new(RuntimeClock), settings));
--- a/crates/jobs/src/estimate/mod.rs
+++ b/crates/jobs/src/estimate/mod.rs
@@ -15,7 +15,7 @@
 /// Older run times count less than this many.
 const MEMORY: f64 = 400.0;
 
-/// The shortest time that is told apart, in seconds.
+/// Shorter times count as this one, in seconds.
 const SHORTEST_S: f64 = 0.001;
 
 /// What is known of a queue's tasks, over the natural logarithms of seconds.
--- a/crates/jobs/src/id/mod.rs
+++ b/crates/jobs/src/id/mod.rs
@@ -1,6 +1,6 @@
 //! Names and numbers of jobs, tasks, runs, workers and fencing tokens.
 //!
-//! A [`TaskId`] names a task for good; a [`RunNumber`] tells its starts apart and only rises. A [`WorkerId`] names one
+//! A [`TaskId`] names a task for good; a [`RunNumber`] numbers its starts and only rises. A [`WorkerId`] names one
 //! life of a worker process on a VM.
 
 use std::fmt;
@@ -190,7 +190,7 @@
 }
 
 opaque_name!(
-    /// One life of a worker process. A restart may keep it; the birth time tells the lives apart.
+    /// One life of a worker process. A restart may keep it; the birth time distinguishes the lives.
     WorkerId
 );
 opaque_name!(
--- a/crates/jobs/src/job/mod.rs
+++ b/crates/jobs/src/job/mod.rs
@@ -140,7 +140,7 @@
     pub occurrences_done: IndexSet,
     /// A task has started.
     pub has_begun: bool,
-    /// The workers that may have been told to start a task.
+    /// The workers that may have received a start.
     pub workers: BTreeSet<WorkerId>,
     /// Those of them that an earlier scheduler used and that have not reported yet.
     pub awaited: BTreeSet<WorkerId>,
--- a/crates/jobs/src/pool/facts.rs
+++ b/crates/jobs/src/pool/facts.rs
@@ -324,7 +324,7 @@
                 it.paused_until = Some(now + WORKER_PAUSE);
                 self.drop_run(worker, key, "unhealthy", now);
             }
-            // An earlier attempt may have been carried out and have come to its end: the next report tells.
+            // An earlier attempt may have been carried out and have come to its end: the next report shows it.
             StartAnswer::Outdated => {
                 if let Some(run) = it.runs.get_mut(&key) {
                     run.closed_at = Some(now);
--- a/crates/jobs/src/progress/mod.rs
+++ b/crates/jobs/src/progress/mod.rs
@@ -102,7 +102,7 @@
 pub struct Progress {
     /// A task has started.
     pub has_begun: bool,
-    /// The workers that may have been told to start a task. Stored before the first start on each is sent.
+    /// The workers that may have received a start. Stored before the first start on each is sent.
     pub workers: BTreeSet<WorkerId>,
     /// Occurrences that are done.
     pub occurrences_done: IndexSet,
--- a/crates/jobs/tests/upkeep.rs
+++ b/crates/jobs/tests/upkeep.rs
@@ -97,7 +97,7 @@
 
 #[test]
 fn plan_completed_only_when_all_are_back() {
-    let mut fleet = Fleet::new(Duration::from_secs(60), 3);
+    let mut fleet = Fleet::new(Duration::from_mins(1), 3);
     let last = VmId::from("a0");
     let mut running = fleet.upkeep.waves.remove(&1).expect("the wave");
     running.progress.begun = fleet.vms.keys().cloned().collect();
