jobs: a VM is empty once its worker has reported to the new scheduler

Change: a worker that has reported under the new token and runs nothing is empty; no earlier scheduler can start anything there. Ruled out: the gap between two fleet holders (they bound none of these VMs). The case `evacuated_during_takeover` shows none empty before, m1 at once now.

--- a/crates/jobs/src/pool/facts.rs
+++ b/crates/jobs/src/pool/facts.rs
@@ -211,14 +211,15 @@
         }
     }
 
-    /// The VMs that are to be emptied and on which nothing may be at work.
+    /// The VMs that are to be emptied and on which nothing may be at work: their workers have reported under this
+    /// scheduler's token, so no earlier one can start anything there.
     #[must_use]
     pub fn evacuated(&self) -> BTreeSet<VmId> {
         let mut empty = BTreeSet::new();
         let mut busy = BTreeSet::new();
         for it in self.workers.values() {
             let Some(vm) = &it.vm else { continue };
-            if it.runs.is_empty() && it.is_evacuating() && self.takeover.is_none() {
+            if it.runs.is_empty() && it.is_evacuating() && it.is_fenced() {
                 empty.insert(vm.clone());
             } else if !it.runs.is_empty() {
                 busy.insert(vm.clone());
