jobs, grid: drop state that nothing reads; one check of a held role

Cause: the last reading of the change found fields that are set and never read (three bounds of the settings, when a run progressed or passed its target, when a task ended, when the store answered), a method and two variants without a caller, a flag that every caller set the same, time passed along for these alone, and the check whether a refusal shows a lost role written three times. Change: removed; `Held::stands_in` serves the three; a replaced worker is one method for an answer and for a refusal. Ruled out: a common set-up of the catalogue for the tests of grid and platform (they differ in host and limits).

--- a/crates/grid/src/entry/mod.rs
+++ b/crates/grid/src/entry/mod.rs
@@ -93,7 +93,6 @@
     pub registry_needed: Notify,
     /// The entry is to stop.
     pub stopping: CancellationToken,
-    answered_at: Cell<Option<Instant>>,
     failed_since: Cell<Option<Instant>>,
 }
 
@@ -115,7 +114,6 @@
             is_awaiting_workers: Cell::new(false),
             registry_needed: Notify::new(),
             stopping: CancellationToken::new(),
-            answered_at: Cell::new(None),
             failed_since: Cell::new(None),
         }
     }
@@ -162,7 +160,12 @@
             .is_some_and(|since| self.now().saturating_duration_since(since) >= STORE_SILENT)
     }
 
-    fn note_store<T>(
+    /// Counts and logs the outcome of a call to the store.
+    ///
+    /// # Errors
+    ///
+    /// As the call's.
+    pub fn note<T>(
         &self,
         call: &'static str,
         sent_at: Instant,
@@ -184,12 +187,9 @@
                 self.failed_since.set(Some(now));
                 log::warn!(target: "store", call, error:%; "The store did not carry out a call.");
             }
-        } else {
-            if let Some(since) = self.failed_since.take() {
-                let ms = millis(now.saturating_duration_since(since));
-                log::info!(target: "store", call, for_ms = ms; "The store answers again.");
-            }
-            self.answered_at.set(Some(now));
+        } else if let Some(since) = self.failed_since.take() {
+            let ms = millis(now.saturating_duration_since(since));
+            log::info!(target: "store", call, for_ms = ms; "The store answers again.");
         }
         result
     }
@@ -202,7 +202,7 @@
     pub async fn read(&self, key: &str) -> Result<Option<Item>, CallError> {
         let sent_at = self.now();
         let result = self.platform.read(key, STORE_TIMEOUT).await;
-        self.note_store("read", sent_at, result)
+        self.note("read", sent_at, result)
     }
 
     /// Lists all keys with a prefix. The revision is that of the first page: changes since then are seen by a watch that
@@ -220,7 +220,7 @@
                 .platform
                 .list(prefix, after.as_deref(), is_stale, STORE_TIMEOUT)
                 .await;
-            let page = self.note_store("list", sent_at, result)?;
+            let page = self.note("list", sent_at, result)?;
             if after.is_none() {
                 all.revision = page.revision;
             }
@@ -249,7 +249,7 @@
         let result = waited
             .await
             .unwrap_or_else(|_| Err(CallError::Unknown("the watch timed out".into())));
-        self.note_store("watch", sent_at, result)
+        self.note("watch", sent_at, result)
     }
 
     /// Makes a transaction.
@@ -273,21 +273,7 @@
     ) -> Result<Committed, CallError> {
         let sent_at = self.now();
         let result = self.platform.commit(txn, timeout).await;
-        self.note_store("commit", sent_at, result)
-    }
-
-    /// Notes the outcome of another kind of call to the store.
-    ///
-    /// # Errors
-    ///
-    /// As the call's.
-    pub fn note<T>(
-        &self,
-        call: &'static str,
-        sent_at: Instant,
-        result: Result<T, CallError>,
-    ) -> Result<T, CallError> {
-        self.note_store(call, sent_at, result)
+        self.note("commit", sent_at, result)
     }
 }
 
--- a/crates/grid/src/fleet/mod.rs
+++ b/crates/grid/src/fleet/mod.rs
@@ -310,9 +310,7 @@
 
     /// Gives the role up if a refused transaction shows that its key has ended.
     fn check_held(&self, conflict: &Conflict) {
-        let (role, held) = self.held.guard();
-        let mut items = conflict.items.iter();
-        if !items.any(|item| item.key == role && item.revision == held) {
+        if !self.held.stands_in(conflict) {
             self.lose();
         }
     }
--- a/crates/grid/src/members/mod.rs
+++ b/crates/grid/src/members/mod.rs
@@ -16,7 +16,7 @@
 
 use crate::entry::Entry;
 use crate::keys::{self, Role};
-use crate::ports::{CallError, Committed, LeaseId, Platform, Put, Revision, Txn};
+use crate::ports::{CallError, Committed, Conflict, LeaseId, Platform, Put, Revision, Txn};
 use crate::{fleet, pool};
 
 pub use view::{Holding, View};
@@ -57,6 +57,14 @@
         FencingToken(self.revision.0)
     }
 
+    /// Whether a refused transaction with this role's guard shows that the role still stands.
+    #[must_use]
+    pub fn stands_in(&self, conflict: &Conflict) -> bool {
+        let (key, revision) = self.guard();
+        let mut items = conflict.items.iter();
+        items.any(|item| item.key == key && item.revision == revision)
+    }
+
     /// The row that makes a transaction fail once the role is lost.
     #[must_use]
     pub fn guard(&self) -> (Box<str>, Revision) {
--- a/crates/grid/src/pool/orders.rs
+++ b/crates/grid/src/pool/orders.rs
@@ -164,11 +164,10 @@
 
     fn after_refusal(&self, worker: WorkerRef, order: &'static str, error: &OrderError) {
         log::warn!(target: "scheduler", order, worker:% = worker, error:?; "Order without success.");
-        let now = self.now();
         match error {
             OrderError::Fenced => self.lose("a worker has seen a higher token"),
             OrderError::WrongWorker => {
-                self.pool.borrow_mut().order_refused(worker, false, now);
+                self.pool.borrow_mut().replaced(worker);
                 self.replan.notify_one();
             }
             // The run has ended, or the worker does not answer: the next report shows it.
--- a/crates/grid/src/pool/reports.rs
+++ b/crates/grid/src/pool/reports.rs
@@ -171,7 +171,6 @@
 
     /// Returns whether the worker is to be asked again.
     fn after_failure(&self, worker: WorkerRef, error: &OrderError, is_first: bool) -> bool {
-        let now = self.now();
         let id = self
             .pool
             .borrow()
@@ -184,7 +183,7 @@
                 false
             }
             OrderError::WrongWorker => {
-                self.pool.borrow_mut().order_refused(worker, false, now);
+                self.pool.borrow_mut().replaced(worker);
                 false
             }
             OrderError::Refused(why) => {
--- a/crates/grid/src/pool/save.rs
+++ b/crates/grid/src/pool/save.rs
@@ -226,12 +226,8 @@
 
     /// Takes what the refused transaction's keys hold now.
     fn after_conflict(&self, txn: &Txn, conflict: Conflict) {
-        let (role, revision) = self.held.guard();
-        let is_held = conflict
-            .items
-            .iter()
-            .any(|item| item.key == role && item.revision == revision);
-        if !is_held {
+        let (role, _) = self.held.guard();
+        if !self.held.stands_in(&conflict) {
             self.lose("its key has ended");
             return;
         }
--- a/crates/grid/src/shares/mod.rs
+++ b/crates/grid/src/shares/mod.rs
@@ -273,12 +273,7 @@
             scheduler.replan.notify_one();
         }
         Ok(Committed::Conflict(conflict)) => {
-            let (role, revision) = scheduler.held.guard();
-            let is_held = conflict
-                .items
-                .iter()
-                .any(|item| item.key == role && item.revision == revision);
-            if !is_held {
+            if !scheduler.held.stands_in(&conflict) {
                 scheduler.lose("its key has ended");
                 return;
             }
--- a/crates/jobs/src/job/mod.rs
+++ b/crates/jobs/src/job/mod.rs
@@ -28,8 +28,6 @@
     pub live: u32,
     /// An earlier scheduler may have started it on a worker that has not reported yet.
     pub is_unknown: bool,
-    /// When its last run ended.
-    pub ended_at: Option<Instant>,
 }
 
 impl Task {
@@ -235,15 +233,6 @@
         }
     }
 
-    /// When the next occurrence is due that is not open yet, in milliseconds since 1970.
-    #[must_use]
-    pub fn next_due_ms(&self, wall_ms: u64) -> Option<u64> {
-        let schedule = self.record.spec.schedule?;
-        (0..schedule.occurrences)
-            .map(|occurrence| schedule.due_ms(occurrence))
-            .find(|due_ms| *due_ms > wall_ms)
-    }
-
     /// Creates an occurrence that a run was found of.
     pub fn open_occurrence(&mut self, occurrence: u32, now: Instant) {
         let is_known = self.occurrences_done.contains(occurrence)
--- a/crates/jobs/src/pool/facts.rs
+++ b/crates/jobs/src/pool/facts.rs
@@ -109,7 +109,7 @@
             let worker = match known {
                 Some(worker) if !self.is_new_life(worker, &info) => worker,
                 Some(worker) => {
-                    self.end_life(worker, "reborn", now);
+                    self.end_life(worker, "reborn");
                     self.stop_awaiting(worker);
                     self.add_worker(info.clone())
                 }
@@ -229,7 +229,7 @@
     }
 
     /// A worker has begun a new life or is certain to be gone: nothing of its runs is at work.
-    pub fn end_life(&mut self, worker: WorkerRef, state: &'static str, now: Instant) {
+    pub fn end_life(&mut self, worker: WorkerRef, state: &'static str) {
         self.note_worker(worker, state);
         let Some(it) = self.workers.get_mut(&worker) else {
             return;
@@ -237,7 +237,7 @@
         it.is_gone = true;
         let keys: Vec<RunKey> = it.runs.keys().copied().collect();
         for key in keys {
-            self.drop_run(worker, key, "worker gone", now);
+            self.drop_run(worker, key, "worker gone");
         }
     }
 
@@ -251,13 +251,7 @@
     }
 
     /// A run is certain not to be at work, and did not end as done.
-    pub(super) fn drop_run(
-        &mut self,
-        worker: WorkerRef,
-        key: RunKey,
-        how: &'static str,
-        now: Instant,
-    ) {
+    pub(super) fn drop_run(&mut self, worker: WorkerRef, key: RunKey, how: &'static str) {
         let Some(it) = self.workers.get_mut(&worker) else {
             return;
         };
@@ -281,7 +275,6 @@
         if let Some((_, state)) = job.step_mut(task.step) {
             state.update(task.index, |task| {
                 task.live = task.live.saturating_sub(1);
-                task.ended_at = Some(now);
                 if run.checkpoint.is_some() {
                     task.checkpoint = run.checkpoint;
                 }
@@ -313,17 +306,16 @@
                     run.phase = Phase::Confirmed;
                     run.closed_at = Some(now);
                     run.started_at = now;
-                    run.progressed_at = now;
                 }
             }
             StartAnswer::Unknown => it.paused_until = Some(now + WORKER_PAUSE),
             StartAnswer::NoRoom => {
                 it.is_full = true;
-                self.drop_run(worker, key, "no room", now);
+                self.drop_run(worker, key, "no room");
             }
             StartAnswer::Unhealthy => {
                 it.paused_until = Some(now + WORKER_PAUSE);
-                self.drop_run(worker, key, "unhealthy", now);
+                self.drop_run(worker, key, "unhealthy");
             }
             // An earlier attempt may have been carried out and have come to its end: the next report shows it.
             StartAnswer::Outdated => {
@@ -331,16 +323,13 @@
                     run.closed_at = Some(now);
                 }
             }
-            StartAnswer::TooLate => self.drop_run(worker, key, "too late", now),
-            StartAnswer::Malformed => self.drop_run(worker, key, "malformed", now),
+            StartAnswer::TooLate => self.drop_run(worker, key, "too late"),
+            StartAnswer::Malformed => self.drop_run(worker, key, "malformed"),
             StartAnswer::Fenced => {
                 self.is_fenced_out = true;
-                self.drop_run(worker, key, "fenced", now);
-            }
-            StartAnswer::WrongWorker => {
-                self.end_life(worker, "replaced", now);
-                self.stop_awaiting(worker);
+                self.drop_run(worker, key, "fenced");
             }
+            StartAnswer::WrongWorker => self.replaced(worker),
         }
     }
 
@@ -371,14 +360,10 @@
         }
     }
 
-    /// Another worker answers at this one's address, or it has seen a higher token.
-    pub fn order_refused(&mut self, worker: WorkerRef, is_fenced: bool, now: Instant) {
-        if is_fenced {
-            self.is_fenced_out = true;
-        } else {
-            self.end_life(worker, "replaced", now);
-            self.stop_awaiting(worker);
-        }
+    /// Another worker, or another life of it, answers at this one's address.
+    pub fn replaced(&mut self, worker: WorkerRef) {
+        self.end_life(worker, "replaced");
+        self.stop_awaiting(worker);
     }
 
     /// An order will be sent that extends the worker's leases up to `until_ms` on its clock.
--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -42,12 +42,6 @@
     pub start_window: Duration,
     /// How long a stop may take.
     pub stop_grace: Duration,
-    /// The work between two checkpoints.
-    pub checkpoint_interval: Duration,
-    /// How long a resumed run takes to load its checkpoint.
-    pub restore: Duration,
-    /// A worker that has been draining this long takes no new work at all.
-    pub drain: Duration,
 }
 
 impl Default for Bounds {
@@ -56,9 +50,6 @@
             lease: Duration::from_secs(5),
             start_window: Duration::from_millis(1_500),
             stop_grace: Duration::from_millis(500),
-            checkpoint_interval: Duration::from_secs(2),
-            restore: Duration::from_millis(600),
-            drain: Duration::from_secs(2),
         }
     }
 }
@@ -118,8 +109,6 @@
     Duplicate,
     /// Its worker is to be emptied.
     Evacuation,
-    /// It makes no progress.
-    Stalled,
 }
 
 /// How a worker answered a start.
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -317,14 +317,12 @@
         closed_at: None,
         stop_sent_at: None,
         percent: 0,
-        progressed_at: now,
         checkpoint: checkpoint.clone(),
         load: 0.0,
         pace_percent: 100,
         is_service: false,
         is_best_effort: false,
         tail_target: None,
-        over_since: None,
     }
     .with_step(spec);
     let reserved = ordered.reserved;
--- a/crates/jobs/src/pool/release.rs
+++ b/crates/jobs/src/pool/release.rs
@@ -21,7 +21,7 @@
         .map(|(worker, _)| *worker)
         .collect();
     for worker in lapsed {
-        release(pool, worker, now);
+        release(pool, worker);
     }
     let forgotten: Vec<WorkerRef> = pool
         .workers
@@ -52,12 +52,12 @@
     !worker.is_listed && worker.runs.is_empty() && is_silent
 }
 
-fn release(pool: &mut Pool, worker: WorkerRef, now: Instant) {
+fn release(pool: &mut Pool, worker: WorkerRef) {
     let Some(it) = pool.workers.get_mut(&worker) else {
         return;
     };
     if !it.is_listed {
-        pool.end_life(worker, "gone", now);
+        pool.end_life(worker, "gone");
         return;
     }
     if it.runs.is_empty() {
@@ -66,7 +66,7 @@
     let keys: Vec<_> = it.runs.keys().copied().collect();
     pool.note_worker(worker, "leases lapsed");
     for key in keys {
-        pool.drop_run(worker, key, "lease lapsed", now);
+        pool.drop_run(worker, key, "lease lapsed");
     }
 }
 
--- a/crates/jobs/src/pool/report.rs
+++ b/crates/jobs/src/pool/report.rs
@@ -31,7 +31,7 @@
         report: Report,
         now: Instant,
     ) -> bool {
-        let worker = self.life_of(worker, &report, now);
+        let worker = self.life_of(worker, &report);
         let Some(it) = self.workers.get_mut(&worker) else {
             return false;
         };
@@ -61,13 +61,13 @@
             self.take_running(worker, row, now);
         }
         if !may_have_more {
-            self.drop_unlisted(worker, &listed, sent_at, report.clock_ms, now);
+            self.drop_unlisted(worker, &listed, sent_at, report.clock_ms);
         }
         has_ends
     }
 
     /// The worker that reports: another one than was asked, if it has begun a new life since.
-    fn life_of(&mut self, worker: WorkerRef, report: &Report, now: Instant) -> WorkerRef {
+    fn life_of(&mut self, worker: WorkerRef, report: &Report) -> WorkerRef {
         let Some(it) = self.workers.get_mut(&worker) else {
             return worker;
         };
@@ -81,7 +81,7 @@
         info.born_ms = report.born_ms;
         info.is_draining = false;
         let vm = it.vm.clone();
-        self.end_life(worker, "reborn", now);
+        self.end_life(worker, "reborn");
         self.stop_awaiting(worker);
         self.set_reborn(info, vm)
     }
@@ -116,7 +116,7 @@
             run: row.run,
             how: end_name(row.end),
         });
-        self.apply_end(row, run.as_ref(), now);
+        self.apply_end(row, run.as_ref());
     }
 
     /// Learns how long a task took that this scheduler saw from its beginning to its end.
@@ -155,7 +155,7 @@
         self.note_worker(worker, "avoided: fails what it starts");
     }
 
-    fn apply_end(&mut self, row: &EndRow, run: Option<&Run>, now: Instant) {
+    fn apply_end(&mut self, row: &EndRow, run: Option<&Run>) {
         let job_id = row.task.step.job;
         let Some(job) = self.jobs.get(&job_id) else {
             return;
@@ -181,7 +181,6 @@
         let failures = state.update(row.task.index, |task| {
             task.live = task.live.saturating_sub(u32::from(was_live));
             task.last_run = task.last_run.max(Some(row.run));
-            task.ended_at = Some(now);
             if row.checkpoint.is_some() {
                 task.checkpoint.clone_from(&row.checkpoint);
             }
@@ -229,20 +228,11 @@
             run.phase = Phase::Confirmed;
             run.closed_at = Some(now);
         }
-        if row.percent > run.percent {
-            run.progressed_at = now;
-        }
         run.percent = row.percent;
         run.load = row.load;
         if row.checkpoint.is_some() {
             run.checkpoint = row.checkpoint;
         }
-        run.over_since = match run.tail_target {
-            Some(target) if row.load > target.as_secs_f64() * 1_000.0 => {
-                run.over_since.or(Some(now))
-            }
-            _ => None,
-        };
     }
 
     /// A run that this scheduler didn't start, or whose start was held to have failed.
@@ -257,14 +247,12 @@
             closed_at: Some(now),
             stop_sent_at: None,
             percent: 0,
-            progressed_at: now,
             checkpoint: None,
             load: 0.0,
             pace_percent: 100,
             is_service: false,
             is_best_effort: false,
             tail_target: None,
-            over_since: None,
         };
         if let Some(job) = self.jobs.get_mut(&task.step.job) {
             job.has_begun = true;
@@ -294,7 +282,6 @@
         listed: &BTreeSet<RunKey>,
         sent_at: Instant,
         clock_ms: u64,
-        now: Instant,
     ) {
         let Some(it) = self.workers.get(&worker) else {
             return;
@@ -310,7 +297,7 @@
             .map(|(key, _)| *key)
             .collect();
         for key in absent {
-            self.drop_run(worker, key, "not there", now);
+            self.drop_run(worker, key, "not there");
         }
     }
 }
--- a/crates/jobs/src/worker/mod.rs
+++ b/crates/jobs/src/worker/mod.rs
@@ -81,8 +81,6 @@
     pub stop_sent_at: Option<Instant>,
     /// How far it has come, or for a service how much of it is at work, in percent.
     pub percent: u32,
-    /// When `percent` last rose.
-    pub progressed_at: Instant,
     /// The newest checkpoint that the worker has listed.
     pub checkpoint: Option<Box<str>>,
     /// For a service the tail of its response time in milliseconds, else the processors in use.
@@ -95,8 +93,6 @@
     pub is_best_effort: bool,
     /// The bound on the tail of the service's response time.
     pub tail_target: Option<Duration>,
-    /// Since when the tail has been over its target.
-    pub over_since: Option<Instant>,
 }
 
 impl Run {
@@ -171,8 +167,6 @@
 pub struct Recent {
     /// Failures in a row.
     pub failed: u32,
-    /// Runs that are known to have been slow in a row.
-    pub stalled: u32,
 }
 
 impl Worker {
