jobs, grid: plans stay cheap with many waiting jobs; roles go to strong entries; placement permits

Ruled out: the store (no slow commits, 24,000 calls of 1,200 writes a second allowed); the workers (68 starts answered as unhealthy); lost answers (9 starts answered as outdated).

Change: a plan keeps the room of the workers that take work and the demands that fit none of them; pauses between plans grow with their cost; a start that came too late or is malformed holds its job back for a moment. Roles are taken by the entry that has the most processor time for each of its roles; at the start of all entries the ranks count from the moment at which everybody has registered (they did not: all entries raced). Queues that need placement permits are now scheduled: the permits of a step are asked for while its earlier step runs, used for three quarters of their time, and a refused one is asked for again; before, such a queue started nothing and a refused start was repeated without a pause.

Tests that failed first: cases malformed_start_pauses and late_start_pauses (repeated at once), permits_* and permit_expires (started without a permit), grid roles_go_to_strong_entries.

--- a/crates/grid/src/entry/mod.rs
+++ b/crates/grid/src/entry/mod.rs
@@ -40,6 +40,8 @@
 pub struct Settings {
     /// The entry's name.
     pub name: Box<str>,
+    /// The processor time that it may use, in thousandths of a core.
+    pub cpu_millis: u64,
     /// A withdrawn key must not be taken any more after this time.
     pub key_withdrawal: Duration,
     /// How long a stop may take before the process is killed.
--- a/crates/grid/src/keys/mod.rs
+++ b/crates/grid/src/keys/mod.rs
@@ -49,6 +49,13 @@
     bytes
 }
 
+/// What an entry says of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// The processor time that it may use, in thousandths of a core.
+    pub cpu_millis: u64,
+}
+
 /// Reads a value.
 ///
 /// # Errors
--- a/crates/grid/src/members/mod.rs
+++ b/crates/grid/src/members/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! Entries and role holders are keys that end with their entry's lease. A role is taken by creating its key; the key's
 //! revision is the fencing token. Every entry follows these keys and knows from them which roles are vacant. To spread the roles, the
-//! entry with the fewest takes a vacant role first, and others only after a pause, in the order that hashing gives.
+//! entry that would have the most processor time for each of its roles takes a vacant role first, and others only after a
+//! pause, in the order that hashing gives.
 
 mod view;
 
@@ -15,7 +16,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::entry::Entry;
-use crate::keys::{self, Role};
+use crate::keys::{self, Member, Role};
 use crate::ports::{CallError, Committed, Conflict, LeaseId, Platform, Put, Revision, Txn};
 use crate::{fleet, pool};
 
@@ -128,7 +129,9 @@
         let txn = Txn {
             put: vec![Put {
                 key: keys::entry(&self.entry.settings.name),
-                value: keys::encode(&self.entry.settings.name),
+                value: keys::encode(&Member {
+                    cpu_millis: self.entry.settings.cpu_millis,
+                }),
                 lease: Some(lease),
             }],
             ..Txn::default()
@@ -258,17 +261,23 @@
         self.entry.metrics.set_roles(0);
     }
 
+    /// This entry, with the processor time that it may use.
+    fn me(&self) -> (&str, u64) {
+        let settings = &self.entry.settings;
+        (&settings.name, settings.cpu_millis)
+    }
+
     /// How long until this entry may take a role that is vacant now.
     fn next_attempt(&self) -> Duration {
         let now = self.entry.now();
         let settled_at = self.started_at + SETTLE;
         let wanted = self.wanted();
         self.view
-            .ranks(&self.entry.settings.name, &wanted)
+            .ranks(self.me(), &wanted)
             .into_iter()
             .filter_map(|(role, rank)| {
-                let since = self.vacant_since.get(&role)?;
-                let at = (*since + RANK_PAUSE * rank.min(RANK_MAX)).max(settled_at);
+                let since = (*self.vacant_since.get(&role)?).max(settled_at);
+                let at = since + RANK_PAUSE * rank.min(RANK_MAX);
                 Some(at.saturating_duration_since(now).max(RETRY_AFTER / 4))
             })
             .min()
@@ -278,16 +287,18 @@
     async fn take_vacant(&mut self, lease: LeaseId) {
         let now = self.entry.now();
         let wanted = self.wanted();
-        let ranks = self.view.ranks(&self.entry.settings.name, &wanted);
+        let ranks = self.view.ranks(self.me(), &wanted);
         self.vacant_since.retain(|role, _| ranks.contains_key(role));
         for role in ranks.keys() {
             self.vacant_since.entry(role.clone()).or_insert(now);
         }
-        if now < self.started_at + SETTLE {
+        let settled_at = self.started_at + SETTLE;
+        if now < settled_at {
             return;
         }
         for (role, rank) in ranks {
             let since = self.vacant_since.get(&role).copied().unwrap_or(now);
+            let since = since.max(settled_at);
             let is_due = now >= since + RANK_PAUSE * rank.min(RANK_MAX);
             if is_due && self.entry.valid_lease() == Some(lease) {
                 self.take(role, lease).await;
--- a/crates/grid/src/members/view.rs
+++ b/crates/grid/src/members/view.rs
@@ -1,13 +1,17 @@
 //! Which entries are up and who holds which role, as far as this entry has heard.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
 use std::hash::{Hash, Hasher};
 
 use siphasher::sip::SipHasher13;
 
-use crate::keys::{self, Role};
+use crate::keys::{self, Member, Role};
 use crate::ports::{Change, Item, LeaseId, Revision};
 
+/// Keeps shares of processor time apart that differ by less than a thousandth of a core.
+const CPU_PRECISION: u64 = 1_000;
+
 /// Who holds a role.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Holding {
@@ -22,7 +26,8 @@
 /// Entries and roles.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct View {
-    entries: BTreeSet<Box<str>>,
+    /// The processor time that each entry may use, in thousandths of a core.
+    entries: BTreeMap<Box<str>, u64>,
     roles: BTreeMap<Role, Holding>,
 }
 
@@ -56,7 +61,12 @@
     /// Takes a key that was written.
     pub fn put(&mut self, item: &Item) {
         if let Some(entry) = item.key.strip_prefix(keys::ENTRIES) {
-            self.entries.insert(entry.into());
+            match keys::decode::<Member>(&item.key, &item.value) {
+                Ok(member) => {
+                    self.entries.insert(entry.into(), member.cpu_millis);
+                }
+                Err(error) => log::warn!(target: "members", error:%; "An entry's key is skipped."),
+            }
             return;
         }
         let Some(role) = role_of(&item.key) else {
@@ -124,22 +134,28 @@
             .collect()
     }
 
-    /// For each vacant role how many entries go before `me`.
+    /// For each vacant role how many entries go before `me`, which is given with its processor time.
+    ///
+    /// An entry goes before another if it would have more processor time for each role with one more.
     #[must_use]
-    pub fn ranks(&self, me: &str, wanted: &[Role]) -> BTreeMap<Role, u32> {
-        let mut load: BTreeMap<&str, u32> =
-            self.entries.iter().map(|entry| (&**entry, 0)).collect();
-        load.entry(me).or_default();
+    pub fn ranks(&self, me: (&str, u64), wanted: &[Role]) -> BTreeMap<Role, u32> {
+        let (me, my_cpu_millis) = me;
+        let entries = self.entries.iter().map(|(name, cpu)| (&**name, (*cpu, 0)));
+        let mut load: BTreeMap<&str, (u64, u64)> = entries.collect();
+        load.insert(me, (my_cpu_millis, 0));
         for holding in self.roles.values() {
-            if let Some(load) = load.get_mut(&*holding.name) {
-                *load += 1;
+            if let Some((_, roles)) = load.get_mut(&*holding.name) {
+                *roles += 1;
             }
         }
         let mut ranks = BTreeMap::new();
         for role in wanted.iter().filter(|role| !self.roles.contains_key(role)) {
-            let mut order: Vec<(u32, u64, &str)> = load
+            let mut order: Vec<(Reverse<u64>, u64, &str)> = load
                 .iter()
-                .map(|(entry, load)| (*load, score(role, entry), *entry))
+                .map(|(entry, (cpu_millis, roles))| {
+                    let for_each = cpu_millis * CPU_PRECISION / (roles + 1);
+                    (Reverse(for_each), score(role, entry), *entry)
+                })
                 .collect();
             order.sort_unstable();
             let rank = (0..)
@@ -148,9 +164,9 @@
                 .map_or(0, |(rank, _)| rank);
             ranks.insert(role.clone(), rank);
             if let Some((_, _, first)) = order.first()
-                && let Some(load) = load.get_mut(first)
+                && let Some((_, roles)) = load.get_mut(first)
             {
-                *load += 1;
+                *roles += 1;
             }
         }
         ranks
--- a/crates/grid/src/pool/orders.rs
+++ b/crates/grid/src/pool/orders.rs
@@ -3,8 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use goldcrest_jobs::id::WorkerRef;
+use goldcrest_jobs::id::{StepId, WorkerId, WorkerRef};
 use goldcrest_jobs::pool::{Order, StartAnswer, StartOrder};
+use goldcrest_jobs::worker::millis;
 use tokio::task::JoinSet;
 
 use crate::pool::Scheduler;
@@ -13,6 +14,13 @@
 /// The least time between two plans. Facts that arrive together are planned for together.
 const PLAN_GAP: Duration = Duration::from_millis(4);
 
+/// The pause after a plan lasts this many times as long as the plan took, so that the orders and reports of a large pool
+/// get their share of the processor.
+const PLAN_PAUSE_FACTOR: u32 = 4;
+
+/// The longest pause after a plan.
+const PLAN_PAUSE_MAX: Duration = Duration::from_millis(100);
+
 /// A plan is made at least this often, for what only the time changes.
 const PLAN_EVERY: Duration = Duration::from_millis(400);
 
@@ -25,6 +33,9 @@
 /// How long the note that a job may run on a worker may take to be stored.
 const NOTE_WAIT: Duration = Duration::from_millis(900);
 
+/// How long the answer to a question about permits may take. It takes its time for each worker and waits for its turn.
+const PERMITS_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// How long a stop or a change of pace may take.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -34,6 +45,7 @@
         loop {
             // A plan is due now and then even if nothing was reported.
             let _ = tokio::time::timeout(PLAN_EVERY, self.replan.notified()).await;
+            let began_at = self.now();
             if self.may_order() && self.is_crew_stored() {
                 let orders = self
                     .pool
@@ -52,7 +64,9 @@
                 self.status_changed.notify_one();
             }
             while sending.try_join_next().is_some() {}
-            tokio::time::sleep(PLAN_GAP).await;
+            let took = self.now().saturating_duration_since(began_at);
+            let pause = (took * PLAN_PAUSE_FACTOR).clamp(PLAN_GAP, PLAN_PAUSE_MAX);
+            tokio::time::sleep(pause).await;
         }
     }
 
@@ -97,9 +111,32 @@
                     self.after_refusal(worker, "pace", &error);
                 }
             }
+            Order::AskPermits { step, workers } => self.ask_permits(step, workers).await,
         }
     }
 
+    async fn ask_permits(&self, step: StepId, workers: Vec<WorkerId>) {
+        let asked_at = self.now();
+        let platform = &self.entry.platform;
+        let result = platform.permits(step, &workers, PERMITS_TIMEOUT).await;
+        let now = self.now();
+        let took_ms = millis(now.saturating_duration_since(asked_at));
+        let granted = match result {
+            Ok(granted) => {
+                log::info!(target: "scheduler", job:% = step.job, step:%, asked = workers.len(), granted = granted.by_worker.len(), took_ms; "Placement permits received.");
+                Some(granted)
+            }
+            Err(error) => {
+                log::warn!(target: "scheduler", job:% = step.job, step:%, asked = workers.len(), took_ms, error:%; "No answer about placement permits.");
+                None
+            }
+        };
+        self.pool
+            .borrow_mut()
+            .permits_answered(step, &workers, granted, asked_at, now);
+        self.replan.notify_one();
+    }
+
     async fn send_start(&self, order: StartOrder) {
         let mut answer = StartAnswer::Unknown;
         let mut is_sent = false;
@@ -118,11 +155,7 @@
                 }
                 break;
             }
-            let sent = self
-                .entry
-                .platform
-                .start(&to, &order, None, START_TIMEOUT)
-                .await;
+            let sent = self.entry.platform.start(&to, &order, START_TIMEOUT).await;
             answer = if is_sent { sent.after_silence() } else { sent };
             is_sent = true;
             if answer != StartAnswer::Unknown {
--- a/crates/grid/src/ports/mod.rs
+++ b/crates/grid/src/ports/mod.rs
@@ -10,7 +10,8 @@
 
 use goldcrest_jobs::catalogue::Catalogue;
 use goldcrest_jobs::id::{FencingToken, RunNumber, StepId, TaskId, VmId, WorkerId};
-use goldcrest_jobs::pool::StartAnswer;
+use goldcrest_jobs::pool::permits::Granted;
+use goldcrest_jobs::pool::{StartAnswer, StartOrder};
 use goldcrest_jobs::upkeep::{Vm, Wave};
 use goldcrest_jobs::worker::{Report, WorkerInfo};
 use goldcrest_types::names::PoolName;
@@ -301,8 +302,7 @@
     fn start(
         &self,
         to: &Recipient,
-        order: &goldcrest_jobs::pool::StartOrder,
-        permit: Option<&str>,
+        order: &StartOrder,
         timeout: Duration,
     ) -> impl Future<Output = StartAnswer>;
 
@@ -386,15 +386,6 @@
     ) -> impl Future<Output = Result<(), VmOrderError>>;
 }
 
-/// Permits to run a step on workers.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Permits {
-    /// The permit of each worker that may run it.
-    pub by_worker: Vec<(WorkerId, Box<str>)>,
-    /// How long they hold.
-    pub valid_for: Duration,
-}
-
 /// The service that knows which workers may run a step.
 pub trait PermitService {
     /// Asks for permits.
@@ -403,7 +394,7 @@
         step: StepId,
         workers: &[WorkerId],
         timeout: Duration,
-    ) -> impl Future<Output = Result<Permits, CallError>>;
+    ) -> impl Future<Output = Result<Granted, CallError>>;
 }
 
 /// All that an entry needs of the outside.
--- a/crates/grid/tests/entry/common/mod.rs
+++ b/crates/grid/tests/entry/common/mod.rs
@@ -41,6 +41,11 @@
 
 /// A catalogue with one pool `p` and its queue `q`, and a spare pool.
 pub fn catalogue(version: u64, keys: &[&str], cap_cpu: u64) -> Catalogue {
+    catalogue_with(version, keys, cap_cpu, false)
+}
+
+/// A catalogue whose queue may need permits.
+pub fn catalogue_with(version: u64, keys: &[&str], cap_cpu: u64, needs_permits: bool) -> Catalogue {
     let queue = Queue {
         name: "q".parse().expect("a name"),
         host: "host".into(),
@@ -52,7 +57,7 @@
         stretch_milli: 1_600,
         target_latency: Duration::from_millis(600),
         timeout: Duration::from_secs(3),
-        needs_permits: false,
+        needs_permits,
     };
     let pool = |name: &str, is_spare| PoolSpec {
         name: name.parse().expect("a name"),
@@ -149,8 +154,14 @@
 
     /// Starts an entry.
     pub fn start(&self, name: &str) {
+        self.start_with(name, 250);
+    }
+
+    /// Starts an entry that may use so many thousandths of a core.
+    pub fn start_with(&self, name: &str, cpu_millis: u64) {
         let settings = Settings {
             name: name.into(),
+            cpu_millis,
             key_withdrawal: Duration::from_secs(5),
             stop_grace: Duration::from_secs(6),
             pool: Bounds::default(),
--- a/crates/grid/tests/entry/main.rs
+++ b/crates/grid/tests/entry/main.rs
@@ -4,4 +4,5 @@
 mod common;
 mod faults;
 mod maintenance;
+mod permits;
 mod roles;
--- a/crates/grid/tests/entry/roles.rs
+++ b/crates/grid/tests/entry/roles.rs
@@ -149,3 +149,21 @@
     })
     .await;
 }
+
+/// A pool's scheduler works for all its workers: the role goes to an entry with the processor time for it.
+#[tokio::test(start_paused = true)]
+async fn roles_go_to_strong_entries() {
+    local(async {
+        let bed = Bed::new(2);
+        for name in ["e1", "e2", "e3", "e4"] {
+            bed.start_with(name, 120);
+        }
+        bed.start_with("e5", 500);
+        sleep(Duration::from_secs(4)).await;
+        assert_eq!(bed.holder(), "e5");
+        bed.kill("e5");
+        sleep(Duration::from_secs(4)).await;
+        assert_ne!(bed.holder(), "e5");
+    })
+    .await;
+}
--- a/crates/jobs/src/catalogue/mod.rs
+++ b/crates/jobs/src/catalogue/mod.rs
@@ -106,6 +106,7 @@
     pools: Vec<PoolSpec>,
     teams: Vec<Team>,
     keys: HashMap<Box<str>, usize>,
+    has_permits: bool,
 }
 
 impl Catalogue {
@@ -132,7 +133,9 @@
             keys.extend(of_team.into_iter().map(|key| (key, at)));
             without_keys.push(team);
         }
+        let has_permits = queues.iter().any(|queue| queue.needs_permits);
         Self {
+            has_permits,
             version,
             limits: CallLimits::default(),
             queues,
@@ -166,6 +169,12 @@
         self.by_name.get(name).map(|at| &self.queues[*at])
     }
 
+    /// Whether any queue needs placement permits.
+    #[must_use]
+    pub fn has_permits(&self) -> bool {
+        self.has_permits
+    }
+
     /// All queues.
     #[must_use]
     pub fn queues(&self) -> &[Queue] {
--- a/crates/jobs/src/job/mod.rs
+++ b/crates/jobs/src/job/mod.rs
@@ -156,6 +156,8 @@
     pub objective: Duration,
     /// Run numbers begin here; above all that an earlier scheduler can have used.
     pub first_run: RunNumber,
+    /// No starts are sent before this time.
+    pub held_until: Option<Instant>,
     stored_progress: Option<Progress>,
 }
 
@@ -184,6 +186,7 @@
             step_times,
             objective,
             first_run: RunNumber::FIRST,
+            held_until: None,
             stored_progress: None,
         }
     }
--- a/crates/jobs/src/pool/evacuate.rs
+++ b/crates/jobs/src/pool/evacuate.rs
@@ -6,7 +6,8 @@
 use std::time::{Duration, Instant};
 
 use crate::id::{StepId, WorkerRef};
-use crate::pool::{Pool, StopReason, place};
+use crate::pool::rooms::Rooms;
+use crate::pool::{Pool, StopReason};
 use crate::worker::{Contact, Origin, Phase, Run, RunKey, Worker};
 
 /// How long tasks may go on by themselves before they are stopped, if they save checkpoints.
@@ -75,7 +76,9 @@
     if !step.is_service() {
         return true;
     }
-    let has_elsewhere = place::choose(pool, key.0.step, step, now).is_some();
+    let has_elsewhere = Rooms::new(pool, now)
+        .choose(pool, key.0.step, step)
+        .is_some();
     if !has_elsewhere {
         return false;
     }
--- a/crates/jobs/src/pool/facts.rs
+++ b/crates/jobs/src/pool/facts.rs
@@ -1,7 +1,7 @@
 //! Jobs, workers and answers to orders, as the scheduler takes them in.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use goldcrest_types::names::QueueName;
 
@@ -13,11 +13,17 @@
 use crate::worker::{Contact, Phase, RunKey, Worker, WorkerInfo};
 
 /// How long a worker gets no starts after it had no answer or was unhealthy.
-const WORKER_PAUSE: std::time::Duration = std::time::Duration::from_millis(500);
+const WORKER_PAUSE: Duration = Duration::from_millis(500);
+
+/// How long a job gets no starts after one came too late: the worker or the store is slow.
+const TOO_LATE_PAUSE: Duration = Duration::from_millis(250);
+
+/// How long a job gets no starts after one was malformed. Another worker would say the same.
+const MALFORMED_PAUSE: Duration = Duration::from_secs(2);
 
 impl Pool {
     /// Takes an accepted job. One that is known already keeps its progress.
-    pub fn submit(&mut self, record: JobRecord, age: std::time::Duration, now: Instant) {
+    pub fn submit(&mut self, record: JobRecord, age: Duration, now: Instant) {
         if self.jobs.contains_key(&record.id) {
             if record.is_cancelled {
                 self.cancel(record.id);
@@ -31,12 +37,12 @@
         self.jobs.insert(job.id(), job);
     }
 
-    fn open(&self, record: JobRecord, age: std::time::Duration, now: Instant) -> Job {
+    fn open(&self, record: JobRecord, age: Duration, now: Instant) -> Job {
         let steps = record.spec.steps.iter();
         let step_times: Vec<_> = steps
             .map(|step| self.estimates.expect(&record.queue, step.estimate))
             .collect();
-        let chain = record.spec.longest_chain(&step_times);
+        let chain = record.spec.longest_chain(step_times.iter().copied());
         let objective = self
             .catalogue
             .queue(&record.queue)
@@ -49,7 +55,7 @@
     /// unknown until each has reported or all leases have lapsed.
     pub fn take_over(
         &mut self,
-        jobs: Vec<(JobRecord, Progress, std::time::Duration)>,
+        jobs: Vec<(JobRecord, Progress, Duration)>,
         crew: BTreeSet<WorkerId>,
         now: Instant,
     ) {
@@ -323,8 +329,18 @@
                     run.closed_at = Some(now);
                 }
             }
-            StartAnswer::TooLate => self.drop_run(worker, key, "too late"),
-            StartAnswer::Malformed => self.drop_run(worker, key, "malformed"),
+            StartAnswer::TooLate => {
+                self.drop_run(worker, key, "too late");
+                self.hold_back(task.step.job, TOO_LATE_PAUSE, now);
+            }
+            StartAnswer::NoPermit => {
+                self.permit_refused(task.step, worker, now);
+                self.drop_run(worker, key, "no permit");
+            }
+            StartAnswer::Malformed => {
+                self.drop_run(worker, key, "malformed");
+                self.hold_back(task.step.job, MALFORMED_PAUSE, now);
+            }
             StartAnswer::Fenced => {
                 self.is_fenced_out = true;
                 self.drop_run(worker, key, "fenced");
@@ -333,6 +349,13 @@
         }
     }
 
+    /// The job gets no starts for a while.
+    fn hold_back(&mut self, job: JobId, pause: Duration, now: Instant) {
+        if let Some(job) = self.jobs.get_mut(&job) {
+            job.held_until = Some(now + pause);
+        }
+    }
+
     /// A worker has confirmed a stop: a report that is asked for from now on and doesn't list the run proves that it is
     /// not there.
     pub fn stop_confirmed(
--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -9,15 +9,18 @@
 //!   the jobs that they changed have been saved.
 //!
 //! Facts come in by [`Pool::submit`], [`Pool::set_workers`], [`Pool::report`] and the answers to orders; then
-//! [`Pool::plan`] runs the passes, one file each: [`release`], [`settle`], [`evacuate`], [`order`], [`place`], [`pace`].
+//! [`Pool::plan`] runs the passes, one file each: [`release`], [`settle`], [`evacuate`], [`order`], [`permits`],
+//! [`place`], [`pace`].
 
 pub mod evacuate;
 mod facts;
 pub mod order;
 pub mod pace;
+pub mod permits;
 pub mod place;
 pub mod release;
 mod report;
+mod rooms;
 pub mod settle;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -28,7 +31,7 @@
 
 use crate::catalogue::Catalogue;
 use crate::estimate::Estimates;
-use crate::id::{FencingToken, JobId, RunNumber, TaskId, WorkerId, WorkerRef};
+use crate::id::{FencingToken, JobId, RunNumber, StepId, TaskId, WorkerId, WorkerRef};
 use crate::job::Job;
 use crate::resources::Resources;
 use crate::worker::{Worker, millis};
@@ -81,6 +84,13 @@
         /// The share.
         percent: u32,
     },
+    /// Ask which of the workers may run a step.
+    AskPermits {
+        /// The step.
+        step: StepId,
+        /// The workers.
+        workers: Vec<WorkerId>,
+    },
 }
 
 /// The start of a run.
@@ -98,6 +108,8 @@
     pub checkpoint: Option<Box<str>>,
     /// After this time on the worker's clock the start is refused.
     pub until_ms: u64,
+    /// The placement permit, if the queue needs one.
+    pub permit: Option<Box<str>>,
 }
 
 /// Why a run is stopped.
@@ -128,6 +140,8 @@
     Unhealthy,
     /// It is another life of the worker, or another worker.
     WrongWorker,
+    /// The placement permit is missing, or not valid any more.
+    NoPermit,
     /// The start is malformed.
     Malformed,
     /// No answer: it may have been carried out.
@@ -143,7 +157,9 @@
             Self::Started | Self::Fenced | Self::WrongWorker | Self::Outdated => self,
             // It can't begin any more, but it may have begun and come to its end.
             Self::TooLate => Self::Outdated,
-            Self::NoRoom | Self::Unhealthy | Self::Malformed | Self::Unknown => Self::Unknown,
+            Self::NoRoom | Self::Unhealthy | Self::NoPermit | Self::Malformed | Self::Unknown => {
+                Self::Unknown
+            }
         }
     }
 }
@@ -176,6 +192,7 @@
     events: Vec<Event>,
     queue_order: Vec<JobId>,
     estimates: Estimates,
+    permits: BTreeMap<StepId, permits::StepPermits>,
 }
 
 /// A change of what the scheduler believes, for the logs.
@@ -264,6 +281,7 @@
             events: Vec::new(),
             queue_order: Vec::new(),
             estimates: Estimates::default(),
+            permits: BTreeMap::new(),
         }
     }
 
@@ -432,6 +450,7 @@
         settle::run(self, now, wall_ms);
         evacuate::run(self, now);
         order::run(self, now);
+        permits::run(self, now);
         place::run(self, now);
         pace::run(self, now);
         debug_assert_eq!(crate::verify::pool(self), Vec::<Box<str>>::new());
--- a/crates/jobs/src/pool/order.rs
+++ b/crates/jobs/src/pool/order.rs
@@ -31,6 +31,7 @@
         .jobs
         .values()
         .filter(|job| job.outcome.is_none() && has_idle(job))
+        .filter(|job| job.held_until.is_none_or(|until| now >= until))
         .map(|job| {
             let priority = pool
                 .catalogue
@@ -79,17 +80,13 @@
     let Some(occurrence) = job.occurrences.values().next() else {
         return Duration::ZERO;
     };
-    let times: Vec<Duration> = occurrence
-        .steps
-        .iter()
-        .zip(&job.step_times)
-        .map(|(state, time)| {
-            if state.is_done() {
-                Duration::ZERO
-            } else {
-                *time
-            }
-        })
-        .collect();
-    job.record.spec.longest_chain(&times)
+    let steps = occurrence.steps.iter().zip(&job.step_times);
+    let times = steps.map(|(state, time)| {
+        if state.is_done() {
+            Duration::ZERO
+        } else {
+            *time
+        }
+    });
+    job.record.spec.longest_chain(times)
 }
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -8,53 +8,42 @@
 use std::time::Instant;
 
 use crate::id::{JobId, Label, StepId, TaskId, WorkerRef};
+use crate::pool::rooms::Rooms;
 use crate::pool::{Event, Order, Pool, StartOrder};
 use crate::resources::Resources;
 use crate::spec::Step;
-use crate::worker::{Origin, Phase, Run, Worker};
+use crate::worker::{Origin, Phase, Run};
+
+/// The most starts of one plan. The next plan goes on where this one stops, and reports get their share of the time.
+const STARTS_MAX: usize = 512;
 
 /// Runs the pass.
 pub fn run(pool: &mut Pool, now: Instant) {
     pool.short.clear();
+    let mut rooms = Rooms::new(pool, now);
+    if rooms.is_empty() {
+        return;
+    }
     let order = std::mem::take(&mut pool.queue_order);
+    let mut open = Vec::new();
     for job in &order {
-        if most_room(pool, now) == Resources::ZERO {
+        if pool.orders.len() >= STARTS_MAX {
             break;
         }
-        place_job(pool, *job, now);
-    }
-    pool.queue_order = order;
-}
-
-/// The most room of any worker, each kind by itself.
-fn most_room(pool: &Pool, now: Instant) -> Resources {
-    pool.workers
-        .values()
-        .filter(|it| it.takes_work(now))
-        .fold(Resources::ZERO, |most, it| most.max(it.room()))
-}
-
-fn place_job(pool: &mut Pool, id: JobId, now: Instant) {
-    for step in open_steps(pool, id) {
-        let is_gang = pool
-            .jobs
-            .get(&id)
-            .and_then(|job| job.step(step))
-            .is_some_and(|(spec, _)| spec.is_gang());
-        if is_gang {
-            place_gang(pool, step, now);
-        } else {
-            place_step(pool, step, now);
+        open_steps(pool, *job, &mut open);
+        for step in &open {
+            place_step(pool, &mut rooms, *step, now);
         }
     }
+    pool.queue_order = order;
 }
 
 /// The steps that have idle tasks and whose earlier steps are done.
-fn open_steps(pool: &Pool, id: JobId) -> Vec<StepId> {
+fn open_steps(pool: &Pool, id: JobId, open: &mut Vec<StepId>) {
+    open.clear();
     let Some(job) = pool.jobs.get(&id) else {
-        return Vec::new();
+        return;
     };
-    let mut open = Vec::new();
     for (occurrence, state) in &job.occurrences {
         for (step, spec) in (0..).zip(&job.record.spec.steps) {
             if state.steps[step as usize].idle > 0 && state.is_open(spec) {
@@ -66,7 +55,6 @@
             }
         }
     }
-    open
 }
 
 fn idle_tasks(pool: &Pool, step: StepId) -> Vec<TaskId> {
@@ -85,7 +73,23 @@
     Some(spec.clone())
 }
 
-fn place_step(pool: &mut Pool, step: StepId, now: Instant) {
+fn place_step(pool: &mut Pool, rooms: &mut Rooms, step: StepId, now: Instant) {
+    let Some((spec, state)) = pool.jobs.get(&step.job).and_then(|job| job.step(step)) else {
+        return;
+    };
+    let (reserved, idle, is_gang) = (spec.reserved(), state.idle, spec.is_gang());
+    if rooms.is_unfit(reserved) {
+        if !is_allowed(pool, step.job, reserved) {
+            note_short(pool, step.job, reserved, u64::from(idle));
+        }
+    } else if is_gang {
+        place_gang(pool, rooms, step, now);
+    } else {
+        place_tasks(pool, rooms, step, now);
+    }
+}
+
+fn place_tasks(pool: &mut Pool, rooms: &mut Rooms, step: StepId, now: Instant) {
     let Some(spec) = spec_of(pool, step) else {
         return;
     };
@@ -97,15 +101,16 @@
             note_short(pool, step.job, reserved, left);
             return;
         }
-        let Some(worker) = choose(pool, step, &spec, now) else {
+        let Some(worker) = rooms.choose(pool, step, &spec) else {
             return;
         };
+        rooms.take(worker, reserved);
         start(pool, *task, &spec, worker, None, now);
     }
 }
 
 /// Places all members of a gang at once.
-fn place_gang(pool: &mut Pool, step: StepId, now: Instant) {
+fn place_gang(pool: &mut Pool, rooms: &mut Rooms, step: StepId, now: Instant) {
     let Some(spec) = spec_of(pool, step) else {
         return;
     };
@@ -120,7 +125,7 @@
         note_short(pool, step.job, reserved, count);
         return;
     }
-    let Some(workers) = choose_gang(pool, &spec, now) else {
+    let Some(workers) = choose_gang(pool, rooms, step, &spec) else {
         return;
     };
     let Some(job) = pool.jobs.get(&step.job) else {
@@ -131,6 +136,7 @@
         .step(step)
         .and_then(|(_, state)| state.tasks.iter().find_map(|task| task.checkpoint.clone()));
     for (task, worker) in tasks.into_iter().zip(workers) {
+        rooms.take(worker, reserved);
         start(
             pool,
             task,
@@ -143,13 +149,8 @@
 }
 
 /// A worker for each member of a gang: on one rack if that helps and is possible.
-fn choose_gang(pool: &Pool, spec: &Step, now: Instant) -> Option<Vec<WorkerRef>> {
-    let all: Vec<(WorkerRef, Resources)> = pool
-        .workers
-        .iter()
-        .filter(|(_, it)| it.takes_work(now) && has_required(it, spec))
-        .map(|(worker, it)| (*worker, it.room()))
-        .collect();
+fn choose_gang(pool: &Pool, rooms: &Rooms, id: StepId, spec: &Step) -> Option<Vec<WorkerRef>> {
+    let all = rooms.for_gang(pool, id, spec);
     if spec.is_same_rack() {
         let mut racks: Vec<&Label> = Vec::new();
         for (worker, _) in &all {
@@ -191,41 +192,6 @@
     Some(chosen)
 }
 
-fn has_required(worker: &Worker, spec: &Step) -> bool {
-    spec.requires
-        .as_ref()
-        .is_none_or(|label| worker.has_label(label))
-}
-
-/// The best worker for a task of the step.
-pub(super) fn choose(pool: &Pool, step: StepId, spec: &Step, now: Instant) -> Option<WorkerRef> {
-    let reserved = spec.reserved();
-    pool.workers
-        .iter()
-        .filter(|(_, it)| {
-            it.takes_work(now)
-                && it.clock.is_some()
-                && reserved.fits(&it.room())
-                && has_required(it, spec)
-                && spec
-                    .spread
-                    .is_none_or(|most| tasks_of_step(it, step) < most as usize)
-        })
-        .max_by_key(|(worker, it)| {
-            let is_near = spec.near.as_ref().is_some_and(|rack| it.has_label(rack));
-            (is_near, it.room().cpu_millis, std::cmp::Reverse(**worker))
-        })
-        .map(|(worker, _)| *worker)
-}
-
-fn tasks_of_step(worker: &Worker, step: StepId) -> usize {
-    worker
-        .runs
-        .keys()
-        .filter(|(task, _)| task.step == step)
-        .count()
-}
-
 /// Whether the job's team may have this much more running.
 fn is_allowed(pool: &Pool, job: JobId, more: Resources) -> bool {
     let Some(team) = pool.jobs.get(&job).and_then(|job| job.record.team.as_ref()) else {
@@ -263,6 +229,7 @@
     gang: Option<GangStart>,
     now: Instant,
 ) {
+    let permit = pool.permit(task.step, worker, now);
     let Some(job) = pool.jobs.get_mut(&task.step.job) else {
         return;
     };
@@ -338,5 +305,6 @@
         payload,
         checkpoint,
         until_ms,
+        permit,
     }));
 }
--- a/crates/jobs/src/pool/report.rs
+++ b/crates/jobs/src/pool/report.rs
@@ -136,18 +136,17 @@
     }
 
     fn avoid_failing(&mut self, worker: WorkerRef, now: Instant) {
-        let is_only_one = self
-            .workers
-            .values()
-            .filter(|it| it.takes_work(now))
-            .count()
-            <= 1;
-        let Some(it) = self.workers.get_mut(&worker) else {
+        let Some(it) = self.workers.get(&worker) else {
             return;
         };
         let Some(extra) = it.recent.failed.checked_sub(FAILURES_IN_A_ROW) else {
             return;
         };
+        let taking_work = self.workers.values().filter(|it| it.takes_work(now));
+        let is_only_one = taking_work.count() <= 1;
+        let Some(it) = self.workers.get_mut(&worker) else {
+            return;
+        };
         if is_only_one || it.paused_until.is_some_and(|until| now < until) {
             return;
         }
--- a/crates/jobs/src/pool/settle.rs
+++ b/crates/jobs/src/pool/settle.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::id::{JobId, WorkerRef};
+use crate::id::WorkerRef;
 use crate::pool::{Event, Order, Pool, StopReason};
 use crate::worker::{Phase, RunKey};
 
@@ -11,38 +11,29 @@
 
 /// Runs the pass.
 pub fn run(pool: &mut Pool, now: Instant, wall_ms: u64) {
-    let ids: Vec<JobId> = pool.jobs.keys().copied().collect();
-    for id in ids {
-        settle_job(pool, id, now, wall_ms);
+    for (id, job) in &mut pool.jobs {
+        if job.outcome.is_none() {
+            job.open_due(wall_ms, now);
+        }
+        if job.close_done() {
+            pool.unsaved.insert(*id);
+        }
+        if let Some(state) = job.outcome
+            && !job.is_announced
+        {
+            job.is_announced = true;
+            pool.unsaved.insert(*id);
+            pool.events.push(Event::JobEnded {
+                job: *id,
+                state,
+                took: now.saturating_duration_since(job.accepted_at),
+                objective: job.objective,
+            });
+        }
     }
     stop_purposeless(pool, now);
 }
 
-fn settle_job(pool: &mut Pool, id: JobId, now: Instant, wall_ms: u64) {
-    let Some(job) = pool.jobs.get_mut(&id) else {
-        return;
-    };
-    let had_outcome = job.outcome.is_some();
-    if !had_outcome {
-        job.open_due(wall_ms, now);
-    }
-    if job.close_done() {
-        pool.unsaved.insert(id);
-    }
-    if let Some(state) = job.outcome
-        && !job.is_announced
-    {
-        job.is_announced = true;
-        pool.unsaved.insert(id);
-        pool.events.push(Event::JobEnded {
-            job: id,
-            state,
-            took: now.saturating_duration_since(job.accepted_at),
-            objective: job.objective,
-        });
-    }
-}
-
 /// Why the run should not go on, if it should not.
 fn stop_reason(pool: &Pool, key: RunKey) -> Option<StopReason> {
     let (task, run) = key;
--- a/crates/jobs/src/spec/mod.rs
+++ b/crates/jobs/src/spec/mod.rs
@@ -8,6 +8,7 @@
 use goldcrest_types::names::{QueueName, TeamName};
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 
 use crate::id::{JobId, Label};
 use crate::resources::Resources;
@@ -18,6 +19,9 @@
 /// The most tasks of one occurrence of a job. Bounds the memory that one submission can take.
 pub const TASKS_MAX: u64 = 100_000;
 
+/// Chains of jobs with at most this many steps are computed without the heap. Most jobs have fewer.
+const STEPS_ON_STACK: usize = 8;
+
 quick_error! {
     /// Why a job can't be taken.
     #[derive(Debug, Clone, PartialEq, Eq)]
@@ -206,10 +210,10 @@
         Ok(())
     }
 
-    /// The time of the longest chain of steps, where `times` holds the time of each step.
+    /// The time of the longest chain of steps, where `times` gives the time of each step.
     #[must_use]
-    pub fn longest_chain(&self, times: &[Duration]) -> Duration {
-        let mut ends: Vec<Duration> = Vec::with_capacity(self.steps.len());
+    pub fn longest_chain(&self, times: impl Iterator<Item = Duration>) -> Duration {
+        let mut ends: SmallVec<[Duration; STEPS_ON_STACK]> = SmallVec::new();
         for (step, time) in self.steps.iter().zip(times) {
             let start = step
                 .after
@@ -218,7 +222,7 @@
                 .max()
                 .copied()
                 .unwrap_or_default();
-            ends.push(start + *time);
+            ends.push(start + time);
         }
         ends.into_iter().max().unwrap_or_default()
     }
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -8,6 +8,7 @@
 
 use goldcrest_jobs::catalogue::{Catalogue, PoolSpec, Queue, Team};
 use goldcrest_jobs::id::{FencingToken, VmId, WorkerId, WorkerRef};
+use goldcrest_jobs::pool::permits::Granted;
 use goldcrest_jobs::pool::{Bounds, Event, Order, Pool};
 use goldcrest_jobs::progress::{OccurrenceProgress, Progress, StepProgress};
 use goldcrest_jobs::resources::Resources;
@@ -168,6 +169,7 @@
                 self.pool()
                     .lease_offered(worker, until + lease.unwrap_or_default());
             }
+            "permits" => self.answer_permits(words),
             "silent" => {
                 let worker = self.worker(words[1]);
                 self.pool().no_answer(worker);
@@ -188,6 +190,27 @@
         Vec::new()
     }
 
+    /// `permits STEP none` or `permits STEP ASKED,... VALID_MS WORKER=PERMIT...`.
+    fn answer_permits(&mut self, words: &[&str]) {
+        let now = self.now;
+        let step = task(&format!("{}.0", words[1])).step;
+        let (asked, granted) = if words[2] == "none" {
+            (Vec::new(), None)
+        } else {
+            let asked = words[2].split(',').map(WorkerId::from).collect();
+            let rows = words[4..].iter().filter_map(|row| row.split_once('='));
+            let granted = Granted {
+                by_worker: rows
+                    .map(|(id, text)| (WorkerId::from(id), text.into()))
+                    .collect(),
+                valid_for: Duration::from_millis(number(words[3])),
+            };
+            (asked, Some(granted))
+        };
+        self.pool()
+            .permits_answered(step, &asked, granted, now, now);
+    }
+
     fn info(&mut self, name: &str) -> &mut WorkerInfo {
         self.infos
             .get_mut(name)
@@ -206,7 +229,7 @@
             stretch_milli: number(words[4]),
             target_latency: Duration::from_millis(number(words[5])),
             timeout: Duration::from_secs(3),
-            needs_permits: false,
+            needs_permits: words.get(6) == Some(&"permits"),
         });
     }
 
@@ -326,8 +349,10 @@
                     .as_ref()
                     .map(|it| format!(" from {it}"))
                     .unwrap_or_default();
+                let permit = order.permit.as_ref();
+                let permit = permit.map(|it| format!(" by {it}")).unwrap_or_default();
                 format!(
-                    "start {} run {} on {}{checkpoint}",
+                    "start {} run {} on {}{checkpoint}{permit}",
                     short(order.task),
                     order.run,
                     self.name(order.worker)
@@ -353,6 +378,12 @@
                 short(*task),
                 self.name(*worker)
             ),
+            Order::AskPermits { step, workers } => {
+                let step = short(step.task(0));
+                let step = step.strip_suffix(".0").unwrap_or(&step);
+                let workers: Vec<&str> = workers.iter().map(WorkerId::as_str).collect();
+                format!("ask for {step} on {}", workers.join(" "))
+            }
         }
     }
 
--- a/crates/jobs/tests/common/parse.rs
+++ b/crates/jobs/tests/common/parse.rs
@@ -78,6 +78,8 @@
         "unhealthy" => StartAnswer::Unhealthy,
         "wrong" => StartAnswer::WrongWorker,
         "unknown" => StartAnswer::Unknown,
+        "no-permit" => StartAnswer::NoPermit,
+        "malformed" => StartAnswer::Malformed,
         _ => panic!("'{word}' is no answer"),
     }
 }
--- a/crates/standin/src/grid/gate.rs
+++ b/crates/standin/src/grid/gate.rs
@@ -6,10 +6,11 @@
 
 use goldcrest_grid::ports::{
     CallError, Committed, Conflict, Holder, Item, LeaseId, OperatorOrders, Operators, OrderError,
-    Page, PermitService, Permits, Put, Recipient, Registry, Revision, Store, Txn, VmOrderError,
-    Vms, Watched, Workers,
+    Page, PermitService, Put, Recipient, Registry, Revision, Store, Txn, VmOrderError, Vms,
+    Watched, Workers,
 };
 use goldcrest_jobs::id::{RunNumber, StepId, TaskId, VmId, WorkerId};
+use goldcrest_jobs::pool::permits::Granted;
 use goldcrest_jobs::pool::{StartAnswer, StartOrder};
 use goldcrest_jobs::upkeep::{Vm, VmState};
 use goldcrest_jobs::worker::{Report, WorkerInfo};
@@ -252,18 +253,17 @@
 }
 
 impl Workers for Gate {
-    async fn start(
-        &self,
-        to: &Recipient,
-        order: &StartOrder,
-        _permit: Option<&str>,
-        within: Duration,
-    ) -> StartAnswer {
+    async fn start(&self, to: &Recipient, order: &StartOrder, within: Duration) -> StartAnswer {
         if !self.reach(&to.worker, within).await {
             return StartAnswer::Unknown;
         }
+        let (step, permit) = (order.task.step, order.permit.as_deref());
+        let now = Instant::now();
+        if !self.world.permits.accepts(step, &to.worker, permit, now) {
+            return StartAnswer::NoPermit;
+        }
         let mut crew = self.world.crew.borrow_mut();
-        let answer = crew.start(to, order, Instant::now());
+        let answer = crew.start(to, order, now);
         drop(crew);
         self.world.changed.notify_waiters();
         answer
@@ -376,16 +376,16 @@
 impl PermitService for Gate {
     async fn permits(
         &self,
-        _step: StepId,
+        step: StepId,
         workers: &[WorkerId],
-        _within: Duration,
-    ) -> Result<Permits, CallError> {
-        Ok(Permits {
-            by_worker: workers
-                .iter()
-                .map(|worker| (worker.clone(), "permit".into()))
-                .collect(),
-            valid_for: Duration::from_secs(3),
-        })
+        within: Duration,
+    ) -> Result<Granted, CallError> {
+        let office = &self.world.permits;
+        if !office.ask(step, workers) {
+            sleep(within).await;
+            return Err(CallError::Unknown("silent".into()));
+        }
+        sleep(office.delay.get()).await;
+        Ok(office.grant(step, workers, Instant::now()))
     }
 }
--- a/crates/standin/src/grid/mod.rs
+++ b/crates/standin/src/grid/mod.rs
@@ -4,6 +4,7 @@
 //! can cut one entry off or lose the answers to it. With the runtime's clock paused a test takes no real time.
 
 mod gate;
+mod permits;
 mod store;
 mod workers;
 
@@ -20,6 +21,7 @@
 use goldcrest_types::clock::Clock;
 
 pub use gate::Gate;
+pub use permits::PermitOffice;
 pub use store::Table;
 pub use workers::{Crew, Start};
 
@@ -50,6 +52,8 @@
     pub crew: RefCell<Crew>,
     /// The list of VMs.
     pub vms: RefCell<BTreeMap<VmId, Vm>>,
+    /// Placement permits.
+    pub permits: PermitOffice,
     /// VMs whose maintenance was ordered, in order.
     pub maintained: RefCell<Vec<(VmId, u64)>>,
     /// The waves that the operators have ordered, with the revision of each order.
