jobs, grid: a pool rests after its turn; services share workers

Change: the busy time of each pool is measured. Turns and rests are stored, so that the next holder of the fleet goes on with them. Tasks of services are placed where other services are, so that workers without any can leave.

--- a/crates/grid/src/fleet/mod.rs
+++ b/crates/grid/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 mod moves;
 mod recent;
 mod sweep;
+mod turns;
 mod waves;
 
 use std::cell::{Cell, RefCell};
@@ -63,6 +64,9 @@
     /// What the store holds of the waves' progress.
     stored: RefCell<BTreeMap<u64, Revision>>,
     homes_revision: Cell<Revision>,
+    turns_revision: Cell<Revision>,
+    /// A turn or a rest has begun or ended since they were stored.
+    turns_changed: Cell<bool>,
     evacuations: RefCell<BTreeMap<PoolName, Evacuation>>,
     /// Maintenance that was confirmed or may have been carried out, and when.
     ordered: RefCell<BTreeMap<VmId, Instant>>,
@@ -88,6 +92,8 @@
         status_changed: Notify::new(),
         stored: RefCell::default(),
         homes_revision: Cell::new(Revision::ABSENT),
+        turns_revision: Cell::new(Revision::ABSENT),
+        turns_changed: Cell::new(false),
         evacuations: RefCell::default(),
         ordered: RefCell::default(),
         recent: RefCell::default(),
@@ -146,6 +152,7 @@
         let empty = self.emptied(&vms);
         let waves = self.plan_waves(&vms, &empty);
         let sizes = self.plan_sizes(&vms, &empty, &waves.evacuate);
+        self.store_turns().await;
         let evacuate = &waves.evacuate | &sizes.evacuate;
         self.order_evacuations(&vms, &evacuate).await?;
         // VMs leave their pools first: those that take work wait for them.
@@ -172,6 +179,9 @@
         if let Some(item) = self.entry.read(keys::HOMES).await? {
             self.take_homes(&item);
         }
+        if let Some(item) = self.entry.read(keys::TURNS).await? {
+            self.take_turns(&item);
+        }
         self.load_recent().await
     }
 
--- a/crates/grid/src/fleet/moves.rs
+++ b/crates/grid/src/fleet/moves.rs
@@ -57,7 +57,14 @@
             loads: &loads,
             spare: &spare,
         };
-        self.sizes.borrow_mut().plan(&facts, self.entry.now())
+        let mut sizes = self.sizes.borrow_mut();
+        let plan = sizes.plan(&facts, self.entry.now());
+        for (pool, change) in sizes.take_turn_changes() {
+            let vms = vms.values().filter(|vm| vm.pool == pool).count();
+            log::info!(target: "sizing", pool:%, vms, change:?; "Pool's turn.");
+            self.turns_changed.set(true);
+        }
+        plan
     }
 
     /// Sends the orders of a round together: each takes its time, and the pool that lacks VMs waits for the last one.
--- a/crates/grid/src/keys/mod.rs
+++ b/crates/grid/src/keys/mod.rs
@@ -12,7 +12,8 @@
 //! | `wave/N` | the progress of a wave | the fleet's holder |
 //! | `ordered` | VMs about which orders were sent of late, or are about to be | the fleet's holder |
 //! | `homes` | the pool of each VM when it was first seen | the fleet's holder |
-//! | `who/entry/NAME` | an entry; ends with its lease | itself |
+//! | `turns` | [`TurnRecord`]: which pools are busy, and which rest after that | the fleet's holder |
+//! | `who/entry/NAME` | [`Member`]; ends with the entry's lease | the entry |
 //! | `who/role/ROLE` | the name of the role's holder; ends with its lease; its revision is the fencing token | the holder |
 //!
 //! Values are CBOR.
@@ -49,6 +50,18 @@
     bytes
 }
 
+/// The pools' turns and rests.
+pub const TURNS: &str = "turns";
+
+/// The pools' turns and rests, in milliseconds since 1970.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TurnRecord {
+    /// When the turn of each busy pool began.
+    pub began_ms: BTreeMap<PoolName, u64>,
+    /// Until when each resting pool rests.
+    pub rest_until_ms: BTreeMap<PoolName, u64>,
+}
+
 /// What an entry says of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
--- a/crates/grid/tests/entry/common/mod.rs
+++ b/crates/grid/tests/entry/common/mod.rs
@@ -201,10 +201,27 @@
         Rc::clone(&self.entries.borrow()[name].entry)
     }
 
+    /// Adds a VM to the spare pool.
+    pub fn add_spare(&self, name: &str) {
+        let vm = Vm {
+            id: VmId::from(name),
+            pool: "spare".parse().expect("a name"),
+            state: VmState::Up,
+            worker: None,
+        };
+        self.world.vms.borrow_mut().insert(vm.id.clone(), vm);
+    }
+
     /// The entry that holds the role of the pool `p`.
     pub fn holder(&self) -> String {
+        self.holder_of("pool/p")
+    }
+
+    /// The entry that holds a role.
+    pub fn holder_of(&self, role: &str) -> String {
         let table = self.world.table.borrow();
-        let item = table.get("who/role/pool/p").expect("the role is held");
+        let key = format!("who/role/{role}");
+        let item = table.get(&key).expect("the role is held");
         let name: Box<str> =
             goldcrest_grid::keys::decode(&item.key, &item.value).expect("a holder's name");
         name.into()
--- a/crates/grid/tests/entry/maintenance.rs
+++ b/crates/grid/tests/entry/maintenance.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use goldcrest_grid::calls::Reply;
+use goldcrest_grid::keys::{self, TurnRecord};
 use goldcrest_jobs::id::VmId;
 use goldcrest_jobs::spec::JobState;
 use goldcrest_jobs::upkeep::{VmState, Wave};
@@ -56,3 +57,38 @@
     })
     .await;
 }
+
+/// The pools' turns are stored: the next holder of the fleet knows which pools rest and ends their rests.
+#[tokio::test(start_paused = true)]
+async fn turns_outlive_the_fleets_holder() {
+    let record = |bed: &Bed| {
+        let table = bed.world.table.borrow();
+        let item = table.get(keys::TURNS).cloned();
+        item.map(|item| keys::decode::<TurnRecord>(&item.key, &item.value).expect("turns"))
+    };
+    local(async {
+        let bed = Bed::new(3);
+        bed.add_spare("s1");
+        bed.start_all(&["e1", "e2", "e3"]).await;
+        // Six seconds of work for the twelve cores of the pool.
+        for number in 0..6 {
+            let id = format!("{number:015x}a");
+            let spec = job("ms=1000", &[12]);
+            assert_eq!(bed.submit("e1", &id, spec).await, Reply::Accepted);
+        }
+        sleep(Duration::from_secs(4)).await;
+        assert_eq!(record(&bed).map(|it| it.began_ms.len()), Some(1));
+        let first = bed.holder_of("fleet");
+        bed.kill(&first);
+        sleep(Duration::from_secs(8)).await;
+        let rests = record(&bed).expect("turns").rest_until_ms;
+        assert_eq!(rests.len(), 1);
+        assert_ne!(bed.holder_of("fleet"), first);
+        // The third holder ends a rest that only the store tells it of.
+        let second = bed.holder_of("fleet");
+        bed.kill(&second);
+        sleep(Duration::from_secs(25)).await;
+        assert_eq!(record(&bed), Some(TurnRecord::default()));
+    })
+    .await;
+}
--- a/crates/jobs/src/pool/rooms.rs
+++ b/crates/jobs/src/pool/rooms.rs
@@ -80,15 +80,23 @@
         }
     }
 
-    /// The best worker for a task of the step: near its data, then with the most processor time left.
+    /// The best worker for a task of the step: near its data, then with the most processor time left. Tasks of services go
+    /// where other services are, so that the other workers can leave the pool.
     pub fn choose(&mut self, pool: &Pool, id: StepId, step: &Step) -> Option<WorkerRef> {
         let demand = step.reserved();
         let mut has_room = false;
-        let mut best: Option<(bool, u64, Reverse<WorkerRef>)> = None;
+        let mut best: Option<(bool, usize, u64, Reverse<WorkerRef>)> = None;
         for it in self.candidates.iter().filter(|it| demand.fits(&it.room)) {
             has_room = true;
             // Most candidates are passed over without a look at the worker.
-            let at_most = (step.near.is_some(), it.room.cpu_millis, Reverse(it.worker));
+            let room = it.room.cpu_millis;
+            let services_at_most = if step.is_service() { usize::MAX } else { 0 };
+            let at_most = (
+                step.near.is_some(),
+                services_at_most,
+                room,
+                Reverse(it.worker),
+            );
             if best.is_some_and(|best| best >= at_most) {
                 continue;
             }
@@ -100,13 +108,18 @@
                     .near
                     .as_ref()
                     .is_some_and(|rack| worker.has_label(rack));
-                best = best.max(Some((is_near, it.room.cpu_millis, Reverse(it.worker))));
+                let services = if step.is_service() {
+                    services(worker)
+                } else {
+                    0
+                };
+                best = best.max(Some((is_near, services, room, Reverse(it.worker))));
             }
         }
         if !has_room {
             self.note_unfit(demand);
         }
-        best.map(|(_, _, Reverse(worker))| worker)
+        best.map(|(.., Reverse(worker))| worker)
     }
 
     /// The workers that may run a gang's members, with their rooms.
@@ -135,6 +148,10 @@
     }
 }
 
+fn services(worker: &Worker) -> usize {
+    worker.runs.values().filter(|run| run.is_service).count()
+}
+
 fn tasks_of_step(worker: &Worker, step: StepId) -> usize {
     let runs = worker.runs.keys();
     runs.filter(|(task, _)| task.step == step).count()
--- a/crates/jobs/src/size/mod.rs
+++ b/crates/jobs/src/size/mod.rs
@@ -6,8 +6,11 @@
 //! pool, then from pools that hold more than they need and more than their home size. What a pool holds beyond its home
 //! size goes back once it is calm: first to pools below their home size, then to the spare pool.
 //!
-//! A pool is not shrunk below its home size for the spare pool's sake: an idle VM costs little against the work that is
-//! late when the next turn begins without it.
+//! A pool is not shrunk below its home size for the spare pool's sake while its next turn may begin at any time: an idle VM
+//! costs little against the work that is late when the turn begins without it. After a turn the pool rests ([`turns`]) and
+//! holds [`REST_HOME_PERCENT`] of its home size.
+
+pub mod turns;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -15,6 +18,7 @@
 use goldcrest_types::names::PoolName;
 
 use crate::id::{VmId, WorkerId};
+use crate::size::turns::{TurnChange, Turns};
 use crate::upkeep::{Vm, VmState};
 
 /// A backlog that the pool's VMs work off within this time needs no more of them.
@@ -29,6 +33,9 @@
 /// A pool gives back what it holds beyond its home size once it has not needed it for this long.
 const CALM: Duration = Duration::from_secs(1);
 
+/// What a resting pool holds of its home size, in percent. Its services and the little work in between need less.
+const REST_HOME_PERCENT: u64 = 50;
+
 /// How long a move that was ordered counts before the list shows it.
 const ORDER_LAG: Duration = Duration::from_millis(2_500);
 
@@ -59,6 +66,9 @@
     calm_since: BTreeMap<PoolName, Instant>,
     ordered: BTreeMap<VmId, (PoolName, Instant)>,
     leaving: BTreeSet<VmId>,
+    /// The pools' turns and rests.
+    pub turns: Turns,
+    turn_changes: Vec<(PoolName, TurnChange)>,
     may_have_guests: bool,
 }
 
@@ -90,8 +100,8 @@
 #[derive(Debug)]
 struct Count {
     pool: PoolName,
-    /// What it had at first.
-    home: u64,
+    /// What it holds at least: what it had at first, or less while it rests.
+    floor: u64,
     /// What it has, and what is on its way to it.
     has: u64,
     /// What it needs for its load.
@@ -106,7 +116,7 @@
 
     /// What it can give to a pool that lacks VMs.
     fn can_give(&self) -> u64 {
-        self.has.saturating_sub(self.needs.max(self.home))
+        self.has.saturating_sub(self.needs.max(self.floor))
     }
 }
 
@@ -122,10 +132,15 @@
         self.homes.len() != before
     }
 
-    /// Whether a VM may be in another pool than its home.
+    /// Whether a VM may be in another pool than its home, or may soon be.
     #[must_use]
     pub fn has_guests(&self) -> bool {
-        self.may_have_guests || !self.ordered.is_empty()
+        self.may_have_guests || !self.ordered.is_empty() || self.turns.is_any()
+    }
+
+    /// Takes what changed of the pools' turns since the last call.
+    pub fn take_turn_changes(&mut self) -> Vec<(PoolName, TurnChange)> {
+        std::mem::take(&mut self.turn_changes)
     }
 
     /// A move was ordered.
@@ -145,6 +160,7 @@
         let mut wanted = wanted(&counts);
         let mut plan = SizePlan::default();
         self.give_spare(facts, &mut wanted, &mut plan);
+        self.give_spare(facts, &mut below_floor(&counts), &mut plan);
         self.choose_leaving(facts, &counts, &wanted);
         self.send_leaving(facts, &counts, &mut wanted, &mut plan);
         plan
@@ -194,6 +210,17 @@
             let needs = (demand + of_vm / 2) / of_vm;
             let home = u64::try_from(home).unwrap_or(u64::MAX);
             let has = u64::try_from(has).unwrap_or(u64::MAX);
+            if let Some(change) = self.turns.observe(pool, needs >= home.max(1), now) {
+                self.turn_changes.push((pool.clone(), change));
+            }
+            let floor = if self.turns.is_resting(pool) {
+                (home * REST_HOME_PERCENT)
+                    .div_ceil(100)
+                    .max(needs + 1)
+                    .min(home)
+            } else {
+                home
+            };
             if needs >= has.max(home) {
                 self.calm_since.remove(pool);
             }
@@ -204,7 +231,7 @@
             };
             counts.push(Count {
                 pool: pool.clone(),
-                home,
+                floor,
                 has,
                 needs,
                 is_calm: now.saturating_duration_since(since) >= CALM,
@@ -221,7 +248,10 @@
 
     fn give_spare(&self, facts: &Facts<'_>, wanted: &mut [(PoolName, u64)], plan: &mut SizePlan) {
         let spares = facts.vms.values();
-        let mut spares = spares.filter(|vm| vm.pool == *facts.spare && self.is_free(facts, vm));
+        let taken: BTreeSet<VmId> = plan.moves.iter().map(|(vm, _)| vm.clone()).collect();
+        let mut spares = spares.filter(|vm| {
+            vm.pool == *facts.spare && self.is_free(facts, vm) && !taken.contains(&vm.id)
+        });
         for (pool, count) in wanted {
             while *count > 0 {
                 let Some(vm) = spares.next() else { return };
@@ -242,7 +272,7 @@
                 .count();
             let leaving_here = u64::try_from(leaving_here).unwrap_or(u64::MAX);
             let beyond = if count.is_calm {
-                count.has.saturating_sub(count.home.max(count.needs))
+                count.has.saturating_sub(count.floor.max(count.needs))
             } else {
                 0
             };
@@ -286,9 +316,9 @@
         wanted: &mut [(PoolName, u64)],
         plan: &mut SizePlan,
     ) {
-        let mut below_home: Vec<(PoolName, u64)> = counts
+        let mut below_floor: Vec<(PoolName, u64)> = counts
             .iter()
-            .map(|count| (count.pool.clone(), count.home.saturating_sub(count.has)))
+            .map(|count| (count.pool.clone(), count.floor.saturating_sub(count.has)))
             .filter(|(_, count)| *count > 0)
             .collect();
         for id in &self.leaving {
@@ -298,7 +328,7 @@
             plan.evacuate.insert(id.clone());
             if facts.empty.contains(id) {
                 let to = take_one(wanted, &vm.pool)
-                    .or_else(|| take_one(&mut below_home, &vm.pool))
+                    .or_else(|| take_one(&mut below_floor, &vm.pool))
                     .unwrap_or_else(|| facts.spare.clone());
                 plan.moves.push((id.clone(), to));
             }
@@ -306,7 +336,7 @@
     }
 }
 
-/// The pools that lack VMs, and how many; those that lack the most come first.
+/// The pools that lack VMs for their load, and how many; those that lack the most come first.
 fn wanted(counts: &[Count]) -> Vec<(PoolName, u64)> {
     let mut wanted: Vec<(PoolName, u64)> = counts
         .iter()
@@ -317,6 +347,15 @@
     wanted
 }
 
+/// The pools that hold less than they should while they have enough for their load, and how many VMs.
+fn below_floor(counts: &[Count]) -> Vec<(PoolName, u64)> {
+    let open = counts.iter().map(|count| {
+        let open = count.floor.saturating_sub(count.has.max(count.needs));
+        (count.pool.clone(), open)
+    });
+    open.filter(|(_, open)| *open > 0).collect()
+}
+
 /// The first pool other than `from` that wants one more.
 fn take_one(wanted: &mut [(PoolName, u64)], from: &PoolName) -> Option<PoolName> {
     let (pool, count) = wanted
--- a/crates/jobs/tests/size.rs
+++ b/crates/jobs/tests/size.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use goldcrest_jobs::id::{VmId, WorkerId};
+use goldcrest_jobs::size::turns::{TurnChange, Turns};
 use goldcrest_jobs::size::{Facts, PoolLoad, SizePlan, Sizes};
 use goldcrest_jobs::upkeep::{Vm, VmState};
 use goldcrest_types::names::PoolName;
@@ -152,3 +153,105 @@
     fleet.plan();
     assert_eq!((fleet.count("a"), fleet.count("b")), (5, 4));
 }
+
+/// A turn of pool `a` that lasts `ms`, and a second of calm.
+fn turn_of_a(fleet: &mut Fleet, ms: u64) {
+    for _ in 0..ms / 500 {
+        fleet.load("a", 4, 4);
+        fleet.plan();
+        fleet.pass(500);
+    }
+    for _ in 0..3 {
+        fleet.load("a", 1, 0);
+        fleet.plan();
+        fleet.pass(500);
+    }
+}
+
+#[test]
+fn plan_pool_rests_after_its_turn() {
+    let mut fleet = Fleet::new();
+    fleet.load("b", 1, 0);
+    turn_of_a(&mut fleet, 4_000);
+    fleet.plan();
+    // It keeps half of its home size, and the others are off.
+    assert_eq!((fleet.count("a"), fleet.count("spare")), (2, 6));
+    // The busy time was seen for 3.5 s, so the rest lasts 8.75 s from its end.
+    fleet.pass(6_000);
+    fleet.load("a", 1, 0);
+    assert_eq!(fleet.plan().moves, Vec::new());
+    fleet.pass(2_500);
+    fleet.load("a", 1, 0);
+    fleet.plan();
+    assert_eq!((fleet.count("a"), fleet.count("spare")), (4, 4));
+}
+
+#[test]
+fn plan_rest_ends_once_the_pool_is_busy() {
+    let mut fleet = Fleet::new();
+    fleet.load("b", 1, 0);
+    turn_of_a(&mut fleet, 4_000);
+    fleet.plan();
+    assert_eq!(fleet.count("a"), 2);
+    fleet.load("a", 2, 2);
+    fleet.plan();
+    assert!(fleet.count("a") >= 5);
+    fleet.pass(3_000);
+    fleet.load("a", 1, 0);
+    for _ in 0..3 {
+        fleet.pass(1_200);
+        fleet.load("a", 1, 0);
+        fleet.plan();
+    }
+    // The second busy time was short: the pool does not rest after it.
+    assert_eq!(fleet.count("a"), 4);
+}
+
+#[test]
+fn plan_resting_pool_serves_the_next_turn() {
+    let mut fleet = Fleet::new();
+    fleet.load("b", 1, 0);
+    turn_of_a(&mut fleet, 4_000);
+    fleet.load("b", 4, 4);
+    fleet.plan();
+    // Four VMs of its own, four spare ones, and two that the resting pool does not need.
+    assert_eq!((fleet.count("a"), fleet.count("b")), (2, 10));
+}
+
+#[test]
+fn turns_survive_a_change_of_holder() {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let name = pool("a");
+    let mut first = Turns::default();
+    assert_eq!(first.observe(&name, true, at(0)), Some(TurnChange::Began));
+    first.observe(&name, true, at(3_000));
+    let mut second = Turns::new(first.began(), first.rests().clone(), at(4_000));
+    assert_eq!(second.observe(&name, false, at(4_500)), None);
+    let rests = TurnChange::Rests {
+        length: Duration::from_secs(4),
+        rest: Duration::from_secs(10),
+    };
+    assert_eq!(second.observe(&name, false, at(5_000)), Some(rests));
+    let mut third = Turns::new(second.began(), second.rests().clone(), at(6_000));
+    assert!(third.is_resting(&name));
+    assert_eq!(third.observe(&name, false, at(13_999)), None);
+    assert_eq!(
+        third.observe(&name, false, at(14_000)),
+        Some(TurnChange::RestOver)
+    );
+}
+
+#[test]
+fn turns_short_busy_time_is_no_turn() {
+    let start = Instant::now();
+    let mut turns = Turns::default();
+    turns.observe(&pool("a"), true, start);
+    turns.observe(&pool("a"), true, start + Duration::from_secs(1));
+    let after = start + Duration::from_secs(3);
+    assert_eq!(
+        turns.observe(&pool("a"), false, after),
+        Some(TurnChange::EndedShort)
+    );
+    assert!(!turns.is_any());
+}
