jobs: a scheduler that is lost during its takeover keeps what was stored of ended jobs

A job whose task had used up its attempts at 32.9 s was started anew, from nothing, at 50.9 s by the second scheduler after that. The one in between took the job over as failed; such a job opens no occurrences, so its progress as stored again was empty. All entries lost power before its takeover was over, and the next one found the record without failures and ends. The same held for an occurrence that is not due by a clock that was set back.

Change: occurrences that were stored and not opened are stored again as they were.

Tests that failed first: takeover_keeps_progress_of_a_failed_job, takeover_keeps_progress_of_an_occurrence_not_due.

--- a/crates/jobs/src/job/mod.rs
+++ b/crates/jobs/src/job/mod.rs
@@ -360,6 +360,16 @@
         }
     }
 
+    /// Occurrences that an earlier scheduler has begun and this one has not opened: the job has ended, or they are not due
+    /// by this entry's clock.
+    fn unopened(&self) -> impl Iterator<Item = OccurrenceProgress> + '_ {
+        let stored = self.stored_progress.iter().flat_map(|it| &it.occurrences);
+        stored
+            .filter(|it| !self.occurrences.contains_key(&it.occurrence))
+            .filter(|it| !self.occurrences_done.contains(it.occurrence))
+            .cloned()
+    }
+
     /// What is to be stored.
     #[must_use]
     pub fn to_progress(&self) -> Progress {
@@ -370,6 +380,7 @@
                 occurrence: *number,
                 steps: occurrence.steps.iter().map(step_progress).collect(),
             })
+            .chain(self.unopened())
             .filter(|occurrence| {
                 occurrence
                     .steps
--- /dev/null
+++ b/crates/jobs/tests/takeover.rs
@@ -0,0 +1,131 @@
+//! What a scheduler stores of a job that it has taken over.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use goldcrest_jobs::catalogue::{Catalogue, PoolSpec, Queue};
+use goldcrest_jobs::id::{FencingToken, JobId, RunNumber, WorkerId};
+use goldcrest_jobs::pool::{Bounds, Pool};
+use goldcrest_jobs::progress::{
+    IndexSet, OccurrenceProgress, Progress, StepProgress, TaskProgress,
+};
+use goldcrest_jobs::spec::{JobRecord, JobSpec, JobState, Schedule, Step};
+
+const ATTEMPTS_MAX: u32 = 2;
+
+fn job() -> JobId {
+    "00000000000000a1".parse().expect("an id")
+}
+
+fn pool(token: u64) -> Pool {
+    let name = || "p".parse().expect("a name");
+    let queue = Queue {
+        name: "q".parse().expect("a name"),
+        host: "host".into(),
+        prefix: "/q/".into(),
+        pool: name(),
+        is_open: true,
+        priority: 0,
+        attempts_max: ATTEMPTS_MAX,
+        stretch_milli: 1_600,
+        target_latency: Duration::from_millis(600),
+        timeout: Duration::from_secs(3),
+        needs_permits: false,
+    };
+    let spec = PoolSpec {
+        name: name(),
+        has_admission_control: true,
+        is_spare: false,
+    };
+    let catalogue = Catalogue::new(1, vec![queue], vec![spec], Vec::new());
+    Pool::new(
+        name(),
+        FencingToken(token),
+        Bounds::default(),
+        Arc::new(catalogue),
+    )
+}
+
+fn record(schedule: Option<Schedule>) -> JobRecord {
+    JobRecord {
+        id: job(),
+        queue: "q".parse().expect("a name"),
+        team: None,
+        accepted_ms: 0,
+        spec: JobSpec {
+            payload: "".into(),
+            steps: vec![Step {
+                tasks: 2,
+                ..Step::default()
+            }],
+            schedule,
+        },
+        is_cancelled: false,
+    }
+}
+
+/// Task 1 is done, task 0 has failed in these runs.
+fn progress(failed_runs: &[u64]) -> Progress {
+    let mut done = IndexSet::default();
+    done.insert(1);
+    Progress {
+        has_begun: true,
+        workers: [WorkerId::from("w1")].into(),
+        occurrences_done: IndexSet::default(),
+        occurrences: vec![OccurrenceProgress {
+            occurrence: 0,
+            steps: vec![StepProgress {
+                done,
+                ended: vec![TaskProgress {
+                    index: 0,
+                    failed_runs: failed_runs.iter().map(|run| RunNumber(*run)).collect(),
+                    last_run: failed_runs.last().map(|run| RunNumber(*run)),
+                    checkpoint: None,
+                }],
+            }],
+        }],
+    }
+}
+
+/// Takes the job over while its worker is silent, plans, and returns what would be stored.
+fn taken_over(token: u64, record: JobRecord, progress: Progress) -> (JobState, Progress) {
+    let now = Instant::now();
+    let mut pool = pool(token);
+    let crew: BTreeSet<WorkerId> = progress.workers.clone();
+    pool.take_over(vec![(record, progress, Duration::ZERO)], crew, now);
+    pool.plan(now, 0);
+    assert!(pool.is_taking_over());
+    let job = &pool.jobs()[&job()];
+    (job.state(), job.to_progress())
+}
+
+/// A scheduler that is lost during its takeover leaves the next one all that it has found.
+#[test]
+fn takeover_keeps_progress_of_a_failed_job() {
+    let stored = progress(&[3, 5]);
+    let (state, second) = taken_over(7, record(None), stored.clone());
+    assert_eq!((state, &second), (JobState::Failed, &stored));
+    let (state, third) = taken_over(9, record(None), second);
+    assert_eq!((state, &third), (JobState::Failed, &stored));
+}
+
+#[test]
+fn takeover_keeps_progress_of_an_open_job() {
+    let stored = progress(&[3]);
+    let (state, second) = taken_over(7, record(None), stored.clone());
+    assert_eq!((state, second), (JobState::Running, stored));
+}
+
+/// The time of day was set back: the occurrence that has begun is not due yet.
+#[test]
+fn takeover_keeps_progress_of_an_occurrence_not_due() {
+    let schedule = Schedule {
+        occurrences: 1,
+        first_due_ms: 1_000,
+        interval: Duration::from_secs(1),
+    };
+    let stored = progress(&[3]);
+    let (state, second) = taken_over(7, record(Some(schedule)), stored.clone());
+    assert_eq!((state, second), (JobState::Running, stored));
+}
