jobs: runs that stand still are stopped or copied; copies for workers that fall silent

Nothing looked at a run's progress, and a task that may run in copies waited for the lease of a silent worker like any other.

Ruled out: failures (the worker lists none), its reports (it answers them).

Change: a new pass. The verifier now holds that a task which may not run in copies has one run, unless one of them was found on its worker.

--- a/crates/jobs/src/job/mod.rs
+++ b/crates/jobs/src/job/mod.rs
@@ -28,13 +28,16 @@
     pub live: u32,
     /// An earlier scheduler may have started it on a worker that has not reported yet.
     pub is_unknown: bool,
+    /// Its one run is not expected to end well, and it may run in copies.
+    pub is_copy_wanted: bool,
 }
 
 impl Task {
     /// Whether a run may be started.
     #[must_use]
     pub fn is_idle(&self) -> bool {
-        !self.is_done && self.live == 0 && !self.is_unknown
+        let most = u32::from(self.is_copy_wanted);
+        !self.is_done && !self.is_unknown && self.live <= most
     }
 
     fn to_progress(&self, index: u32) -> Option<TaskProgress> {
--- a/crates/jobs/src/pool/facts.rs
+++ b/crates/jobs/src/pool/facts.rs
@@ -281,6 +281,7 @@
         if let Some((_, state)) = job.step_mut(task.step) {
             state.update(task.index, |task| {
                 task.live = task.live.saturating_sub(1);
+                task.is_copy_wanted = false;
                 if run.checkpoint.is_some() {
                     task.checkpoint = run.checkpoint;
                 }
@@ -312,6 +313,7 @@
                     run.phase = Phase::Confirmed;
                     run.closed_at = Some(now);
                     run.started_at = now;
+                    run.progressed_at = now;
                 }
             }
             StartAnswer::Unknown => it.paused_until = Some(now + WORKER_PAUSE),
--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -9,9 +9,10 @@
 //!   the jobs that they changed have been saved.
 //!
 //! Facts come in by [`Pool::submit`], [`Pool::set_workers`], [`Pool::report`] and the answers to orders; then
-//! [`Pool::plan`] runs the passes, one file each: [`release`], [`settle`], [`evacuate`], [`order`], [`permits`],
-//! [`place`], [`pace`].
+//! [`Pool::plan`] runs the passes, one file each: [`release`], [`settle`], [`evacuate`], `doubt`, [`order`],
+//! [`permits`], [`place`], [`pace`].
 
+mod doubt;
 pub mod evacuate;
 mod facts;
 pub mod order;
@@ -121,6 +122,8 @@
     Duplicate,
     /// Its worker is to be emptied.
     Evacuation,
+    /// It makes no progress.
+    StandsStill,
 }
 
 /// How a worker answered a start.
@@ -449,6 +452,7 @@
         release::run(self, now);
         settle::run(self, now, wall_ms);
         evacuate::run(self, now);
+        doubt::run(self, now);
         order::run(self, now);
         permits::run(self, now);
         place::run(self, now);
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -262,6 +262,7 @@
         state.update(task.index, |task| {
             task.live += 1;
             task.last_run = Some(run);
+            task.is_copy_wanted = false;
         });
     }
     pool.events.push(Event::Started {
@@ -283,6 +284,7 @@
         start_until_ms: until_ms,
         closed_at: None,
         stop_sent_at: None,
+        progressed_at: now,
         percent: 0,
         checkpoint: checkpoint.clone(),
         load: 0.0,
--- a/crates/jobs/src/pool/report.rs
+++ b/crates/jobs/src/pool/report.rs
@@ -7,7 +7,9 @@
 use crate::job::Task;
 use crate::pool::{Event, Pool};
 use crate::spec::JobState;
-use crate::worker::{Contact, EndRow, Origin, Phase, Report, Run, RunEnd, RunKey, RunningRow};
+use crate::worker::{
+    Contact, EndRow, Origin, Phase, Recent, Report, Run, RunEnd, RunKey, RunningRow,
+};
 
 /// The most ends that a report lists. With that many there may be more. From the platform's pages.
 const ENDS_PER_REPORT: usize = 500;
@@ -99,7 +101,7 @@
         let run = it.remove(key);
         let job_id = row.task.step.job;
         match row.end {
-            RunEnd::Done => it.recent.failed = 0,
+            RunEnd::Done => it.recent = Recent::default(),
             RunEnd::Failed if it.last_failed_job != Some(job_id) => {
                 it.last_failed_job = Some(job_id);
                 it.recent.failed += 1;
@@ -227,6 +229,9 @@
             run.phase = Phase::Confirmed;
             run.closed_at = Some(now);
         }
+        if row.percent != run.percent {
+            run.progressed_at = now;
+        }
         run.percent = row.percent;
         run.load = row.load;
         if row.checkpoint.is_some() {
@@ -245,6 +250,7 @@
             start_until_ms: 0,
             closed_at: Some(now),
             stop_sent_at: None,
+            progressed_at: now,
             percent: 0,
             checkpoint: None,
             load: 0.0,
--- a/crates/jobs/src/verify/mod.rs
+++ b/crates/jobs/src/verify/mod.rs
@@ -7,6 +7,7 @@
 use crate::id::TaskId;
 use crate::pool::Pool;
 use crate::resources::Resources;
+use crate::worker::Origin;
 
 /// All checks.
 #[must_use]
@@ -29,7 +30,7 @@
     }
     let mut breaches = Vec::new();
     for (task, runs) in live {
-        let Some((_, state)) = pool
+        let Some((step, state)) = pool
             .jobs()
             .get(&task.step.job)
             .and_then(|job| job.step(task.step))
@@ -39,6 +40,14 @@
         let Some(it) = state.tasks.get(task.index as usize) else {
             continue;
         };
+        let is_found = |worker: &crate::worker::Worker| {
+            let mut of_task = worker.runs.iter().filter(|((it, _), _)| *it == task);
+            of_task.any(|(_, run)| run.origin == Origin::Adopted)
+        };
+        // Runs that were found are stopped once they are known.
+        if runs > 1 && !step.is_speculative() && !pool.workers().values().any(is_found) {
+            breaches.push(format!("task {task}: {runs} runs").into());
+        }
         if it.live != runs {
             breaches.push(format!("task {task}: {runs} runs, counted {}", it.live).into());
         }
--- a/crates/jobs/src/worker/mod.rs
+++ b/crates/jobs/src/worker/mod.rs
@@ -79,6 +79,8 @@
     pub closed_at: Option<Instant>,
     /// When a stop was last sent.
     pub stop_sent_at: Option<Instant>,
+    /// When a report last showed progress.
+    pub progressed_at: Instant,
     /// How far it has come, or for a service how much of it is at work, in percent.
     pub percent: u32,
     /// The newest checkpoint that the worker has listed.
@@ -167,6 +169,8 @@
 pub struct Recent {
     /// Failures in a row.
     pub failed: u32,
+    /// How often in a row runs were found standing still.
+    pub stood_still: u32,
 }
 
 impl Worker {
