--- a/crates/grid/src/pool/events.rs
+++ b/crates/grid/src/pool/events.rs
@@ -66,6 +66,14 @@
                 }
                 log::info!(target: "scheduler", job:% = job, state:?, took_ms = millis(took), objective_ms = millis(objective); "Job ended.");
             }
+            Event::Unfit {
+                job,
+                step,
+                demand,
+                most,
+            } => {
+                log::warn!(target: "scheduler", job:% = job, step, demand:% = demand, most:% = most, pool:% = self.name; "Job waits: no worker could run one of its steps; add a worker with that room and label, or cancel it.");
+            }
             Event::Worker {
                 worker,
                 state,
--- a/crates/jobs/src/job/mod.rs
+++ b/crates/jobs/src/job/mod.rs
@@ -149,6 +149,8 @@
     pub outcome: Option<JobState>,
     /// Its outcome has been logged and noted for storing.
     pub is_announced: bool,
+    /// It was reported that no worker could run a step of it.
+    pub is_unfit_noted: bool,
     /// When this scheduler first saw it.
     pub seen_at: Instant,
     /// When its submission is counted from.
@@ -184,6 +186,7 @@
             awaited: BTreeSet::new(),
             outcome,
             is_announced: false,
+            is_unfit_noted: false,
             seen_at: now,
             accepted_at,
             step_times,
--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -23,6 +23,7 @@
 mod report;
 mod rooms;
 pub mod settle;
+mod unfit;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -245,6 +246,17 @@
         /// The time that its submitter expects.
         objective: Duration,
     },
+    /// No worker of the pool could run a step of the job.
+    Unfit {
+        /// The job.
+        job: JobId,
+        /// The step.
+        step: u32,
+        /// What a task of it needs.
+        demand: Resources,
+        /// The most that any worker has, each kind by itself.
+        most: Resources,
+    },
     /// A worker was found, has gone or is avoided.
     Worker {
         /// The worker.
@@ -456,6 +468,7 @@
         order::run(self, now);
         permits::run(self, now);
         place::run(self, now);
+        unfit::run(self, now);
         pace::run(self, now);
         debug_assert_eq!(crate::verify::pool(self), Vec::<Box<str>>::new());
         std::mem::take(&mut self.orders)
--- a/crates/jobs/tests/common/parse.rs
+++ b/crates/jobs/tests/common/parse.rs
@@ -150,6 +150,11 @@
             let job = job.to_string();
             Some(format!("job {} {state:?}", job.trim_end_matches('0')))
         }
+        Event::Unfit { job, step, .. } => {
+            let job = job.to_string();
+            let job = job.trim_end_matches('0');
+            Some(format!("job {job}: step {step} fits no worker"))
+        }
         Event::Worker {
             worker,
             state,
