ctl: `goldcrestctl trace` leads from a job's id to its cause

Cause: the way from an id to its cause was a page of grep commands and their reading; nothing tested that the lines still say it.

Change: `trace --id ID FILE...` reads the logs of entries without asking any, prints the lines about the job in order of time, what became of it, and the reasons that the lines give: refusals, waits, lost, failed and stopped runs, tasks that were started again without an end, and around them the store and the pool's scheduler.

Ruled out: a command to a running entry (it may be gone, and each holds a part of the lines only).

--- a/crates/ctl/src/args/help.rs
+++ b/crates/ctl/src/args/help.rs
@@ -13,6 +13,7 @@
   key withdraw NAME             withdraw a key
   status                        show pools, budgets, waves, teams and the store
   explain SUBJECT ID            explain a request, task, vm, team or refusal
+  trace --id ID FILE...         show the log lines about a job and what became of it, without asking an entry
   watch                         show the status whenever it changes
 
 options:
@@ -57,6 +58,13 @@
 
 Shows the entry, the store, each pool with its budget, the waves, and each team with its limit and what runs.";
 
+const TRACE: &str = "\
+usage: goldcrestctl trace --id ID FILE...
+
+Reads the logs of entries, one file for each, and prints the lines about the job ID in order of time, what became of it, and
+the reasons that the lines give: refusals, waits, lost and failed tasks, and around them the store and the pool's scheduler.
+Exit code 1 if no line is about ID.";
+
 const EXPLAIN: &str = "\
 usage: goldcrestctl explain request ID
        goldcrestctl explain task KEY
@@ -80,6 +88,7 @@
         Some("key") => KEY,
         Some("status") => STATUS,
         Some("explain") => EXPLAIN,
+        Some("trace") => TRACE,
         Some("watch") => WATCH,
         _ => OVERVIEW,
     }
--- a/crates/ctl/src/args/mod.rs
+++ b/crates/ctl/src/args/mod.rs
@@ -29,11 +29,11 @@
     pub enum ArgsError {
         /// No command.
         NoCommand {
-            display("no command: use one of check, diff, apply, key, status, explain, watch, or --help")
+            display("no command: use one of check, diff, apply, key, status, explain, trace, watch, or --help")
         }
         /// An unknown command.
         UnknownCommand(command: Box<str>) {
-            display("there is no command '{command}': use one of check, diff, apply, key, status, explain, watch")
+            display("there is no command '{command}': use one of check, diff, apply, key, status, explain, trace, watch")
         }
         /// An option or argument is missing or can't be read.
         Argument(detail: Box<str>) {
@@ -69,6 +69,8 @@
 pub enum Invocation {
     /// Check a file without asking any entry.
     Check(PathBuf),
+    /// Show the log lines about an id, and its cause, without asking any entry.
+    Trace(Vec<PathBuf>, Box<str>),
     /// A command that asks an entry.
     Remote(Target, Remote),
 }
@@ -132,6 +134,9 @@
         let file = positional(&mut args, "the catalogue's file")?;
         return finish(args, Parsed::Run(Invocation::Check(file)));
     }
+    if command == "trace" {
+        return trace(args);
+    }
     let remote = remote(&command, &mut args)?;
     let target = Target {
         entry: entry.map_or_else(|| positional_value(ENTRY_DEFAULT), Ok)?,
@@ -141,6 +146,16 @@
     finish(args, Parsed::Run(Invocation::Remote(target, remote)))
 }
 
+fn trace(mut args: Arguments) -> Result<Parsed, ArgsError> {
+    let id = option::<String>(&mut args, "--id")?
+        .ok_or_else(|| ArgsError::Argument("--id is missing".into()))?;
+    let files: Vec<PathBuf> = args.finish().into_iter().map(PathBuf::from).collect();
+    if files.is_empty() {
+        return Err(ArgsError::Argument("the log files are missing".into()));
+    }
+    Ok(Parsed::Run(Invocation::Trace(files, id.into())))
+}
+
 fn remote(command: &str, args: &mut Arguments) -> Result<Remote, ArgsError> {
     Ok(match command {
         "diff" => Remote::Diff(positional(args, "the catalogue's file")?),
--- a/crates/ctl/src/command/mod.rs
+++ b/crates/ctl/src/command/mod.rs
@@ -12,11 +12,13 @@
 use crate::args::{Invocation, Remote, Target};
 use crate::client::{Client, ClientError};
 use crate::exit::Exit;
+use crate::trace;
 
 /// Runs a command.
 pub async fn run(invocation: Invocation, output: &mut Output<'_>) -> Exit {
     match invocation {
         Invocation::Check(file) => check(&file, output),
+        Invocation::Trace(files, id) => trace::run(&files, &id, output),
         Invocation::Remote(target, remote) => match Client::new(target.entry, &target.key) {
             Ok(client) => run_remote(&client, &target, remote, output).await,
             Err(error) => fail(&error, output),
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod command;
 pub mod exit;
 pub mod table;
+pub mod trace;
 
 use std::ffi::OsString;
 use std::io::Write;
