grid: sessions of 1.6 s with hedged renewals

Change: the lease lasts 1.6 s and is renewed every 0.4 s. A renewal without an answer is sent again after 0.25 s while the first one is still waited for, up to four, so that lost answers and a store that takes 0.2 s an answer cost no session.

--- a/crates/grid/src/session/mod.rs
+++ b/crates/grid/src/session/mod.rs
@@ -6,17 +6,27 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+
 use crate::entry::{Entry, Session};
-use crate::ports::{CallError, Platform};
+use crate::ports::{CallError, LeaseId, Platform};
 
 /// How long the lease lasts without a renewal. Weighs the time to replace a lost holder against short outages.
-const TTL: Duration = Duration::from_millis(2_200);
+const TTL: Duration = Duration::from_millis(1_600);
 
 /// How often the lease is renewed.
-const RENEW_EVERY: Duration = Duration::from_millis(550);
+const RENEW_EVERY: Duration = Duration::from_millis(400);
+
+/// How long a renewal or the opening of a lease may take.
+const RENEW_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A renewal without an answer is sent again after this time, while the first one is still waited for: an answer may be lost,
+/// or the store be slow.
+const HEDGE_AFTER: Duration = Duration::from_millis(250);
 
-/// How long a renewal may take.
-const RENEW_TIMEOUT: Duration = Duration::from_millis(500);
+/// The most renewals that are waited for at once.
+const RENEWALS_MAX: usize = 4;
 
 /// The pause after a call that failed.
 const RETRY_AFTER: Duration = Duration::from_millis(120);
@@ -63,19 +73,35 @@
 /// Renews after a while; returns whether the lease still stands, as far as is known.
 async fn renew<P: Platform>(entry: &Entry<P>, session: &mut Session) -> bool {
     tokio::time::sleep(RENEW_EVERY).await;
+    let lease = session.lease;
+    let mut renewals = FuturesUnordered::new();
+    renewals.push(renew_once(entry, lease));
     loop {
-        let sent_at = entry.now();
-        let result = entry
-            .platform
-            .renew_lease(session.lease, RENEW_TIMEOUT)
-            .await;
-        match entry.note("renew lease", sent_at, result) {
-            Ok(ttl) => {
-                session.valid_until = valid_until(sent_at, ttl);
-                return true;
+        tokio::select! {
+            Some((sent_at, result)) = renewals.next() => match result {
+                Ok(ttl) => {
+                    session.valid_until = valid_until(sent_at, ttl);
+                    return true;
+                }
+                Err(CallError::LeaseEnded) => return false,
+                Err(_) if renewals.is_empty() => {
+                    tokio::time::sleep(RETRY_AFTER).await;
+                    renewals.push(renew_once(entry, lease));
+                }
+                Err(_) => {}
+            },
+            () = tokio::time::sleep(HEDGE_AFTER), if renewals.len() < RENEWALS_MAX => {
+                renewals.push(renew_once(entry, lease));
             }
-            Err(CallError::LeaseEnded) => return false,
-            Err(_) => tokio::time::sleep(RETRY_AFTER).await,
         }
     }
 }
+
+async fn renew_once<P: Platform>(
+    entry: &Entry<P>,
+    lease: LeaseId,
+) -> (Instant, Result<Duration, CallError>) {
+    let sent_at = entry.now();
+    let result = entry.platform.renew_lease(lease, RENEW_TIMEOUT).await;
+    (sent_at, entry.note("renew lease", sent_at, result))
+}
