jobs: a job with a copy still at work is kept until that has ended

A job that is completed by a copy dropped its occurrence at once and was forgotten once that was stored, while its other run was being stopped. That run's end found no job, so the team's usage kept it for good: with each copy the team could run less. A worker's new life that was not listed and held runs of its earlier one was dropped with them.

Ruled out: counting by runs instead of by team (the sum over the workers was right).

Change: an occurrence that is done stays until nothing of it runs; a job is forgotten, and a worker dropped, only without runs. The soak ends services and looks for what is still at work.

--- a/crates/grid/tests/entry/soak.rs
+++ b/crates/grid/tests/entry/soak.rs
@@ -7,7 +7,7 @@
 
 use goldcrest_grid::calls::Reply;
 use goldcrest_jobs::id::JobId;
-use goldcrest_jobs::spec::JobState;
+use goldcrest_jobs::spec::{Feature, JobState};
 use goldcrest_standin::grid::StoreFault;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -29,8 +29,12 @@
 const SEEDS: std::ops::Range<u64> = 0..30;
 
 /// Seeds that have failed, beside those. 9, 10: a start that reached a worker's next life, and that life's ends taken note of
-/// unseen. 16, 110, 206, 332: a confirmed stop that was sent again and again, so that its task never became idle.
-const KEPT: [u64; 3] = [110, 206, 332];
+/// unseen. 16, 110, 206, 332: a confirmed stop that was sent again and again, so that its task never became idle. 16, 232: a job
+/// that was forgotten while a copy of its task was at work, so that its team's usage never fell again.
+const KEPT: [u64; 4] = [110, 206, 232, 332];
+
+/// How many tasks a service has.
+const SERVICE_TASKS: usize = 2;
 
 /// How many faults are shown with a breach.
 const ACTS_SHOWN: usize = 25;
@@ -47,6 +51,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Fate {
     must_fail: bool,
+    /// Its tasks run until it is cancelled.
+    is_service: bool,
     is_accepted: bool,
     /// A cancellation may have been carried out.
     may_be_cancelled: bool,
@@ -71,19 +77,30 @@
     let Some(entry) = entry(bed, rng) else { return };
     callers.next += 1;
     let id = format!("{:015x}a", callers.next);
-    let (payload, must_fail) = match rng.random_range(0..8) {
-        0 => ("end=failed ms=200", true),
-        1 | 2 => ("failures=1 ms=300", false),
-        3 => ("ms=3000", false),
-        _ => ("ms=500", false),
+    let (payload, feature) = match rng.random_range(0..11) {
+        0 => ("end=failed ms=200", None),
+        1 | 2 => ("failures=1 ms=300", None),
+        3 => ("ms=3000", None),
+        4 => ("ms=3000", Some(Feature::Checkpointing)),
+        5 | 6 => ("ms=700 copies", Some(Feature::Speculative)),
+        7 => ("lasts", Some(Feature::Service)),
+        _ => ("ms=500", None),
     };
+    let is_service = feature == Some(Feature::Service);
     let steps: Vec<u32> = (0..rng.random_range(1..4))
         .map(|_| rng.random_range(1..5))
         .collect();
-    let reply = bed.submit(entry, &id, job(payload, &steps)).await;
+    let steps = if is_service { vec![2] } else { steps };
+    let mut spec = job(payload, &steps);
+    for step in &mut spec.steps {
+        step.features.extend(feature);
+        step.unavailable_max = 1;
+    }
+    let reply = bed.submit(entry, &id, spec).await;
     if matches!(reply, Reply::Accepted | Reply::Unknown) {
         let fate = Fate {
-            must_fail,
+            must_fail: payload.starts_with("end=failed"),
+            is_service,
             is_accepted: reply == Reply::Accepted,
             may_be_cancelled: false,
         };
@@ -177,8 +194,14 @@
     let told = format!("seed {seed}, job {id}: {fate:?}, {reply:?}");
     let job: JobId = id.parse().expect("an id");
     match reply {
+        Reply::State(JobState::Running) => {
+            assert!(fate.is_service, "{told}");
+            let crew = bed.world.crew.borrow();
+            let at_work = crew.running().filter(|(_, task)| task.step.job == job);
+            assert_eq!(at_work.count(), SERVICE_TASKS, "{told}");
+        }
         Reply::State(JobState::Completed) => {
-            assert!(!fate.must_fail, "{told}");
+            assert!(!fate.must_fail && !fate.is_service, "{told}");
             assert!(is_done(&bed.world.crew.borrow(), job), "{told}");
         }
         Reply::State(JobState::Failed) => assert!(fate.must_fail, "{told}"),
@@ -188,6 +211,25 @@
     }
 }
 
+/// Cancels the services that are left: nothing may be at work after that.
+async fn end_services(bed: &Bed, seed: u64, callers: &Callers) {
+    let services = callers.jobs.iter().filter(|(_, fate)| fate.is_service);
+    for (id, _) in services {
+        let reply = bed.cancel(ENTRIES[0], id).await;
+        assert!(
+            matches!(reply, Reply::Cancelled | Reply::NoSuchJob),
+            "seed {seed}, job {id}: {reply:?}"
+        );
+    }
+    sleep(Duration::from_secs(3)).await;
+    let crew = bed.world.crew.borrow();
+    let at_work: Vec<_> = crew.running().map(|(_, task)| task.to_string()).collect();
+    assert!(
+        at_work.is_empty(),
+        "seed {seed}: still at work: {at_work:?}"
+    );
+}
+
 async fn play(seed: u64) {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut callers = Callers::default();
@@ -215,6 +257,7 @@
     for (id, fate) in &callers.jobs {
         check_end(&bed, seed, id, *fate).await;
     }
+    end_services(&bed, seed, &callers).await;
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/jobs/src/job/mod.rs
+++ b/crates/jobs/src/job/mod.rs
@@ -119,6 +119,12 @@
         self.steps.iter().all(StepState::is_done)
     }
 
+    /// Runs that may be at work.
+    #[must_use]
+    pub fn live(&self) -> u32 {
+        self.steps.iter().map(StepState::live).sum()
+    }
+
     /// Whether the steps that `step` waits for are done.
     #[must_use]
     pub fn is_open(&self, step: &Step) -> bool {
@@ -135,7 +141,7 @@
 pub struct Job {
     /// As it was accepted.
     pub record: JobRecord,
-    /// Occurrences that are due and not done.
+    /// Occurrences that are due and not done, or of which copies are still at work.
     pub occurrences: BTreeMap<u32, Occurrence>,
     /// Occurrences that are done.
     pub occurrences_done: IndexSet,
@@ -323,18 +329,20 @@
         last.map_or(self.first_run, |last| last.next().max(self.first_run))
     }
 
-    /// Drops occurrences that are done; returns whether any was.
+    /// Notes occurrences that are done; returns whether any was. One of which copies are still at work is kept until they
+    /// have ended.
     pub fn close_done(&mut self) -> bool {
         let done: Vec<u32> = self
             .occurrences
             .iter()
-            .filter(|(_, occurrence)| occurrence.is_done())
+            .filter(|(number, it)| it.is_done() && !self.occurrences_done.contains(**number))
             .map(|(number, _)| *number)
             .collect();
         for number in &done {
-            self.occurrences.remove(number);
             self.occurrences_done.insert(*number);
         }
+        self.occurrences
+            .retain(|_, it| !it.is_done() || it.live() > 0);
         let total = self
             .record
             .spec
@@ -349,11 +357,7 @@
     /// Runs that may be at work.
     #[must_use]
     pub fn live(&self) -> u32 {
-        self.occurrences
-            .values()
-            .flat_map(|occurrence| &occurrence.steps)
-            .map(StepState::live)
-            .sum()
+        self.occurrences.values().map(Occurrence::live).sum()
     }
 
     /// The state that submitters see.
@@ -379,9 +383,9 @@
     /// What is to be stored.
     #[must_use]
     pub fn to_progress(&self) -> Progress {
-        let occurrences = self
-            .occurrences
-            .iter()
+        let open = self.occurrences.iter();
+        let occurrences = open
+            .filter(|(number, _)| !self.occurrences_done.contains(**number))
             .map(|(number, occurrence)| OccurrenceProgress {
                 occurrence: *number,
                 steps: occurrence.steps.iter().map(step_progress).collect(),
--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -397,10 +397,13 @@
         }
     }
 
-    /// The final state of a job has been stored and nothing of it runs.
+    /// The final state of a job has been stored. A job of which a run was found meanwhile is kept until that has ended: its
+    /// team's usage counts the run.
     pub fn forget(&mut self, job: JobId) {
-        self.jobs.remove(&job);
-        self.unsaved.remove(&job);
+        if self.jobs.get(&job).is_some_and(|job| job.live() == 0) {
+            self.jobs.remove(&job);
+            self.unsaved.remove(&job);
+        }
     }
 
     /// Takes the events since the last call.
--- a/crates/jobs/src/pool/release.rs
+++ b/crates/jobs/src/pool/release.rs
@@ -27,6 +27,7 @@
         .workers
         .iter()
         .filter(|(_, it)| !it.is_listed && (it.is_gone || it.clock.is_none()))
+        .filter(|(_, it)| it.runs.is_empty())
         .map(|(worker, _)| *worker)
         .collect();
     for worker in forgotten {
--- a/crates/standin/src/grid/workers.rs
+++ b/crates/standin/src/grid/workers.rs
@@ -1,7 +1,7 @@
 //! Workers that run tasks by their payload.
 //!
 //! A payload is words: `ms=N` is the work (600 by default), `end=failed` how it ends, `failures=N` how many runs of each task fail
-//! before one succeeds. A worker holds leases, refuses orders with
+//! before one succeeds, `lasts` that a run does not end by itself, `copies` that a task may run in copies. A worker holds leases, refuses orders with
 //! a lower token than it has seen, and lists ends until they are taken note of.
 
 use std::collections::BTreeMap;
@@ -186,6 +186,12 @@
         self.workers.get(worker).map(|it| it.born_at)
     }
 
+    /// What is at work, by worker.
+    pub fn running(&self) -> impl Iterator<Item = (&WorkerId, TaskId)> {
+        let workers = self.workers.iter();
+        workers.flat_map(|(id, worker)| worker.running.keys().map(move |(task, _)| (id, *task)))
+    }
+
     /// All ends, by worker.
     pub fn history(&self) -> impl Iterator<Item = &Ended> {
         self.workers.values().flat_map(|worker| &worker.history)
@@ -241,7 +247,8 @@
         {
             return StartAnswer::Outdated;
         }
-        if is_running_elsewhere || is_done {
+        let has_word = |name: &str| order.payload.split_whitespace().any(|word| word == name);
+        if (is_running_elsewhere || is_done) && !has_word("copies") {
             self.doubled.push(order.task);
         }
         worker.until_ms = worker.until_ms.max(order.until_ms);
@@ -260,7 +267,7 @@
         };
         let run = Run {
             started_at: now,
-            ends_at: Some(now + Duration::from_millis(ms.unwrap_or(600))),
+            ends_at: (!has_word("lasts")).then(|| now + Duration::from_millis(ms.unwrap_or(600))),
             end,
         };
         worker.running.insert(key, run);
