grid, jobs: loans of VMs end with the lender's rest; waves know the loads; roles half a second after the start

A new holder of the fleet planned a wave 50 ms before it had read the pools' loads and took nine VMs down in the middle of a turn, spare ones first. After all entries had lost power, no role was taken for 1.2 s although all had registered within 0.2 s.

Ruled out for the last one: slow loading (0.1 s), sessions (open within 40 ms of the start).

Change: a pool that holds more than its own and the spare VMs gives them back to pools whose rest is over, however much it needs them; the fleet's holder plans nothing before it has read the loads, and while a pool is in its turn spare VMs count as busy as that pool; an entry waits 0.5 s for the others.

--- a/crates/grid/src/fleet/mod.rs
+++ b/crates/grid/src/fleet/mod.rs
@@ -61,6 +61,8 @@
     sizes: RefCell<Sizes>,
     statuses: RefCell<BTreeMap<PoolName, PoolStatus>>,
     status_changed: Notify,
+    /// The pools' statuses have been listed since this holder began.
+    has_statuses: Cell<bool>,
     /// What the store holds of the waves' progress.
     stored: RefCell<BTreeMap<u64, Revision>>,
     homes_revision: Cell<Revision>,
@@ -90,6 +92,7 @@
         sizes: RefCell::default(),
         statuses: RefCell::default(),
         status_changed: Notify::new(),
+        has_statuses: Cell::new(false),
         stored: RefCell::default(),
         homes_revision: Cell::new(Revision::ABSENT),
         turns_revision: Cell::new(Revision::ABSENT),
@@ -140,6 +143,10 @@
 
     /// One round; returns whether the next one is due soon.
     async fn round(&self) -> Result<bool, CallError> {
+        if !self.has_statuses.get() {
+            // A plan that knows no load would take VMs from a pool in its turn.
+            return Ok(true);
+        }
         self.show_new_waves().await?;
         let has_waves = self.has_waves();
         if !has_waves && !self.may_need_moves() {
@@ -235,6 +242,8 @@
                     for item in &page.items {
                         self.take_status(item);
                     }
+                    self.has_statuses.set(true);
+                    self.status_changed.notify_one();
                     page.revision
                 }
                 Err(error) => {
--- a/crates/grid/src/fleet/waves.rs
+++ b/crates/grid/src/fleet/waves.rs
@@ -23,7 +23,7 @@
         vms: &BTreeMap<VmId, Vm>,
         empty: &BTreeSet<VmId>,
     ) -> UpkeepPlan {
-        let load_milli: BTreeMap<PoolName, u64> = self
+        let mut load_milli: BTreeMap<PoolName, u64> = self
             .statuses
             .borrow()
             .iter()
@@ -34,6 +34,9 @@
                 (pool.clone(), wanted * 1_000 / has)
             })
             .collect();
+        // Spare VMs are about to move to a pool in its turn.
+        let most = load_milli.values().max().copied().unwrap_or_default();
+        load_milli.extend(self.spare().map(|spare| (spare, most)));
         let facts = Facts {
             vms,
             empty,
--- a/crates/grid/src/members/mod.rs
+++ b/crates/grid/src/members/mod.rs
@@ -26,7 +26,7 @@
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 
 /// After its start an entry lets the others register before it takes a role.
-const SETTLE: Duration = Duration::from_millis(1_200);
+const SETTLE: Duration = Duration::from_millis(500);
 
 /// The pause for each entry that goes before this one at a vacant role.
 const RANK_PAUSE: Duration = Duration::from_millis(250);
--- a/crates/jobs/src/size/mod.rs
+++ b/crates/jobs/src/size/mod.rs
@@ -106,6 +106,8 @@
     has: u64,
     /// What it needs for its load.
     needs: u64,
+    /// What it has to give back, however much it needs: VMs that it has on loan from pools whose rest is over.
+    owes: u64,
     is_calm: bool,
 }
 
@@ -184,6 +186,8 @@
 
     fn counts(&mut self, facts: &Facts<'_>, now: Instant) -> Vec<Count> {
         let mut counts = Vec::new();
+        let homes_of_spare = self.homes.values().filter(|home| *home == facts.spare);
+        let spares = u64::try_from(homes_of_spare.count()).unwrap_or(u64::MAX);
         for (pool, load) in facts.loads {
             if pool == facts.spare || load.capacity_millis == 0 {
                 continue;
@@ -234,9 +238,11 @@
                 floor,
                 has,
                 needs,
+                owes: 0,
                 is_calm: now.saturating_duration_since(since) >= CALM,
             });
         }
+        note_loans(&mut counts, spares);
         counts
     }
 
@@ -277,8 +283,8 @@
                 0
             };
             let for_others = count.can_give().min(open);
-            let goal = beyond.max(for_others);
-            if count.lacks() > 0 || goal == 0 {
+            let goal = beyond.max(for_others).max(count.owes);
+            if (count.lacks() > 0 && count.owes == 0) || goal == 0 {
                 self.leaving.retain(|vm| {
                     let vm = facts.vms.get(vm);
                     vm.is_none_or(|vm| vm.pool != count.pool)
@@ -326,16 +332,33 @@
                 continue;
             };
             plan.evacuate.insert(id.clone());
-            if facts.empty.contains(id) {
-                let to = take_one(wanted, &vm.pool)
-                    .or_else(|| take_one(&mut below_floor, &vm.pool))
-                    .unwrap_or_else(|| facts.spare.clone());
-                plan.moves.push((id.clone(), to));
+            if !facts.empty.contains(id) {
+                continue;
             }
+            let mut from = counts.iter().filter(|count| count.pool == vm.pool);
+            let to = if from.any(|count| count.owes > 0) {
+                take_one(&mut below_floor, &vm.pool).or_else(|| take_one(wanted, &vm.pool))
+            } else {
+                take_one(wanted, &vm.pool).or_else(|| take_one(&mut below_floor, &vm.pool))
+            };
+            plan.moves
+                .push((id.clone(), to.unwrap_or_else(|| facts.spare.clone())));
         }
     }
 }
 
+/// Notes what pools owe to those that hold less than they should. The spare VMs are nobody's, and are not owed.
+fn note_loans(counts: &mut [Count], spares: u64) {
+    let mut open: u64 = counts
+        .iter()
+        .map(|count| count.floor.saturating_sub(count.has))
+        .sum();
+    for count in counts {
+        count.owes = count.has.saturating_sub(count.floor + spares).min(open);
+        open -= count.owes;
+    }
+}
+
 /// The pools that lack VMs for their load, and how many; those that lack the most come first.
 fn wanted(counts: &[Count]) -> Vec<(PoolName, u64)> {
     let mut wanted: Vec<(PoolName, u64)> = counts
--- a/crates/jobs/src/upkeep/mod.rs
+++ b/crates/jobs/src/upkeep/mod.rs
@@ -110,6 +110,9 @@
 /// A wave aims to be done this long before its time is over.
 const RESERVE: Duration = Duration::from_millis(3_500);
 
+/// From this load on, in thousandths of what it has, a pool is taken to be in its turn.
+const IN_TURN_MILLI: u64 = 750;
+
 /// At most this share of a pool's VMs is chosen at once while a wave is in time, in percent.
 const POOL_PERCENT: usize = 20;
 
@@ -183,7 +186,8 @@
         remaining.div_ceil(turns).min(self.wave.at_once as usize)
     }
 
-    /// Chooses the next VMs: those that are empty already, then those of the pools with the least load.
+    /// Chooses the next VMs: those of pools in their turn come last; among the others those that are empty already, then
+    /// those of the pools with the least load.
     fn choose(&mut self, up: &[&Vm], wanted: usize, facts: &Facts<'_>) {
         let mut of_pool: BTreeMap<&PoolName, usize> = BTreeMap::new();
         for vm in facts.vms.values() {
@@ -201,7 +205,13 @@
             .collect();
         candidates.sort_by_key(|vm| {
             let load = facts.load_milli.get(&vm.pool).copied().unwrap_or_default();
-            (!facts.empty.contains(&vm.id), load, vm.id.clone())
+            let is_in_turn = load >= IN_TURN_MILLI;
+            (
+                is_in_turn,
+                !facts.empty.contains(&vm.id),
+                load,
+                vm.id.clone(),
+            )
         });
         for is_second_pass in [false, true] {
             for vm in &candidates {
--- a/crates/jobs/tests/size.rs
+++ b/crates/jobs/tests/size.rs
@@ -255,3 +255,22 @@
     );
     assert!(!turns.is_any());
 }
+
+/// A pool's rest is over while another one's turn uses its VMs: they come back, so that its own next turn finds them.
+#[test]
+fn plan_loans_are_given_back_when_the_rest_is_over() {
+    let mut fleet = Fleet::new();
+    fleet.load("b", 1, 0);
+    turn_of_a(&mut fleet, 4_000);
+    fleet.load("b", 4, 8);
+    fleet.plan();
+    assert_eq!((fleet.count("a"), fleet.count("b")), (2, 10));
+    for _ in 0..4 {
+        fleet.pass(2_500);
+        fleet.load("a", 1, 0);
+        fleet.load("b", 10, 10);
+        fleet.plan();
+    }
+    // The spare VMs stay where they are needed.
+    assert_eq!((fleet.count("a"), fleet.count("b")), (4, 8));
+}
--- a/crates/jobs/tests/upkeep.rs
+++ b/crates/jobs/tests/upkeep.rs
@@ -107,3 +107,22 @@
     fleet.vms.get_mut(&last).expect("a VM").state = VmState::Up;
     assert_eq!(fleet.plan().completed, vec![1]);
 }
+
+/// Spare VMs are empty, but during a turn they are about to be needed: they count as loaded as the pool in its turn.
+#[test]
+fn plan_spare_vms_wait_while_a_turn_needs_them() {
+    let mut fleet = Fleet::new(Duration::from_secs(123), 9);
+    fleet.empty = fleet
+        .vms
+        .keys()
+        .filter(|vm| vm.as_str().starts_with('a'))
+        .cloned()
+        .collect();
+    let of_spare = |vm: &VmId| vm.as_str().starts_with('a');
+    assert!(!fleet.plan().evacuate.iter().any(of_spare));
+    // Without a turn those that are empty go first.
+    let mut calm = Fleet::new(Duration::from_secs(123), 9);
+    calm.empty.clone_from(&fleet.empty);
+    calm.load_milli = BTreeMap::from([(pool("a"), 100), (pool("b"), 50)]);
+    assert!(calm.plan().evacuate.iter().all(of_spare));
+}
