--- a/crates/grid/tests/entry/soak.rs
+++ b/crates/grid/tests/entry/soak.rs
@@ -47,12 +47,19 @@
     jobs: BTreeMap<String, Fate>,
 }
 
+/// What a job is meant to come to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Meant {
+    Completed,
+    Failed,
+    /// Its tasks run until it is cancelled.
+    Service,
+}
+
 /// What a job was meant to come to, and what its callers were answered.
 #[derive(Debug, Clone, Copy)]
 struct Fate {
-    must_fail: bool,
-    /// Its tasks run until it is cancelled.
-    is_service: bool,
+    meant: Meant,
     is_accepted: bool,
     /// A cancellation may have been carried out.
     may_be_cancelled: bool,
@@ -86,11 +93,19 @@
         7 => ("lasts", Some(Feature::Service)),
         _ => ("ms=500", None),
     };
-    let is_service = feature == Some(Feature::Service);
+    let meant = match feature {
+        Some(Feature::Service) => Meant::Service,
+        _ if payload.starts_with("end=failed") => Meant::Failed,
+        _ => Meant::Completed,
+    };
     let steps: Vec<u32> = (0..rng.random_range(1..4))
         .map(|_| rng.random_range(1..5))
         .collect();
-    let steps = if is_service { vec![2] } else { steps };
+    let steps = if meant == Meant::Service {
+        vec![2]
+    } else {
+        steps
+    };
     let mut spec = job(payload, &steps);
     for step in &mut spec.steps {
         step.features.extend(feature);
@@ -99,8 +114,7 @@
     let reply = bed.submit(entry, &id, spec).await;
     if matches!(reply, Reply::Accepted | Reply::Unknown) {
         let fate = Fate {
-            must_fail: payload.starts_with("end=failed"),
-            is_service,
+            meant,
             is_accepted: reply == Reply::Accepted,
             may_be_cancelled: false,
         };
@@ -195,16 +209,16 @@
     let job: JobId = id.parse().expect("an id");
     match reply {
         Reply::State(JobState::Running) => {
-            assert!(fate.is_service, "{told}");
+            assert_eq!(fate.meant, Meant::Service, "{told}");
             let crew = bed.world.crew.borrow();
             let at_work = crew.running().filter(|(_, task)| task.step.job == job);
             assert_eq!(at_work.count(), SERVICE_TASKS, "{told}");
         }
         Reply::State(JobState::Completed) => {
-            assert!(!fate.must_fail && !fate.is_service, "{told}");
+            assert_eq!(fate.meant, Meant::Completed, "{told}");
             assert!(is_done(&bed.world.crew.borrow(), job), "{told}");
         }
-        Reply::State(JobState::Failed) => assert!(fate.must_fail, "{told}"),
+        Reply::State(JobState::Failed) => assert_eq!(fate.meant, Meant::Failed, "{told}"),
         Reply::State(JobState::Cancelled) => assert!(fate.may_be_cancelled, "{told}"),
         Reply::NoSuchJob => assert!(!fate.is_accepted, "{told}"),
         _ => panic!("{told}"),
@@ -213,7 +227,10 @@
 
 /// Cancels the services that are left: nothing may be at work after that.
 async fn end_services(bed: &Bed, seed: u64, callers: &Callers) {
-    let services = callers.jobs.iter().filter(|(_, fate)| fate.is_service);
+    let services = callers
+        .jobs
+        .iter()
+        .filter(|(_, fate)| fate.meant == Meant::Service);
     for (id, _) in services {
         let reply = bed.cancel(ENTRIES[0], id).await;
         assert!(
