--- a/crates/grid/src/entry/mod.rs
+++ b/crates/grid/src/entry/mod.rs
@@ -35,8 +35,8 @@
 /// After the store has been silent this long, calls are refused at once instead of being held for another timeout.
 const STORE_SILENT: Duration = Duration::from_millis(2_500);
 
-/// Times that the platform sets for an entry.
-#[derive(Debug, Clone)]
+/// What the platform sets for an entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Settings {
     /// The entry's name.
     pub name: Box<str>,
@@ -71,8 +71,8 @@
     pub platform: P,
     /// The time.
     pub clock: Arc<dyn Clock>,
-    /// What is set from outside.
-    pub settings: Settings,
+    /// What is set from outside. It may change while the entry runs.
+    pub(crate) settings: watch::Sender<Rc<Settings>>,
     /// The metrics.
     pub metrics: Metrics,
     /// The catalogue in force.
@@ -104,7 +104,7 @@
         Self {
             platform,
             clock,
-            settings,
+            settings: watch::Sender::new(Rc::new(settings)),
             metrics: Metrics::new(),
             catalogue: watch::Sender::new(None),
             current_at: Cell::new(None),
@@ -120,6 +120,25 @@
         }
     }
 
+    /// What is set from outside, as of now.
+    pub fn settings(&self) -> Rc<Settings> {
+        Rc::clone(&self.settings.borrow())
+    }
+
+    /// Takes changed settings; returns whether they differ from those before. An entry keeps its name while it runs.
+    pub fn set_settings(&self, changed: &Settings) -> bool {
+        let before = self.settings();
+        let settings = Settings {
+            name: before.name.clone(),
+            ..changed.clone()
+        };
+        let is_changed = *before != settings;
+        if is_changed {
+            self.settings.send_replace(Rc::new(settings));
+        }
+        is_changed
+    }
+
     /// The steady time.
     pub fn now(&self) -> Instant {
         self.clock.now()
@@ -141,7 +160,7 @@
     /// Whether the catalogue in force was current so recently that no withdrawn key is taken for too long.
     pub fn has_fresh_keys(&self) -> bool {
         // A fifth of the time is left for the answer to be carried out.
-        let most = self.settings.key_withdrawal * 4 / 5;
+        let most = self.settings().key_withdrawal * 4 / 5;
         self.current_at
             .get()
             .is_some_and(|at| self.now().saturating_duration_since(at) < most)
--- a/crates/grid/src/fleet/mod.rs
+++ b/crates/grid/src/fleet/mod.rs
@@ -84,7 +84,7 @@
 
 /// Holds the role until it is lost or handed over.
 pub async fn run<P: Platform>(entry: Rc<Entry<P>>, held: Held, hand_over: CancellationToken) {
-    let quiet_until = entry.now() + entry.settings.vm_order_gap + GAP_MARGIN;
+    let quiet_until = entry.now() + entry.settings().vm_order_gap + GAP_MARGIN;
     let fleet = Fleet {
         entry,
         held,
@@ -173,7 +173,7 @@
 
     fn holder(&self) -> Holder {
         Holder {
-            entry: self.entry.settings.name.clone(),
+            entry: self.entry.settings().name.clone(),
             token: self.held.token(),
         }
     }
@@ -340,7 +340,7 @@
         let listed = self.entry.platform.vms(STORE_TIMEOUT).await;
         let mut vms = self.entry.note("list VMs", sent_at, listed)?;
         let now = self.entry.now();
-        let down_for = self.entry.settings.maintenance + LIST_LAG;
+        let down_for = self.entry.settings().maintenance + LIST_LAG;
         self.ordered
             .borrow_mut()
             .retain(|_, at| now.saturating_duration_since(*at) < down_for);
--- a/crates/grid/src/fleet/recent.rs
+++ b/crates/grid/src/fleet/recent.rs
@@ -40,7 +40,7 @@
             return Ok(());
         }
         let now = self.entry.now();
-        let gap = self.entry.settings.vm_order_gap + GAP_MARGIN;
+        let gap = self.entry.settings().vm_order_gap + GAP_MARGIN;
         let wanted: BTreeSet<VmId> = {
             let mut recent = self.recent.borrow_mut();
             recent.retain(|_, at| now.saturating_duration_since(*at) < gap);
--- a/crates/grid/src/members/mod.rs
+++ b/crates/grid/src/members/mod.rs
@@ -128,9 +128,9 @@
             .lease;
         let txn = Txn {
             put: vec![Put {
-                key: keys::entry(&self.entry.settings.name),
+                key: keys::entry(&self.entry.settings().name),
                 value: keys::encode(&Member {
-                    cpu_millis: self.entry.settings.cpu_millis,
+                    cpu_millis: self.entry.settings().cpu_millis,
                 }),
                 lease: Some(lease),
             }],
@@ -262,9 +262,9 @@
     }
 
     /// This entry, with the processor time that it may use.
-    fn me(&self) -> (&str, u64) {
-        let settings = &self.entry.settings;
-        (&settings.name, settings.cpu_millis)
+    fn me(&self) -> (Box<str>, u64) {
+        let settings = self.entry.settings();
+        (settings.name.clone(), settings.cpu_millis)
     }
 
     /// How long until this entry may take a role that is vacant now.
@@ -272,8 +272,9 @@
         let now = self.entry.now();
         let settled_at = self.started_at + SETTLE;
         let wanted = self.wanted();
+        let (name, cpu_millis) = self.me();
         self.view
-            .ranks(self.me(), &wanted)
+            .ranks((&name, cpu_millis), &wanted)
             .into_iter()
             .filter_map(|(role, rank)| {
                 let since = (*self.vacant_since.get(&role)?).max(settled_at);
@@ -287,7 +288,8 @@
     async fn take_vacant(&mut self, lease: LeaseId) {
         let now = self.entry.now();
         let wanted = self.wanted();
-        let ranks = self.view.ranks(self.me(), &wanted);
+        let (name, cpu_millis) = self.me();
+        let ranks = self.view.ranks((&name, cpu_millis), &wanted);
         self.vacant_since.retain(|role, _| ranks.contains_key(role));
         for role in ranks.keys() {
             self.vacant_since.entry(role.clone()).or_insert(now);
@@ -308,7 +310,7 @@
 
     async fn take(&mut self, role: Role, lease: LeaseId) {
         let key = keys::role(&role);
-        let name = self.entry.settings.name.clone();
+        let name = self.entry.settings().name.clone();
         let txn = Txn {
             expect: vec![(key.clone(), Revision::ABSENT)],
             put: vec![Put {
@@ -350,7 +352,7 @@
         for it in running.values() {
             it.hand_over.cancel();
         }
-        let mut remove = vec![keys::entry(&self.entry.settings.name)];
+        let mut remove = vec![keys::entry(&self.entry.settings().name)];
         let mut expect = Vec::new();
         for (role, it) in running {
             let ended = tokio::time::timeout(HAND_OVER, it.task).await;
--- a/crates/grid/src/pool/mod.rs
+++ b/crates/grid/src/pool/mod.rs
@@ -129,7 +129,7 @@
     let pool = Pool::new(
         name.clone(),
         held.token(),
-        entry.settings.pool,
+        entry.settings().pool,
         catalogue.catalogue,
     );
     let scheduler = Rc::new(Scheduler {
@@ -169,6 +169,7 @@
         tasks.spawn_local(Rc::clone(&self).follow_inbox(after));
         tasks.spawn_local(Rc::clone(&self).follow_workers());
         tasks.spawn_local(Rc::clone(&self).follow_catalogue());
+        tasks.spawn_local(Rc::clone(&self).follow_settings());
         tasks.spawn_local(Rc::clone(&self).plan_orders());
         tasks.spawn_local(Rc::clone(&self).keep_saving());
         tasks.spawn_local(Rc::clone(&self).publish_status());
@@ -192,6 +193,14 @@
         }
     }
 
+    async fn follow_settings(self: Rc<Self>) {
+        let mut settings = self.entry.settings.subscribe();
+        while settings.changed().await.is_ok() {
+            let bounds = settings.borrow_and_update().pool;
+            self.pool.borrow_mut().set_bounds(bounds);
+        }
+    }
+
     async fn follow_catalogue(self: Rc<Self>) {
         let mut catalogue = self.entry.catalogue.subscribe();
         while catalogue.changed().await.is_ok() {
--- a/crates/grid/tests/entry/roles.rs
+++ b/crates/grid/tests/entry/roles.rs
@@ -167,3 +167,37 @@
     })
     .await;
 }
+
+/// Changed bounds hold for the schedulers that are at work, too: a shorter lease frees a lost worker's tasks sooner.
+#[tokio::test(start_paused = true)]
+async fn settings_changed_while_a_role_is_held() {
+    local(async {
+        let bed = Bed::new(2);
+        bed.start_all(&["e1"]).await;
+        let before = bed.entry("e1").settings();
+        let mut changed = (*before).clone();
+        changed.name = "other".into();
+        changed.pool.lease = Duration::from_secs(2);
+        assert!(bed.entry("e1").set_settings(&changed));
+        // An entry keeps its name; the same settings again change nothing.
+        assert_eq!(&*bed.entry("e1").settings().name, "e1");
+        assert!(!bed.entry("e1").set_settings(&changed));
+        // Leases that were offered before have lapsed.
+        sleep(Duration::from_secs(6)).await;
+        let spec = job("ms=1500", &[8]);
+        assert_eq!(bed.submit("e1", ID, spec).await, Reply::Accepted);
+        sleep(Duration::from_millis(300)).await;
+        bed.world.set_reachable("e1", "w1", false);
+        bed.world.crew.borrow_mut().set_listed("w1", false);
+        let lost_at = Instant::now();
+        while bed.world.crew.borrow().starts.len() == 8 {
+            sleep(Duration::from_millis(50)).await;
+        }
+        let freed_after = lost_at.elapsed();
+        assert!(freed_after < Duration::from_secs(3), "{freed_after:?}");
+        bed.wait_for("e1", ID, JobState::Completed, Duration::from_secs(3))
+            .await;
+        bed.check_once();
+    })
+    .await;
+}
--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -321,6 +321,11 @@
         &self.bounds
     }
 
+    /// Sets the times that are set from outside. Leases that were offered before keep their length.
+    pub fn set_bounds(&mut self, bounds: Bounds) {
+        self.bounds = bounds;
+    }
+
     /// The open jobs.
     #[must_use]
     pub fn jobs(&self) -> &BTreeMap<JobId, Job> {
