jobs: among late jobs the one with the least work left goes first

Cause: in an overload jobs that had missed their objective were served by deadline, large and small alike.

Change: the jobs that can be in time keep their order; late ones, and those beyond any value, go by the work of the tasks that have not started.

--- a/crates/jobs/src/pool/order.rs
+++ b/crates/jobs/src/pool/order.rs
@@ -1,13 +1,17 @@
 //! The order in which jobs get room.
 //!
+//! Load pattern: a turn asks for more than the pool holds, and a backlog of some seconds makes jobs late.
+//!
 //! Services come first, as each moment of theirs counts. Among the others those that can still meet their objective go
-//! before those that can't, urgent queues before others, and then the earliest deadline. What has missed three times its
-//! objective comes last and still gets what is left.
+//! before those that can't, urgent queues before others, and then the earliest deadline. Those that are late already are
+//! worth the same whenever they end, as long as they do: the one with the least work left goes first, so that the most of them
+//! end. What has missed three times its objective comes last and still gets what is left, in the same order.
 
 use std::time::{Duration, Instant};
 
-use crate::job::Job;
+use crate::job::{Job, Occurrence};
 use crate::pool::Pool;
+use crate::worker::millis;
 
 /// Up to this multiple of the objective a completion still has some value.
 const LATE_FACTOR: u32 = 3;
@@ -37,12 +41,13 @@
                 .catalogue
                 .queue(job.queue())
                 .map_or(u32::MAX, |queue| queue.priority);
-            (
-                standing(job, now),
-                priority,
-                job.accepted_at + job.objective,
-                job.id(),
-            )
+            let standing = standing(job, now);
+            let work = match standing {
+                Standing::Running | Standing::Reachable => 0,
+                Standing::Late | Standing::Lost => remaining_work(job),
+            };
+            let deadline = job.accepted_at + job.objective;
+            (standing, priority, work, deadline, job.id())
         })
         .collect();
     keyed.sort_unstable();
@@ -51,6 +56,20 @@
         .extend(keyed.into_iter().map(|(.., id)| id));
 }
 
+/// The work of the tasks that have not started, in thousandths of a core times milliseconds.
+fn remaining_work(job: &Job) -> u64 {
+    let steps = job.record.spec.steps.iter().zip(&job.step_times);
+    let of_tasks = |occurrence: &Occurrence| -> u64 {
+        let steps = steps.clone().zip(&occurrence.steps);
+        steps
+            .map(|((step, time), state)| {
+                step.reserved().cpu_millis * millis(*time) * u64::from(state.idle)
+            })
+            .sum()
+    };
+    job.occurrences.values().map(of_tasks).sum()
+}
+
 fn has_idle(job: &Job) -> bool {
     job.occurrences
         .values()
