obs, ctl: one form of a log line, for writing and for reading back

Cause: the tool that reads logs had a copy of the form in which entries write them. Change: `goldcrest_obs::logs::LogLine` is written by the logs and read by `goldcrestctl trace`. Ruled out: a crate of its own for one type.

--- a/crates/ctl/src/trace/cause.rs
+++ b/crates/ctl/src/trace/cause.rs
@@ -78,24 +78,24 @@
     reasons.extend(waited(&own));
     reasons.extend(restarted(&own));
     let span = (
-        own.first().map_or(0, |line| line.time_ms),
-        own.last().map_or(0, |line| line.time_ms),
+        own.first().map_or(0, |line| line.time_ms()),
+        own.last().map_or(0, |line| line.time_ms()),
     );
     let is_near =
-        |line: &&Line| line.time_ms + NEAR_MS >= span.0 && line.time_ms <= span.1 + NEAR_MS;
+        |line: &&Line| line.time_ms() + NEAR_MS >= span.0 && line.time_ms() <= span.1 + NEAR_MS;
     if outcome != Outcome::InTime {
         let pool = own.iter().find_map(|line| line.field("pool"));
         let entries: Vec<&str> = own.iter().map(|line| &*line.entry).collect();
         let near = lines.iter().filter(is_near);
         reasons.extend(near.filter_map(|line| surrounding_reason(line, pool, &entries)));
     }
-    reasons.sort_by_key(|reason| reason.shown_by.time_ms);
+    reasons.sort_by_key(|reason| reason.shown_by.time_ms());
     reasons.dedup_by(|next, last| next.text == last.text);
     Verdict { outcome, reasons }
 }
 
 fn outcome(own: &[&Line]) -> Outcome {
-    let ended = own.iter().rfind(|line| &*line.message == "Job ended.");
+    let ended = own.iter().rfind(|line| line.message() == "Job ended.");
     if let Some(ended) = ended {
         let took_ms = ended.number("took_ms").unwrap_or_default();
         let objective_ms = ended.number("objective_ms").unwrap_or(u64::MAX);
@@ -111,7 +111,7 @@
     }
     let is_known = |line: &&&Line| {
         matches!(
-            &*line.message,
+            line.message(),
             "Job accepted." | "Job is accepted already." | "Job taken in." | "Task started."
         )
     };
@@ -133,7 +133,7 @@
 fn own_reason(line: &Line) -> Option<Reason> {
     let worker = line.field("worker").unwrap_or("?");
     let task = line.field("task").unwrap_or("?");
-    let text = match &*line.message {
+    let text = match line.message() {
         "Job refused: the store did not take it." => {
             let error = line.field("error").unwrap_or("?");
             format!("entry {} refused it: {error}", line.entry)
@@ -164,7 +164,7 @@
 
 /// A long wait for the first start.
 fn waited(own: &[&Line]) -> Option<Reason> {
-    let started = own.iter().find(|line| &*line.message == "Task started.")?;
+    let started = own.iter().find(|line| line.message() == "Task started.")?;
     let waited_ms = started.number("waited_ms")?;
     (waited_ms > WAIT_MS).then(|| {
         reason(
@@ -176,7 +176,7 @@
 
 /// Tasks that were started again although no end of the run before was reported.
 fn restarted(own: &[&Line]) -> Vec<Reason> {
-    let is_start = |line: &&&Line| &*line.message == "Task started.";
+    let is_start = |line: &&&Line| line.message() == "Task started.";
     let mut reasons = Vec::new();
     for (at, again) in own.iter().enumerate().filter(|(_, line)| is_start(line)) {
         let of_task = |line: &&&Line| line.field("task") == again.field("task");
@@ -186,13 +186,13 @@
         let has_ended = own[..at]
             .iter()
             .filter(of_task)
-            .any(|line| &*line.message == "Run ended." && line.field("run") == first.field("run"));
+            .any(|line| line.message() == "Run ended." && line.field("run") == first.field("run"));
         if !has_ended {
             let (task, worker) = (again.field("task"), first.field("worker"));
             let text = format!(
                 "task {} was started again after {} ms: no end came from worker {}",
                 task.unwrap_or("?"),
-                again.time_ms.saturating_sub(first.time_ms),
+                again.time_ms().saturating_sub(first.time_ms()),
                 worker.unwrap_or("?"),
             );
             reasons.push(reason(text, again));
@@ -203,7 +203,7 @@
 
 /// What a line about the surroundings explains.
 fn surrounding_reason(line: &Line, pool: Option<&str>, entries: &[&str]) -> Option<Reason> {
-    let text = match &*line.message {
+    let text = match line.message() {
         "The store did not carry out a call." if entries.contains(&&*line.entry) => {
             format!("entry {} lost the store", line.entry)
         }
--- a/crates/ctl/src/trace/mod.rs
+++ b/crates/ctl/src/trace/mod.rs
@@ -26,7 +26,7 @@
             return Exit::Usage;
         }
     }
-    lines.sort_by_key(|line| line.time_ms);
+    lines.sort_by_key(Line::time_ms);
     let own: Vec<&Line> = lines.iter().filter(|line| line.is_about(id)).collect();
     let Some(first) = own.first() else {
         output.note(&format!(
@@ -36,13 +36,16 @@
         return Exit::Found;
     };
     for line in &own {
-        output.line(&line.show(first.time_ms));
+        output.line(&line.show(first.time_ms()));
     }
     let verdict = judge(id, &lines);
     output.line(&format!("outcome: {}", verdict.outcome));
     for reason in &verdict.reasons {
         output.line(&format!("reason: {}", reason.text));
-        output.line(&format!("        {}", reason.shown_by.show(first.time_ms)));
+        output.line(&format!(
+            "        {}",
+            reason.shown_by.show(first.time_ms())
+        ));
     }
     Exit::Done
 }
--- a/crates/obs/src/logs/line.rs
+++ b/crates/obs/src/logs/line.rs
@@ -1,5 +1,6 @@
 //! The two forms of a log line.
 
+use std::borrow::Cow;
 use std::collections::BTreeMap;
 use std::fmt::Arguments;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -7,7 +8,7 @@
 use fern::FormatCallback;
 use log::Record;
 use log::kv::{Error, Key, Value, VisitSource};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// Collects the key-values of a record, sorted by key.
 #[derive(Debug, Default)]
@@ -32,19 +33,26 @@
     }
 }
 
-#[derive(Debug, Serialize)]
-struct JsonLine<'a> {
-    time_ms: u128,
-    level: &'a str,
-    part: &'a str,
-    message: Box<str>,
-    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
-    fields: BTreeMap<Box<str>, Box<str>>,
+/// A log line in its JSON form, for writing and for reading back.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LogLine<'a> {
+    /// When it was written, in milliseconds since 1970 by the process's clock.
+    pub time_ms: u64,
+    /// The level.
+    pub level: Cow<'a, str>,
+    /// The part of the process that wrote it.
+    pub part: Cow<'a, str>,
+    /// What happened.
+    pub message: Box<str>,
+    /// The inputs and the outcome.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub fields: BTreeMap<Box<str>, Box<str>>,
 }
 
-fn since_epoch_ms(wall: SystemTime) -> u128 {
-    wall.duration_since(UNIX_EPOCH)
-        .map_or(0, |since| since.as_millis())
+fn since_epoch_ms(wall: SystemTime) -> u64 {
+    // A clock before 1970 is a clock that is not set.
+    let since = wall.duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
 
 /// Writes a line for people.
@@ -75,10 +83,10 @@
     record: &Record<'_>,
     wall: SystemTime,
 ) {
-    let line = JsonLine {
+    let line = LogLine {
         time_ms: since_epoch_ms(wall),
-        level: record.level().as_str(),
-        part: record.target(),
+        level: record.level().as_str().into(),
+        part: record.target().into(),
         message: message.to_string().into(),
         fields: Fields::of(record).values,
     };
--- a/crates/obs/src/logs/mod.rs
+++ b/crates/obs/src/logs/mod.rs
@@ -18,6 +18,7 @@
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 
+pub use line::LogLine;
 pub use repeat::Repeats;
 
 /// The parts of a process, as logs and the supervisor name them.
