--- a/crates/grid/src/fleet/turns.rs
+++ b/crates/grid/src/fleet/turns.rs
@@ -1,9 +1,11 @@
 //! Keeps the pools' turns and rests in the store, so that another holder goes on with them.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use goldcrest_jobs::size::turns::Turns;
 use goldcrest_jobs::worker::millis;
+use goldcrest_types::names::PoolName;
 
 use crate::fleet::Fleet;
 use crate::keys::{self, TurnRecord};
@@ -23,23 +25,32 @@
         let (now, wall_ms) = (self.entry.now(), self.entry.wall_ms());
         let ahead = Duration::from_millis(at_ms.saturating_sub(wall_ms));
         let ago = Duration::from_millis(wall_ms.saturating_sub(at_ms));
-        now.checked_sub(ago).unwrap_or(now) + ahead
+        let at = now.checked_sub(ago).unwrap_or(now);
+        // A time that can't be shown is a value that was not meant.
+        at.checked_add(ahead).unwrap_or(now)
+    }
+
+    fn wall_times(&self, times: &BTreeMap<PoolName, Instant>) -> BTreeMap<PoolName, u64> {
+        let times = times.iter();
+        times
+            .map(|(pool, at)| (pool.clone(), self.to_wall_ms(*at)))
+            .collect()
+    }
+
+    fn instants(&self, times_ms: &BTreeMap<PoolName, u64>) -> BTreeMap<PoolName, Instant> {
+        let times_ms = times_ms.iter();
+        times_ms
+            .map(|(pool, at_ms)| (pool.clone(), self.to_instant(*at_ms)))
+            .collect()
     }
 
     pub(super) fn take_turns(&self, item: &Item) {
         match keys::decode::<TurnRecord>(&item.key, &item.value) {
             Ok(record) => {
-                let instants = |it: &std::collections::BTreeMap<_, u64>| {
-                    let pools = it.iter();
-                    pools
-                        .map(|(pool, at_ms)| (Clone::clone(pool), self.to_instant(*at_ms)))
-                        .collect()
-                };
-                let now = self.entry.now();
                 let turns = Turns::new(
-                    instants(&record.began_ms),
-                    instants(&record.rest_until_ms),
-                    now,
+                    self.instants(&record.began_ms),
+                    self.instants(&record.rest_until_ms),
+                    self.entry.now(),
                 );
                 log::info!(target: "sizing", turns = record.began_ms.len(), rests = record.rest_until_ms.len(); "Pools' turns taken over.");
                 self.sizes.borrow_mut().turns = turns;
@@ -56,16 +67,10 @@
             return;
         }
         let record = {
-            let sizes = self.sizes.borrow();
-            let times = |it: &std::collections::BTreeMap<_, Instant>| {
-                let pools = it.iter();
-                pools
-                    .map(|(pool, at)| (Clone::clone(pool), self.to_wall_ms(*at)))
-                    .collect()
-            };
+            let turns = &self.sizes.borrow().turns;
             TurnRecord {
-                began_ms: times(&sizes.turns.began()),
-                rest_until_ms: times(sizes.turns.rests()),
+                began_ms: self.wall_times(&turns.began()),
+                rest_until_ms: self.wall_times(turns.rests()),
             }
         };
         let txn = Txn {
--- a/crates/jobs/src/pool/facts.rs
+++ b/crates/jobs/src/pool/facts.rs
@@ -10,7 +10,7 @@
 use crate::pool::{Event, Pool, StartAnswer, Takeover};
 use crate::progress::Progress;
 use crate::spec::{JobRecord, JobState};
-use crate::worker::{Contact, Phase, Run, RunKey, Worker, WorkerInfo};
+use crate::worker::{Contact, Phase, Run, RunKey, Worker, WorkerInfo, with_drift};
 
 /// How long a worker gets no starts after it had no answer or was unhealthy.
 const WORKER_PAUSE: Duration = Duration::from_millis(500);
@@ -71,7 +71,7 @@
             self.unsaved.insert(job.id());
             self.jobs.insert(job.id(), job);
         }
-        let until = now + self.bounds.lease + self.bounds.lease / 50 + self.bounds.start_window;
+        let until = now + with_drift(self.bounds.lease) + self.bounds.start_window;
         self.takeover = Some(Takeover {
             awaited: crew,
             until,
@@ -169,7 +169,7 @@
             });
         self.end_life(old, "reborn");
         let worker = self.add_worker(info);
-        let longest = self.bounds.hold_max + self.bounds.hold_max / 50 + self.bounds.start_window;
+        let longest = with_drift(self.bounds.hold_max) + self.bounds.start_window;
         if let Some(it) = self.workers.get_mut(&worker) {
             it.vm = vm;
             it.held_until = (!doubtful.is_empty()).then(|| now + longest);
--- a/crates/jobs/src/size/mod.rs
+++ b/crates/jobs/src/size/mod.rs
@@ -322,7 +322,7 @@
         wanted: &mut [(PoolName, u64)],
         plan: &mut SizePlan,
     ) {
-        let mut below_floor: Vec<(PoolName, u64)> = counts
+        let mut short_of_floor: Vec<(PoolName, u64)> = counts
             .iter()
             .map(|count| (count.pool.clone(), count.floor.saturating_sub(count.has)))
             .filter(|(_, count)| *count > 0)
@@ -337,9 +337,9 @@
             }
             let mut from = counts.iter().filter(|count| count.pool == vm.pool);
             let to = if from.any(|count| count.owes > 0) {
-                take_one(&mut below_floor, &vm.pool).or_else(|| take_one(wanted, &vm.pool))
+                take_one(&mut short_of_floor, &vm.pool).or_else(|| take_one(wanted, &vm.pool))
             } else {
-                take_one(wanted, &vm.pool).or_else(|| take_one(&mut below_floor, &vm.pool))
+                take_one(wanted, &vm.pool).or_else(|| take_one(&mut short_of_floor, &vm.pool))
             };
             plan.moves
                 .push((id.clone(), to.unwrap_or_else(|| facts.spare.clone())));
--- a/crates/jobs/src/worker/mod.rs
+++ b/crates/jobs/src/worker/mod.rs
@@ -273,10 +273,16 @@
             return self.held_until;
         };
         let left = Duration::from_millis(self.lease_until_ms.saturating_sub(clock_ms));
-        Some(at + left + left * CLOCK_DRIFT_MILLI / 1_000 + LEASE_MARGIN)
+        Some(at + with_drift(left) + LEASE_MARGIN)
     }
 }
 
+/// The longest that a time on a worker's clock lasts on ours.
+#[must_use]
+pub fn with_drift(time: Duration) -> Duration {
+    time + time * CLOCK_DRIFT_MILLI / 1_000
+}
+
 /// Whole milliseconds.
 #[must_use]
 pub fn millis(duration: Duration) -> u64 {
