--- a/crates/jobs/src/pool/doubt.rs
+++ b/crates/jobs/src/pool/doubt.rs
@@ -6,6 +6,7 @@
 //!
 //! A worker on which a run stands still gets no starts for a while.
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use crate::id::{TaskId, WorkerRef};
@@ -41,38 +42,30 @@
 /// Runs the pass.
 pub fn run(pool: &mut Pool, now: Instant) {
     let mut doubts: Vec<(WorkerRef, RunKey, Doubt)> = Vec::new();
-    let mut cleared: Vec<TaskId> = Vec::new();
     for (worker, it) in &pool.workers {
-        for (key, run) in &it.runs {
-            let Some(job) = pool.jobs.get(&key.0.step.job) else {
-                continue;
-            };
-            match doubt(job, it, *key, run) {
-                Some(doubt) => doubts.push((*worker, *key, doubt)),
-                None if is_copy_wanted(job, key.0) => cleared.push(key.0),
-                None => {}
-            }
+        for (key, run) in it.runs.iter().filter(|(_, run)| may_be_doubtful(it, run)) {
+            let job = pool.jobs.get(&key.0.step.job);
+            let doubt = job.and_then(|job| doubt(job, it, *key, run));
+            doubts.extend(doubt.map(|doubt| (*worker, *key, doubt)));
         }
     }
-    for task in cleared {
-        let job = pool.jobs.get_mut(&task.step.job);
-        if let Some((_, state)) = job.and_then(|job| job.step_mut(task.step)) {
-            state.update(task.index, |task| task.is_copy_wanted = false);
-        }
+    let doubtful: BTreeSet<TaskId> = doubts.iter().map(|(_, key, _)| key.0).collect();
+    let before = std::mem::take(&mut pool.copies_wanted);
+    for task in before.difference(&doubtful) {
+        want_copy(pool, *task, false);
     }
     let mut still: Vec<WorkerRef> = Vec::new();
     for (worker, key, doubt) in doubts {
         if doubt == Doubt::StandsStill {
             still.push(worker);
         }
-        let Some(job) = pool.jobs.get_mut(&key.0.step.job) else {
-            continue;
-        };
-        let Some((step, state)) = job.step_mut(key.0.step) else {
-            continue;
-        };
-        if step.is_speculative() {
-            state.update(key.0.index, |task| task.is_copy_wanted = task.live == 1);
+        let step = pool
+            .jobs
+            .get(&key.0.step.job)
+            .and_then(|job| job.step(key.0.step));
+        if step.is_some_and(|(step, _)| step.is_speculative()) {
+            want_copy(pool, key.0, true);
+            pool.copies_wanted.insert(key.0);
         } else if doubt == Doubt::StandsStill {
             pool.stop(worker, key, StopReason::StandsStill, now);
         }
@@ -83,10 +76,22 @@
     }
 }
 
-fn is_copy_wanted(job: &Job, task: TaskId) -> bool {
-    let state = job.step(task.step).map(|(_, state)| state);
-    let task = state.and_then(|it| it.tasks.get(task.index as usize));
-    task.is_some_and(|task| task.is_copy_wanted)
+/// Whether a look at the run's job is due. Most runs make progress, and cost no more than this.
+fn may_be_doubtful(worker: &Worker, run: &Run) -> bool {
+    worker.contact == Contact::Silent
+        || worker
+            .answered_at
+            .is_some_and(|at| at.saturating_duration_since(run.progressed_at) >= STILL)
+}
+
+/// A task with one run may be given a copy, or not any more.
+fn want_copy(pool: &mut Pool, task: TaskId, is_wanted: bool) {
+    let job = pool.jobs.get_mut(&task.step.job);
+    if let Some((_, state)) = job.and_then(|job| job.step_mut(task.step)) {
+        state.update(task.index, |task| {
+            task.is_copy_wanted = is_wanted && task.live == 1;
+        });
+    }
 }
 
 fn doubt(job: &Job, worker: &Worker, key: RunKey, run: &Run) -> Option<Doubt> {
--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -200,6 +200,10 @@
     queue_order: Vec<JobId>,
     estimates: Estimates,
     permits: BTreeMap<StepId, permits::StepPermits>,
+    /// Tasks whose one run is doubtful and which may run in copies, as of the last plan.
+    copies_wanted: BTreeSet<TaskId>,
+    /// When jobs were last looked through for those that fit no worker.
+    unfit_looked_at: Option<Instant>,
 }
 
 /// A change of what the scheduler believes, for the logs.
@@ -300,6 +304,8 @@
             queue_order: Vec::new(),
             estimates: Estimates::default(),
             permits: BTreeMap::new(),
+            copies_wanted: BTreeSet::new(),
+            unfit_looked_at: None,
         }
     }
 
--- a/crates/jobs/src/pool/unfit.rs
+++ b/crates/jobs/src/pool/unfit.rs
@@ -13,8 +13,16 @@
 /// A job is looked at once it has waited this long; workers come and go within a second or two.
 const WAITED: Duration = Duration::from_secs(3);
 
+/// Jobs are looked through this often at most.
+const LOOK_EVERY: Duration = Duration::from_millis(500);
+
 /// Runs the pass.
 pub fn run(pool: &mut Pool, now: Instant) {
+    let looked_at = pool.unfit_looked_at;
+    if looked_at.is_some_and(|at| now.saturating_duration_since(at) < LOOK_EVERY) {
+        return;
+    }
+    pool.unfit_looked_at = Some(now);
     let workers: Vec<&Worker> = pool
         .workers
         .values()
