--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -14,6 +14,7 @@
 
 mod doubt;
 pub mod evacuate;
+mod event;
 mod facts;
 pub mod order;
 pub mod pace;
@@ -38,6 +39,8 @@
 use crate::resources::Resources;
 use crate::worker::{Worker, millis};
 
+pub use event::Event;
+
 /// Times that the platform or the operators set.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Bounds {
@@ -206,75 +209,6 @@
     unfit_looked_at: Option<Instant>,
 }
 
-/// A change of what the scheduler believes, for the logs.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Event {
-    /// A run was ordered.
-    Started {
-        /// The worker.
-        worker: WorkerId,
-        /// The task.
-        task: TaskId,
-        /// The run.
-        run: RunNumber,
-        /// The worker's room before.
-        room: Resources,
-        /// Since the job was accepted.
-        waited: Duration,
-    },
-    /// A run has ended or is certain not to be at work.
-    Ended {
-        /// The worker.
-        worker: WorkerId,
-        /// The task.
-        task: TaskId,
-        /// The run.
-        run: RunNumber,
-        /// How.
-        how: &'static str,
-    },
-    /// A run is to be stopped.
-    Stopped {
-        /// The worker.
-        worker: WorkerId,
-        /// The task.
-        task: TaskId,
-        /// Why.
-        reason: StopReason,
-    },
-    /// A job has reached its final state.
-    JobEnded {
-        /// The job.
-        job: JobId,
-        /// Its state.
-        state: crate::spec::JobState,
-        /// Since it was accepted.
-        took: Duration,
-        /// The time that its submitter expects.
-        objective: Duration,
-    },
-    /// No worker of the pool could run a step of the job.
-    Unfit {
-        /// The job.
-        job: JobId,
-        /// The step.
-        step: u32,
-        /// What a task of it needs.
-        demand: Resources,
-        /// The most that any worker has, each kind by itself.
-        most: Resources,
-    },
-    /// A worker was found, has gone or is avoided.
-    Worker {
-        /// The worker.
-        worker: WorkerId,
-        /// What is believed of it now.
-        state: &'static str,
-        /// Runs that may be at work there.
-        runs: usize,
-    },
-}
-
 impl Pool {
     /// A pool without jobs and workers.
     #[must_use]
--- a/crates/jobs/src/pool/permits.rs
+++ b/crates/jobs/src/pool/permits.rs
@@ -17,7 +17,6 @@
 use crate::pool::{Order, Pool};
 use crate::resources::Resources;
 use crate::spec::Step;
-use crate::worker::Worker;
 
 /// The most workers that a question names. The objectives of jobs allow for a question about as many.
 const WORKERS_MAX: usize = 30;
@@ -121,7 +120,10 @@
     }
     let is_granted = |worker: &WorkerRef| known.is_some_and(|it| it.is_granted(*worker, now));
     let is_denied = |worker: &WorkerRef| known.is_some_and(|it| it.denied.contains(worker));
-    let able = pool.workers.iter().filter(|(_, it)| is_able(it, step, now));
+    let able = pool
+        .workers
+        .iter()
+        .filter(|(_, it)| it.takes_work(now) && it.could_run(step));
     let (granted, others): (Vec<_>, Vec<_>) = able
         .filter(|(worker, _)| !is_denied(worker))
         .partition(|(worker, _)| is_granted(worker));
@@ -138,15 +140,6 @@
     others.into_iter().map(|(_, worker)| worker).collect()
 }
 
-/// Whether the worker could run a task of the step once it has room.
-fn is_able(worker: &Worker, step: &Step, now: Instant) -> bool {
-    let has_label = step
-        .requires
-        .as_ref()
-        .is_none_or(|label| worker.has_label(label));
-    worker.takes_work(now) && has_label && step.reserved().fits(&worker.info.capacity)
-}
-
 /// How many tasks of the step a worker with this room takes.
 fn places(room: Resources, step: &Step) -> u64 {
     let of_kind = |room: u64, each: u64| room.checked_div(each).unwrap_or(u64::MAX);
--- a/crates/jobs/src/pool/rooms.rs
+++ b/crates/jobs/src/pool/rooms.rs
@@ -137,14 +137,10 @@
 
     /// Whether a worker with room may run a task of the step.
     fn may_run(&self, pool: &Pool, at: WorkerRef, it: &Worker, id: StepId, step: &Step) -> bool {
-        let has_label = step
-            .requires
-            .as_ref()
-            .is_none_or(|label| it.has_label(label));
         let has_place = step
             .spread
             .is_none_or(|most| tasks_of_step(it, id) < most as usize);
-        has_label && has_place && pool.is_permitted(id, at, self.now)
+        it.has_required(step) && has_place && pool.is_permitted(id, at, self.now)
     }
 }
 
--- a/crates/jobs/src/pool/unfit.rs
+++ b/crates/jobs/src/pool/unfit.rs
@@ -7,7 +7,6 @@
 use crate::job::Job;
 use crate::pool::{Event, Pool};
 use crate::resources::Resources;
-use crate::spec::Step;
 use crate::worker::Worker;
 
 /// A job is looked at once it has waited this long; workers come and go within a second or two.
@@ -67,14 +66,6 @@
     steps
         .filter(|(_, state)| state.idle > 0)
         .map(|(step, _)| step)
-        .find(|(_, step)| !workers.iter().any(|worker| could_run(worker, step)))
+        .find(|(_, step)| !workers.iter().any(|worker| worker.could_run(step)))
         .map(|(at, step)| (at, step.reserved()))
 }
-
-fn could_run(worker: &Worker, step: &Step) -> bool {
-    let has_label = step
-        .requires
-        .as_ref()
-        .is_none_or(|label| worker.has_label(label));
-    has_label && step.reserved().fits(&worker.info.capacity)
-}
--- a/crates/jobs/src/worker/mod.rs
+++ b/crates/jobs/src/worker/mod.rs
@@ -238,6 +238,19 @@
         self.info.labels.contains(label)
     }
 
+    /// Whether it has the label that the step requires.
+    #[must_use]
+    pub fn has_required(&self, step: &Step) -> bool {
+        let required = step.requires.as_ref();
+        required.is_none_or(|label| self.has_label(label))
+    }
+
+    /// Whether it could run a task of the step if nothing else ran on it.
+    #[must_use]
+    pub fn could_run(&self, step: &Step) -> bool {
+        self.has_required(step) && step.reserved().fits(&self.info.capacity)
+    }
+
     /// Adds a run.
     pub fn add(&mut self, key: RunKey, run: Run) {
         self.used += run.reserved;
