fleet: a wave's orders are sent together, and its last VMs are all chosen

And a VM that an order without an answer had taken down did not count against the cap. Change: orders of a round go out together, one save for each wave; down VMs count on both sides, whatever is stored of them.

--- a/crates/grid/src/fleet/waves.rs
+++ b/crates/grid/src/fleet/waves.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use futures_util::future::join_all;
 use goldcrest_jobs::id::VmId;
 use goldcrest_jobs::upkeep::{Facts, UpkeepPlan, Vm};
 use goldcrest_types::names::PoolName;
@@ -46,11 +47,20 @@
         self.upkeep.borrow_mut().plan(&facts)
     }
 
+    /// Sends the orders of a round together and stores their outcome at once: one after the other, the round of a large wave
+    /// would last longer than a turn can wait for its VMs.
     pub(super) async fn carry_out_waves(&self, plan: UpkeepPlan) -> Result<(), CallError> {
-        for (vm, wave) in plan.take_down {
-            if self.may_order(&vm) && self.take_down(&vm, wave).await {
-                self.begun(vm, wave).await?;
-            }
+        let orders = plan
+            .take_down
+            .into_iter()
+            .filter(|(vm, _)| self.may_order(vm))
+            .map(|(vm, wave)| async move {
+                let is_confirmed = self.take_down(&vm, wave).await;
+                is_confirmed.then_some((vm, wave))
+            });
+        let begun: Vec<(VmId, u64)> = join_all(orders).await.into_iter().flatten().collect();
+        for wave in self.note_begun(begun) {
+            self.save(wave).await?;
         }
         for wave in plan.completed {
             self.complete(wave).await?;
@@ -99,13 +109,18 @@
         }
     }
 
-    /// Stores that a VM's maintenance has begun.
-    async fn begun(&self, vm: VmId, wave: u64) -> Result<(), CallError> {
-        if let Some(running) = self.upkeep.borrow_mut().waves.get_mut(&wave) {
-            running.chosen.remove(&vm);
-            running.progress.begun.insert(vm);
+    /// Notes the VMs whose maintenance has begun; returns their waves.
+    fn note_begun(&self, begun: Vec<(VmId, u64)>) -> BTreeSet<u64> {
+        let mut upkeep = self.upkeep.borrow_mut();
+        let mut waves = BTreeSet::new();
+        for (vm, wave) in begun {
+            if let Some(running) = upkeep.waves.get_mut(&wave) {
+                running.chosen.remove(&vm);
+                running.progress.begun.insert(vm);
+                waves.insert(wave);
+            }
         }
-        self.save(wave).await
+        waves
     }
 
     async fn complete(&self, wave: u64) -> Result<(), CallError> {
--- a/crates/jobs/src/upkeep/mod.rs
+++ b/crates/jobs/src/upkeep/mod.rs
@@ -149,21 +149,16 @@
             .filter(|vm| !self.progress.begun.contains(vm))
             .filter_map(|vm| facts.vms.get(vm))
             .collect();
-        // A VM that this wave has taken down counts until it is seen up again.
-        let down = self
-            .progress
-            .begun
-            .iter()
-            .filter_map(|vm| facts.vms.get(vm))
-            .filter(|vm| vm.state == VmState::Maintained)
-            .count();
+        // An order without an answer may have taken a VM down: each that is down counts until it is seen up again.
+        let of_wave = self.wave.vms.iter().filter_map(|vm| facts.vms.get(vm));
+        let down = of_wave.filter(|vm| vm.state == VmState::Maintained).count();
         if remaining.is_empty() {
             if down == 0 {
                 plan.completed.push(number);
             }
             return;
         }
-        let wanted = self.at_once(remaining.len(), facts.wall_ms);
+        let wanted = self.at_once(remaining.len() + down, facts.wall_ms);
         let up: Vec<&Vm> = remaining
             .into_iter()
             .filter(|vm| vm.state == VmState::Up)
@@ -178,12 +173,13 @@
     }
 
     /// How many VMs should be emptied or down at once, so that the wave is done in its time and no sooner than needed.
-    fn at_once(&self, remaining: usize, wall_ms: u64) -> usize {
+    /// `unfinished` counts those that are down as well as those that are still to be taken down.
+    fn at_once(&self, unfinished: usize, wall_ms: u64) -> usize {
         let passed = Duration::from_millis(wall_ms.saturating_sub(self.progress.taken_up_ms));
         let left = self.wave.time.saturating_sub(passed + RESERVE);
         let turns = (left.as_millis() / TURN.as_millis()).max(1);
         let turns = usize::try_from(turns).unwrap_or(usize::MAX);
-        remaining.div_ceil(turns).min(self.wave.at_once as usize)
+        unfinished.div_ceil(turns).min(self.wave.at_once as usize)
     }
 
     /// Chooses the next VMs: those of pools in their turn come last; among the others those that are empty already, then
--- a/crates/jobs/tests/upkeep.rs
+++ b/crates/jobs/tests/upkeep.rs
@@ -126,3 +126,27 @@
     calm.load_milli = BTreeMap::from([(pool("a"), 100), (pool("b"), 50)]);
     assert!(calm.plan().evacuate.iter().all(of_spare));
 }
+
+/// At the end of its time a wave empties all that are left, however many are down just then.
+#[test]
+fn plan_last_vms_beside_those_that_are_down() {
+    let mut fleet = Fleet::new(Duration::from_secs(12), 20);
+    let mut running = fleet.upkeep.waves.remove(&1).expect("the wave");
+    for number in 0..10 {
+        let id = VmId::from(&*format!("a{number}"));
+        fleet.vms.get_mut(&id).expect("a VM").state = VmState::Maintained;
+        running.progress.begun.insert(id);
+    }
+    fleet.upkeep.waves.insert(1, running);
+    assert_eq!(fleet.plan().evacuate.len(), 10);
+}
+
+/// An order without an answer may have taken a VM down, which counts against the cap although nothing is stored of it.
+#[test]
+fn plan_vm_down_without_an_answer_counts() {
+    let mut fleet = Fleet::new(Duration::from_secs(12), 3);
+    fleet.empty = fleet.vms.keys().cloned().collect();
+    let unknown = VmId::from("a0");
+    fleet.vms.get_mut(&unknown).expect("a VM").state = VmState::Maintained;
+    assert_eq!(fleet.plan().take_down.len(), 2);
+}
