grid: saves run side by side, and a first start waits for its own job only

Cause: the workers of a job are stored before its first start there. Ruled out: the store (its answers took 4 ms) and its rate; the plan (8 ms). Change: up to four transactions of disjoint jobs at once; a start waits until its job's workers are noted.

--- a/crates/grid/src/pool/mod.rs
+++ b/crates/grid/src/pool/mod.rs
@@ -57,6 +57,8 @@
     /// Counts the requests to save, and those that were met.
     save_wanted: Cell<u64>,
     saved: watch::Sender<u64>,
+    /// Some jobs have been saved.
+    batch_saved: Notify,
     /// The crew as stored, and as it is to be.
     crew: RefCell<BTreeSet<WorkerId>>,
     /// VMs that are to be emptied, with the worker of each.
@@ -144,6 +146,7 @@
         closed: RefCell::default(),
         save_wanted: Cell::new(0),
         saved: watch::Sender::new(0),
+        batch_saved: Notify::new(),
         crew: RefCell::default(),
         evacuating: RefCell::default(),
         share_needed: Notify::new(),
--- a/crates/grid/src/pool/orders.rs
+++ b/crates/grid/src/pool/orders.rs
@@ -140,7 +140,7 @@
     async fn send_start(&self, order: StartOrder) {
         let mut answer = StartAnswer::Unknown;
         let mut is_sent = false;
-        if !self.is_noted(&order) && !self.wait_saved(NOTE_WAIT).await {
+        if !self.wait_noted(&order).await {
             // Not sent: a scheduler that came after this one would not know of the worker.
             self.start_answered(&order, StartAnswer::TooLate);
             return;
@@ -165,6 +165,24 @@
         self.start_answered(&order, answer);
     }
 
+    /// Waits until it is stored that the job may run on the worker; `false` if that takes too long.
+    async fn wait_noted(&self, order: &StartOrder) -> bool {
+        let noted = async {
+            loop {
+                let saved = self.batch_saved.notified();
+                if self.is_noted(order) {
+                    return;
+                }
+                saved.await;
+            }
+        };
+        if self.is_noted(order) {
+            return true;
+        }
+        self.unsaved.notify_one();
+        tokio::time::timeout(NOTE_WAIT, noted).await.is_ok()
+    }
+
     /// Whether it is stored that the job may run on the worker.
     fn is_noted(&self, order: &StartOrder) -> bool {
         let id = order.task.step.job;
--- a/crates/grid/src/pool/save.rs
+++ b/crates/grid/src/pool/save.rs
@@ -9,6 +9,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use goldcrest_jobs::id::{JobId, WorkerId};
 use goldcrest_jobs::spec::JobState;
 
@@ -19,6 +21,10 @@
 /// The most rows of a transaction. From the platform's pages.
 const ROWS_MAX: usize = 32;
 
+/// The most transactions of one pool that are under way at once. A few hide the time of an answer; many would take the store's rate
+/// from acceptances.
+const COMMITS_MAX: usize = 4;
+
 /// Changes within this time are saved together.
 const BATCH: Duration = Duration::from_millis(6);
 
@@ -41,7 +47,7 @@
     remove: Vec<Box<str>>,
     /// Nothing of it is left to do after this.
     closes: Option<JobId>,
-    /// The workers that are stored with the job after this.
+    /// The workers that are stored with the job once this is written.
     workers: Option<(JobId, BTreeSet<WorkerId>)>,
 }
 
@@ -56,6 +62,15 @@
     }
 }
 
+/// Jobs that are saved by one transaction.
+#[derive(Debug)]
+struct Batch {
+    jobs: Vec<JobId>,
+    txn: Txn,
+    closed: Vec<JobId>,
+    workers: Vec<(JobId, BTreeSet<WorkerId>)>,
+}
+
 impl<P: Platform> Scheduler<P> {
     /// Asks for a save; returns the number that `saved` reaches once it is done.
     pub(super) fn request_save(&self) -> u64 {
@@ -101,45 +116,82 @@
         }
     }
 
+    /// Saves jobs in transactions of disjoint jobs, several at a time: after a takeover each open job is to be saved, and its
+    /// first start waits for that.
     async fn save_jobs(&self, mut jobs: Vec<JobId>) -> Result<(), CallError> {
-        while !jobs.is_empty() {
-            if self.lost.is_cancelled() {
-                return Err(CallError::NotDone("the role is lost".into()));
+        let mut committing = FuturesUnordered::new();
+        let mut failed = None;
+        loop {
+            while failed.is_none() && committing.len() < COMMITS_MAX && !self.lost.is_cancelled() {
+                let Some(batch) = self.next_batch(&mut jobs) else {
+                    break;
+                };
+                committing.push(self.save_batch(batch));
+            }
+            match committing.next().await {
+                Some(Ok(refused)) => jobs.extend(refused),
+                Some(Err(error)) => failed = Some(error),
+                None => break,
             }
-            let mut txn = Txn {
+        }
+        if let Some(error) = failed {
+            return Err(error);
+        }
+        if jobs.is_empty() {
+            Ok(())
+        } else {
+            Err(CallError::NotDone("the role is lost".into()))
+        }
+    }
+
+    /// Takes as many jobs as fit into a transaction; `None` if none is left to write.
+    fn next_batch(&self, jobs: &mut Vec<JobId>) -> Option<Batch> {
+        let mut batch = Batch {
+            jobs: Vec::new(),
+            txn: Txn {
                 expect: vec![self.held.guard()],
                 ..Txn::default()
-            };
-            let mut batch = Vec::new();
-            let mut closed = Vec::new();
-            let mut workers = Vec::new();
-            while let Some(job) = jobs.last() {
-                let writes = self.writes(*job);
-                if txn.rows() + writes.rows() > ROWS_MAX {
-                    break;
-                }
-                batch.extend(jobs.pop());
-                if !writes.is_empty() {
-                    closed.extend(writes.closes);
-                    workers.extend(writes.workers.clone());
-                    self.add(&mut txn, writes);
-                }
+            },
+            closed: Vec::new(),
+            workers: Vec::new(),
+        };
+        while let Some(job) = jobs.last() {
+            let writes = self.writes(*job);
+            if batch.txn.rows() + writes.rows() > ROWS_MAX {
+                break;
             }
-            if txn.put.is_empty() && txn.remove.is_empty() {
-                continue;
+            batch.jobs.extend(jobs.pop());
+            if writes.is_empty() {
+                // The store holds it already, with its workers.
+                self.note_workers(writes.workers);
+            } else {
+                batch.closed.extend(writes.closes);
+                batch.workers.extend(writes.workers.clone());
+                self.add(&mut batch.txn, writes);
             }
-            match self.entry.commit(&txn).await? {
-                Committed::Done(revision) => {
-                    self.after_commit(txn, revision, &closed);
-                    self.noted_workers.borrow_mut().extend(workers);
-                }
-                Committed::Conflict(conflict) => {
-                    self.after_conflict(&txn, conflict);
-                    jobs.extend(batch);
-                }
+        }
+        let is_empty = batch.txn.put.is_empty() && batch.txn.remove.is_empty();
+        (!is_empty).then_some(batch)
+    }
+
+    /// Commits a batch; returns the jobs that are to be tried again.
+    async fn save_batch(&self, batch: Batch) -> Result<Vec<JobId>, CallError> {
+        match self.entry.commit(&batch.txn).await? {
+            Committed::Done(revision) => {
+                self.after_commit(batch.txn, revision, &batch.closed);
+                self.note_workers(batch.workers);
+                Ok(Vec::new())
+            }
+            Committed::Conflict(conflict) => {
+                self.after_conflict(&batch.txn, conflict);
+                Ok(batch.jobs)
             }
         }
-        Ok(())
+    }
+
+    fn note_workers(&self, stored: impl IntoIterator<Item = (JobId, BTreeSet<WorkerId>)>) {
+        self.noted_workers.borrow_mut().extend(stored);
+        self.batch_saved.notify_waiters();
     }
 
     fn add(&self, txn: &mut Txn, writes: Writes) {
@@ -187,8 +239,8 @@
                 .is_some_and(|it| it.value == progress);
             if !is_same {
                 writes.put.push((progress_key, progress));
-                writes.workers = Some((id, job.workers.clone()));
             }
+            writes.workers = Some((id, job.workers.clone()));
         }
         writes
     }
--- /dev/null
+++ b/crates/grid/tests/entry/burst.rs
@@ -0,0 +1,62 @@
+//! Many jobs at once: an entry's work for one of them must not wait for the store's answers about all others.
+
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use goldcrest_grid::calls::Reply;
+use goldcrest_jobs::upkeep::{VmState, Wave};
+use tokio::time::sleep;
+
+use crate::common::{Bed, job, local};
+
+/// From acceptance to the first start, for half of the jobs. From the aim for calm days at every size.
+const FIRST_START: Duration = Duration::from_millis(50);
+
+/// From the cause of orders about VMs to the last of them. From the aim for the VMs of a turn, which may wait behind a wave.
+const ORDERS_SENT: Duration = Duration::from_millis(300);
+
+/// Load pattern: a turn begins, or the entries come back after a loss, and hundreds of jobs are due at the same moment while
+/// there is room for all. Each first start waits until the store has noted the job's workers.
+#[tokio::test(start_paused = true)]
+async fn jobs_at_once_start_without_waiting_for_each_other() {
+    local(async {
+        let bed = Bed::new(80);
+        bed.start_all(&["e1", "e2"]).await;
+        let jobs = 240;
+        let ids: Vec<String> = (0..jobs).map(|number| format!("{number:016x}")).collect();
+        let replies = join_all(
+            ids.iter()
+                .map(|id| bed.submit("e1", id, job("ms=1000", &[1]))),
+        )
+        .await;
+        assert!(replies.iter().all(|reply| *reply == Reply::Accepted));
+        sleep(FIRST_START).await;
+        let started = bed.world.crew.borrow().starts.len();
+        assert!(started >= jobs / 2, "{started} of {jobs} jobs started");
+    })
+    .await;
+}
+
+/// Load pattern: a wave of many empty VMs. While a holder gives its orders one after the other, no pool gets a VM.
+#[tokio::test(start_paused = true)]
+async fn wave_of_many_is_ordered_in_one_round() {
+    local(async {
+        let bed = Bed::new(120);
+        bed.start_all(&["e1", "e2"]).await;
+        let vms = bed.world.vms.borrow().keys().cloned().collect();
+        bed.world.order_wave(Wave {
+            number: 1,
+            vms,
+            time: Duration::from_secs(8),
+            at_once: 107,
+        });
+        sleep(ORDERS_SENT).await;
+        let vms = bed.world.vms.borrow();
+        let down = vms
+            .values()
+            .filter(|vm| vm.state == VmState::Maintained)
+            .count();
+        assert_eq!(down, 107);
+    })
+    .await;
+}
--- a/crates/grid/tests/entry/main.rs
+++ b/crates/grid/tests/entry/main.rs
@@ -1,5 +1,6 @@
 //! Entries against a platform in memory, on a paused clock.
 
+mod burst;
 mod calls;
 mod common;
 mod faults;
