fleet: a new holder waits for what is left of each VM's gap

Change: the record holds the age of each order by the steady clock of the holder that sent it. An order may be sent only while its VM is stored with the age 0, so a record is never younger than an order. The old form is read with ages of 0. Result: take_over_leaves_each_vm_alone_for_the_rest_of_its_gap and two more in a module without network; with one gap for all, as before, the first fails by its words.

--- a/crates/grid/src/fleet/mod.rs
+++ b/crates/grid/src/fleet/mod.rs
@@ -18,6 +18,7 @@
 use std::time::{Duration, Instant};
 
 use goldcrest_jobs::id::VmId;
+use goldcrest_jobs::recent::RecentOrders;
 use goldcrest_jobs::size::Sizes;
 use goldcrest_jobs::upkeep::{Running, Upkeep, Vm, VmState, Wave, WaveProgress};
 use goldcrest_types::names::PoolName;
@@ -72,19 +73,16 @@
     evacuations: RefCell<BTreeMap<PoolName, Evacuation>>,
     /// Maintenance that was confirmed or may have been carried out, and when.
     ordered: RefCell<BTreeMap<VmId, Instant>>,
-    /// VMs about which orders were sent, and when.
-    recent: RefCell<BTreeMap<VmId, Instant>>,
-    /// What the store holds of these.
-    recent_stored: RefCell<(BTreeSet<VmId>, Revision)>,
-    /// VMs about which an earlier holder may have sent an order just before this one took the role.
-    quiet: RefCell<BTreeSet<VmId>>,
-    quiet_until: Instant,
+    /// VMs about which orders were sent of late, here or by an earlier holder.
+    recent: RefCell<RecentOrders>,
+    recent_revision: Cell<Revision>,
+    began_at: Instant,
     lost: CancellationToken,
 }
 
 /// Holds the role until it is lost or handed over.
 pub async fn run<P: Platform>(entry: Rc<Entry<P>>, held: Held, hand_over: CancellationToken) {
-    let quiet_until = entry.now() + entry.settings().vm_order_gap + GAP_MARGIN;
+    let began_at = entry.now();
     let fleet = Fleet {
         entry,
         held,
@@ -100,9 +98,8 @@
         evacuations: RefCell::default(),
         ordered: RefCell::default(),
         recent: RefCell::default(),
-        recent_stored: RefCell::default(),
-        quiet: RefCell::default(),
-        quiet_until,
+        recent_revision: Cell::new(Revision::ABSENT),
+        began_at,
         lost: CancellationToken::new(),
     };
     tokio::select! {
--- a/crates/grid/src/fleet/recent.rs
+++ b/crates/grid/src/fleet/recent.rs
@@ -1,22 +1,27 @@
-//! Which VMs orders were sent about of late.
+//! Which VMs orders were sent about of late, in the store.
 //!
-//! Two holders must not give orders about one VM within a time that the platform sets. So the VMs of a round are stored
-//! before its orders are sent, and a new holder leaves those alone for that time; all others it may order at once.
+//! The VMs of a round are stored before its orders are sent; see [`goldcrest_jobs::recent`] for what follows from that.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use goldcrest_jobs::id::VmId;
+use goldcrest_jobs::recent::OrderRecord;
 
 use crate::fleet::{Fleet, GAP_MARGIN};
 use crate::keys;
-use crate::ports::{CallError, Committed, Platform, Put, Txn};
+use crate::ports::{CallError, Committed, Item, Platform, Put, Txn};
 
 impl<P: Platform> Fleet<P> {
+    /// The time within which two holders must not give orders about one VM.
+    fn order_gap(&self) -> Duration {
+        self.entry.settings().vm_order_gap + GAP_MARGIN
+    }
+
     /// Whether an order about the VM may be sent.
     pub(super) fn may_order(&self, vm: &VmId) -> bool {
-        let is_quiet = self.quiet.borrow().contains(vm) && self.entry.now() < self.quiet_until;
-        let is_noted = self.recent_stored.borrow().0.contains(vm);
-        is_noted && !is_quiet && self.entry.valid_lease() == Some(self.held.lease)
+        self.recent.borrow().may_order(vm, self.entry.now())
+            && self.entry.valid_lease() == Some(self.held.lease)
     }
 
     /// Takes over what an earlier holder stored.
@@ -24,59 +29,63 @@
         let Some(item) = self.entry.read(keys::ORDERED).await? else {
             return Ok(());
         };
-        match keys::decode::<BTreeSet<VmId>>(&item.key, &item.value) {
-            Ok(vms) => {
-                self.quiet.borrow_mut().clone_from(&vms);
-                *self.recent_stored.borrow_mut() = (vms, item.revision);
-                Ok(())
-            }
-            Err(error) => Err(CallError::Malformed(error.to_string().into())),
-        }
+        let record = decode(&item)?;
+        log::info!(target: "maintenance", vms = record.ages_ms.len(); "Recent orders about VMs taken over.");
+        let gap = self.order_gap();
+        self.recent
+            .borrow_mut()
+            .take_over(&record, self.began_at, gap);
+        self.recent_revision.set(item.revision);
+        Ok(())
     }
 
     /// Stores the VMs about which orders are to be sent, beside those of late.
     pub(super) async fn note_orders(&self, next: BTreeSet<VmId>) -> Result<(), CallError> {
-        if next.is_empty() {
+        let gap = self.order_gap();
+        let record = self
+            .recent
+            .borrow_mut()
+            .record(&next, self.entry.now(), gap);
+        let Some(record) = record else {
             return Ok(());
-        }
-        let now = self.entry.now();
-        let gap = self.entry.settings().vm_order_gap + GAP_MARGIN;
-        let wanted: BTreeSet<VmId> = {
-            let mut recent = self.recent.borrow_mut();
-            recent.retain(|_, at| now.saturating_duration_since(*at) < gap);
-            recent.extend(next.iter().map(|vm| (vm.clone(), now)));
-            let mut wanted: BTreeSet<VmId> = recent.keys().cloned().collect();
-            if now < self.quiet_until {
-                wanted.extend(self.quiet.borrow().iter().cloned());
-            }
-            wanted
         };
-        let (stored, revision) = self.recent_stored.borrow().clone();
-        if next.is_subset(&stored) {
-            return Ok(());
-        }
         let txn = Txn {
-            expect: vec![self.held.guard(), (keys::ORDERED.into(), revision)],
+            expect: vec![
+                self.held.guard(),
+                (keys::ORDERED.into(), self.recent_revision.get()),
+            ],
             put: vec![Put {
                 key: keys::ORDERED.into(),
-                value: keys::encode(&wanted),
+                value: keys::encode(&record),
                 lease: None,
             }],
             ..Txn::default()
         };
         match self.entry.commit(&txn).await? {
             Committed::Done(revision) => {
-                *self.recent_stored.borrow_mut() = (wanted, revision);
+                self.recent.borrow_mut().stored(record);
+                self.recent_revision.set(revision);
                 Ok(())
             }
             Committed::Conflict(conflict) => {
                 self.check_held(&conflict);
                 let mut items = conflict.items.into_iter();
                 if let Some(item) = items.find(|item| item.key.as_ref() == keys::ORDERED) {
-                    self.recent_stored.borrow_mut().1 = item.revision;
+                    self.recent_revision.set(item.revision);
                 }
                 Err(CallError::NotDone("the list of orders has changed".into()))
             }
         }
     }
 }
+
+/// Earlier versions stored the VMs without ages: each order may have been sent just now.
+fn decode(item: &Item) -> Result<OrderRecord, CallError> {
+    let malformed = |error: keys::ValueError| CallError::Malformed(error.to_string().into());
+    keys::decode(&item.key, &item.value).or_else(|_| {
+        let vms: BTreeSet<VmId> = keys::decode(&item.key, &item.value).map_err(malformed)?;
+        Ok(OrderRecord {
+            ages_ms: vms.into_iter().map(|vm| (vm, 0)).collect(),
+        })
+    })
+}
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod job;
 pub mod pool;
 pub mod progress;
+pub mod recent;
 pub mod resources;
 pub mod share;
 pub mod size;
--- /dev/null
+++ b/crates/jobs/tests/recent.rs
@@ -0,0 +1,75 @@
+//! Orders about VMs around a change of their holder.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use goldcrest_jobs::id::VmId;
+use goldcrest_jobs::recent::{OrderRecord, RecentOrders};
+
+const GAP: Duration = Duration::from_secs(3);
+
+fn vms(names: &[&str]) -> BTreeSet<VmId> {
+    names.iter().map(|name| VmId::from(*name)).collect()
+}
+
+/// Stores the record for these VMs, as a holder does before it sends the orders.
+fn order(orders: &mut RecentOrders, names: &[&str], now: Instant) -> OrderRecord {
+    let record = orders
+        .record(&vms(names), now, GAP)
+        .expect("a record to store");
+    orders.stored(record.clone());
+    record
+}
+
+/// Load pattern: a pool's turn begins in the second in which the holder of the fleet is lost, just after many VMs went to the
+/// spare pool. The new holder waits for what is left of each VM's gap, not for a whole one.
+#[test]
+fn take_over_leaves_each_vm_alone_for_the_rest_of_its_gap() {
+    let began_at = Instant::now();
+    let mut first = RecentOrders::default();
+    order(&mut first, &["early"], began_at);
+    let lost_at = began_at + Duration::from_millis(2_500);
+    let record = order(&mut first, &["late"], lost_at);
+    let mut second = RecentOrders::default();
+    let taken_at = lost_at + Duration::from_millis(1_500);
+    second.take_over(&record, taken_at, GAP);
+    order(&mut second, &["early", "late", "other"], taken_at);
+    let may_order = |vm: &str, after_ms: u64| {
+        let at = taken_at + Duration::from_millis(after_ms);
+        second.may_order(&VmId::from(vm), at)
+    };
+    assert!(may_order("other", 0));
+    assert!(!may_order("early", 499));
+    assert!(may_order("early", 500));
+    assert!(!may_order("late", 2_999));
+    assert!(may_order("late", 3_000));
+}
+
+/// A second order about a VM is as good as new: the stored age of the first one would end its gap too soon.
+#[test]
+fn record_repeated_order_is_stored_again() {
+    let began_at = Instant::now();
+    let mut orders = RecentOrders::default();
+    order(&mut orders, &["a"], began_at);
+    let later = began_at + Duration::from_secs(1);
+    let record = order(&mut orders, &["b"], later);
+    assert_eq!(record.ages_ms[&VmId::from("a")], 1_000);
+    assert!(!orders.may_order(&VmId::from("a"), later));
+    let record = order(&mut orders, &["a"], later);
+    assert_eq!(record.ages_ms[&VmId::from("a")], 0);
+    assert_eq!(orders.record(&vms(&["a"]), later, GAP), None);
+}
+
+/// A holder that is lost before its predecessor's gaps are over hands them on.
+#[test]
+fn record_keeps_the_predecessors_gaps() {
+    let began_at = Instant::now();
+    let mut orders = RecentOrders::default();
+    let record = OrderRecord {
+        ages_ms: [(VmId::from("a"), 500)].into(),
+    };
+    orders.take_over(&record, began_at, GAP);
+    let later = began_at + Duration::from_secs(1);
+    let record = order(&mut orders, &["b"], later);
+    assert_eq!(record.ages_ms[&VmId::from("a")], 1_500);
+}
