fleet: orders about VMs do not leave once the role may be over

Cause, found by reading for the fault 'a paused process acted on a permission that had run out': the role was checked before a round's orders were handed to the HTTP client, which may wait 0.6 s for a connection, and a process may be paused there for seconds. The platform does not check tokens on these deployments, so a late order would have moved a VM that the next holder uses. Ruled out: the stored record of orders (its gap is 3.3 s, a pause may be longer).

jobs, fleet: pools get VMs by the work that arrives. Change: the scheduler publishes the rate of the work that is submitted, less what chance may add, and its services' need.

--- a/crates/grid/src/fleet/mod.rs
+++ b/crates/grid/src/fleet/mod.rs
@@ -168,11 +168,15 @@
         Ok(has_waves || !evacuate.is_empty())
     }
 
-    fn holder(&self) -> Holder {
-        Holder {
+    /// The sender of orders, while the role certainly stands.
+    fn holder(&self) -> Option<Holder> {
+        let session = (*self.entry.session.borrow())?;
+        let is_valid = session.lease == self.held.lease && self.entry.now() < session.valid_until;
+        is_valid.then(|| Holder {
             entry: self.entry.settings().name.clone(),
             token: self.held.token(),
-        }
+            valid_until: session.valid_until,
+        })
     }
 
     async fn load(&self) -> Result<(), CallError> {
--- a/crates/grid/src/fleet/moves.rs
+++ b/crates/grid/src/fleet/moves.rs
@@ -4,7 +4,7 @@
 
 use futures_util::future::join_all;
 use goldcrest_jobs::id::VmId;
-use goldcrest_jobs::size::{Facts, PoolLoad, SizePlan, is_rising};
+use goldcrest_jobs::size::{Facts, PoolLoad, SizePlan};
 use goldcrest_jobs::upkeep::Vm;
 use goldcrest_types::names::PoolName;
 
@@ -22,9 +22,9 @@
         let statuses = self.statuses.borrow();
         sizes.homes.is_empty()
             || sizes.has_guests()
-            || statuses.values().any(|status| {
-                status.backlog > 0 || is_rising(status.used.cpu_millis, status.capacity.cpu_millis)
-            })
+            || statuses
+                .values()
+                .any(|status| status.backlog > 0 || status.is_busy())
     }
 
     pub(super) fn plan_sizes(
@@ -44,6 +44,7 @@
                 let load = PoolLoad {
                     capacity_millis: status.capacity.cpu_millis,
                     used_millis: status.used.cpu_millis,
+                    demand_millis: status.demand_millis,
                     backlog: status.backlog,
                     light: status.light.clone(),
                 };
@@ -77,7 +78,9 @@
     }
 
     async fn order_move(&self, vm: VmId, pool: PoolName) {
-        let holder = self.holder();
+        let Some(holder) = self.holder() else {
+            return;
+        };
         let platform = &self.entry.platform;
         let result = platform.move_vm(&holder, &vm, &pool, ORDER_TIMEOUT).await;
         log::info!(target: "sizing", vm:% = vm, to:% = pool, token:% = self.held.token(), result:?; "VM ordered to another pool.");
--- a/crates/grid/src/fleet/recent.rs
+++ b/crates/grid/src/fleet/recent.rs
@@ -20,8 +20,7 @@
 
     /// Whether an order about the VM may be sent.
     pub(super) fn may_order(&self, vm: &VmId) -> bool {
-        self.recent.borrow().may_order(vm, self.entry.now())
-            && self.entry.valid_lease() == Some(self.held.lease)
+        self.recent.borrow().may_order(vm, self.entry.now()) && self.holder().is_some()
     }
 
     /// Takes over what an earlier holder stored.
--- a/crates/grid/src/fleet/waves.rs
+++ b/crates/grid/src/fleet/waves.rs
@@ -86,7 +86,9 @@
 
     /// Orders a VM's maintenance; returns whether that is confirmed.
     async fn take_down(&self, vm: &VmId, wave: u64) -> bool {
-        let holder = self.holder();
+        let Some(holder) = self.holder() else {
+            return false;
+        };
         let platform = &self.entry.platform;
         let result = platform.maintain_vm(&holder, vm, wave, ORDER_TIMEOUT).await;
         log::info!(target: "maintenance", vm:% = vm, wave, token:% = self.held.token(), result:?; "VM ordered down for maintenance.");
--- a/crates/grid/src/keys/mod.rs
+++ b/crates/grid/src/keys/mod.rs
@@ -23,6 +23,7 @@
 
 use goldcrest_jobs::id::{JobId, VmId, WorkerId};
 use goldcrest_jobs::resources::Resources;
+use goldcrest_jobs::size::is_rising;
 use goldcrest_jobs::spec::JobState;
 use goldcrest_types::names::{PoolName, QueueName, TeamName};
 use quick_error::quick_error;
@@ -117,10 +118,22 @@
     pub used: Resources,
     /// The work of tasks that could start if there were room, in thousandths of a core times milliseconds.
     pub backlog: u64,
+    /// What its services and the work that arrives need, in thousandths of a core.
+    #[serde(default)]
+    pub demand_millis: u64,
     /// Workers that could leave, those with the least to lose first.
     pub light: Vec<WorkerId>,
 }
 
+impl PoolStatus {
+    /// Whether the pool needs so much of what it has that its turn may have begun.
+    #[must_use]
+    pub fn is_busy(&self) -> bool {
+        let needed = self.used.cpu_millis.max(self.demand_millis);
+        is_rising(needed, self.capacity.cpu_millis)
+    }
+}
+
 /// A role that one entry holds at a time.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Role {
--- a/crates/grid/src/pool/status.rs
+++ b/crates/grid/src/pool/status.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use goldcrest_jobs::resources::Resources;
-use goldcrest_jobs::size::is_rising;
 
 use crate::keys::{self, PoolStatus};
 use crate::pool::Scheduler;
@@ -19,16 +18,22 @@
 /// A backlog that has changed by less than this does not matter to the pool's size: a VM's work of some hundred milliseconds.
 const BACKLOG_STEP: u64 = 16_000 * 300;
 
+/// A rise of the demand by less than the pool's capacity divided by this can wait for the next publication.
+const DEMAND_PARTS: u64 = 16;
+
 /// Whether the fleet's holder should hear of the change at once.
 fn is_urgent(published: &PoolStatus, status: &PoolStatus) -> bool {
     published.evacuated != status.evacuated
         || published.backlog.abs_diff(status.backlog) > BACKLOG_STEP
         || (published.backlog == 0) != (status.backlog == 0)
-        || is_busy(published) != is_busy(status)
+        || published.is_busy() != status.is_busy()
+        || status.is_busy() && is_demand_risen(published, status)
 }
 
-fn is_busy(status: &PoolStatus) -> bool {
-    is_rising(status.used.cpu_millis, status.capacity.cpu_millis)
+/// Whether so much more is needed than the fleet's holder knows that it should send VMs.
+fn is_demand_risen(published: &PoolStatus, status: &PoolStatus) -> bool {
+    let risen = status.demand_millis.saturating_sub(published.demand_millis);
+    risen > status.capacity.cpu_millis / DEMAND_PARTS
 }
 
 impl<P: Platform> Scheduler<P> {
@@ -74,6 +79,7 @@
             capacity,
             used,
             backlog: pool.backlog(),
+            demand_millis: pool.demand_millis(self.now()),
             light: pool.light_workers(),
         }
     }
--- a/crates/grid/src/ports/mod.rs
+++ b/crates/grid/src/ports/mod.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use goldcrest_jobs::catalogue::Catalogue;
 use goldcrest_jobs::id::{FencingToken, RunNumber, StepId, TaskId, VmId, WorkerId};
@@ -344,6 +344,9 @@
     pub entry: Box<str>,
     /// Its token.
     pub token: FencingToken,
+    /// After this time on the entry's clock its role may be over, and no order may leave any more. The platform may not check
+    /// tokens, so nothing behind the sender stops an order that a paused process sends late.
+    pub valid_until: Instant,
 }
 
 /// How the platform refused an order about a VM.
--- a/crates/jobs/src/pool/facts.rs
+++ b/crates/jobs/src/pool/facts.rs
@@ -33,6 +33,8 @@
         let job = self.open(record, age, now);
         if job.outcome.is_some() {
             self.unsaved.insert(job.id());
+        } else {
+            self.arrivals.note(&job, now);
         }
         self.jobs.insert(job.id(), job);
     }
--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -12,6 +12,7 @@
 //! [`Pool::plan`] runs the passes, one file each: [`release`], [`settle`], [`evacuate`], `doubt`, [`order`],
 //! [`permits`], [`place`], [`pace`].
 
+mod arrivals;
 mod doubt;
 pub mod evacuate;
 mod event;
@@ -36,6 +37,7 @@
 use crate::estimate::Estimates;
 use crate::id::{FencingToken, JobId, RunNumber, StepId, TaskId, WorkerId, WorkerRef};
 use crate::job::Job;
+use crate::pool::arrivals::Arrivals;
 use crate::resources::Resources;
 use crate::worker::{Worker, millis};
 
@@ -202,6 +204,7 @@
     events: Vec<Event>,
     queue_order: Vec<JobId>,
     estimates: Estimates,
+    arrivals: Arrivals,
     permits: BTreeMap<StepId, permits::StepPermits>,
     /// Tasks whose one run is doubtful and which may run in copies, as of the last plan.
     copies_wanted: BTreeSet<TaskId>,
@@ -237,6 +240,7 @@
             events: Vec::new(),
             queue_order: Vec::new(),
             estimates: Estimates::default(),
+            arrivals: Arrivals::default(),
             permits: BTreeMap::new(),
             copies_wanted: BTreeSet::new(),
             unfit_looked_at: None,
@@ -395,6 +399,16 @@
         .sum()
     }
 
+    /// The processors that the pool needs for its services and to do arriving work as fast as it comes, in thousandths of a core.
+    #[must_use]
+    pub fn demand_millis(&self, now: Instant) -> u64 {
+        let runs = self.workers.values().flat_map(|it| it.runs.values());
+        let services = runs.filter(|run| run.is_service);
+        let of_services: u64 = services.map(|run| run.reserved.cpu_millis).sum();
+        let is_held = |team: &TeamName| self.short.contains_key(team);
+        of_services + self.arrivals.rate_millis(now, is_held)
+    }
+
     /// Workers that run no service, those with the fewest runs first.
     #[must_use]
     pub fn light_workers(&self) -> Vec<WorkerId> {
--- a/crates/jobs/src/size/mod.rs
+++ b/crates/jobs/src/size/mod.rs
@@ -1,8 +1,8 @@
 //! Sizes of pools: which VMs move between the spare pool and the others.
 //!
 //! Load pattern: demand turns from one pool to the next, each asking several times its mean for some seconds and little in between. A
-//! pool whose backlog would take longer than [`HORIZON`] to work off lacks VMs; so does one that is nearly full, as the next
-//! moment brings the backlog. It gets them at once from the spare
+//! pool whose backlog would take longer than [`HORIZON`] to work off lacks VMs; so does one that is nearly full, or to which
+//! more work comes than it can do, as the next moment brings the backlog. It gets them at once from the spare
 //! pool, then from pools that hold more than they need and more than their home size. What a pool holds beyond its home
 //! size goes back once it is calm: first to pools below their home size, then to the spare pool.
 //!
@@ -52,6 +52,8 @@
     pub capacity_millis: u64,
     /// How much of these is in use.
     pub used_millis: u64,
+    /// How much its services and the work that arrives need.
+    pub demand_millis: u64,
     /// The work of tasks that could start if there were room, in thousandths of a core times milliseconds.
     pub backlog: u64,
     /// Workers that could leave, those with the least to lose first.
@@ -205,6 +207,7 @@
             let of_vm = (load.capacity_millis / up).max(1);
             let horizon_ms = u64::try_from(HORIZON.as_millis()).unwrap_or(u64::MAX);
             let demand = load.used_millis + load.backlog / horizon_ms;
+            let demand = demand.max(load.demand_millis);
             let demand = if is_rising(demand, load.capacity_millis) {
                 demand * HEADROOM_PERCENT / 100
             } else {
--- a/crates/jobs/tests/size.rs
+++ b/crates/jobs/tests/size.rs
@@ -61,6 +61,7 @@
         let load = PoolLoad {
             capacity_millis: VM_MILLIS * u64::try_from(self.count(name)).unwrap_or(0),
             used_millis: VM_MILLIS * used_vms,
+            demand_millis: 0,
             backlog: VM_MILLIS * 1_000 * backlog_s,
             light,
         };
@@ -274,3 +275,16 @@
     // The spare VMs stay where they are needed.
     assert_eq!((fleet.count("a"), fleet.count("b")), (4, 8));
 }
+
+/// Load pattern: more work comes than the pool can do, while most of the pool is still free.
+#[test]
+fn plan_arriving_work_gets_spare_vms_before_a_backlog() {
+    let mut fleet = Fleet::new();
+    fleet.load("a", 1, 0);
+    fleet.load("b", 0, 0);
+    let arriving = fleet.loads.get_mut(&pool("a")).expect("a load");
+    arriving.demand_millis = VM_MILLIS * 5;
+    fleet.plan();
+    // Five VMs and some headroom.
+    assert_eq!(fleet.count("a"), 7);
+}
