jobs, platform: values at the edge of their types stop no scheduler

Cause, looked for as the fault 'one bad message ended a process': two steps of 1e22 ms each were accepted, and adding their chain up panicked in the scheduler of the pool and in each of its successors; a worker's clock near the largest number did the same when its leases were counted; a job of 4e9 occurrences due at once opened them all; a run listed under an unknown occurrence opened that. The work of a step is computed in one place (it stood three times), and saturates.

--- a/crates/grid/src/fleet/waves.rs
+++ b/crates/grid/src/fleet/waves.rs
@@ -32,7 +32,7 @@
                 let has = status.capacity.cpu_millis.max(1);
                 // The work that waits counts as if it were to be done in a second.
                 let wanted = status.used.cpu_millis + status.backlog / 1_000;
-                (pool.clone(), wanted * 1_000 / has)
+                (pool.clone(), wanted.saturating_mul(1_000) / has)
             })
             .collect();
         // Spare VMs are about to move to a pool in its turn.
--- a/crates/grid/src/pool/load.rs
+++ b/crates/grid/src/pool/load.rs
@@ -79,7 +79,14 @@
 
     /// Reads a submitted job.
     pub(super) fn read_record(&self, item: &Item) -> Option<JobRecord> {
-        match keys::decode(&item.key, &item.value) {
+        let record = keys::decode::<JobRecord>(&item.key, &item.value);
+        if let Ok(record) = &record
+            && let Err(error) = record.spec.check()
+        {
+            log::error!(target: "scheduler", pool:% = self.name, job:% = record.id, error:%; "A submitted job that can't be run is skipped.");
+            return None;
+        }
+        match record {
             Ok(record) => Some(record),
             Err(error) => {
                 log::error!(target: "scheduler", pool:% = self.name, error:%; "A submitted job is skipped.");
--- a/crates/jobs/src/job/mod.rs
+++ b/crates/jobs/src/job/mod.rs
@@ -11,7 +11,7 @@
 
 use crate::id::{JobId, RunNumber, StepId, TaskId, WorkerId};
 use crate::progress::{IndexSet, OccurrenceProgress, Progress, StepProgress, TaskProgress};
-use crate::spec::{JobRecord, JobState, Step};
+use crate::spec::{JobRecord, JobState, Step, TASKS_MAX};
 
 /// A task of an open job.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -228,7 +228,7 @@
         &self.record.queue
     }
 
-    /// Creates the occurrences that are due at `wall_ms`.
+    /// Creates the occurrences that are due at `wall_ms`, as long as those that are open have no more than [`TASKS_MAX`] tasks.
     pub fn open_due(&mut self, wall_ms: u64, now: Instant) {
         let Some(schedule) = self.record.spec.schedule else {
             if !self.occurrences_done.contains(0) && self.occurrences.is_empty() {
@@ -237,7 +237,8 @@
             return;
         };
         for occurrence in 0..schedule.occurrences {
-            if schedule.due_ms(occurrence) > wall_ms {
+            let is_full = !self.occurrences.is_empty() && self.open_tasks() >= TASKS_MAX;
+            if schedule.due_ms(occurrence) > wall_ms || is_full {
                 break;
             }
             if !self.occurrences_done.contains(occurrence)
@@ -248,8 +249,25 @@
         }
     }
 
+    /// The tasks of the occurrences that are open.
+    fn open_tasks(&self) -> u64 {
+        let of_one: u64 = self
+            .record
+            .spec
+            .steps
+            .iter()
+            .map(|step| u64::from(step.tasks))
+            .sum();
+        let open = u64::try_from(self.occurrences.len()).unwrap_or(u64::MAX);
+        of_one.saturating_mul(open)
+    }
+
     /// Creates an occurrence that a run was found of.
     pub fn open_occurrence(&mut self, occurrence: u32, now: Instant) {
+        let schedule = self.record.spec.schedule;
+        if occurrence >= schedule.map_or(1, |schedule| schedule.occurrences) {
+            return;
+        }
         let is_known = self.occurrences_done.contains(occurrence)
             || self.occurrences.contains_key(&occurrence);
         if !is_known {
--- a/crates/jobs/src/pool/arrivals.rs
+++ b/crates/jobs/src/pool/arrivals.rs
@@ -44,14 +44,11 @@
             return;
         }
         let steps = job.record.spec.steps.iter().zip(&job.step_times);
-        let of_steps = steps.map(|(step, time)| {
-            let of_task = step.reserved().cpu_millis * millis(*time);
-            of_task * u64::from(step.tasks)
-        });
+        let of_steps = steps.map(|(step, time)| step.work(step.tasks, *time));
         self.recent.push_back(Arrival {
             at: now,
             team: job.record.team.clone(),
-            work: of_steps.sum(),
+            work: of_steps.fold(0, u64::saturating_add),
         });
     }
 
@@ -65,14 +62,15 @@
             let recent = recent.take_while(|it| now.saturating_duration_since(it.at) <= window);
             let counted = recent.filter(|it| !it.team.as_ref().is_some_and(&is_held));
             let (jobs, work) = counted.fold((0_u32, 0_u64), |(jobs, work), it| {
-                (jobs + 1, work + it.work)
+                (jobs + 1, work.saturating_add(it.work))
             });
             if jobs < JOBS_MIN {
                 return 0;
             }
             // The spread of a count is its root.
             let certain = u64::from(jobs - jobs.isqrt());
-            work / millis(window).max(1) * certain / u64::from(jobs)
+            let rate = work / millis(window).max(1);
+            rate / u64::from(jobs) * certain
         };
         WINDOWS.into_iter().map(of_window).max().unwrap_or_default()
     }
--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -39,7 +39,7 @@
 use crate::job::Job;
 use crate::pool::arrivals::Arrivals;
 use crate::resources::Resources;
-use crate::worker::{Worker, millis};
+use crate::worker::Worker;
 
 pub use event::Event;
 
@@ -385,18 +385,15 @@
                     let timed = steps.zip(&job.step_times);
                     timed.filter(|((step, _), _)| occurrence.is_open(step))
                 })
-                .map(|((step, state), time)| {
-                    let of_task = step.reserved().cpu_millis * millis(*time);
-                    of_task * u64::from(state.idle)
-                })
-                .sum()
+                .map(|((step, state), time)| step.work(state.idle, *time))
+                .fold(0, u64::saturating_add)
         };
         jobs.filter(|job| {
             let team = job.record.team.as_ref();
             team.is_none_or(|team| !self.short.contains_key(team))
         })
         .map(of_step)
-        .sum()
+        .fold(0, u64::saturating_add)
     }
 
     /// The processors that the pool needs for its services and to do arriving work as fast as it comes, in thousandths of a core.
--- a/crates/jobs/src/pool/order.rs
+++ b/crates/jobs/src/pool/order.rs
@@ -11,7 +11,6 @@
 
 use crate::job::{Job, Occurrence};
 use crate::pool::Pool;
-use crate::worker::millis;
 
 /// Up to this multiple of the objective a completion still has some value.
 const LATE_FACTOR: u32 = 3;
@@ -62,12 +61,11 @@
     let of_tasks = |occurrence: &Occurrence| -> u64 {
         let steps = steps.clone().zip(&occurrence.steps);
         steps
-            .map(|((step, time), state)| {
-                step.reserved().cpu_millis * millis(*time) * u64::from(state.idle)
-            })
-            .sum()
+            .map(|((step, time), state)| step.work(state.idle, *time))
+            .fold(0, u64::saturating_add)
     };
-    job.occurrences.values().map(of_tasks).sum()
+    let occurrences = job.occurrences.values();
+    occurrences.map(of_tasks).fold(0, u64::saturating_add)
 }
 
 fn has_idle(job: &Job) -> bool {
--- a/crates/jobs/src/pool/report.rs
+++ b/crates/jobs/src/pool/report.rs
@@ -11,6 +11,10 @@
     Contact, EndRow, Origin, Phase, Recent, Report, Run, RunEnd, RunKey, RunningRow,
 };
 
+/// No clock of a worker shows more, in milliseconds: whole numbers beyond this can't be told apart in the messages. Leases are
+/// added to it.
+const CLOCK_MS_MAX: u64 = 1 << 53;
+
 /// The most ends that a report lists. With that many there may be more. From the platform's pages.
 const ENDS_PER_REPORT: usize = 500;
 
@@ -37,7 +41,8 @@
         let Some(it) = self.workers.get_mut(&worker) else {
             return false;
         };
-        it.clock = Some((report.clock_ms, now));
+        let clock_ms = report.clock_ms.min(CLOCK_MS_MAX);
+        it.clock = Some((clock_ms, now));
         it.answered_at = Some(now);
         it.is_full = false;
         let is_new = !it.is_fenced();
@@ -49,7 +54,7 @@
             } else {
                 self.bounds.hold_max
             };
-            let offered_ms = report.clock_ms + crate::worker::millis(longest);
+            let offered_ms = clock_ms + crate::worker::millis(longest);
             it.lease_until_ms = it.lease_until_ms.max(offered_ms);
             let id = it.info.id.clone();
             if let Some(takeover) = &mut self.takeover {
@@ -68,7 +73,7 @@
             self.take_running(worker, row, now);
         }
         if !may_have_more {
-            self.drop_unlisted(worker, &listed, sent_at, report.clock_ms);
+            self.drop_unlisted(worker, &listed, sent_at, clock_ms);
         }
         has_ends
     }
--- a/crates/jobs/src/spec/mod.rs
+++ b/crates/jobs/src/spec/mod.rs
@@ -12,6 +12,7 @@
 
 use crate::id::{JobId, Label};
 use crate::resources::Resources;
+use crate::worker::millis;
 
 /// The largest payload, in bytes. From the submitters' interface.
 pub const PAYLOAD_BYTES_MAX: usize = 4_000;
@@ -19,6 +20,12 @@
 /// The most tasks of one occurrence of a job. Bounds the memory that one submission can take.
 pub const TASKS_MAX: u64 = 100_000;
 
+/// The longest time that a task may be estimated to take: a month. Sums of longer ones could pass what a time can hold.
+pub const ESTIMATE_MAX: Duration = Duration::from_hours(24 * 31);
+
+/// The most of a kind of resource that a task may ask for, far beyond any worker. Sums of larger amounts could overflow.
+pub const DEMAND_MAX: u64 = 1_000_000_000;
+
 /// Chains of jobs with at most this many steps are computed without the heap. Most jobs have fewer.
 const STEPS_ON_STACK: usize = 8;
 
@@ -38,6 +45,14 @@
         Order(step: usize, after: u32) {
             display("step {step} waits for step {after}: a step may only wait for earlier ones")
         }
+        /// A task that is estimated to take too long.
+        Estimate(step: usize) {
+            display("the tasks of step {step} are estimated to take over a month: split them")
+        }
+        /// A task that asks for more than any worker has.
+        Demand(step: usize) {
+            display("a task of step {step} asks for more than {DEMAND_MAX} of a resource: check its unit")
+        }
         /// The payload is too long.
         Payload(bytes: usize) {
             display("the payload has {bytes} bytes: give at most {PAYLOAD_BYTES_MAX}")
@@ -135,6 +150,13 @@
         self.has(Feature::BestEffort)
     }
 
+    /// The work of `tasks` tasks that take `time` each, in thousandths of a core times milliseconds.
+    #[must_use]
+    pub fn work(&self, tasks: u32, time: Duration) -> u64 {
+        let of_task = self.reserved().cpu_millis.saturating_mul(millis(time));
+        of_task.saturating_mul(u64::from(tasks))
+    }
+
     /// What a task of this step reserves on its worker.
     #[must_use]
     pub fn reserved(&self) -> Resources {
@@ -199,6 +221,17 @@
             if it.tasks == 0 {
                 return Err(SpecError::NoTasks(step));
             }
+            if it.estimate > ESTIMATE_MAX {
+                return Err(SpecError::Estimate(step));
+            }
+            let most = Resources {
+                cpu_millis: DEMAND_MAX,
+                memory_mb: DEMAND_MAX,
+                accelerators: DEMAND_MAX,
+            };
+            if !it.demand.fits(&most) {
+                return Err(SpecError::Demand(step));
+            }
             if let Some(after) = it.after.iter().find(|after| **after as usize >= step) {
                 return Err(SpecError::Order(step, *after));
             }
--- /dev/null
+++ b/crates/jobs/tests/extremes.rs
@@ -0,0 +1,229 @@
+//! Values at the edge of what their types hold: a job that is taken and a worker's report must not stop a pool's scheduler.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use goldcrest_jobs::catalogue::{Catalogue, PoolSpec, Queue};
+use goldcrest_jobs::id::{FencingToken, JobId, RunNumber, StepId, TaskId, WorkerId};
+use goldcrest_jobs::pool::{Bounds, Pool};
+use goldcrest_jobs::resources::Resources;
+use goldcrest_jobs::spec::{
+    DEMAND_MAX, ESTIMATE_MAX, Feature, JobRecord, JobSpec, Schedule, SpecError, Step, TASKS_MAX,
+};
+use goldcrest_jobs::worker::{EndRow, Report, RunEnd, RunningRow, WorkerInfo};
+use quickcheck::quickcheck;
+
+const FEATURES: [Feature; 6] = [
+    Feature::Checkpointing,
+    Feature::Gang,
+    Feature::SameRack,
+    Feature::Speculative,
+    Feature::Service,
+    Feature::BestEffort,
+];
+
+fn id() -> JobId {
+    "00000000000000a1".parse().expect("an id")
+}
+
+fn pool() -> Pool {
+    let name = || "p".parse().expect("a name");
+    let queue = Queue {
+        name: "q".parse().expect("a name"),
+        host: "host".into(),
+        prefix: "/q/".into(),
+        pool: name(),
+        is_open: true,
+        priority: 0,
+        attempts_max: 2,
+        stretch_milli: 1_600,
+        target_latency: Duration::from_millis(600),
+        timeout: Duration::from_secs(3),
+        needs_permits: false,
+    };
+    let spec = PoolSpec {
+        name: name(),
+        has_admission_control: true,
+        is_spare: false,
+    };
+    let catalogue = Catalogue::new(1, vec![queue], vec![spec], Vec::new());
+    let token = FencingToken(1);
+    let mut pool = Pool::new(name(), token, Bounds::default(), Arc::new(catalogue));
+    let info = WorkerInfo {
+        id: WorkerId::from("w"),
+        born_ms: Some(1),
+        address: "w".into(),
+        dc: None,
+        capacity: Resources {
+            cpu_millis: 4_000,
+            memory_mb: 8_000,
+            accelerators: 0,
+        },
+        labels: Vec::new(),
+        is_draining: false,
+        remaining: None,
+    };
+    pool.set_workers(vec![info], Instant::now());
+    pool
+}
+
+/// Tasks, an amount of each resource, an estimate in milliseconds, and bits that choose features.
+type StepValues = (u32, u64, u64, u8);
+
+fn step(at: usize, (tasks, amount, estimate_ms, bits): StepValues) -> Step {
+    let chosen = FEATURES
+        .iter()
+        .enumerate()
+        .filter(|(bit, _)| bits & (1 << bit) != 0);
+    Step {
+        tasks,
+        demand: Resources {
+            cpu_millis: amount,
+            memory_mb: amount,
+            accelerators: 0,
+        },
+        estimate: Duration::from_millis(estimate_ms),
+        after: at
+            .checked_sub(1)
+            .and_then(|before| u32::try_from(before).ok())
+            .into_iter()
+            .collect(),
+        features: chosen.map(|(_, feature)| *feature).collect(),
+        ..Step::default()
+    }
+}
+
+fn record(steps: Vec<Step>, schedule: Option<Schedule>) -> JobRecord {
+    JobRecord {
+        id: id(),
+        queue: "q".parse().expect("a name"),
+        team: None,
+        accepted_ms: 0,
+        spec: JobSpec {
+            payload: "".into(),
+            steps,
+            schedule,
+        },
+        is_cancelled: false,
+    }
+}
+
+fn plan(pool: &mut Pool, now: Instant) {
+    pool.plan(now, 1_000_000);
+    let _ = pool.backlog();
+    let _ = pool.demand_millis(now);
+    pool.take_events();
+}
+
+quickcheck! {
+    fn submit_any_job_that_is_taken(
+        steps: Vec<StepValues>,
+        schedule: Option<(u32, u64, u64)>,
+        age_ms: u64
+    ) -> bool {
+        // A step of many tasks is slow in a debug build; how many there may be is checked apart from this.
+        let longest_ms = u64::try_from(ESTIMATE_MAX.as_millis()).expect("a month");
+        let steps = steps.into_iter().map(|(tasks, amount, ms, bits)| {
+            (tasks % 500 + 1, amount % (DEMAND_MAX + 1), ms % (longest_ms + 1), bits)
+        });
+        let steps: Vec<Step> = steps.enumerate().map(|(at, values)| step(at, values)).collect();
+        let has_no_steps = steps.is_empty();
+        let schedule = schedule.map(|(occurrences, first_due_ms, interval_ms)| Schedule {
+            occurrences,
+            first_due_ms,
+            interval: Duration::from_millis(interval_ms),
+        });
+        let record = record(steps, schedule);
+        let is_taken = record.spec.check().is_ok();
+        if is_taken {
+            let mut pool = pool();
+            let now = Instant::now();
+            pool.submit(record, Duration::from_millis(age_ms), now);
+            plan(&mut pool, now);
+        }
+        is_taken || has_no_steps
+    }
+
+    fn report_any_values(
+        clock_ms: u64,
+        born_ms: Option<u64>,
+        running: Vec<(u64, u32, u32, u32)>,
+        ended: Vec<(u64, u64, u32)>
+    ) -> bool {
+        let mut pool = pool();
+        let now = Instant::now();
+        pool.submit(record(vec![step(0, (2, 1, 1, 0))], None), Duration::ZERO, now);
+        let worker = *pool.workers().keys().next().expect("a worker");
+        let task = |occurrence, index| TaskId {
+            step: StepId { job: id(), occurrence, step: 0 },
+            index,
+        };
+        let report = Report {
+            clock_ms,
+            born_ms,
+            running: running
+                .into_iter()
+                .map(|(run, occurrence, index, percent)| RunningRow {
+                    task: task(occurrence, index),
+                    run: RunNumber(run),
+                    checkpoint: None,
+                    percent,
+                    load: f64::from(percent) * f64::MAX,
+                })
+                .collect(),
+            ended: ended
+                .into_iter()
+                .map(|(number, run, index)| EndRow {
+                    number,
+                    task: task(0, index),
+                    run: RunNumber(run),
+                    end: RunEnd::Failed,
+                    checkpoint: None,
+                })
+                .collect(),
+        };
+        pool.report(worker, now, report, now);
+        plan(&mut pool, now);
+        true
+    }
+}
+
+/// Two steps of half of all time each: their chain could not be added up, and stopped the scheduler of the pool, and each of
+/// its successors.
+#[test]
+fn check_estimates_beyond_all_time() {
+    let mut steps: Vec<Step> = (0..2).map(|at| step(at, (1, 1, 1, 0))).collect();
+    for step in &mut steps {
+        step.estimate = Duration::MAX;
+    }
+    let spec = record(steps, None).spec;
+    assert_eq!(spec.check(), Err(SpecError::Estimate(0)));
+}
+
+#[test]
+fn check_demand_beyond_any_worker() {
+    let spec = record(vec![step(0, (1, u64::MAX, 1, 0))], None).spec;
+    assert_eq!(spec.check(), Err(SpecError::Demand(0)));
+}
+
+/// All occurrences of a job are due at once: no more are opened than one submission may have tasks.
+#[test]
+fn open_due_occurrences_within_the_bound() {
+    let schedule = Schedule {
+        occurrences: u32::MAX,
+        first_due_ms: 0,
+        interval: Duration::ZERO,
+    };
+    let mut pool = pool();
+    let now = Instant::now();
+    let steps = vec![step(0, (10_000, 1, 1, 0))];
+    pool.submit(record(steps, Some(schedule)), Duration::ZERO, now);
+    plan(&mut pool, now);
+    let open: usize = pool.jobs()[&id()]
+        .occurrences
+        .values()
+        .flat_map(|occurrence| &occurrence.steps)
+        .map(|step| step.tasks.len())
+        .sum();
+    assert_eq!(u64::try_from(open), Ok(TASKS_MAX));
+}
