grid: callers are refused at once while the store is silent

Each caller was held to its deadline of 3 s (1.5 s for the transaction, 1.5 s for the question whether it was made), because the store counted as silent only 2.5 s after the first call had timed out: 127 calls ended by their deadline, and their callers did not come back. Ruled out: room (VMs were idle); the schedulers (their roles stood until 37 s). Change: the store counts as silent when nothing was answered for 0.8 s after a call, which the renewals of the session make sure to notice, and no more once an answer arrives. New calls are then refused with a time to come back; a transaction without an answer is not followed by a question. Result: store_silent_refuses_at_once fails with the old bound, passes now; store_loses_answers_refuses_nobody guards the other side.

--- a/crates/grid/src/calls/submit.rs
+++ b/crates/grid/src/calls/submit.rs
@@ -133,7 +133,9 @@
 
     /// The transaction may have been carried out, or still be: only a job that is there is certain.
     async fn after_silence(&self, admitted: &Admitted, id: JobId, why: &str) -> Reply {
-        if self.left(admitted) >= ROUND_TRIP_MIN
+        // Another call to a silent store would only keep the caller from coming back.
+        if !self.is_store_silent()
+            && self.left(admitted) >= ROUND_TRIP_MIN
             && let Ok(Some(_)) = self.read_status(admitted, id).await
         {
             log::info!(target: "calls", job:% = id; "Job accepted; the store's answer was lost.");
--- a/crates/grid/src/entry/mod.rs
+++ b/crates/grid/src/entry/mod.rs
@@ -4,6 +4,8 @@
 //! and the registry of workers. The supervisor tree is flat: [`run`] starts each part as a local task and ends the process if
 //! one of them panics; the platform starts it again.
 
+pub mod silence;
+
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -19,6 +21,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::entry::silence::Silence;
 use crate::metrics::Metrics;
 use crate::ports::{
     CallError, Committed, Item, LeaseId, Page, Platform, Revision, StoredCatalogue, Txn, Watched,
@@ -96,6 +99,8 @@
     /// The entry is to stop.
     pub stopping: CancellationToken,
     failed_since: Cell<Option<Instant>>,
+    /// Whether the store answers.
+    pub silence: Silence,
 }
 
 impl<P: Platform> Entry<P> {
@@ -117,6 +122,7 @@
             registry_needed: Notify::new(),
             stopping: CancellationToken::new(),
             failed_since: Cell::new(None),
+            silence: Silence::default(),
         }
     }
 
@@ -176,6 +182,9 @@
 
     /// Whether the store has given no answer for so long that another call would be held in vain.
     pub fn is_store_silent(&self) -> bool {
+        if self.silence.is_silent(self.now()) {
+            return true;
+        }
         self.failed_since
             .get()
             .is_some_and(|since| self.now().saturating_duration_since(since) >= STORE_SILENT)
@@ -203,6 +212,9 @@
         };
         self.metrics
             .store_call(call, outcome, now.saturating_duration_since(sent_at));
+        if !matches!(result, Err(CallError::Unknown(_))) {
+            self.silence.answered();
+        }
         if let Err(error @ (CallError::NotDone(_) | CallError::Unknown(_))) = &result {
             if self.failed_since.get().is_none() {
                 self.failed_since.set(Some(now));
@@ -222,6 +234,7 @@
     /// The store gave no answer that can be used.
     pub async fn read(&self, key: &str) -> Result<Option<Item>, CallError> {
         let sent_at = self.now();
+        self.silence.sent(sent_at);
         let result = self.platform.read(key, STORE_TIMEOUT).await;
         self.note("read", sent_at, result)
     }
@@ -237,6 +250,7 @@
         let mut after: Option<Box<str>> = None;
         loop {
             let sent_at = self.now();
+            self.silence.sent(sent_at);
             let result = self
                 .platform
                 .list(prefix, after.as_deref(), is_stale, STORE_TIMEOUT)
@@ -293,6 +307,7 @@
         timeout: Duration,
     ) -> Result<Committed, CallError> {
         let sent_at = self.now();
+        self.silence.sent(sent_at);
         let result = self.platform.commit(txn, timeout).await;
         self.note("commit", sent_at, result)
     }
--- a/crates/grid/src/session/mod.rs
+++ b/crates/grid/src/session/mod.rs
@@ -57,6 +57,7 @@
 
 async fn open<P: Platform>(entry: &Entry<P>) -> Option<Session> {
     let sent_at = entry.now();
+    entry.silence.sent(sent_at);
     let result = entry.platform.open_lease(TTL, RENEW_TIMEOUT).await;
     match entry.note("open lease", sent_at, result) {
         Ok((lease, ttl)) => Some(Session {
@@ -102,6 +103,7 @@
     lease: LeaseId,
 ) -> (Instant, Result<Duration, CallError>) {
     let sent_at = entry.now();
+    entry.silence.sent(sent_at);
     let result = entry.platform.renew_lease(lease, RENEW_TIMEOUT).await;
     (sent_at, entry.note("renew lease", sent_at, result))
 }
--- a/crates/grid/tests/entry/faults.rs
+++ b/crates/grid/tests/entry/faults.rs
@@ -5,7 +5,7 @@
 use goldcrest_grid::calls::Reply;
 use goldcrest_jobs::spec::JobState;
 use goldcrest_standin::grid::StoreFault;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::common::{Bed, job, local};
 
@@ -56,6 +56,50 @@
     }
 }
 
+/// Load pattern: the store answers some entries no more, in the middle of a turn. Their callers are told at once, so that they
+/// come back while others, or the store, can serve them; what was sent before that is given up within 1.5 s.
+#[tokio::test(start_paused = true)]
+async fn store_silent_refuses_at_once() {
+    local(async {
+        let bed = Bed::new(2);
+        bed.start_all(&["e1", "e2"]).await;
+        bed.world.set_fault("e1", StoreFault::Silent);
+        let began_at = Instant::now();
+        let id = "00000000000000b1";
+        assert_eq!(
+            bed.submit("e1", id, job("", &[1])).await,
+            Reply::Unknown,
+            "nobody knows whether it was stored"
+        );
+        assert!(began_at.elapsed() <= Duration::from_millis(1_600));
+        let began_at = Instant::now();
+        let reply = bed.submit("e1", ID, job("", &[1])).await;
+        assert!(matches!(reply, Reply::Refused(..)), "{reply:?}");
+        assert_eq!(began_at.elapsed(), Duration::ZERO);
+        assert_eq!(bed.submit("e2", ID, job("", &[1])).await, Reply::Accepted);
+        bed.world.set_fault("e1", StoreFault::None);
+        sleep(Duration::from_secs(2)).await;
+        let id = "00000000000000b2";
+        assert_eq!(bed.submit("e1", id, job("", &[1])).await, Reply::Accepted);
+    })
+    .await;
+}
+
+/// Single answers are lost while others come: no caller is refused for that.
+#[tokio::test(start_paused = true)]
+async fn store_loses_answers_refuses_nobody() {
+    local(async {
+        let bed = Bed::new(2);
+        bed.start_all(&["e1"]).await;
+        let entry = bed.entry("e1");
+        entry.silence.sent(entry.now());
+        sleep(Duration::from_millis(900)).await;
+        assert!(!entry.is_store_silent());
+        assert_eq!(bed.submit("e1", ID, job("", &[1])).await, Reply::Accepted);
+    })
+    .await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn store_down_keeps_runs() {
     local(async {
