--- a/crates/grid/tests/entry/roles.rs
+++ b/crates/grid/tests/entry/roles.rs
@@ -7,7 +7,7 @@
 use goldcrest_standin::grid::StoreFault;
 use tokio::time::{Instant, sleep};
 
-use crate::common::{Bed, job, local};
+use crate::common::{Bed, catalogue, job, local};
 
 const ID: &str = "00000000000000a1";
 
@@ -126,6 +126,45 @@
     .await;
 }
 
+/// A worker leaves and a key is withdrawn while every entry is down. What the store holds of earlier schedulers names the worker
+/// still, and a caller still has the key: neither is used again.
+#[tokio::test(start_paused = true)]
+async fn restart_uses_no_departed_worker_and_no_withdrawn_key() {
+    local(async {
+        let bed = Bed::new(4);
+        bed.start_all(&["e1", "e2"]).await;
+        let spec = job("ms=30000", &[8]);
+        assert_eq!(bed.submit("e1", ID, spec).await, Reply::Accepted);
+        sleep(Duration::from_millis(500)).await;
+        for entry in ["e1", "e2"] {
+            bed.kill(entry);
+        }
+        for entry in ["e1", "e2", "e3"] {
+            bed.world.set_reachable(entry, "w1", false);
+        }
+        bed.world.crew.borrow_mut().set_listed("w1", false);
+        bed.world.set_catalogue(catalogue(2, &["second"], 0));
+        let before = bed.world.crew.borrow().starts.len();
+        bed.start_all(&["e1", "e2", "e3"]).await;
+        let other = "00000000000000b1";
+        for entry in ["e1", "e2", "e3"] {
+            let reply = bed.submit(entry, other, job("", &[1])).await;
+            assert_eq!(reply, Reply::UnknownKey, "{entry}");
+        }
+        let reply = bed.submit_with("e3", other, "second", job("", &[1])).await;
+        assert_eq!(reply, Reply::Accepted);
+        sleep(Duration::from_secs(15)).await;
+        let crew = bed.world.crew.borrow();
+        let later = &crew.starts[before..];
+        assert!(later.iter().all(|start| start.worker.as_str() != "w1"));
+        // What ran there is started elsewhere once its leases have lapsed.
+        assert!(!later.is_empty());
+        drop(crew);
+        bed.check_once();
+    })
+    .await;
+}
+
 /// A zone is cut off with the scheduler and a worker in it. The scheduler may not keep the worker's runs up: its successor
 /// starts them elsewhere once every lease that was offered while the role was held has lapsed.
 #[tokio::test(start_paused = true)]
