--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -16,6 +16,7 @@
 mod doubt;
 pub mod evacuate;
 mod event;
+pub mod excess;
 mod facts;
 pub mod order;
 pub mod pace;
