--- a/crates/jobs/src/job/mod.rs
+++ b/crates/jobs/src/job/mod.rs
@@ -249,23 +249,6 @@
         }
     }
 
-    /// The processors that its runs reserve, in thousandths of a core.
-    #[must_use]
-    pub fn reserved_cpu_millis(&self) -> u64 {
-        let steps = &self.record.spec.steps;
-        let of_occurrences = self
-            .occurrences
-            .values()
-            .flat_map(|it| steps.iter().zip(&it.steps));
-        of_occurrences
-            .map(|(step, state)| {
-                step.reserved()
-                    .cpu_millis
-                    .saturating_mul(u64::from(state.live()))
-            })
-            .fold(0, u64::saturating_add)
-    }
-
     /// The tasks of the occurrences that are open.
     fn open_tasks(&self) -> u64 {
         let of_one: u64 = self
--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -16,7 +16,6 @@
 mod doubt;
 pub mod evacuate;
 mod event;
-pub mod excess;
 mod facts;
 pub mod order;
 pub mod pace;
--- a/crates/jobs/src/pool/order.rs
+++ b/crates/jobs/src/pool/order.rs
@@ -3,15 +3,14 @@
 //! Load pattern: a turn asks for more than the pool holds, and a backlog of some seconds makes jobs late.
 //!
 //! Services come first, as each moment of theirs counts. Among the others those that can still meet their objective go
-//! before those that can't, teams within their share before those far beyond it ([`excess`]), urgent queues before others, and
-//! then the earliest deadline. Those that are late already are
+//! before those that can't, urgent queues before others, and then the earliest deadline. Those that are late already are
 //! worth the same whenever they end, as long as they do: the one with the least work left goes first, so that the most of them
 //! end. What has missed three times its objective comes last and still gets what is left, in the same order.
 
 use std::time::{Duration, Instant};
 
 use crate::job::{Job, Occurrence};
-use crate::pool::{Pool, excess};
+use crate::pool::Pool;
 
 /// Up to this multiple of the objective a completion still has some value.
 const LATE_FACTOR: u32 = 3;
@@ -31,7 +30,6 @@
 
 /// Runs the pass.
 pub fn run(pool: &mut Pool, now: Instant) {
-    let in_excess = excess::teams(pool);
     let mut keyed: Vec<_> = pool
         .jobs
         .values()
@@ -48,10 +46,7 @@
                 Standing::Late | Standing::Lost => remaining_work(job),
             };
             let deadline = job.accepted_at + job.objective;
-            let team = job.record.team.as_ref();
-            let is_in_excess =
-                standing != Standing::Running && team.is_some_and(|team| in_excess.contains(team));
-            (standing, is_in_excess, priority, work, deadline, job.id())
+            (standing, priority, work, deadline, job.id())
         })
         .collect();
     keyed.sort_unstable();
