--- a/crates/grid/src/calls/ask.rs
+++ b/crates/grid/src/calls/ask.rs
@@ -2,7 +2,7 @@
 
 use goldcrest_jobs::spec::{JobRecord, JobState};
 
-use crate::calls::{Admitted, RETRY_SOON, Refusal, Reply, job_id};
+use crate::calls::{Admitted, Refusal, Reply, job_id};
 use crate::entry::Entry;
 use crate::keys::{self, JobStatus, PoolStatus};
 use crate::ports::{CallError, Platform};
@@ -21,7 +21,7 @@
             Ok(None) => Reply::NoSuchJob,
             Err(error) => {
                 log::warn!(target: "calls", job:% = id, error:%; "A job's state can't be read.");
-                Reply::Refused(Refusal::StoreRefused, RETRY_SOON)
+                Reply::Refused(Refusal::StoreRefused, self.retry_store())
             }
         }
     }
@@ -39,7 +39,7 @@
         counted.map_or_else(
             |error| {
                 log::warn!(target: "calls", queue:% = admitted.queue, error:%; "The waiting jobs can't be counted.");
-                Reply::Refused(Refusal::StoreRefused, RETRY_SOON)
+                Reply::Refused(Refusal::StoreRefused, self.retry_store())
             },
             Reply::Waiting,
         )
--- a/crates/grid/src/calls/cancel.rs
+++ b/crates/grid/src/calls/cancel.rs
@@ -3,7 +3,7 @@
 use goldcrest_jobs::id::JobId;
 use goldcrest_jobs::spec::{JobRecord, JobState};
 
-use crate::calls::{Admitted, RETRY_SOON, Refusal, Reply, job_id};
+use crate::calls::{Admitted, Refusal, Reply, job_id};
 use crate::entry::Entry;
 use crate::keys::{self, JobStatus};
 use crate::ports::{CallError, Committed, Item, Platform, Put, Txn};
@@ -32,11 +32,11 @@
                 }
                 Err(error) => {
                     log::warn!(target: "calls", job:% = id, error:%; "The job was not cancelled.");
-                    return Reply::Refused(Refusal::StoreRefused, RETRY_SOON);
+                    return Reply::Refused(Refusal::StoreRefused, self.retry_store());
                 }
             }
         }
-        Reply::Refused(Refusal::StoreRefused, RETRY_SOON)
+        Reply::Refused(Refusal::StoreRefused, self.retry_store())
     }
 
     /// One attempt; `None` if the job has changed under it.
--- a/crates/grid/src/calls/mod.rs
+++ b/crates/grid/src/calls/mod.rs
@@ -23,6 +23,9 @@
 /// When callers may come back if the cause passes by itself within a second or so.
 const RETRY_SOON: Duration = Duration::from_secs(1);
 
+/// The longest time that callers are asked to stay away while the store is out.
+const RETRY_MAX: Duration = Duration::from_secs(4);
+
 /// The time that a call may take if its caller sets no limit.
 const TIME_DEFAULT: Duration = Duration::from_secs(3);
 
@@ -199,7 +202,7 @@
     /// The refusal while the store can't be used; `None` if it can.
     fn refusal(&self) -> Option<Reply> {
         if self.is_store_silent() {
-            Some(Reply::Refused(Refusal::StoreSilent, RETRY_SOON))
+            Some(Reply::Refused(Refusal::StoreSilent, self.retry_store()))
         } else if self.has_fresh_keys() {
             None
         } else {
@@ -207,6 +210,12 @@
         }
     }
 
+    /// When callers may come back that were refused because of the store. An outage that has lasted for some time is likely to
+    /// last as long again, and a caller tries a few times only.
+    fn retry_store(&self) -> Duration {
+        self.store_out_for().clamp(RETRY_SOON, RETRY_MAX)
+    }
+
     /// The time that is left for calls to the store.
     fn left(&self, admitted: &Admitted) -> Duration {
         admitted
--- a/crates/grid/src/calls/submit.rs
+++ b/crates/grid/src/calls/submit.rs
@@ -19,7 +19,7 @@
     pub(super) async fn submit(&self, call: &Call, admitted: Admitted, spec: &JobSpec) -> Reply {
         let began_at = self.now();
         if self.is_store_silent() {
-            return Reply::Refused(Refusal::StoreSilent, RETRY_SOON);
+            return Reply::Refused(Refusal::StoreSilent, self.retry_store());
         }
         let id = match job_id(&admitted) {
             Ok(id) => id,
@@ -33,7 +33,7 @@
             let txn = self.acceptance(&admitted, id, spec);
             let left = self.left(&admitted);
             if left < ROUND_TRIP_MIN {
-                return Reply::Refused(Refusal::StoreSilent, RETRY_SOON);
+                return Reply::Refused(Refusal::StoreSilent, self.retry_store());
             }
             match self.commit_within(&txn, left).await {
                 Ok(Committed::Done(_)) => {
@@ -62,7 +62,7 @@
                 }
                 Err(error) => {
                     log::warn!(target: "calls", job:% = id, error:%; "Job refused: the store did not take it.");
-                    return Reply::Refused(Refusal::StoreRefused, RETRY_SOON);
+                    return Reply::Refused(Refusal::StoreRefused, self.retry_store());
                 }
             }
         }
@@ -124,7 +124,7 @@
             log::info!(target: "calls", job:% = id, queue:% = admitted.queue; "Job is accepted already.");
             return Err(Reply::Accepted);
         }
-        let again = again.ok_or(Reply::Refused(Refusal::StoreRefused, RETRY_SOON))?;
+        let again = again.ok_or(Reply::Refused(Refusal::StoreRefused, self.retry_store()))?;
         Ok(Admitted {
             until: admitted.until,
             ..again
--- a/crates/grid/src/entry/mod.rs
+++ b/crates/grid/src/entry/mod.rs
@@ -190,6 +190,16 @@
             .is_some_and(|since| self.now().saturating_duration_since(since) >= STORE_SILENT)
     }
 
+    /// How long the store has carried nothing out here.
+    pub fn store_out_for(&self) -> Duration {
+        let now = self.now();
+        let failing = self
+            .failed_since
+            .get()
+            .map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
+        failing.max(self.silence.lasts(now))
+    }
+
     /// Counts and logs the outcome of a call to the store.
     ///
     /// # Errors
--- a/crates/grid/src/entry/silence.rs
+++ b/crates/grid/src/entry/silence.rs
@@ -30,10 +30,16 @@
         self.unanswered_since.set(None);
     }
 
+    /// How long nothing has been answered since a call was sent.
+    #[must_use]
+    pub fn lasts(&self, now: Instant) -> Duration {
+        let since = self.unanswered_since.get();
+        since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+    }
+
     /// Whether a call that is sent now would probably have no answer.
     #[must_use]
     pub fn is_silent(&self, now: Instant) -> bool {
-        let since = self.unanswered_since.get();
-        since.is_some_and(|since| now.saturating_duration_since(since) >= SILENT_AFTER)
+        self.lasts(now) >= SILENT_AFTER
     }
 }
--- a/crates/grid/tests/entry/faults.rs
+++ b/crates/grid/tests/entry/faults.rs
@@ -76,6 +76,12 @@
         let reply = bed.submit("e1", ID, job("", &[1])).await;
         assert!(matches!(reply, Reply::Refused(..)), "{reply:?}");
         assert_eq!(began_at.elapsed(), Duration::ZERO);
+        // The longer the outage, the later they are asked to come back.
+        sleep(Duration::from_secs(3)).await;
+        let Reply::Refused(_, after) = bed.submit("e1", ID, job("", &[1])).await else {
+            panic!("the store is still silent");
+        };
+        assert!(after >= Duration::from_secs(3), "{after:?}");
         assert_eq!(bed.submit("e2", ID, job("", &[1])).await, Reply::Accepted);
         bed.world.set_fault("e1", StoreFault::None);
         sleep(Duration::from_secs(2)).await;
