grid: a stop at the moment of a renewal does not hang

Cause: a stopping entry ended its lease while it held the session it had read, across the wait for the answer. If a renewal was answered in these few milliseconds, its task waited for the session on the same thread: the process stood still until it was killed at the end of its grace time, with every request that it had. Ruled out: the store (answers took 4 ms), callers' connections, lost log lines (four other stops only lacked their last line, as two lines were printed into each other). Change: the session is copied out first; no other place holds a watched value across a wait (searched). Result: stop_at_any_moment_of_a_renewal_ends, 400 moments, hangs before and passes now.

--- a/crates/grid/src/members/mod.rs
+++ b/crates/grid/src/members/mod.rs
@@ -369,7 +369,9 @@
         if let Err(error) = self.entry.commit(&txn).await {
             log::warn!(target: "members", error:%; "The roles end with the lease instead.");
         }
-        if let Some(session) = *self.entry.session.borrow() {
+        // Copied out first: a renewal that is answered meanwhile replaces the session.
+        let session = *self.entry.session.borrow();
+        if let Some(session) = session {
             let ended = self
                 .entry
                 .platform
--- a/crates/grid/tests/entry/common/mod.rs
+++ b/crates/grid/tests/entry/common/mod.rs
@@ -201,6 +201,11 @@
         self.entry(name).stopping.cancel();
     }
 
+    /// Whether an entry that was told to stop has done so.
+    pub fn has_ended(&self, name: &str) -> bool {
+        self.entries.borrow()[name].task.is_finished()
+    }
+
     /// An entry.
     pub fn entry(&self, name: &str) -> Rc<Entry<Gate>> {
         Rc::clone(&self.entries.borrow()[name].entry)
--- a/crates/grid/tests/entry/roles.rs
+++ b/crates/grid/tests/entry/roles.rs
@@ -58,6 +58,33 @@
     .await;
 }
 
+/// An entry is told to stop at each moment between two renewals of its session. Its one thread must not wait for itself, so
+/// another one watches it.
+#[test]
+fn stop_at_any_moment_of_a_renewal_ends() {
+    let (ended, has_ended) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .start_paused(true)
+            .build()
+            .expect("a runtime");
+        runtime.block_on(local(async {
+            for stop_ms in 0..400 {
+                let bed = Bed::new(1);
+                bed.start_all(&["e1"]).await;
+                sleep(Duration::from_millis(stop_ms)).await;
+                bed.stop("e1");
+                sleep(Duration::from_millis(500)).await;
+                assert!(bed.has_ended("e1"), "told to stop after {stop_ms} ms");
+            }
+        }));
+        ended.send(()).expect("the test waits");
+    });
+    let within = Duration::from_mins(1);
+    assert!(has_ended.recv_timeout(within).is_ok(), "the entry hangs");
+}
+
 /// The scheduler learns of an end, can't store it, and is told to stop. It must not take note of the end at the worker:
 /// its successor would start the task again. The stop comes at each moment around the end in turn.
 #[tokio::test(start_paused = true)]
