--- a/crates/jobs/tests/arrivals.rs
+++ b/crates/jobs/tests/arrivals.rs
@@ -1,42 +1,15 @@
 //! The first sign of a turn: the work of jobs that have just been submitted.
 
-use std::sync::Arc;
+mod one_pool;
+
 use std::time::{Duration, Instant};
 
-use goldcrest_jobs::catalogue::{Catalogue, PoolSpec, Queue};
-use goldcrest_jobs::id::{FencingToken, JobId};
-use goldcrest_jobs::pool::{Bounds, Pool};
+use goldcrest_jobs::id::JobId;
+use goldcrest_jobs::pool::Pool;
 use goldcrest_jobs::resources::Resources;
 use goldcrest_jobs::spec::{JobRecord, JobSpec, Step};
 
-fn pool() -> Pool {
-    let name = || "p".parse().expect("a name");
-    let queue = Queue {
-        name: "q".parse().expect("a name"),
-        host: "host".into(),
-        prefix: "/q/".into(),
-        pool: name(),
-        is_open: true,
-        priority: 0,
-        attempts_max: 2,
-        stretch_milli: 1_600,
-        target_latency: Duration::from_millis(600),
-        timeout: Duration::from_secs(3),
-        needs_permits: false,
-    };
-    let spec = PoolSpec {
-        name: name(),
-        has_admission_control: true,
-        is_spare: false,
-    };
-    let catalogue = Catalogue::new(1, vec![queue], vec![spec], Vec::new());
-    Pool::new(
-        name(),
-        FencingToken(1),
-        Bounds::default(),
-        Arc::new(catalogue),
-    )
-}
+use one_pool::pool;
 
 /// A job of two steps, each a second of one core.
 fn job(number: u64) -> JobRecord {
@@ -84,20 +57,20 @@
 /// step, most of the 200 cores are asked for.
 #[test]
 fn demand_turn_is_seen_before_its_backlog() {
-    let demand = demand_after(&mut pool(), 30, Duration::from_millis(10), Instant::now());
+    let demand = demand_after(&mut pool(1), 30, Duration::from_millis(10), Instant::now());
     assert!((150_000..=200_000).contains(&demand), "{demand}");
 }
 
 /// A few jobs that come together are no turn: VMs that were moved for them would come when they are done.
 #[test]
 fn demand_few_jobs_are_no_turn() {
-    let demand = demand_after(&mut pool(), 7, Duration::from_millis(1), Instant::now());
+    let demand = demand_after(&mut pool(1), 7, Duration::from_millis(1), Instant::now());
     assert_eq!(demand, 0);
 }
 
 #[test]
 fn demand_ends_with_the_arrivals() {
-    let mut pool = pool();
+    let mut pool = pool(1);
     let from = Instant::now();
     let demand = demand_after(&mut pool, 200, Duration::from_millis(10), from);
     assert!(demand > 0);
--- a/crates/jobs/tests/extremes.rs
+++ b/crates/jobs/tests/extremes.rs
@@ -1,11 +1,11 @@
 //! Values at the edge of what their types hold: a job that is taken and a worker's report must not stop a pool's scheduler.
 
-use std::sync::Arc;
+mod one_pool;
+
 use std::time::{Duration, Instant};
 
-use goldcrest_jobs::catalogue::{Catalogue, PoolSpec, Queue};
-use goldcrest_jobs::id::{FencingToken, JobId, RunNumber, StepId, TaskId, WorkerId};
-use goldcrest_jobs::pool::{Bounds, Pool};
+use goldcrest_jobs::id::{JobId, RunNumber, StepId, TaskId, WorkerId};
+use goldcrest_jobs::pool::Pool;
 use goldcrest_jobs::resources::Resources;
 use goldcrest_jobs::spec::{
     DEMAND_MAX, ESTIMATE_MAX, Feature, JobRecord, JobSpec, Schedule, SpecError, Step, TASKS_MAX,
@@ -26,29 +26,9 @@
     "00000000000000a1".parse().expect("an id")
 }
 
+/// The pool with one worker.
 fn pool() -> Pool {
-    let name = || "p".parse().expect("a name");
-    let queue = Queue {
-        name: "q".parse().expect("a name"),
-        host: "host".into(),
-        prefix: "/q/".into(),
-        pool: name(),
-        is_open: true,
-        priority: 0,
-        attempts_max: 2,
-        stretch_milli: 1_600,
-        target_latency: Duration::from_millis(600),
-        timeout: Duration::from_secs(3),
-        needs_permits: false,
-    };
-    let spec = PoolSpec {
-        name: name(),
-        has_admission_control: true,
-        is_spare: false,
-    };
-    let catalogue = Catalogue::new(1, vec![queue], vec![spec], Vec::new());
-    let token = FencingToken(1);
-    let mut pool = Pool::new(name(), token, Bounds::default(), Arc::new(catalogue));
+    let mut pool = one_pool::pool(1);
     let info = WorkerInfo {
         id: WorkerId::from("w"),
         born_ms: Some(1),
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -1,52 +1,22 @@
 //! What a scheduler stores of a job that it has taken over.
 
+mod one_pool;
+
 use std::collections::BTreeSet;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use goldcrest_jobs::catalogue::{Catalogue, PoolSpec, Queue};
-use goldcrest_jobs::id::{FencingToken, JobId, RunNumber, WorkerId};
-use goldcrest_jobs::pool::{Bounds, Pool};
+use goldcrest_jobs::id::{JobId, RunNumber, WorkerId};
 use goldcrest_jobs::progress::{
     IndexSet, OccurrenceProgress, Progress, StepProgress, TaskProgress,
 };
 use goldcrest_jobs::spec::{JobRecord, JobSpec, JobState, Schedule, Step};
 
-const ATTEMPTS_MAX: u32 = 2;
+use one_pool::pool;
 
 fn job() -> JobId {
     "00000000000000a1".parse().expect("an id")
 }
 
-fn pool(token: u64) -> Pool {
-    let name = || "p".parse().expect("a name");
-    let queue = Queue {
-        name: "q".parse().expect("a name"),
-        host: "host".into(),
-        prefix: "/q/".into(),
-        pool: name(),
-        is_open: true,
-        priority: 0,
-        attempts_max: ATTEMPTS_MAX,
-        stretch_milli: 1_600,
-        target_latency: Duration::from_millis(600),
-        timeout: Duration::from_secs(3),
-        needs_permits: false,
-    };
-    let spec = PoolSpec {
-        name: name(),
-        has_admission_control: true,
-        is_spare: false,
-    };
-    let catalogue = Catalogue::new(1, vec![queue], vec![spec], Vec::new());
-    Pool::new(
-        name(),
-        FencingToken(token),
-        Bounds::default(),
-        Arc::new(catalogue),
-    )
-}
-
 fn record(schedule: Option<Schedule>) -> JobRecord {
     JobRecord {
         id: job(),
