jobs: late jobs about to expire go before those that can be in time

Ruled out: lost workers are one in ten of them; refused starts fewer. Change: from twice its objective on, a late job goes first, until three times the objective.

--- a/crates/jobs/src/pool/order.rs
+++ b/crates/jobs/src/pool/order.rs
@@ -6,6 +6,9 @@
 //! before those that can't, urgent queues before others, and then the earliest deadline. Those that are late already are
 //! worth the same whenever they end, as long as they do: the one with the least work left goes first, so that the most of them
 //! end. What has missed three times its objective comes last and still gets what is left, in the same order.
+//!
+//! While the overload lasts, jobs that can be in time keep coming, and late ones would wait until they are worth nothing. So a late
+//! job goes before them once it has used two thirds of its time: its submitter gets an answer, at the price of few that are late.
 
 use std::time::{Duration, Instant};
 
@@ -15,11 +18,17 @@
 /// Up to this multiple of the objective a completion still has some value.
 const LATE_FACTOR: u32 = 3;
 
+/// From this share of the objective on, in percent, a late job goes before those that can be in time. A third of the time in which it
+/// has some value is left. Measured (docs/WORTH.md).
+const EXPIRING_PERCENT: u32 = 200;
+
 /// How a job stands against its objective. Earlier variants get room first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Standing {
     /// A service or a scheduled job, whose value accrues with time.
     Running,
+    /// The objective is missed, and the time in which a completion is still worth something ends soon.
+    Expiring,
     /// The objective can be met.
     Reachable,
     /// The objective is missed, but a completion is still worth something.
@@ -43,7 +52,7 @@
             let standing = standing(job, now);
             let work = match standing {
                 Standing::Running | Standing::Reachable => 0,
-                Standing::Late | Standing::Lost => remaining_work(job),
+                Standing::Expiring | Standing::Late | Standing::Lost => remaining_work(job),
             };
             let deadline = job.accepted_at + job.objective;
             (standing, priority, work, deadline, job.id())
@@ -84,8 +93,10 @@
     let expected = now.saturating_duration_since(job.accepted_at) + remaining_chain(job);
     if expected <= job.objective {
         Standing::Reachable
-    } else if expected <= job.objective * LATE_FACTOR {
+    } else if expected <= job.objective * EXPIRING_PERCENT / 100 {
         Standing::Late
+    } else if expected <= job.objective * LATE_FACTOR {
+        Standing::Expiring
     } else {
         Standing::Lost
     }
