jobs: expiring jobs stay behind more urgent queues

Change: expiring and reachable jobs are of one rank; within it the queue's urgency goes first. Not measured apart: each pool of the users' deployments has jobs of one urgency. Test: case late_expiring_behind_urgent.

--- a/crates/jobs/src/pool/order.rs
+++ b/crates/jobs/src/pool/order.rs
@@ -8,7 +8,7 @@
 //! end. What has missed three times its objective comes last and still gets what is left, in the same order.
 //!
 //! While the overload lasts, jobs that can be in time keep coming, and late ones would wait until they are worth nothing. So a late
-//! job goes before them once it has used two thirds of its time: its submitter gets an answer, at the price of few that are late.
+//! job goes before those of its queue's urgency once it has used two thirds of its time: its submitter gets an answer, at the price of few that are late.
 
 use std::time::{Duration, Instant};
 
@@ -37,6 +37,18 @@
     Lost,
 }
 
+impl Standing {
+    /// Jobs of one rank get room by the urgency of their queues first.
+    fn rank(self) -> u8 {
+        match self {
+            Self::Running => 0,
+            Self::Expiring | Self::Reachable => 1,
+            Self::Late => 2,
+            Self::Lost => 3,
+        }
+    }
+}
+
 /// Runs the pass.
 pub fn run(pool: &mut Pool, now: Instant) {
     let mut keyed: Vec<_> = pool
@@ -55,7 +67,14 @@
                 Standing::Expiring | Standing::Late | Standing::Lost => remaining_work(job),
             };
             let deadline = job.accepted_at + job.objective;
-            (standing, priority, work, deadline, job.id())
+            (
+                standing.rank(),
+                priority,
+                standing,
+                work,
+                deadline,
+                job.id(),
+            )
         })
         .collect();
     keyed.sort_unstable();
