jobs, grid: pools hold less between turns, and get a turn's VMs at its first rise

A turn was seen when its pool was three quarters full, or when 8 jobs had come within a second, and the holder heard of it up to 0.9 s later; moves take 1.7 s. At the end of a turn VMs were sent away while the load still came and went, and came back a second later. Ruled out: the way of an order (1.675 s from the order to the first report, 1.5 s of it the platform's). The sizing decisions are logged with what they were made from.

--- a/crates/grid/src/fleet/moves.rs
+++ b/crates/grid/src/fleet/moves.rs
@@ -65,6 +65,10 @@
             log::info!(target: "sizing", pool:%, vms, change:?; "Pool's turn.");
             self.turns_changed.set(true);
         }
+        if !plan.moves.is_empty() || !plan.evacuate.is_empty() {
+            let counts: Vec<_> = plan.counts.iter().map(ToString::to_string).collect();
+            log::info!(target: "sizing", moves = plan.moves.len(), leaving = plan.evacuate.len(), pools = counts.join("; "); "Pools sized.");
+        }
         plan
     }
 
--- a/crates/grid/src/keys/mod.rs
+++ b/crates/grid/src/keys/mod.rs
@@ -23,7 +23,7 @@
 
 use goldcrest_jobs::id::{JobId, VmId, WorkerId};
 use goldcrest_jobs::resources::Resources;
-use goldcrest_jobs::size::is_rising;
+use goldcrest_jobs::size::may_begin;
 use goldcrest_jobs::spec::JobState;
 use goldcrest_types::names::{PoolName, QueueName, TeamName};
 use quick_error::quick_error;
@@ -129,8 +129,13 @@
     /// Whether the pool needs so much of what it has that its turn may have begun.
     #[must_use]
     pub fn is_busy(&self) -> bool {
-        let needed = self.used.cpu_millis.max(self.demand_millis);
-        is_rising(needed, self.capacity.cpu_millis)
+        may_begin(self.needed_millis(), self.capacity.cpu_millis)
+    }
+
+    /// What is in use, or needed for the work that arrives, in thousandths of a core.
+    #[must_use]
+    pub fn needed_millis(&self) -> u64 {
+        self.used.cpu_millis.max(self.demand_millis)
     }
 }
 
--- a/crates/grid/src/pool/status.rs
+++ b/crates/grid/src/pool/status.rs
@@ -32,7 +32,9 @@
 
 /// Whether so much more is needed than the fleet's holder knows that it should send VMs.
 fn is_demand_risen(published: &PoolStatus, status: &PoolStatus) -> bool {
-    let risen = status.demand_millis.saturating_sub(published.demand_millis);
+    let risen = status
+        .needed_millis()
+        .saturating_sub(published.needed_millis());
     risen > status.capacity.cpu_millis / DEMAND_PARTS
 }
 
--- a/crates/jobs/src/size/mod.rs
+++ b/crates/jobs/src/size/mod.rs
@@ -3,16 +3,17 @@
 //! Load pattern: demand turns from one pool to the next, each asking several times its mean for some seconds and little in between. A
 //! pool whose backlog would take longer than [`HORIZON`] to work off lacks VMs; so does one that is nearly full, or to which
 //! more work comes than it can do, as the next moment brings the backlog. It gets them at once from the spare
-//! pool, then from pools that hold more than they need and more than their home size. What a pool holds beyond its home
-//! size goes back once it is calm: first to pools below their home size, then to the spare pool.
+//! pool, then from pools that hold more than they need.
 //!
-//! A pool is not shrunk below its home size for the spare pool's sake while its next turn may begin at any time: an idle VM
-//! costs little against the work that is late when the turn begins without it. After a turn the pool rests ([`turns`]) and
-//! holds [`REST_HOME_PERCENT`] of its home size.
+//! A VM takes a second or two to move, so a pool whose load rises from little to [`BEGIN_PERCENT`] of its home size gets the VMs of a
+//! whole turn before it needs them. In between a pool holds [`IDLE_HOME_PERCENT`] of its home size, and
+//! [`REST_HOME_PERCENT`] while it rests after its turn ([`turns`]): the others are spare, for the pool whose turn it is. What a
+//! pool holds beyond that and beyond [`KEPT_PERCENT`] of what it needs goes back once it is calm.
 
 pub mod turns;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use std::time::{Duration, Instant};
 
 use goldcrest_types::names::PoolName;
@@ -24,25 +25,47 @@
 /// A backlog that the pool's VMs work off within this time needs no more of them.
 const HORIZON: Duration = Duration::from_millis(650);
 
-/// A pool that uses this share of what it has is taken to be at the beginning of its turn, in percent.
-const RISING_PERCENT: u64 = 75;
+/// A pool that needs this share of what it has is nearly full, in percent.
+const FULL_PERCENT: u64 = 75;
 
 /// What such a pool needs against what it uses, in percent.
 const HEADROOM_PERCENT: u64 = 130;
 
+/// What a pool keeps against what it needs when it gives VMs away, in percent.
+const KEPT_PERCENT: u64 = 130;
+
 /// A pool gives back what it holds beyond its home size once it has not needed it for this long.
 const CALM: Duration = Duration::from_secs(1);
 
-/// What a resting pool holds of its home size, in percent. Its services and the little work in between need less.
+/// What a pool holds between turns of its home size, in percent. Its services and the little work in between need less; the first
+/// work of its next turn needs more before VMs can arrive. Measured (docs/WORTH.md).
+const IDLE_HOME_PERCENT: u64 = 60;
+
+/// The same while the pool rests after its turn.
 const REST_HOME_PERCENT: u64 = 50;
 
+/// A pool whose load rises to this share of its home size is taken to begin its turn, in percent. Between turns a queue asks for a
+/// twentieth of its mean.
+const BEGIN_PERCENT: u64 = 20;
+
+/// What a turn is expected to need of the pool's home size, in percent. The page on load says that it is more than the pool holds.
+const TURN_PERCENT: u64 = 150;
+
+/// How long a turn is held to begin. A VM takes most of this time to arrive.
+const BEGINNING: Duration = Duration::from_millis(2_500);
+
 /// How long a move that was ordered counts before the list shows it.
 const ORDER_LAG: Duration = Duration::from_millis(2_500);
 
-/// Whether a pool uses so much of what it has that its turn may have begun.
+/// Whether a pool needs so much of what it has that its turn may have begun.
 #[must_use]
-pub fn is_rising(used_millis: u64, capacity_millis: u64) -> bool {
-    used_millis * 100 >= capacity_millis * RISING_PERCENT
+pub fn may_begin(needed_millis: u64, capacity_millis: u64) -> bool {
+    needed_millis * 100 >= capacity_millis * BEGIN_PERCENT
+}
+
+/// Whether a pool is so nearly full that the next moment brings a backlog.
+fn is_nearly_full(needed_millis: u64, capacity_millis: u64) -> bool {
+    needed_millis * 100 >= capacity_millis * FULL_PERCENT
 }
 
 /// What a pool's scheduler says of its load.
@@ -66,6 +89,8 @@
     /// The pool of each VM when it was first seen.
     pub homes: BTreeMap<VmId, PoolName>,
     calm_since: BTreeMap<PoolName, Instant>,
+    /// When the load of each pool rose, until it is little again.
+    risen: BTreeMap<PoolName, Instant>,
     ordered: BTreeMap<VmId, (PoolName, Instant)>,
     leaving: BTreeSet<VmId>,
     /// The pools' turns and rests.
@@ -81,6 +106,8 @@
     pub moves: Vec<(VmId, PoolName)>,
     /// VMs to empty, as they are to leave their pools.
     pub evacuate: BTreeSet<VmId>,
+    /// What the plan was made for: each pool that has a load.
+    pub counts: Vec<Count>,
 }
 
 /// What a plan is made from.
@@ -99,18 +126,37 @@
 }
 
 /// A pool, counted in VMs.
-#[derive(Debug)]
-struct Count {
-    pool: PoolName,
-    /// What it holds at least: what it had at first, or less while it rests.
-    floor: u64,
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Count {
+    /// The pool.
+    pub pool: PoolName,
+    /// What it holds at least: a share of what it had at first.
+    pub floor: u64,
     /// What it has, and what is on its way to it.
-    has: u64,
+    pub has: u64,
     /// What it needs for its load.
-    needs: u64,
+    pub needs: u64,
     /// What it has to give back, however much it needs: VMs that it has on loan from pools whose rest is over.
-    owes: u64,
-    is_calm: bool,
+    pub owes: u64,
+    /// It has not needed all of them for a while.
+    pub is_calm: bool,
+}
+
+impl fmt::Display for Count {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            pool,
+            floor,
+            has,
+            needs,
+            owes,
+            ..
+        } = self;
+        write!(
+            f,
+            "{pool} has {has}, needs {needs}, holds at least {floor}, owes {owes}"
+        )
+    }
 }
 
 impl Count {
@@ -120,7 +166,13 @@
 
     /// What it can give to a pool that lacks VMs.
     fn can_give(&self) -> u64 {
-        self.has.saturating_sub(self.needs.max(self.floor))
+        self.has.saturating_sub(self.keeps())
+    }
+
+    /// What it keeps while it has more than it needs: its load comes and goes, and a VM that is leaving takes no work.
+    fn keeps(&self) -> u64 {
+        let with_margin = (self.needs * KEPT_PERCENT).div_ceil(100);
+        with_margin.max(self.floor)
     }
 }
 
@@ -167,6 +219,7 @@
         self.give_spare(facts, &mut below_floor(&counts), &mut plan);
         self.choose_leaving(facts, &counts, &wanted);
         self.send_leaving(facts, &counts, &mut wanted, &mut plan);
+        plan.counts = counts;
         plan
     }
 
@@ -208,26 +261,30 @@
             let horizon_ms = u64::try_from(HORIZON.as_millis()).unwrap_or(u64::MAX);
             let demand = load.used_millis + load.backlog / horizon_ms;
             let demand = demand.max(load.demand_millis);
-            let demand = if is_rising(demand, load.capacity_millis) {
+            let demand = if is_nearly_full(demand, load.capacity_millis) {
                 demand * HEADROOM_PERCENT / 100
             } else {
                 demand
             };
+            let home = u64::try_from(home).unwrap_or(u64::MAX);
             // Half a VM's work is not worth a move.
             let needs = (demand + of_vm / 2) / of_vm;
-            let home = u64::try_from(home).unwrap_or(u64::MAX);
+            let needs = if self.is_beginning(pool, demand, home * of_vm, now) {
+                needs.max((home * TURN_PERCENT).div_ceil(100))
+            } else {
+                needs
+            };
             let has = u64::try_from(has).unwrap_or(u64::MAX);
             if let Some(change) = self.turns.observe(pool, needs >= home.max(1), now) {
                 self.turn_changes.push((pool.clone(), change));
             }
-            let floor = if self.turns.is_resting(pool) {
-                (home * REST_HOME_PERCENT)
-                    .div_ceil(100)
-                    .max(needs + 1)
-                    .min(home)
+            let kept_percent = if self.turns.is_resting(pool) {
+                REST_HOME_PERCENT
             } else {
-                home
+                IDLE_HOME_PERCENT
             };
+            let floor = (home * kept_percent).div_ceil(100);
+            let floor = floor.max(needs + 1).min(home);
             if needs >= has.max(home) {
                 self.calm_since.remove(pool);
             }
@@ -249,6 +306,17 @@
         counts
     }
 
+    /// Whether the demand of a pool that was calm has just risen so far that its turn may have begun.
+    fn is_beginning(&mut self, pool: &PoolName, demand: u64, home: u64, now: Instant) -> bool {
+        if !may_begin(demand, home / 2) {
+            self.risen.remove(pool);
+        }
+        may_begin(demand, home) && {
+            let since = *self.risen.entry(pool.clone()).or_insert(now);
+            now.saturating_duration_since(since) < BEGINNING
+        }
+    }
+
     fn is_free(&self, facts: &Facts<'_>, vm: &Vm) -> bool {
         vm.state == VmState::Up
             && !facts.in_waves.contains(&vm.id)
@@ -280,11 +348,7 @@
                 .filter(|vm| facts.vms.get(vm).is_some_and(|vm| vm.pool == count.pool))
                 .count();
             let leaving_here = u64::try_from(leaving_here).unwrap_or(u64::MAX);
-            let beyond = if count.is_calm {
-                count.has.saturating_sub(count.floor.max(count.needs))
-            } else {
-                0
-            };
+            let beyond = if count.is_calm { count.can_give() } else { 0 };
             let for_others = count.can_give().min(open);
             let goal = beyond.max(for_others).max(count.owes);
             if (count.lacks() > 0 && count.owes == 0) || goal == 0 {
