jobs: VMs that are being emptied for maintenance are not counted on

Ruled out: teams' limits (shares had room), memory (8 GB left on full workers). Change: what a pool lacks and what it can give is counted from VMs that take work; its share of the home size from all.

--- a/crates/jobs/src/size/mod.rs
+++ b/crates/jobs/src/size/mod.rs
@@ -134,6 +134,8 @@
     pub floor: u64,
     /// What it has, and what is on its way to it.
     pub has: u64,
+    /// How many of these take work: neither down nor being emptied for maintenance.
+    pub serving: u64,
     /// What it needs for its load.
     pub needs: u64,
     /// What it has to give back, however much it needs: VMs that it has on loan from pools whose rest is over.
@@ -161,18 +163,15 @@
 
 impl Count {
     fn lacks(&self) -> u64 {
-        self.needs.saturating_sub(self.has)
+        self.needs.saturating_sub(self.serving)
     }
 
     /// What it can give to a pool that lacks VMs.
     fn can_give(&self) -> u64 {
-        self.has.saturating_sub(self.keeps())
-    }
-
-    /// What it keeps while it has more than it needs: its load comes and goes, and a VM that is leaving takes no work.
-    fn keeps(&self) -> u64 {
+        // Its load comes and goes, and a VM that is leaving takes no work.
         let with_margin = (self.needs * KEPT_PERCENT).div_ceil(100);
-        with_margin.max(self.floor)
+        let beyond_floor = self.has.saturating_sub(self.floor);
+        beyond_floor.min(self.serving.saturating_sub(with_margin))
     }
 }
 
@@ -252,7 +251,9 @@
                 .clone()
                 .filter(|vm| vm.pool == *pool && vm.state == VmState::Up);
             let up = u64::try_from(up.count()).unwrap_or(u64::MAX).max(1);
-            let has = there.filter(|vm| self.place(vm) == pool).count();
+            let of_pool = there.filter(|vm| self.place(vm) == pool);
+            let has = of_pool.clone().count();
+            let serving = of_pool.filter(|vm| is_serving(facts, vm)).count();
             let homes = self.homes.iter();
             let home = homes
                 .filter(|(vm, home)| *home == pool && facts.vms.contains_key(vm))
@@ -275,6 +276,7 @@
                 needs
             };
             let has = u64::try_from(has).unwrap_or(u64::MAX);
+            let serving = u64::try_from(serving).unwrap_or(u64::MAX);
             if let Some(change) = self.turns.observe(pool, needs >= home.max(1), now) {
                 self.turn_changes.push((pool.clone(), change));
             }
@@ -288,7 +290,7 @@
             if needs >= has.max(home) {
                 self.calm_since.remove(pool);
             }
-            let since = if needs < has {
+            let since = if needs < serving {
                 *self.calm_since.entry(pool.clone()).or_insert(now)
             } else {
                 now
@@ -297,6 +299,7 @@
                 pool: pool.clone(),
                 floor,
                 has,
+                serving,
                 needs,
                 owes: 0,
                 is_calm: now.saturating_duration_since(since) >= CALM,
@@ -414,6 +417,11 @@
     }
 }
 
+/// Whether a VM takes work, or soon will in the pool that it is on its way to.
+fn is_serving(facts: &Facts<'_>, vm: &Vm) -> bool {
+    matches!(vm.state, VmState::Up | VmState::Moving) && !facts.in_waves.contains(&vm.id)
+}
+
 /// Notes what pools owe to those that hold less than they should. The spare VMs are nobody's, and are not owed.
 fn note_loans(counts: &mut [Count], spares: u64) {
     let mut open: u64 = counts
