--- a/crates/jobs/tests/size.rs
+++ b/crates/jobs/tests/size.rs
@@ -16,6 +16,7 @@
     vms: BTreeMap<VmId, Vm>,
     loads: BTreeMap<PoolName, PoolLoad>,
     empty: BTreeSet<VmId>,
+    in_waves: BTreeSet<VmId>,
     sizes: Sizes,
     now: Instant,
 }
@@ -31,6 +32,7 @@
             vms: BTreeMap::new(),
             loads: BTreeMap::new(),
             empty: BTreeSet::new(),
+            in_waves: BTreeSet::new(),
             sizes: Sizes::default(),
             now: Instant::now(),
         };
@@ -74,7 +76,7 @@
         let facts = Facts {
             vms: &self.vms,
             empty: &self.empty,
-            in_waves: &BTreeSet::new(),
+            in_waves: &self.in_waves,
             loads: &self.loads,
             spare: &spare,
         };
@@ -204,6 +206,24 @@
     assert_eq!(fleet.count("a"), 7);
 }
 
+/// Load pattern: a wave empties VMs of a pool at the end of its turn. The work that is left needs the others.
+#[test]
+fn plan_vms_in_wave_are_not_counted_on() {
+    let mut fleet = Fleet::new();
+    fleet.load("b", 0, 0);
+    fleet.load("a", 4, 4);
+    fleet.plan();
+    assert_eq!(fleet.count("a"), 8);
+    fleet.in_waves = BTreeSet::from(["a0", "a1"].map(VmId::from));
+    for _ in 0..4 {
+        fleet.pass(1_000);
+        fleet.load("a", 5, 0);
+        fleet.plan();
+    }
+    // Six take work. Without the wave, one of the eight would be given away.
+    assert_eq!(fleet.count("a"), 8);
+}
+
 /// A turn of pool `a` that lasts `ms`, and a second of calm.
 fn turn_of_a(fleet: &mut Fleet, ms: u64) {
     for _ in 0..ms / 500 {
