jobs, grid: sizing in smaller functions; sizes are logged when VMs move

Cause: counts() had grown to 60 lines, and the log of sizes came with each round in which VMs were leaving, ten a second, with all pools. Change: what a pool needs is a function of its own; a line for each round with moves, with the pools that give or get VMs. Decides the same. Not measured: no decision changes; tests of jobs and grid pass.

--- a/crates/grid/src/fleet/moves.rs
+++ b/crates/grid/src/fleet/moves.rs
@@ -12,6 +12,20 @@
 use crate::keys;
 use crate::ports::{CallError, Committed, Item, Platform, Put, Txn, VmOrderError};
 
+/// Logs what moves were decided from: the counts of the pools that give or get VMs.
+fn log_sizes(plan: &SizePlan, vms: &BTreeMap<VmId, Vm>) {
+    if plan.moves.is_empty() {
+        return;
+    }
+    let from = plan.moves.iter().filter_map(|(vm, _)| vms.get(vm));
+    let mut concerned: BTreeSet<&PoolName> = from.map(|vm| &vm.pool).collect();
+    concerned.extend(plan.moves.iter().map(|(_, to)| to));
+    let counts = plan.counts.iter();
+    let counts = counts.filter(|count| concerned.contains(&count.pool));
+    let pools: Vec<_> = counts.map(ToString::to_string).collect();
+    log::info!(target: "sizing", moves = plan.moves.len(), leaving = plan.evacuate.len(), pools = pools.join("; "); "Pools sized.");
+}
+
 impl<P: Platform> Fleet<P> {
     /// Whether a move may be due: a pool has a backlog, or VMs beyond its home size may be in one.
     pub(super) fn may_need_moves(&self) -> bool {
@@ -65,10 +79,7 @@
             log::info!(target: "sizing", pool:%, vms, change:?; "Pool's turn.");
             self.turns_changed.set(true);
         }
-        if !plan.moves.is_empty() || !plan.evacuate.is_empty() {
-            let counts: Vec<_> = plan.counts.iter().map(ToString::to_string).collect();
-            log::info!(target: "sizing", moves = plan.moves.len(), leaving = plan.evacuate.len(), pools = counts.join("; "); "Pools sized.");
-        }
+        log_sizes(&plan, vms);
         plan
     }
 
--- a/crates/jobs/src/size/mod.rs
+++ b/crates/jobs/src/size/mod.rs
@@ -150,13 +150,14 @@
             pool,
             floor,
             has,
+            serving,
             needs,
             owes,
             ..
         } = self;
         write!(
             f,
-            "{pool} has {has}, needs {needs}, holds at least {floor}, owes {owes}"
+            "{pool} has {has}, {serving} take work, needs {needs}, holds at least {floor}, owes {owes}"
         )
     }
 }
@@ -240,43 +241,18 @@
 
     fn counts(&mut self, facts: &Facts<'_>, now: Instant) -> Vec<Count> {
         let mut counts = Vec::new();
-        let homes_of_spare = self.homes.values().filter(|home| *home == facts.spare);
-        let spares = u64::try_from(homes_of_spare.count()).unwrap_or(u64::MAX);
+        let spares = count_of(self.homes.values().filter(|home| *home == facts.spare));
         for (pool, load) in facts.loads {
             if pool == facts.spare || load.capacity_millis == 0 {
                 continue;
             }
-            let there = facts.vms.values();
-            let up = there
-                .clone()
-                .filter(|vm| vm.pool == *pool && vm.state == VmState::Up);
-            let up = u64::try_from(up.count()).unwrap_or(u64::MAX).max(1);
-            let of_pool = there.filter(|vm| self.place(vm) == pool);
-            let has = of_pool.clone().count();
-            let serving = of_pool.filter(|vm| is_serving(facts, vm)).count();
+            let of_pool = facts.vms.values().filter(|vm| self.place(vm) == pool);
+            let has = count_of(of_pool.clone());
+            let serving = count_of(of_pool.filter(|vm| is_serving(facts, vm)));
             let homes = self.homes.iter();
-            let home = homes
-                .filter(|(vm, home)| *home == pool && facts.vms.contains_key(vm))
-                .count();
-            let of_vm = (load.capacity_millis / up).max(1);
-            let horizon_ms = u64::try_from(HORIZON.as_millis()).unwrap_or(u64::MAX);
-            let demand = load.used_millis + load.backlog / horizon_ms;
-            let demand = demand.max(load.demand_millis);
-            let demand = if is_nearly_full(demand, load.capacity_millis) {
-                demand * HEADROOM_PERCENT / 100
-            } else {
-                demand
-            };
-            let home = u64::try_from(home).unwrap_or(u64::MAX);
-            // Half a VM's work is not worth a move.
-            let needs = (demand + of_vm / 2) / of_vm;
-            let needs = if self.is_beginning(pool, demand, home * of_vm, now) {
-                needs.max((home * TURN_PERCENT).div_ceil(100))
-            } else {
-                needs
-            };
-            let has = u64::try_from(has).unwrap_or(u64::MAX);
-            let serving = u64::try_from(serving).unwrap_or(u64::MAX);
+            let of_home = homes.filter(|(vm, home)| *home == pool && facts.vms.contains_key(vm));
+            let home = count_of(of_home);
+            let needs = self.needs(facts, pool, load, home, now);
             if let Some(change) = self.turns.observe(pool, needs >= home.max(1), now) {
                 self.turn_changes.push((pool.clone(), change));
             }
@@ -309,6 +285,35 @@
         counts
     }
 
+    /// How many VMs a pool needs for its load.
+    fn needs(
+        &mut self,
+        facts: &Facts<'_>,
+        pool: &PoolName,
+        load: &PoolLoad,
+        home: u64,
+        now: Instant,
+    ) -> u64 {
+        let vms = facts.vms.values();
+        let up = count_of(vms.filter(|vm| vm.pool == *pool && vm.state == VmState::Up));
+        let of_vm = (load.capacity_millis / up.max(1)).max(1);
+        let horizon_ms = u64::try_from(HORIZON.as_millis()).unwrap_or(u64::MAX);
+        let demand = load.used_millis + load.backlog / horizon_ms;
+        let demand = demand.max(load.demand_millis);
+        let demand = if is_nearly_full(demand, load.capacity_millis) {
+            demand * HEADROOM_PERCENT / 100
+        } else {
+            demand
+        };
+        // Half a VM's work is not worth a move.
+        let needs = (demand + of_vm / 2) / of_vm;
+        if self.is_beginning(pool, demand, home * of_vm, now) {
+            needs.max((home * TURN_PERCENT).div_ceil(100))
+        } else {
+            needs
+        }
+    }
+
     /// Whether the demand of a pool that was calm has just risen so far that its turn may have begun.
     fn is_beginning(&mut self, pool: &PoolName, demand: u64, home: u64, now: Instant) -> bool {
         if !may_begin(demand, home / 2) {
@@ -345,12 +350,8 @@
     fn choose_leaving(&mut self, facts: &Facts<'_>, counts: &[Count], wanted: &[(PoolName, u64)]) {
         let mut open: u64 = wanted.iter().map(|(_, count)| count).sum();
         for count in counts {
-            let leaving_here = self
-                .leaving
-                .iter()
-                .filter(|vm| facts.vms.get(vm).is_some_and(|vm| vm.pool == count.pool))
-                .count();
-            let leaving_here = u64::try_from(leaving_here).unwrap_or(u64::MAX);
+            let leaving = self.leaving.iter().filter_map(|vm| facts.vms.get(vm));
+            let leaving_here = count_of(leaving.filter(|vm| vm.pool == count.pool));
             let beyond = if count.is_calm { count.can_give() } else { 0 };
             let for_others = count.can_give().min(open);
             let goal = beyond.max(for_others).max(count.owes);
@@ -417,6 +418,10 @@
     }
 }
 
+fn count_of(items: impl Iterator) -> u64 {
+    u64::try_from(items.count()).unwrap_or(u64::MAX)
+}
+
 /// Whether a VM takes work, or soon will in the pool that it is on its way to.
 fn is_serving(facts: &Facts<'_>, vm: &Vm) -> bool {
     matches!(vm.state, VmState::Up | VmState::Moving) && !facts.in_waves.contains(&vm.id)
