jobs: the expiring bound is a factor, as the late bound beside it

Cause: read-through. The objective was multiplied by 200 and divided by 100; a product of an extreme objective could pass what a duration holds, which ends the process, long before the factor of 3 beside it does. Change: a factor of 2.

--- a/crates/jobs/src/pool/order.rs
+++ b/crates/jobs/src/pool/order.rs
@@ -18,9 +18,9 @@
 /// Up to this multiple of the objective a completion still has some value.
 const LATE_FACTOR: u32 = 3;
 
-/// From this share of the objective on, in percent, a late job goes before those that can be in time. A third of the time in which it
-/// has some value is left. Measured (docs/WORTH.md).
-const EXPIRING_PERCENT: u32 = 200;
+/// From this multiple of the objective on, a late job goes before those that can be in time. A third of the time in which it has some
+/// value is left. Measured (docs/WORTH.md).
+const EXPIRING_FACTOR: u32 = 2;
 
 /// How a job stands against its objective. Earlier variants get room first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -112,7 +112,7 @@
     let expected = now.saturating_duration_since(job.accepted_at) + remaining_chain(job);
     if expected <= job.objective {
         Standing::Reachable
-    } else if expected <= job.objective * EXPIRING_PERCENT / 100 {
+    } else if expected <= job.objective * EXPIRING_FACTOR {
         Standing::Late
     } else if expected <= job.objective * LATE_FACTOR {
         Standing::Expiring
