jobs: ends that arrive before the first plan after a takeover count

Cause: a job's occurrences are opened by the first plan. While the store is slow, that plan waits for the assigned workers to be stored, and reports arrive before it. apply_end took a closed occurrence for one that is done: the end was acknowledged and forgotten, so a task that was done or had used up its attempts was started again (TWICE, BUDGET). Ruled out: a lost save; the run's end was received by the new scheduler and acknowledged by it. Change: the occurrence is opened before the end is applied, as it is for a run that is found. Test: cases/takeover_end_before_first_plan.txt; before, both tasks were started again.

--- a/crates/jobs/src/pool/report.rs
+++ b/crates/jobs/src/pool/report.rs
@@ -141,7 +141,7 @@
             run: row.run,
             how: end_name(row.end),
         });
-        self.apply_end(row, run.as_ref());
+        self.apply_end(row, run.as_ref(), now);
     }
 
     /// Updates the estimates with the run time of a task that this scheduler observed from its start to its end.
@@ -182,7 +182,7 @@
         self.push_worker_event(worker_ref, "avoided: fails what it starts");
     }
 
-    fn apply_end(&mut self, row: &EndRow, run: Option<&Run>) {
+    fn apply_end(&mut self, row: &EndRow, run: Option<&Run>, now: Instant) {
         let job_id = row.task.step.job;
         let Some(job) = self.jobs.get(&job_id) else {
             return;
@@ -199,6 +199,8 @@
             return;
         };
         job.has_begun = true;
+        // After a takeover, a report may arrive before the first plan has opened the job's occurrences.
+        job.open_occurrence(row.task.step.occurrence, now);
         let was_live = run.is_some();
         let Some((step, state)) = job.step_mut(row.task.step) else {
             // The occurrence is done already.
