jobs, grid, platform: no task is started in a data centre that operators evacuate

Cause: op/evacuate/ZONE was not read at all, and removals under op/ were dropped. Every entry knows them before it has a catalogue, so before it may hold a role. A pass marks the workers of cordoned data centres, which take no start; a start that was planned before is withheld. A scheduler whose knowledge of the operators' requests is older than four fifths of the bound starts nothing. Sizing leaves VMs there out; waves may take them although their pool is busy. Workers that the registry shows as cold are chosen last.

--- a/crates/bench/src/bin/pool.rs
+++ b/crates/bench/src/bin/pool.rs
@@ -127,6 +127,7 @@
         labels: Vec::new(),
         is_draining: false,
         remaining: None,
+        is_cold: false,
     }
 }
 
--- a/crates/grid/src/entry/mod.rs
+++ b/crates/grid/src/entry/mod.rs
@@ -7,7 +7,7 @@
 pub mod silence;
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -15,7 +15,7 @@
 use goldcrest_jobs::upkeep::Wave;
 use goldcrest_jobs::worker::{WorkerInfo, millis};
 use goldcrest_types::clock::Clock;
-use goldcrest_types::names::PoolName;
+use goldcrest_types::names::{DcName, PoolName};
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
@@ -58,6 +58,8 @@
     pub maintenance_time: Duration,
     /// How long the status of a job is kept after its end.
     pub status_retention: Duration,
+    /// The longest time after an operator cordons a data centre for which a task may still be started there.
+    pub cordon_delay_max: Duration,
 }
 
 /// A session with the store: a lease and the time until which it is certainly valid.
@@ -81,8 +83,11 @@
     pub metrics: Metrics,
     /// The newest catalogue that was received; `None` before the first one.
     pub catalogue: watch::Sender<Option<StoredCatalogue>>,
-    /// The latest time at which the catalogue in force was certainly the newest one; `None` before the first catalogue.
+    /// The latest time at which the catalogue in force and the known cordons were certainly the newest; `None` before
+    /// the first catalogue.
     pub catalogue_current_at: Cell<Option<Instant>>,
+    /// The data centres in which no task may be started.
+    pub cordoned: watch::Sender<Rc<BTreeSet<DcName>>>,
     /// The maintenance waves that the operators have requested, by number.
     pub waves: RefCell<BTreeMap<u64, Wave>>,
     /// Notified when a wave is added.
@@ -114,6 +119,7 @@
             metrics: Metrics::new(),
             catalogue: watch::Sender::new(None),
             catalogue_current_at: Cell::new(None),
+            cordoned: watch::Sender::default(),
             waves: RefCell::default(),
             waves_changed: Notify::new(),
             session: watch::Sender::new(None),
@@ -174,6 +180,16 @@
             .is_some_and(|at| self.now().saturating_duration_since(at) < most)
     }
 
+    /// Whether the cordons were read so recently that no task is started in a data centre longer than
+    /// [`Settings::cordon_delay_max`] after it was cordoned.
+    pub fn has_fresh_cordons(&self) -> bool {
+        // A fifth of the time is kept for sending the start.
+        let most = self.settings().cordon_delay_max * 4 / 5;
+        self.catalogue_current_at
+            .get()
+            .is_some_and(|at| self.now().saturating_duration_since(at) < most)
+    }
+
     /// Whether this entry should receive calls.
     pub fn is_ready(&self) -> bool {
         !self.stopping.is_cancelled()
--- a/crates/grid/src/fleet/mod.rs
+++ b/crates/grid/src/fleet/mod.rs
@@ -156,8 +156,9 @@
         let vms = self.vms().await?;
         self.store_homes(&vms).await?;
         let empty = self.empty_vms(&vms);
-        let waves = self.plan_waves(&vms, &empty);
-        let sizes = self.plan_sizes(&vms, &empty, &waves.evacuate);
+        let cordoned = self.cordoned_vms(&vms);
+        let waves = self.plan_waves(&vms, &empty, &cordoned);
+        let sizes = self.plan_sizes(&vms, &empty, &waves.evacuate, &cordoned);
         self.store_busy_periods().await;
         let evacuate = &waves.evacuate | &sizes.evacuate;
         self.publish_evacuations(&vms, &evacuate).await?;
@@ -329,6 +330,17 @@
         empty
     }
 
+    /// The VMs in cordoned data centres. One whose data centre is unknown counts as cordoned while any is.
+    fn cordoned_vms(&self, vms: &BTreeMap<VmId, Vm>) -> BTreeSet<VmId> {
+        let dcs = self.entry.cordoned.borrow();
+        let is_cordoned = |vm: &&Vm| match &vm.dc {
+            Some(dc) => dcs.contains(dc),
+            None => !dcs.is_empty(),
+        };
+        let cordoned = vms.values().filter(is_cordoned);
+        cordoned.map(|vm| vm.id.clone()).collect()
+    }
+
     fn step_down(&self) {
         log::warn!(target: "maintenance", token:% = self.held.token(); "Fleet role given up: another entry may hold it.");
         self.lost.cancel();
--- a/crates/grid/src/fleet/moves.rs
+++ b/crates/grid/src/fleet/moves.rs
@@ -47,6 +47,7 @@
         vms: &BTreeMap<VmId, Vm>,
         empty: &BTreeSet<VmId>,
         in_waves: &BTreeSet<VmId>,
+        cordoned: &BTreeSet<VmId>,
     ) -> SizePlan {
         let Some(spare) = self.spare() else {
             return SizePlan::default();
@@ -70,6 +71,7 @@
             vms,
             empty,
             in_waves,
+            cordoned,
             loads: &loads,
             spare: &spare,
         };
--- a/crates/grid/src/fleet/waves.rs
+++ b/crates/grid/src/fleet/waves.rs
@@ -23,6 +23,7 @@
         &self,
         vms: &BTreeMap<VmId, Vm>,
         empty: &BTreeSet<VmId>,
+        cordoned: &BTreeSet<VmId>,
     ) -> UpkeepPlan {
         // The load of each pool, in thousandths of its capacity.
         let mut load_milli: BTreeMap<PoolName, u64> = self
@@ -43,6 +44,7 @@
         let inputs = WaveInputs {
             vms,
             empty,
+            cordoned,
             load_milli: &load_milli,
             wall_ms: self.entry.wall_ms(),
         };
--- a/crates/grid/src/keys/mod.rs
+++ b/crates/grid/src/keys/mod.rs
@@ -112,7 +112,7 @@
     pub waiting: BTreeMap<Box<str>, u64>,
     /// VMs to evacuate on which nothing runs any more and nothing will be started.
     pub evacuated: BTreeSet<VmId>,
-    /// The sum of the capacities of the pool's listed workers.
+    /// The sum of the capacities of the pool's listed workers outside cordoned data centres.
     pub capacity: Resources,
     /// The resources that runs reserve on these workers.
     pub used: Resources,
--- a/crates/grid/src/metrics/mod.rs
+++ b/crates/grid/src/metrics/mod.rs
@@ -63,6 +63,7 @@
     open_jobs: Family<PoolLabels, Gauge>,
     roles: Gauge,
     catalogue_version: Gauge,
+    cordoned_dcs: Gauge,
     series: RefCell<HashSet<JobLabels>>,
 }
 
@@ -88,6 +89,7 @@
             open_jobs: Family::default(),
             roles: Gauge::default(),
             catalogue_version: Gauge::default(),
+            cordoned_dcs: Gauge::default(),
             series: RefCell::default(),
         };
         metrics.register();
@@ -138,6 +140,11 @@
             "Version of the catalogue in force",
             self.catalogue_version.clone(),
         );
+        registry.register(
+            "cordoned_data_centres",
+            "Data centres in which no task is started",
+            self.cordoned_dcs.clone(),
+        );
     }
 
     /// Counts a call of a submitter by its name and outcome.
@@ -220,6 +227,12 @@
             .set(i64::try_from(version).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of cordoned data centres.
+    pub fn set_cordoned_dcs(&self, dcs: usize) {
+        self.cordoned_dcs
+            .set(i64::try_from(dcs).unwrap_or(i64::MAX));
+    }
+
     /// Returns all metrics in the text format for scraping.
     #[must_use]
     pub fn text(&self) -> String {
--- a/crates/grid/src/operators/mod.rs
+++ b/crates/grid/src/operators/mod.rs
@@ -1,14 +1,14 @@
-//! Follows the operators' requests: the catalogue in force and the maintenance waves.
+//! Follows the operators' requests: the catalogue in force, the maintenance waves and the cordoned data centres.
 //!
 //! A catalogue replaces only an older one. A read or a watch that returns, with or without changes, proves that nothing
-//! newer existed when it was sent; that time is kept in `catalogue_current_at`, from which the freshness of keys is
-//! judged.
+//! newer existed when it was sent; that time is kept in `catalogue_current_at`, from which the freshness of keys and of
+//! cordons is judged. A read replaces all cordons, so one that ended while the watch was lost is not kept.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use crate::entry::{Entry, STORE_TIMEOUT};
-use crate::ports::{CallError, OperatorRequests, Platform, Revision, StoredCatalogue};
+use crate::ports::{CallError, Cordons, OperatorRequests, Platform, Revision, StoredCatalogue};
 
 /// How long a watch waits. Bounds the age of the proof that the catalogue is the newest.
 const WATCH_WAIT: Duration = Duration::from_millis(1_200);
@@ -35,7 +35,7 @@
     match entry.record_call("read orders", sent_at, result) {
         Ok(orders) => Some(ingest(entry, orders, sent_at)),
         Err(error) => {
-            log::warn!(target: "catalogue", error:%; "Reading the catalogue and the waves failed; trying again.");
+            log::warn!(target: "catalogue", error:%; "Reading the operators' requests failed; trying again.");
             None
         }
     }
@@ -51,7 +51,7 @@
     match entry.record_call("watch orders", sent_at, result) {
         Ok(orders) => Some(ingest(entry, orders, sent_at)),
         Err(error) => {
-            log::info!(target: "catalogue", error:%; "Watching the catalogue and the waves failed; reading them again.");
+            log::info!(target: "catalogue", error:%; "Watching the operators' requests failed; reading them again.");
             tokio::time::sleep(RETRY_AFTER).await;
             None
         }
@@ -62,6 +62,7 @@
     if let Some(stored) = orders.catalogue {
         put_in_force(entry, stored);
     }
+    apply_cordons(entry, &orders.cordons);
     let mut has_new = false;
     for wave in orders.waves {
         let number = wave.number;
@@ -80,6 +81,22 @@
     orders.revision
 }
 
+fn apply_cordons<P: Platform>(entry: &Entry<P>, cordons: &Cordons) {
+    let before = Rc::clone(&entry.cordoned.borrow());
+    let after = cordons.apply(&before);
+    if after == *before {
+        return;
+    }
+    for dc in after.difference(&before) {
+        log::warn!(target: "maintenance", dc:%; "Data centre cordoned: no task is started there.");
+    }
+    for dc in before.difference(&after) {
+        log::info!(target: "maintenance", dc:%; "Data centre no longer cordoned.");
+    }
+    entry.metrics.set_cordoned_dcs(after.len());
+    entry.cordoned.send_replace(Rc::new(after));
+}
+
 /// Puts a catalogue in force if it is newer than the one in force.
 pub fn put_in_force<P: Platform>(entry: &Entry<P>, stored: StoredCatalogue) {
     let present = entry
--- a/crates/grid/src/pool/commands.rs
+++ b/crates/grid/src/pool/commands.rs
@@ -155,6 +155,10 @@
                 }
                 break;
             }
+            if !is_sent && self.pool.borrow().is_withheld(&order) {
+                answer = StartAnswer::Cordoned;
+                break;
+            }
             let sent = self.entry.platform.start(&to, &order, START_TIMEOUT).await;
             answer = if is_sent {
                 sent.after_lost_reply()
--- a/crates/grid/src/pool/mod.rs
+++ b/crates/grid/src/pool/mod.rs
@@ -86,7 +86,7 @@
 
     /// Whether commands may be sent to workers.
     pub(crate) fn may_send_commands(&self) -> bool {
-        !self.is_leaving.get() && self.holds_role()
+        !self.is_leaving.get() && self.holds_role() && self.entry.has_fresh_cordons()
     }
 
     /// Stops acting in the role, as another entry may hold it.
@@ -173,6 +173,8 @@
         tasks.spawn_local(Rc::clone(&self).follow_inbox(after));
         tasks.spawn_local(Rc::clone(&self).follow_workers());
         tasks.spawn_local(Rc::clone(&self).follow_catalogue());
+        self.apply_cordons();
+        tasks.spawn_local(Rc::clone(&self).follow_cordons());
         tasks.spawn_local(Rc::clone(&self).follow_settings());
         tasks.spawn_local(Rc::clone(&self).plan_and_send());
         tasks.spawn_local(Rc::clone(&self).keep_saving());
@@ -205,6 +207,22 @@
         }
     }
 
+    fn apply_cordons(&self) {
+        let cordoned = Rc::clone(&self.entry.cordoned.borrow());
+        self.pool.borrow_mut().set_cordoned(&cordoned);
+        self.log_events();
+    }
+
+    async fn follow_cordons(self: Rc<Self>) {
+        let mut cordoned = self.entry.cordoned.subscribe();
+        while cordoned.changed().await.is_ok() {
+            cordoned.mark_unchanged();
+            self.apply_cordons();
+            self.status_changed.notify_one();
+            self.replan.notify_one();
+        }
+    }
+
     async fn follow_catalogue(self: Rc<Self>) {
         let mut catalogue = self.entry.catalogue.subscribe();
         while catalogue.changed().await.is_ok() {
--- a/crates/grid/src/ports/mod.rs
+++ b/crates/grid/src/ports/mod.rs
@@ -4,7 +4,7 @@
 //! Every call has a certain outcome or returns an explicit "unknown", such as [`CallError::Unknown`]; callers never
 //! guess. Calls return by themselves within the timeout that is passed in.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::future::Future;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -15,7 +15,7 @@
 use goldcrest_jobs::pool::{StartAnswer, StartCommand};
 use goldcrest_jobs::upkeep::{Vm, Wave};
 use goldcrest_jobs::worker::{Report, WorkerInfo};
-use goldcrest_types::names::PoolName;
+use goldcrest_types::names::{DcName, PoolName};
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 
@@ -232,26 +232,64 @@
     ) -> impl Future<Output = Result<(), CallError>>;
 }
 
-/// The operators' requests: the catalogue and the maintenance waves.
+/// The cordons in an answer: the data centres in which the operators want no task to be started.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Cordons {
+    /// All cordoned data centres.
+    All(BTreeSet<DcName>),
+    /// The data centres that were cordoned (`true`) or opened again since the last answer.
+    Changed(BTreeMap<DcName, bool>),
+}
+
+impl Default for Cordons {
+    fn default() -> Self {
+        Self::Changed(BTreeMap::new())
+    }
+}
+
+impl Cordons {
+    /// Returns the cordoned data centres after this answer; `before` are those before it.
+    #[must_use]
+    pub fn apply(&self, before: &BTreeSet<DcName>) -> BTreeSet<DcName> {
+        match self {
+            Self::All(cordoned) => cordoned.clone(),
+            Self::Changed(changes) => {
+                let kept = before.iter().filter(|dc| !changes.contains_key(*dc));
+                let added = changes.iter().filter(|(_, is_cordoned)| **is_cordoned);
+                kept.chain(added.map(|(dc, _)| dc)).cloned().collect()
+            }
+        }
+    }
+
+    /// Whether the answer leaves the cordons as they are.
+    #[must_use]
+    pub fn is_unchanged(&self) -> bool {
+        matches!(self, Self::Changed(changes) if changes.is_empty())
+    }
+}
+
+/// The operators' requests: the catalogue, the maintenance waves and the cordons.
 #[derive(Debug, Clone, Default)]
 pub struct OperatorRequests {
     /// The catalogue, if the answer contains it.
     pub catalogue: Option<StoredCatalogue>,
     /// The maintenance waves that the answer contains.
     pub waves: Vec<Wave>,
+    /// The cordons.
+    pub cordons: Cordons,
     /// The revision from which the next watch continues.
     pub revision: Revision,
 }
 
 /// The source of the operators' requests.
 pub trait Operators {
-    /// Reads the catalogue and all waves in effect.
+    /// Reads the catalogue, and all waves and cordons in effect.
     fn read_requests(
         &self,
         timeout: Duration,
     ) -> impl Future<Output = Result<OperatorRequests, CallError>>;
 
-    /// Waits for changes of the catalogue or the waves after a revision, for at most `wait`.
+    /// Waits for changes of the catalogue, the waves or the cordons after a revision, for at most `wait`.
     fn watch_requests(
         &self,
         after: Revision,
--- a/crates/grid/tests/entry/common/mod.rs
+++ b/crates/grid/tests/entry/common/mod.rs
@@ -17,6 +17,7 @@
 use goldcrest_jobs::upkeep::{Vm, VmState};
 use goldcrest_jobs::worker::WorkerInfo;
 use goldcrest_standin::grid::{Gate, RuntimeClock, World};
+use goldcrest_types::names::DcName;
 use tokio::task::{JoinHandle, LocalSet};
 use tokio::time::{Instant, sleep};
 
@@ -123,13 +124,19 @@
         bed
     }
 
-    /// Adds a worker on a VM of its own.
+    /// Adds a worker on a VM of its own, in no known data centre.
     pub fn add_worker(&self, name: &str) {
+        self.add_worker_in(name, None);
+    }
+
+    /// Adds a worker on a VM of its own, in a data centre.
+    pub fn add_worker_in(&self, name: &str, dc: Option<&str>) {
+        let dc: Option<DcName> = dc.map(|dc| dc.parse().expect("a name"));
         let info = WorkerInfo {
             id: WorkerId::from(name),
             started_ms: Some(1),
             address: name.into(),
-            dc: None,
+            dc: dc.clone(),
             capacity: Resources {
                 cpu_millis: 4_000,
                 memory_mb: 8_000,
@@ -138,6 +145,7 @@
             labels: Vec::new(),
             is_draining: false,
             remaining: None,
+            is_cold: false,
         };
         let pool = "p".parse().expect("a name");
         let mut crew = self.world.crew.borrow_mut();
@@ -148,6 +156,7 @@
             pool: "p".parse().expect("a name"),
             state: VmState::Up,
             worker: Some(WorkerId::from(name)),
+            dc: dc.clone(),
         };
         self.world.vms.borrow_mut().insert(vm.id.clone(), vm);
     }
@@ -167,6 +176,7 @@
             pool: Bounds::default(),
             vm_command_gap: Duration::from_secs(3),
             maintenance_time: Duration::from_secs(2),
+            cordon_delay_max: Duration::from_secs(5),
             status_retention: Duration::from_mins(2),
         };
         let gate = self.world.gate(name);
@@ -218,6 +228,7 @@
             pool: "spare".parse().expect("a name"),
             state: VmState::Up,
             worker: None,
+            dc: None,
         };
         self.world.vms.borrow_mut().insert(vm.id.clone(), vm);
     }
--- a/crates/grid/tests/entry/main.rs
+++ b/crates/grid/tests/entry/main.rs
@@ -3,6 +3,7 @@
 mod burst;
 mod calls;
 mod common;
+mod cordon;
 mod faults;
 mod invariants;
 mod maintenance;
--- a/crates/jobs/src/pool/event.rs
+++ b/crates/jobs/src/pool/event.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use goldcrest_types::names::DcName;
+
 use crate::id::{JobId, RunNumber, TaskId, WorkerId};
 use crate::pool::StopReason;
 use crate::resources::Resources;
@@ -65,6 +67,13 @@
         /// The largest capacity of any worker, for each kind of resource by itself.
         most: Resources,
     },
+    /// Data centres were cordoned or opened again.
+    CordonsChanged {
+        /// All data centres that are cordoned now.
+        dcs: Vec<DcName>,
+        /// The number of the pool's workers on which nothing is started for that reason.
+        workers: usize,
+    },
     /// A worker's state has changed.
     Worker {
         /// The worker concerned.
--- a/crates/jobs/src/pool/free_capacity.rs
+++ b/crates/jobs/src/pool/free_capacity.rs
@@ -81,8 +81,8 @@
         }
     }
 
-    /// Chooses the best worker for a task of the step: one near its data, then the one with the least free processor
-    /// time. Tasks of services go to workers that run other services, which keeps the other workers empty, so that
+    /// Chooses the best worker for a task of the step: one that is not cold, one near its data, then the one with the
+    /// least free processor time. Tasks of services go to workers that run other services, which keeps the other workers empty, so that
     /// these can leave the pool as soon as its busy period ends. Best-effort tasks use idle capacity and go where there
     /// is the most of it.
     pub fn choose(&mut self, pool: &Pool, id: StepId, step: &Step) -> Option<WorkerRef> {
@@ -95,7 +95,7 @@
             }
         };
         let mut has_capacity = false;
-        let mut best: Option<(bool, usize, u64, Reverse<WorkerRef>)> = None;
+        let mut best: Option<(bool, bool, usize, u64, Reverse<WorkerRef>)> = None;
         for candidate in self
             .candidates
             .iter()
@@ -106,6 +106,7 @@
             let fitness = fitness(&candidate.free);
             let services_at_most = if step.is_service() { usize::MAX } else { 0 };
             let at_most = (
+                true,
                 step.near.is_some(),
                 services_at_most,
                 fitness,
@@ -128,6 +129,7 @@
                     0
                 };
                 best = best.max(Some((
+                    !worker.info.is_cold,
                     is_near,
                     services,
                     fitness,
--- a/crates/jobs/src/pool/ingest.rs
+++ b/crates/jobs/src/pool/ingest.rs
@@ -373,6 +373,7 @@
                 self.permit_refused(task.step, worker_ref, now);
                 self.drop_run(worker_ref, key, "no permit");
             }
+            StartAnswer::Cordoned => self.drop_run(worker_ref, key, "cordoned"),
             StartAnswer::Malformed => {
                 self.drop_run(worker_ref, key, "malformed");
                 self.pause_job(task.step.job, MALFORMED_PAUSE, now);
--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -10,11 +10,12 @@
 //!   after the jobs that they changed have been saved.
 //!
 //! State enters through [`Pool::submit`], [`Pool::set_workers`], [`Pool::report`] and the replies to commands.
-//! [`Pool::plan`] then runs the passes, one per file: [`release`], [`lifecycle`], [`evacuate`], `doubt` (finds suspect
+//! [`Pool::plan`] then runs the passes, one per file: [`release`], [`cordon`], [`lifecycle`], [`evacuate`], `doubt` (finds suspect
 //! runs: stalled ones, and those on unresponsive workers), [`order`] (sorts the waiting jobs), [`permits`], [`place`],
 //! `unfit` (finds steps that fit no worker), [`pace`] (limits the speed of best-effort runs).
 
 mod arrivals;
+pub mod cordon;
 mod doubt;
 pub mod evacuate;
 mod event;
@@ -33,7 +34,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use goldcrest_types::names::{PoolName, TeamName};
+use goldcrest_types::names::{DcName, PoolName, TeamName};
 
 use crate::catalogue::Catalogue;
 use crate::estimate::Estimates;
@@ -158,6 +159,8 @@
     NoPermit,
     /// The start is malformed.
     Malformed,
+    /// The start was not sent, because the worker's data centre was cordoned after the plan.
+    Cordoned,
     /// No reply: the start may have been executed.
     Unknown,
 }
@@ -171,9 +174,12 @@
             Self::Started | Self::Fenced | Self::WrongWorker | Self::Outdated => self,
             // The run can no longer begin, but by the earlier copy it may have begun and ended.
             Self::TooLate => Self::Outdated,
-            Self::NoRoom | Self::Unhealthy | Self::NoPermit | Self::Malformed | Self::Unknown => {
-                Self::Unknown
-            }
+            Self::NoRoom
+            | Self::Unhealthy
+            | Self::NoPermit
+            | Self::Malformed
+            | Self::Cordoned
+            | Self::Unknown => Self::Unknown,
         }
     }
 }
@@ -208,6 +214,8 @@
     estimates: Estimates,
     arrivals: Arrivals,
     permits: BTreeMap<StepId, permits::StepPermits>,
+    /// The cordoned data centres.
+    cordoned: BTreeSet<DcName>,
     /// Tasks whose only run was suspect in the last plan and which may be given a copy.
     copies_allowed: BTreeSet<TaskId>,
     /// When the jobs were last checked for steps that fit no worker.
@@ -244,6 +252,7 @@
             estimates: Estimates::default(),
             arrivals: Arrivals::default(),
             permits: BTreeMap::new(),
+            cordoned: BTreeSet::new(),
             copies_allowed: BTreeSet::new(),
             unfit_checked_at: None,
         }
@@ -398,12 +407,14 @@
         .fold(0, u64::saturating_add)
     }
 
-    /// The processors needed to run the pool's services and to keep up with arriving work, in thousandths of a core.
+    /// The processors needed to run the pool's services outside cordoned data centres and to keep up with arriving
+    /// work, in thousandths of a core.
     #[must_use]
     pub fn demand_millis(&self, now: Instant) -> u64 {
         let runs = self
             .workers
             .values()
+            .filter(|worker| !worker.is_cordoned)
             .flat_map(|worker| worker.runs.values());
         let services = runs.filter(|run| run.is_service);
         let of_services: u64 = services.map(|run| run.reserved.cpu_millis).sum();
@@ -418,6 +429,7 @@
             .workers
             .values()
             .filter(|worker| worker.is_listed && !worker.has_departed && !worker.info.is_draining)
+            .filter(|worker| !worker.is_cordoned)
             .filter(|worker| !worker.runs.values().any(|run| run.is_service))
             .map(|worker| (worker.runs.len(), worker.info.id.clone()))
             .collect();
@@ -429,6 +441,7 @@
     pub fn plan(&mut self, now: Instant, wall_ms: u64) -> Vec<Command> {
         self.commands.clear();
         release::run(self, now);
+        cordon::run(self);
         lifecycle::run(self, now, wall_ms);
         evacuate::run(self, now);
         doubt::run(self, now);
@@ -438,6 +451,10 @@
         unfit::run(self, now);
         pace::run(self, now);
         debug_assert_eq!(crate::verify::pool(self), Vec::<Box<str>>::new());
+        debug_assert_eq!(
+            crate::verify::cordons(self, &self.commands),
+            Vec::<Box<str>>::new()
+        );
         std::mem::take(&mut self.commands)
     }
 
--- a/crates/jobs/src/size/mod.rs
+++ b/crates/jobs/src/size/mod.rs
@@ -79,7 +79,7 @@
 /// The load of a pool, as its scheduler reports it.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct PoolLoad {
-    /// The processors of its workers, in thousandths of a core.
+    /// The processors of its workers outside cordoned data centres, in thousandths of a core.
     pub capacity_millis: u64,
     /// How much of `capacity_millis` is in use.
     pub used_millis: u64,
@@ -128,6 +128,8 @@
     pub empty: &'a BTreeSet<VmId>,
     /// VMs that a maintenance wave is about to take down.
     pub in_waves: &'a BTreeSet<VmId>,
+    /// VMs in cordoned data centres. They accept no work, whichever pool they are in, so they neither move nor count.
+    pub cordoned: &'a BTreeSet<VmId>,
     /// The load of each pool.
     pub loads: &'a BTreeMap<PoolName, PoolLoad>,
     /// The name of the spare pool.
@@ -141,7 +143,7 @@
     pub pool: PoolName,
     /// The fewest VMs that it should hold: a share of its home size or just above its need, up to its home size.
     pub floor: u64,
-    /// The VMs that it holds or that are on their way to it.
+    /// The VMs outside cordoned data centres that it holds or that are on their way to it.
     pub assigned: u64,
     /// How many of these accept work: neither down nor being evacuated for maintenance.
     pub serving: u64,
@@ -220,7 +222,8 @@
         self.may_have_displaced = inputs
             .vms
             .values()
-            .any(|vm| self.homes.get(&vm.id).is_some_and(|home| *home != vm.pool));
+            .any(|vm| self.homes.get(&vm.id).is_some_and(|home| *home != vm.pool))
+            || !inputs.cordoned.is_empty();
         let counts = self.counts(inputs, now);
         let mut shortfalls = shortfalls(&counts);
         let mut plan = SizePlan::default();
@@ -240,7 +243,8 @@
                 .is_some_and(|listed| listed.pool == *pool && listed.state == VmState::Up);
             !has_arrived && now.saturating_duration_since(*at) < LISTING_LAG
         });
-        self.leaving.retain(|vm| inputs.vms.contains_key(vm));
+        self.leaving
+            .retain(|vm| inputs.vms.contains_key(vm) && !inputs.cordoned.contains(vm));
     }
 
     /// The pool that a VM is in or on its way to.
@@ -260,7 +264,7 @@
             let of_pool = inputs
                 .vms
                 .values()
-                .filter(|vm| self.effective_pool(vm) == pool);
+                .filter(|vm| self.effective_pool(vm) == pool && !inputs.cordoned.contains(&vm.id));
             let assigned = count_of(of_pool.clone());
             let serving = count_of(of_pool.filter(|vm| is_serving(inputs, vm)));
             let homes = self.homes.iter();
@@ -310,8 +314,10 @@
         home: u64,
         now: Instant,
     ) -> u64 {
-        let vms = inputs.vms.values();
-        let up = count_of(vms.filter(|vm| vm.pool == *pool && vm.state == VmState::Up));
+        let up = inputs.vms.values().filter(|vm| {
+            vm.pool == *pool && vm.state == VmState::Up && !inputs.cordoned.contains(&vm.id)
+        });
+        let up = count_of(up);
         let millis_per_vm = (load.capacity_millis / up.max(1)).max(1);
         let horizon_ms = u64::try_from(BACKLOG_HORIZON.as_millis()).unwrap_or(u64::MAX);
         let demand = load.used_millis + load.backlog / horizon_ms;
@@ -351,6 +357,7 @@
     fn is_free(&self, inputs: &SizeInputs<'_>, vm: &Vm) -> bool {
         vm.state == VmState::Up
             && !inputs.in_waves.contains(&vm.id)
+            && !inputs.cordoned.contains(&vm.id)
             && !self.pending_moves.contains_key(&vm.id)
     }
 
--- a/crates/jobs/src/upkeep/mod.rs
+++ b/crates/jobs/src/upkeep/mod.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use goldcrest_types::names::PoolName;
+use goldcrest_types::names::{DcName, PoolName};
 use serde::{Deserialize, Serialize};
 
 use crate::id::{VmId, WorkerId};
@@ -49,6 +49,8 @@
     pub state: VmState,
     /// The worker that runs on it.
     pub worker: Option<WorkerId>,
+    /// Its data centre, if known.
+    pub dc: Option<DcName>,
 }
 
 /// The stored progress of a wave.
@@ -98,6 +100,8 @@
     pub vms: &'a BTreeMap<VmId, Vm>,
     /// VMs on which nothing runs and nothing will be started.
     pub empty: &'a BTreeSet<VmId>,
+    /// VMs in cordoned data centres, which accept no work.
+    pub cordoned: &'a BTreeSet<VmId>,
     /// The load of each pool, in use or waited for, in thousandths of its capacity. Pools that are not listed have no
     /// load.
     pub load_milli: &'a BTreeMap<PoolName, u64>,
@@ -186,8 +190,8 @@
         unfinished.div_ceil(cycles).min(self.wave.at_once as usize)
     }
 
-    /// Chooses the next VMs. Those of busy pools come last; among the others those that are empty already come first,
-    /// then those of the pools with the least load.
+    /// Chooses the next VMs. Those of busy pools come last, unless they accept no work anyway; among the others those
+    /// that are empty already come first, then those of the pools with the least load.
     fn choose(&mut self, up: &[&Vm], target: usize, inputs: &WaveInputs<'_>) {
         let mut of_pool: BTreeMap<&PoolName, usize> = BTreeMap::new();
         for vm in inputs.vms.values() {
@@ -205,7 +209,7 @@
             .collect();
         candidates.sort_by_key(|vm| {
             let load = inputs.load_milli.get(&vm.pool).copied().unwrap_or_default();
-            let is_busy = load >= BUSY_MILLI;
+            let is_busy = load >= BUSY_MILLI && !inputs.cordoned.contains(&vm.id);
             (is_busy, !inputs.empty.contains(&vm.id), load, vm.id.clone())
         });
         for is_second_pass in [false, true] {
--- a/crates/jobs/src/verify/mod.rs
+++ b/crates/jobs/src/verify/mod.rs
@@ -1,15 +1,15 @@
-//! Checks of the invariants of a pool's state. Each returns every breach, with its ids.
+//! Checks of the invariants of a pool's state and of its commands. Each returns every breach, with its ids.
 
 use std::collections::BTreeMap;
 
 use goldcrest_types::names::TeamName;
 
 use crate::id::TaskId;
-use crate::pool::Pool;
+use crate::pool::{Command, Pool, StartCommand};
 use crate::resources::Resources;
 use crate::worker::Origin;
 
-/// Runs all checks.
+/// Runs all checks of a pool's state.
 #[must_use]
 pub fn pool(pool: &Pool) -> Vec<Box<str>> {
     let mut breaches = single_run(pool);
@@ -19,6 +19,23 @@
     breaches
 }
 
+/// Checks that no planned start goes to a worker of a cordoned data centre.
+#[must_use]
+pub fn cordons(pool: &Pool, commands: &[Command]) -> Vec<Box<str>> {
+    let starts = commands.iter().filter_map(|command| match command {
+        Command::Start(order) => Some(order),
+        Command::Stop { .. } | Command::Throttle { .. } | Command::QueryPermits { .. } => None,
+    });
+    let is_cordoned = |order: &&StartCommand| {
+        let worker = pool.worker(order.worker);
+        worker.is_some_and(|worker| worker.is_cordoned)
+    };
+    starts
+        .filter(is_cordoned)
+        .map(|order| format!("task {}: started in a cordoned data centre", order.task).into())
+        .collect()
+}
+
 /// Checks that a task which may not run in copies has at most one live run, and that its count of live runs is right.
 #[must_use]
 pub fn single_run(pool: &Pool) -> Vec<Box<str>> {
--- a/crates/jobs/src/worker/mod.rs
+++ b/crates/jobs/src/worker/mod.rs
@@ -38,6 +38,8 @@
     pub is_draining: bool,
     /// The least time until it leaves, if it is draining.
     pub remaining: Option<Duration>,
+    /// Whether it was slow after its start when the registry was read.
+    pub is_cold: bool,
 }
 
 /// The state of a run, as far as it is known.
@@ -141,6 +143,8 @@
     pub vm: Option<VmId>,
     /// Since when it is being evacuated.
     pub evacuating_since: Option<Instant>,
+    /// Whether its data centre is cordoned, as of the last plan.
+    pub is_cordoned: bool,
     /// The runs that may be executing.
     pub runs: BTreeMap<RunKey, Run>,
     /// The sum of what the runs reserve.
@@ -188,6 +192,7 @@
             has_departed: false,
             vm: None,
             evacuating_since: None,
+            is_cordoned: false,
             runs: BTreeMap::new(),
             used: Resources::ZERO,
             last_end: 0,
@@ -229,6 +234,7 @@
             && !self.has_departed
             && !self.is_full
             && !self.is_evacuating()
+            && !self.is_cordoned
             && !self.info.is_draining
             && self.paused_until.is_none_or(|until| now >= until)
     }
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -96,6 +96,7 @@
                 let vms = self.vms.clone();
                 self.pool().set_vms(&vms);
             }
+            "dc" => self.info(words[1]).dc = Some(number(words[2])),
             "drain" => self.info(words[1]).is_draining = true,
             "born" => self.info(words[1]).started_ms = Some(number(words[2])),
             "unlist" => {
@@ -178,6 +179,10 @@
                 let vms = words[1..].iter().map(|vm| VmId::from(*vm)).collect();
                 self.pool().set_evacuating(&vms, now);
             }
+            "cordon" => {
+                let dcs = words[1..].iter().map(|dc| number(dc)).collect();
+                self.pool().set_cordoned(&dcs);
+            }
             "plan" => return self.plan(),
             "events" => return self.events(),
             "state" => return self.state(words[1]),
@@ -275,6 +280,7 @@
             labels: words[4..].iter().map(|label| (*label).into()).collect(),
             is_draining: false,
             remaining: None,
+            is_cold: false,
         };
         self.infos.insert(words[1].into(), info);
         self.listed.insert(words[1].into());
--- a/crates/jobs/tests/common/parse.rs
+++ b/crates/jobs/tests/common/parse.rs
@@ -80,6 +80,7 @@
         "unknown" => StartAnswer::Unknown,
         "no-permit" => StartAnswer::NoPermit,
         "malformed" => StartAnswer::Malformed,
+        "cordoned" => StartAnswer::Cordoned,
         _ => panic!("'{word}' is no answer"),
     }
 }
@@ -158,6 +159,13 @@
             let job = job.trim_end_matches('0');
             Some(format!("job {job}: step {step} fits no worker"))
         }
+        Event::CordonsChanged { dcs, workers } => {
+            let dcs: Vec<String> = dcs.iter().map(ToString::to_string).collect();
+            Some(format!(
+                "cordoned: {workers} workers in [{}]",
+                dcs.join(" ")
+            ))
+        }
         Event::Worker {
             worker,
             state,
--- a/crates/jobs/tests/extremes.rs
+++ b/crates/jobs/tests/extremes.rs
@@ -42,6 +42,7 @@
         labels: Vec::new(),
         is_draining: false,
         remaining: None,
+        is_cold: false,
     };
     pool.set_workers(vec![info], Instant::now());
     pool
--- a/crates/jobs/tests/size.rs
+++ b/crates/jobs/tests/size.rs
@@ -17,6 +17,7 @@
     loads: BTreeMap<PoolName, PoolLoad>,
     empty: BTreeSet<VmId>,
     in_waves: BTreeSet<VmId>,
+    cordoned: BTreeSet<VmId>,
     sizes: Sizes,
     now: Instant,
 }
@@ -33,6 +34,7 @@
             loads: BTreeMap::new(),
             empty: BTreeSet::new(),
             in_waves: BTreeSet::new(),
+            cordoned: BTreeSet::new(),
             sizes: Sizes::default(),
             now: Instant::now(),
         };
@@ -44,6 +46,7 @@
                     pool: pool(name),
                     state: VmState::Up,
                     worker: Some(WorkerId::from(id.as_str())),
+                    dc: None,
                 };
                 fleet.vms.insert(id, vm);
             }
@@ -77,6 +80,7 @@
             vms: &self.vms,
             empty: &self.empty,
             in_waves: &self.in_waves,
+            cordoned: &self.cordoned,
             loads: &self.loads,
             spare: &spare,
         };
@@ -359,3 +363,45 @@
     // Five VMs and some headroom.
     assert_eq!(fleet.count("a"), 7);
 }
+
+/// The load of a busy period while a third of the pool and of the spare pool is in a cordoned data centre.
+#[test]
+fn plan_cordoned_vms_neither_count_nor_move() {
+    let mut fleet = Fleet::new();
+    fleet.cordoned = ["a0", "a1", "spare0"].map(VmId::from).into();
+    // The scheduler reports the capacity and the use of the workers outside the cordon only.
+    fleet.load("a", 2, 2);
+    if let Some(load) = fleet.loads.get_mut(&pool("a")) {
+        load.capacity_millis = VM_MILLIS * 2;
+    }
+    fleet.load("b", 0, 0);
+    let plan = fleet.plan();
+    let count = plan.counts.iter().find(|count| count.pool == pool("a"));
+    assert_eq!(
+        count.map(|count| (count.assigned, count.serving)),
+        Some((2, 2))
+    );
+    assert!(!plan.moves.is_empty());
+    let moved = plan.moves.iter().map(|(vm, _)| vm);
+    assert!(
+        moved
+            .chain(&plan.evacuate)
+            .all(|vm| !fleet.cordoned.contains(vm))
+    );
+}
+
+/// VMs that were to leave their pool stay when their data centre is cordoned.
+#[test]
+fn plan_cordoned_vms_stop_leaving() {
+    let mut fleet = Fleet::new();
+    fleet.load("a", 0, 0);
+    fleet.load("b", 0, 0);
+    fleet.plan();
+    fleet.advance(1_500);
+    let leaving = fleet.plan().evacuate;
+    assert!(!leaving.is_empty());
+    fleet.cordoned.clone_from(&leaving);
+    let plan = fleet.plan();
+    assert!(plan.evacuate.is_disjoint(&leaving));
+    assert!(plan.moves.iter().all(|(vm, _)| !leaving.contains(vm)));
+}
--- a/crates/jobs/tests/upkeep.rs
+++ b/crates/jobs/tests/upkeep.rs
@@ -12,6 +12,7 @@
 struct Fleet {
     vms: BTreeMap<VmId, Vm>,
     empty: BTreeSet<VmId>,
+    cordoned: BTreeSet<VmId>,
     load_milli: BTreeMap<PoolName, u64>,
     upkeep: Upkeep,
     wall_ms: u64,
@@ -33,6 +34,7 @@
                     pool: pool(name),
                     state: VmState::Up,
                     worker: Some(WorkerId::from(id.as_str())),
+                    dc: None,
                 };
                 vms.insert(id, vm);
             }
@@ -49,6 +51,7 @@
         Self {
             vms,
             empty: BTreeSet::new(),
+            cordoned: BTreeSet::new(),
             load_milli: BTreeMap::from([(pool("a"), 900), (pool("b"), 50)]),
             upkeep,
             wall_ms: 0,
@@ -59,6 +62,7 @@
         let inputs = WaveInputs {
             vms: &self.vms,
             empty: &self.empty,
+            cordoned: &self.cordoned,
             load_milli: &self.load_milli,
             wall_ms: self.wall_ms,
         };
@@ -153,3 +157,16 @@
     fleet.vms.get_mut(&unknown).expect("a VM").state = VmState::InMaintenance;
     assert_eq!(fleet.plan().take_down.len(), 2);
 }
+
+/// VMs in a cordoned data centre accept no work, so the wave takes them although their pool is busy.
+#[test]
+fn plan_cordoned_vms_of_a_busy_pool_first() {
+    let mut fleet = Fleet::new(Duration::from_secs(123), 9);
+    fleet.cordoned = ["a0", "a1"].map(VmId::from).into();
+    let first = fleet.plan().evacuate;
+    assert_eq!(first.len(), 2);
+    let mut idle = Fleet::new(Duration::from_secs(123), 9);
+    idle.load_milli = BTreeMap::from([(pool("a"), 900), (pool("b"), 800)]);
+    idle.cordoned.clone_from(&fleet.cordoned);
+    assert_eq!(idle.plan().evacuate, fleet.cordoned);
+}
--- a/crates/standin/src/grid/gate.rs
+++ b/crates/standin/src/grid/gate.rs
@@ -1,11 +1,11 @@
 //! An entry's access to the [`World`], which applies the faults between them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
 use goldcrest_grid::ports::{
-    CallError, CommandError, Committed, Conflict, Holder, Item, LeaseId, OperatorRequests,
+    CallError, CommandError, Committed, Conflict, Cordons, Holder, Item, LeaseId, OperatorRequests,
     Operators, Page, PermitService, Put, Recipient, Registry, Revision, Store, Txn, VmCommandError,
     Vms, Watched, Workers,
 };
@@ -102,6 +102,15 @@
         }
     }
 
+    /// Leaves a reading of the operators' requests without an answer if the entry's fault says so.
+    async fn reach_requests(&self, within: Duration) -> Result<(), CallError> {
+        if self.world.has_requests(&self.entry) {
+            return Ok(());
+        }
+        sleep(within).await;
+        Err(CallError::Unknown("silent".into()))
+    }
+
     async fn reach_worker(&self, worker: &WorkerId, within: Duration) -> bool {
         if self.world.is_reachable(&self.entry, worker) {
             sleep(COMMAND_DELAY).await;
@@ -204,7 +213,20 @@
 impl Operators for Gate {
     async fn read_requests(&self, within: Duration) -> Result<OperatorRequests, CallError> {
         self.reach_store(within).await?;
-        Ok(self.orders(Revision(0)))
+        self.reach_requests(within).await?;
+        let cordons = self.world.cordons.borrow();
+        let mut cordoned = BTreeSet::new();
+        for (_, dc, is_cordoned) in cordons.iter() {
+            if *is_cordoned {
+                cordoned.insert(dc.clone());
+            } else {
+                cordoned.remove(dc);
+            }
+        }
+        Ok(OperatorRequests {
+            cordons: Cordons::All(cordoned),
+            ..self.orders(Revision(0))
+        })
     }
 
     async fn watch_requests(
@@ -214,12 +236,19 @@
     ) -> Result<OperatorRequests, CallError> {
         self.reach_store(wait).await?;
         let poll = || {
+            if self.world.table.borrow().is_compacted(after) {
+                return Some(Err(CallError::HistoryGone));
+            }
             let orders = self.orders(after);
-            (orders.catalogue.is_some() || !orders.waves.is_empty()).then_some(orders)
+            let has_changes = orders.catalogue.is_some()
+                || !orders.waves.is_empty()
+                || !orders.cordons.is_unchanged();
+            has_changes.then_some(Ok(orders))
         };
         let found = self.wait_for(wait, poll).await;
         self.reach_store(wait).await?;
-        Ok(found.unwrap_or_else(|| self.orders(self.world.table.borrow().revision())))
+        self.reach_requests(wait).await?;
+        found.unwrap_or_else(|| Ok(self.orders(self.world.table.borrow().revision())))
     }
 
     fn wave_status(&self, wave: u64, is_completed: bool) -> Put {
@@ -235,6 +264,7 @@
     fn orders(&self, after: Revision) -> OperatorRequests {
         let catalogue = self.world.catalogue.borrow().clone();
         let waves = self.world.waves.borrow();
+        let cordons = self.world.cordons.borrow();
         OperatorRequests {
             catalogue: catalogue.filter(|stored| stored.revision > after),
             waves: waves
@@ -242,6 +272,13 @@
                 .filter(|(revision, _)| *revision > after.0)
                 .map(|(_, wave)| wave.clone())
                 .collect(),
+            cordons: Cordons::Changed(
+                cordons
+                    .iter()
+                    .filter(|(revision, ..)| *revision > after.0)
+                    .map(|(_, dc, is_cordoned)| (dc.clone(), *is_cordoned))
+                    .collect(),
+            ),
             revision: self.world.table.borrow().revision(),
         }
     }
--- a/crates/standin/src/grid/mod.rs
+++ b/crates/standin/src/grid/mod.rs
@@ -20,6 +20,7 @@
 use goldcrest_jobs::id::{VmId, WorkerId};
 use goldcrest_jobs::upkeep::{Vm, Wave};
 use goldcrest_types::clock::Clock;
+use goldcrest_types::names::DcName;
 
 pub use gate::Gate;
 pub use permits::PermitOffice;
@@ -59,8 +60,12 @@
     pub maintained: RefCell<Vec<(VmId, u64)>>,
     /// The waves that the operators have ordered, each with the store revision of its order.
     pub(crate) waves: RefCell<Vec<(u64, Wave)>>,
+    /// The changes of cordons, each with its store revision and whether the data centre was cordoned by it.
+    pub(crate) cordons: RefCell<Vec<(u64, DcName, bool)>>,
     pub(crate) catalogue: RefCell<Option<StoredCatalogue>>,
     faults: RefCell<BTreeMap<Box<str>, StoreFault>>,
+    /// Entries whose readings of the operators' requests get no answer.
+    without_requests: RefCell<BTreeSet<Box<str>>>,
     unreachable: RefCell<BTreeSet<(Box<str>, WorkerId)>>,
     /// The latency of a call to the store.
     pub(crate) delay: Cell<Duration>,
@@ -98,6 +103,20 @@
         self.changed.notify_waiters();
     }
 
+    /// Cordons a data centre or opens it again, as the operators do.
+    ///
+    /// # Panics
+    ///
+    /// `dc` is not the name of a data centre.
+    pub fn set_cordoned(&self, dc: &str, is_cordoned: bool) {
+        let revision = self.table.borrow_mut().step();
+        let dc = dc.parse().expect("a name of a data centre");
+        self.cordons
+            .borrow_mut()
+            .push((revision.0, dc, is_cordoned));
+        self.changed.notify_waiters();
+    }
+
     /// Sets the fault between an entry and the store.
     pub fn set_fault(&self, entry: &str, fault: StoreFault) {
         self.faults.borrow_mut().insert(entry.into(), fault);
@@ -108,6 +127,20 @@
         faults.get(entry).copied().unwrap_or_default()
     }
 
+    /// Leaves an entry's readings of the operators' requests without an answer, or answers them again.
+    pub fn lose_requests(&self, entry: &str, is_lost: bool) {
+        let mut without_requests = self.without_requests.borrow_mut();
+        if is_lost {
+            without_requests.insert(entry.into());
+        } else {
+            without_requests.remove(entry);
+        }
+    }
+
+    pub(crate) fn has_requests(&self, entry: &str) -> bool {
+        !self.without_requests.borrow().contains(entry)
+    }
+
     /// Disconnects an entry from a worker, or connects them again.
     pub fn set_reachable(&self, entry: &str, worker: &str, is_reachable: bool) {
         let key = (Box::from(entry), WorkerId::from(worker));
--- a/crates/standin/src/grid/store.rs
+++ b/crates/standin/src/grid/store.rs
@@ -38,6 +38,12 @@
         self.history.clear();
     }
 
+    /// Whether the history no longer has all changes after a revision.
+    #[must_use]
+    pub fn is_compacted(&self, after: Revision) -> bool {
+        after.0 < self.compacted
+    }
+
     /// Returns the item at a key.
     #[must_use]
     pub fn get(&self, key: &str) -> Option<&Item> {
@@ -62,7 +68,7 @@
     /// reaches back that far.
     #[must_use]
     pub fn since(&self, prefix: &str, after: Revision) -> Option<Watched> {
-        if after.0 < self.compacted {
+        if self.is_compacted(after) {
             return None;
         }
         let changes = self.history.iter().filter(|(revision, change)| {
