--- a/crates/grid/src/pool/status.rs
+++ b/crates/grid/src/pool/status.rs
@@ -75,7 +75,7 @@
             .map(|(queue, count)| (queue.into(), count))
             .collect();
         let workers = pool.workers().values();
-        let live = workers.filter(|worker| worker.is_listed && !worker.is_cordoned);
+        let live = workers.filter(|worker| worker.is_listed && !worker.is_cordoned());
         let (capacity, used) = live.fold((Resources::ZERO, Resources::ZERO), |sum, worker| {
             (sum.0 + worker.info.capacity, sum.1 + worker.used)
         });
--- a/crates/jobs/src/pool/cordon.rs
+++ b/crates/jobs/src/pool/cordon.rs
@@ -11,13 +11,17 @@
 use goldcrest_types::names::DcName;
 
 use crate::pool::{Event, Pool, StartCommand};
-use crate::worker::WorkerInfo;
+use crate::worker::{DcState, WorkerInfo};
 
 /// Runs the pass.
 pub fn run(pool: &mut Pool) {
     let cordoned = &pool.cordoned;
     for worker in pool.workers.values_mut() {
-        worker.is_cordoned = is_cordoned(cordoned, &worker.info);
+        worker.dc_state = if is_cordoned(cordoned, &worker.info) {
+            DcState::Cordoned
+        } else {
+            DcState::Open
+        };
     }
 }
 
--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -414,7 +414,7 @@
         let runs = self
             .workers
             .values()
-            .filter(|worker| !worker.is_cordoned)
+            .filter(|worker| !worker.is_cordoned())
             .flat_map(|worker| worker.runs.values());
         let services = runs.filter(|run| run.is_service);
         let of_services: u64 = services.map(|run| run.reserved.cpu_millis).sum();
@@ -429,7 +429,7 @@
             .workers
             .values()
             .filter(|worker| worker.is_listed && !worker.has_departed && !worker.info.is_draining)
-            .filter(|worker| !worker.is_cordoned)
+            .filter(|worker| !worker.is_cordoned())
             .filter(|worker| !worker.runs.values().any(|run| run.is_service))
             .map(|worker| (worker.runs.len(), worker.info.id.clone()))
             .collect();
--- a/crates/jobs/src/verify/mod.rs
+++ b/crates/jobs/src/verify/mod.rs
@@ -28,7 +28,7 @@
     });
     let is_cordoned = |order: &&StartCommand| {
         let worker = pool.worker(order.worker);
-        worker.is_some_and(|worker| worker.is_cordoned)
+        worker.is_some_and(|worker| worker.is_cordoned())
     };
     starts
         .filter(is_cordoned)
--- a/crates/jobs/src/worker/mod.rs
+++ b/crates/jobs/src/worker/mod.rs
@@ -126,6 +126,15 @@
     Unresponsive,
 }
 
+/// Whether tasks may be started in a data centre.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DcState {
+    /// Tasks may be started there.
+    Open,
+    /// The operators want no task to be started there.
+    Cordoned,
+}
+
 /// A worker, as its pool's scheduler knows it.
 #[derive(Debug, Clone)]
 pub struct Worker {
@@ -143,8 +152,8 @@
     pub vm: Option<VmId>,
     /// Since when it is being evacuated.
     pub evacuating_since: Option<Instant>,
-    /// Whether its data centre is cordoned, as of the last plan.
-    pub is_cordoned: bool,
+    /// The state of its data centre, as of the last plan.
+    pub dc_state: DcState,
     /// The runs that may be executing.
     pub runs: BTreeMap<RunKey, Run>,
     /// The sum of what the runs reserve.
@@ -192,7 +201,7 @@
             has_departed: false,
             vm: None,
             evacuating_since: None,
-            is_cordoned: false,
+            dc_state: DcState::Open,
             runs: BTreeMap::new(),
             used: Resources::ZERO,
             last_end: 0,
@@ -220,6 +229,12 @@
         self.evacuating_since.is_some()
     }
 
+    /// Whether its data centre is cordoned, as of the last plan.
+    #[must_use]
+    pub fn is_cordoned(&self) -> bool {
+        self.dc_state == DcState::Cordoned
+    }
+
     /// Whether it has answered under the present token, and so refuses commands of earlier schedulers.
     #[must_use]
     pub fn is_fenced(&self) -> bool {
@@ -234,7 +249,7 @@
             && !self.has_departed
             && !self.is_full
             && !self.is_evacuating()
-            && !self.is_cordoned
+            && !self.is_cordoned()
             && !self.info.is_draining
             && self.paused_until.is_none_or(|until| now >= until)
     }
