--- a/crates/jobs/src/verify/mod.rs
+++ b/crates/jobs/src/verify/mod.rs
@@ -7,7 +7,7 @@
 use crate::id::TaskId;
 use crate::pool::{Command, Pool, StartCommand};
 use crate::resources::Resources;
-use crate::worker::Origin;
+use crate::worker::{Origin, Worker};
 
 /// Runs all checks of a pool's state.
 #[must_use]
@@ -28,7 +28,7 @@
     });
     let is_cordoned = |order: &&StartCommand| {
         let worker = pool.worker(order.worker);
-        worker.is_some_and(|worker| worker.is_cordoned())
+        worker.is_some_and(Worker::is_cordoned)
     };
     starts
         .filter(is_cordoned)
@@ -57,7 +57,7 @@
         let Some(counted) = state.tasks.get(task.index as usize) else {
             continue;
         };
-        let is_found = |worker: &crate::worker::Worker| {
+        let is_found = |worker: &Worker| {
             let mut of_task = worker
                 .runs
                 .iter()
