grid: entries known before an outage of all leases count until they are back

Cause: an outage that ends all leases ends the entries' own keys too. Change: after the end of its session an entry counts those that it knew before, or that were removed within 5 s before, as candidates for 2 s or until they register. Entries that start anew know none, as before.

--- a/crates/grid/src/members/mod.rs
+++ b/crates/grid/src/members/mod.rs
@@ -5,7 +5,7 @@
 //! are vacant. To spread the roles, entries try to acquire a vacant role one after the other, with a pause between
 //! them: those that would have the most processor time per role go first, and a hash decides among equals.
 
-mod view;
+pub mod view;
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -17,7 +17,7 @@
 
 use crate::entry::Entry;
 use crate::keys::{self, Member, Role};
-use crate::ports::{CallError, Committed, Conflict, LeaseId, Platform, Put, Revision, Txn};
+use crate::ports::{CallError, Committed, Conflict, Item, LeaseId, Platform, Put, Revision, Txn};
 use crate::{fleet, pool};
 
 pub use view::{RoleHolder, View};
@@ -29,6 +29,10 @@
 /// The delay after its start before an entry acquires roles, in which its peers register.
 const SETTLE_DELAY: Duration = Duration::from_millis(500);
 
+/// How long after the end of its session an entry expects the others to register again. Their calls to a store that did
+/// not answer time out within a second.
+const RETURN_WINDOW: Duration = Duration::from_secs(2);
+
 /// The delay before acquiring a vacant role, per entry that ranks before this one.
 const RANK_PAUSE: Duration = Duration::from_millis(250);
 
@@ -86,6 +90,8 @@
     running: BTreeMap<Role, Running>,
     vacant_since: BTreeMap<Role, Instant>,
     started_at: Instant,
+    /// Until when entries that were known before the end of the last session are expected to register again.
+    returning_until: Option<Instant>,
 }
 
 /// Watches the members and runs the roles of this entry until the entry stops; then hands the roles over.
@@ -97,6 +103,7 @@
         running: BTreeMap::new(),
         vacant_since: BTreeMap::new(),
         started_at,
+        returning_until: None,
     };
     let stopping = members.entry.stopping.clone();
     tokio::select! {
@@ -108,13 +115,16 @@
 
 impl<P: Platform> Members<P> {
     async fn follow(&mut self) {
+        let mut has_lost_session = false;
         loop {
             let Some(lease) = self.register().await else {
                 tokio::time::sleep(RETRY_AFTER).await;
                 continue;
             };
+            self.returning_until = has_lost_session.then(|| self.entry.now() + RETURN_WINDOW);
             self.follow_session(lease).await;
             self.stop_all();
+            has_lost_session = true;
         }
     }
 
@@ -162,9 +172,10 @@
                 }
             };
             let mut after = page.revision;
-            self.view = View::new(&page.items);
+            self.rebuild_view(&page.items);
             loop {
                 self.reconcile(lease);
+                self.end_return_window();
                 self.acquire_vacant(lease).await;
                 self.reconcile(lease);
                 let wait = self.next_attempt();
@@ -178,7 +189,8 @@
                 match watched {
                     Ok(watched) => {
                         after = watched.revision;
-                        self.view.apply(watched.changes);
+                        let now = self.entry.now();
+                        self.view.apply(watched.changes, now);
                     }
                     Err(error) => {
                         log::info!(target: "members", error:%; "Watching the members failed; listing them again.");
@@ -193,6 +205,27 @@
         }
     }
 
+    /// Rebuilds the view from a listing. While the return window is open, entries of the old view that are missing count
+    /// as returning.
+    fn rebuild_view(&mut self, items: &[Item]) {
+        let now = self.entry.now();
+        self.view = if self.returning_until.is_some() {
+            View::after_outage(items, &self.view, now)
+        } else {
+            View::new(items)
+        };
+    }
+
+    fn end_return_window(&mut self) {
+        if self
+            .returning_until
+            .is_some_and(|until| self.entry.now() >= until)
+        {
+            self.returning_until = None;
+            self.view.forget_returning();
+        }
+    }
+
     fn is_session_over(&self, lease: LeaseId) -> bool {
         self.entry
             .session
--- a/crates/grid/src/members/view.rs
+++ b/crates/grid/src/members/view.rs
@@ -1,9 +1,15 @@
 //! A local view of the entries that are up and of the holders of the roles, from the listings and watches of their
 //! keys.
+//!
+//! Load pattern: an outage of the store ends the leases of all entries, and they register again one after the other
+//! within about a second. To the first of them it looks as if it were alone, and if it then took every role, an entry
+//! with little processor time could hold several pools for good. The entries that were known before the outage
+//! therefore rank like registered ones for a while.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::hash::{Hash, Hasher};
+use std::time::{Duration, Instant};
 
 use siphasher::sip::SipHasher13;
 
@@ -14,6 +20,9 @@
 /// core.
 const CPU_PRECISION: u64 = 1_000;
 
+/// Entries whose keys were removed at most this long before the end of a session ended in the same outage.
+const OUTAGE_WINDOW: Duration = Duration::from_secs(5);
+
 /// The holder of a role.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RoleHolder {
@@ -30,6 +39,11 @@
 pub struct View {
     /// The processor time that each entry may use, in thousandths of a core.
     entries: BTreeMap<Box<str>, u64>,
+    /// Entries that were known before this entry's last session ended and have not registered again, with their
+    /// processor time. They rank like the registered ones.
+    returning: BTreeMap<Box<str>, u64>,
+    /// Entries that were recently removed, with their processor time and the time of the removal.
+    removed: BTreeMap<Box<str>, (u64, Instant)>,
     roles: BTreeMap<Role, RoleHolder>,
 }
 
@@ -60,11 +74,36 @@
         view
     }
 
+    /// Builds the view from a listing that follows the end of this entry's session. The entries of `before` that are
+    /// not registered again yet count as returning.
+    #[must_use]
+    pub fn after_outage(items: &[Item], before: &Self, now: Instant) -> Self {
+        let mut view = Self::new(items);
+        let ended_with_it = before
+            .removed
+            .iter()
+            .filter(|(_, (_, at))| now.saturating_duration_since(*at) < OUTAGE_WINDOW)
+            .map(|(name, (cpu_millis, _))| (name, cpu_millis));
+        let known = before.entries.iter().chain(&before.returning);
+        for (name, cpu_millis) in known.chain(ended_with_it) {
+            if !view.entries.contains_key(name) {
+                view.returning.insert(name.clone(), *cpu_millis);
+            }
+        }
+        view
+    }
+
+    /// Forgets the entries that have not registered again.
+    pub fn forget_returning(&mut self) {
+        self.returning.clear();
+    }
+
     /// Ingests a key of an entry or a role. Ignores a value that can't be decoded.
     pub fn put(&mut self, item: &Item) {
         if let Some(entry) = item.key.strip_prefix(keys::ENTRIES) {
             match keys::decode::<Member>(&item.key, &item.value) {
                 Ok(member) => {
+                    self.returning.remove(entry);
                     self.entries.insert(entry.into(), member.cpu_millis);
                 }
                 Err(error) => log::warn!(target: "members", error:%; "Ignoring a malformed entry."),
@@ -103,19 +142,23 @@
     }
 
     /// Applies the changes of a watch, in their order.
-    pub fn apply(&mut self, changes: Vec<Change>) {
+    pub fn apply(&mut self, changes: Vec<Change>, now: Instant) {
         for change in changes {
             match change {
                 Change::Put(item) => self.put(&item),
-                Change::Removed { key, revision } => self.remove(&key, revision),
+                Change::Removed { key, revision } => self.remove(&key, revision, now),
             }
         }
     }
 
     /// Removes an entry or a role's holder. A removal that is older than the known holder is outdated and ignored.
-    fn remove(&mut self, key: &str, revision: Revision) {
+    fn remove(&mut self, key: &str, revision: Revision, now: Instant) {
         if let Some(entry) = key.strip_prefix(keys::ENTRIES) {
-            self.entries.remove(entry);
+            self.removed
+                .retain(|_, (_, at)| now.saturating_duration_since(*at) < OUTAGE_WINDOW);
+            if let Some(cpu_millis) = self.entries.remove(entry) {
+                self.removed.insert(entry.into(), (cpu_millis, now));
+            }
         } else if let Some(role) = parse_role(key)
             && self
                 .roles
@@ -143,7 +186,8 @@
     #[must_use]
     pub fn ranks(&self, own_entry: (&str, u64), required_roles: &[Role]) -> BTreeMap<Role, u32> {
         let (own_entry, own_cpu_millis) = own_entry;
-        let entries = self.entries.iter().map(|(name, cpu)| (&**name, (*cpu, 0)));
+        let entries = self.entries.iter().chain(&self.returning);
+        let entries = entries.map(|(name, cpu)| (&**name, (*cpu, 0)));
         let mut load: BTreeMap<&str, (u64, u64)> = entries.collect();
         load.insert(own_entry, (own_cpu_millis, 0));
         for holder in self.roles.values() {
