grid: roles are handed over to entries with more processor time

Change: once all roles are held and none has changed hands for 0.7 s, the entry with the least processor time per role hands one over if another would have half as much again for it; one at a time. The fleet role goes last. Test: tests/members.rs (the decision), roles::weak_holder_hands_over_to_strong_entries (entries on the platform in memory).

--- a/crates/grid/src/members/mod.rs
+++ b/crates/grid/src/members/mod.rs
@@ -3,7 +3,9 @@
 //! Each entry and each held role is a key that is bound to the lease of its entry. An entry acquires a role by creating
 //! the role's key, whose revision is the fencing token. Every entry watches these keys and sees from them which roles
 //! are vacant. To spread the roles, entries try to acquire a vacant role one after the other, with a pause between
-//! them: those that would have the most processor time per role go first, and a hash decides among equals.
+//! them: those that would have the most processor time per role go first, and a hash decides among equals. Once all roles
+//! are held, an entry that holds more than its part hands one over, so that an entry that was slow to come back gets its
+//! part too.
 
 pub mod view;
 
@@ -39,9 +41,15 @@
 /// The upper limit of the rank that counts for the delay.
 const RANK_MAX: u32 = 4;
 
+/// A role is handed over only if no role has changed hands for this long. A takeover is over by then.
+const REBALANCE_DELAY: Duration = Duration::from_millis(700);
+
 /// The delay before a failed store call is tried again.
 const RETRY_AFTER: Duration = Duration::from_millis(200);
 
+/// The longest time between two checks for vacant roles and for roles to hand over.
+const NEXT_ATTEMPT_MAX: Duration = Duration::from_secs(1);
+
 /// The time limit for each role of a stopping entry to save its state.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -92,6 +100,8 @@
     started_at: Instant,
     /// Until when entries that were known before the end of the last session are expected to register again.
     returning_until: Option<Instant>,
+    /// The holders of all roles when they last changed, and when that was.
+    stable_since: Option<(BTreeMap<Role, RoleHolder>, Instant)>,
 }
 
 /// Watches the members and runs the roles of this entry until the entry stops; then hands the roles over.
@@ -104,6 +114,7 @@
         vacant_since: BTreeMap::new(),
         started_at,
         returning_until: None,
+        stable_since: None,
     };
     let stopping = members.entry.stopping.clone();
     tokio::select! {
@@ -177,6 +188,7 @@
                 self.reconcile(lease);
                 self.end_return_window();
                 self.acquire_vacant(lease).await;
+                self.rebalance(lease).await;
                 self.reconcile(lease);
                 let wait = self.next_attempt();
                 let mut session = self.entry.session.subscribe();
@@ -302,22 +314,28 @@
         (settings.name.clone(), settings.cpu_millis)
     }
 
-    /// The time until this entry may try to acquire a role that is vacant now; 1 s if there is none.
+    /// The time until this entry may try to acquire a role that is vacant now, or hand one over; at most 1 s.
     fn next_attempt(&self) -> Duration {
         let now = self.entry.now();
         let settled_at = self.started_at + SETTLE_DELAY;
         let required_roles = self.required_roles();
         let (name, cpu_millis) = self.name_and_cpu();
-        self.view
+        let attempts = self
+            .view
             .ranks((&name, cpu_millis), &required_roles)
             .into_iter()
             .filter_map(|(role, rank)| {
                 let since = (*self.vacant_since.get(&role)?).max(settled_at);
                 let at = since + RANK_PAUSE * rank.min(RANK_MAX);
-                Some(at.saturating_duration_since(now).max(RETRY_AFTER / 4))
-            })
+                Some(at)
+            });
+        let hand_over = self.role_to_hand_over().and(self.rebalance_at());
+        attempts
+            .chain(hand_over)
+            .map(|at| at.saturating_duration_since(now).max(RETRY_AFTER / 4))
             .min()
-            .unwrap_or(Duration::from_secs(1))
+            .unwrap_or(NEXT_ATTEMPT_MAX)
+            .min(NEXT_ATTEMPT_MAX)
     }
 
     async fn acquire_vacant(&mut self, lease: LeaseId) {
@@ -381,6 +399,50 @@
         }
     }
 
+    fn role_to_hand_over(&self) -> Option<Role> {
+        let (name, _) = self.name_and_cpu();
+        self.view.role_to_hand_over(&name, &self.required_roles())
+    }
+
+    /// From when on a role may be handed over; `None` before the holders were first seen.
+    fn rebalance_at(&self) -> Option<Instant> {
+        let (_, since) = self.stable_since.as_ref()?;
+        Some(*since + REBALANCE_DELAY)
+    }
+
+    /// Hands one role over if another entry has much more processor time for it and no role has changed hands lately.
+    async fn rebalance(&mut self, lease: LeaseId) {
+        let now = self.entry.now();
+        let roles = self.view.roles();
+        let known = self.stable_since.as_ref().map(|(known, _)| known);
+        if known != Some(roles) {
+            self.stable_since = Some((roles.clone(), now));
+        }
+        let is_due = self.rebalance_at().is_some_and(|at| now >= at);
+        if !is_due || self.entry.valid_lease() != Some(lease) {
+            return;
+        }
+        let role = self.role_to_hand_over();
+        let Some((role, active)) = role.and_then(|role| self.running.remove_entry(&role)) else {
+            return;
+        };
+        active.hand_over.cancel();
+        let guard = active.held.guard();
+        let ended = tokio::time::timeout(HAND_OVER_TIMEOUT, active.task).await;
+        let txn = Txn {
+            expect: vec![guard],
+            remove: vec![keys::role(&role)],
+            ..Txn::default()
+        };
+        let result = self.entry.commit(&txn).await;
+        log::info!(target: "members", role:%, is_saved = ended.is_ok(), result:?; "Role handed over to an entry with more processor time.");
+        // Without a certain answer the role stays in the view. It is then started again, until the watch shows the
+        // removal.
+        if matches!(result, Ok(Committed::Done(_))) {
+            self.view.release(&role);
+        }
+    }
+
     /// Lets each role save its state, then removes the keys of the roles and of this entry so that peers can acquire
     /// the roles at once.
     async fn hand_over(&mut self) {
--- a/crates/grid/src/members/view.rs
+++ b/crates/grid/src/members/view.rs
@@ -23,6 +23,10 @@
 /// Entries whose keys were removed at most this long before the end of a session ended in the same outage.
 const OUTAGE_WINDOW: Duration = Duration::from_secs(5);
 
+/// A role is handed over only if its next holder would have at least this share of the processor time per role that
+/// the present one has, in percent. With less, entries would pass a role back and forth.
+const REBALANCE_PERCENT: u64 = 150;
+
 /// The holder of a role.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RoleHolder {
@@ -179,6 +183,58 @@
             .collect()
     }
 
+    /// The holders of the roles that are held.
+    #[must_use]
+    pub fn roles(&self) -> &BTreeMap<Role, RoleHolder> {
+        &self.roles
+    }
+
+    /// Removes a role that this entry has handed over.
+    pub fn release(&mut self, role: &Role) {
+        self.roles.remove(role);
+    }
+
+    /// The role that `own_entry` should hand over, because another entry has much more processor time for it. `None`
+    /// while any required role is vacant.
+    ///
+    /// At most one entry has such a role at a time: the one with the least processor time per role. It keeps the fleet
+    /// role longest, as the next holder must not send commands to the same VMs for some seconds.
+    #[must_use]
+    pub fn role_to_hand_over(&self, own_entry: &str, required_roles: &[Role]) -> Option<Role> {
+        if required_roles
+            .iter()
+            .any(|role| !self.roles.contains_key(role))
+        {
+            return None;
+        }
+        let mut held: BTreeMap<&str, u64> = BTreeMap::new();
+        for holder in self.roles.values() {
+            *held.entry(&holder.name).or_default() += 1;
+        }
+        let cpu_per_role = |cpu_millis: u64, roles: u64| cpu_millis * CPU_PRECISION / roles;
+        let (most_loaded, least) = held
+            .iter()
+            .filter_map(|(name, roles)| {
+                let cpu_millis = self.entries.get(*name)?;
+                Some((*name, cpu_per_role(*cpu_millis, *roles)))
+            })
+            .min_by_key(|(name, cpu)| (*cpu, *name))?;
+        let most = self
+            .entries
+            .iter()
+            .map(|(name, cpu_millis)| {
+                let roles = held.get(&**name).copied().unwrap_or_default();
+                cpu_per_role(*cpu_millis, roles + 1)
+            })
+            .max()?;
+        if most_loaded != own_entry || most * 100 < least * REBALANCE_PERCENT {
+            return None;
+        }
+        let mut own_roles = self.roles.iter();
+        let first = own_roles.find(|(_, holder)| &*holder.name == own_entry);
+        first.map(|(role, _)| role.clone())
+    }
+
     /// For each vacant role, the number of entries that rank before `own_entry`, which is a name and a processor time
     /// in thousandths of a core.
     ///
--- a/crates/grid/tests/entry/roles.rs
+++ b/crates/grid/tests/entry/roles.rs
@@ -270,3 +270,27 @@
     })
     .await;
 }
+
+/// Load pattern: after an outage the strong entries are the last ones back. A weak entry that holds all roles hands
+/// them over one after the other, while its pool has work.
+#[tokio::test(start_paused = true)]
+async fn weak_holder_hands_over_to_strong_entries() {
+    local(async {
+        let bed = Bed::new(3);
+        bed.start_with("weak", 120);
+        sleep(Duration::from_secs(3)).await;
+        let spec = job("ms=3000", &[6, 6]);
+        assert_eq!(bed.submit("weak", ID, spec).await, Reply::Accepted);
+        bed.start_with("s1", 500);
+        bed.start_with("s2", 500);
+        sleep(Duration::from_secs(4)).await;
+        let holders = [bed.holder(), bed.holder_of("fleet")];
+        assert!(holders.iter().all(|name| name != "weak"), "{holders:?}");
+        assert_ne!(holders[0], holders[1]);
+        bed.wait_for("s1", ID, JobState::Completed, Duration::from_secs(8))
+            .await;
+        assert_eq!(bed.world.crew.borrow().starts.len(), 12);
+        bed.check_once();
+    })
+    .await;
+}
--- a/crates/grid/tests/members.rs
+++ b/crates/grid/tests/members.rs
@@ -92,3 +92,76 @@
     let fresh = View::new(&rest).ranks(("s1", STRONG), &required);
     assert_eq!(of_strong, fresh);
 }
+
+fn held(role: &Role, name: &str, revision: u64) -> Item {
+    Item {
+        key: keys::role(role),
+        value: keys::encode(&Box::<str>::from(name)),
+        revision: Revision(revision),
+        lease: Some(LeaseId(revision)),
+    }
+}
+
+/// A fleet in which each role is held by the entry at its place in `holders`.
+fn fleet_with(required: &[Role], holders: &[&str]) -> View {
+    let roles = (200..).zip(required.iter().zip(holders));
+    let roles = roles.map(|(revision, (role, name))| held(role, name, revision));
+    View::new(&fleet().into_iter().chain(roles).collect::<Vec<_>>())
+}
+
+/// Load pattern: strong entries were the last ones back, and a weak one holds several roles. It hands them over one at
+/// a time until each role is held by a strong entry, and then no role moves any more.
+#[test]
+fn role_to_hand_over_ends_with_the_strong() {
+    let required = roles(4);
+    let mut holders = vec!["w1", "w1", "w2", "s0", "s0"];
+    for _ in 0..required.len() {
+        let view = fleet_with(&required, &holders);
+        let mut names = holders.clone();
+        names.sort_unstable();
+        names.dedup();
+        let mut handing_over = names.into_iter().filter_map(|name| {
+            let role = view.role_to_hand_over(name, &required)?;
+            Some((name, role))
+        });
+        let Some((from, role)) = handing_over.next() else {
+            break;
+        };
+        assert_eq!(handing_over.next(), None, "one at a time");
+        let at = required.iter().position(|known| *known == role);
+        let at = at.expect("a required role");
+        assert_eq!(holders[at], from);
+        let strong = ["s0", "s1", "s2", "s3", "s4", "s5"];
+        let mut unloaded = strong.into_iter().filter(|name| !holders.contains(name));
+        holders[at] = unloaded.next().expect("more strong entries than roles");
+    }
+    let view = fleet_with(&required, &holders);
+    assert!(
+        holders.iter().all(|name| name.starts_with('s')),
+        "{holders:?}"
+    );
+    for name in &holders {
+        assert_eq!(view.role_to_hand_over(name, &required), None);
+    }
+}
+
+/// Nothing is handed over while a role is vacant, nor between entries that are alike and evenly loaded.
+#[test]
+fn role_to_hand_over_none_while_unsettled_or_even() {
+    let required = roles(4);
+    let view = fleet_with(&required[..4], &["w1", "w1", "w1", "w1"]);
+    assert_eq!(view.role_to_hand_over("w1", &required), None);
+    let even = fleet_with(&required, &["s0", "s1", "s2", "s3", "s4"]);
+    assert_eq!(even.role_to_hand_over("s0", &required), None);
+    // More roles than entries: two each is the most even.
+    let few: Vec<Item> = (0..2)
+        .map(|number| entry(&format!("s{number}"), STRONG, 1 + number))
+        .chain((200..).zip(&required[..4]).map(|(revision, role)| {
+            held(role, if revision % 2 == 0 { "s0" } else { "s1" }, revision)
+        }))
+        .collect();
+    assert_eq!(
+        View::new(&few).role_to_hand_over("s0", &required[..4]),
+        None
+    );
+}
