grid: a new holder of the fleet role knows the VMs that its predecessor had evacuated

Cause: the holder keeps the stored lists of VMs to evacuate in memory and writes those that change. A new holder began with none, so a VM that its predecessor had listed and that need not leave any more got no work until the list of its pool changed for another reason. Change: the lists are read when the role is taken. Test: maintenance::evacuations_of_an_earlier_holder_are_withdrawn; before, the job stayed queued.

--- a/crates/grid/src/fleet/evacuation.rs
+++ b/crates/grid/src/fleet/evacuation.rs
@@ -37,6 +37,31 @@
         Ok(())
     }
 
+    /// Loads the lists that an earlier holder has written. VMs on them that need not be evacuated any more would
+    /// otherwise get no work until their pool's list changes.
+    pub(super) async fn load_evacuations(&self) -> Result<(), CallError> {
+        let pools: Vec<PoolName> = {
+            let catalogue = self.entry.catalogue.borrow();
+            let pools = catalogue.iter().flat_map(|stored| stored.catalogue.pools());
+            pools.map(|pool| pool.name.clone()).collect()
+        };
+        for pool in pools {
+            let Some(item) = self.entry.read(&keys::evacuation(&pool)).await? else {
+                continue;
+            };
+            match keys::decode(&item.key, &item.value) {
+                Ok(evacuation) => {
+                    self.evacuations.borrow_mut().insert(pool, evacuation);
+                }
+                // The pool's scheduler ignores such a list too.
+                Err(error) => {
+                    log::error!(target: "maintenance", pool:%, error:%; "Ignoring a list of VMs to evacuate that can't be decoded.");
+                }
+            }
+        }
+        Ok(())
+    }
+
     async fn write_evacuation(
         &self,
         pool: PoolName,
--- a/crates/grid/src/fleet/mod.rs
+++ b/crates/grid/src/fleet/mod.rs
@@ -72,6 +72,7 @@
     busy_periods_revision: Cell<Revision>,
     /// Whether a busy period or a cooldown has begun or ended since they were last stored.
     busy_periods_changed: Cell<bool>,
+    /// The stored list of VMs to evacuate of each pool that has one.
     evacuations: RefCell<BTreeMap<PoolName, Evacuation>>,
     /// VMs whose maintenance was confirmed or may have been carried out, with the time of the answer.
     maintenance_sent: RefCell<BTreeMap<VmId, Instant>>,
@@ -193,6 +194,7 @@
         if let Some(item) = self.entry.read(keys::BUSY_PERIODS).await? {
             self.ingest_busy_periods(&item);
         }
+        self.load_evacuations().await?;
         self.load_recent_commands().await
     }
 
--- a/crates/grid/tests/entry/maintenance.rs
+++ b/crates/grid/tests/entry/maintenance.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use goldcrest_grid::calls::Reply;
-use goldcrest_grid::keys::{self, BusyPeriodRecord};
-use goldcrest_jobs::id::VmId;
+use goldcrest_grid::keys::{self, BusyPeriodRecord, Evacuation};
+use goldcrest_grid::ports::{Put, Txn};
+use goldcrest_jobs::id::{VmId, WorkerId};
 use goldcrest_jobs::spec::JobState;
 use goldcrest_jobs::upkeep::{VmState, Wave};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::common::{Bed, job, local};
 
@@ -96,3 +97,38 @@
     })
     .await;
 }
+
+/// Load pattern: the holder of the fleet role is lost while VMs are evacuated, and the load has changed when its successor
+/// begins. VMs that need not leave any more take work again.
+#[tokio::test(start_paused = true)]
+async fn evacuations_of_an_earlier_holder_are_withdrawn() {
+    local(async {
+        let bed = Bed::new(3);
+        let vms = ["w1", "w2", "w3"].map(|name| {
+            let vm = VmId::from(&*format!("vm-{name}"));
+            (WorkerId::from(name), vm)
+        });
+        let evacuation = Txn {
+            puts: vec![Put {
+                key: keys::evacuation(&"p".parse().expect("a name")),
+                value: keys::encode(&Evacuation { vms: vms.into() }),
+                lease: None,
+            }],
+            ..Txn::default()
+        };
+        let stored = bed
+            .world
+            .table
+            .borrow_mut()
+            .commit(&evacuation, Instant::now());
+        stored.expect("no lease is needed");
+        bed.start_all(&["e1", "e2"]).await;
+        let id = "00000000000000a1";
+        let spec = job("ms=500", &[12]);
+        assert_eq!(bed.submit("e1", id, spec).await, Reply::Accepted);
+        bed.wait_for("e1", id, JobState::Completed, Duration::from_secs(3))
+            .await;
+        bed.check_once();
+    })
+    .await;
+}
