jobs: the tasks of a job go to one data centre while they fit there

Cause: a job of a dozen tasks was spread over all data centres by best fit alone. Change: among workers that fit, those in the data centre of the job's last start come first, after the rack of its data. Services and best-effort tasks are placed as before.

--- a/crates/jobs/src/job/mod.rs
+++ b/crates/jobs/src/job/mod.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use goldcrest_types::names::QueueName;
+use goldcrest_types::names::{DcName, QueueName};
 
 use crate::id::{JobId, RunNumber, StepId, TaskId, WorkerId};
 use crate::progress::{IndexSet, OccurrenceProgress, Progress, StepProgress, TaskProgress};
@@ -149,6 +149,8 @@
     pub has_begun: bool,
     /// The workers that may have received a start.
     pub workers: BTreeSet<WorkerId>,
+    /// The data centre of its last start by this scheduler, if known.
+    pub dc: Option<DcName>,
     /// The members of `workers` that an earlier scheduler used and that have not reported yet.
     pub awaited: BTreeSet<WorkerId>,
     /// The final state. Once it is set, no more runs are started, and those that are executing are stopped.
@@ -189,6 +191,7 @@
             occurrences_done: IndexSet::default(),
             has_begun: false,
             workers: BTreeSet::new(),
+            dc: None,
             awaited: BTreeSet::new(),
             outcome,
             is_end_recorded: false,
--- a/crates/jobs/src/pool/free_capacity.rs
+++ b/crates/jobs/src/pool/free_capacity.rs
@@ -7,10 +7,16 @@
 //!   either.
 //!
 //! Load pattern: more jobs wait than fit. Each costs a few comparisons instead of a scan of all workers.
+//!
+//! Load pattern: a data centre is cut off in a busy period, and the tasks there can't be started again before their leases
+//! have expired. A job of a dozen tasks that were spread over all data centres would always lose some, so the tasks of
+//! a job go to one data centre as far as they fit there.
 
 use std::cmp::Reverse;
 use std::time::Instant;
 
+use goldcrest_types::names::DcName;
+
 use crate::id::{StepId, WorkerRef};
 use crate::pool::Pool;
 use crate::resources::Resources;
@@ -23,6 +29,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Candidate {
     worker: WorkerRef,
+    /// The index of the worker's data centre in `dcs`.
+    dc: usize,
     free: Resources,
 }
 
@@ -31,6 +39,8 @@
 pub struct FreeCapacity {
     now: Instant,
     candidates: Vec<Candidate>,
+    /// The data centres of the candidates.
+    dcs: Vec<Option<DcName>>,
     unfit: Vec<Resources>,
 }
 
@@ -38,18 +48,30 @@
     /// Collects the workers that accept work at `now`.
     #[must_use]
     pub fn new(pool: &Pool, now: Instant) -> Self {
-        let candidates = pool
+        let accepting = pool
             .workers
             .iter()
-            .filter(|(_, worker)| worker.takes_work(now) && worker.clock.is_some())
-            .map(|(worker_ref, worker)| Candidate {
-                worker: *worker_ref,
-                free: worker.free(),
+            .filter(|(_, worker)| worker.takes_work(now) && worker.clock.is_some());
+        let mut dcs: Vec<Option<DcName>> = Vec::new();
+        let candidates = accepting
+            .map(|(worker_ref, worker)| {
+                let dc = &worker.info.dc;
+                let known = dcs.iter().position(|known| known == dc);
+                let dc = known.unwrap_or_else(|| {
+                    dcs.push(dc.clone());
+                    dcs.len() - 1
+                });
+                Candidate {
+                    worker: *worker_ref,
+                    dc,
+                    free: worker.free(),
+                }
             })
             .collect();
         Self {
             now,
             candidates,
+            dcs,
             unfit: Vec::new(),
         }
     }
@@ -81,8 +103,8 @@
         }
     }
 
-    /// Chooses the best worker for a task of the step: one that is not cold, one near its data, then the one with the
-    /// least free processor time. Tasks of services go to workers that run other services, which keeps the other workers empty, so that
+    /// Chooses the best worker for a task of the step: one that is not cold, one near its data, one in the data centre of
+    /// the job's last start, then the one with the least free processor time. Tasks of services go to workers that run other services, which keeps the other workers empty, so that
     /// these can leave the pool as soon as its busy period ends. Best-effort tasks use idle capacity and go where there
     /// is the most of it.
     pub fn choose(&mut self, pool: &Pool, id: StepId, step: &Step) -> Option<WorkerRef> {
@@ -94,8 +116,14 @@
                 u64::MAX - free.cpu_millis
             }
         };
+        let job_dc = pool.jobs.get(&id.job).and_then(|job| job.dc.as_ref());
+        let job_dc = job_dc.filter(|_| !step.is_service() && !step.is_best_effort());
+        let job_dc = self
+            .dcs
+            .iter()
+            .position(|dc| dc.is_some() && dc.as_ref() == job_dc);
         let mut has_capacity = false;
-        let mut best: Option<(bool, bool, usize, u64, Reverse<WorkerRef>)> = None;
+        let mut best: Option<(bool, bool, bool, usize, u64, Reverse<WorkerRef>)> = None;
         for candidate in self
             .candidates
             .iter()
@@ -104,10 +132,12 @@
             has_capacity = true;
             // Most candidates are skipped without looking up the worker.
             let fitness = fitness(&candidate.free);
+            let is_in_job_dc = job_dc == Some(candidate.dc);
             let services_at_most = if step.is_service() { usize::MAX } else { 0 };
             let at_most = (
                 true,
                 step.near.is_some(),
+                is_in_job_dc,
                 services_at_most,
                 fitness,
                 Reverse(candidate.worker),
@@ -131,6 +161,7 @@
                 best = best.max(Some((
                     !worker.info.is_cold,
                     is_near,
+                    is_in_job_dc,
                     services,
                     fitness,
                     Reverse(candidate.worker),
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -1,8 +1,8 @@
 //! Places idle tasks on workers, in the order of their jobs.
 //!
 //! A task goes to a worker that accepts work, has enough free capacity and the required label, and holds fewer tasks of
-//! the step than the step's spread allows. Among these, workers on the rack of the task's data come first, then the one
-//! with the least free processor time. A gang is placed whole or not at all. A team's usage never exceeds its
+//! the step than the step's spread allows. Among these, workers on the rack of the task's data come first, then those in
+//! the data centre of the job's last start, then the one with the least free processor time. A gang is placed whole or not at all. A team's usage never exceeds its
 //! allowance; what the team could use beyond that is recorded in `shortfall`.
 
 use std::time::Instant;
@@ -260,6 +260,9 @@
     if job.workers.insert(worker.info.id.clone()) {
         pool.unsaved.insert(task.step.job);
     }
+    if job.dc != worker.info.dc {
+        job.dc.clone_from(&worker.info.dc);
+    }
     let waited = now.saturating_duration_since(job.accepted_at);
     let payload = job.record.spec.payload.clone();
     let team = job.record.team.clone();
