--- a/crates/ctl/src/trace/cause.rs
+++ b/crates/ctl/src/trace/cause.rs
@@ -206,8 +206,8 @@
     reasons
 }
 
-/// Returns the reason that a line gives which is not about the job itself: a lost store or a save that failed, or a new
-/// scheduler of the job's pool. `entries` are those that have written about the job.
+/// Returns the reason that a line gives which is not about the job itself: a lost store or a save that failed, a new
+/// scheduler of the job's pool, or a change of the cordons. `entries` are those that have written about the job.
 fn surrounding_reason(line: &Line, pool: Option<&str>, entries: &[&str]) -> Option<Reason> {
     let text = match line.message() {
         "The store did not carry out a call." if entries.contains(&&*line.entry) => {
@@ -216,6 +216,14 @@
         "Pool taken over." if pool.is_some() && line.field("pool") == pool => {
             format!("entry {} took over the pool's scheduler", line.entry)
         }
+        "Cordoned data centres changed: nothing is started on their workers."
+            if pool.is_some() && line.field("pool") == pool =>
+        {
+            match line.field("dcs").filter(|dcs| !dcs.is_empty()) {
+                Some(dcs) => format!("the operators cordoned {dcs}: nothing was started there"),
+                None => "the operators opened all data centres again".into(),
+            }
+        }
         "Jobs not saved; trying again." if pool.is_some() && line.field("pool") == pool => {
             format!("entry {} could not store the pool's jobs", line.entry)
         }
--- a/crates/ctl/tests/trace.rs
+++ b/crates/ctl/tests/trace.rs
@@ -148,3 +148,23 @@
         (Outcome::InTime, Vec::new())
     );
 }
+
+#[test]
+fn judge_late_job_names_the_cordon() {
+    let cordon = "Cordoned data centres changed: nothing is started on their workers.";
+    let lines = [
+        line(0, cordon, r#""pool":"p","dcs":"east west","workers":"9""#),
+        line(0, cordon, r#""pool":"other","dcs":"north","workers":"3""#),
+        line(5, "Job accepted.", r#""job":"a1","pool":"p""#),
+        line(4_000, cordon, r#""pool":"p","dcs":"","workers":"0""#),
+    ];
+    let verdict = judge("a1", &lines);
+    let reasons: Vec<&str> = verdict.reasons.iter().map(|reason| &*reason.text).collect();
+    assert_eq!(
+        reasons,
+        [
+            "the operators cordoned east west: nothing was started there",
+            "the operators opened all data centres again"
+        ]
+    );
+}
