grid: callers are refused after three lost calls to the store in a row

Cause: while the store resets connections each call fails at once without a certain outcome. Ruled out: the bound on silence (0.8 s), which a reset never reaches. Change: three calls in a row without an answer make the store unresponsive until the next answer; callers are refused as not accepted, which is true, and the renewals probe. Test: faults::store_resets_refuses_after_few_lost_calls; before, 13 of 20 submissions were left open.

--- a/crates/grid/src/entry/mod.rs
+++ b/crates/grid/src/entry/mod.rs
@@ -241,7 +241,9 @@
         };
         self.metrics
             .store_call(call, outcome, now.saturating_duration_since(sent_at));
-        if !matches!(result, Err(CallError::Unknown(_))) {
+        if matches!(result, Err(CallError::Unknown(_))) {
+            self.responsiveness.lost();
+        } else {
             self.responsiveness.answered();
         }
         if let Err(error @ (CallError::NotDone(_) | CallError::Unknown(_))) = &result {
--- a/crates/grid/tests/entry/faults.rs
+++ b/crates/grid/tests/entry/faults.rs
@@ -93,6 +93,32 @@
     .await;
 }
 
+/// Load pattern: the store resets all connections for two seconds while callers submit jobs. A few submissions may be
+/// left open; the others are refused at once as not accepted, so that their callers can retry.
+#[tokio::test(start_paused = true)]
+async fn store_resets_refuses_after_few_lost_calls() {
+    local(async {
+        let bed = Bed::new(2);
+        bed.start_all(&["e1", "e2"]).await;
+        bed.world.set_fault("e1", StoreFault::Resets);
+        let mut open = 0;
+        for number in 0..20 {
+            sleep(Duration::from_millis(100)).await;
+            let id = format!("{number:016x}");
+            match bed.submit("e1", &id, job("", &[1])).await {
+                Reply::Unknown => open += 1,
+                Reply::Refused(_, after) => assert!(after >= Duration::from_secs(1)),
+                reply => panic!("{reply:?}"),
+            }
+        }
+        assert!(open <= 3, "{open} of 20 submissions left open");
+        bed.world.set_fault("e1", StoreFault::None);
+        sleep(Duration::from_secs(1)).await;
+        assert_eq!(bed.submit("e1", ID, job("", &[1])).await, Reply::Accepted);
+    })
+    .await;
+}
+
 /// A short outage kills the connection of the scheduler's inbox watch, while other calls are answered again. A
 /// cancellation after that must reach the scheduler within 3 s, after which none of the job's tasks may be started.
 #[tokio::test(start_paused = true)]
--- a/crates/standin/src/grid/gate.rs
+++ b/crates/standin/src/grid/gate.rs
@@ -41,6 +41,7 @@
                 sleep(within).await;
                 Err(CallError::Unknown("silent".into()))
             }
+            StoreFault::Resets => Err(CallError::Unknown("reset".into())),
             _ => {
                 sleep(self.world.delay.get()).await;
                 let ended = self.world.table.borrow_mut().expire(Instant::now());
--- a/crates/standin/src/grid/mod.rs
+++ b/crates/standin/src/grid/mod.rs
@@ -37,6 +37,8 @@
     Refuses,
     /// Calls time out and are not carried out.
     Silent,
+    /// Calls are not carried out, and their connections are reset.
+    Resets,
     /// Transactions are carried out, but their calls time out.
     LosesAnswers,
     /// Transactions are carried out after this delay, and their calls time out.
