--- a/crates/grid/tests/entry/common/mod.rs
+++ b/crates/grid/tests/entry/common/mod.rs
@@ -1,6 +1,6 @@
 //! The test bed: an in-memory platform with a catalogue and workers, and entries that use it.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::rc::Rc;
@@ -37,6 +37,8 @@
 /// An in-memory platform and the entries that use it.
 pub struct Bed {
     pub world: Rc<World>,
+    /// The bounds of the schedulers of entries that are started.
+    pub bounds: Cell<Bounds>,
     entries: RefCell<BTreeMap<String, Running>>,
 }
 
@@ -116,6 +118,7 @@
         world.set_catalogue(catalogue(1, &[KEY], 0));
         let bed = Self {
             world,
+            bounds: Cell::default(),
             entries: RefCell::default(),
         };
         for number in 1..=workers {
@@ -173,7 +176,7 @@
             cpu_millis,
             key_withdrawal_max: Duration::from_secs(5),
             stop_grace: Duration::from_secs(6),
-            pool: Bounds::default(),
+            pool: self.bounds.get(),
             vm_command_gap: Duration::from_secs(3),
             maintenance_time: Duration::from_secs(2),
             cordon_delay_max: Duration::from_secs(5),
--- a/crates/grid/tests/entry/roles.rs
+++ b/crates/grid/tests/entry/roles.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use goldcrest_grid::calls::Reply;
+use goldcrest_jobs::pool::Bounds;
 use goldcrest_jobs::spec::JobState;
 use goldcrest_standin::grid::StoreFault;
 use tokio::time::{Instant, sleep};
@@ -294,3 +295,33 @@
     })
     .await;
 }
+
+/// The shortest lease of runs that the settings of the platform lead to.
+const LEASE_SHORT: Duration = Duration::from_secs(3);
+
+/// Load pattern: a holder is lost at any moment between two reports of its workers, and another entry ranks first. The
+/// runs survive until the successor has extended their leases.
+#[tokio::test(start_paused = true)]
+async fn holder_killed_runs_survive_with_short_leases() {
+    for kill_ms in (0..1_000).step_by(50) {
+        local(async move {
+            let bed = Bed::new(2);
+            bed.bounds.set(Bounds {
+                lease: LEASE_SHORT,
+                ..Bounds::default()
+            });
+            bed.start_all(&["e1", "e2", "e3"]).await;
+            let holder = bed.holder();
+            let other = if holder == "e1" { "e2" } else { "e1" };
+            let spec = job("ms=7000", &[4]);
+            assert_eq!(bed.submit(other, ID, spec).await, Reply::Accepted);
+            sleep(Duration::from_millis(1_500 + kill_ms)).await;
+            bed.kill(&holder);
+            bed.wait_for(other, ID, JobState::Completed, Duration::from_secs(9))
+                .await;
+            let starts = bed.world.crew.borrow().starts.len();
+            assert_eq!(starts, 4, "killed after {kill_ms} ms");
+        })
+        .await;
+    }
+}
