grid: an entry that takes the fleet role again knows when it sent its last commands

Cause: a new holder leaves each VM of its predecessor's last record alone for the whole gap, counted from its own beginning, as it can't know how old the record is. Change: recent commands stay with the entry. If the stored record is still the one that this entry stored, no other holder has sent anything since, and the gap counts from the moment at which each command ended or was given up. Tests: jobs/tests/recent.rs, resume_counts_from_the_own_commands and take_over_forgets_the_own_commands.

--- a/crates/grid/src/entry/mod.rs
+++ b/crates/grid/src/entry/mod.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use goldcrest_jobs::recent::RecentCommands;
 use goldcrest_jobs::upkeep::Wave;
 use goldcrest_jobs::worker::{WorkerInfo, millis};
 use goldcrest_types::clock::Clock;
@@ -92,6 +93,11 @@
     pub waves: RefCell<BTreeMap<u64, Wave>>,
     /// Notified when a wave is added.
     pub waves_changed: Notify,
+    /// Recent commands about VMs by this entry as the holder of the fleet role, and by the holder before it. Kept when
+    /// the role is lost, as this entry may be its own successor.
+    pub(crate) recent_commands: RefCell<RecentCommands>,
+    /// The revision of the last record of `recent_commands` that this entry has certainly stored.
+    pub(crate) recent_commands_revision: Cell<Revision>,
     /// The current session with the store; `None` while there is none.
     pub session: watch::Sender<Option<Session>>,
     /// All workers with their pools, as last read from the registry. Empty before the first read.
@@ -122,6 +128,8 @@
             cordoned: watch::Sender::default(),
             waves: RefCell::default(),
             waves_changed: Notify::new(),
+            recent_commands: RefCell::default(),
+            recent_commands_revision: Cell::new(Revision::ABSENT),
             session: watch::Sender::new(None),
             workers: watch::Sender::new(Rc::from([])),
             registry_users: Cell::new(0),
--- a/crates/grid/src/fleet/mod.rs
+++ b/crates/grid/src/fleet/mod.rs
@@ -18,7 +18,6 @@
 use std::time::{Duration, Instant};
 
 use goldcrest_jobs::id::VmId;
-use goldcrest_jobs::recent::RecentCommands;
 use goldcrest_jobs::size::Sizes;
 use goldcrest_jobs::upkeep::{RunningWave, Upkeep, Vm, VmState, Wave, WaveProgress};
 use goldcrest_types::names::PoolName;
@@ -76,8 +75,7 @@
     evacuations: RefCell<BTreeMap<PoolName, Evacuation>>,
     /// VMs whose maintenance was confirmed or may have been carried out, with the time of the answer.
     maintenance_sent: RefCell<BTreeMap<VmId, Instant>>,
-    /// VMs that this holder or its predecessor has recently sent commands to.
-    recent: RefCell<RecentCommands>,
+    /// The revision of the stored record of recent commands, which the next one replaces.
     recent_revision: Cell<Revision>,
     began_at: Instant,
     lost: CancellationToken,
@@ -100,7 +98,6 @@
         busy_periods_changed: Cell::new(false),
         evacuations: RefCell::default(),
         maintenance_sent: RefCell::default(),
-        recent: RefCell::default(),
         recent_revision: Cell::new(Revision::ABSENT),
         began_at,
         lost: CancellationToken::new(),
--- a/crates/grid/src/fleet/moves.rs
+++ b/crates/grid/src/fleet/moves.rs
@@ -100,7 +100,9 @@
             return;
         };
         let platform = &self.entry.platform;
+        let pending = self.begin_command(&vm);
         let result = platform.move_vm(&holder, &vm, &pool, COMMAND_TIMEOUT).await;
+        drop(pending);
         log::info!(target: "sizing", vm:% = vm, to:% = pool, token:% = self.held.token(), result:?; "VM ordered to another pool.");
         match result {
             // A command without an answer may have been carried out; the list of VMs shows it.
--- a/crates/grid/src/fleet/recent.rs
+++ b/crates/grid/src/fleet/recent.rs
@@ -9,11 +9,34 @@
 use goldcrest_jobs::id::VmId;
 use goldcrest_jobs::recent::CommandRecord;
 
+use crate::entry::Entry;
 use crate::fleet::{COMMAND_GAP_MARGIN, Fleet};
 use crate::keys;
 use crate::ports::{CallError, Committed, Item, Platform, Put, Txn};
 
+/// A command about a VM that is on its way. When it has ended or is given up, the time until which it can have arrived
+/// is recorded.
+pub(super) struct PendingCommand<'a, P: Platform> {
+    entry: &'a Entry<P>,
+    vm: &'a VmId,
+}
+
+impl<P: Platform> Drop for PendingCommand<'_, P> {
+    fn drop(&mut self) {
+        let mut recent = self.entry.recent_commands.borrow_mut();
+        recent.mark_sent(self.vm, self.entry.now());
+    }
+}
+
 impl<P: Platform> Fleet<P> {
+    /// Begins a command about a VM. The result must be kept until the command has ended.
+    pub(super) fn begin_command<'a>(&'a self, vm: &'a VmId) -> PendingCommand<'a, P> {
+        PendingCommand {
+            entry: &self.entry,
+            vm,
+        }
+    }
+
     /// The time within which two holders must not send commands to the same VM, with a margin.
     fn command_gap(&self) -> Duration {
         self.entry.settings().vm_command_gap + COMMAND_GAP_MARGIN
@@ -21,7 +44,8 @@
 
     /// Whether a command to the VM may be sent.
     pub(super) fn may_send_command(&self, vm: &VmId) -> bool {
-        self.recent.borrow().may_command(vm, self.entry.now()) && self.holder().is_some()
+        let recent = self.entry.recent_commands.borrow();
+        recent.may_command(vm, self.entry.now()) && self.holder().is_some()
     }
 
     /// Loads the VMs to which an earlier holder has recently sent commands.
@@ -30,11 +54,15 @@
             return Ok(());
         };
         let record = decode(&item)?;
-        log::info!(target: "maintenance", vms = record.ages_ms.len(); "Recent orders about VMs taken over.");
+        let is_own = item.revision == self.entry.recent_commands_revision.get();
+        log::info!(target: "maintenance", vms = record.ages_ms.len(), is_own; "Recent orders about VMs taken over.");
         let gap = self.command_gap();
-        self.recent
-            .borrow_mut()
-            .take_over(&record, self.began_at, gap);
+        let mut recent = self.entry.recent_commands.borrow_mut();
+        if is_own {
+            recent.resume(gap);
+        } else {
+            recent.take_over(&record, self.began_at, gap);
+        }
         self.recent_revision.set(item.revision);
         Ok(())
     }
@@ -42,10 +70,10 @@
     /// Stores the VMs to which commands are about to be sent, together with those of recent commands.
     pub(super) async fn record_commands(&self, next: BTreeSet<VmId>) -> Result<(), CallError> {
         let gap = self.command_gap();
-        let record = self
-            .recent
-            .borrow_mut()
-            .record(&next, self.entry.now(), gap);
+        let record = {
+            let mut recent = self.entry.recent_commands.borrow_mut();
+            recent.record(&next, self.entry.now(), gap)
+        };
         let Some(record) = record else {
             return Ok(());
         };
@@ -63,7 +91,8 @@
         };
         match self.entry.commit(&txn).await? {
             Committed::Done(revision) => {
-                self.recent.borrow_mut().mark_stored(record);
+                self.entry.recent_commands.borrow_mut().mark_stored(record);
+                self.entry.recent_commands_revision.set(revision);
                 self.recent_revision.set(revision);
                 Ok(())
             }
--- a/crates/grid/src/fleet/waves.rs
+++ b/crates/grid/src/fleet/waves.rs
@@ -94,9 +94,11 @@
             return false;
         };
         let platform = &self.entry.platform;
+        let pending = self.begin_command(vm);
         let result = platform
             .maintain_vm(&holder, vm, wave, COMMAND_TIMEOUT)
             .await;
+        drop(pending);
         log::info!(target: "maintenance", vm:% = vm, wave, token:% = self.held.token(), result:?; "Maintenance command for VM sent.");
         let now = self.entry.now();
         match result {
--- a/crates/jobs/src/recent/mod.rs
+++ b/crates/jobs/src/recent/mod.rs
@@ -7,6 +7,11 @@
 //! - A command may be sent only while the VM is stored with the age 0: the record is then never younger than the
 //!   command, however long ago it was stored.
 //! - Ages come from the steady clock of the holder that sent the commands, so no wall-clock times are compared.
+//! - A holder that finds its own last record again is its own successor: no other holder can have sent a command since, and
+//!   it knows when it sent its own.
+//!
+//! Load pattern: an outage of the store ends the leases of all entries in a busy period, and the holder takes its role
+//! again. Counted from its new beginning, the gap would keep the VMs of its last commands from the pool that needs them.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -40,10 +45,25 @@
             Some((vm.clone(), began_at + left))
         });
         self.blocked_until = blocked_until.collect();
+        self.sent.clear();
         // The earlier holder's record permits this holder nothing.
         self.stored = CommandRecord::default();
     }
 
+    /// Records that a command about a VM, whose record is stored, was on its way until now.
+    pub fn mark_sent(&mut self, vm: &VmId, now: Instant) {
+        self.sent.insert(vm.clone(), now);
+    }
+
+    /// Continues from this holder's own last record, which no other holder has replaced.
+    pub fn resume(&mut self, gap: Duration) {
+        let sent = std::mem::take(&mut self.sent);
+        self.blocked_until
+            .extend(sent.into_iter().map(|(vm, at)| (vm, at + gap)));
+        // The record permits commands in the earlier term of the role only.
+        self.stored = CommandRecord::default();
+    }
+
     /// Whether a command about the VM may be sent, as far as earlier commands are concerned.
     #[must_use]
     pub fn may_command(&self, vm: &VmId, now: Instant) -> bool {
--- a/crates/jobs/tests/recent.rs
+++ b/crates/jobs/tests/recent.rs
@@ -73,3 +73,44 @@
     let record = order(&mut orders, &["b"], later);
     assert_eq!(record.ages_ms[&VmId::from("a")], 1_500);
 }
+
+/// Load pattern: an outage of the store ends all leases in a busy period, and the holder takes its role again. It leaves
+/// each VM alone until the gap after its own last command is over, and not until a gap after its new beginning.
+#[test]
+fn resume_counts_from_the_own_commands() {
+    let began_at = Instant::now();
+    let after = |ms: u64| began_at + Duration::from_millis(ms);
+    let mut orders = RecentCommands::default();
+    order(&mut orders, &["early", "late", "again"], began_at);
+    // The command was on its way for a while.
+    orders.mark_sent(&VmId::from("late"), after(700));
+    orders.resume(GAP);
+    let may_command =
+        |orders: &RecentCommands, vm: &str, ms: u64| orders.may_command(&VmId::from(vm), after(ms));
+    assert!(!may_command(&orders, "again", 3_500), "not stored again");
+    order(&mut orders, &["early", "late", "other"], after(2_600));
+    assert!(!may_command(&orders, "early", 2_999));
+    assert!(may_command(&orders, "early", 3_000));
+    assert!(!may_command(&orders, "late", 3_699));
+    assert!(may_command(&orders, "late", 3_700));
+    assert!(may_command(&orders, "other", 2_600));
+    // Its successor learns of the gap that is left.
+    let record = order(&mut orders, &["next"], after(2_700));
+    assert_eq!(record.ages_ms[&VmId::from("again")], 2_700);
+}
+
+/// Another holder's record replaces what this one knows of its own earlier commands.
+#[test]
+fn take_over_forgets_the_own_commands() {
+    let began_at = Instant::now();
+    let mut orders = RecentCommands::default();
+    order(&mut orders, &["a"], began_at);
+    let later = began_at + Duration::from_secs(1);
+    let record = CommandRecord {
+        ages_ms: [(VmId::from("a"), 0), (VmId::from("b"), 0)].into(),
+    };
+    orders.take_over(&record, later, GAP);
+    let stored = order(&mut orders, &["c"], later);
+    assert_eq!(stored.ages_ms[&VmId::from("a")], 0);
+    assert!(!orders.may_command(&VmId::from("a"), later));
+}
