jobs, platform: a corrupt run number stops no scheduler

Cause: the number after the highest run number overflowed. In a release build the number would have begun at 0 again. Test: extremes::report_end_of_the_highest_run; it failed before.

--- a/crates/jobs/src/id/mod.rs
+++ b/crates/jobs/src/id/mod.rs
@@ -138,10 +138,10 @@
     /// The number of a task's first run.
     pub const FIRST: Self = Self(1);
 
-    /// The number after this one.
+    /// The number after this one; the highest number for itself, which only a corrupt report can name.
     #[must_use]
     pub fn next(self) -> Self {
-        Self(self.0 + 1)
+        Self(self.0.saturating_add(1))
     }
 }
 
--- a/crates/jobs/tests/extremes.rs
+++ b/crates/jobs/tests/extremes.rs
@@ -208,3 +208,37 @@
         .sum();
     assert_eq!(u64::try_from(open), Ok(TASKS_MAX));
 }
+
+/// A corrupt report names the highest run number, before the first plan has opened the job.
+#[test]
+fn report_end_of_the_highest_run() {
+    let mut pool = pool();
+    let now = Instant::now();
+    pool.submit(
+        record(vec![step(0, (2, 1, 1, 0))], None),
+        Duration::ZERO,
+        now,
+    );
+    let worker = *pool.workers().keys().next().expect("a worker");
+    let ended = EndRow {
+        number: 1,
+        task: TaskId {
+            step: StepId {
+                job: id(),
+                occurrence: 0,
+                step: 0,
+            },
+            index: 0,
+        },
+        run: RunNumber(u64::MAX),
+        end: RunEnd::Failed,
+        checkpoint: None,
+    };
+    let report = Report {
+        clock_ms: 1_000,
+        ended: vec![ended],
+        ..Report::default()
+    };
+    pool.report(worker, now, report, now);
+    plan(&mut pool, now);
+}
