--- a/review/standin/src/cases/wave_unread.rs
+++ b/review/standin/src/cases/wave_unread.rs
@@ -89,14 +89,7 @@
         let status = status
             .map(|item| String::from_utf8_lossy(&item.value).into_owned())
             .unwrap_or_default();
-        let begun: Vec<String> = deployment
-            .machines
-            .upkeeps
-            .lock()
-            .unwrap()
-            .iter()
-            .map(|upkeep| upkeep.machine.clone())
-            .collect();
+        let begun = deployment.machines.upkeeps.lock().unwrap().clone();
         if status != shown {
             deployment.record.line(
                 "operator",
--- a/review/standin/src/machines.rs
+++ b/review/standin/src/machines.rs
@@ -28,18 +28,10 @@
     lives: u32,
 }
 
-/// An upkeep that the platform has begun.
-#[derive(Debug, Clone)]
-pub struct Upkeep {
-    pub machine: String,
-    pub wave: u64,
-    /// The tasks that it ended.
-    pub ended: Vec<String>,
-}
-
 pub struct Machines {
     all: Mutex<BTreeMap<String, Machine>>,
-    pub upkeeps: Mutex<Vec<Upkeep>>,
+    /// The machines whose upkeep has begun, in order of time.
+    pub upkeeps: Mutex<Vec<String>>,
     workers: Arc<Workers>,
     record: Arc<Record>,
     ip: std::net::IpAddr,
@@ -139,34 +131,16 @@
         machine.state = state;
         let minion = std::mem::take(&mut machine.minion);
         drop(all);
-        let crew = self.workers.crew.lock().unwrap();
-        let ended: Vec<String> = crew
-            .minions
-            .get(&minion)
-            .map(|minion| {
-                minion
-                    .running()
-                    .map(|(task, run)| format!("{task} run {run}"))
-                    .collect()
-            })
-            .unwrap_or_default();
-        drop(crew);
         self.record.line(
             "platform",
             &format!(
-                "{name}: {state}, ordered by {} with token {}; it ends {} runs",
+                "{name}: {state}, ordered by {} with token {}",
                 request.header("lease-holder"),
                 request.header("fencing-token"),
-                ended.len()
             ),
         );
         let time = if state == "upkeep" {
-            let wave = body.get("wave").u64().unwrap_or(0);
-            self.upkeeps.lock().unwrap().push(Upkeep {
-                machine: name.clone(),
-                wave,
-                ended,
-            });
+            self.upkeeps.lock().unwrap().push(name.clone());
             UPKEEP_TIME
         } else {
             MOVE_TIME
--- a/review/standin/src/workers.rs
+++ b/review/standin/src/workers.rs
@@ -163,10 +163,6 @@
             ("sequence", num(self.sequence)),
         ])
     }
-
-    pub fn running(&self) -> impl Iterator<Item = &RunKey> {
-        self.running.keys()
-    }
 }
 
 impl Workers {
