review: a job starts after its cancellation was answered

Shows a job that starts 4.5 s after the DELETE for it was answered 410, and runs to its end (UNASKED): the store carried out its acceptance 6 s late, after the entry had answered 504.

--- a/review/standin/src/cases/mod.rs
+++ b/review/standin/src/cases/mod.rs
@@ -1,6 +1,6 @@
 //! The cases.
 
-mod idle_lease;
+mod cancelled_unknown;
 mod late_copy;
 mod missed_configuration;
 mod restored_queue;
@@ -22,7 +22,7 @@
 pub fn find(name: &str) -> Option<Case> {
     let case = |name, entries, run| Case { name, entries, run };
     let all = [
-        case("idle-lease", 3, idle_lease::run as _),
+        case("cancelled-unknown", 3, cancelled_unknown::run as _),
         case("late-copy", 2, late_copy::run as _),
         case("missed-configuration", 3, missed_configuration::run as _),
         case("restored-queue", 2, restored_queue::run as _),
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -52,10 +52,10 @@
 
 /// A transaction, decoded.
 #[derive(Debug, Clone, Default)]
-struct Txn {
-    expected: Vec<(String, u64)>,
-    puts: Vec<(String, Vec<u8>, u64)>,
-    remove: Vec<String>,
+pub struct Txn {
+    pub expected: Vec<(String, u64)>,
+    pub puts: Vec<(String, Vec<u8>, u64)>,
+    pub remove: Vec<String>,
 }
 
 /// What the store does with a call of an entry.
@@ -67,6 +67,8 @@
     Slow(Duration),
     /// It is neither carried out nor answered.
     Silent,
+    /// It is carried out after this time, if its condition then holds, and never answered.
+    Late(Duration),
 }
 
 /// Decides about a call: the number of the entry, and the call.
@@ -175,7 +177,7 @@
 }
 
 /// Decodes the body of a transaction.
-fn decode_txn(body: &Json) -> Txn {
+pub fn decode_txn(body: &Json) -> Txn {
     let key = |row: &Json| row.get("key").str().to_owned();
     Txn {
         expected: body
@@ -271,6 +273,27 @@
             Fate::Slow(_) if request.path.ends_with("/kv-watch") => {}
             Fate::Slow(time) => thread::sleep(time),
             Fate::Silent => return Reply::Silence,
+            Fate::Late(after) => {
+                let txn = decode_txn(&request.json());
+                let store = Arc::clone(self);
+                let keys: Vec<String> = txn.puts.iter().map(|(key, ..)| key.clone()).collect();
+                let keys = keys.join(" ");
+                self.record.line("store", &format!("a write of {keys} by entry-{entry} gets no answer; it will be carried out in {} ms", after.as_millis()));
+                thread::spawn(move || {
+                    thread::sleep(after);
+                    let is_done = store.table.lock().unwrap().commit(&txn).is_ok();
+                    store.changed.notify_all();
+                    let what = if is_done {
+                        "is carried out"
+                    } else {
+                        "changes nothing: its condition does not hold"
+                    };
+                    store
+                        .record
+                        .line("store", &format!("the late write of {keys} {what}"));
+                });
+                return Reply::Silence;
+            }
         }
         let method_and_path = (&*request.method, &*request.path);
         match method_and_path {
@@ -386,7 +409,7 @@
                 match fate {
                     Fate::Silent => return Reply::Silence,
                     Fate::Slow(time) => thread::sleep(time),
-                    Fate::Answered => {}
+                    Fate::Answered | Fate::Late(_) => {}
                 }
                 let events = events.into_iter().rev().collect();
                 return Reply::Answer(
