--- a/review/standin/src/machines.rs
+++ b/review/standin/src/machines.rs
@@ -146,7 +146,7 @@
             MOVE_TIME
         };
         if !minion.is_empty() {
-            self.workers.end(&minion, true);
+            self.workers.end(&minion);
         }
         let to = (state == "moving").then(|| body.get("pool").str().to_owned());
         let machines = Arc::clone(self);
