jobs, grid: one owner of the longest lease, stored for the successor

Cause: the scheduler offered an idle worker max(lease, 2 x wait) = 4 s; its successor assumed lease = 3 s. Evidence: in the record the run ends as lapsed 4.001 s after the predecessor's request to the idle worker and 3.94 s after the first one of the successor, so no later request extended it, which was the other hypothesis. The log now names what a scheduler assumes: lease_ms in "Pool taken over.", lease_until_ms in "Worker's state changed."

Change: LeaseBound in goldcrest-jobs. A scheduler stores the longest lease that it offers before it sends a start, offers none that is longer than the stored one, and lowers it only after every longer one has expired; its successor assumes the stored value, and without one (older builds) the longest that workers grant. Every request offers the same lease and waits at most half of it (1.5 s instead of 2 s for an idle worker), so that two requests fit. A worker that did not answer is asked to answer at once, because only the next request extends its leases.

--- a/crates/bench/src/bin/pool.rs
+++ b/crates/bench/src/bin/pool.rs
@@ -168,7 +168,7 @@
     let mut pool = Pool::new(name, FencingToken(1), Bounds::default(), catalogue);
     let start = Instant::now();
     let mut now = start;
-    pool.take_over(Vec::new(), BTreeSet::new(), now);
+    pool.take_over(Vec::new(), BTreeSet::new(), None, now);
     pool.set_workers((0..workers).map(info).collect(), now);
     let refs: Vec<WorkerRef> = pool.workers().keys().copied().collect();
     let mut fleet: HashMap<WorkerRef, Simulated> = HashMap::new();
--- a/crates/grid/src/keys/mod.rs
+++ b/crates/grid/src/keys/mod.rs
@@ -6,7 +6,7 @@
 //! | `in/POOL/job/ID` | the job as it was submitted; removed when it has ended | the accepting entry; a cancelling one |
 //! | `in/POOL/evacuate` | [`Evacuation`]: VMs to evacuate | the holder of the fleet role |
 //! | `run/POOL/ID` | the progress of an open job | the pool's scheduler |
-//! | `crew/POOL` | [`AssignedWorkers`]: the assigned workers, on which the pool's runs may be | the pool's scheduler |
+//! | `crew/POOL` | [`AssignedWorkers`]: the assigned workers, on which the pool's runs may be, and their longest lease | the pool's scheduler |
 //! | `at/POOL` | [`PoolStatus`]; bound to the scheduler's lease | the pool's scheduler |
 //! | `share/TEAM` | the team's rows, one per pool | the schedulers |
 //! | `wave/N` | the progress of a wave | the holder of the fleet role |
@@ -20,6 +20,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
+use std::time::Duration;
 
 use goldcrest_jobs::id::{JobId, VmId, WorkerId};
 use goldcrest_jobs::resources::Resources;
@@ -103,6 +104,17 @@
 pub struct AssignedWorkers {
     /// The ids of the assigned workers.
     pub workers: BTreeSet<WorkerId>,
+    /// The longest lease, in milliseconds, that these workers may hold. Older versions did not write it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub lease_ms: Option<u64>,
+}
+
+impl AssignedWorkers {
+    /// The longest lease that the workers may hold, if it is stored.
+    #[must_use]
+    pub fn lease(&self) -> Option<Duration> {
+        self.lease_ms.map(Duration::from_millis)
+    }
 }
 
 /// The status that a pool's scheduler publishes, for queries and for the holder of the fleet role.
--- a/crates/grid/src/pool/events.rs
+++ b/crates/grid/src/pool/events.rs
@@ -82,8 +82,9 @@
                 worker,
                 state,
                 runs,
+                lease_until_ms,
             } => {
-                log::info!(target: "scheduler", worker:% = worker, pool:% = self.name, state, runs; "Worker's state changed.");
+                log::info!(target: "scheduler", worker:% = worker, pool:% = self.name, state, runs, lease_until_ms; "Worker's state changed.");
             }
         }
     }
--- a/crates/grid/src/pool/load.rs
+++ b/crates/grid/src/pool/load.rs
@@ -19,6 +19,7 @@
             .list(&keys::progresses(&self.name), false)
             .await?;
         let assigned_workers = self.entry.read(&keys::assigned_workers(&self.name)).await?;
+        let is_first = assigned_workers.is_none();
         let assigned_workers: AssignedWorkers =
             self.decode_stored(assigned_workers).unwrap_or_default();
         let mut by_key: HashMap<Box<str>, Item> = progresses
@@ -51,15 +52,16 @@
             pool:% = self.name,
             token:% = self.held.token(),
             jobs = jobs.len(),
-            workers = assigned_workers.workers.len();
+            workers = assigned_workers.workers.len(),
+            lease_ms = assigned_workers.lease_ms;
             "Pool taken over."
         );
-        self.assigned_workers
-            .borrow_mut()
-            .clone_from(&assigned_workers.workers);
-        self.pool
-            .borrow_mut()
-            .take_over(jobs, assigned_workers.workers, now);
+        let AssignedWorkers { workers, lease_ms } = assigned_workers.clone();
+        *self.assigned_workers.borrow_mut() = assigned_workers;
+        // Without the key nothing was started in this pool, so no run holds a lease.
+        let lease = if is_first { Some(0) } else { lease_ms };
+        let lease = lease.map(Duration::from_millis);
+        self.pool.borrow_mut().take_over(jobs, workers, lease, now);
         self.mark_changed();
         Ok(inbox.revision)
     }
--- a/crates/grid/src/pool/mod.rs
+++ b/crates/grid/src/pool/mod.rs
@@ -26,6 +26,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::entry::Entry;
+use crate::keys::AssignedWorkers;
 use crate::members::HeldRole;
 use crate::ports::{Platform, Recipient};
 use crate::{registry, shares};
@@ -60,8 +61,8 @@
     saved: watch::Sender<u64>,
     /// Wakes starts that wait for their worker to be recorded with the job.
     batch_saved: Notify,
-    /// The assigned workers as they are stored.
-    assigned_workers: RefCell<BTreeSet<WorkerId>>,
+    /// The assigned workers and their longest lease, as they are stored.
+    assigned_workers: RefCell<AssignedWorkers>,
     /// VMs to evacuate, by the worker on each.
     evacuating: RefCell<BTreeMap<WorkerId, VmId>>,
     /// Wakes the share task: a team could use more than its row of this pool allows.
@@ -203,7 +204,7 @@
         let mut settings = self.entry.settings.subscribe();
         while settings.changed().await.is_ok() {
             let bounds = settings.borrow_and_update().pool;
-            self.pool.borrow_mut().set_bounds(bounds);
+            self.pool.borrow_mut().set_bounds(bounds, self.now());
         }
     }
 
--- a/crates/grid/src/pool/reports.rs
+++ b/crates/grid/src/pool/reports.rs
@@ -1,13 +1,15 @@
 //! Follows the registry's workers and the runs of each.
 //!
 //! One task per worker requests its report in a loop. A request extends the leases of the worker's runs and waits until
-//! a run ends. The next request acknowledges the ends of the last report, once their effects are saved.
+//! a run ends, for at most half a lease, so that the leases outlast this request and the next one. The next request
+//! acknowledges the ends of the last report, once their effects are saved.
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use goldcrest_jobs::id::WorkerRef;
+use goldcrest_jobs::lease::LeaseBound;
 use tokio::task::JoinSet;
 
 use crate::pool::Scheduler;
@@ -92,17 +94,24 @@
             let Some(to) = self.recipient(worker) else {
                 return;
             };
-            let wait = if is_first {
+            let longest_wait = if is_first {
                 Duration::ZERO
             } else {
                 self.report_wait(worker, acknowledged)
             };
+            // An unresponsive worker is asked to answer at once: its leases are running out, and only the request
+            // after its answer extends them.
+            let wait = if failures > 0 {
+                Duration::ZERO
+            } else {
+                longest_wait
+            };
             let now = self.now();
             // A request without an answer may still be carried out, so an unresponsive worker is offered no further
             // lease: the leases of its runs must be able to expire. Nor may a scheduler that may have been replaced
             // extend leases that its successor takes as expired.
             let until_ms = if failures == 0 && self.holds_role() {
-                self.offer_lease(worker, wait)
+                self.offer_lease(worker)
             } else {
                 None
             };
@@ -112,7 +121,13 @@
             let answer = self
                 .entry
                 .platform
-                .report(&to, until_ms, ends_acknowledged, wait, wait + REPORT_SLACK)
+                .report(
+                    &to,
+                    until_ms,
+                    ends_acknowledged,
+                    wait,
+                    longest_wait + REPORT_SLACK,
+                )
                 .await;
             match answer {
                 Ok(report) => {
@@ -150,22 +165,27 @@
         let Some(known) = pool.worker(worker) else {
             return Duration::ZERO;
         };
-        if known.last_end > acknowledged {
+        let wait = if known.last_end > acknowledged {
             Duration::ZERO
         } else if known.runs.is_empty() {
             WAIT_IDLE
         } else {
             WAIT_BUSY
-        }
+        };
+        wait.min(self.lease() / 2)
+    }
+
+    /// The lease that requests for reports offer. An idle worker needs it too: a run that starts on it while a request
+    /// waits holds no other lease once its start's deadline has passed.
+    fn lease(&self) -> Duration {
+        let wanted = self.pool.borrow().bounds().lease;
+        LeaseBound::offer(wanted, self.assigned_workers.borrow().lease())
     }
 
-    fn offer_lease(&self, worker: WorkerRef, wait: Duration) -> Option<u64> {
+    fn offer_lease(&self, worker: WorkerRef) -> Option<u64> {
+        let lease = self.lease();
         let mut pool = self.pool.borrow_mut();
-        let lease = pool.bounds().lease;
-        // The lease must outlast this request and the next one.
-        let until_ms = pool
-            .worker(worker)?
-            .deadline_ms(self.now(), lease.max(wait * 2))?;
+        let until_ms = pool.worker(worker)?.deadline_ms(self.now(), lease)?;
         pool.lease_offered(worker, until_ms);
         Some(until_ms)
     }
--- a/crates/grid/src/pool/save.rs
+++ b/crates/grid/src/pool/save.rs
@@ -330,47 +330,49 @@
         closed.contains_key(&id)
     }
 
-    /// Whether every worker that may be sent a start is stored as assigned, so that a later scheduler knows of it.
+    /// Whether every worker that may be sent a start is stored as assigned, with the longest lease that it may get, so
+    /// that a later scheduler knows of them. Requests a save if the stored lease differs from the present one.
     pub(super) fn are_assigned_workers_stored(&self) -> bool {
         let assigned_workers = self.assigned_workers.borrow();
         let pool = self.pool.borrow();
-        let is_stored = pool
+        let are_workers_stored = pool
             .workers()
             .values()
             .filter(|worker| worker.is_fenced() && !worker.has_departed)
-            .all(|worker| assigned_workers.contains(&worker.info.id));
-        drop(pool);
-        if !is_stored {
+            .all(|worker| assigned_workers.workers.contains(&worker.info.id));
+        let longest_ms = pool.lease_bound().longest_ms(self.now());
+        let stored_ms = assigned_workers.lease_ms;
+        let is_lease_covered = stored_ms.is_none_or(|stored_ms| stored_ms >= longest_ms);
+        let is_stored = are_workers_stored && is_lease_covered;
+        if !is_stored || stored_ms != Some(longest_ms) {
             self.unsaved.notify_one();
         }
         is_stored
     }
 
-    /// Stores the workers on which runs of this pool may be, if they have changed.
+    /// Stores the workers on which runs of this pool may be and their longest lease, if either has changed.
     async fn save_assigned_workers(&self) -> Result<(), CallError> {
         let assigned_workers = {
             let pool = self.pool.borrow();
             let workers = pool.workers().values();
-            let mut assigned_workers: BTreeSet<_> = workers
+            let mut workers: BTreeSet<_> = workers
                 .filter(|worker| !worker.has_departed)
                 .map(|worker| worker.info.id.clone())
                 .collect();
             if pool.is_taking_over() {
-                assigned_workers.extend(self.assigned_workers.borrow().iter().cloned());
+                workers.extend(self.assigned_workers.borrow().workers.iter().cloned());
+            }
+            AssignedWorkers {
+                workers,
+                lease_ms: Some(pool.lease_bound().longest_ms(self.now())),
             }
-            assigned_workers
         };
         if assigned_workers == *self.assigned_workers.borrow() {
             return Ok(());
         }
         let key = keys::assigned_workers(&self.name);
         let writes = Writes {
-            puts: vec![(
-                key,
-                keys::encode(&AssignedWorkers {
-                    workers: assigned_workers.clone(),
-                }),
-            )],
+            puts: vec![(key, keys::encode(&assigned_workers))],
             ..Writes::default()
         };
         let mut txn = Txn {
--- a/crates/grid/tests/entry/roles.rs
+++ b/crates/grid/tests/entry/roles.rs
@@ -326,6 +326,51 @@
     }
 }
 
+/// Guards against a task that runs on two workers: an idle worker gets a task, its scheduler stops, and the worker is
+/// cut off as soon as it has reported to the successor. Its lease must not outlast what the successor assumes.
+#[tokio::test(start_paused = true)]
+async fn idle_worker_cut_off_after_a_hand_over_runs_its_task_alone() {
+    for submit_ms in (0..2_000).step_by(100) {
+        local(async move {
+            let bed = Bed::new(2);
+            bed.bounds.set(Bounds {
+                lease: LEASE_SHORT,
+                ..Bounds::default()
+            });
+            bed.start_all(&["e1", "e2"]).await;
+            let holder = bed.holder();
+            let other = other(&holder);
+            sleep(Duration::from_millis(submit_ms)).await;
+            let spec = job("ms=12000", &[1]);
+            assert_eq!(bed.submit(other, ID, spec).await, Reply::Accepted);
+            sleep(Duration::from_millis(60)).await;
+            let worker = bed
+                .world
+                .crew
+                .borrow()
+                .running()
+                .next()
+                .map(|(worker, _)| worker.to_string());
+            let worker = worker.expect("the task runs");
+            bed.stop(&holder);
+            while bed.world.table.borrow().get("who/role/pool/p").is_none()
+                || bed.holder() == holder
+            {
+                sleep(Duration::from_millis(2)).await;
+            }
+            sleep(Duration::from_millis(60)).await;
+            bed.world.set_reachable(other, &worker, false);
+            sleep(Duration::from_secs(7)).await;
+            // The successor has started the task on the other worker, after its lease has expired here.
+            let starts = bed.world.crew.borrow().starts.len();
+            assert_eq!(starts, 2, "submitted after {submit_ms} ms");
+            let doubled = bed.world.crew.borrow().doubled.clone();
+            assert_eq!(doubled, Vec::new(), "submitted after {submit_ms} ms");
+        })
+        .await;
+    }
+}
+
 /// As above, while the answers to transactions of the weak entry are lost or its transactions are carried out late. It
 /// must not act again in a role that it has handed over: its run numbers would repeat.
 #[tokio::test(start_paused = true)]
--- a/crates/jobs/src/pool/event.rs
+++ b/crates/jobs/src/pool/event.rs
@@ -82,5 +82,7 @@
         state: &'static str,
         /// The number of runs that may be executing on the worker.
         runs: usize,
+        /// The latest time on the worker's clock, in milliseconds, to which its leases may last.
+        lease_until_ms: u64,
     },
 }
--- a/crates/jobs/src/pool/ingest.rs
+++ b/crates/jobs/src/pool/ingest.rs
@@ -7,10 +7,11 @@
 
 use crate::id::{JobId, RunNumber, TaskId, VmId, WorkerId, WorkerRef};
 use crate::job::Job;
+use crate::lease::{LeaseBound, expiry};
 use crate::pool::{Event, Pool, StartAnswer, Takeover};
 use crate::progress::Progress;
 use crate::spec::{JobRecord, JobState};
-use crate::worker::{Contact, Phase, Run, RunKey, Worker, WorkerInfo, with_drift};
+use crate::worker::{Contact, Phase, Run, RunKey, Worker, WorkerInfo};
 
 /// How long a worker gets no starts after it was unhealthy or did not reply to one.
 const WORKER_PAUSE: Duration = Duration::from_millis(500);
@@ -54,14 +55,18 @@
         Job::new(record, step_times, objective, accepted_at, now)
     }
 
-    /// Takes over from an earlier scheduler: its open jobs, each with its stored progress and its age, and the workers
-    /// that it may have used. What these run is unknown until each has reported or all leases have expired.
+    /// Takes over from an earlier scheduler: its open jobs, each with its stored progress and its age, the workers that
+    /// it may have used, and the longest lease that it stored for them. What these run is unknown until each has
+    /// reported or all leases have expired.
     pub fn take_over(
         &mut self,
         jobs: Vec<(JobRecord, Progress, Duration)>,
         assigned_workers: BTreeSet<WorkerId>,
+        stored_lease: Option<Duration>,
         now: Instant,
     ) {
+        self.lease_bound =
+            LeaseBound::new(&self.bounds).with_predecessor(stored_lease, &self.bounds, now);
         for (record, progress, age) in jobs {
             let first_run = RunNumber(self.token.0);
             let has_failed = self.has_failed(&record, &progress);
@@ -74,7 +79,7 @@
             self.unsaved.insert(job.id());
             self.jobs.insert(job.id(), job);
         }
-        let until = now + with_drift(self.bounds.lease) + self.bounds.start_window;
+        let until = now + expiry(self.lease_bound.inherited(), &self.bounds);
         self.takeover = Some(Takeover {
             awaited: assigned_workers,
             until,
@@ -172,7 +177,7 @@
                 });
         self.end_incarnation(old, "reborn");
         let worker_ref = self.add_worker(info);
-        let longest = with_drift(self.bounds.lease_max) + self.bounds.start_window;
+        let longest = expiry(self.bounds.lease_max, &self.bounds);
         if let Some(worker) = self.workers.get_mut(&worker_ref) {
             worker.vm = vm;
             worker.earlier_runs_until = (!carried_over.is_empty()).then(|| now + longest);
--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -40,6 +40,7 @@
 use crate::estimate::Estimates;
 use crate::id::{FencingToken, JobId, RunNumber, StepId, TaskId, WorkerId, WorkerRef};
 use crate::job::Job;
+use crate::lease::LeaseBound;
 use crate::pool::arrivals::Arrivals;
 use crate::resources::Resources;
 use crate::worker::Worker;
@@ -49,16 +50,25 @@
 /// Time limits set by the platform or by the operators.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Bounds {
-    /// The time from a request for a report to the end of the leases that it renews: those of the worker's runs.
+    /// The time from a request for a report to the end of the leases that it renews: those of the worker's runs. Two
+    /// requests in a row must fit into it.
     pub lease: Duration,
     /// The longest lease that a worker grants, whatever was requested.
     pub lease_max: Duration,
-    /// A worker refuses a start that it would execute later than this after it was sent.
+    /// A worker refuses a start that it would execute later than this after it was sent. Also the lease of the new run.
     pub start_window: Duration,
     /// The time that a worker may take to stop a run.
     pub stop_grace: Duration,
 }
 
+impl Bounds {
+    /// The longest lease that any command offers.
+    #[must_use]
+    pub fn offered_max(&self) -> Duration {
+        self.lease.max(self.start_window).min(self.lease_max)
+    }
+}
+
 impl Default for Bounds {
     fn default() -> Self {
         Self {
@@ -197,6 +207,7 @@
     name: PoolName,
     token: FencingToken,
     bounds: Bounds,
+    lease_bound: LeaseBound,
     catalogue: Arc<Catalogue>,
     workers: BTreeMap<WorkerRef, Worker>,
     workers_made: usize,
@@ -234,6 +245,7 @@
         Self {
             name,
             token,
+            lease_bound: LeaseBound::new(&bounds),
             bounds,
             catalogue,
             workers: BTreeMap::new(),
@@ -277,10 +289,17 @@
     }
 
     /// Sets the time limits. Leases that were offered before keep their length.
-    pub fn set_bounds(&mut self, bounds: Bounds) {
+    pub fn set_bounds(&mut self, bounds: Bounds, now: Instant) {
+        self.lease_bound.set_bounds(&bounds, now);
         self.bounds = bounds;
     }
 
+    /// The longest lease that workers may hold.
+    #[must_use]
+    pub fn lease_bound(&self) -> &LeaseBound {
+        &self.lease_bound
+    }
+
     /// The open jobs, and ended ones whose final state has not been stored yet.
     #[must_use]
     pub fn jobs(&self) -> &BTreeMap<JobId, Job> {
@@ -464,6 +483,7 @@
                 worker: worker.info.id.clone(),
                 state,
                 runs: worker.runs.len(),
+                lease_until_ms: worker.lease_until_ms,
             });
         }
     }
--- a/crates/jobs/src/pool/report.rs
+++ b/crates/jobs/src/pool/report.rs
@@ -50,7 +50,7 @@
         if is_new {
             // An earlier scheduler may have offered such leases, or they were meant for an earlier incarnation.
             let longest = if worker.runs.is_empty() {
-                self.bounds.lease
+                self.lease_bound.inherited()
             } else {
                 self.bounds.lease_max
             };
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -132,7 +132,9 @@
                 let assigned_workers = words[1..].iter().map(|name| WorkerId::from(*name));
                 let jobs = std::mem::take(&mut self.inherited);
                 self.is_inheriting = false;
-                self.pool().take_over(jobs, assigned_workers.collect(), now);
+                let lease = Some(self.pool().bounds().lease);
+                self.pool()
+                    .take_over(jobs, assigned_workers.collect(), lease, now);
             }
             _ => return self.apply_event(&words),
         }
--- a/crates/jobs/tests/common/parse.rs
+++ b/crates/jobs/tests/common/parse.rs
@@ -170,6 +170,7 @@
             worker,
             state,
             runs,
+            lease_until_ms: _,
         } => Some(format!("worker {worker}: {state}, {runs} runs")),
     }
 }
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -66,6 +66,7 @@
     pool.take_over(
         vec![(record, progress, Duration::ZERO)],
         assigned_workers,
+        None,
         now,
     );
     pool.plan(now, 0);
