grid: a scheduler works by what is in force after it has read the store

Cause: the scheduler was built with the catalogue of before the load, and its task subscribed to newer ones after it. A subscription counts the present value as seen, so a catalogue that came in between was never applied. Evidence: with the new line "Pool scheduled by catalogue." the log shows version 4 in force at the entry 0.28 s before "Pool taken over.", and no such line and no query for permits after it. Ruled out: that the entry missed the version, and that the permit service did not answer.

Change: Latest::follow returns the present value and the subscription together, and is the only way to subscribe, so the gap can't be written again. The scheduler reads the store, then takes catalogue, cordons and settings, applies the stored state and spawns its tasks without waiting. Cordons and settings had the same gap of one poll. The registry as read for an earlier role is dropped when a role needs it again.

No more calls to the store, no more waiting at a takeover.

--- a/crates/grid/src/calls/mod.rs
+++ b/crates/grid/src/calls/mod.rs
@@ -182,7 +182,7 @@
     }
 
     async fn answer(&self, call: &Call, began_at: Instant) -> Reply {
-        let stored = self.catalogue.borrow().clone();
+        let stored = self.catalogue.get();
         let Some(stored) = stored else {
             return Reply::Refused(Refusal::NoCatalogue, RETRY_SOON);
         };
--- a/crates/grid/src/entry/mod.rs
+++ b/crates/grid/src/entry/mod.rs
@@ -17,12 +17,13 @@
 use goldcrest_jobs::worker::{WorkerInfo, millis};
 use goldcrest_types::clock::Clock;
 use goldcrest_types::names::{DcName, PoolName};
-use tokio::sync::{Notify, watch};
+use tokio::sync::Notify;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::entry::silence::Responsiveness;
+use crate::latest::Latest;
 use crate::metrics::Metrics;
 use crate::ports::{
     CallError, Committed, Item, LeaseId, Page, Platform, Revision, StoredCatalogue, Txn, Watched,
@@ -79,16 +80,16 @@
     /// The source of monotonic and wall-clock time.
     pub clock: Arc<dyn Clock>,
     /// The settings in effect. They may change while the entry runs.
-    pub(crate) settings: watch::Sender<Rc<Settings>>,
+    pub(crate) settings: Latest<Rc<Settings>>,
     /// The metrics that this process exports.
     pub metrics: Metrics,
     /// The newest catalogue that was received; `None` before the first one.
-    pub catalogue: watch::Sender<Option<StoredCatalogue>>,
+    pub catalogue: Latest<Option<StoredCatalogue>>,
     /// The latest time at which the catalogue in force and the known cordons were certainly the newest; `None` before
     /// the first catalogue.
     pub catalogue_current_at: Cell<Option<Instant>>,
     /// The data centres in which no task may be started.
-    pub cordoned: watch::Sender<Rc<BTreeSet<DcName>>>,
+    pub cordoned: Latest<Rc<BTreeSet<DcName>>>,
     /// The maintenance waves that the operators have requested, by number.
     pub waves: RefCell<BTreeMap<u64, Wave>>,
     /// Notified when a wave is added.
@@ -99,9 +100,9 @@
     /// The revision of the last record of `recent_commands` that this entry has certainly stored.
     pub(crate) recent_commands_revision: Cell<Revision>,
     /// The current session with the store; `None` while there is none.
-    pub session: watch::Sender<Option<Session>>,
-    /// All workers with their pools, as last read from the registry. Empty before the first read.
-    pub workers: watch::Sender<Rc<[(PoolName, WorkerInfo)]>>,
+    pub session: Latest<Option<Session>>,
+    /// All workers with their pools, as last read from the registry. Empty until it was read for a role that is held.
+    pub workers: Latest<Rc<[(PoolName, WorkerInfo)]>>,
     /// The number of roles that need the registry.
     pub registry_users: Cell<usize>,
     /// Whether a pool that is scheduled here has a backlog, so that workers may be about to join it.
@@ -121,17 +122,17 @@
         Self {
             platform,
             clock,
-            settings: watch::Sender::new(Rc::new(settings)),
+            settings: Latest::new(Rc::new(settings)),
             metrics: Metrics::new(),
-            catalogue: watch::Sender::new(None),
+            catalogue: Latest::new(None),
             catalogue_current_at: Cell::new(None),
-            cordoned: watch::Sender::default(),
+            cordoned: Latest::default(),
             waves: RefCell::default(),
             waves_changed: Notify::new(),
             recent_commands: RefCell::default(),
             recent_commands_revision: Cell::new(Revision::ABSENT),
-            session: watch::Sender::new(None),
-            workers: watch::Sender::new(Rc::from([])),
+            session: Latest::new(None),
+            workers: Latest::new(Rc::from([])),
             registry_users: Cell::new(0),
             is_awaiting_workers: Cell::new(false),
             registry_needed: Notify::new(),
@@ -143,7 +144,7 @@
 
     /// The settings in effect now.
     pub fn settings(&self) -> Rc<Settings> {
-        Rc::clone(&self.settings.borrow())
+        self.settings.get()
     }
 
     /// Replaces the settings, except for the name, which stays while the entry runs. Returns whether they have changed.
@@ -155,7 +156,7 @@
         };
         let is_changed = *before != settings;
         if is_changed {
-            self.settings.send_replace(Rc::new(settings));
+            self.settings.set(Rc::new(settings));
         }
         is_changed
     }
@@ -174,7 +175,7 @@
 
     /// Returns the lease of the current session if it is certainly still valid.
     pub fn valid_lease(&self) -> Option<LeaseId> {
-        let session = (*self.session.borrow())?;
+        let session = self.session.get()?;
         (self.now() < session.valid_until).then_some(session.lease)
     }
 
@@ -201,7 +202,7 @@
     /// Whether this entry should receive calls.
     pub fn is_ready(&self) -> bool {
         !self.stopping.is_cancelled()
-            && self.catalogue.borrow().is_some()
+            && self.catalogue.get().is_some()
             && self.has_fresh_keys()
             && !self.is_store_unresponsive()
     }
--- a/crates/grid/src/fleet/evacuation.rs
+++ b/crates/grid/src/fleet/evacuation.rs
@@ -41,7 +41,7 @@
     /// otherwise get no work until their pool's list changes.
     pub(super) async fn load_evacuations(&self) -> Result<(), CallError> {
         let pools: Vec<PoolName> = {
-            let catalogue = self.entry.catalogue.borrow();
+            let catalogue = self.entry.catalogue.get();
             let pools = catalogue.iter().flat_map(|stored| stored.catalogue.pools());
             pools.map(|pool| pool.name.clone()).collect()
         };
--- a/crates/grid/src/fleet/mod.rs
+++ b/crates/grid/src/fleet/mod.rs
@@ -171,7 +171,7 @@
 
     /// Returns the sender of commands to VMs, or `None` unless this entry certainly still holds the role.
     fn holder(&self) -> Option<Holder> {
-        let session = (*self.entry.session.borrow())?;
+        let session = self.entry.session.get()?;
         let is_valid = session.lease == self.held.lease && self.entry.now() < session.valid_until;
         is_valid.then(|| Holder {
             entry: self.entry.settings().name.clone(),
@@ -310,7 +310,7 @@
 
     /// The spare pool, if the catalogue has one.
     fn spare(&self) -> Option<PoolName> {
-        let catalogue = self.entry.catalogue.borrow();
+        let catalogue = self.entry.catalogue.get();
         let pools = catalogue.as_ref()?.catalogue.pools();
         let spare = pools.iter().find(|pool| pool.is_spare)?;
         Some(spare.name.clone())
@@ -331,7 +331,7 @@
 
     /// The VMs in cordoned data centres. One whose data centre is unknown counts as cordoned while any is.
     fn cordoned_vms(&self, vms: &BTreeMap<VmId, Vm>) -> BTreeSet<VmId> {
-        let dcs = self.entry.cordoned.borrow();
+        let dcs = self.entry.cordoned.get();
         let is_cordoned = |vm: &&Vm| match &vm.dc {
             Some(dc) => dcs.contains(dc),
             None => !dcs.is_empty(),
--- a/crates/grid/src/lib.rs
+++ b/crates/grid/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod entry;
 pub mod fleet;
 pub mod keys;
+pub mod latest;
 pub mod members;
 pub mod metrics;
 pub mod operators;
--- a/crates/grid/src/members/mod.rs
+++ b/crates/grid/src/members/mod.rs
@@ -145,13 +145,8 @@
 
     /// Waits for a session and registers this entry under its lease. Returns `None` if that fails.
     async fn register(&mut self) -> Option<LeaseId> {
-        let mut session = self.entry.session.subscribe();
-        let lease = session
-            .wait_for(Option::is_some)
-            .await
-            .ok()?
-            .as_ref()?
-            .lease;
+        self.entry.session.wait_for(Option::is_some).await;
+        let lease = self.entry.session.get()?.lease;
         let txn = Txn {
             puts: vec![Put {
                 key: keys::entry(&self.entry.settings().name),
@@ -195,11 +190,10 @@
                 self.rebalance(lease).await;
                 self.reconcile(lease);
                 let wait = self.next_attempt();
-                let mut session = self.entry.session.subscribe();
                 let entry = Rc::clone(&self.entry);
                 let watched = tokio::select! {
                     watched = entry.watch(keys::MEMBERS, after, WATCH_WAIT) => watched,
-                    _ = session.wait_for(|session| session.is_none_or(|session| session.lease != lease)) => return,
+                    () = entry.session.wait_for(|session| session.is_none_or(|session| session.lease != lease)) => return,
                     () = tokio::time::sleep(wait) => continue,
                 };
                 match watched {
@@ -245,14 +239,14 @@
     fn is_session_over(&self, lease: LeaseId) -> bool {
         self.entry
             .session
-            .borrow()
+            .get()
             .is_none_or(|session| session.lease != lease)
     }
 
     /// The roles that must be held by some entry: one scheduler per pool that is not the spare pool, and the fleet
     /// role.
     fn required_roles(&self) -> Vec<Role> {
-        let catalogue = self.entry.catalogue.borrow();
+        let catalogue = self.entry.catalogue.get();
         let Some(stored) = catalogue.as_ref() else {
             return Vec::new();
         };
@@ -486,9 +480,7 @@
         if let Err(error) = self.entry.commit(&txn).await {
             log::warn!(target: "members", error:%; "Removing the roles' keys failed; the roles end with the lease.");
         }
-        // Copied, as no borrow may be held while waiting: the answer to a renewal replaces the session.
-        let session = *self.entry.session.borrow();
-        if let Some(session) = session {
+        if let Some(session) = self.entry.session.get() {
             let ended = self
                 .entry
                 .platform
--- a/crates/grid/src/operators/mod.rs
+++ b/crates/grid/src/operators/mod.rs
@@ -75,14 +75,14 @@
     if has_new {
         entry.waves_changed.notify_waiters();
     }
-    if entry.catalogue.borrow().is_some() {
+    if entry.catalogue.get().is_some() {
         entry.catalogue_current_at.set(Some(sent_at));
     }
     orders.revision
 }
 
 fn apply_cordons<P: Platform>(entry: &Entry<P>, cordons: &Cordons) {
-    let before = Rc::clone(&entry.cordoned.borrow());
+    let before = entry.cordoned.get();
     let after = cordons.apply(&before);
     if after == *before {
         return;
@@ -94,16 +94,12 @@
         log::info!(target: "maintenance", dc:%; "Data centre no longer cordoned.");
     }
     entry.metrics.set_cordoned_dcs(after.len());
-    entry.cordoned.send_replace(Rc::new(after));
+    entry.cordoned.set(Rc::new(after));
 }
 
 /// Puts a catalogue in force if it is newer than the one in force.
 pub fn put_in_force<P: Platform>(entry: &Entry<P>, stored: StoredCatalogue) {
-    let present = entry
-        .catalogue
-        .borrow()
-        .as_ref()
-        .map(|present| present.revision);
+    let present = entry.catalogue.get().map(|present| present.revision);
     if present.is_some_and(|present| stored.revision <= present) {
         return;
     }
@@ -117,5 +113,5 @@
         "Catalogue in force."
     );
     entry.metrics.set_catalogue_version(version);
-    entry.catalogue.send_replace(Some(stored));
+    entry.catalogue.set(Some(stored));
 }
--- a/crates/grid/src/pool/load.rs
+++ b/crates/grid/src/pool/load.rs
@@ -8,17 +8,34 @@
 
 use crate::keys::{self, AssignedWorkers, Evacuation, JobStatus};
 use crate::pool::{Scheduler, Stored};
-use crate::ports::{CallError, Item, Platform, Revision};
+use crate::ports::{CallError, Item, Page, Platform, Revision};
+
+/// The stored state of a pool, as one holder leaves it to the next.
+pub(super) struct StoredPool {
+    inbox: Page,
+    progresses: Page,
+    /// The assigned workers; absent before the first scheduler of the pool has stored them.
+    assigned_workers: Option<Item>,
+}
 
 impl<P: Platform> Scheduler<P> {
-    /// Loads the pool's stored state; returns the revision from which to watch the inbox.
-    pub(super) async fn load(&self) -> Result<Revision, CallError> {
-        let inbox = self.entry.list(&keys::inbox(&self.name), false).await?;
-        let progresses = self
-            .entry
-            .list(&keys::progresses(&self.name), false)
-            .await?;
-        let assigned_workers = self.entry.read(&keys::assigned_workers(&self.name)).await?;
+    /// Reads the pool's stored state.
+    pub(super) async fn read_stored(&self) -> Result<StoredPool, CallError> {
+        let entry = &self.entry;
+        Ok(StoredPool {
+            inbox: entry.list(&keys::inbox(&self.name), false).await?,
+            progresses: entry.list(&keys::progresses(&self.name), false).await?,
+            assigned_workers: entry.read(&keys::assigned_workers(&self.name)).await?,
+        })
+    }
+
+    /// Takes the pool over as it is stored; returns the revision from which to watch the inbox.
+    pub(super) fn take_over(&self, stored: StoredPool) -> Revision {
+        let StoredPool {
+            inbox,
+            progresses,
+            assigned_workers,
+        } = stored;
         let is_first = assigned_workers.is_none();
         let assigned_workers: AssignedWorkers =
             self.decode_stored(assigned_workers).unwrap_or_default();
@@ -63,7 +80,7 @@
         let lease = lease.map(Duration::from_millis);
         self.pool.borrow_mut().take_over(jobs, workers, lease, now);
         self.mark_changed();
-        Ok(inbox.revision)
+        inbox.revision
     }
 
     /// Records the content of a key and decodes its value. Returns `None` if the key is absent or can't be decoded.
--- a/crates/grid/src/pool/mod.rs
+++ b/crates/grid/src/pool/mod.rs
@@ -1,7 +1,7 @@
 //! A pool's scheduler: connects the decisions of [`goldcrest_jobs::pool`] to the store and the workers.
 //!
-//! [`Scheduler`] is the state that the scheduler's local tasks share. [`load`] takes over from the previous holder;
-//! then one task each watches the inbox ([`inbox`]), follows the registry and the workers' reports ([`reports`]), plans
+//! [`Scheduler`] is the state that the scheduler's local tasks share. [`load`] takes over from the previous holder by
+//! what is stored and what is in force after the last read; then one task each watches the inbox ([`inbox`]), follows the registry and the workers' reports ([`reports`]), plans
 //! and sends commands ([`commands`]), saves changed jobs ([`save`]), publishes the pool's status ([`status`]) and
 //! adjusts the teams' shares ([`crate::shares`]). All tasks end with the role.
 
@@ -20,15 +20,16 @@
 
 use goldcrest_jobs::id::{JobId, VmId, WorkerId, WorkerRef};
 use goldcrest_jobs::pool::Pool;
-use goldcrest_types::names::PoolName;
+use goldcrest_types::names::{DcName, PoolName};
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
-use crate::entry::Entry;
+use crate::entry::{Entry, Settings};
 use crate::keys::AssignedWorkers;
+use crate::latest::Follower;
 use crate::members::HeldRole;
-use crate::ports::{Platform, Recipient};
+use crate::ports::{Platform, Recipient, StoredCatalogue};
 use crate::{registry, shares};
 
 pub use save::Stored;
@@ -125,7 +126,7 @@
     hand_over: CancellationToken,
 ) {
     let _registry = registry::UseGuard::new(Rc::clone(&entry));
-    let catalogue = entry.catalogue.borrow().clone();
+    let catalogue = entry.catalogue.get();
     let Some(catalogue) = catalogue else {
         // Roles are acquired only once a catalogue is in force.
         return;
@@ -161,22 +162,29 @@
 
 impl<P: Platform> Scheduler<P> {
     async fn hold(self: Rc<Self>, hand_over: CancellationToken) {
-        let after = loop {
-            match self.load().await {
-                Ok(revision) => break revision,
+        let stored = loop {
+            match self.read_stored().await {
+                Ok(stored) => break stored,
                 Err(error) => {
                     log::warn!(target: "scheduler", pool:% = self.name, error:%; "Loading the pool's jobs failed; trying again.");
                     tokio::time::sleep(RETRY_AFTER).await;
                 }
             }
         };
+        // Nothing is awaited from here until the tasks are spawned, so the first plan is made by what is in force now.
+        let (catalogue, catalogues) = self.entry.catalogue.follow();
+        let (cordoned, cordons) = self.entry.cordoned.follow();
+        let (settings, newer_settings) = self.entry.settings.follow();
+        self.apply_catalogue(catalogue);
+        self.apply_cordons(&cordoned);
+        self.apply_settings(&settings);
+        let after = self.take_over(stored);
         let mut tasks = JoinSet::new();
         tasks.spawn_local(Rc::clone(&self).follow_inbox(after));
         tasks.spawn_local(Rc::clone(&self).follow_workers());
-        tasks.spawn_local(Rc::clone(&self).follow_catalogue());
-        self.apply_cordons();
-        tasks.spawn_local(Rc::clone(&self).follow_cordons());
-        tasks.spawn_local(Rc::clone(&self).follow_settings());
+        tasks.spawn_local(Rc::clone(&self).follow_catalogue(catalogues));
+        tasks.spawn_local(Rc::clone(&self).follow_cordons(cordons));
+        tasks.spawn_local(Rc::clone(&self).follow_settings(newer_settings));
         tasks.spawn_local(Rc::clone(&self).plan_and_send());
         tasks.spawn_local(Rc::clone(&self).keep_saving());
         tasks.spawn_local(Rc::clone(&self).publish_status());
@@ -200,38 +208,39 @@
         }
     }
 
-    async fn follow_settings(self: Rc<Self>) {
-        let mut settings = self.entry.settings.subscribe();
-        while settings.changed().await.is_ok() {
-            let bounds = settings.borrow_and_update().pool;
-            self.pool.borrow_mut().set_bounds(bounds, self.now());
+    fn apply_settings(&self, settings: &Settings) {
+        self.pool.borrow_mut().set_bounds(settings.pool, self.now());
+    }
+
+    async fn follow_settings(self: Rc<Self>, mut newer: Follower<Rc<Settings>>) {
+        while let Some(settings) = newer.next().await {
+            self.apply_settings(&settings);
         }
     }
 
-    fn apply_cordons(&self) {
-        let cordoned = Rc::clone(&self.entry.cordoned.borrow());
-        self.pool.borrow_mut().set_cordoned(&cordoned);
+    fn apply_cordons(&self, cordoned: &BTreeSet<DcName>) {
+        self.pool.borrow_mut().set_cordoned(cordoned);
         self.log_events();
     }
 
-    async fn follow_cordons(self: Rc<Self>) {
-        let mut cordoned = self.entry.cordoned.subscribe();
-        while cordoned.changed().await.is_ok() {
-            cordoned.mark_unchanged();
-            self.apply_cordons();
+    async fn follow_cordons(self: Rc<Self>, mut newer: Follower<Rc<BTreeSet<DcName>>>) {
+        while let Some(cordoned) = newer.next().await {
+            self.apply_cordons(&cordoned);
             self.status_changed.notify_one();
             self.replan.notify_one();
         }
     }
 
-    async fn follow_catalogue(self: Rc<Self>) {
-        let mut catalogue = self.entry.catalogue.subscribe();
-        while catalogue.changed().await.is_ok() {
-            let stored = catalogue.borrow_and_update().clone();
-            if let Some(stored) = stored {
-                self.pool.borrow_mut().set_catalogue(stored.catalogue);
-                self.replan.notify_one();
-            }
+    fn apply_catalogue(&self, stored: Option<StoredCatalogue>) {
+        let Some(stored) = stored else { return };
+        log::info!(target: "scheduler", pool:% = self.name, version = stored.catalogue.version; "Pool scheduled by catalogue.");
+        self.pool.borrow_mut().set_catalogue(stored.catalogue);
+    }
+
+    async fn follow_catalogue(self: Rc<Self>, mut newer: Follower<Option<StoredCatalogue>>) {
+        while let Some(catalogue) = newer.next().await {
+            self.apply_catalogue(catalogue);
+            self.replan.notify_one();
         }
     }
 }
--- a/crates/grid/src/pool/reports.rs
+++ b/crates/grid/src/pool/reports.rs
@@ -38,11 +38,11 @@
 
 impl<P: Platform> Scheduler<P> {
     pub(super) async fn follow_workers(self: Rc<Self>) {
-        let mut registry = self.entry.workers.subscribe();
+        let (mut all, mut registry) = self.entry.workers.follow();
         let mut followers: JoinSet<()> = JoinSet::new();
         let mut followed: BTreeMap<WorkerRef, tokio::task::AbortHandle> = BTreeMap::new();
         loop {
-            self.ingest_registry(&registry.borrow_and_update().clone());
+            self.ingest_registry(&all);
             followed.retain(|_, handle| !handle.is_finished());
             let present: Vec<WorkerRef> = {
                 let pool = self.pool.borrow();
@@ -58,9 +58,10 @@
                 });
             }
             while followers.try_join_next().is_some() {}
-            if registry.changed().await.is_err() {
+            let Some(newer) = registry.next().await else {
                 return;
-            }
+            };
+            all = newer;
         }
     }
 
--- a/crates/grid/src/registry/mod.rs
+++ b/crates/grid/src/registry/mod.rs
@@ -18,8 +18,12 @@
 }
 
 impl<P: Platform> UseGuard<P> {
-    /// Counts a user of the registry and wakes the task that polls it.
+    /// Counts a user of the registry and wakes the task that polls it. The first user sees no worker before the next
+    /// read: what was read for an earlier role may be out of date.
     pub fn new(entry: Rc<Entry<P>>) -> Self {
+        if entry.registry_users.get() == 0 {
+            entry.workers.set(Rc::from([]));
+        }
         entry.registry_users.set(entry.registry_users.get() + 1);
         entry.registry_needed.notify_one();
         Self { entry }
@@ -44,7 +48,7 @@
         let result = entry.platform.workers(STORE_TIMEOUT).await;
         match entry.record_call("list workers", sent_at, result) {
             Ok(workers) => {
-                entry.workers.send_replace(workers.into());
+                entry.workers.set(workers.into());
             }
             Err(error) => {
                 log::warn!(target: "fleet", error:%; "Reading the registry of workers failed; keeping the last known workers.");
--- a/crates/grid/src/session/mod.rs
+++ b/crates/grid/src/session/mod.rs
@@ -42,13 +42,13 @@
             tokio::time::sleep(RETRY_AFTER).await;
             continue;
         };
-        entry.session.send_replace(Some(session));
+        entry.session.set(Some(session));
         log::info!(target: "store", lease = session.lease.0; "Session opened.");
         while renew(&entry, &mut session).await {
-            entry.session.send_replace(Some(session));
+            entry.session.set(Some(session));
         }
         log::warn!(target: "store", lease = session.lease.0; "Session lost: the lease has ended.");
-        entry.session.send_replace(None);
+        entry.session.set(None);
     }
 }
 
--- a/crates/grid/src/shares/mod.rs
+++ b/crates/grid/src/shares/mod.rs
@@ -154,7 +154,7 @@
 }
 
 fn demands<P: Platform>(scheduler: &Scheduler<P>) -> Vec<Demand> {
-    let catalogue = scheduler.entry.catalogue.borrow();
+    let catalogue = scheduler.entry.catalogue.get();
     let Some(stored) = catalogue.as_ref() else {
         return Vec::new();
     };
--- a/crates/grid/tests/entry/permits.rs
+++ b/crates/grid/tests/entry/permits.rs
@@ -14,8 +14,7 @@
 fn bed(allowed: &[&str]) -> Bed {
     let bed = Bed::new(3);
     bed.world.set_catalogue(catalogue_with(2, &[KEY], 0, true));
-    let allowed: BTreeSet<WorkerId> = allowed.iter().map(|id| WorkerId::from(*id)).collect();
-    *bed.world.permits.allowed.borrow_mut() = Some(allowed);
+    bed.world.permits.allow_only(allowed);
     bed
 }
 
--- a/crates/grid/tests/entry/roles.rs
+++ b/crates/grid/tests/entry/roles.rs
@@ -1,14 +1,16 @@
 //! Roles: schedulers that are killed, stopped or partitioned are replaced, and no task runs twice.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use goldcrest_grid::calls::Reply;
+use goldcrest_grid::registry::UseGuard;
 use goldcrest_jobs::pool::Bounds;
 use goldcrest_jobs::spec::JobState;
 use goldcrest_standin::grid::StoreFault;
 use tokio::time::{Instant, sleep};
 
-use crate::common::{Bed, catalogue, job, local};
+use crate::common::{Bed, KEY, catalogue, catalogue_with, job, local};
 
 const ID: &str = "00000000000000a1";
 
@@ -272,6 +274,61 @@
     .await;
 }
 
+/// Guards against a scheduler that works by an outdated catalogue: the catalogue changes at any moment of a takeover
+/// from a slow store. Both the permits that the queue now needs and the team's new upper limit must be in force.
+#[tokio::test(start_paused = true)]
+async fn takeover_sees_a_catalogue_that_comes_meanwhile() {
+    for changed_ms in (0..1_600).step_by(100) {
+        local(async move {
+            let bed = Bed::new(2);
+            bed.start_all(&["e1", "e2"]).await;
+            let holder = bed.holder();
+            let other = other(&holder);
+            bed.world.delay.set(Duration::from_millis(240));
+            bed.kill(&holder);
+            sleep(Duration::from_millis(1_600 + changed_ms)).await;
+            bed.world.permits.allow_only(&["w1", "w2"]);
+            bed.world
+                .set_catalogue(catalogue_with(2, &[KEY], 2_000, true));
+            sleep(Duration::from_secs(3)).await;
+            bed.world.delay.set(Duration::from_millis(4));
+            sleep(Duration::from_secs(3)).await;
+            let spec = job("ms=1000", &[6]);
+            assert_eq!(bed.submit(other, ID, spec).await, Reply::Accepted);
+            for _ in 0..80 {
+                sleep(Duration::from_millis(100)).await;
+                let running = bed.world.crew.borrow().running().count();
+                assert!(running <= 2, "{running} run, changed after {changed_ms} ms");
+            }
+            let state = bed.query(other, ID).await;
+            let completed = Reply::State(JobState::Completed);
+            assert_eq!(state, completed, "changed after {changed_ms} ms");
+            bed.check_once();
+        })
+        .await;
+    }
+}
+
+/// Guards against workers that departed since an entry last held a role: what it read then counts as not read.
+#[tokio::test(start_paused = true)]
+async fn registry_first_user_forgets_what_was_read_for_an_earlier_role() {
+    local(async {
+        let bed = Bed::new(2);
+        bed.start_all(&["e1", "e2"]).await;
+        let (scheduler, idle) = (bed.entry(&bed.holder()), bed.entry(other(&bed.holder())));
+        let read = scheduler.workers.get();
+        assert_eq!((read.len(), idle.registry_users.get()), (2, 0));
+        idle.workers.set(read.clone());
+        let first = UseGuard::new(Rc::clone(&idle));
+        assert!(idle.workers.get().is_empty());
+        idle.workers.set(read);
+        let second = UseGuard::new(Rc::clone(&idle));
+        assert_eq!(idle.workers.get().len(), 2);
+        drop((first, second));
+    })
+    .await;
+}
+
 /// Load pattern: after an outage the strong entries are the last ones back. A weak entry that holds all roles hands
 /// them over one after the other, while its pool has work.
 #[tokio::test(start_paused = true)]
--- a/crates/standin/src/grid/mod.rs
+++ b/crates/standin/src/grid/mod.rs
@@ -69,8 +69,8 @@
     /// Entries whose readings of the operators' requests get no answer.
     without_requests: RefCell<BTreeSet<Box<str>>>,
     unreachable: RefCell<BTreeSet<(Box<str>, WorkerId)>>,
-    /// The latency of a call to the store.
-    pub(crate) delay: Cell<Duration>,
+    /// The latency of a call to the store, except for waiting watches.
+    pub delay: Cell<Duration>,
 }
 
 impl World {
--- a/crates/standin/src/grid/permits.rs
+++ b/crates/standin/src/grid/permits.rs
@@ -38,6 +38,12 @@
 }
 
 impl PermitOffice {
+    /// Lets only these workers get permits, and makes starts need one.
+    pub fn allow_only(&self, workers: &[&str]) {
+        let workers = workers.iter().map(|id| WorkerId::from(*id));
+        *self.allowed.borrow_mut() = Some(workers.collect());
+    }
+
     /// Records a query. Returns whether it is answered.
     pub(crate) fn ask(&self, step: StepId, workers: &[WorkerId]) -> bool {
         self.asked.borrow_mut().push((step, workers.to_vec()));
