jobs, grid: a job keeps the policy under which it was accepted

Cause: the scheduler took the number of attempts from the catalogue in force, and 1 for a queue that is not in it, at each end and at a takeover. Evidence: "Job ended." stands 3.0 s after the change of the catalogue, in the millisecond of the failed "Run ended."; with the queue in place run 2 starts 3 ms after the same failure. Ruled out: that the change by itself ends the job.

Change: AcceptedPolicy is stored with the job by the transaction that accepts it. Attempts and objective are always those of the acceptance; priority, permits and the team's upper limit are those in force, or those of the acceptance once the queue or team is gone. A job that an older build accepted gets the policy of the first catalogue that has its queue; without one it waits after a failure, with a warning. The same cause on related paths, each with a test that failed before: starts without a permit for ever, no upper limit for a removed team, and a wrong end after a takeover.

--- a/crates/bench/src/bin/pool.rs
+++ b/crates/bench/src/bin/pool.rs
@@ -154,6 +154,7 @@
             schedule: None,
         },
         is_cancelled: false,
+        policy: None,
     })
 }
 
--- a/crates/grid/src/calls/mod.rs
+++ b/crates/grid/src/calls/mod.rs
@@ -13,6 +13,7 @@
 
 use goldcrest_jobs::catalogue::Catalogue;
 use goldcrest_jobs::id::JobId;
+use goldcrest_jobs::policy::AcceptedPolicy;
 use goldcrest_jobs::spec::{JobSpec, JobState};
 use goldcrest_types::names::{PoolName, QueueName, TeamName};
 
@@ -145,6 +146,7 @@
     queue: QueueName,
     pool: PoolName,
     team: Option<TeamName>,
+    policy: AcceptedPolicy,
     /// The part of the path after the queue's prefix: a job id or nothing.
     rest: Box<str>,
     catalogue: Revision,
@@ -267,6 +269,7 @@
         queue: queue.name.clone(),
         pool: queue.pool.clone(),
         team: team.map(|team| team.name.clone()),
+        policy: AcceptedPolicy::new(queue, team),
         rest: rest.into(),
         catalogue: stored.revision,
         version: catalogue.version,
--- a/crates/grid/src/calls/submit.rs
+++ b/crates/grid/src/calls/submit.rs
@@ -82,6 +82,7 @@
             accepted_ms: self.wall_ms(),
             spec: spec.clone(),
             is_cancelled: false,
+            policy: Some(admitted.policy.clone()),
         };
         let key = keys::job(&admitted.queue, id);
         Txn {
--- a/crates/grid/src/pool/events.rs
+++ b/crates/grid/src/pool/events.rs
@@ -74,6 +74,9 @@
             } => {
                 log::warn!(target: "scheduler", job:% = job, step, demand:% = demand, most:% = most, pool:% = self.name; "Job waits: no worker could run one of its steps; add a worker with that room and label, or cancel it.");
             }
+            Event::AttemptsUnknown { job } => {
+                log::warn!(target: "scheduler", job:% = job, pool:% = self.name; "Job waits: a task of it has failed, and its queue is not in the catalogue; add the queue again, or cancel the job.");
+            }
             Event::CordonsChanged { dcs, workers } => {
                 let dcs: Vec<String> = dcs.iter().map(ToString::to_string).collect();
                 log::info!(target: "scheduler", pool:% = self.name, dcs = dcs.join(" "), workers; "Cordoned data centres changed: nothing is started on their workers.");
--- a/crates/grid/src/shares/mod.rs
+++ b/crates/grid/src/shares/mod.rs
@@ -154,23 +154,14 @@
 }
 
 fn demands<P: Platform>(scheduler: &Scheduler<P>) -> Vec<Demand> {
-    let catalogue = scheduler.entry.catalogue.get();
-    let Some(stored) = catalogue.as_ref() else {
-        return Vec::new();
-    };
     let pool = scheduler.pool.borrow();
-    let limited = stored.catalogue.teams().iter();
-    limited
-        .filter(|team| team.cap != Resources::ZERO)
-        .map(|team| Demand {
-            team: team.name.clone(),
-            cap: team.cap,
-            used: pool.usage().get(&team.name).copied().unwrap_or_default(),
-            shortfall: pool
-                .shortfall()
-                .get(&team.name)
-                .copied()
-                .unwrap_or_default(),
+    pool.caps()
+        .filter(|(_, cap)| *cap != Resources::ZERO)
+        .map(|(team, cap)| Demand {
+            team: team.clone(),
+            cap,
+            used: pool.usage().get(team).copied().unwrap_or_default(),
+            shortfall: pool.shortfall().get(team).copied().unwrap_or_default(),
         })
         .collect()
 }
--- a/crates/grid/tests/entry/common/mod.rs
+++ b/crates/grid/tests/entry/common/mod.rs
@@ -84,6 +84,12 @@
     )
 }
 
+/// A catalogue without queues and teams, in which the pools of [`catalogue`] stay.
+pub fn catalogue_without_queue(version: u64) -> Catalogue {
+    let pools = catalogue(version, &[], 0).pools().to_vec();
+    Catalogue::new(version, Vec::new(), pools, Vec::new())
+}
+
 /// A step of tasks of one core each.
 pub fn step(tasks: u32) -> Step {
     Step {
--- a/crates/grid/tests/entry/main.rs
+++ b/crates/grid/tests/entry/main.rs
@@ -8,5 +8,6 @@
 mod invariants;
 mod maintenance;
 mod permits;
+mod removed_queue;
 mod roles;
 mod soak;
--- /dev/null
+++ b/crates/grid/tests/stored.rs
@@ -0,0 +1,76 @@
+//! Stored values are read by the version that wrote them and by the one before it.
+
+use std::time::Duration;
+
+use goldcrest_grid::keys::{self, AssignedWorkers};
+use goldcrest_jobs::id::{JobId, WorkerId};
+use goldcrest_jobs::policy::AcceptedPolicy;
+use goldcrest_jobs::resources::Resources;
+use goldcrest_jobs::spec::{JobRecord, JobSpec, Step};
+use goldcrest_types::names::{QueueName, TeamName};
+use serde::{Deserialize, Serialize};
+
+/// A job's record before the policy was stored with it.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct OldRecord {
+    id: JobId,
+    queue: QueueName,
+    team: Option<TeamName>,
+    accepted_ms: u64,
+    spec: JobSpec,
+    is_cancelled: bool,
+}
+
+/// The assigned workers before their longest lease was stored with them.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct OldAssignedWorkers {
+    workers: Vec<WorkerId>,
+}
+
+fn record(policy: Option<AcceptedPolicy>) -> JobRecord {
+    JobRecord {
+        id: "00000000000000a1".parse().expect("an id"),
+        queue: "q".parse().expect("a name"),
+        team: None,
+        accepted_ms: 5,
+        spec: JobSpec {
+            payload: "x".into(),
+            steps: vec![Step::default()],
+            schedule: None,
+        },
+        is_cancelled: false,
+        policy,
+    }
+}
+
+#[test]
+fn record_is_read_by_both_versions() {
+    let policy = AcceptedPolicy {
+        priority: 1,
+        attempts_max: 4,
+        stretch_milli: 1_600,
+        target_latency: Duration::from_millis(600),
+        needs_permits: true,
+        cap: Resources::ZERO,
+    };
+    let new = record(Some(policy));
+    let old: OldRecord = keys::decode("k", &keys::encode(&new)).expect("the old version reads it");
+    assert_eq!((old.id, &old.spec), (new.id, &new.spec));
+    let back: JobRecord = keys::decode("k", &keys::encode(&old)).expect("the new version reads it");
+    assert_eq!(back, record(None));
+    assert_eq!(keys::decode("k", &keys::encode(&new)), Ok(new));
+}
+
+#[test]
+fn assigned_workers_are_read_by_both_versions() {
+    let new = AssignedWorkers {
+        workers: [WorkerId::from("w1")].into(),
+        lease_ms: Some(3_000),
+    };
+    let old: OldAssignedWorkers =
+        keys::decode("k", &keys::encode(&new)).expect("the old version reads it");
+    assert_eq!(old.workers, [WorkerId::from("w1")]);
+    let back: AssignedWorkers =
+        keys::decode("k", &keys::encode(&old)).expect("the new version reads it");
+    assert_eq!((back.workers, back.lease_ms), (new.workers, None));
+}
--- a/crates/jobs/src/catalogue/mod.rs
+++ b/crates/jobs/src/catalogue/mod.rs
@@ -8,7 +8,12 @@
 
 use goldcrest_types::names::{PoolName, QueueName, TeamName};
 
+use crate::policy::AcceptedPolicy;
 use crate::resources::Resources;
+use crate::worker::millis;
+
+/// The longest latency objective: a century. Multiples of longer times could overflow.
+const OBJECTIVE_MAX: Duration = Duration::from_hours(24 * 365 * 100);
 
 /// A queue.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -41,12 +46,21 @@
     /// The time from submission to completion that callers expect of a job with this longest chain.
     #[must_use]
     pub fn objective(&self, longest_chain: Duration) -> Duration {
-        let chain_ms = u64::try_from(longest_chain.as_millis()).unwrap_or(u64::MAX);
-        Duration::from_millis(chain_ms.saturating_mul(self.stretch_milli) / 1_000)
-            + self.target_latency
+        objective(longest_chain, self.stretch_milli, self.target_latency)
     }
 }
 
+/// The time from submission to completion that callers expect of a job with this longest chain.
+pub(crate) fn objective(
+    longest_chain: Duration,
+    stretch_milli: u64,
+    target_latency: Duration,
+) -> Duration {
+    Duration::from_millis(millis(longest_chain).saturating_mul(stretch_milli) / 1_000)
+        .saturating_add(target_latency)
+        .min(OBJECTIVE_MAX)
+}
+
 /// A pool of workers.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PoolSpec {
@@ -175,6 +189,14 @@
         self.has_permits
     }
 
+    /// The policy for a job that is accepted now. `None` if there is no such queue.
+    #[must_use]
+    pub fn policy(&self, queue: &QueueName, team: Option<&TeamName>) -> Option<AcceptedPolicy> {
+        let team = team.and_then(|team| self.team(team));
+        self.queue(queue)
+            .map(|queue| AcceptedPolicy::new(queue, team))
+    }
+
     /// All queues.
     #[must_use]
     pub fn queues(&self) -> &[Queue] {
--- a/crates/jobs/src/job/mod.rs
+++ b/crates/jobs/src/job/mod.rs
@@ -10,7 +10,10 @@
 use goldcrest_types::names::{DcName, QueueName};
 
 use crate::id::{JobId, RunNumber, StepId, TaskId, WorkerId};
-use crate::progress::{IndexSet, OccurrenceProgress, Progress, StepProgress, TaskProgress};
+use crate::policy::AcceptedPolicy;
+use crate::progress::{
+    IndexSet, OccurrenceProgress, Progress, StepProgress, TaskProgress, most_failures,
+};
 use crate::spec::{JobRecord, JobState, Step, TASKS_MAX};
 
 /// A task of an open job.
@@ -89,11 +92,11 @@
         Some(result)
     }
 
-    /// How often a gang has failed. Its tasks share run numbers, so each number counts once.
+    /// The most failures of a task, or of the step's gang. The tasks of a gang share run numbers, so each number counts
+    /// once.
     #[must_use]
-    pub fn gang_failures(&self) -> usize {
-        let of_all = self.tasks.iter().flat_map(|task| &task.failed_runs);
-        of_all.collect::<BTreeSet<_>>().len()
+    pub fn failures(&self, is_gang: bool) -> usize {
+        most_failures(self.tasks.iter().map(|task| &*task.failed_runs), is_gang)
     }
 
     /// The number of runs that may be executing.
@@ -207,7 +210,7 @@
     }
 
     /// Continues from an earlier scheduler's progress. Each task is unknown until all workers of the job have reported,
-    /// and run numbers begin at `first_run`.
+    /// and run numbers begin at `first_run`. A job of which a task has used up its attempts has failed.
     #[must_use]
     pub fn with_progress(mut self, progress: Progress, first_run: RunNumber) -> Self {
         self.has_begun = progress.has_begun;
@@ -216,6 +219,7 @@
         self.occurrences_done = progress.occurrences_done.clone();
         self.first_run = first_run;
         self.stored_progress = Some(progress);
+        self.judge_failures(self.failures());
         self
     }
 
@@ -231,6 +235,57 @@
         &self.record.queue
     }
 
+    /// The number of failures of a task that fails the job. `None` if the job was accepted by an older version and its
+    /// queue was not in any catalogue since this scheduler knows the job.
+    #[must_use]
+    pub fn attempts_max(&self) -> Option<u32> {
+        let policy = self.record.policy.as_ref()?;
+        Some(policy.attempts_max.max(1))
+    }
+
+    /// Sets the policy that the job's record lacks, and decides what had to wait for it.
+    pub fn set_policy(&mut self, policy: AcceptedPolicy, longest_chain: Duration) {
+        self.objective = policy.objective(longest_chain);
+        self.record.policy = Some(policy);
+        self.judge_failures(self.failures());
+    }
+
+    /// Fails the job if a task or a gang that has failed this often has used up its attempts.
+    pub fn judge_failures(&mut self, failures: usize) {
+        let attempts_max = self.attempts_max();
+        let is_used_up = attempts_max.is_some_and(|most| failures >= most as usize);
+        if is_used_up && self.outcome.is_none() {
+            self.outcome = Some(JobState::Failed);
+        }
+    }
+
+    /// Whether a task has failed while the number of its attempts is not known. No starts are sent until it is.
+    #[must_use]
+    pub fn awaits_policy(&self) -> bool {
+        self.record.policy.is_none() && self.failures() > 0
+    }
+
+    /// The most failures of a task, or of a gang, that is not part of a service.
+    fn failures(&self) -> usize {
+        let stored = self
+            .stored_progress
+            .iter()
+            .flat_map(|stored| &stored.occurrences);
+        let of_stored = stored.flat_map(|occurrence| {
+            let steps = occurrence.steps.iter().zip(&self.record.spec.steps);
+            steps
+                .filter(|(_, step)| !step.is_service())
+                .map(|(stored, step)| stored.failures(step.is_gang()))
+        });
+        let of_open = self.occurrences.values().flat_map(|occurrence| {
+            let steps = occurrence.steps.iter().zip(&self.record.spec.steps);
+            steps
+                .filter(|(_, step)| !step.is_service())
+                .map(|(state, step)| state.failures(step.is_gang()))
+        });
+        of_stored.chain(of_open).max().unwrap_or_default()
+    }
+
     /// Creates the occurrences that are due at `wall_ms`, as long as the open ones have fewer than [`TASKS_MAX`] tasks.
     pub fn open_due(&mut self, wall_ms: u64, now: Instant) {
         let Some(schedule) = self.record.spec.schedule else {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod id;
 pub mod job;
 pub mod lease;
+pub mod policy;
 pub mod pool;
 pub mod progress;
 pub mod recent;
--- a/crates/jobs/src/pool/event.rs
+++ b/crates/jobs/src/pool/event.rs
@@ -67,6 +67,11 @@
         /// The largest capacity of any worker, for each kind of resource by itself.
         most: Resources,
     },
+    /// A task has failed, and it is not known how often it may.
+    AttemptsUnknown {
+        /// The job that waits until its queue is in the catalogue again.
+        job: JobId,
+    },
     /// Data centres were cordoned or opened again.
     CordonsChanged {
         /// All data centres that are cordoned now.
--- a/crates/jobs/src/pool/ingest.rs
+++ b/crates/jobs/src/pool/ingest.rs
@@ -1,10 +1,10 @@
 //! Ingests jobs, workers and replies to commands into the state of a pool.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use goldcrest_types::names::QueueName;
-
+use crate::catalogue::Catalogue;
 use crate::id::{JobId, RunNumber, TaskId, VmId, WorkerId, WorkerRef};
 use crate::job::Job;
 use crate::lease::{LeaseBound, expiry};
@@ -41,20 +41,42 @@
         self.jobs.insert(job.id(), job);
     }
 
-    fn open(&self, record: JobRecord, age: Duration, now: Instant) -> Job {
+    fn open(&mut self, mut record: JobRecord, age: Duration, now: Instant) -> Job {
         let steps = record.spec.steps.iter();
         let step_times: Vec<_> = steps
             .map(|step| self.estimates.expect(&record.queue, step.estimate))
             .collect();
         let chain = record.spec.longest_chain(step_times.iter().copied());
-        let objective = self
-            .catalogue
-            .queue(&record.queue)
-            .map_or(chain, |queue| queue.objective(chain));
+        if record.policy.is_none() {
+            record.policy = self.catalogue.policy(&record.queue, record.team.as_ref());
+        }
+        let objective = record
+            .policy
+            .as_ref()
+            .map_or(chain, |policy| policy.objective(chain));
+        if let (Some(team), Some(policy)) = (&record.team, &record.policy) {
+            let highest = self.accepted_caps.entry(team.clone()).or_insert(policy.cap);
+            *highest = highest.zip(policy.cap, higher_limit);
+        }
         let accepted_at = now.checked_sub(age).unwrap_or(now);
         Job::new(record, step_times, objective, accepted_at, now)
     }
 
+    /// Sets the catalogue in force.
+    pub fn set_catalogue(&mut self, catalogue: Arc<Catalogue>) {
+        self.catalogue = catalogue;
+        for (id, job) in &mut self.jobs {
+            if job.record.policy.is_none()
+                && let Some(policy) = self.catalogue.policy(job.queue(), job.record.team.as_ref())
+            {
+                let times = job.step_times.iter().copied();
+                let longest_chain = job.record.spec.longest_chain(times);
+                job.set_policy(policy, longest_chain);
+                self.unsaved.insert(*id);
+            }
+        }
+    }
+
     /// Takes over from an earlier scheduler: its open jobs, each with its stored progress and its age, the workers that
     /// it may have used, and the longest lease that it stored for them. What these run is unknown until each has
     /// reported or all leases have expired.
@@ -69,13 +91,9 @@
             LeaseBound::new(&self.bounds).with_predecessor(stored_lease, &self.bounds, now);
         for (record, progress, age) in jobs {
             let first_run = RunNumber(self.token.0);
-            let has_failed = self.has_failed(&record, &progress);
-            let mut job = self
+            let job = self
                 .open(record, age, now)
                 .with_progress(progress, first_run);
-            if job.outcome.is_none() && has_failed {
-                job.outcome = Some(JobState::Failed);
-            }
             self.unsaved.insert(job.id());
             self.jobs.insert(job.id(), job);
         }
@@ -86,24 +104,6 @@
         });
     }
 
-    /// Whether the stored progress shows a task that has used up its attempts.
-    fn has_failed(&self, record: &JobRecord, progress: &Progress) -> bool {
-        let attempts_max = self.attempts_max(&record.queue);
-        let steps = progress
-            .occurrences
-            .iter()
-            .flat_map(|occurrence| occurrence.steps.iter().zip(&record.spec.steps));
-        steps
-            .filter(|(_, step)| !step.is_service())
-            .any(|(stored, step)| stored.has_failed(step.is_gang(), attempts_max))
-    }
-
-    pub(super) fn attempts_max(&self, queue: &QueueName) -> u32 {
-        self.catalogue
-            .queue(queue)
-            .map_or(1, |queue| queue.attempts_max.max(1))
-    }
-
     /// Cancels a job at its submitter's request.
     pub fn cancel(&mut self, id: JobId) {
         if let Some(job) = self.jobs.get_mut(&id) {
@@ -437,3 +437,12 @@
         }
     }
 }
+
+/// The higher of two limits on a kind of resource, where 0 means no limit.
+fn higher_limit(one: u64, other: u64) -> u64 {
+    if one == 0 || other == 0 {
+        0
+    } else {
+        one.max(other)
+    }
+}
--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -215,6 +215,8 @@
     jobs: BTreeMap<JobId, Job>,
     usage: BTreeMap<TeamName, Resources>,
     allowance: BTreeMap<TeamName, Resources>,
+    /// The highest upper limit of each team under which a job of it was accepted.
+    accepted_caps: BTreeMap<TeamName, Resources>,
     shortfall: BTreeMap<TeamName, Resources>,
     unsaved: BTreeSet<JobId>,
     takeover: Option<Takeover>,
@@ -225,6 +227,8 @@
     estimates: Estimates,
     arrivals: Arrivals,
     permits: BTreeMap<StepId, permits::StepPermits>,
+    /// Whether any open job may need permits, as of the last plan.
+    has_permit_jobs: bool,
     /// The cordoned data centres.
     cordoned: BTreeSet<DcName>,
     /// Tasks whose only run was suspect in the last plan and which may be given a copy.
@@ -254,6 +258,7 @@
             jobs: BTreeMap::new(),
             usage: BTreeMap::new(),
             allowance: BTreeMap::new(),
+            accepted_caps: BTreeMap::new(),
             shortfall: BTreeMap::new(),
             unsaved: BTreeSet::new(),
             takeover: None,
@@ -264,6 +269,7 @@
             estimates: Estimates::default(),
             arrivals: Arrivals::default(),
             permits: BTreeMap::new(),
+            has_permit_jobs: false,
             cordoned: BTreeSet::new(),
             copies_allowed: BTreeSet::new(),
             unfit_checked_at: None,
@@ -336,6 +342,24 @@
         self.allowance.get(team).copied().unwrap_or_default()
     }
 
+    /// The upper limit of a team; one that was removed from the catalogue keeps the limit under which its jobs were
+    /// accepted. 0 of a kind means no limit.
+    #[must_use]
+    pub fn cap(&self, team: &TeamName) -> Option<Resources> {
+        let present = self.catalogue.team(team).map(|team| team.cap);
+        present.or_else(|| self.accepted_caps.get(team).copied())
+    }
+
+    /// The upper limits of the teams in the catalogue and of those that were removed from it.
+    pub fn caps(&self) -> impl Iterator<Item = (&TeamName, Resources)> {
+        let teams = self.catalogue.teams().iter();
+        let removed = self.accepted_caps.iter();
+        let removed = removed.filter(|(team, _)| self.catalogue.team(team).is_none());
+        teams
+            .map(|team| (&team.name, team.cap))
+            .chain(removed.map(|(team, cap)| (team, *cap)))
+    }
+
     /// Whether a worker has seen a higher token, which means that this scheduler has been replaced.
     #[must_use]
     pub fn is_fenced_out(&self) -> bool {
@@ -348,11 +372,6 @@
         self.takeover.is_some()
     }
 
-    /// Sets the catalogue in force.
-    pub fn set_catalogue(&mut self, catalogue: Arc<Catalogue>) {
-        self.catalogue = catalogue;
-    }
-
     /// Sets the resources that a team's runs may reserve in this pool.
     pub fn set_allowance(&mut self, team: TeamName, allowance: Resources) {
         self.allowance.insert(team, allowance);
--- a/crates/jobs/src/pool/order.rs
+++ b/crates/jobs/src/pool/order.rs
@@ -55,13 +55,15 @@
     let mut keyed: Vec<_> = pool
         .jobs
         .values()
-        .filter(|job| job.outcome.is_none() && has_idle(job))
+        .filter(|job| job.outcome.is_none() && !job.awaits_policy() && has_idle(job))
         .filter(|job| job.paused_until.is_none_or(|until| now >= until))
         .map(|job| {
-            let priority = pool
-                .catalogue
-                .queue(job.queue())
-                .map_or(u32::MAX, |queue| queue.priority);
+            let queue = pool.catalogue.queue(job.queue());
+            let accepted = job.record.policy.as_ref();
+            let priority = queue
+                .map(|queue| queue.priority)
+                .or_else(|| accepted.map(|policy| policy.priority))
+                .unwrap_or(u32::MAX);
             let objective_status = objective_status(job, now);
             let work = match objective_status {
                 ObjectiveStatus::Running | ObjectiveStatus::Reachable => 0,
--- a/crates/jobs/src/pool/permits.rs
+++ b/crates/jobs/src/pool/permits.rs
@@ -14,6 +14,7 @@
 use std::time::{Duration, Instant};
 
 use crate::id::{JobId, StepId, WorkerId, WorkerRef};
+use crate::job::Job;
 use crate::pool::{Command, Pool};
 use crate::resources::Resources;
 use crate::spec::Step;
@@ -58,7 +59,12 @@
 
 /// Runs the pass.
 pub fn run(pool: &mut Pool, now: Instant) {
-    if !pool.catalogue.has_permits() {
+    let may_need_permits = |job: &Job| {
+        let accepted = job.record.policy.as_ref();
+        accepted.is_some_and(|policy| policy.needs_permits)
+    };
+    pool.has_permit_jobs = pool.catalogue.has_permits() || pool.jobs.values().any(may_need_permits);
+    if !pool.has_permit_jobs {
         return;
     }
     let jobs = &pool.jobs;
@@ -178,16 +184,21 @@
 }
 
 impl Pool {
-    /// Whether the job's queue needs permits.
+    /// Whether the job needs permits, as of the last plan.
     pub(super) fn needs_permits(&self, job: JobId) -> bool {
-        if !self.catalogue.has_permits() {
-            return false;
-        }
-        let queue = self
-            .jobs
-            .get(&job)
-            .and_then(|job| self.catalogue.queue(job.queue()));
-        queue.is_some_and(|queue| queue.needs_permits)
+        let job = self.jobs.get(&job).filter(|_| self.has_permit_jobs);
+        job.is_some_and(|job| self.is_permit_needed(job))
+    }
+
+    /// Whether the job's queue needs permits. A queue that was removed needs them as at the job's acceptance.
+    fn is_permit_needed(&self, job: &Job) -> bool {
+        self.catalogue.queue(job.queue()).map_or_else(
+            || {
+                let accepted = job.record.policy.as_ref();
+                accepted.is_some_and(|policy| policy.needs_permits)
+            },
+            |queue| queue.needs_permits,
+        )
     }
 
     /// Whether a task of the step may be started on the worker, as far as permits go.
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -203,7 +203,7 @@
     let Some(team) = pool.jobs.get(&job).and_then(|job| job.record.team.as_ref()) else {
         return true;
     };
-    let Some(cap) = pool.catalogue.team(team).map(|team| team.cap) else {
+    let Some(cap) = pool.cap(team) else {
         return true;
     };
     let wanted = pool.usage.get(team).copied().unwrap_or_default() + more;
--- a/crates/jobs/src/pool/report.rs
+++ b/crates/jobs/src/pool/report.rs
@@ -6,7 +6,6 @@
 use crate::id::{RunNumber, WorkerRef};
 use crate::job::Task;
 use crate::pool::{Event, Pool};
-use crate::spec::JobState;
 use crate::worker::{
     Contact, EndRow, Origin, Phase, Report, Run, RunEnd, RunKey, RunningRow, Streaks,
 };
@@ -187,7 +186,6 @@
         let Some(job) = self.jobs.get(&job_id) else {
             return;
         };
-        let attempts_max = self.attempts_max(job.queue());
         let team = job.record.team.clone();
         if let Some(run) = run
             && let Some(team) = &team
@@ -226,13 +224,15 @@
             }
         }
         let failures = if is_gang {
-            state.gang_failures()
+            state.failures(true)
         } else {
             failures.unwrap_or_default()
         };
-        let is_failed = !is_service && failures >= attempts_max as usize;
-        if is_failed && job.outcome.is_none() {
-            job.outcome = Some(JobState::Failed);
+        if !is_service {
+            job.judge_failures(failures);
+            if row.end == RunEnd::Failed && job.awaits_policy() {
+                self.events.push(Event::AttemptsUnknown { job: job_id });
+            }
         }
         self.unsaved.insert(job_id);
     }
--- a/crates/jobs/src/progress/mod.rs
+++ b/crates/jobs/src/progress/mod.rs
@@ -85,18 +85,23 @@
 }
 
 impl StepProgress {
-    /// Whether a task, or the step's gang, has used up its attempts. All tasks of a gang share run numbers, so each
-    /// number is one attempt of the gang.
+    /// The most failures of a task, or of the step's gang.
     #[must_use]
-    pub fn has_failed(&self, is_gang: bool, attempts_max: u32) -> bool {
-        if is_gang {
-            let of_all = self.ended.iter().flat_map(|task| &task.failed_runs);
-            of_all.collect::<BTreeSet<_>>().len() >= attempts_max as usize
-        } else {
-            self.ended
-                .iter()
-                .any(|task| task.failed_runs.len() >= attempts_max as usize)
-        }
+    pub fn failures(&self, is_gang: bool) -> usize {
+        most_failures(self.ended.iter().map(|task| &*task.failed_runs), is_gang)
+    }
+}
+
+/// The most failures of a task, given the failed runs of each, or of a gang. All tasks of a gang share run numbers, so
+/// each number is one attempt of the gang.
+pub(crate) fn most_failures<'a>(
+    failed_runs: impl Iterator<Item = &'a [RunNumber]>,
+    is_gang: bool,
+) -> usize {
+    if is_gang {
+        failed_runs.flatten().collect::<BTreeSet<_>>().len()
+    } else {
+        failed_runs.map(<[_]>::len).max().unwrap_or_default()
     }
 }
 
--- a/crates/jobs/src/spec/mod.rs
+++ b/crates/jobs/src/spec/mod.rs
@@ -11,6 +11,7 @@
 use smallvec::SmallVec;
 
 use crate::id::{JobId, Label};
+use crate::policy::AcceptedPolicy;
 use crate::resources::Resources;
 use crate::worker::millis;
 
@@ -285,6 +286,9 @@
     pub spec: JobSpec,
     /// Whether its submitter has cancelled it.
     pub is_cancelled: bool,
+    /// The policy of its queue and team when it was accepted. Older versions did not write it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub policy: Option<AcceptedPolicy>,
 }
 
 /// The state of a job, as its submitter sees it.
--- a/crates/jobs/tests/arrivals.rs
+++ b/crates/jobs/tests/arrivals.rs
@@ -40,6 +40,7 @@
             schedule: None,
         },
         is_cancelled: false,
+        policy: None,
     }
 }
 
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -302,6 +302,7 @@
             accepted_ms: self.wall_ms,
             spec,
             is_cancelled: false,
+            policy: None,
         };
         if self.is_inheriting {
             self.inherited
--- a/crates/jobs/tests/common/parse.rs
+++ b/crates/jobs/tests/common/parse.rs
@@ -159,6 +159,7 @@
             let job = job.trim_end_matches('0');
             Some(format!("job {job}: step {step} fits no worker"))
         }
+        Event::AttemptsUnknown { job } => Some(format!("job {job}: attempts unknown")),
         Event::CordonsChanged { dcs, workers } => {
             let dcs: Vec<String> = dcs.iter().map(ToString::to_string).collect();
             Some(format!(
--- a/crates/jobs/tests/extremes.rs
+++ b/crates/jobs/tests/extremes.rs
@@ -86,6 +86,7 @@
             schedule,
         },
         is_cancelled: false,
+        policy: None,
     }
 }
 
--- a/crates/jobs/tests/one_pool/mod.rs
+++ b/crates/jobs/tests/one_pool/mod.rs
@@ -1,5 +1,7 @@
 //! A catalogue with one open queue `q` and its pool `p`.
 
+use std::fmt::Debug;
+use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,9 +12,12 @@
 /// How often a task of the queue may fail.
 const ATTEMPTS_MAX: u32 = 2;
 
-/// The pool's scheduler, without jobs and workers.
-pub fn pool(token: u64) -> Pool {
-    let name = || "p".parse().expect("a name");
+fn name<T: FromStr<Err: Debug>>() -> T {
+    "p".parse().expect("a name")
+}
+
+/// The catalogue with the queue and the pool.
+pub fn catalogue() -> Catalogue {
     let queue = Queue {
         name: "q".parse().expect("a name"),
         host: "host".into(),
@@ -31,11 +36,15 @@
         has_admission_control: true,
         is_spare: false,
     };
-    let catalogue = Catalogue::new(1, vec![queue], vec![spec], Vec::new());
+    Catalogue::new(1, vec![queue], vec![spec], Vec::new())
+}
+
+/// The pool's scheduler, without jobs and workers.
+pub fn pool(token: u64) -> Pool {
     Pool::new(
         name(),
         FencingToken(token),
         Bounds::default(),
-        Arc::new(catalogue),
+        Arc::new(catalogue()),
     )
 }
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -32,6 +32,7 @@
             schedule,
         },
         is_cancelled: false,
+        policy: None,
     }
 }
 
