grid: the cancellation of an unknown job is stored before it is answered

Cause: the cancellation answered from a read and stored nothing; the acceptance, which the store carried out 6 s late, expects only that the job has no status. Evidence: in the record the store holds nothing of the job until the late write, 4.49 s after the answer; the task starts 13 ms after it. Ruled out: that the scheduler knew the job before and lost the cancellation.

Change: such a cancellation creates the job's status as a tombstone, if there is none. A late acceptance then conflicts, also one of an older build; an acceptance that came first is cancelled as before. Queries see no such job; a submission that arrives later is accepted as cancelled. Cost: one write for each cancellation of an unknown job.

--- a/crates/grid/src/calls/cancel.rs
+++ b/crates/grid/src/calls/cancel.rs
@@ -1,4 +1,8 @@
 //! Cancels a job.
+//!
+//! A cancellation is answered only once its effect is stored. That holds for a job of which nothing is stored, too: its
+//! submission may be under way, at the store or at another entry, and would be accepted after the answer. The stored
+//! status of such a job is a tombstone, which is kept as long as the statuses of ended jobs.
 
 use goldcrest_jobs::id::JobId;
 use goldcrest_jobs::spec::{JobRecord, JobState};
@@ -6,7 +10,7 @@
 use crate::calls::{Admitted, Refusal, Reply, job_id};
 use crate::entry::Entry;
 use crate::keys::{self, JobStatus};
-use crate::ports::{CallError, Committed, Item, Platform, Put, Txn};
+use crate::ports::{CallError, Committed, Item, Platform, Put, Revision, Txn};
 
 /// The most attempts at a cancellation whose job changes concurrently.
 const ATTEMPTS: u32 = 5;
@@ -42,9 +46,10 @@
     /// Makes one attempt. Returns `None` if the job has changed concurrently.
     async fn try_cancel(&self, admitted: &Admitted, id: JobId) -> Result<Option<Reply>, CallError> {
         let Some((status, item)) = self.read_status(admitted, id).await? else {
-            return Ok(Some(Reply::NoSuchJob));
+            return self.cancel_unknown(admitted, id).await;
         };
         match status.state {
+            JobState::Cancelled if status.is_tombstone => return Ok(Some(Reply::NoSuchJob)),
             JobState::Cancelled => return Ok(Some(Reply::Cancelled)),
             JobState::Completed | JobState::Failed => return Ok(Some(Reply::NoSuchJob)),
             JobState::Queued | JobState::Running => {}
@@ -61,6 +66,38 @@
         }
     }
 
+    /// Stores that a job is cancelled of which nothing is stored, so that a submission that is still under way can't be
+    /// accepted after the reply. Returns `None` if one was accepted meanwhile.
+    async fn cancel_unknown(
+        &self,
+        admitted: &Admitted,
+        id: JobId,
+    ) -> Result<Option<Reply>, CallError> {
+        let key = keys::job(&admitted.queue, id);
+        let tombstone = JobStatus {
+            pool: admitted.pool.clone(),
+            state: JobState::Cancelled,
+            ended_ms: Some(self.wall_ms()),
+            is_tombstone: true,
+        };
+        let txn = Txn {
+            expect: vec![(key.clone(), Revision::ABSENT)],
+            puts: vec![Put {
+                key,
+                value: keys::encode(&tombstone),
+                lease: None,
+            }],
+            ..Txn::default()
+        };
+        match self.commit_within(&txn, self.remaining(admitted)).await? {
+            Committed::Done(_) => {
+                log::info!(target: "calls", job:% = id, queue:% = admitted.queue; "Cancellation of an unknown job stored: a submission that arrives later is not run.");
+                Ok(Some(Reply::NoSuchJob))
+            }
+            Committed::Conflict(_) => Ok(None),
+        }
+    }
+
     fn cancellation(
         &self,
         status: JobStatus,
--- a/crates/grid/src/calls/query.rs
+++ b/crates/grid/src/calls/query.rs
@@ -17,8 +17,8 @@
             return refused;
         }
         match self.read_status(admitted, id).await {
-            Ok(Some((status, _))) => Reply::State(status.state),
-            Ok(None) => Reply::NoSuchJob,
+            Ok(Some((status, _))) if !status.is_tombstone => Reply::State(status.state),
+            Ok(_) => Reply::NoSuchJob,
             Err(error) => {
                 log::warn!(target: "calls", job:% = id, error:%; "Reading a job's state failed; the query is refused.");
                 Reply::Refused(Refusal::StoreRefused, self.store_retry_after())
--- a/crates/grid/src/calls/submit.rs
+++ b/crates/grid/src/calls/submit.rs
@@ -10,7 +10,7 @@
 use crate::entry::Entry;
 use crate::keys::{self, JobStatus};
 use crate::operators;
-use crate::ports::{CallError, Committed, Conflict, Platform, Put, Revision, Txn};
+use crate::ports::{CallError, Committed, Item, Platform, Put, Revision, StoredCatalogue, Txn};
 
 /// The most attempts at a submission while the catalogue changes concurrently.
 const CATALOGUE_CHANGES_MAX: u32 = 4;
@@ -52,10 +52,18 @@
                     return Reply::Accepted;
                 }
                 Ok(Committed::Conflict(conflict)) => {
-                    match self.readmit(call, &admitted, id, conflict) {
-                        Ok(readmitted) => admitted = readmitted,
+                    let readmitted = match self.readmit(call, &admitted, conflict.catalogue) {
+                        Ok(readmitted) => readmitted,
                         Err(reply) => return reply,
+                    };
+                    let key = keys::job(&admitted.queue, id);
+                    if let Some(item) = conflict.items.into_iter().find(|item| item.key == key) {
+                        return self.submit_again(&admitted, id, item).await;
                     }
+                    let Some(readmitted) = readmitted else {
+                        return Reply::Refused(Refusal::StoreRefused, self.store_retry_after());
+                    };
+                    admitted = readmitted;
                 }
                 Err(CallError::Unknown(why)) => {
                     return self.resolve_unknown(&admitted, id, &why).await;
@@ -74,6 +82,7 @@
             pool: admitted.pool.clone(),
             state: JobState::Queued,
             ended_ms: None,
+            is_tombstone: false,
         };
         let record = JobRecord {
             id,
@@ -104,36 +113,64 @@
         }
     }
 
-    /// Admits the call again by the newer catalogue of the conflict. Returns the reply instead if the job is accepted
-    /// already or the newer catalogue does not admit the call.
+    /// Admits the call again by the newer catalogue of a conflict, if there is one. Returns the reply instead if that
+    /// catalogue does not admit the call.
     fn readmit(
         &self,
         call: &Call,
         admitted: &Admitted,
-        id: JobId,
-        conflict: Conflict,
-    ) -> Result<Admitted, Reply> {
+        newer: Option<StoredCatalogue>,
+    ) -> Result<Option<Admitted>, Reply> {
+        let Some(stored) = newer else {
+            return Ok(None);
+        };
         let began_at = self.now();
-        let readmitted = match conflict.catalogue {
-            Some(stored) => {
-                operators::put_in_force(self, stored.clone());
-                Some(admit(&stored, call, began_at)?)
+        operators::put_in_force(self, stored.clone());
+        Ok(Some(Admitted {
+            deadline: admitted.deadline,
+            ..admit(&stored, call, began_at)?
+        }))
+    }
+
+    /// Replies to the submission of a job that has a stored status. One that was cancelled before any submission was
+    /// stored is shown as cancelled from now on, as its submitter now knows it to be accepted.
+    async fn submit_again(&self, admitted: &Admitted, id: JobId, item: Item) -> Reply {
+        let status: JobStatus = match keys::decode(&item.key, &item.value) {
+            Ok(status) => status,
+            Err(error) => {
+                log::error!(target: "calls", job:% = id, error:%; "A job's stored status can't be decoded.");
+                return Reply::Refused(Refusal::StoreRefused, self.store_retry_after());
             }
-            None => None,
         };
-        let key = keys::job(&admitted.queue, id);
-        if conflict.items.iter().any(|item| item.key == key) {
+        if !status.is_tombstone {
             log::info!(target: "calls", job:% = id, queue:% = admitted.queue; "Job is accepted already.");
-            return Err(Reply::Accepted);
+            return Reply::Accepted;
+        }
+        let shown = JobStatus {
+            is_tombstone: false,
+            ended_ms: Some(self.wall_ms()),
+            ..status
+        };
+        let txn = Txn {
+            expect: vec![(item.key.clone(), item.revision)],
+            puts: vec![Put {
+                key: item.key,
+                value: keys::encode(&shown),
+                lease: None,
+            }],
+            ..Txn::default()
+        };
+        match self.commit_within(&txn, self.remaining(admitted)).await {
+            Ok(Committed::Done(_)) => {
+                log::info!(target: "calls", job:% = id, queue:% = admitted.queue; "Job was cancelled before its submission arrived; it is accepted as cancelled.");
+                Reply::Accepted
+            }
+            Ok(Committed::Conflict(_)) | Err(CallError::Unknown(_)) => Reply::Unknown,
+            Err(error) => {
+                log::warn!(target: "calls", job:% = id, error:%; "Job refused: the store did not take it.");
+                Reply::Refused(Refusal::StoreRefused, self.store_retry_after())
+            }
         }
-        let readmitted = readmitted.ok_or(Reply::Refused(
-            Refusal::StoreRefused,
-            self.store_retry_after(),
-        ))?;
-        Ok(Admitted {
-            deadline: admitted.deadline,
-            ..readmitted
-        })
     }
 
     /// Replies after a transaction without an answer. It may have been carried out or still be; only a stored status
@@ -142,10 +179,10 @@
         // Another call to an unresponsive store would only delay the caller's retry.
         if !self.is_store_unresponsive()
             && self.remaining(admitted) >= ROUND_TRIP_MIN
-            && let Ok(Some(_)) = self.read_status(admitted, id).await
+            && let Ok(Some((_, item))) = self.read_status(admitted, id).await
         {
-            log::info!(target: "calls", job:% = id; "Job accepted: its status is stored, though the store's answer was lost.");
-            return Reply::Accepted;
+            log::info!(target: "calls", job:% = id; "The job's status is stored, though the store's answer was lost.");
+            return self.submit_again(admitted, id, item).await;
         }
         log::warn!(target: "calls", job:% = id, why; "No answer from the store: the job may or may not be accepted.");
         Reply::Unknown
--- a/crates/grid/src/keys/mod.rs
+++ b/crates/grid/src/keys/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! | key | value | written by |
 //! | --- | --- | --- |
-//! | `job/QUEUE/ID` | [`JobStatus`]: what callers see; its creation accepts the job | the accepting entry, then the scheduler |
+//! | `job/QUEUE/ID` | [`JobStatus`]: what callers see; its creation accepts the job, or cancels it beforehand | the accepting or cancelling entry, then the scheduler |
 //! | `in/POOL/job/ID` | the job as it was submitted; removed when it has ended | the accepting entry; a cancelling one |
 //! | `in/POOL/evacuate` | [`Evacuation`]: VMs to evacuate | the holder of the fleet role |
 //! | `run/POOL/ID` | the progress of an open job | the pool's scheduler |
@@ -90,6 +90,10 @@
     pub state: JobState,
     /// When the job ended, in milliseconds since 1970; `None` until then.
     pub ended_ms: Option<u64>,
+    /// Whether the job was cancelled before any submission of it was stored. To callers there is no such job. The key
+    /// keeps submissions from being accepted that are carried out later.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_tombstone: bool,
 }
 
 /// The VMs of a pool that its scheduler must evacuate.
--- a/crates/grid/src/pool/load.rs
+++ b/crates/grid/src/pool/load.rs
@@ -145,6 +145,7 @@
             pool: self.name.clone(),
             state,
             ended_ms: None,
+            is_tombstone: false,
         }
     }
 }
--- a/crates/grid/tests/entry/calls.rs
+++ b/crates/grid/tests/entry/calls.rs
@@ -151,6 +151,90 @@
     .await;
 }
 
+/// Guards against a job that starts after its cancellation was answered: the store carries the acceptance out later.
+#[tokio::test(start_paused = true)]
+async fn cancel_unknown_job_is_not_accepted_late() {
+    for after_ms in [1_600, 2_500, 4_000, 6_000] {
+        local(async move {
+            let bed = Bed::new(1);
+            bed.start_all(&["e1", "e2"]).await;
+            let late = StoreFault::CarriesOutLate(Duration::from_millis(after_ms));
+            bed.world.set_fault("e1", late);
+            assert_eq!(bed.submit("e1", ID, job("", &[1])).await, Reply::Unknown);
+            bed.world.set_fault("e1", StoreFault::None);
+            assert_eq!(bed.cancel("e2", ID).await, Reply::NoSuchJob);
+            sleep(Duration::from_secs(9)).await;
+            assert_eq!(bed.world.crew.borrow().starts.len(), 0);
+            assert_eq!(bed.query("e1", ID).await, Reply::NoSuchJob);
+            assert_eq!(bed.cancel("e1", ID).await, Reply::NoSuchJob);
+        })
+        .await;
+    }
+}
+
+/// As above, while it is the caller's call that comes late. The submission and the cancellation may come in any order.
+#[tokio::test(start_paused = true)]
+async fn cancel_unknown_job_outlasts_a_submission_that_comes_late() {
+    local(async {
+        let bed = Bed::new(1);
+        bed.start_all(&["e1", "e2"]).await;
+        assert_eq!(bed.cancel("e2", ID).await, Reply::NoSuchJob);
+        assert_eq!(bed.query("e1", ID).await, Reply::NoSuchJob);
+        assert_eq!(bed.submit("e1", ID, job("", &[1])).await, Reply::Accepted);
+        assert_eq!(bed.query("e2", ID).await, Reply::State(JobState::Cancelled));
+        assert_eq!(bed.submit("e2", ID, job("", &[1])).await, Reply::Accepted);
+        assert_eq!(bed.cancel("e1", ID).await, Reply::Cancelled);
+        sleep(Duration::from_secs(3)).await;
+        assert_eq!(bed.world.crew.borrow().starts.len(), 0);
+    })
+    .await;
+}
+
+/// A cancellation without an answer that the store carries out late must not end a job that was accepted meanwhile.
+#[tokio::test(start_paused = true)]
+async fn cancel_unknown_job_carried_out_late_ends_no_accepted_job() {
+    local(async {
+        let bed = Bed::new(1);
+        bed.start_all(&["e1", "e2"]).await;
+        let late = StoreFault::CarriesOutLate(Duration::from_secs(4));
+        bed.world.set_fault("e1", late);
+        assert_eq!(bed.cancel("e1", ID).await, Reply::Unknown);
+        bed.world.set_fault("e1", StoreFault::None);
+        let spec = job("ms=5000", &[1]);
+        assert_eq!(bed.submit("e2", ID, spec).await, Reply::Accepted);
+        bed.wait_for("e2", ID, JobState::Completed, Duration::from_secs(12))
+            .await;
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn cancel_unknown_job_store_refuses() {
+    local(async {
+        let bed = Bed::new(1);
+        bed.start_all(&["e1"]).await;
+        bed.world.set_fault("e1", StoreFault::Refuses);
+        let reply = bed.cancel("e1", ID).await;
+        assert!(matches!(reply, Reply::Refused(Refusal::StoreRefused, _)));
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn cancel_unknown_job_is_forgotten_after_retention() {
+    local(async {
+        let bed = Bed::new(1);
+        bed.start_all(&["e1", "e2"]).await;
+        assert_eq!(bed.cancel("e1", ID).await, Reply::NoSuchJob);
+        sleep(Duration::from_secs(200)).await;
+        assert_eq!(bed.world.table.borrow().list("job/").items.len(), 0);
+        assert_eq!(bed.submit("e1", ID, job("", &[1])).await, Reply::Accepted);
+        bed.wait_for("e1", ID, JobState::Completed, Duration::from_secs(3))
+            .await;
+    })
+    .await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn failing_job_ends_after_its_attempts() {
     local(async {
--- a/crates/grid/tests/stored.rs
+++ b/crates/grid/tests/stored.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use goldcrest_grid::keys::{self, AssignedWorkers};
+use goldcrest_grid::keys::{self, AssignedWorkers, JobStatus};
 use goldcrest_jobs::id::{JobId, WorkerId};
 use goldcrest_jobs::policy::AcceptedPolicy;
 use goldcrest_jobs::resources::Resources;
-use goldcrest_jobs::spec::{JobRecord, JobSpec, Step};
-use goldcrest_types::names::{QueueName, TeamName};
+use goldcrest_jobs::spec::{JobRecord, JobSpec, JobState, Step};
+use goldcrest_types::names::{PoolName, QueueName, TeamName};
 use serde::{Deserialize, Serialize};
 
 /// A job's record before the policy was stored with it.
@@ -27,6 +27,14 @@
     workers: Vec<WorkerId>,
 }
 
+/// A job's status before tombstones.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct OldStatus {
+    pool: PoolName,
+    state: JobState,
+    ended_ms: Option<u64>,
+}
+
 fn record(policy: Option<AcceptedPolicy>) -> JobRecord {
     JobRecord {
         id: "00000000000000a1".parse().expect("an id"),
@@ -74,3 +82,19 @@
         keys::decode("k", &keys::encode(&old)).expect("the new version reads it");
     assert_eq!((back.workers, back.lease_ms), (new.workers, None));
 }
+
+/// The version before tombstones shows one as a cancelled job, and accepts no submission of it either.
+#[test]
+fn tombstone_is_a_cancelled_job_to_the_old_version() {
+    let new = JobStatus {
+        pool: "p".parse().expect("a name"),
+        state: JobState::Cancelled,
+        ended_ms: Some(7),
+        is_tombstone: true,
+    };
+    let old: OldStatus = keys::decode("k", &keys::encode(&new)).expect("the old version reads it");
+    assert_eq!((old.state, old.ended_ms), (JobState::Cancelled, Some(7)));
+    let back: JobStatus = keys::decode("k", &keys::encode(&old)).expect("the new version reads it");
+    assert!(!back.is_tombstone);
+    assert_eq!(keys::decode("k", &keys::encode(&new)), Ok(new));
+}
