grid: a wave is planned and completed only by a request that was read

Cause: the new holder put the stored wave into its plan with an empty list of VMs, and a list without remaining VMs counts as done. Evidence: with only the readings of the requests lost, the wave is completed with 1 of 3 VMs begun. Ruled out: that the progress or the list of VMs was read wrongly.

Change: the progress of a wave whose request was not read stays out of the plan.

No more calls to the store.

--- a/crates/grid/src/entry/mod.rs
+++ b/crates/grid/src/entry/mod.rs
@@ -13,7 +13,6 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use goldcrest_jobs::recent::RecentCommands;
-use goldcrest_jobs::upkeep::Wave;
 use goldcrest_jobs::worker::{WorkerInfo, millis};
 use goldcrest_types::clock::Clock;
 use goldcrest_types::names::{DcName, PoolName};
@@ -26,7 +25,8 @@
 use crate::latest::Latest;
 use crate::metrics::Metrics;
 use crate::ports::{
-    CallError, Committed, Item, LeaseId, Page, Platform, Revision, StoredCatalogue, Txn, Watched,
+    CallError, Committed, Item, LeaseId, Page, Platform, Revision, StoredCatalogue, StoredWave,
+    Txn, Watched,
 };
 use crate::{members, operators, registry, session};
 
@@ -91,7 +91,7 @@
     /// The data centres in which no task may be started.
     pub cordoned: Latest<Rc<BTreeSet<DcName>>>,
     /// The maintenance waves that the operators have requested, by number.
-    pub waves: RefCell<BTreeMap<u64, Wave>>,
+    pub waves: RefCell<BTreeMap<u64, StoredWave>>,
     /// Notified when a wave is added.
     pub waves_changed: Notify,
     /// Recent commands about VMs by this entry as the holder of the fleet role, and by the holder before it. Kept when
--- a/crates/grid/src/fleet/mod.rs
+++ b/crates/grid/src/fleet/mod.rs
@@ -19,7 +19,7 @@
 
 use goldcrest_jobs::id::VmId;
 use goldcrest_jobs::size::Sizes;
-use goldcrest_jobs::upkeep::{RunningWave, Upkeep, Vm, VmState, Wave, WaveProgress};
+use goldcrest_jobs::upkeep::{RunningWave, Upkeep, Vm, VmState, WaveProgress};
 use goldcrest_types::names::PoolName;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
@@ -65,6 +65,12 @@
     status_changed: Notify,
     /// Whether this holder has listed the pools' statuses.
     has_statuses: Cell<bool>,
+    /// The stored progress of waves whose request this entry has not read. Nothing is decided about these waves.
+    unread_waves: RefCell<BTreeMap<u64, WaveProgress>>,
+    /// The key and the revision of the request by which each wave is planned.
+    wave_requests: RefCell<BTreeMap<u64, (Box<str>, Revision)>>,
+    /// The number of open waves in `unread_waves`, as of the last cycle.
+    waves_waiting: Cell<usize>,
     /// The revision of each wave's stored progress. A wave that is absent here is not stored yet.
     wave_revisions: RefCell<BTreeMap<u64, Revision>>,
     homes_revision: Cell<Revision>,
@@ -92,6 +98,9 @@
         statuses: RefCell::default(),
         status_changed: Notify::new(),
         has_statuses: Cell::new(false),
+        unread_waves: RefCell::default(),
+        wave_requests: RefCell::default(),
+        waves_waiting: Cell::new(0),
         wave_revisions: RefCell::default(),
         homes_revision: Cell::new(Revision::ABSENT),
         busy_periods_revision: Cell::new(Revision::ABSENT),
@@ -205,17 +214,7 @@
                 self.wave_revisions
                     .borrow_mut()
                     .insert(number, item.revision);
-                // The operators' command is read separately and replaces this wave.
-                let wave = Wave {
-                    number,
-                    vms: Vec::new(),
-                    duration: Duration::ZERO,
-                    at_once: 0,
-                };
-                let mut upkeep = self.upkeep.borrow_mut();
-                upkeep
-                    .waves
-                    .insert(number, RunningWave::new(wave, progress));
+                self.unread_waves.borrow_mut().insert(number, progress);
             }
             Err(error) => {
                 log::error!(target: "maintenance", error:%; "Ignoring a wave's stored progress that can't be decoded.");
@@ -223,20 +222,29 @@
         }
     }
 
-    /// Adds the waves that the operators have requested, and updates those that they have changed.
+    /// Adds the waves whose requests this entry has read, with their stored progress, and updates those that the
+    /// operators have changed.
     fn ingest_waves(&self) {
         let mut upkeep = self.upkeep.borrow_mut();
-        for (number, wave) in self.entry.waves.borrow().iter() {
+        let mut unread = self.unread_waves.borrow_mut();
+        let mut requests = self.wave_requests.borrow_mut();
+        for (number, stored) in self.entry.waves.borrow().iter() {
             let running = upkeep.waves.entry(*number).or_insert_with(|| {
-                let progress = WaveProgress {
+                let progress = unread.remove(number).unwrap_or_else(|| WaveProgress {
                     taken_up_ms: self.entry.wall_ms(),
                     ..WaveProgress::default()
-                };
-                RunningWave::new(wave.clone(), progress)
+                });
+                RunningWave::new(stored.wave.clone(), progress)
             });
-            if running.wave != *wave {
-                running.wave = wave.clone();
+            if running.wave != stored.wave {
+                running.wave = stored.wave.clone();
             }
+            requests.insert(*number, (stored.key.clone(), stored.revision));
+        }
+        let waiting = unread.values().filter(|progress| !progress.is_completed);
+        let waiting = waiting.count();
+        if waiting != self.waves_waiting.replace(waiting) && waiting > 0 {
+            log::warn!(target: "maintenance", waves = waiting; "Waves wait until their requests are read.");
         }
     }
 
--- a/crates/grid/src/fleet/waves.rs
+++ b/crates/grid/src/fleet/waves.rs
@@ -167,11 +167,16 @@
         let key = keys::wave(wave);
         let known = self.wave_revisions.borrow().get(&wave).copied();
         let status_row = self.entry.platform.wave_status(wave, progress.is_completed);
+        let mut expect = vec![
+            self.held.guard(),
+            (key.clone(), known.unwrap_or(Revision::ABSENT)),
+        ];
+        if progress.is_completed {
+            // The operators may have changed the wave, and this entry may not have read it yet.
+            expect.extend(self.wave_requests.borrow().get(&wave).cloned());
+        }
         let txn = Txn {
-            expect: vec![
-                self.held.guard(),
-                (key.clone(), known.unwrap_or(Revision::ABSENT)),
-            ],
+            expect,
             puts: vec![
                 Put {
                     key: key.clone(),
--- a/crates/grid/src/operators/mod.rs
+++ b/crates/grid/src/operators/mod.rs
@@ -65,12 +65,12 @@
     apply_cordons(entry, &orders.cordons);
     let mut has_new = false;
     for wave in orders.waves {
-        let number = wave.number;
-        let is_new = entry.waves.borrow_mut().insert(number, wave).is_none();
-        if is_new {
-            log::info!(target: "maintenance", wave = number; "Wave ordered.");
+        let (number, revision) = (wave.wave.number, wave.revision);
+        let before = entry.waves.borrow_mut().insert(number, wave);
+        if before.is_none_or(|before| before.revision != revision) {
+            log::info!(target: "maintenance", wave = number, revision:%; "Wave ordered.");
+            has_new = true;
         }
-        has_new |= is_new;
     }
     if has_new {
         entry.waves_changed.notify_waiters();
--- a/crates/grid/src/ports/mod.rs
+++ b/crates/grid/src/ports/mod.rs
@@ -176,6 +176,17 @@
     pub revision: Revision,
 }
 
+/// A maintenance wave as the operators have stored it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoredWave {
+    /// The wave.
+    pub wave: Wave,
+    /// The key of the operators' request.
+    pub key: Box<str>,
+    /// The revision of the request's last change.
+    pub revision: Revision,
+}
+
 /// The platform's key-value store.
 pub trait Store {
     /// Reads a key, linearizably. Returns `None` if it does not exist.
@@ -274,7 +285,7 @@
     /// The catalogue, if the answer contains it.
     pub catalogue: Option<StoredCatalogue>,
     /// The maintenance waves that the answer contains.
-    pub waves: Vec<Wave>,
+    pub waves: Vec<StoredWave>,
     /// The cordons.
     pub cordons: Cordons,
     /// The revision from which the next watch continues.
--- a/crates/grid/tests/entry/maintenance.rs
+++ b/crates/grid/tests/entry/maintenance.rs
@@ -8,6 +8,7 @@
 use goldcrest_jobs::id::{VmId, WorkerId};
 use goldcrest_jobs::spec::JobState;
 use goldcrest_jobs::upkeep::{VmState, Wave};
+use goldcrest_standin::grid::StoreFault;
 use tokio::time::{Instant, sleep};
 
 use crate::common::{Bed, job, local};
@@ -132,3 +133,98 @@
     })
     .await;
 }
+
+/// The wave of all VMs of a bed with three workers, one after the other.
+fn wave(vms: &[&str]) -> Wave {
+    Wave {
+        number: 1,
+        vms: vms.iter().map(|vm| VmId::from(*vm)).collect(),
+        duration: Duration::from_secs(30),
+        at_once: 1,
+    }
+}
+
+/// Brings VMs back up 2 s after they were taken down, for `time`. Asserts that the wave is not shown as completed before
+/// the maintenance of `vms` VMs has begun.
+async fn play_wave(bed: &Bed, time: Duration, vms: usize) {
+    let until = Instant::now() + time;
+    let mut down_since = std::collections::BTreeMap::new();
+    while Instant::now() < until {
+        sleep(Duration::from_millis(50)).await;
+        let shown = bed.world.table.borrow().get("shown/wave/1").cloned();
+        let is_completed = shown.is_some_and(|item| item.value == [1]);
+        let begun = bed.world.maintained.borrow().len();
+        assert!(
+            !is_completed || begun >= vms,
+            "completed after {begun} of {vms}"
+        );
+        for vm in bed.world.vms.borrow_mut().values_mut() {
+            if vm.state == VmState::InMaintenance {
+                let since = *down_since.entry(vm.id.clone()).or_insert_with(Instant::now);
+                if since.elapsed() >= Duration::from_secs(2) {
+                    vm.state = VmState::Up;
+                    down_since.remove(&vm.id);
+                }
+            }
+        }
+    }
+}
+
+fn is_completed(bed: &Bed) -> bool {
+    let shown = bed.world.table.borrow().get("shown/wave/1").cloned();
+    shown.is_some_and(|item| item.value == [1])
+}
+
+/// Guards against a wave that is shown as completed though a VM of it had no maintenance: the new holder of the fleet role
+/// finds its progress, and has not read its request, as its watch has died or the store has turned it away.
+#[tokio::test(start_paused = true)]
+async fn wave_unread_by_the_new_holder_is_not_completed() {
+    for is_refused in [false, true] {
+        local(async move {
+            let bed = Bed::new(3);
+            bed.start_all(&["e1", "e2"]).await;
+            let holder = bed.holder_of("fleet");
+            let other = if holder == "e1" { "e2" } else { "e1" };
+            if is_refused {
+                bed.world.set_fault(other, StoreFault::Refuses);
+            } else {
+                bed.world.lose_requests(other, true);
+            }
+            bed.world.order_wave(wave(&["vm-w1", "vm-w2", "vm-w3"]));
+            while bed.world.maintained.borrow().is_empty() {
+                sleep(Duration::from_millis(20)).await;
+            }
+            if is_refused {
+                bed.world.set_fault(other, StoreFault::None);
+                sleep(Duration::from_millis(600)).await;
+            }
+            bed.stop(&holder);
+            play_wave(&bed, Duration::from_secs(6), 3).await;
+            bed.world.lose_requests(other, false);
+            play_wave(&bed, Duration::from_secs(24), 3).await;
+            assert!(is_completed(&bed), "refused: {is_refused}");
+        })
+        .await;
+    }
+}
+
+/// As above, while the holder has read an earlier version of the request, with fewer VMs.
+#[tokio::test(start_paused = true)]
+async fn wave_changed_unread_is_not_completed() {
+    local(async {
+        let bed = Bed::new(3);
+        bed.start_all(&["e1", "e2"]).await;
+        let holder = bed.holder_of("fleet");
+        bed.world.order_wave(wave(&["vm-w1"]));
+        while bed.world.maintained.borrow().is_empty() {
+            sleep(Duration::from_millis(20)).await;
+        }
+        bed.world.lose_requests(&holder, true);
+        bed.world.order_wave(wave(&["vm-w1", "vm-w2"]));
+        play_wave(&bed, Duration::from_secs(6), 2).await;
+        bed.world.lose_requests(&holder, false);
+        play_wave(&bed, Duration::from_secs(20), 2).await;
+        assert!(is_completed(&bed));
+    })
+    .await;
+}
--- a/crates/standin/src/grid/gate.rs
+++ b/crates/standin/src/grid/gate.rs
@@ -270,8 +270,8 @@
             catalogue: catalogue.filter(|stored| stored.revision > after),
             waves: waves
                 .iter()
-                .filter(|(revision, _)| *revision > after.0)
-                .map(|(_, wave)| wave.clone())
+                .filter(|wave| wave.revision > after)
+                .cloned()
                 .collect(),
             cordons: Cordons::Changed(
                 cordons
--- a/crates/standin/src/grid/mod.rs
+++ b/crates/standin/src/grid/mod.rs
@@ -15,7 +15,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use goldcrest_grid::ports::StoredCatalogue;
+use goldcrest_grid::ports::{Put, StoredCatalogue, StoredWave, Txn};
 use goldcrest_jobs::catalogue::Catalogue;
 use goldcrest_jobs::id::{VmId, WorkerId};
 use goldcrest_jobs::upkeep::{Vm, Wave};
@@ -60,8 +60,8 @@
     pub permits: PermitOffice,
     /// The VMs whose maintenance was started, each with its wave, in order of time.
     pub maintained: RefCell<Vec<(VmId, u64)>>,
-    /// The waves that the operators have ordered, each with the store revision of its order.
-    pub(crate) waves: RefCell<Vec<(u64, Wave)>>,
+    /// The waves that the operators have ordered.
+    pub(crate) waves: RefCell<Vec<StoredWave>>,
     /// The changes of cordons, each with its store revision and whether the data centre was cordoned by it.
     pub(crate) cordons: RefCell<Vec<(u64, DcName, bool)>>,
     pub(crate) catalogue: RefCell<Option<StoredCatalogue>>,
@@ -100,8 +100,25 @@
 
     /// Orders a wave, as the operators do.
     pub fn order_wave(&self, wave: Wave) {
-        let revision = self.table.borrow_mut().step();
-        self.waves.borrow_mut().push((revision.0, wave));
+        let key: Box<str> = format!("op/wave/{}", wave.number).into();
+        let request = Txn {
+            puts: vec![Put {
+                key: key.clone(),
+                value: Vec::new(),
+                lease: None,
+            }],
+            ..Txn::default()
+        };
+        let now = tokio::time::Instant::now();
+        let Ok(revision) = self.table.borrow_mut().commit(&request, now) else {
+            // A transaction that expects nothing and needs no lease has no conflict.
+            return;
+        };
+        self.waves.borrow_mut().push(StoredWave {
+            wave,
+            key,
+            revision,
+        });
         self.changed.notify_waiters();
     }
 
