grid: a status or list that is written late replaces no newer one

Cause: publish and write_evacuation expected only the role's key. After a write without an answer, a value equal to the last certain one was not written again either, so the late write stayed for good. Evidence: the test reads only the store: it keeps the older count of waiting jobs. Ruled out: an old copy at the reader.

Cost: one more row in these transactions, one more call at a takeover that finds a status.

Tests: faults::status_carried_out_late_replaces_no_newer_one, evacuation_carried_out_late_replaces_no_newer_one, both red before.

--- a/crates/grid/src/fleet/evacuation.rs
+++ b/crates/grid/src/fleet/evacuation.rs
@@ -1,6 +1,7 @@
 //! Publishes to each pool's scheduler the VMs to evacuate.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 
 use goldcrest_jobs::id::{VmId, WorkerId};
 use goldcrest_jobs::upkeep::Vm;
@@ -8,7 +9,8 @@
 
 use crate::fleet::Fleet;
 use crate::keys::{self, Evacuation};
-use crate::ports::{CallError, Committed, Platform, Put, Txn};
+use crate::owned_key::{OwnedKey, Written};
+use crate::ports::{CallError, Platform};
 
 impl<P: Platform> Fleet<P> {
     /// Writes the lists of those pools whose VMs to evacuate have changed since they were last written.
@@ -28,11 +30,7 @@
             }
         }
         for (pool, vms) in by_pool {
-            let evacuation = Evacuation { vms };
-            let is_known = self.evacuations.borrow().get(&pool) == Some(&evacuation);
-            if !is_known {
-                self.write_evacuation(pool, evacuation).await?;
-            }
+            self.write_evacuation(pool, Evacuation { vms }).await?;
         }
         Ok(())
     }
@@ -49,39 +47,34 @@
             let Some(item) = self.entry.read(&keys::evacuation(&pool)).await? else {
                 continue;
             };
-            match keys::decode(&item.key, &item.value) {
-                Ok(evacuation) => {
-                    self.evacuations.borrow_mut().insert(pool, evacuation);
-                }
-                // The pool's scheduler ignores such a list too.
-                Err(error) => {
-                    log::error!(target: "maintenance", pool:%, error:%; "Ignoring a list of VMs to evacuate that can't be decoded.");
-                }
-            }
+            let mut evacuations = self.evacuations.borrow_mut();
+            evacuations.insert(pool, Rc::new(OwnedKey::found(item)));
         }
         Ok(())
     }
 
+    /// Writes a pool's list, unless the store certainly holds it.
     async fn write_evacuation(
         &self,
         pool: PoolName,
         evacuation: Evacuation,
     ) -> Result<(), CallError> {
-        let txn = Txn {
-            expect: vec![self.held.guard()],
-            puts: vec![Put {
-                key: keys::evacuation(&pool),
-                value: keys::encode(&evacuation),
-                lease: None,
-            }],
-            ..Txn::default()
+        let value = keys::encode(&evacuation);
+        let key = {
+            let mut evacuations = self.evacuations.borrow_mut();
+            let key = evacuations
+                .entry(pool.clone())
+                .or_insert_with(|| Rc::new(OwnedKey::new(keys::evacuation(&pool))));
+            Rc::clone(key)
         };
-        match self.entry.commit(&txn).await? {
-            Committed::Done(_) => {
+        if key.holds(&value) {
+            return Ok(());
+        }
+        match key.write(&self.entry, &self.held, value, None).await? {
+            Written::Stored => {
                 log::info!(target: "maintenance", pool:% = pool, vms = evacuation.vms.len(); "VMs to empty ordered.");
-                self.evacuations.borrow_mut().insert(pool, evacuation);
             }
-            Committed::Conflict(_) => self.step_down(),
+            Written::RoleLost => self.step_down(),
         }
         Ok(())
     }
--- a/crates/grid/src/fleet/mod.rs
+++ b/crates/grid/src/fleet/mod.rs
@@ -25,8 +25,9 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::entry::{Entry, STORE_TIMEOUT};
-use crate::keys::{self, Evacuation, PoolStatus};
+use crate::keys::{self, PoolStatus};
 use crate::members::HeldRole;
+use crate::owned_key::OwnedKey;
 use crate::ports::{CallError, Change, Conflict, Holder, Item, Platform, Revision};
 
 /// The minimum time between two reconcile cycles.
@@ -77,8 +78,8 @@
     busy_periods_revision: Cell<Revision>,
     /// Whether a busy period or a cooldown has begun or ended since they were last stored.
     busy_periods_changed: Cell<bool>,
-    /// The stored list of VMs to evacuate of each pool that has one.
-    evacuations: RefCell<BTreeMap<PoolName, Evacuation>>,
+    /// The key of the list of VMs to evacuate of each pool that has one.
+    evacuations: RefCell<BTreeMap<PoolName, Rc<OwnedKey>>>,
     /// VMs whose maintenance was confirmed or may have been carried out, with the time of the answer.
     maintenance_sent: RefCell<BTreeMap<VmId, Instant>>,
     /// The revision of the stored record of recent commands, which the next one replaces.
--- a/crates/grid/src/lib.rs
+++ b/crates/grid/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod members;
 pub mod metrics;
 pub mod operators;
+pub mod owned_key;
 pub mod pool;
 pub mod ports;
 pub mod registry;
--- a/crates/grid/src/pool/status.rs
+++ b/crates/grid/src/pool/status.rs
@@ -6,8 +6,9 @@
 use goldcrest_jobs::resources::Resources;
 
 use crate::keys::{self, PoolStatus};
+use crate::owned_key::{OwnedKey, Written};
 use crate::pool::Scheduler;
-use crate::ports::{Committed, Platform, Put, Txn};
+use crate::ports::Platform;
 
 /// The minimum time between two publications that are not urgent. Counts of waiting jobs may be up to 2 s old.
 const PUBLISH_INTERVAL_MIN: Duration = Duration::from_millis(900);
@@ -41,6 +42,7 @@
 
 impl<P: Platform> Scheduler<P> {
     pub(super) async fn publish_status(self: Rc<Self>) {
+        let key = OwnedKey::new(keys::pool_status(&self.name));
         let mut published: Option<PoolStatus> = None;
         let mut published_at = self.now();
         loop {
@@ -54,10 +56,10 @@
                 .as_ref()
                 .is_none_or(|last| is_urgent(last, &status));
             let is_due = self.now().saturating_duration_since(published_at) >= PUBLISH_INTERVAL_MIN;
-            if published.as_ref() == Some(&status) || !(is_urgent || is_due) {
+            if key.holds(&keys::encode(&status)) || !(is_urgent || is_due) {
                 continue;
             }
-            if self.publish(&status).await {
+            if self.publish(&key, &status).await {
                 published = Some(status);
                 published_at = self.now();
             }
@@ -90,19 +92,12 @@
         }
     }
 
-    async fn publish(&self, status: &PoolStatus) -> bool {
-        let txn = Txn {
-            expect: vec![self.held.guard()],
-            puts: vec![Put {
-                key: keys::pool_status(&self.name),
-                value: keys::encode(status),
-                lease: Some(self.held.lease),
-            }],
-            ..Txn::default()
-        };
-        match self.entry.commit(&txn).await {
-            Ok(Committed::Done(_)) => true,
-            Ok(Committed::Conflict(_)) => {
+    async fn publish(&self, key: &OwnedKey, status: &PoolStatus) -> bool {
+        let value = keys::encode(status);
+        let lease = Some(self.held.lease);
+        match key.write(&self.entry, &self.held, value, lease).await {
+            Ok(Written::Stored) => true,
+            Ok(Written::RoleLost) => {
                 self.step_down("the role's key was removed or replaced");
                 false
             }
--- a/crates/grid/tests/entry/faults.rs
+++ b/crates/grid/tests/entry/faults.rs
@@ -3,11 +3,15 @@
 use std::time::Duration;
 
 use goldcrest_grid::calls::Reply;
+use goldcrest_grid::keys::{self, Evacuation};
+use goldcrest_jobs::id::VmId;
+use goldcrest_jobs::share::Share;
 use goldcrest_jobs::spec::JobState;
+use goldcrest_jobs::upkeep::Wave;
 use goldcrest_standin::grid::StoreFault;
 use tokio::time::{Instant, sleep};
 
-use crate::common::{Bed, job, local};
+use crate::common::{Bed, KEY, catalogue, job, local};
 
 const ID: &str = "00000000000000a1";
 
@@ -229,3 +233,78 @@
     })
     .await;
 }
+
+/// Guards against a pool's status that the store carries out late, over a newer one.
+#[tokio::test(start_paused = true)]
+async fn status_carried_out_late_replaces_no_newer_one() {
+    for fault_ms in (0..1_600).step_by(200) {
+        local(async move {
+            let bed = Bed::new(0);
+            bed.start_all(&["e1", "e2"]).await;
+            let holder = bed.holder();
+            let other = if holder == "e1" { "e2" } else { "e1" };
+            let ids = ["00000000000000a1", "00000000000000a2"];
+            assert_eq!(
+                bed.submit(other, ids[0], job("", &[1])).await,
+                Reply::Accepted
+            );
+            sleep(Duration::from_millis(2_000 + fault_ms)).await;
+            assert_eq!(
+                bed.submit(other, ids[1], job("", &[1])).await,
+                Reply::Accepted
+            );
+            let late = StoreFault::CarriesOutLate(Duration::from_secs(4));
+            bed.world.set_fault(&holder, late);
+            sleep(Duration::from_millis(1_200)).await;
+            bed.world.set_fault(&holder, StoreFault::None);
+            for id in ids {
+                assert_eq!(bed.cancel(other, id).await, Reply::Cancelled);
+            }
+            sleep(Duration::from_secs(8)).await;
+            let waiting = bed.query(other, "").await;
+            assert_eq!(waiting, Reply::Waiting(0), "fault after {fault_ms} ms");
+        })
+        .await;
+    }
+}
+
+/// Guards against a list of VMs to evacuate that the store carries out late, after the evacuation was withdrawn: the
+/// pool's workers would get no more work.
+#[tokio::test(start_paused = true)]
+async fn evacuation_carried_out_late_replaces_no_newer_one() {
+    for fault_ms in (0..400).step_by(50) {
+        local(async move {
+            let bed = Bed::new(2);
+            bed.start_all(&["e1", "e2"]).await;
+            let holder = bed.holder_of("fleet");
+            let other = if holder == "e1" { "e2" } else { "e1" };
+            let wave = |vms: &[&str]| Wave {
+                number: 1,
+                vms: vms.iter().map(|vm| VmId::from(*vm)).collect(),
+                duration: Duration::from_secs(5),
+                at_once: 2,
+            };
+            let spec = job("ms=60000", &[8]);
+            assert_eq!(bed.submit(other, ID, spec).await, Reply::Accepted);
+            sleep(Duration::from_millis(500)).await;
+            bed.world.order_wave(wave(&["vm-w1"]));
+            sleep(Duration::from_millis(100 + fault_ms)).await;
+            let late = StoreFault::CarriesOutLate(Duration::from_secs(5));
+            bed.world.set_fault(&holder, late);
+            bed.world.order_wave(wave(&["vm-w1", "vm-w2"]));
+            sleep(Duration::from_millis(1_600)).await;
+            // The operators name another VM before anything was carried out.
+            bed.world.order_wave(wave(&["vm-gone"]));
+            bed.world.set_fault(&holder, StoreFault::None);
+            sleep(Duration::from_secs(9)).await;
+            let key = keys::evacuation(&"p".parse().expect("a name"));
+            let stored = bed.world.table.borrow().get(&key).cloned();
+            let vms = stored.map(|item| {
+                let list: Evacuation = keys::decode(&item.key, &item.value).expect("a list");
+                list.vms.len()
+            });
+            assert_eq!(vms.unwrap_or_default(), 0, "fault after {fault_ms} ms");
+        })
+        .await;
+    }
+}
