grid: a row of a share that may still be lowered is not used

What callers would see: a team above its limit over two pools (QUOTA; seen in the code by the review).

Cause: the share was read again with the revision that the unanswered write expects, and counted as settled.

Change: the lower row stays in force until the share has another revision; a pool that needs more writes its row again, which settles it. Cost: one write more after a lowering without an answer.

Test: faults::row_lowered_late_is_not_in_use_again, red before.

--- a/crates/grid/src/shares/mod.rs
+++ b/crates/grid/src/shares/mod.rs
@@ -49,9 +49,32 @@
     idle_since: Option<Instant>,
     /// Whether the share must be read before it is used: a write of it had no answer.
     needs_reread: bool,
+    /// The pool's row in a write of `revision` that had no answer. It may be carried out as long as the share has this
+    /// revision.
+    pending_row: Option<Resources>,
     read_at: Option<Instant>,
 }
 
+impl CachedShare {
+    /// What the pool may use: its row, or less if an unanswered write may still lower it.
+    fn usable_row(&self, pool: &PoolName) -> Resources {
+        let row = self.share.row(pool);
+        self.pending_row
+            .map_or(row, |pending| pending.zip(row, u64::min))
+    }
+
+    /// Applies a share as it is stored at a revision.
+    fn set(&mut self, share: Share, revision: Revision) {
+        if revision != self.revision {
+            // The unanswered write expected the revision before.
+            self.pending_row = None;
+        }
+        self.share = share;
+        self.revision = revision;
+        self.needs_reread = false;
+    }
+}
+
 /// Adjusts the rows while the role is held.
 pub async fn run<P: Platform>(scheduler: Rc<Scheduler<P>>) {
     let mut cache: BTreeMap<TeamName, CachedShare> = BTreeMap::new();
@@ -100,9 +123,7 @@
     match keys::decode::<Share>(&item.key, &item.value) {
         Ok(share) => {
             let cached = cache.entry(team).or_default();
-            cached.share = share;
-            cached.revision = item.revision;
-            cached.needs_reread = false;
+            cached.set(share, item.revision);
             cached.read_at = Some(now);
         }
         Err(error) => log::error!(target: "quota", error:%; "Ignoring a malformed team share."),
@@ -180,7 +201,8 @@
         }
         if let Some(row) = next_row(&scheduler.name, cached, &demand, now) {
             let mut share = cached.share.clone();
-            if share.set(&scheduler.name, row) {
+            // A write of the same row settles an unanswered one.
+            if share.set(&scheduler.name, row) || cached.pending_row.is_some() {
                 changes.push((demand.team.clone(), share));
             }
         }
@@ -198,7 +220,7 @@
     demand: &Demand,
     now: Instant,
 ) -> Option<Resources> {
-    let row = cached.share.row(pool);
+    let row = cached.usable_row(pool);
     let reserve = demand.cap.percent(RESERVE_PERCENT);
     let (used, shortfall, cap) = (demand.used, demand.shortfall, demand.cap);
     let target = cached.share.target(pool, used, shortfall, reserve, cap);
@@ -238,7 +260,7 @@
     changes: &[(TeamName, Share)],
 ) {
     let team = &demand.team;
-    let mut allowance = cached.share.row(&scheduler.name);
+    let mut allowance = cached.usable_row(&scheduler.name);
     if let Some((_, changed)) = changes.iter().find(|(name, _)| name == team) {
         allowance = allowance.zip(changed.row(&scheduler.name), u64::min);
     }
@@ -280,8 +302,7 @@
                 let row = share.row(&scheduler.name);
                 log::info!(target: "quota", team:% = team, pool:% = scheduler.name, row:% = row, total:% = share.total(); "Row of a team's share changed.");
                 let cached = cache.entry(team.clone()).or_default();
-                cached.share = share.clone();
-                cached.revision = revision;
+                cached.set(share.clone(), revision);
                 scheduler.pool.borrow_mut().set_allowance(team.clone(), row);
             }
             scheduler.replan.notify_one();
@@ -299,8 +320,12 @@
         Err(error) => {
             log::warn!(target: "quota", pool:% = scheduler.name, error:%; "Writing the teams' shares failed.");
             if !matches!(error, CallError::NotDone(_)) {
-                for (team, _) in changes {
-                    cache.entry(team.clone()).or_default().needs_reread = true;
+                for (team, share) in changes {
+                    let cached = cache.entry(team.clone()).or_default();
+                    let row = share.row(&scheduler.name);
+                    cached.pending_row =
+                        Some(cached.usable_row(&scheduler.name).zip(row, u64::min));
+                    cached.needs_reread = true;
                 }
             }
         }
--- a/crates/grid/tests/entry/faults.rs
+++ b/crates/grid/tests/entry/faults.rs
@@ -308,3 +308,48 @@
         .await;
     }
 }
+
+/// Guards against a team that uses more than its rows say: a lower row is carried out late, after the pool has begun to
+/// use the higher one again, and another pool may take what seems to be free.
+#[tokio::test(start_paused = true)]
+async fn row_lowered_late_is_not_in_use_again() {
+    for fault_ms in (0..2_000).step_by(100) {
+        local(async move {
+            let bed = Bed::new(2);
+            bed.world.set_catalogue(catalogue(2, &[KEY], 4_000));
+            bed.start_all(&["e1", "e2"]).await;
+            let holder = bed.holder();
+            let other = if holder == "e1" { "e2" } else { "e1" };
+            let first = job("ms=1000", &[4]);
+            assert_eq!(bed.submit(other, ID, first).await, Reply::Accepted);
+            sleep(Duration::from_millis(800 + fault_ms)).await;
+            let late = StoreFault::CarriesOutLate(Duration::from_secs(3));
+            bed.world.set_fault(&holder, late);
+            sleep(Duration::from_millis(700)).await;
+            bed.world.set_fault(&holder, StoreFault::None);
+            let second = job("ms=4000", &[4]);
+            let id = "00000000000000b1";
+            assert_eq!(bed.submit(other, id, second).await, Reply::Accepted);
+            let team = "agencies".parse().expect("a name");
+            let pool = "p".parse().expect("a name");
+            for _ in 0..240 {
+                sleep(Duration::from_millis(50)).await;
+                let stored = bed.world.table.borrow().get(&keys::share(&team)).cloned();
+                let share: Share = stored.map_or_else(Share::default, |item| {
+                    keys::decode(&item.key, &item.value).expect("a share")
+                });
+                let mut crew = bed.world.crew.borrow_mut();
+                crew.settle(Instant::now());
+                let running = u64::try_from(crew.running().count()).expect("a count");
+                let row = share.row(&pool).cpu_millis;
+                assert!(
+                    running * 1_000 <= row,
+                    "{running} run, row {row}, {fault_ms} ms"
+                );
+            }
+            bed.wait_for(other, id, JobState::Completed, Duration::from_secs(9))
+                .await;
+        })
+        .await;
+    }
+}
