jobs, grid: runs that no worker has reported count against the team's limit

Cause: usage is the sum of known runs, and a new scheduler knows those of workers that have reported. Ruled out: rows of shares lowered before; the test has one pool with its row at the limit.

Change: the pass unknown_usage counts tasks that may be running while a worker of their job is awaited, bounded by the pool's row. Starts must fit with them, and the row is not lowered below them. Cost: teams with a limit wait at a takeover until their jobs' workers have reported, or their leases have expired.

--- a/crates/grid/src/shares/mod.rs
+++ b/crates/grid/src/shares/mod.rs
@@ -136,7 +136,7 @@
     cache: &mut BTreeMap<TeamName, CachedShare>,
 ) {
     let now = scheduler.now();
-    let due: Vec<TeamName> = demands(scheduler)
+    let due: Vec<TeamName> = demands(scheduler, cache)
         .into_iter()
         .filter(|demand| {
             let Some(cached) = cache.get(&demand.team) else {
@@ -165,7 +165,7 @@
     }
 }
 
-/// A team with a limit, its usage of this pool and its shortfall in it.
+/// A team with a limit, its usage of this pool, known and unknown, and its shortfall in it.
 #[derive(Debug)]
 struct Demand {
     team: TeamName,
@@ -174,14 +174,21 @@
     shortfall: Resources,
 }
 
-fn demands<P: Platform>(scheduler: &Scheduler<P>) -> Vec<Demand> {
+fn demands<P: Platform>(
+    scheduler: &Scheduler<P>,
+    cache: &BTreeMap<TeamName, CachedShare>,
+) -> Vec<Demand> {
     let pool = scheduler.pool.borrow();
+    let row = |team| {
+        let cached = cache.get(team);
+        cached.map_or(Resources::ZERO, |cached| cached.usable_row(&scheduler.name))
+    };
     pool.caps()
         .filter(|(_, cap)| *cap != Resources::ZERO)
         .map(|(team, cap)| Demand {
             team: team.clone(),
             cap,
-            used: pool.usage().get(team).copied().unwrap_or_default(),
+            used: pool.usage_within(team, row(team)),
             shortfall: pool.shortfall().get(team).copied().unwrap_or_default(),
         })
         .collect()
@@ -194,7 +201,7 @@
 ) {
     let now = scheduler.now();
     let mut changes: Vec<(TeamName, Share)> = Vec::new();
-    for demand in demands(scheduler) {
+    for demand in demands(scheduler, cache) {
         let cached = cache.entry(demand.team.clone()).or_default();
         if cached.needs_reread {
             continue;
--- a/crates/grid/tests/entry/roles.rs
+++ b/crates/grid/tests/entry/roles.rs
@@ -329,6 +329,52 @@
     .await;
 }
 
+/// Guards against a team above its upper limit: a worker with the team's runs is cut off, its scheduler stops, and the
+/// successor doesn't hear of these runs. They count until their leases have expired.
+#[tokio::test(start_paused = true)]
+async fn takeover_counts_the_usage_of_a_worker_that_is_cut_off() {
+    for cut_ms in (0..1_000).step_by(100) {
+        local(async move {
+            let bed = Bed::new(2);
+            bed.bounds.set(Bounds {
+                lease: LEASE_SHORT,
+                ..Bounds::default()
+            });
+            bed.world.set_catalogue(catalogue(2, &[KEY], 4_000));
+            bed.start_all(&["e1", "e2"]).await;
+            let holder = bed.holder();
+            let other = other(&holder);
+            let second = "00000000000000b1";
+            for id in [ID, second] {
+                let spec = job("ms=20000", &[4]);
+                assert_eq!(bed.submit(other, id, spec).await, Reply::Accepted);
+                sleep(Duration::from_millis(600)).await;
+            }
+            sleep(Duration::from_millis(cut_ms)).await;
+            let workers: Vec<String> = {
+                let crew = bed.world.crew.borrow();
+                let workers = crew.running().map(|(worker, _)| worker.to_string());
+                workers.collect()
+            };
+            assert_eq!(workers.len(), 4);
+            for worker in &workers {
+                bed.world.set_reachable(other, worker, false);
+            }
+            bed.stop(&holder);
+            for _ in 0..160 {
+                sleep(Duration::from_millis(50)).await;
+                let mut crew = bed.world.crew.borrow_mut();
+                crew.settle(Instant::now());
+                let running = crew.running().count();
+                assert!(running <= 4, "{running} run, cut after {cut_ms} ms");
+            }
+            // The runs that were lost have expired, and as many are at work on the other worker.
+            assert!(bed.world.crew.borrow().starts.len() > 4);
+        })
+        .await;
+    }
+}
+
 /// Load pattern: after an outage the strong entries are the last ones back. A weak entry that holds all roles hands
 /// them over one after the other, while its pool has work.
 #[tokio::test(start_paused = true)]
--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -5,12 +5,14 @@
 //!
 //! - A task has at most one run that may be executing, unless its step allows copies or an unexpected run was found on
 //!   a worker. `Task::live` counts the runs in `Worker::runs` that belong to the task.
-//! - `usage` is the sum of what these runs reserve, by team, and no start raises it above `allowance`.
+//! - `usage` is the sum of what these runs reserve, by team. No start raises it, with the unknown usage of earlier
+//!   schedulers, above `allowance`.
 //! - A job in `unsaved` differs from its stored state. The ends in a report may be acknowledged to the worker only
 //!   after the jobs that they changed have been saved.
 //!
 //! State enters through [`Pool::submit`], [`Pool::set_workers`], [`Pool::report`] and the replies to commands.
-//! [`Pool::plan`] then runs the passes, one per file: [`release`], [`cordon`], [`lifecycle`], [`evacuate`], `doubt`
+//! [`Pool::plan`] then runs the passes, one per file: [`release`], [`cordon`], [`lifecycle`], `unknown_usage` (counts what
+//! runs of an earlier scheduler may reserve), [`evacuate`], `doubt`
 //! (finds suspect runs: stalled ones, and those on unresponsive workers), [`order`] (sorts the waiting jobs),
 //! [`permits`], [`place`], `unfit` (finds steps that fit no worker), [`pace`] (limits the speed of best-effort runs).
 
@@ -29,6 +31,7 @@
 pub mod release;
 mod report;
 mod unfit;
+mod unknown_usage;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -214,6 +217,8 @@
     by_id: HashMap<WorkerId, WorkerRef>,
     jobs: BTreeMap<JobId, Job>,
     usage: BTreeMap<TeamName, Resources>,
+    /// What runs of an earlier scheduler may reserve that no worker has reported, by team, as of the last plan.
+    unknown_usage: BTreeMap<TeamName, Resources>,
     allowance: BTreeMap<TeamName, Resources>,
     /// The highest upper limit of each team under which a job of it was accepted.
     accepted_caps: BTreeMap<TeamName, Resources>,
@@ -257,6 +262,7 @@
             by_id: HashMap::new(),
             jobs: BTreeMap::new(),
             usage: BTreeMap::new(),
+            unknown_usage: BTreeMap::new(),
             allowance: BTreeMap::new(),
             accepted_caps: BTreeMap::new(),
             shortfall: BTreeMap::new(),
@@ -481,6 +487,7 @@
         release::run(self, now);
         cordon::run(self);
         lifecycle::run(self, now, wall_ms);
+        unknown_usage::run(self);
         evacuate::run(self, now);
         doubt::run(self, now);
         order::run(self, now);
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -206,8 +206,8 @@
     let Some(cap) = pool.cap(team) else {
         return true;
     };
-    let wanted = pool.usage.get(team).copied().unwrap_or_default() + more;
     let allowance = pool.allowance(team);
+    let wanted = pool.usage_within(team, allowance) + more;
     // A cap of 0 means that this kind of resource is not limited.
     let limit = cap.zip(
         allowance,
