jobs, grid: a late copy of a start is stopped in a worker's next life

What callers saw: a task ran on two workers (TWICE). The first order to start it had no answer, its repetition had; the worker crashed, was back under its id, and carried out the first order 6 s late, while the task ran elsewhere.

Cause: only runs with an unconfirmed start were carried over to the next life; a copy without an answer of a confirmed start was forgotten.

Change: a worker remembers for 30 s the starts of which a copy had no answer; in its next life these runs are stopped before their tasks count as idle, after which the worker refuses the copy.

--- a/crates/grid/src/pool/commands.rs
+++ b/crates/grid/src/pool/commands.rs
@@ -160,6 +160,12 @@
                 break;
             }
             let sent = self.entry.platform.start(&to, &order, START_TIMEOUT).await;
+            if sent == StartAnswer::Unknown {
+                let now = self.now();
+                self.pool
+                    .borrow_mut()
+                    .start_unanswered(order.worker, order.task, order.run, now);
+            }
             answer = if is_sent {
                 sent.after_lost_reply()
             } else {
--- a/crates/jobs/src/pool/ingest.rs
+++ b/crates/jobs/src/pool/ingest.rs
@@ -152,45 +152,52 @@
 
     /// Replaces a worker that has restarted under its old id. The runs of its old incarnation have ended, but a start
     /// that was confirmed after that incarnation's last report, or not at all, may have been executed by the new one,
-    /// or may still be. Such a run is carried over to be stopped there, and its task becomes idle only once the run is
-    /// certain not to be executing.
+    /// or may still be. So may a copy of a start that had no reply, whatever became of the run. Each such run is stopped
+    /// in the new incarnation, which then refuses the start, and its task becomes idle only once the run is certain not
+    /// to be executing.
     pub(super) fn begin_incarnation(
         &mut self,
         old: WorkerRef,
         info: WorkerInfo,
         now: Instant,
     ) -> WorkerRef {
-        let (carried_over, vm) =
-            self.workers
-                .get_mut(&old)
-                .map_or_else(Default::default, |worker| {
-                    let reported_at = worker.answered_at;
-                    let runs = worker.runs.iter();
-                    let may_be_present = runs
-                        .filter(|(_, run)| run.closed_at.is_none_or(|at| Some(at) > reported_at));
-                    let keys: Vec<RunKey> = may_be_present.map(|(key, _)| *key).collect();
-                    let runs: Vec<_> = keys
-                        .into_iter()
-                        .filter_map(|key| Some((key, worker.remove(key)?)))
-                        .collect();
-                    (runs, worker.vm.clone())
-                });
+        let mut carried_over: Vec<(RunKey, Run)> = Vec::new();
+        let mut late: BTreeSet<RunKey> = BTreeSet::new();
+        let mut vm = None;
+        if let Some(worker) = self.workers.get_mut(&old) {
+            late.extend(worker.possible_late_starts(now));
+            let reported_at = worker.answered_at;
+            let may_be_present = worker.runs.iter().filter(|(key, run)| {
+                late.contains(key) || run.closed_at.is_none_or(|at| Some(at) > reported_at)
+            });
+            let keys: Vec<RunKey> = may_be_present.map(|(key, _)| *key).collect();
+            for key in keys {
+                late.remove(&key);
+                carried_over.extend(worker.remove(key).map(|run| (key, run)));
+            }
+            vm.clone_from(&worker.vm);
+        }
         self.end_incarnation(old, "reborn");
         let worker_ref = self.add_worker(info);
         let longest = expiry(self.bounds.lease_max, &self.bounds);
+        let has_earlier_runs = !carried_over.is_empty() || !late.is_empty();
         if let Some(worker) = self.workers.get_mut(&worker_ref) {
             worker.vm = vm;
-            worker.earlier_runs_until = (!carried_over.is_empty()).then(|| now + longest);
+            worker.earlier_runs_until = has_earlier_runs.then(|| now + longest);
             for (key, run) in carried_over {
-                let run = Run {
-                    phase: Phase::Stopping,
-                    stop_sent_at: None,
-                    closed_at: None,
-                    ..run
-                };
                 worker.add(key, run);
             }
         }
+        for key in late {
+            self.adopt(worker_ref, key, now);
+        }
+        if let Some(worker) = self.workers.get_mut(&worker_ref) {
+            for run in worker.runs.values_mut() {
+                run.phase = Phase::Stopping;
+                run.stop_sent_at = None;
+                run.closed_at = None;
+            }
+        }
         worker_ref
     }
 
@@ -415,6 +422,19 @@
         }
     }
 
+    /// Records that a copy of a start had no reply. It may still be executed, also after a later copy was answered.
+    pub fn start_unanswered(
+        &mut self,
+        worker_ref: WorkerRef,
+        task: TaskId,
+        run: RunNumber,
+        now: Instant,
+    ) {
+        if let Some(worker) = self.workers.get_mut(&worker_ref) {
+            worker.start_unanswered((task, run), now);
+        }
+    }
+
     /// Records that a worker did not answer the request for a report. It gets no starts until it does.
     pub fn mark_unresponsive(&mut self, worker_ref: WorkerRef) {
         if let Some(worker) = self.workers.get_mut(&worker_ref)
--- a/crates/jobs/src/pool/report.rs
+++ b/crates/jobs/src/pool/report.rs
@@ -268,7 +268,7 @@
     }
 
     /// Adds a run that this scheduler didn't start, or whose start was considered failed.
-    fn adopt(&mut self, worker_ref: WorkerRef, key: RunKey, now: Instant) {
+    pub(super) fn adopt(&mut self, worker_ref: WorkerRef, key: RunKey, now: Instant) {
         let (task, number) = key;
         let mut run = Run {
             reserved: crate::resources::Resources::ZERO,
--- a/crates/jobs/src/worker/mod.rs
+++ b/crates/jobs/src/worker/mod.rs
@@ -16,6 +16,9 @@
 /// How much a worker's steady clock may lose against this entry's, in thousandths. The platform documents this bound.
 const CLOCK_DRIFT_MILLI: u32 = 20;
 
+/// How long a command without a reply may still be executed. The platform says seconds; deployments play up to 12.
+const UNANSWERED_LIFE: Duration = Duration::from_secs(30);
+
 /// Added to each lease's end. Covers the rounding of clocks.
 const LEASE_MARGIN: Duration = Duration::from_millis(100);
 
@@ -168,6 +171,9 @@
     pub lease_until_ms: u64,
     /// When it last answered.
     pub answered_at: Option<Instant>,
+    /// Starts of which a copy had no reply, with the time at which the copy was given up. The copy may still be executed,
+    /// also by the worker's next incarnation.
+    pub unanswered: BTreeMap<RunKey, Instant>,
     /// Starts are not sent before this time.
     pub paused_until: Option<Instant>,
     /// The job of the last failure; a job that fails everywhere is no evidence against a worker.
@@ -209,6 +215,7 @@
             earlier_runs_until: None,
             lease_until_ms: 0,
             answered_at: None,
+            unanswered: BTreeMap::new(),
             paused_until: None,
             last_failed_job: None,
             throttled_at: None,
@@ -281,6 +288,21 @@
         }
     }
 
+    /// Records that a copy of a start had no reply.
+    pub fn start_unanswered(&mut self, key: RunKey, now: Instant) {
+        self.unanswered
+            .retain(|_, since| now.saturating_duration_since(*since) < UNANSWERED_LIFE);
+        self.unanswered.insert(key, now);
+    }
+
+    /// The starts of which a copy may still be executed.
+    pub fn possible_late_starts(&self, now: Instant) -> impl Iterator<Item = RunKey> {
+        let unanswered = self.unanswered.iter();
+        unanswered
+            .filter(move |(_, since)| now.saturating_duration_since(**since) < UNANSWERED_LIFE)
+            .map(|(key, _)| *key)
+    }
+
     /// Removes a run that is certain not to be executing.
     pub fn remove(&mut self, key: RunKey) -> Option<Run> {
         let run = self.runs.remove(&key)?;
--- a/crates/jobs/tests/cases.rs
+++ b/crates/jobs/tests/cases.rs
@@ -6,7 +6,8 @@
 //! `drain NAME`, `born NAME MS`, `unlist NAME`, `list`, `job ID QUEUE TEAM STEP...` with a step as
 //! `TASKSxCPU/MB/ESTIMATE_MS[,FLAG...]`, `due ID COUNT FIRST_MS INTERVAL_MS` (makes the next job scheduled), `inherit`
 //! (a job line after it belongs to the takeover), `met ID WORKER...` (workers stored with the inherited job), `done ID
-//! STEP INDEX...`, `takeover WORKER...`, `cancel ID`, `at MS`, `wall MS`, `started TASK RUN WORKER ANSWER`, `report
+//! STEP INDEX...`, `takeover WORKER...`, `cancel ID`, `at MS`, `wall MS`, `started TASK RUN WORKER ANSWER`, `unanswered
+//! TASK RUN WORKER` (a copy of the start had no reply), `report
 //! WORKER CLOCK [run TASK RUN PERCENT LOAD]... [end N TASK RUN HOW]...`, `silent WORKER`, `stopped TASK RUN WORKER`,
 //! `evacuate [VM...]`, `plan`, `events`, `state ID`, `evacuated`.
 
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -158,6 +158,12 @@
                 self.pool()
                     .start_answered(worker, task(words[1]), run_number(run), answer, now);
             }
+            "unanswered" => {
+                let worker = self.worker(words[3]);
+                let run = run_number(number(words[2]));
+                self.pool()
+                    .start_unanswered(worker, task(words[1]), run, now);
+            }
             "stopped" => {
                 let worker = self.worker(words[3]);
                 let run = run_number(number(words[2]));
