grid: a job is rejected whose id an open job of another queue has

Change: the acceptance expects that the inbox has no such key; a conflict there is answered 400 with the remedy. A scheduler tells an item from before a job's removal by its revision and no longer by the id alone. Left: an id that is used on another queue after the first job has ended; workers know tasks by the job's id and refuse the run.

Test: calls::submit_same_id_on_another_queue_of_the_pool, red before (accepted).

--- a/crates/grid/src/calls/submit.rs
+++ b/crates/grid/src/calls/submit.rs
@@ -15,6 +15,10 @@
 /// The most attempts at a submission while the catalogue changes concurrently.
 const CATALOGUE_CHANGES_MAX: u32 = 4;
 
+/// Why a job is rejected whose id an open job of another queue has.
+const ID_IN_USE: &str =
+    "the id is that of an open job on another queue: give each job an id of its own";
+
 impl<P: Platform> Entry<P> {
     pub(super) async fn submit(&self, call: &Call, admitted: Admitted, spec: &JobSpec) -> Reply {
         let began_at = self.now();
@@ -57,9 +61,14 @@
                         Err(reply) => return reply,
                     };
                     let key = keys::job(&admitted.queue, id);
+                    let is_in_use = !conflict.items.is_empty();
                     if let Some(item) = conflict.items.into_iter().find(|item| item.key == key) {
                         return self.submit_again(&admitted, id, item).await;
                     }
+                    if is_in_use {
+                        log::info!(target: "calls", job:% = id, queue:% = admitted.queue; "Job refused: an open job of another queue of the pool has its id.");
+                        return Reply::Malformed(ID_IN_USE.into());
+                    }
                     let Some(readmitted) = readmitted else {
                         return Reply::Refused(Refusal::StoreRefused, self.store_retry_after());
                     };
@@ -94,9 +103,14 @@
             policy: Some(admitted.policy.clone()),
         };
         let key = keys::job(&admitted.queue, id);
+        let submitted = keys::submitted(&admitted.pool, id);
         Txn {
             expect_catalogue: Some(admitted.catalogue),
-            expect: vec![(key.clone(), Revision::ABSENT)],
+            // The key in the inbox names no queue, so a job of another queue may have it.
+            expect: vec![
+                (key.clone(), Revision::ABSENT),
+                (submitted.clone(), Revision::ABSENT),
+            ],
             puts: vec![
                 Put {
                     key,
@@ -104,7 +118,7 @@
                     lease: None,
                 },
                 Put {
-                    key: keys::submitted(&admitted.pool, id),
+                    key: submitted,
                     value: keys::encode(&record),
                     lease: None,
                 },
--- a/crates/grid/src/pool/inbox.rs
+++ b/crates/grid/src/pool/inbox.rs
@@ -66,7 +66,7 @@
         let Some(record) = self.read_record(item) else {
             return;
         };
-        if self.has_closed(record.id) {
+        if self.has_closed(record.id, item) {
             // This item was read before the removal of the job was committed.
             return;
         }
--- a/crates/grid/src/pool/mod.rs
+++ b/crates/grid/src/pool/mod.rs
@@ -29,7 +29,7 @@
 use crate::keys::AssignedWorkers;
 use crate::latest::Follower;
 use crate::members::HeldRole;
-use crate::ports::{Platform, Recipient, StoredCatalogue};
+use crate::ports::{Platform, Recipient, Revision, StoredCatalogue};
 use crate::{registry, shares};
 
 pub use save::Stored;
@@ -55,8 +55,8 @@
     stored: RefCell<HashMap<Box<str>, Stored>>,
     /// For each open job, the workers in its stored progress. A start is sent only to a worker that is recorded here.
     recorded_workers: RefCell<HashMap<JobId, BTreeSet<WorkerId>>>,
-    /// Jobs whose removal from the store is committed, with the time of the commit.
-    closed: RefCell<BTreeMap<JobId, Instant>>,
+    /// Jobs whose removal from the store is committed, with the time and the revision of the commit.
+    closed: RefCell<BTreeMap<JobId, (Instant, Revision)>>,
     /// The number of the latest save request; `saved` holds the number of the latest one that is done.
     saves_requested: Cell<u64>,
     saved: watch::Sender<u64>,
--- a/crates/grid/src/pool/save.rs
+++ b/crates/grid/src/pool/save.rs
@@ -16,7 +16,7 @@
 
 use crate::keys::{self, AssignedWorkers, JobStatus};
 use crate::pool::{RETRY_AFTER, Scheduler};
-use crate::ports::{CallError, Committed, Conflict, Platform, Put, Revision, Txn};
+use crate::ports::{CallError, Committed, Conflict, Item, Platform, Put, Revision, Txn};
 
 /// The most rows of one transaction, as the platform specifies it.
 const ROWS_MAX: usize = 32;
@@ -277,7 +277,8 @@
             }
             pool.remove_stored(*job);
             self.recorded_workers.borrow_mut().remove(job);
-            self.closed.borrow_mut().insert(*job, self.entry.now());
+            let closed = (self.entry.now(), revision);
+            self.closed.borrow_mut().insert(*job, closed);
         }
     }
 
@@ -321,13 +322,15 @@
         }
     }
 
-    /// Whether the job was removed from the store within [`CLOSED_RETENTION`]. A listing from before may still contain
-    /// it.
-    pub(super) fn has_closed(&self, id: JobId) -> bool {
+    /// Whether an item of the inbox is that of a job that was removed from the store since. A listing from before the
+    /// removal may still contain it; a later item is another job with the same id.
+    pub(super) fn has_closed(&self, id: JobId, item: &Item) -> bool {
         let now = self.now();
         let mut closed = self.closed.borrow_mut();
-        closed.retain(|_, at| now.saturating_duration_since(*at) < CLOSED_RETENTION);
-        closed.contains_key(&id)
+        closed.retain(|_, (at, _)| now.saturating_duration_since(*at) < CLOSED_RETENTION);
+        closed
+            .get(&id)
+            .is_some_and(|(_, revision)| item.revision < *revision)
     }
 
     /// Whether every worker that may be sent a start is stored as assigned, with the longest lease that it may get, so
--- a/crates/grid/tests/entry/calls.rs
+++ b/crates/grid/tests/entry/calls.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use goldcrest_grid::calls::{Refusal, Reply};
+use goldcrest_grid::calls::{Call, Refusal, Reply, Request};
+use goldcrest_jobs::catalogue::{Catalogue, Queue};
 use goldcrest_jobs::spec::JobState;
 use goldcrest_standin::grid::StoreFault;
 use tokio::time::{Instant, sleep};
@@ -63,6 +64,46 @@
     .await;
 }
 
+/// Guards against two jobs with one id on two queues of a pool, of which one would replace the other.
+#[tokio::test(start_paused = true)]
+async fn submit_same_id_on_another_queue_of_the_pool() {
+    local(async {
+        let bed = Bed::new(1);
+        let base = catalogue(2, &[KEY], 0);
+        let mut queues = base.queues().to_vec();
+        queues.push(Queue {
+            name: "q2".parse().expect("a name"),
+            prefix: "/q2/".into(),
+            is_open: true,
+            ..queues[0].clone()
+        });
+        let teams = base.teams().iter();
+        let teams = teams.map(|team| (team.clone(), vec![Box::from(KEY)]));
+        let pools = base.pools().to_vec();
+        bed.world
+            .set_catalogue(Catalogue::new(2, queues, pools, teams.collect()));
+        bed.start_all(&["e1", "e2"]).await;
+        let spec = job("ms=3000", &[1]);
+        assert_eq!(bed.submit("e1", ID, spec.clone()).await, Reply::Accepted);
+        let other = |spec| Call {
+            host: "host".into(),
+            path: format!("/q2/{ID}").into(),
+            key: None,
+            timeout: Some(Duration::from_secs(3)),
+            request: Request::Submit(Ok(spec)),
+        };
+        for entry in ["e1", "e2"] {
+            let reply = bed.entry(entry).call(other(spec.clone())).await;
+            assert!(matches!(reply, Reply::Malformed(_)), "{reply:?}");
+        }
+        // A repetition of the first submission is still the same job.
+        assert_eq!(bed.submit("e2", ID, spec.clone()).await, Reply::Accepted);
+        bed.wait_for("e1", ID, JobState::Completed, Duration::from_secs(5))
+            .await;
+    })
+    .await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn submit_store_refuses() {
     local(async {
