--- a/crates/grid/src/pool/mod.rs
+++ b/crates/grid/src/pool/mod.rs
@@ -1,9 +1,10 @@
 //! A pool's scheduler: connects the decisions of [`goldcrest_jobs::pool`] to the store and the workers.
 //!
 //! [`Scheduler`] is the state that the scheduler's local tasks share. [`load`] takes over from the previous holder by
-//! what is stored and what is in force after the last read; then one task each watches the inbox ([`inbox`]), follows the registry and the workers' reports ([`reports`]), plans
-//! and sends commands ([`commands`]), saves changed jobs ([`save`]), publishes the pool's status ([`status`]) and
-//! adjusts the teams' shares ([`crate::shares`]). All tasks end with the role.
+//! what is stored, and by what is in force after the last read. Then one task each watches the inbox ([`inbox`]),
+//! follows the registry and the workers' reports ([`reports`]), plans and sends commands ([`commands`]), saves changed
+//! jobs ([`save`]), publishes the pool's status ([`status`]) and adjusts the teams' shares ([`crate::shares`]). All
+//! tasks end with the role.
 
 mod commands;
 mod events;
--- a/crates/jobs/src/job/mod.rs
+++ b/crates/jobs/src/job/mod.rs
@@ -243,6 +243,13 @@
         Some(policy.attempts_max.max(1))
     }
 
+    /// Whether placement needed permits by the policy of the job's acceptance.
+    #[must_use]
+    pub fn needed_permits(&self) -> bool {
+        let policy = self.record.policy.as_ref();
+        policy.is_some_and(|policy| policy.needs_permits)
+    }
+
     /// Sets the policy that the job's record lacks, and decides what had to wait for it.
     pub fn set_policy(&mut self, policy: AcceptedPolicy, longest_chain: Duration) {
         self.objective = policy.objective(longest_chain);
--- a/crates/jobs/src/lease/mod.rs
+++ b/crates/jobs/src/lease/mod.rs
@@ -15,8 +15,11 @@
 /// The longest lease that a scheduler or its predecessors may have offered.
 #[derive(Debug, Clone)]
 pub struct LeaseBound {
+    /// The longest lease of this scheduler's commands, by its present bounds.
     own: Duration,
+    /// The longest lease that its predecessors may have offered.
     inherited: Duration,
+    /// Leases from before that are longer than `own`.
     longer: Option<LongerLease>,
 }
 
--- a/crates/jobs/src/pool/ingest.rs
+++ b/crates/jobs/src/pool/ingest.rs
@@ -94,6 +94,9 @@
             let job = self
                 .open(record, age, now)
                 .with_progress(progress, first_run);
+            if job.awaits_policy() {
+                self.events.push(Event::AttemptsUnknown { job: job.id() });
+            }
             self.unsaved.insert(job.id());
             self.jobs.insert(job.id(), job);
         }
--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -11,10 +11,10 @@
 //!   after the jobs that they changed have been saved.
 //!
 //! State enters through [`Pool::submit`], [`Pool::set_workers`], [`Pool::report`] and the replies to commands.
-//! [`Pool::plan`] then runs the passes, one per file: [`release`], [`cordon`], [`lifecycle`], `unknown_usage` (counts what
-//! runs of an earlier scheduler may reserve), [`evacuate`], `doubt`
-//! (finds suspect runs: stalled ones, and those on unresponsive workers), [`order`] (sorts the waiting jobs),
-//! [`permits`], [`place`], `unfit` (finds steps that fit no worker), [`pace`] (limits the speed of best-effort runs).
+//! [`Pool::plan`] then runs the passes, one per file: [`release`], [`cordon`], [`lifecycle`], `unknown_usage` (counts
+//! what runs of an earlier scheduler may reserve), [`evacuate`], `doubt` (finds suspect runs: stalled ones, and those on
+//! unresponsive workers), [`order`] (sorts the waiting jobs), [`permits`], [`place`], `unfit` (finds steps that fit no
+//! worker), [`pace`] (limits the speed of best-effort runs).
 
 mod arrivals;
 pub mod cordon;
--- a/crates/jobs/src/pool/permits.rs
+++ b/crates/jobs/src/pool/permits.rs
@@ -59,11 +59,8 @@
 
 /// Runs the pass.
 pub fn run(pool: &mut Pool, now: Instant) {
-    let may_need_permits = |job: &Job| {
-        let accepted = job.record.policy.as_ref();
-        accepted.is_some_and(|policy| policy.needs_permits)
-    };
-    pool.has_permit_jobs = pool.catalogue.has_permits() || pool.jobs.values().any(may_need_permits);
+    pool.has_permit_jobs =
+        pool.catalogue.has_permits() || pool.jobs.values().any(Job::needed_permits);
     if !pool.has_permit_jobs {
         return;
     }
@@ -192,13 +189,8 @@
 
     /// Whether the job's queue needs permits. A queue that was removed needs them as at the job's acceptance.
     fn is_permit_needed(&self, job: &Job) -> bool {
-        self.catalogue.queue(job.queue()).map_or_else(
-            || {
-                let accepted = job.record.policy.as_ref();
-                accepted.is_some_and(|policy| policy.needs_permits)
-            },
-            |queue| queue.needs_permits,
-        )
+        let queue = self.catalogue.queue(job.queue());
+        queue.map_or_else(|| job.needed_permits(), |queue| queue.needs_permits)
     }
 
     /// Whether a task of the step may be started on the worker, as far as permits go.
--- a/crates/jobs/src/worker/mod.rs
+++ b/crates/jobs/src/worker/mod.rs
@@ -16,7 +16,7 @@
 /// How much a worker's steady clock may lose against this entry's, in thousandths. The platform documents this bound.
 const CLOCK_DRIFT_MILLI: u32 = 20;
 
-/// How long a command without a reply may still be executed. The platform says seconds; deployments play up to 12.
+/// How long a command without a reply may still be executed.
 const UNANSWERED_LIFE: Duration = Duration::from_secs(30);
 
 /// Added to each lease's end. Covers the rounding of clocks.
