--- a/crates/grid/src/pool/reports.rs
+++ b/crates/grid/src/pool/reports.rs
@@ -22,6 +22,10 @@
 /// How long a report of a worker without runs waits.
 const WAIT_IDLE: Duration = Duration::from_secs(2);
 
+/// The least time that a report waits, however short the leases are: without a wait, the requests would follow each
+/// other at once.
+const WAIT_MIN: Duration = Duration::from_millis(50);
+
 /// Added to the requested wait for the timeout of a report. A worker answers within some milliseconds; while a lost
 /// answer is waited for, the ends that it carried are delayed.
 const REPORT_SLACK: Duration = Duration::from_millis(350);
@@ -166,14 +170,15 @@
         let Some(known) = pool.worker(worker) else {
             return Duration::ZERO;
         };
-        let wait = if known.last_end > acknowledged {
-            Duration::ZERO
-        } else if known.runs.is_empty() {
+        if known.last_end > acknowledged {
+            return Duration::ZERO;
+        }
+        let wait = if known.runs.is_empty() {
             WAIT_IDLE
         } else {
             WAIT_BUSY
         };
-        wait.min(self.lease() / 2)
+        wait.min(self.lease() / 2).max(WAIT_MIN)
     }
 
     /// The lease that requests for reports offer. An idle worker needs it too: a run that starts on it while a request
--- a/crates/grid/tests/entry/roles.rs
+++ b/crates/grid/tests/entry/roles.rs
@@ -503,3 +503,22 @@
         }
     }
 }
+
+/// Leases so short that no two requests fit into them must not make the requests follow each other at once.
+#[tokio::test(start_paused = true)]
+async fn leases_without_length_do_not_flood_workers() {
+    local(async {
+        let bed = Bed::new(1);
+        bed.bounds.set(Bounds {
+            lease: Duration::ZERO,
+            lease_max: Duration::ZERO,
+            ..Bounds::default()
+        });
+        bed.start_all(&["e1"]).await;
+        let before = bed.world.crew.borrow().reports;
+        sleep(Duration::from_secs(1)).await;
+        let requests = bed.world.crew.borrow().reports - before;
+        assert!(requests <= 21, "{requests} requests in a second");
+    })
+    .await;
+}
--- a/crates/standin/src/grid/workers.rs
+++ b/crates/standin/src/grid/workers.rs
@@ -67,6 +67,8 @@
 #[derive(Debug, Default)]
 pub struct Crew {
     workers: BTreeMap<WorkerId, Worker>,
+    /// The number of requests for reports that were accepted.
+    pub reports: u64,
     /// Starts that were carried out, in order of time.
     pub starts: Vec<Start>,
     /// Ends that were acknowledged, in order of time.
@@ -315,6 +317,7 @@
         let worker = self.workers.get_mut(&to.worker);
         let worker = worker.ok_or(CommandError::WrongWorker)?;
         worker.admit(to)?;
+        self.reports += 1;
         let (acknowledged, kept): (Vec<EndRow>, _) = std::mem::take(&mut worker.ended)
             .into_iter()
             .partition(|end| end.number <= ends_acknowledged);
