--- a/crates/grid/src/calls/submit.rs
+++ b/crates/grid/src/calls/submit.rs
@@ -152,8 +152,10 @@
         let status: JobStatus = match keys::decode(&item.key, &item.value) {
             Ok(status) => status,
             Err(error) => {
+                // Whatever it says, the job was accepted: no version stores anything else before that but a tombstone,
+                // which each reads.
                 log::error!(target: "calls", job:% = id, error:%; "A job's stored status can't be decoded.");
-                return Reply::Refused(Refusal::StoreRefused, self.store_retry_after());
+                return Reply::Accepted;
             }
         };
         if !status.is_tombstone {
--- a/crates/grid/tests/entry/calls.rs
+++ b/crates/grid/tests/entry/calls.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use goldcrest_grid::calls::{Call, Refusal, Reply, Request};
+use goldcrest_grid::keys;
+use goldcrest_grid::ports::{Put, Txn};
 use goldcrest_jobs::catalogue::{Catalogue, Queue};
 use goldcrest_jobs::spec::JobState;
 use goldcrest_standin::grid::StoreFault;
@@ -104,6 +106,34 @@
     .await;
 }
 
+/// Guards against a refusal, which says that the job never runs, of a job that is accepted.
+#[tokio::test(start_paused = true)]
+async fn submit_again_with_a_status_that_cannot_be_read() {
+    local(async {
+        let bed = Bed::new(1);
+        bed.start_all(&["e1"]).await;
+        assert_eq!(bed.submit("e1", ID, job("", &[1])).await, Reply::Accepted);
+        let queue = "q".parse().expect("a name");
+        let id = ID.parse().expect("an id");
+        let unreadable = Txn {
+            puts: vec![Put {
+                key: keys::job(&queue, id),
+                value: b"other".to_vec(),
+                lease: None,
+            }],
+            ..Txn::default()
+        };
+        let stored = bed
+            .world
+            .table
+            .borrow_mut()
+            .commit(&unreadable, Instant::now());
+        stored.expect("no lease is needed");
+        assert_eq!(bed.submit("e1", ID, job("", &[1])).await, Reply::Accepted);
+    })
+    .await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn submit_store_refuses() {
     local(async {
