jobs: a job waits until a start is confirmed

Change: a job leaves the count when a start is answered with success or a run is reported. Its state and what is stored of it are as before, so nothing is written more often.

--- a/crates/jobs/src/job/mod.rs
+++ b/crates/jobs/src/job/mod.rs
@@ -139,6 +139,17 @@
     }
 }
 
+/// How far a job has come before its first task is done.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Beginning {
+    /// No start was sent.
+    Waiting,
+    /// A start was or is about to be sent; none is known to have succeeded.
+    Ordered,
+    /// A task has started.
+    Started,
+}
+
 /// An open job.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Job {
@@ -149,7 +160,7 @@
     /// The numbers of the occurrences that are done.
     pub occurrences_done: IndexSet,
     /// Whether a task has started.
-    pub has_begun: bool,
+    pub beginning: Beginning,
     /// The workers that may have received a start.
     pub workers: BTreeSet<WorkerId>,
     /// The data centre of its last start by this scheduler, if known.
@@ -192,7 +203,7 @@
             record,
             occurrences: BTreeMap::new(),
             occurrences_done: IndexSet::default(),
-            has_begun: false,
+            beginning: Beginning::Waiting,
             workers: BTreeSet::new(),
             dc: None,
             awaited: BTreeSet::new(),
@@ -213,7 +224,9 @@
     /// and run numbers begin at `first_run`. A job of which a task has used up its attempts has failed.
     #[must_use]
     pub fn with_progress(mut self, progress: Progress, first_run: RunNumber) -> Self {
-        self.has_begun = progress.has_begun;
+        if progress.has_begun {
+            self.beginning = Beginning::Started;
+        }
         self.workers.clone_from(&progress.workers);
         self.awaited.clone_from(&progress.workers);
         self.occurrences_done = progress.occurrences_done.clone();
@@ -235,6 +248,12 @@
         &self.record.queue
     }
 
+    /// Whether a task has started or may have.
+    #[must_use]
+    pub fn has_begun(&self) -> bool {
+        self.beginning != Beginning::Waiting
+    }
+
     /// The number of failures of a task that fails the job. `None` if the job was accepted by an older version and its
     /// queue was not in any catalogue since this scheduler knows the job.
     #[must_use]
@@ -453,7 +472,7 @@
     pub fn state(&self) -> JobState {
         match self.outcome {
             Some(outcome) => outcome,
-            None if self.has_begun => JobState::Running,
+            None if self.has_begun() => JobState::Running,
             None => JobState::Queued,
         }
     }
@@ -490,7 +509,7 @@
             })
             .collect();
         Progress {
-            has_begun: self.has_begun,
+            has_begun: self.has_begun(),
             workers: self.workers.clone(),
             occurrences_done: self.occurrences_done.clone(),
             occurrences,
--- a/crates/jobs/src/pool/ingest.rs
+++ b/crates/jobs/src/pool/ingest.rs
@@ -6,7 +6,7 @@
 
 use crate::catalogue::Catalogue;
 use crate::id::{JobId, RunNumber, TaskId, VmId, WorkerId, WorkerRef};
-use crate::job::Job;
+use crate::job::{Beginning, Job};
 use crate::lease::{LeaseBound, expiry};
 use crate::pool::{Event, Pool, StartAnswer, Takeover};
 use crate::progress::Progress;
@@ -356,6 +356,9 @@
         };
         match answer {
             StartAnswer::Started => {
+                if let Some(job) = self.jobs.get_mut(&task.step.job) {
+                    job.beginning = Beginning::Started;
+                }
                 if let Some(run) = worker.runs.get_mut(&key)
                     && run.phase == Phase::Starting
                 {
--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -42,7 +42,7 @@
 use crate::catalogue::Catalogue;
 use crate::estimate::Estimates;
 use crate::id::{FencingToken, JobId, RunNumber, StepId, TaskId, WorkerId, WorkerRef};
-use crate::job::Job;
+use crate::job::{Beginning, Job};
 use crate::lease::LeaseBound;
 use crate::pool::arrivals::Arrivals;
 use crate::resources::Resources;
@@ -420,7 +420,7 @@
     pub fn waiting(&self) -> BTreeMap<&str, u64> {
         let mut waiting = BTreeMap::new();
         for job in self.jobs.values() {
-            if !job.has_begun && job.outcome.is_none() {
+            if job.beginning != Beginning::Started && job.outcome.is_none() {
                 *waiting.entry(job.queue().as_str()).or_default() += 1;
             }
         }
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -9,6 +9,7 @@
 use std::time::Instant;
 
 use crate::id::{JobId, Label, StepId, TaskId, WorkerRef};
+use crate::job::Beginning;
 use crate::pool::free_capacity::FreeCapacity;
 use crate::pool::{Command, Event, Pool, StartCommand};
 use crate::resources::Resources;
@@ -249,8 +250,8 @@
     let Some(until_ms) = worker.deadline_ms(now, pool.bounds.start_window) else {
         return;
     };
-    if !job.has_begun {
-        job.has_begun = true;
+    if job.beginning == Beginning::Waiting {
+        job.beginning = Beginning::Ordered;
         pool.unsaved.insert(task.step.job);
     }
     let checkpoint = job
--- a/crates/jobs/src/pool/report.rs
+++ b/crates/jobs/src/pool/report.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use crate::id::{RunNumber, WorkerRef};
-use crate::job::Task;
+use crate::job::{Beginning, Task};
 use crate::pool::{Event, Pool};
 use crate::worker::{
     Contact, EndRow, Origin, Phase, Report, Run, RunEnd, RunKey, RunningRow, Streaks,
@@ -196,7 +196,7 @@
         let Some(job) = self.jobs.get_mut(&job_id) else {
             return;
         };
-        job.has_begun = true;
+        job.beginning = Beginning::Started;
         // After a takeover, a report may arrive before the first plan has opened the job's occurrences.
         job.open_occurrence(row.task.step.occurrence, now);
         let was_live = run.is_some();
@@ -256,6 +256,9 @@
         if run.phase == Phase::Starting {
             run.phase = Phase::Confirmed;
             run.closed_at = Some(now);
+            if let Some(job) = self.jobs.get_mut(&row.task.step.job) {
+                job.beginning = Beginning::Started;
+            }
         }
         if row.percent != run.percent {
             run.progressed_at = now;
@@ -288,7 +291,7 @@
             tail_target: None,
         };
         if let Some(job) = self.jobs.get_mut(&task.step.job) {
-            job.has_begun = true;
+            job.beginning = Beginning::Started;
             job.open_occurrence(task.step.occurrence, now);
             let team = job.record.team.clone();
             if let Some((step, state)) = job.step_mut(task.step) {
