jobs: a late copy of a start is stopped in each later life of a worker

A worker that restarts twice under its id within the life of an unanswered start forgot the copy with its second life, and would run it in the third (read while going over the change). The starts without an answer now go on to each new incarnation.

Test: case late_copy_after_two_rebirths; without the change the third life gets no stop.

--- a/crates/jobs/src/pool/ingest.rs
+++ b/crates/jobs/src/pool/ingest.rs
@@ -166,7 +166,7 @@
     ) -> WorkerRef {
         let mut carried_over: Vec<(RunKey, Run)> = Vec::new();
         let mut late: BTreeSet<RunKey> = BTreeSet::new();
-        let mut vm = None;
+        let (mut vm, mut unanswered) = (None, BTreeMap::new());
         if let Some(worker) = self.workers.get_mut(&old) {
             late.extend(worker.possible_late_starts(now));
             let reported_at = worker.answered_at;
@@ -179,6 +179,7 @@
                 carried_over.extend(worker.remove(key).map(|run| (key, run)));
             }
             vm.clone_from(&worker.vm);
+            unanswered = std::mem::take(&mut worker.unanswered);
         }
         self.end_incarnation(old, "reborn");
         let worker_ref = self.add_worker(info);
@@ -186,6 +187,8 @@
         let has_earlier_runs = !carried_over.is_empty() || !late.is_empty();
         if let Some(worker) = self.workers.get_mut(&worker_ref) {
             worker.vm = vm;
+            // This incarnation may restart as well before a copy is executed.
+            worker.unanswered = unanswered;
             worker.earlier_runs_until = has_earlier_runs.then(|| now + longest);
             for (key, run) in carried_over {
                 worker.add(key, run);
