--- /dev/null
+++ b/crates/jobs/tests/crash.rs
@@ -0,0 +1,218 @@
+//! Tasks that crash the workers that start them.
+
+mod crashing_fleet;
+mod one_pool;
+
+use std::time::Duration;
+
+use goldcrest_jobs::id::{JobId, TaskId};
+use goldcrest_jobs::resources::Resources;
+use goldcrest_jobs::spec::{Feature, JobState, Schedule, Step};
+
+use crashing_fleet::{Fleet, Return};
+
+/// The most starts of a task after three workers have crashed under it.
+const STARTS_AFTER_MAX: usize = 2;
+
+fn step(tasks: u32, features: &[Feature]) -> Step {
+    Step {
+        tasks,
+        demand: Resources {
+            cpu_millis: 1_000,
+            memory_mb: 500,
+            accelerators: 0,
+        },
+        estimate: Duration::from_millis(600),
+        features: features.to_vec(),
+        ..Step::default()
+    }
+}
+
+/// A fleet that is busy with harmless jobs, and a job with a task that crashes its workers.
+fn busy_fleet(features: &[Feature], returns: Return) -> (Fleet, TaskId) {
+    let mut fleet = Fleet::new(8);
+    fleet.returns = returns;
+    for number in 0..6 {
+        fleet.submit(0x100 + number, step(5, &[]), None);
+    }
+    let job = fleet.submit(0xbad, step(3, features), None);
+    let task = fleet.make_fatal(job, 0);
+    (fleet, task)
+}
+
+fn check(fleet: &Fleet, task: TaskId) {
+    assert_eq!(
+        fleet.starts_after_third_crash(task),
+        0,
+        "{:?}",
+        fleet.starts[&task]
+    );
+    let job = task.step.job;
+    assert_eq!(fleet.outcomes.get(&job), Some(&JobState::Failed));
+    check_harmless(fleet, job);
+}
+
+/// Checks that every job but one was completed.
+fn check_harmless(fleet: &Fleet, fatal: JobId) {
+    let mut others = fleet.outcomes.iter().filter(|(id, _)| **id != fatal);
+    assert!(
+        others.all(|(_, state)| *state == JobState::Completed),
+        "{:?}",
+        fleet.outcomes
+    );
+}
+
+/// Guards against a task that crashes worker after worker: the runs that it lost with them counted nowhere.
+#[test]
+fn plan_gives_up_a_task_that_crashes_its_workers() {
+    for returns in [Return::SameId, Return::NewId, Return::Never] {
+        let (mut fleet, task) = busy_fleet(&[], returns);
+        fleet.play_until_ended(Duration::from_secs(60));
+        check(&fleet, task);
+    }
+}
+
+/// Guards against copies that crash further workers before the loss of the first is certain.
+#[test]
+fn plan_gives_up_a_task_whose_copies_crash_their_workers() {
+    for returns in [Return::SameId, Return::NewId] {
+        let (mut fleet, task) = busy_fleet(&[Feature::Speculative], returns);
+        fleet.play_until_ended(Duration::from_secs(60));
+        check(&fleet, task);
+    }
+}
+
+/// Guards against a count that only tasks which end have: a service is started again however its runs end.
+#[test]
+fn plan_gives_up_a_service_that_crashes_its_workers() {
+    let (mut fleet, task) = busy_fleet(&[Feature::Service], Return::NewId);
+    fleet.run_time = Duration::from_secs(1_000);
+    fleet.play(Duration::from_secs(40));
+    assert!(fleet.starts_after_third_crash(task) <= STARTS_AFTER_MAX);
+    assert_eq!(fleet.outcomes.get(&task.step.job), Some(&JobState::Failed));
+}
+
+/// Guards against a count that best-effort tasks, which reserve no processors, escape.
+#[test]
+fn plan_gives_up_a_best_effort_task_that_crashes_its_workers() {
+    let (mut fleet, task) = busy_fleet(&[Feature::BestEffort], Return::NewId);
+    fleet.play_until_ended(Duration::from_secs(60));
+    check(&fleet, task);
+}
+
+/// Guards against a gang that is started again whenever one of its members has crashed its worker.
+#[test]
+fn plan_gives_up_a_gang_with_a_member_that_crashes_its_workers() {
+    let (mut fleet, task) = busy_fleet(&[Feature::Gang], Return::NewId);
+    fleet.play_until_ended(Duration::from_secs(90));
+    assert!(fleet.starts_after_third_crash(task) <= STARTS_AFTER_MAX);
+    assert_eq!(fleet.outcomes.get(&task.step.job), Some(&JobState::Failed));
+}
+
+/// Guards against a count per job where each occurrence has its own tasks.
+#[test]
+fn plan_gives_up_an_occurrence_that_crashes_its_workers() {
+    let mut fleet = Fleet::new(8);
+    let schedule = Schedule {
+        occurrences: 3,
+        first_due_ms: 1_000_500,
+        interval: Duration::from_millis(400),
+    };
+    let job = fleet.submit(0xbad, step(2, &[]), Some(schedule));
+    for occurrence in 0..3 {
+        let task = format!("{job}.{occurrence}.0.0");
+        fleet.fatal.insert(task.parse().expect("a task"));
+    }
+    fleet.play_until_ended(Duration::from_secs(60));
+    for task in fleet.fatal.clone() {
+        assert!(fleet.starts_after_third_crash(task) <= STARTS_AFTER_MAX);
+    }
+    assert_eq!(fleet.outcomes.get(&job), Some(&JobState::Failed));
+}
+
+/// Guards against a count that is lost with its scheduler: schedulers are replaced at every moment between a crash and
+/// the proof that its run is over.
+#[test]
+fn take_over_keeps_the_count_of_crashes() {
+    for every_ms in (300..4_000).step_by(170) {
+        for returns in [Return::SameId, Return::NewId] {
+            let (mut fleet, task) = busy_fleet(&[], returns);
+            for _ in 0..60 {
+                fleet.play_until_ended(Duration::from_millis(every_ms));
+                fleet.replace_scheduler();
+            }
+            fleet.play_until_ended(Duration::from_secs(60));
+            let after = fleet.starts_after_third_crash(task);
+            assert!(
+                after <= STARTS_AFTER_MAX,
+                "{returns:?} {every_ms} ms: {after}"
+            );
+            assert_eq!(fleet.outcomes.get(&task.step.job), Some(&JobState::Failed));
+            check_harmless(&fleet, task.step.job);
+        }
+    }
+}
+
+/// Guards against a count that is not stored before the next start: the store is silent from time to time, and the
+/// scheduler is replaced meanwhile.
+#[test]
+fn take_over_keeps_the_count_of_crashes_while_the_store_is_silent() {
+    for after_ms in (0..4_000).step_by(190) {
+        let (mut fleet, task) = busy_fleet(&[], Return::NewId);
+        for _ in 0..10 {
+            fleet.play_until_ended(Duration::from_millis(after_ms));
+            fleet.set_store_silent(true);
+            fleet.play_until_ended(Duration::from_millis(2_500));
+            fleet.replace_scheduler();
+            fleet.set_store_silent(false);
+            fleet.play_until_ended(Duration::from_millis(3_500));
+        }
+        fleet.play_until_ended(Duration::from_secs(60));
+        let after = fleet.starts_after_third_crash(task);
+        assert!(after <= STARTS_AFTER_MAX, "{after_ms} ms: {after}");
+        assert_eq!(fleet.outcomes.get(&task.step.job), Some(&JobState::Failed));
+        check_harmless(&fleet, task.step.job);
+    }
+}
+
+/// Guards against blame by presence: racks and single workers are lost again and again under long tasks, and no job
+/// may be given up for it.
+#[test]
+fn plan_gives_no_job_up_for_lost_racks_and_workers() {
+    for returns in [Return::SameId, Return::NewId] {
+        let mut fleet = Fleet::new(12);
+        fleet.returns = returns;
+        fleet.run_time = Duration::from_millis(2_500);
+        let jobs: Vec<JobId> = (0..10)
+            .map(|number| fleet.submit(0x100 + number, step(6, &[]), None))
+            .collect();
+        for round in 0..9 {
+            fleet.play_until_ended(Duration::from_millis(1_700));
+            match round % 3 {
+                0 => fleet.crash(4, Some("r0")),
+                1 => fleet.crash(1, None),
+                _ => fleet.crash(4, Some("r1")),
+            }
+        }
+        fleet.play_until_ended(Duration::from_secs(120));
+        for job in jobs {
+            assert_eq!(fleet.outcomes.get(&job), Some(&JobState::Completed));
+        }
+    }
+}
+
+/// Guards against blame for a worker that was only cut off: it is heard of again, and its runs have not crashed it.
+#[test]
+fn plan_gives_no_job_up_for_workers_that_are_cut_off() {
+    let mut fleet = Fleet::new(3);
+    fleet.run_time = Duration::from_millis(8_000);
+    let job = fleet.submit(0x100, step(3, &[]), None);
+    for round in 0..8 {
+        fleet.play_until_ended(Duration::from_millis(1_000));
+        fleet.set_cut(round % 3, true);
+        fleet.play_until_ended(Duration::from_millis(7_000));
+        fleet.set_cut(round % 3, false);
+    }
+    fleet.play_until_ended(Duration::from_secs(60));
+    assert_eq!(fleet.outcomes.get(&job), Some(&JobState::Completed));
+}
