--- a/crates/grid/src/keys/mod.rs
+++ b/crates/grid/src/keys/mod.rs
@@ -6,6 +6,7 @@
 //! | `in/POOL/job/ID` | the job as it was submitted; removed when it has ended | the accepting entry; a cancelling one |
 //! | `in/POOL/evacuate` | [`Evacuation`]: VMs to evacuate | the holder of the fleet role |
 //! | `run/POOL/ID` | the progress of an open job | the pool's scheduler |
+//! | `lost/POOL/ID` | [`SuspectTasks`](goldcrest_jobs::suspect::SuspectTasks): the unreported runs of an open job; only while it has some | the pool's scheduler |
 //! | `crew/POOL` | [`AssignedWorkers`]: the assigned workers, on which the pool's runs may be, and their longest lease | the pool's scheduler |
 //! | `at/POOL` | [`PoolStatus`]; bound to the scheduler's lease | the pool's scheduler |
 //! | `share/TEAM` | the team's rows, one per pool | the schedulers |
@@ -111,6 +112,9 @@
     /// The longest lease, in milliseconds, that these workers may hold. Older versions did not write it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub lease_ms: Option<u64>,
+    /// When each worker's incarnation started, in milliseconds since 1970, if known. Older versions did not write it.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub started_ms: BTreeMap<WorkerId, u64>,
 }
 
 impl AssignedWorkers {
@@ -236,6 +240,18 @@
     format!("run/{pool}/{id}").into()
 }
 
+/// The prefix of the keys of the unreported runs of a pool's open jobs.
+#[must_use]
+pub fn all_suspects(pool: &PoolName) -> Box<str> {
+    format!("lost/{pool}/").into()
+}
+
+/// The key of an open job's unreported runs.
+#[must_use]
+pub fn suspects(pool: &PoolName, id: JobId) -> Box<str> {
+    format!("lost/{pool}/{id}").into()
+}
+
 /// The key of a pool's assigned workers.
 #[must_use]
 pub fn assigned_workers(pool: &PoolName) -> Box<str> {
--- a/crates/grid/src/pool/commands.rs
+++ b/crates/grid/src/pool/commands.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use goldcrest_jobs::id::{StepId, WorkerId, WorkerRef};
+use goldcrest_jobs::id::{StepId, TaskId, WorkerId, WorkerRef};
 use goldcrest_jobs::pool::{Command, StartAnswer, StartCommand};
 use goldcrest_jobs::worker::millis;
 use tokio::task::JoinSet;
@@ -179,7 +179,7 @@
         self.start_answered(&order, answer);
     }
 
-    /// Waits until the worker is stored with the job. Returns `false` after [`RECORD_TIMEOUT`].
+    /// Waits until the start is stored with the job: its worker and, if its task is suspect, the run. Returns `false` after [`RECORD_TIMEOUT`].
     async fn wait_recorded(&self, order: &StartCommand) -> bool {
         let recorded = async {
             loop {
@@ -197,17 +197,21 @@
         tokio::time::timeout(RECORD_TIMEOUT, recorded).await.is_ok()
     }
 
-    /// Whether the worker is stored with the job.
+    /// Whether the start is stored with the job.
     fn is_recorded(&self, order: &StartCommand) -> bool {
         let id = order.task.step.job;
         let pool = self.pool.borrow();
         let Some(worker) = pool.worker(order.worker) else {
             return false;
         };
-        let recorded = self.recorded_workers.borrow();
-        recorded
-            .get(&id)
-            .is_some_and(|workers| workers.contains(&worker.info.id))
+        let recorded = self.recorded_starts.borrow();
+        let TaskId { step, index } = order.task;
+        let run = (step.occurrence, step.step, index, order.run);
+        recorded.get(&id).is_some_and(|recorded| {
+            let is_run_recorded =
+                !pool.is_suspect(order.task) || recorded.unreported.contains(&run);
+            recorded.workers.contains(&worker.info.id) && is_run_recorded
+        })
     }
 
     fn start_answered(&self, order: &StartCommand, answer: StartAnswer) {
@@ -232,7 +236,8 @@
         match error {
             CommandError::Fenced => self.step_down("a worker has seen a higher token"),
             CommandError::WrongWorker => {
-                self.pool.borrow_mut().worker_replaced(worker);
+                let now = self.now();
+                self.pool.borrow_mut().worker_replaced(worker, now);
                 self.replan.notify_one();
             }
             // The run has ended or the worker does not answer; the next report shows which.
--- a/crates/grid/src/pool/events.rs
+++ b/crates/grid/src/pool/events.rs
@@ -66,6 +66,20 @@
                 }
                 log::info!(target: "scheduler", job:% = job, state:?, took_ms = millis(took), objective_ms = millis(objective); "Job ended.");
             }
+            Event::RunLost {
+                worker,
+                task,
+                run,
+                exposure,
+                beside,
+                unreported,
+            } => {
+                log::warn!(target: "scheduler", task:% = task, run:% = run, worker:% = worker, exposure:?, beside, unreported, pool:% = self.name; "Run lost with its worker.");
+            }
+            Event::GivenUp { task, runs, took } => {
+                let workers: Vec<&str> = runs.iter().map(|run| run.worker.as_str()).collect();
+                log::error!(target: "scheduler", job:% = task.step.job, task:% = task, pool:% = self.name, workers = workers.join(" "), runs:?, took_ms = millis(took); "Job given up: a task of it crashes the workers that start it.");
+            }
             Event::Unfit {
                 job,
                 step,
--- a/crates/grid/src/pool/load.rs
+++ b/crates/grid/src/pool/load.rs
@@ -3,10 +3,13 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use goldcrest_jobs::id::JobId;
 use goldcrest_jobs::progress::Progress;
 use goldcrest_jobs::spec::JobRecord;
+use goldcrest_jobs::suspect::SuspectTasks;
 
 use crate::keys::{self, AssignedWorkers, Evacuation, JobStatus};
+use crate::pool::save::RecordedStarts;
 use crate::pool::{Scheduler, Stored};
 use crate::ports::{CallError, Item, Page, Platform, Revision};
 
@@ -14,6 +17,7 @@
 pub(super) struct StoredPool {
     inbox: Page,
     progresses: Page,
+    suspects: Page,
     /// The assigned workers; absent before the first scheduler of the pool has stored them.
     assigned_workers: Option<Item>,
 }
@@ -25,6 +29,7 @@
         Ok(StoredPool {
             inbox: entry.list(&keys::inbox(&self.name), false).await?,
             progresses: entry.list(&keys::progresses(&self.name), false).await?,
+            suspects: entry.list(&keys::all_suspects(&self.name), false).await?,
             assigned_workers: entry.read(&keys::assigned_workers(&self.name)).await?,
         })
     }
@@ -34,17 +39,17 @@
         let StoredPool {
             inbox,
             progresses,
+            suspects,
             assigned_workers,
         } = stored;
         let is_first = assigned_workers.is_none();
         let assigned_workers: AssignedWorkers =
             self.decode_stored(assigned_workers).unwrap_or_default();
-        let mut by_key: HashMap<Box<str>, Item> = progresses
-            .items
-            .into_iter()
-            .map(|item| (item.key.clone(), item))
-            .collect();
+        let items = progresses.items.into_iter().chain(suspects.items);
+        let mut by_key: HashMap<Box<str>, Item> =
+            items.map(|item| (item.key.clone(), item)).collect();
         let mut jobs = Vec::new();
+        let mut suspects: Vec<(JobId, SuspectTasks)> = Vec::new();
         for item in inbox.items {
             if item.key == keys::evacuation(&self.name) {
                 self.ingest_evacuation(&item);
@@ -56,10 +61,16 @@
             self.assume_status(&item, &record);
             let progress = by_key.remove(&keys::progress(&self.name, record.id));
             let progress: Progress = self.decode_stored(progress).unwrap_or_default();
-            let workers = progress.workers.clone();
-            self.recorded_workers
+            let of_job = by_key.remove(&keys::suspects(&self.name, record.id));
+            let of_job: SuspectTasks = self.decode_stored(of_job).unwrap_or_default();
+            let recorded = RecordedStarts {
+                workers: progress.workers.clone(),
+                unreported: of_job.runs().collect(),
+            };
+            self.recorded_starts
                 .borrow_mut()
-                .insert(record.id, workers);
+                .insert(record.id, recorded);
+            suspects.push((record.id, of_job));
             let age = self.age(&record);
             jobs.push((record, progress, age));
         }
@@ -73,12 +84,29 @@
             lease_ms = assigned_workers.lease_ms;
             "Pool taken over."
         );
-        let AssignedWorkers { workers, lease_ms } = assigned_workers.clone();
+        let AssignedWorkers {
+            workers,
+            lease_ms,
+            started_ms,
+        } = assigned_workers.clone();
         *self.assigned_workers.borrow_mut() = assigned_workers;
         // Without the key nothing was started in this pool, so no run holds a lease.
         let lease = if is_first { Some(0) } else { lease_ms };
         let lease = lease.map(Duration::from_millis);
-        self.pool.borrow_mut().take_over(jobs, workers, lease, now);
+        let mut pool = self.pool.borrow_mut();
+        pool.take_over(jobs, workers, lease, now);
+        pool.set_inherited_incarnations(started_ms);
+        for (job, suspects) in suspects {
+            pool.inherit_suspects(job, suspects);
+        }
+        drop(pool);
+        // An older version has closed these jobs, and does not know of their unreported runs.
+        let orphans = by_key.into_values();
+        let prefix = keys::all_suspects(&self.name);
+        let orphans = orphans.filter(|item| item.key.starts_with(&*prefix));
+        self.orphans
+            .borrow_mut()
+            .extend(orphans.map(|item| (item.key, item.revision)));
         self.mark_changed();
         inbox.revision
     }
--- a/crates/grid/src/pool/mod.rs
+++ b/crates/grid/src/pool/mod.rs
@@ -33,6 +33,8 @@
 use crate::ports::{Platform, Recipient, Revision, StoredCatalogue};
 use crate::{registry, shares};
 
+use save::RecordedStarts;
+
 pub use save::Stored;
 
 /// The delay before a failed store call is tried again.
@@ -54,14 +56,16 @@
     /// The last content of this pool's keys that this scheduler read or wrote. A key that is absent here counts as
     /// absent in the store.
     stored: RefCell<HashMap<Box<str>, Stored>>,
-    /// For each open job, the workers in its stored progress. A start is sent only to a worker that is recorded here.
-    recorded_workers: RefCell<HashMap<JobId, BTreeSet<WorkerId>>>,
+    /// For each open job, what is stored of its starts. No start is sent before it is recorded here.
+    recorded_starts: RefCell<HashMap<JobId, RecordedStarts>>,
+    /// Stored unreported runs of jobs that are not open, with their revisions. They are removed with the next save.
+    orphans: RefCell<Vec<(Box<str>, Revision)>>,
     /// Jobs whose removal from the store is committed, with the time and the revision of the commit.
     closed: RefCell<BTreeMap<JobId, (Instant, Revision)>>,
     /// The number of the latest save request; `saved` holds the number of the latest one that is done.
     saves_requested: Cell<u64>,
     saved: watch::Sender<u64>,
-    /// Wakes starts that wait for their worker to be recorded with the job.
+    /// Wakes starts that wait to be recorded with the job.
     batch_saved: Notify,
     /// The assigned workers and their longest lease, as they are stored.
     assigned_workers: RefCell<AssignedWorkers>,
@@ -146,7 +150,8 @@
         replan: Notify::new(),
         unsaved: Notify::new(),
         stored: RefCell::default(),
-        recorded_workers: RefCell::default(),
+        recorded_starts: RefCell::default(),
+        orphans: RefCell::default(),
         closed: RefCell::default(),
         saves_requested: Cell::new(0),
         saved: watch::Sender::new(0),
--- a/crates/grid/src/pool/reports.rs
+++ b/crates/grid/src/pool/reports.rs
@@ -218,7 +218,8 @@
                 false
             }
             CommandError::WrongWorker => {
-                self.pool.borrow_mut().worker_replaced(worker);
+                let now = self.now();
+                self.pool.borrow_mut().worker_replaced(worker, now);
                 false
             }
             CommandError::Refused(why) => {
@@ -229,7 +230,8 @@
                 if is_first {
                     log::warn!(target: "scheduler", worker:% = id, why:%; "Worker gives no report.");
                 }
-                self.pool.borrow_mut().mark_unresponsive(worker);
+                let now = self.now();
+                self.pool.borrow_mut().mark_unresponsive(worker, now);
                 true
             }
         };
--- a/crates/grid/src/pool/save.rs
+++ b/crates/grid/src/pool/save.rs
@@ -5,14 +5,16 @@
 //! replaced scheduler nor a transaction that is carried out late can overwrite newer content. A conflict returns the
 //! present content of the keys, from which the next attempt starts.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use goldcrest_jobs::id::{JobId, WorkerId};
+use goldcrest_jobs::job::Job;
 use goldcrest_jobs::spec::JobState;
+use goldcrest_jobs::suspect::{SuspectTasks, UnreportedKey};
 
 use crate::keys::{self, AssignedWorkers, JobStatus};
 use crate::pool::{RETRY_AFTER, Scheduler};
@@ -40,6 +42,15 @@
     pub value: Vec<u8>,
 }
 
+/// What is stored of a job's starts, so that a later scheduler knows of them.
+#[derive(Debug, Clone, Default)]
+pub struct RecordedStarts {
+    /// The workers that may have received a start.
+    pub workers: BTreeSet<WorkerId>,
+    /// The unreported runs.
+    pub unreported: BTreeSet<UnreportedKey>,
+}
+
 /// The changes of one job's keys.
 #[derive(Debug, Default)]
 struct Writes {
@@ -47,8 +58,8 @@
     remove: Vec<Box<str>>,
     /// The job, if these changes remove it from the store for good.
     closes: Option<JobId>,
-    /// The job and the workers that are stored with it after these changes.
-    workers: Option<(JobId, BTreeSet<WorkerId>)>,
+    /// The job and what is stored of its starts after these changes.
+    starts: Option<(JobId, RecordedStarts)>,
 }
 
 impl Writes {
@@ -68,7 +79,7 @@
     jobs: Vec<JobId>,
     txn: Txn,
     closed: Vec<JobId>,
-    workers: Vec<(JobId, BTreeSet<WorkerId>)>,
+    starts: Vec<(JobId, RecordedStarts)>,
 }
 
 impl<P: Platform> Scheduler<P> {
@@ -81,6 +92,7 @@
     }
 
     pub(super) async fn keep_saving(self: Rc<Self>) {
+        self.remove_orphans().await;
         loop {
             self.unsaved.notified().await;
             tokio::time::sleep(BATCH_WINDOW).await;
@@ -88,13 +100,30 @@
         }
     }
 
+    /// Removes what is stored of jobs that are not open any more. What could not be removed is left to the next
+    /// scheduler.
+    async fn remove_orphans(&self) {
+        let orphans = self.orphans.take();
+        for orphans in orphans.chunks(ROWS_MAX / 2 - 1) {
+            let expect = orphans.iter().cloned().chain([self.held.guard()]);
+            let txn = Txn {
+                expect: expect.collect(),
+                remove: orphans.iter().map(|(key, _)| key.clone()).collect(),
+                ..Txn::default()
+            };
+            if let Err(error) = self.entry.commit(&txn).await {
+                log::info!(target: "scheduler", pool:% = self.name, keys = orphans.len(), error:%; "Unreported runs of closed jobs not removed; the next scheduler tries again.");
+            }
+        }
+    }
+
     /// Saves until nothing is unsaved. Must run in one task only: jobs that one call has taken are invisible to
     /// another.
     async fn save(&self) {
         loop {
             let number = self.saves_requested.get();
             let jobs = self.pool.borrow_mut().take_unsaved();
-            let result = self.save_assigned_workers().await;
+            let result = self.save_assigned_workers(&jobs).await;
             let result = match result {
                 Ok(()) => self.save_jobs(jobs.iter().copied().collect()).await,
                 Err(error) => Err(error),
@@ -154,20 +183,20 @@
                 ..Txn::default()
             },
             closed: Vec::new(),
-            workers: Vec::new(),
+            starts: Vec::new(),
         };
         while let Some(job) = jobs.last() {
-            let writes = self.writes(*job);
+            let mut writes = self.writes(*job);
             if batch.txn.rows() + writes.rows() > ROWS_MAX {
                 break;
             }
             batch.jobs.extend(jobs.pop());
             if writes.is_empty() {
-                // The store holds the job and its workers already.
-                self.record_workers(writes.workers);
+                // The store holds the job and its starts already.
+                self.record_starts(writes.starts);
             } else {
                 batch.closed.extend(writes.closes);
-                batch.workers.extend(writes.workers.clone());
+                batch.starts.extend(writes.starts.take());
                 self.add(&mut batch.txn, writes);
             }
         }
@@ -180,7 +209,7 @@
         match self.entry.commit(&batch.txn).await? {
             Committed::Done(revision) => {
                 self.apply_commit(batch.txn, revision, &batch.closed);
-                self.record_workers(batch.workers);
+                self.record_starts(batch.starts);
                 Ok(Vec::new())
             }
             Committed::Conflict(conflict) => {
@@ -190,8 +219,8 @@
         }
     }
 
-    fn record_workers(&self, stored: impl IntoIterator<Item = (JobId, BTreeSet<WorkerId>)>) {
-        self.recorded_workers.borrow_mut().extend(stored);
+    fn record_starts(&self, stored: impl IntoIterator<Item = (JobId, RecordedStarts)>) {
+        self.recorded_starts.borrow_mut().extend(stored);
         self.batch_saved.notify_waiters();
     }
 
@@ -229,12 +258,16 @@
                 .push((status_key.clone(), keys::encode(&status)));
         }
         let progress_key = keys::progress(&self.name, id);
+        let suspects_key = keys::suspects(&self.name, id);
         let is_closed = job.outcome.is_some() && job.live() == 0 && !pool.is_taking_over();
         let stored = self.stored.borrow();
         if is_closed {
             if stored.contains_key(&progress_key) {
                 writes.remove.push(progress_key);
             }
+            if stored.contains_key(&suspects_key) {
+                writes.remove.push(suspects_key);
+            }
             writes.remove.push(keys::submitted(&self.name, id));
             writes.closes = Some(id);
         } else {
@@ -245,7 +278,27 @@
             if !is_same {
                 writes.puts.push((progress_key, progress));
             }
-            writes.workers = Some((id, job.workers.clone()));
+            let suspects = job.to_suspects();
+            let unreported = suspects.iter().flat_map(SuspectTasks::runs).collect();
+            match suspects {
+                Some(suspects) => {
+                    let suspects = keys::encode(&suspects);
+                    let known = stored.get(&suspects_key);
+                    if known.is_none_or(|known| known.value != suspects) {
+                        writes.puts.push((suspects_key, suspects));
+                    }
+                }
+                None if stored.contains_key(&suspects_key) => writes.remove.push(suspects_key),
+                None => {}
+            }
+            let workers = job.workers.clone();
+            writes.starts = Some((
+                id,
+                RecordedStarts {
+                    workers,
+                    unreported,
+                },
+            ));
         }
         writes
     }
@@ -276,7 +329,7 @@
                 stored.remove(&keys::job(ended.queue(), *job));
             }
             pool.remove_stored(*job);
-            self.recorded_workers.borrow_mut().remove(job);
+            self.recorded_starts.borrow_mut().remove(job);
             let closed = (self.entry.now(), revision);
             self.closed.borrow_mut().insert(*job, closed);
         }
@@ -354,20 +407,36 @@
     }
 
     /// Stores the workers on which runs of this pool may be and their longest lease, if either has changed.
-    async fn save_assigned_workers(&self) -> Result<(), CallError> {
+    /// A worker whose loss is not stored with its jobs yet stays in the list: a successor that knows of neither would start
+    /// the lost tasks again without counting the loss.
+    async fn save_assigned_workers(&self, unsaved: &BTreeSet<JobId>) -> Result<(), CallError> {
         let assigned_workers = {
             let pool = self.pool.borrow();
-            let workers = pool.workers().values();
-            let mut workers: BTreeSet<_> = workers
-                .filter(|worker| !worker.has_departed)
-                .map(|worker| worker.info.id.clone())
+            let present = || {
+                let workers = pool.workers().values();
+                workers.filter(|worker| !worker.has_departed)
+            };
+            let mut workers: BTreeSet<_> = present().map(|worker| worker.info.id.clone()).collect();
+            let mut started_ms: BTreeMap<_, _> = present()
+                .filter_map(|worker| Some((worker.info.id.clone(), worker.info.started_ms?)))
                 .collect();
-            if pool.is_taking_over() {
-                workers.extend(self.assigned_workers.borrow().workers.iter().cloned());
+            let stored = self.assigned_workers.borrow();
+            let lost = unsaved.iter().filter_map(|job| pool.jobs().get(job));
+            let lost: BTreeSet<&WorkerId> = lost.flat_map(Job::lost_workers).collect();
+            for id in &stored.workers {
+                if (pool.is_taking_over() || lost.contains(id)) && workers.insert(id.clone()) {
+                    started_ms.extend(
+                        stored
+                            .started_ms
+                            .get_key_value(id)
+                            .map(|(id, at)| (id.clone(), *at)),
+                    );
+                }
             }
             AssignedWorkers {
                 workers,
                 lease_ms: Some(pool.lease_bound().longest_ms(self.now())),
+                started_ms,
             }
         };
         if assigned_workers == *self.assigned_workers.borrow() {
--- a/crates/jobs/src/job/mod.rs
+++ b/crates/jobs/src/job/mod.rs
@@ -15,6 +15,7 @@
     IndexSet, OccurrenceProgress, Progress, StepProgress, TaskProgress, most_failures,
 };
 use crate::spec::{JobRecord, JobState, Step, TASKS_MAX};
+use crate::suspect::{CrashLimit, Exposure, RunState, SuspectTask, SuspectTasks, UnreportedRun};
 
 /// A task of an open job.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -33,6 +34,12 @@
     pub is_unknown: bool,
     /// Whether a second run may be started: its only run is suspect, and its step allows copies.
     pub is_copy_allowed: bool,
+    /// Whether the copy may only be started alone on a worker: the task may have crashed the worker of its only run.
+    pub is_copy_isolated: bool,
+    /// Its unreported runs, in the order of their starts.
+    pub unreported: Vec<UnreportedRun>,
+    /// Since when it waits for a worker on which it can be started alone.
+    pub isolation_awaited_since: Option<Instant>,
 }
 
 impl Task {
@@ -43,6 +50,23 @@
         !self.is_done && !self.is_unknown && self.live <= most
     }
 
+    /// Whether its next run should be alone on its worker: it may have crashed a worker by its start, or has lost
+    /// several.
+    #[must_use]
+    pub fn needs_isolation(&self) -> bool {
+        let mut lost = self.unreported.iter();
+        let lost = lost
+            .by_ref()
+            .filter(|run| run.state == RunState::Lost)
+            .map(|run| run.exposure);
+        let (mut count, mut has_just_started) = (0, false);
+        for exposure in lost {
+            count += 1;
+            has_just_started |= exposure != Exposure::Established;
+        }
+        self.is_copy_isolated || has_just_started || count > 1
+    }
+
     fn to_progress(&self, index: u32) -> Option<TaskProgress> {
         // A first run that is still executing will be reported by its worker.
         let has_ended = !self.failed_runs.is_empty() || self.checkpoint.is_some();
@@ -186,6 +210,8 @@
     /// No starts are sent before this time.
     pub paused_until: Option<Instant>,
     stored_progress: Option<Progress>,
+    /// The stored tasks with unreported runs whose occurrences are not open.
+    stored_suspects: Vec<SuspectTask>,
 }
 
 impl Job {
@@ -217,6 +243,7 @@
             first_run: RunNumber::FIRST,
             paused_until: None,
             stored_progress: None,
+            stored_suspects: Vec::new(),
         }
     }
 
@@ -236,6 +263,61 @@
         self
     }
 
+    /// Continues from the unreported runs that an earlier scheduler has stored. Must precede the opening of
+    /// occurrences.
+    pub fn set_suspects(&mut self, suspects: SuspectTasks) {
+        if suspects.accepted_ms == self.record.accepted_ms {
+            self.stored_suspects = suspects.tasks;
+        }
+    }
+
+    /// Returns the tasks with unreported runs. `None` if there are none.
+    #[must_use]
+    pub fn to_suspects(&self) -> Option<SuspectTasks> {
+        let open = self.occurrences.iter().flat_map(|(occurrence, state)| {
+            let steps = (0..).zip(&state.steps);
+            steps.flat_map(move |(step, state)| {
+                let tasks = (0..).zip(&state.tasks);
+                let suspect = tasks.filter(|(_, task)| !task.unreported.is_empty());
+                suspect.map(move |(index, task)| SuspectTask {
+                    occurrence: *occurrence,
+                    step,
+                    index,
+                    runs: task.unreported.clone(),
+                })
+            })
+        });
+        let tasks: Vec<SuspectTask> = open.chain(self.stored_suspects.iter().cloned()).collect();
+        (!tasks.is_empty()).then_some(SuspectTasks {
+            accepted_ms: self.record.accepted_ms,
+            tasks,
+        })
+    }
+
+    /// Gives the job up if the lost runs of a task show that it crashes its workers. Returns whether it did.
+    pub fn judge_crashes(&mut self, task: TaskId, limit: CrashLimit) -> bool {
+        let state = self.step(task.step).map(|(_, state)| state);
+        let task = state.and_then(|state| state.tasks.get(task.index as usize));
+        let is_exceeded =
+            task.is_some_and(|task| !task.is_done && limit.is_exceeded(&task.unreported));
+        let is_given_up = is_exceeded && self.outcome.is_none();
+        if is_given_up {
+            self.outcome = Some(JobState::Failed);
+        }
+        is_given_up
+    }
+
+    /// The workers that were lost under runs of the job.
+    pub fn lost_workers(&self) -> impl Iterator<Item = &WorkerId> {
+        let steps = self
+            .occurrences
+            .values()
+            .flat_map(|occurrence| &occurrence.steps);
+        let runs = steps.flat_map(|step| step.tasks.iter().flat_map(|task| &task.unreported));
+        let lost = runs.filter(|run| run.state == RunState::Lost);
+        lost.map(|run| &run.worker)
+    }
+
     /// The job's id.
     #[must_use]
     pub fn id(&self) -> JobId {
@@ -370,6 +452,18 @@
                 restore(step, stored.and_then(|stored| stored.steps.get(at)));
             }
         }
+        self.stored_suspects.retain(|suspect| {
+            let is_open = suspect.occurrence == occurrence;
+            let step = steps.get_mut(suspect.step as usize);
+            if let Some(step) = step.filter(|_| is_open) {
+                step.update(suspect.index, |task| {
+                    if !task.is_done {
+                        task.unreported.clone_from(&suspect.runs);
+                    }
+                });
+            }
+            !is_open
+        });
         self.occurrences
             .insert(occurrence, Occurrence { steps, due_at });
     }
@@ -380,22 +474,31 @@
         self.stored_progress.is_some()
     }
 
-    /// Marks all tasks as known, after all workers of the job have reported: a task that none of them runs is idle.
-    pub fn resolve_unknown(&mut self) {
+    /// Marks all tasks as known, after all workers of the job have reported or were lost: a task that none of them runs
+    /// is idle. If one of them was lost, an earlier scheduler may have started any such task on it; `lost` is that worker
+    /// and when its incarnation started.
+    pub fn resolve_unknown(&mut self, lost: Option<(&WorkerId, Option<u64>)>) {
         // The wall clock may have been set back since the occurrences were opened.
         let stored = self
             .stored_progress
             .iter()
             .flat_map(|occurrence| &occurrence.occurrences);
-        let begun: Vec<u32> = stored.map(|occurrence| occurrence.occurrence).collect();
+        let suspects = self.stored_suspects.iter();
+        let begun: BTreeSet<u32> = stored
+            .map(|occurrence| occurrence.occurrence)
+            .chain(suspects.map(|suspect| suspect.occurrence))
+            .collect();
         for occurrence in begun {
             self.open_occurrence(occurrence, self.first_seen_at);
         }
         self.stored_progress = None;
+        let specs = &self.record.spec.steps;
         for occurrence in self.occurrences.values_mut() {
-            for step in &mut occurrence.steps {
+            let open: Vec<bool> = specs.iter().map(|step| occurrence.is_open(step)).collect();
+            for (step, may_have_started) in occurrence.steps.iter_mut().zip(open) {
+                let lost = lost.filter(|_| may_have_started);
                 for index in 0..u32::try_from(step.tasks.len()).unwrap_or(u32::MAX) {
-                    step.update(index, |task| task.is_unknown = false);
+                    step.update(index, |task| resolve(task, lost));
                 }
             }
         }
@@ -413,6 +516,14 @@
         Some((spec, state))
     }
 
+    /// Whether the steps that a step waits for are done.
+    #[must_use]
+    pub fn is_step_open(&self, id: StepId) -> bool {
+        let occurrence = self.occurrences.get(&id.occurrence);
+        let spec = self.record.spec.steps.get(id.step as usize);
+        matches!((occurrence, spec), (Some(occurrence), Some(spec)) if occurrence.is_open(spec))
+    }
+
     /// Returns a step and its mutable state, as [`Self::step`] does.
     pub fn step_mut(&mut self, id: StepId) -> Option<(&Step, &mut StepState)> {
         let spec = self.record.spec.steps.get(id.step as usize)?;
@@ -529,6 +640,26 @@
     progress
 }
 
+/// Marks a task as known. Its unreported runs that no worker executes are lost.
+fn resolve(task: &mut Task, lost: Option<(&WorkerId, Option<u64>)>) {
+    let may_be_lost = task.is_unknown && !task.is_done && task.unreported.is_empty();
+    task.is_unknown = false;
+    if task.live == 0 {
+        for run in &mut task.unreported {
+            run.lose(Exposure::Shared);
+        }
+    }
+    if let Some((worker, started_ms)) = lost.filter(|_| may_be_lost) {
+        task.unreported.push(UnreportedRun {
+            run: None,
+            worker: worker.clone(),
+            started_ms,
+            exposure: Exposure::Established,
+            state: RunState::Lost,
+        });
+    }
+}
+
 fn restore(step: &mut StepState, stored: Option<&StepProgress>) {
     for index in 0..u32::try_from(step.tasks.len()).unwrap_or(u32::MAX) {
         let is_done = stored.is_some_and(|stored| stored.done.contains(index));
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -5,7 +5,8 @@
 //! throttle. [`catalogue::Catalogue`] finds the queue and the team of a call, [`policy::AcceptedPolicy`] is what a job was
 //! promised, [`lease::LeaseBound`] is the longest lease that workers may hold, [`share::Share`] divides a team's upper
 //! limit between pools, [`size::Sizes`] moves VMs between pools, [`upkeep::Upkeep`] decides which VM is maintained next,
-//! and [`progress::Progress`] is the stored progress of an open job.
+//! [`progress::Progress`] is the stored progress of an open job, and [`suspect::SuspectTasks`] are its tasks that may have
+//! crashed their workers.
 //!
 //! Nothing here does I/O; the time is passed in.
 
@@ -22,6 +23,7 @@
 pub mod share;
 pub mod size;
 pub mod spec;
+pub mod suspect;
 pub mod upkeep;
 pub mod verify;
 pub mod worker;
--- a/crates/jobs/src/pool/doubt.rs
+++ b/crates/jobs/src/pool/doubt.rs
@@ -41,6 +41,15 @@
     WorkerUnresponsive,
 }
 
+/// Whether a task may be given a copy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Copies {
+    Denied,
+    /// Alone on its worker.
+    Isolated,
+    Allowed,
+}
+
 /// Runs the pass.
 pub fn run(pool: &mut Pool, now: Instant) {
     let mut suspicions: Vec<(WorkerRef, RunKey, Suspicion)> = Vec::new();
@@ -58,7 +67,7 @@
     let suspects: BTreeSet<TaskId> = suspicions.iter().map(|(_, key, _)| key.0).collect();
     let before = std::mem::take(&mut pool.copies_allowed);
     for task in before.difference(&suspects) {
-        allow_copy(pool, *task, false);
+        set_copy(pool, *task, Copies::Denied);
     }
     let mut stalled: Vec<WorkerRef> = Vec::new();
     for (worker_ref, key, suspicion) in suspicions {
@@ -70,7 +79,13 @@
             .get(&key.0.step.job)
             .and_then(|job| job.step(key.0.step));
         if step.is_some_and(|(step, _)| step.is_speculative()) {
-            allow_copy(pool, key.0, true);
+            let worker = pool.workers.get(&worker_ref);
+            let run = worker.and_then(|worker| Some((worker, worker.runs.get(&key)?)));
+            let copies = match run {
+                Some((worker, run)) if worker.is_established(run, now) => Copies::Allowed,
+                Some(_) | None => Copies::Isolated,
+            };
+            set_copy(pool, key.0, copies);
             pool.copies_allowed.insert(key.0);
         } else if suspicion == Suspicion::Stalled {
             pool.stop(worker_ref, key, StopReason::StandsStill, now);
@@ -90,13 +105,26 @@
             .is_some_and(|at| at.saturating_duration_since(run.progressed_at) >= STALL_TIMEOUT)
 }
 
-/// Sets whether a task may be given a copy. Only a task with exactly one run may.
-fn allow_copy(pool: &mut Pool, task: TaskId, is_allowed: bool) {
+/// Sets whether a task may be given a copy. Only a task with exactly one run may. If that run had just started when its
+/// worker fell silent, the task may have crashed the worker: the copy is isolated, and a task that has lost a run before
+/// gets none.
+fn set_copy(pool: &mut Pool, task: TaskId, copy: Copies) {
     let job = pool.jobs.get_mut(&task.step.job);
-    if let Some((_, state)) = job.and_then(|job| job.step_mut(task.step)) {
-        state.update(task.index, |task| {
-            task.is_copy_allowed = is_allowed && task.live == 1;
-        });
+    let Some((_, state)) = job.and_then(|job| job.step_mut(task.step)) else {
+        return;
+    };
+    let is_isolated = state.update(task.index, |task| {
+        let may_start = match copy {
+            Copies::Denied => false,
+            Copies::Isolated => task.unreported.is_empty(),
+            Copies::Allowed => true,
+        };
+        task.is_copy_allowed = may_start && task.live == 1;
+        task.is_copy_isolated = task.is_copy_allowed && copy == Copies::Isolated;
+        task.is_copy_isolated
+    });
+    if is_isolated == Some(true) {
+        pool.suspects.insert(task);
     }
 }
 
--- a/crates/jobs/src/pool/evacuate.rs
+++ b/crates/jobs/src/pool/evacuate.rs
@@ -81,7 +81,7 @@
         return true;
     }
     let has_alternative = FreeCapacity::new(pool, now)
-        .choose(pool, key.0.step, step)
+        .choose(pool, key.0.step, step, false)
         .is_some();
     if !has_alternative {
         return false;
--- a/crates/jobs/src/pool/event.rs
+++ b/crates/jobs/src/pool/event.rs
@@ -8,6 +8,7 @@
 use crate::pool::StopReason;
 use crate::resources::Resources;
 use crate::spec::JobState;
+use crate::suspect::{Exposure, UnreportedRun};
 
 /// A change in the state of a pool.
 #[derive(Debug, Clone, PartialEq)]
@@ -56,6 +57,30 @@
         /// The time from acceptance to completion that the submitter expects.
         objective: Duration,
     },
+    /// The worker of a run was lost, which the run may have caused.
+    RunLost {
+        /// The worker that was lost.
+        worker: WorkerId,
+        /// The task that the run belongs to.
+        task: TaskId,
+        /// The number of the run.
+        run: RunNumber,
+        /// What the loss says about the task.
+        exposure: Exposure,
+        /// The number of runs that were lost with it.
+        beside: usize,
+        /// The number of the task's unreported runs.
+        unreported: usize,
+    },
+    /// A job was given up: its lost runs show that one of its tasks crashes the workers that start it.
+    GivenUp {
+        /// The task that crashes its workers.
+        task: TaskId,
+        /// Its unreported runs.
+        runs: Vec<UnreportedRun>,
+        /// The time since the job was accepted.
+        took: Duration,
+    },
     /// No worker of the pool could run a step of the job.
     Unfit {
         /// The job that waits.
--- a/crates/jobs/src/pool/free_capacity.rs
+++ b/crates/jobs/src/pool/free_capacity.rs
@@ -51,7 +51,10 @@
         let accepting = pool
             .workers
             .iter()
-            .filter(|(_, worker)| worker.takes_work(now) && worker.clock.is_some());
+            .filter(|(_, worker)| worker.takes_work(now) && worker.clock.is_some())
+            .filter(|(worker_ref, worker)| {
+                !worker.is_isolating(now) && !pool.held_for_suspects.contains(worker_ref)
+            });
         let mut dcs: Vec<Option<DcName>> = Vec::new();
         let candidates = accepting
             .map(|(worker_ref, worker)| {
@@ -107,10 +110,17 @@
     /// of the job's last start, then the one with the least free processor time. Tasks of services go to workers that
     /// run other services, which keeps the other workers empty, so that these can leave the pool as soon as its busy
     /// period ends. Best-effort tasks use idle capacity and go where there is the most of it.
-    pub fn choose(&mut self, pool: &Pool, id: StepId, step: &Step) -> Option<WorkerRef> {
+    /// So do tasks that may have crashed their workers.
+    pub fn choose(
+        &mut self,
+        pool: &Pool,
+        id: StepId,
+        step: &Step,
+        is_suspect: bool,
+    ) -> Option<WorkerRef> {
         let demand = step.reserved();
         let fitness = |free: &Resources| {
-            if step.is_best_effort() {
+            if step.is_best_effort() || is_suspect {
                 free.cpu_millis
             } else {
                 u64::MAX - free.cpu_millis
@@ -148,7 +158,7 @@
             let Some(worker) = pool.workers.get(&candidate.worker) else {
                 continue;
             };
-            if self.may_run(pool, candidate.worker, worker, id, step) {
+            if may_run(pool, candidate.worker, worker, id, step, self.now) {
                 let is_near = step
                     .near
                     .as_ref()
@@ -181,26 +191,28 @@
             .iter()
             .filter(|candidate| {
                 let worker = pool.workers.get(&candidate.worker);
-                worker.is_some_and(|worker| self.may_run(pool, candidate.worker, worker, id, step))
+                worker.is_some_and(|worker| {
+                    may_run(pool, candidate.worker, worker, id, step, self.now)
+                })
             })
             .map(|candidate| (candidate.worker, candidate.free))
             .collect()
     }
+}
 
-    /// Whether a worker with enough free capacity may run a task of the step.
-    fn may_run(
-        &self,
-        pool: &Pool,
-        worker_ref: WorkerRef,
-        worker: &Worker,
-        id: StepId,
-        step: &Step,
-    ) -> bool {
-        let is_within_spread = step
-            .spread
-            .is_none_or(|most| tasks_of_step(worker, id) < most as usize);
-        worker.has_required(step) && is_within_spread && pool.is_permitted(id, worker_ref, self.now)
-    }
+/// Whether a worker with enough free capacity may run a task of the step.
+pub fn may_run(
+    pool: &Pool,
+    worker_ref: WorkerRef,
+    worker: &Worker,
+    id: StepId,
+    step: &Step,
+    now: Instant,
+) -> bool {
+    let is_within_spread = step
+        .spread
+        .is_none_or(|most| tasks_of_step(worker, id) < most as usize);
+    worker.has_required(step) && is_within_spread && pool.is_permitted(id, worker_ref, now)
 }
 
 fn services(worker: &Worker) -> usize {
--- a/crates/jobs/src/pool/ingest.rs
+++ b/crates/jobs/src/pool/ingest.rs
@@ -103,6 +103,7 @@
         let until = now + expiry(self.lease_bound.inherited(), &self.bounds);
         self.takeover = Some(Takeover {
             awaited: assigned_workers,
+            lost: BTreeSet::new(),
             until,
         });
     }
@@ -174,14 +175,18 @@
                 late.contains(key) || run.closed_at.is_none_or(|at| Some(at) > reported_at)
             });
             let keys: Vec<RunKey> = may_be_present.map(|(key, _)| *key).collect();
+            vm.clone_from(&worker.vm);
+            unanswered = std::mem::take(&mut worker.unanswered);
             for key in keys {
                 late.remove(&key);
-                carried_over.extend(worker.remove(key).map(|run| (key, run)));
+                // The old incarnation may have executed it, and the task is not idle before it is stopped in the new one.
+                self.record_loss(old, key, now);
+                if let Some(worker) = self.workers.get_mut(&old) {
+                    carried_over.extend(worker.remove(key).map(|run| (key, run)));
+                }
             }
-            vm.clone_from(&worker.vm);
-            unanswered = std::mem::take(&mut worker.unanswered);
         }
-        self.end_incarnation(old, "reborn");
+        self.end_incarnation(old, "reborn", now);
         let worker_ref = self.add_worker(info);
         let longest = expiry(self.bounds.lease_max, &self.bounds);
         let has_earlier_runs = !carried_over.is_empty() || !late.is_empty();
@@ -202,6 +207,7 @@
                 run.phase = Phase::Stopping;
                 run.stop_sent_at = None;
                 run.closed_at = None;
+                run.is_carried_over = true;
             }
         }
         worker_ref
@@ -286,7 +292,7 @@
 
     /// Marks a worker as departed and drops its runs. It has restarted or has certainly stopped, so none of them is
     /// executing.
-    pub fn end_incarnation(&mut self, worker_ref: WorkerRef, state: &'static str) {
+    pub fn end_incarnation(&mut self, worker_ref: WorkerRef, state: &'static str, now: Instant) {
         self.push_worker_event(worker_ref, state);
         let Some(worker) = self.workers.get_mut(&worker_ref) else {
             return;
@@ -294,7 +300,7 @@
         worker.has_departed = true;
         let keys: Vec<RunKey> = worker.runs.keys().copied().collect();
         for key in keys {
-            self.drop_run(worker_ref, key, "worker gone");
+            self.lose_run(worker_ref, key, "worker gone", now);
         }
     }
 
@@ -305,9 +311,16 @@
             && let Some(worker) = self.workers.get(&worker_ref)
         {
             takeover.awaited.remove(&worker.info.id);
+            takeover.lost.insert(worker.info.id.clone());
         }
     }
 
+    /// Removes a run that is certain not to be executing and has not ended as done, by what its worker has reported.
+    pub(super) fn drop_reported(&mut self, worker_ref: WorkerRef, key: RunKey, how: &'static str) {
+        self.clear_reported(worker_ref, key);
+        self.drop_run(worker_ref, key, how);
+    }
+
     /// Removes a run that is certain not to be executing and has not ended as done.
     pub(super) fn drop_run(&mut self, worker_ref: WorkerRef, key: RunKey, how: &'static str) {
         let Some(host) = self.workers.get_mut(&worker_ref) else {
@@ -374,11 +387,11 @@
             StartAnswer::Unknown => worker.paused_until = Some(now + WORKER_PAUSE),
             StartAnswer::NoRoom => {
                 worker.is_full = true;
-                self.drop_run(worker_ref, key, "no room");
+                self.drop_reported(worker_ref, key, "no room");
             }
             StartAnswer::Unhealthy => {
                 worker.paused_until = Some(now + WORKER_PAUSE);
-                self.drop_run(worker_ref, key, "unhealthy");
+                self.drop_reported(worker_ref, key, "unhealthy");
             }
             // An earlier attempt may have been executed and have ended; the next report shows it.
             StartAnswer::Outdated => {
@@ -387,23 +400,26 @@
                 }
             }
             StartAnswer::TooLate => {
-                self.drop_run(worker_ref, key, "too late");
+                self.drop_reported(worker_ref, key, "too late");
                 self.pause_job(task.step.job, TOO_LATE_PAUSE, now);
             }
             StartAnswer::NoPermit => {
                 self.permit_refused(task.step, worker_ref, now);
-                self.drop_run(worker_ref, key, "no permit");
+                self.drop_reported(worker_ref, key, "no permit");
             }
-            StartAnswer::Cordoned => self.drop_run(worker_ref, key, "cordoned"),
+            StartAnswer::Cordoned => self.drop_reported(worker_ref, key, "cordoned"),
             StartAnswer::Malformed => {
-                self.drop_run(worker_ref, key, "malformed");
+                self.drop_reported(worker_ref, key, "malformed");
                 self.pause_job(task.step.job, MALFORMED_PAUSE, now);
             }
             StartAnswer::Fenced => {
                 self.is_fenced_out = true;
-                self.drop_run(worker_ref, key, "fenced");
+                self.drop_reported(worker_ref, key, "fenced");
+            }
+            StartAnswer::WrongWorker => {
+                self.drop_reported(worker_ref, key, "wrong worker");
+                self.worker_replaced(worker_ref, now);
             }
-            StartAnswer::WrongWorker => self.worker_replaced(worker_ref),
         }
     }
 
@@ -445,17 +461,18 @@
     }
 
     /// Records that a worker did not answer the request for a report. It gets no starts until it does.
-    pub fn mark_unresponsive(&mut self, worker_ref: WorkerRef) {
+    pub fn mark_unresponsive(&mut self, worker_ref: WorkerRef, now: Instant) {
         if let Some(worker) = self.workers.get_mut(&worker_ref)
             && worker.is_fenced()
         {
             worker.contact = Contact::Unresponsive;
+            worker.unresponsive_since.get_or_insert(now);
         }
     }
 
     /// Handles a reply from another worker, or another incarnation, at this worker's address.
-    pub fn worker_replaced(&mut self, worker: WorkerRef) {
-        self.end_incarnation(worker, "replaced");
+    pub fn worker_replaced(&mut self, worker: WorkerRef, now: Instant) {
+        self.end_incarnation(worker, "replaced", now);
         self.stop_awaiting(worker);
     }
 
--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -13,7 +13,8 @@
 //! State enters through [`Pool::submit`], [`Pool::set_workers`], [`Pool::report`] and the replies to commands.
 //! [`Pool::plan`] then runs the passes, one per file: [`release`], [`cordon`], [`lifecycle`], `unknown_usage` (counts
 //! what runs of an earlier scheduler may reserve), [`evacuate`], `doubt` (finds suspect runs: stalled ones, and those on
-//! unresponsive workers), [`order`] (sorts the waiting jobs), [`permits`], [`place`], `unfit` (finds steps that fit no
+//! unresponsive workers), [`order`] (sorts the waiting jobs), [`permits`], `isolate` (starts tasks that may
+//! have crashed their workers), [`place`], `unfit` (finds steps that fit no
 //! worker), [`pace`] (limits the speed of best-effort runs).
 
 mod arrivals;
@@ -23,6 +24,7 @@
 mod event;
 mod free_capacity;
 mod ingest;
+mod isolate;
 pub mod lifecycle;
 pub mod order;
 pub mod pace;
@@ -30,6 +32,7 @@
 pub mod place;
 pub mod release;
 mod report;
+mod suspects;
 mod unfit;
 mod unknown_usage;
 
@@ -46,6 +49,7 @@
 use crate::lease::LeaseBound;
 use crate::pool::arrivals::Arrivals;
 use crate::resources::Resources;
+use crate::suspect::CrashLimit;
 use crate::worker::Worker;
 
 pub use event::Event;
@@ -62,6 +66,8 @@
     pub start_window: Duration,
     /// The time that a worker may take to stop a run.
     pub stop_grace: Duration,
+    /// How many workers may crash under a task before its job is given up.
+    pub crash_limit: CrashLimit,
 }
 
 impl Bounds {
@@ -79,6 +85,7 @@
             lease_max: Duration::from_secs(10),
             start_window: Duration::from_millis(1_500),
             stop_grace: Duration::from_millis(500),
+            crash_limit: CrashLimit::default(),
         }
     }
 }
@@ -201,6 +208,8 @@
 #[derive(Debug, Clone)]
 struct Takeover {
     awaited: BTreeSet<WorkerId>,
+    /// Workers whose incarnation that the earlier scheduler used has certainly ended.
+    lost: BTreeSet<WorkerId>,
     until: Instant,
 }
 
@@ -238,6 +247,13 @@
     cordoned: BTreeSet<DcName>,
     /// Tasks whose only run was suspect in the last plan and which may be given a copy.
     copies_allowed: BTreeSet<TaskId>,
+    /// The tasks that have unreported runs.
+    suspects: BTreeSet<TaskId>,
+    /// When the incarnation of each worker started that an earlier scheduler used, in milliseconds since 1970, if it is
+    /// stored.
+    inherited_incarnations: BTreeMap<WorkerId, u64>,
+    /// Workers that get no other starts, as of the last plan, so that suspect tasks can be started there alone.
+    held_for_suspects: BTreeSet<WorkerRef>,
     /// When the jobs were last checked for steps that fit no worker.
     unfit_checked_at: Option<Instant>,
 }
@@ -278,6 +294,9 @@
             has_permit_jobs: false,
             cordoned: BTreeSet::new(),
             copies_allowed: BTreeSet::new(),
+            suspects: BTreeSet::new(),
+            inherited_incarnations: BTreeMap::new(),
+            held_for_suspects: BTreeSet::new(),
             unfit_checked_at: None,
         }
     }
@@ -492,6 +511,7 @@
         doubt::run(self, now);
         order::run(self, now);
         permits::run(self, now);
+        isolate::run(self, now);
         place::run(self, now);
         unfit::run(self, now);
         pace::run(self, now);
--- a/crates/jobs/src/pool/order.rs
+++ b/crates/jobs/src/pool/order.rs
@@ -55,8 +55,7 @@
     let mut keyed: Vec<_> = pool
         .jobs
         .values()
-        .filter(|job| job.outcome.is_none() && !job.awaits_policy() && has_idle(job))
-        .filter(|job| job.paused_until.is_none_or(|until| now >= until))
+        .filter(|job| is_placeable(job, now) && has_idle(job))
         .map(|job| {
             let queue = pool.catalogue.queue(job.queue());
             let accepted = job.record.policy.as_ref();
@@ -88,6 +87,13 @@
         .extend(keyed.into_iter().map(|(.., id)| id));
 }
 
+/// Whether tasks of the job may be started.
+pub fn is_placeable(job: &Job, now: Instant) -> bool {
+    job.outcome.is_none()
+        && !job.awaits_policy()
+        && job.paused_until.is_none_or(|until| now >= until)
+}
+
 /// The work of the tasks that have not started, in thousandths of a core times milliseconds.
 fn remaining_work(job: &Job) -> u64 {
     let steps = job.record.spec.steps.iter().zip(&job.step_times);
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -103,7 +103,11 @@
             record_short(pool, step.job, reserved, left);
             return;
         }
-        let Some(worker) = free_capacity.choose(pool, step, &spec) else {
+        let is_suspect = pool.suspects.contains(task);
+        if is_suspect && !pool.may_start_suspect(*task, now) {
+            continue;
+        }
+        let Some(worker) = free_capacity.choose(pool, step, &spec, is_suspect) else {
             return;
         };
         free_capacity.reserve(worker, reserved);
@@ -117,7 +121,9 @@
         return;
     };
     let tasks = idle_tasks(pool, step);
-    if tasks.len() != spec.tasks as usize {
+    let is_startable =
+        |task: &TaskId| !pool.suspects.contains(task) || pool.may_start_suspect(*task, now);
+    if tasks.len() != spec.tasks as usize || !tasks.iter().all(is_startable) {
         return;
     }
     let reserved = spec.reserved();
@@ -200,7 +206,7 @@
 }
 
 /// Whether the job's team may reserve `more` in addition to its usage.
-fn is_allowed(pool: &Pool, job: JobId, more: Resources) -> bool {
+pub(super) fn is_allowed(pool: &Pool, job: JobId, more: Resources) -> bool {
     let Some(team) = pool.jobs.get(&job).and_then(|job| job.record.team.as_ref()) else {
         return true;
     };
@@ -228,7 +234,8 @@
 
 type GangStart = (Option<crate::id::RunNumber>, Option<Box<str>>);
 
-fn start(
+/// Plans the start of a task.
+pub(super) fn start(
     pool: &mut Pool,
     task: TaskId,
     spec: &Step,
@@ -265,6 +272,11 @@
     if job.dc != worker.info.dc {
         job.dc.clone_from(&worker.info.dc);
     }
+    let is_suspect = job.step(task.step).is_some_and(|(_, state)| {
+        let task = state.tasks.get(task.index as usize);
+        task.is_some_and(|task| !task.unreported.is_empty() || task.live > 0)
+    });
+    let is_isolated = pool.suspects.contains(&task) && worker.runs.is_empty();
     let waited = now.saturating_duration_since(job.accepted_at);
     let payload = job.record.spec.payload.clone();
     let team = job.record.team.clone();
@@ -273,6 +285,8 @@
             task.live += 1;
             task.last_run = Some(run);
             task.is_copy_allowed = false;
+            task.is_copy_isolated = false;
+            task.isolation_awaited_since = None;
         });
     }
     pool.events.push(Event::Started {
@@ -302,6 +316,9 @@
         is_service: false,
         is_best_effort: false,
         tail_target: None,
+        is_established: false,
+        is_isolated,
+        is_carried_over: false,
     }
     .with_step(spec);
     let reserved = new_run.reserved;
@@ -310,6 +327,9 @@
     if let Some(team) = team {
         *pool.usage.entry(team).or_default() += reserved;
     }
+    if is_suspect {
+        pool.record_suspect_start((task, run), worker_ref, now);
+    }
     pool.commands.push(Command::Start(StartCommand {
         worker: worker_ref,
         task,
--- a/crates/jobs/src/pool/release.rs
+++ b/crates/jobs/src/pool/release.rs
@@ -23,7 +23,7 @@
         .map(|(worker_ref, _)| *worker_ref)
         .collect();
     for worker_ref in expired {
-        release(pool, worker_ref);
+        release(pool, worker_ref, now);
     }
     let removable: Vec<WorkerRef> = pool
         .workers
@@ -55,12 +55,12 @@
     !worker.is_listed && worker.runs.is_empty() && is_unresponsive
 }
 
-fn release(pool: &mut Pool, worker_ref: WorkerRef) {
+fn release(pool: &mut Pool, worker_ref: WorkerRef, now: Instant) {
     let Some(worker) = pool.workers.get_mut(&worker_ref) else {
         return;
     };
     if !worker.is_listed {
-        pool.end_incarnation(worker_ref, "gone");
+        pool.end_incarnation(worker_ref, "gone", now);
         return;
     }
     if worker.runs.is_empty() {
@@ -69,7 +69,7 @@
     let keys: Vec<_> = worker.runs.keys().copied().collect();
     pool.push_worker_event(worker_ref, "leases lapsed");
     for key in keys {
-        pool.drop_run(worker_ref, key, "lease lapsed");
+        pool.lose_run(worker_ref, key, "lease lapsed", now);
     }
 }
 
@@ -80,11 +80,19 @@
         return;
     };
     let is_over = takeover.awaited.is_empty() || now >= takeover.until;
+    let mut resolved = Vec::new();
     for (id, job) in &mut pool.jobs {
+        let lost = takeover.lost.iter().chain(&takeover.awaited);
+        let lost = lost.filter(|worker| is_over || takeover.lost.contains(*worker));
+        let worker = lost
+            .into_iter()
+            .find(|worker| job.workers.contains(*worker));
         job.awaited
             .retain(|worker| !is_over && takeover.awaited.contains(worker));
         if job.awaited.is_empty() && job.is_inherited() {
-            job.resolve_unknown();
+            let incarnations = &pool.inherited_incarnations;
+            job.resolve_unknown(worker.map(|id| (id, incarnations.get(id).copied())));
+            resolved.push(*id);
         }
         // An ended job can be closed now.
         if is_over && job.outcome.is_some() {
@@ -94,4 +102,7 @@
     if is_over {
         pool.takeover = None;
     }
+    for job in resolved {
+        pool.collect_suspects(job);
+    }
 }
--- a/crates/jobs/src/pool/report.rs
+++ b/crates/jobs/src/pool/report.rs
@@ -6,8 +6,10 @@
 use crate::id::{RunNumber, WorkerRef};
 use crate::job::{Beginning, Task};
 use crate::pool::{Event, Pool};
+use crate::suspect::Exposure;
 use crate::worker::{
-    Contact, EndRow, Origin, Phase, Report, Run, RunEnd, RunKey, RunningRow, Streaks,
+    Contact, ESTABLISHED_AFTER, EndRow, Origin, Phase, Report, Run, RunEnd, RunKey, RunningRow,
+    Streaks,
 };
 
 /// The highest clock value accepted from a worker, in milliseconds. Messages can't represent larger integers exactly,
@@ -43,6 +45,8 @@
         let clock_ms = report.clock_ms.min(CLOCK_MS_MAX);
         worker.clock = Some((clock_ms, now));
         worker.answered_at = Some(now);
+        worker.answering_since.get_or_insert(now);
+        worker.unresponsive_since = None;
         worker.is_full = false;
         let is_new = !worker.is_fenced();
         worker.contact = Contact::Responding;
@@ -56,8 +60,14 @@
             let offered_ms = clock_ms + crate::worker::millis(longest);
             worker.lease_until_ms = worker.lease_until_ms.max(offered_ms);
             let id = worker.info.id.clone();
-            if let Some(takeover) = &mut self.takeover {
-                takeover.awaited.remove(&id);
+            let used = self.inherited_incarnations.get(&id).copied();
+            let has_restarted =
+                used.is_some() && report.started_ms.is_some_and(|now| Some(now) != used);
+            if let Some(takeover) = &mut self.takeover
+                && takeover.awaited.remove(&id)
+                && has_restarted
+            {
+                takeover.lost.insert(id);
             }
             self.push_worker_event(worker_ref, "fenced");
         }
@@ -73,6 +83,7 @@
         }
         if !may_have_more {
             self.drop_unlisted(worker_ref, &listed, sent_at, clock_ms);
+            self.clear_absent(worker_ref);
         }
         has_ends
     }
@@ -120,6 +131,10 @@
         worker.last_end = row.number;
         let id = worker.info.id.clone();
         let key = (row.task, row.run);
+        self.clear_reported(worker_ref, key);
+        let Some(worker) = self.workers.get_mut(&worker_ref) else {
+            return;
+        };
         let run = worker.remove(key);
         let job_id = row.task.step.job;
         match row.end {
@@ -212,7 +227,10 @@
                 task.checkpoint.clone_from(&row.checkpoint);
             }
             match row.end {
-                RunEnd::Done => task.is_done = true,
+                RunEnd::Done => {
+                    task.is_done = true;
+                    task.unreported.clear();
+                }
                 RunEnd::Failed => record_failure(task, row.run, is_service),
                 _ => {}
             }
@@ -220,7 +238,10 @@
         });
         if row.end == RunEnd::Done && is_gang {
             for index in 0..step_len(state) {
-                state.update(index, |task| task.is_done = true);
+                state.update(index, |task| {
+                    task.is_done = true;
+                    task.unreported.clear();
+                });
             }
         }
         let failures = if is_gang {
@@ -263,11 +284,17 @@
         if row.percent != run.percent {
             run.progressed_at = now;
         }
+        let has_run = now.saturating_duration_since(run.started_at);
+        let becomes_established = !run.is_established && has_run >= ESTABLISHED_AFTER;
+        run.is_established |= becomes_established;
         run.percent = row.percent;
         run.load = row.load;
         if row.checkpoint.is_some() {
             run.checkpoint = row.checkpoint;
         }
+        if becomes_established {
+            self.establish(key);
+        }
     }
 
     /// Adds a run that this scheduler didn't start, or whose start was considered failed.
@@ -289,6 +316,9 @@
             is_service: false,
             is_best_effort: false,
             tail_target: None,
+            is_established: false,
+            is_isolated: false,
+            is_carried_over: false,
         };
         if let Some(job) = self.jobs.get_mut(&task.step.job) {
             job.beginning = Beginning::Started;
@@ -297,6 +327,9 @@
             if let Some((step, state)) = job.step_mut(task.step) {
                 run = run.with_step(step);
                 state.update(task.index, |task| {
+                    let unreported = task.unreported.iter();
+                    let mut of_run = unreported.filter(|unreported| unreported.run == Some(number));
+                    run.is_isolated = of_run.any(|run| run.exposure == Exposure::Alone);
                     task.live += 1;
                     task.last_run = task.last_run.max(Some(number));
                     task.is_unknown = false;
@@ -333,7 +366,7 @@
             .map(|(key, _)| *key)
             .collect();
         for key in absent {
-            self.drop_run(worker_ref, key, "not there");
+            self.drop_reported(worker_ref, key, "not there");
         }
     }
 }
--- /dev/null
+++ b/crates/jobs/src/pool/suspects.rs
@@ -0,0 +1,314 @@
+//! Keeps the unreported runs of tasks, and gives up jobs with a task that crashes its workers.
+
+use std::time::Instant;
+
+use crate::id::{JobId, TaskId, WorkerRef};
+use crate::job::Task;
+use crate::pool::{Event, Pool};
+use crate::suspect::{Exposure, RunState, UnreportedRun};
+use crate::worker::{Contact, RunKey, Worker};
+
+impl Pool {
+    /// Applies what an earlier scheduler has stored of a job's unreported runs. Must follow [`Self::take_over`] and
+    /// precede the first plan.
+    pub fn inherit_suspects(&mut self, job: JobId, suspects: crate::suspect::SuspectTasks) {
+        if let Some(job) = self.jobs.get_mut(&job) {
+            job.set_suspects(suspects);
+        }
+    }
+
+    /// Sets when each worker's incarnation started that an earlier scheduler used, in milliseconds since 1970.
+    pub fn set_inherited_incarnations(
+        &mut self,
+        incarnations: std::collections::BTreeMap<crate::id::WorkerId, u64>,
+    ) {
+        self.inherited_incarnations = incarnations;
+    }
+
+    /// Removes a run whose worker was lost.
+    pub(super) fn lose_run(
+        &mut self,
+        worker_ref: WorkerRef,
+        key: RunKey,
+        how: &'static str,
+        now: Instant,
+    ) {
+        self.record_loss(worker_ref, key, now);
+        self.drop_run(worker_ref, key, how);
+    }
+
+    /// Records that the worker of a run was lost, and gives the job up if that shows that the task crashes its workers.
+    pub(super) fn record_loss(&mut self, worker_ref: WorkerRef, key: RunKey, now: Instant) {
+        let Some(exposure) = self.exposure(worker_ref, key) else {
+            self.clear_reported(worker_ref, key);
+            return;
+        };
+        let Some(worker) = self.workers.get(&worker_ref) else {
+            return;
+        };
+        let beside = worker.runs.len().saturating_sub(1);
+        let loss = UnreportedRun {
+            run: Some(key.1),
+            worker: worker.info.id.clone(),
+            started_ms: worker.info.started_ms,
+            exposure,
+            state: RunState::Lost,
+        };
+        let worker = loss.worker.clone();
+        let Some(runs) = self.update_task(key.0, |task| {
+            if task.is_done {
+                return None;
+            }
+            let open = task
+                .unreported
+                .iter_mut()
+                .find(|run| run.run == loss.run && run.state == RunState::Open);
+            match open {
+                Some(run) => run.lose(exposure),
+                None => task.unreported.push(loss),
+            }
+            Some(task.unreported.clone())
+        }) else {
+            return;
+        };
+        self.suspects.insert(key.0);
+        self.unsaved.insert(key.0.step.job);
+        self.events.push(Event::RunLost {
+            worker,
+            task: key.0,
+            run: key.1,
+            exposure,
+            beside,
+            unreported: runs.len(),
+        });
+        self.judge_crashes(key.0, now);
+    }
+
+    /// What the loss of a run says about its task. `None` if it says nothing: the worker has announced that it leaves,
+    /// or a service had worked there.
+    fn exposure(&self, worker_ref: WorkerRef, key: RunKey) -> Option<Exposure> {
+        let worker = self.workers.get(&worker_ref)?;
+        let run = worker.runs.get(&key)?;
+        if worker.info.is_draining || run.is_established && run.is_service {
+            return None;
+        }
+        let others = worker.runs.keys().filter(|other| **other != key);
+        Some(if run.is_established_at(worker.known_up_until()) {
+            Exposure::Established
+        } else if others.count() == 0 && !run.is_carried_over && self.has_neighbour(worker) {
+            Exposure::Alone
+        } else {
+            Exposure::Shared
+        })
+    }
+
+    /// Whether a neighbour that answered before the worker was lost still answers, so that the worker was not lost with
+    /// its rack. Without others on its rack, the other workers of the pool count.
+    fn has_neighbour(&self, lost: &Worker) -> bool {
+        let shares_label = |other: &Worker| {
+            let mut labels = lost.info.labels.iter();
+            labels.any(|label| other.has_label(label))
+        };
+        let before = |other: &&Worker| {
+            let lost_at = lost.known_up_until();
+            let since = other.answering_since;
+            other.info.id != lost.info.id && since.is_some_and(|since| Some(since) < lost_at)
+        };
+        let others = || self.workers.values().filter(before);
+        let still_answers = |other: &Worker| {
+            other.contact == Contact::Responding
+                && !other.has_departed
+                && other.answered_at >= lost.unresponsive_since
+        };
+        if others().any(shares_label) {
+            others()
+                .filter(|other| shares_label(other))
+                .any(still_answers)
+        } else {
+            others().any(still_answers)
+        }
+    }
+
+    /// Gives the job of a task up if its lost runs show that it crashes its workers.
+    fn judge_crashes(&mut self, task: TaskId, now: Instant) {
+        let limit = self.bounds.crash_limit;
+        let Some(job) = self.jobs.get_mut(&task.step.job) else {
+            return;
+        };
+        if !job.judge_crashes(task, limit) {
+            return;
+        }
+        let state = job.step(task.step).map(|(_, state)| state);
+        let runs = state.and_then(|state| state.tasks.get(task.index as usize));
+        let runs = runs.map(|task| task.unreported.clone()).unwrap_or_default();
+        let took = now.saturating_duration_since(job.accepted_at);
+        self.unsaved.insert(task.step.job);
+        self.events.push(Event::GivenUp { task, runs, took });
+    }
+
+    /// Forgets that a run is unreported, as its worker has reported what became of it. A run that was started on an
+    /// earlier incarnation is not accounted for by the present one.
+    pub(super) fn clear_reported(&mut self, worker_ref: WorkerRef, key: RunKey) {
+        if !self.suspects.contains(&key.0) {
+            return;
+        }
+        let Some(worker) = self.workers.get(&worker_ref) else {
+            return;
+        };
+        let is_carried_over = worker.runs.get(&key).is_some_and(|run| run.is_carried_over);
+        let (id, started_ms) = (worker.info.id.clone(), worker.info.started_ms);
+        if is_carried_over {
+            return;
+        }
+        self.clear(key.0, |run| {
+            run.run == Some(key.1) && run.worker == id && run.started_ms == started_ms
+        });
+    }
+
+    /// Forgets the unreported runs of a worker's present incarnation that it does not execute: it has not crashed.
+    pub(super) fn clear_absent(&mut self, worker_ref: WorkerRef) {
+        let Some(worker) = self.workers.get(&worker_ref) else {
+            return;
+        };
+        if self.suspects.is_empty() || worker.info.started_ms.is_none() {
+            return;
+        }
+        let (id, started_ms) = (worker.info.id.clone(), worker.info.started_ms);
+        let runs: Vec<RunKey> = worker.runs.keys().copied().collect();
+        for task in self.suspects.clone() {
+            self.clear(task, |run| {
+                let is_present = run.run.is_some_and(|number| runs.contains(&(task, number)));
+                run.worker == id && run.started_ms == started_ms && !is_present
+            });
+        }
+    }
+
+    /// Records that a run is established. A service that has worked does not crash the workers that start it.
+    pub(super) fn establish(&mut self, key: RunKey) {
+        if !self.suspects.contains(&key.0) {
+            return;
+        }
+        let job = self.jobs.get(&key.0.step.job);
+        let step = job.and_then(|job| job.step(key.0.step));
+        if step.is_some_and(|(step, _)| step.is_service()) {
+            self.clear(key.0, |run| run.state == RunState::Lost);
+        }
+        self.update_task(key.0, |task| {
+            let open = task.unreported.iter_mut();
+            for run in open.filter(|run| run.run == Some(key.1) && run.state == RunState::Open) {
+                run.exposure = Exposure::Established;
+            }
+            Some(())
+        });
+    }
+
+    fn clear(&mut self, task: TaskId, is_cleared: impl Fn(&UnreportedRun) -> bool) {
+        let changed = self.update_task(task, |task| {
+            let before = task.unreported.len();
+            task.unreported.retain(|run| !is_cleared(run));
+            (task.unreported.len() < before).then_some(task.unreported.is_empty())
+        });
+        if let Some(is_empty) = changed {
+            self.unsaved.insert(task.step.job);
+            if is_empty {
+                self.suspects.remove(&task);
+            }
+        }
+    }
+
+    fn update_task<R>(
+        &mut self,
+        task: TaskId,
+        change: impl FnOnce(&mut Task) -> Option<R>,
+    ) -> Option<R> {
+        let job = self.jobs.get_mut(&task.step.job)?;
+        let (_, state) = job.step_mut(task.step)?;
+        state.update(task.index, change).flatten()
+    }
+
+    /// Records the start of a run whose task is suspect, and the run of which it is a copy, as unreported. Both are
+    /// stored before the start is sent.
+    pub(super) fn record_suspect_start(
+        &mut self,
+        key: RunKey,
+        worker_ref: WorkerRef,
+        now: Instant,
+    ) {
+        let (task, number) = key;
+        let copied: Vec<UnreportedRun> = self
+            .workers
+            .values()
+            .flat_map(|worker| worker.runs.iter().map(move |run| (worker, run)))
+            .filter(|(_, ((running, run), _))| *running == task && *run != number)
+            .map(|(worker, ((_, run), state))| UnreportedRun {
+                run: Some(*run),
+                worker: worker.info.id.clone(),
+                started_ms: worker.info.started_ms,
+                exposure: if worker.is_established(state, now) {
+                    Exposure::Established
+                } else {
+                    Exposure::Shared
+                },
+                state: RunState::Open,
+            })
+            .collect();
+        let Some(worker) = self.workers.get(&worker_ref) else {
+            return;
+        };
+        let is_isolated = worker.runs.get(&key).is_some_and(|run| run.is_isolated);
+        let started = UnreportedRun {
+            run: Some(number),
+            worker: worker.info.id.clone(),
+            started_ms: worker.info.started_ms,
+            exposure: if is_isolated {
+                Exposure::Alone
+            } else {
+                Exposure::Shared
+            },
+            state: RunState::Open,
+        };
+        self.update_task(task, |task| {
+            for run in copied.into_iter().chain([started]) {
+                let is_known = task.unreported.iter().any(|known| known.run == run.run);
+                if !is_known {
+                    task.unreported.push(run);
+                }
+            }
+            Some(())
+        });
+        self.suspects.insert(task);
+        self.unsaved.insert(task.step.job);
+    }
+
+    /// Collects the suspect tasks of a job whose tasks have become known after a takeover.
+    pub(super) fn collect_suspects(&mut self, id: JobId) {
+        let limit = self.bounds.crash_limit;
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let suspects = job.to_suspects().map(|suspects| suspects.tasks);
+        for suspect in suspects.unwrap_or_default() {
+            let step = crate::id::StepId {
+                job: id,
+                occurrence: suspect.occurrence,
+                step: suspect.step,
+            };
+            let task = step.task(suspect.index);
+            self.suspects.insert(task);
+            if job.judge_crashes(task, limit) {
+                self.events.push(Event::GivenUp {
+                    task,
+                    runs: suspect.runs,
+                    took: std::time::Duration::ZERO,
+                });
+            }
+            self.unsaved.insert(id);
+        }
+    }
+
+    /// Whether a task has unreported runs: each of its starts must be stored before it is sent.
+    #[must_use]
+    pub fn is_suspect(&self, task: TaskId) -> bool {
+        self.suspects.contains(&task)
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/suspect/mod.rs
@@ -0,0 +1,150 @@
+//! Runs of which no worker has reported the end, and tasks that may have crashed their workers.
+//!
+//! A worker that crashes reports nothing, so every run that it may have been executing is suspected. An
+//! [`UnreportedRun`] stays with its task until a worker's report accounts for the run: its end, or its absence from the
+//! same incarnation. Invariants:
+//!
+//! - A run of a task that has an unreported run is stored as unreported before its start is sent. So whatever becomes
+//!   of the scheduler, the next one knows of it before it starts the task again.
+//! - A task never has more than [`CrashLimit::unreported_max`] unreported runs. If each of them has crashed its worker,
+//!   at most [`STARTS_AFTER_LIMIT`] of them were started after the limit was reached.
+//!
+//! Presence alone is weak evidence: runs stand beside each other, and racks are lost. A run that was alone on its worker
+//! and had just started is strong evidence, if a neighbour of the worker still answers. [`CrashLimit::is_exceeded`]
+//! weighs both.
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::{RunNumber, WorkerId};
+
+/// The number of starts that a task may have after it has crashed as many workers as the limit allows.
+const STARTS_AFTER_LIMIT: usize = 2;
+
+/// What a lost worker says about a run that it executed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Exposure {
+    /// It had been executing for some time, or it is not known whether it had started.
+    Established,
+    /// It had just started, and other runs were beside it or the worker's neighbours were lost as well.
+    Shared,
+    /// It had just started, and nothing else explains the loss.
+    Alone,
+}
+
+/// Whether a run may still be executing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RunState {
+    /// It may be executing.
+    Open,
+    /// Its worker was lost.
+    Lost,
+}
+
+/// A run of which no worker has reported the end.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UnreportedRun {
+    /// The number of the run. Absent if an earlier scheduler may have started it.
+    pub run: Option<RunNumber>,
+    /// The worker that may have executed it.
+    pub worker: WorkerId,
+    /// When that incarnation of the worker started, in milliseconds since 1970, if known.
+    pub started_ms: Option<u64>,
+    /// What its loss says, or would say.
+    pub exposure: Exposure,
+    /// Whether it may still be executing.
+    pub state: RunState,
+}
+
+impl UnreportedRun {
+    /// Records that the worker was lost. An open run's exposure becomes `exposure`, unless the stored one says less.
+    pub fn lose(&mut self, exposure: Exposure) {
+        if self.state == RunState::Open {
+            self.state = RunState::Lost;
+            self.exposure = self.exposure.min(exposure);
+        }
+    }
+}
+
+/// How many workers may crash under a task before its job is given up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CrashLimit(u32);
+
+impl CrashLimit {
+    /// The fewest crashes that tell a task from one that stood beside another.
+    pub const LEAST: u32 = 2;
+
+    /// The most crashes that the platform allows.
+    pub const MOST: u32 = 3;
+
+    /// Creates a limit. `None` unless it is from [`Self::LEAST`] to [`Self::MOST`].
+    #[must_use]
+    pub fn new(crashes: u32) -> Option<Self> {
+        (Self::LEAST..=Self::MOST)
+            .contains(&crashes)
+            .then_some(Self(crashes))
+    }
+
+    fn crashes(self) -> usize {
+        self.0 as usize
+    }
+
+    /// The most unreported runs that a task may have.
+    #[must_use]
+    pub fn unreported_max(self) -> usize {
+        self.crashes() + STARTS_AFTER_LIMIT
+    }
+
+    /// Whether the lost runs of a task show that it crashes its workers: as many as the limit, of which only the first
+    /// may have had others beside it; or so many that another start would break the limit if all were its doing.
+    #[must_use]
+    pub fn is_exceeded(self, runs: &[UnreportedRun]) -> bool {
+        let lost = || runs.iter().filter(|run| run.state == RunState::Lost);
+        let alone = lost().filter(|run| run.exposure == Exposure::Alone).count();
+        let is_evident = lost().count() >= self.crashes() && alone + 1 >= self.crashes();
+        is_evident || lost().count() >= self.unreported_max()
+    }
+}
+
+impl Default for CrashLimit {
+    fn default() -> Self {
+        Self(Self::MOST)
+    }
+}
+
+/// The unreported runs of a task, as they are stored.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectTask {
+    /// The task's occurrence.
+    pub occurrence: u32,
+    /// The index of its step.
+    pub step: u32,
+    /// Its index in the step.
+    pub index: u32,
+    /// Its unreported runs, in the order of their starts.
+    pub runs: Vec<UnreportedRun>,
+}
+
+/// The unreported runs of a job, as they are stored.
+///
+/// They have a key of their own: versions that don't know them neither read nor overwrite it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectTasks {
+    /// When the job was accepted, in milliseconds since 1970. Tells the job from a later one with the same id.
+    pub accepted_ms: u64,
+    /// Its tasks that have unreported runs.
+    pub tasks: Vec<SuspectTask>,
+}
+
+impl SuspectTasks {
+    /// The unreported runs whose numbers are known, each with its task's occurrence, step and index.
+    pub fn runs(&self) -> impl Iterator<Item = UnreportedKey> {
+        let tasks = self.tasks.iter();
+        tasks.flat_map(|task| {
+            let numbers = task.runs.iter().filter_map(|run| run.run);
+            numbers.map(|run| (task.occurrence, task.step, task.index, run))
+        })
+    }
+}
+
+/// Identifies an unreported run of a job: the task's occurrence, step and index, and the number of the run.
+pub type UnreportedKey = (u32, u32, u32, RunNumber);
--- a/crates/jobs/src/worker/mod.rs
+++ b/crates/jobs/src/worker/mod.rs
@@ -101,9 +101,24 @@
     pub is_best_effort: bool,
     /// The target for the service's tail latency.
     pub tail_target: Option<Duration>,
+    /// Whether a report has shown that it was executing for [`ESTABLISHED_AFTER`].
+    pub is_established: bool,
+    /// Whether nothing else may be started on its worker until it is established.
+    pub is_isolated: bool,
+    /// Whether it was started on an earlier incarnation of the worker, and is here only to be stopped.
+    pub is_carried_over: bool,
 }
 
+/// A run that has been executing for this long has not crashed its worker by its start.
+pub const ESTABLISHED_AFTER: Duration = Duration::from_millis(250);
+
 impl Run {
+    /// Whether it had been executing for [`ESTABLISHED_AFTER`] if its worker was up until `up_until`.
+    #[must_use]
+    pub fn is_established_at(&self, up_until: Option<Instant>) -> bool {
+        self.is_established || up_until >= Some(self.started_at + ESTABLISHED_AFTER)
+    }
+
     /// Sets the fields that follow from the step.
     #[must_use]
     pub fn with_step(mut self, step: &Step) -> Self {
@@ -171,6 +186,10 @@
     pub lease_until_ms: u64,
     /// When it last answered.
     pub answered_at: Option<Instant>,
+    /// When it first answered.
+    pub answering_since: Option<Instant>,
+    /// Since when it has not answered. Absent while it does.
+    pub unresponsive_since: Option<Instant>,
     /// Starts of which a copy had no reply, with the time at which the copy was given up. The copy may still be executed,
     /// also by the worker's next incarnation.
     pub unanswered: BTreeMap<RunKey, Instant>,
@@ -215,6 +234,8 @@
             earlier_runs_until: None,
             lease_until_ms: 0,
             answered_at: None,
+            answering_since: None,
+            unresponsive_since: None,
             unanswered: BTreeMap::new(),
             paused_until: None,
             last_failed_job: None,
@@ -261,6 +282,30 @@
             && self.paused_until.is_none_or(|until| now >= until)
     }
 
+    /// When it was last known to be up, once it is lost. A worker that crashes breaks its connections, which the pending
+    /// request for a report notices at once.
+    #[must_use]
+    pub fn known_up_until(&self) -> Option<Instant> {
+        self.unresponsive_since.or(self.answered_at)
+    }
+
+    /// Whether a run has been executing for [`ESTABLISHED_AFTER`], or had been when the worker was last known to be up.
+    #[must_use]
+    pub fn is_established(&self, run: &Run, now: Instant) -> bool {
+        let up_until = match self.contact {
+            Contact::Responding => Some(now),
+            Contact::Unresponsive | Contact::None => self.known_up_until(),
+        };
+        run.is_established_at(up_until)
+    }
+
+    /// Whether it executes a run beside which nothing may be started yet.
+    #[must_use]
+    pub fn is_isolating(&self, now: Instant) -> bool {
+        let mut isolated = self.runs.values().filter(|run| run.is_isolated);
+        isolated.any(|run| run.phase == Phase::Starting || !self.is_established(run, now))
+    }
+
     /// Whether it has the label.
     #[must_use]
     pub fn has_label(&self, label: &Label) -> bool {
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -181,7 +181,7 @@
             "permits" => self.answer_permits(words),
             "silent" => {
                 let worker = self.worker(words[1]);
-                self.pool().mark_unresponsive(worker);
+                self.pool().mark_unresponsive(worker, now);
             }
             "evacuate" => {
                 let vms = words[1..].iter().map(|vm| VmId::from(*vm)).collect();
--- a/crates/jobs/tests/common/parse.rs
+++ b/crates/jobs/tests/common/parse.rs
@@ -150,6 +150,22 @@
             "{} run {run} on {worker}: {how}",
             short_task(*task)
         )),
+        Event::RunLost {
+            worker,
+            task,
+            run,
+            exposure,
+            beside,
+            unreported,
+        } => Some(format!(
+            "{} run {run} lost with {worker}: {exposure:?}, {beside} beside, {unreported} unreported",
+            short_task(*task)
+        )),
+        Event::GivenUp { task, runs, .. } => Some(format!(
+            "{} given up after {} runs",
+            short_task(*task),
+            runs.len()
+        )),
         Event::JobEnded { job, state, .. } => {
             let job = job.to_string();
             Some(format!("job {} {state:?}", job.trim_end_matches('0')))
--- a/crates/jobs/tests/crashing_fleet/mod.rs
+++ b/crates/jobs/tests/crashing_fleet/mod.rs
@@ -11,6 +11,7 @@
 use goldcrest_jobs::progress::Progress;
 use goldcrest_jobs::resources::Resources;
 use goldcrest_jobs::spec::{JobRecord, JobSpec, JobState, Schedule, Step};
+use goldcrest_jobs::suspect::SuspectTasks;
 use goldcrest_jobs::worker::{EndRow, Report, RunEnd, RunningRow, WorkerInfo, millis};
 
 use crate::one_pool;
@@ -60,6 +61,14 @@
     ends: u64,
 }
 
+/// What is stored of an open job.
+#[derive(Debug, Clone)]
+struct Stored {
+    record: JobRecord,
+    progress: Progress,
+    suspects: SuspectTasks,
+}
+
 /// The pool, its workers and its store.
 pub struct Fleet {
     pub pool: Pool,
@@ -68,8 +77,9 @@
     elapsed: Duration,
     workers: Vec<SimWorker>,
     workers_made: usize,
-    stored: BTreeMap<JobId, (JobRecord, Progress)>,
-    stored_workers: BTreeSet<WorkerId>,
+    stored: BTreeMap<JobId, Stored>,
+    /// The assigned workers, and when each one's incarnation started, in milliseconds since 1970.
+    stored_workers: BTreeMap<WorkerId, u64>,
     is_store_silent: bool,
     pub outcomes: BTreeMap<JobId, JobState>,
     /// The tasks that crash their worker, in every occurrence.
@@ -97,7 +107,7 @@
             workers: Vec::new(),
             workers_made: 0,
             stored: BTreeMap::new(),
-            stored_workers: BTreeSet::new(),
+            stored_workers: BTreeMap::new(),
             is_store_silent: false,
             outcomes: BTreeMap::new(),
             fatal: BTreeSet::new(),
@@ -155,8 +165,12 @@
             is_cancelled: false,
             policy: None,
         };
-        self.stored
-            .insert(id, (record.clone(), Progress::default()));
+        let stored = Stored {
+            record: record.clone(),
+            progress: Progress::default(),
+            suspects: SuspectTasks::default(),
+        };
+        self.stored.insert(id, stored);
         self.pool.submit(record, Duration::ZERO, self.now());
         id
     }
@@ -177,12 +191,17 @@
     pub fn replace_scheduler(&mut self) {
         self.token += 1_000;
         self.pool = one_pool::pool(self.token);
-        let jobs = self.stored.values();
-        let jobs =
-            jobs.map(|(record, progress)| (record.clone(), progress.clone(), Duration::ZERO));
+        let jobs = self.stored.values().cloned();
+        let jobs = jobs.map(|stored| (stored.record, stored.progress, Duration::ZERO));
+        let workers = self.stored_workers.keys().cloned();
         let now = self.now();
         self.pool
-            .take_over(jobs.collect(), self.stored_workers.clone(), None, now);
+            .take_over(jobs.collect(), workers.collect(), None, now);
+        self.pool
+            .set_inherited_incarnations(self.stored_workers.clone());
+        for (id, stored) in &self.stored {
+            self.pool.inherit_suspects(*id, stored.suspects.clone());
+        }
     }
 
     /// Crashes the first workers that are up, all in the same rack if `rack` is given.
@@ -313,7 +332,7 @@
             let Some(worker) =
                 worker.filter(|worker| worker.down_since.is_none() && !worker.is_cut)
             else {
-                self.pool.mark_unresponsive(worker_ref);
+                self.pool.mark_unresponsive(worker_ref, now);
                 continue;
             };
             let report = worker.report(elapsed);
@@ -338,11 +357,16 @@
         }
         let workers = self.pool.workers().values();
         let present = workers.filter(|worker| !worker.has_departed);
-        let present = present.map(|worker| worker.info.id.clone());
+        let present = present.map(|worker| {
+            let started_ms = worker.info.started_ms.expect("each worker states it");
+            (worker.info.id.clone(), started_ms)
+        });
         let inherited = std::mem::take(&mut self.stored_workers);
         self.stored_workers = present.collect();
         if self.pool.is_taking_over() {
-            self.stored_workers.extend(inherited);
+            for (id, started_ms) in inherited {
+                self.stored_workers.entry(id).or_insert(started_ms);
+            }
         }
         for id in self.pool.take_unsaved() {
             let Some(job) = self.pool.jobs().get(&id) else {
@@ -356,9 +380,9 @@
                     self.pool.remove_stored(id);
                 }
                 _ => {
-                    let progress = job.to_progress();
-                    if let Some((_, stored)) = self.stored.get_mut(&id) {
-                        *stored = progress;
+                    if let Some(stored) = self.stored.get_mut(&id) {
+                        stored.progress = job.to_progress();
+                        stored.suspects = job.to_suspects().unwrap_or_default();
                     }
                 }
             }
@@ -369,14 +393,10 @@
         let now = self.now();
         let worker = self.pool.worker(order.worker);
         let id = worker.map(|worker| worker.info.id.clone());
-        if self.is_store_silent {
-            self.pool.start_answered(
-                order.worker,
-                order.task,
-                order.run,
-                StartAnswer::TooLate,
-                now,
-            );
+        if !self.is_recorded(order, id.as_ref()) {
+            let answer = StartAnswer::TooLate;
+            self.pool
+                .start_answered(order.worker, order.task, order.run, answer, now);
             return;
         }
         let at = self
@@ -401,10 +421,15 @@
             .push(self.elapsed);
         if self.fatal.contains(&order.task) {
             self.crash_worker(at, Some(order.task));
+            self.break_gang(order.task, order.run);
         } else {
             let end = self.elapsed + self.run_time;
             let row = (order.task, order.run, self.elapsed, end);
             self.workers[at].running.push(row);
+            let crashed = self.fatal.iter().find(|task| task.step == order.task.step);
+            if let Some(crashed) = crashed.copied() {
+                self.break_gang(crashed, order.run);
+            }
         }
         self.pool.start_answered(
             order.worker,
@@ -415,6 +440,17 @@
         );
     }
 
+    /// Whether enough of a start is stored for it to be sent.
+    fn is_recorded(&self, order: &StartCommand, worker: Option<&WorkerId>) -> bool {
+        let TaskId { step, index } = order.task;
+        let run = (step.occurrence, step.step, index, order.run);
+        self.stored.get(&step.job).is_some_and(|stored| {
+            let is_run_stored = stored.suspects.runs().any(|stored| stored == run);
+            worker.is_some_and(|worker| stored.progress.workers.contains(worker))
+                && (!self.pool.is_suspect(order.task) || is_run_stored)
+        })
+    }
+
     fn stop(&mut self, worker: WorkerRef, task: TaskId, run: RunNumber) {
         let Some(id) = self
             .pool
@@ -454,6 +490,25 @@
         }
     }
 
+    /// Ends the other members of a gang of which one was lost.
+    fn break_gang(&mut self, lost: TaskId, run: RunNumber) {
+        let job = self.pool.jobs().get(&lost.step.job);
+        let step = job.and_then(|job| job.step(lost.step));
+        if !step.is_some_and(|(step, _)| step.is_gang()) {
+            return;
+        }
+        for worker in &mut self.workers {
+            let (broken, running) = worker
+                .running
+                .drain(..)
+                .partition(|(task, number, ..)| task.step == lost.step && *number == run);
+            worker.running = running;
+            for (task, number, ..) in broken {
+                worker.end(task, number, RunEnd::GangBroken);
+            }
+        }
+    }
+
     /// The number of starts of a task after the third worker had crashed under it.
     pub fn starts_after_third_crash(&self, task: TaskId) -> usize {
         let Some(third) = self.crashes.get(&task).and_then(|crashes| crashes.get(2)) else {
