jobs: nothing is started on a worker with a run of unknown demand

Now such a worker gets no starts until the run has ended. The verifier checks after each plan that no start brings a worker over its present capacity.

--- a/crates/jobs/src/job/mod.rs
+++ b/crates/jobs/src/job/mod.rs
@@ -17,6 +17,18 @@
 use crate::spec::{JobRecord, JobState, Step, TASKS_MAX};
 use crate::suspect::{CrashLimit, Exposure, RunState, SuspectTask, SuspectTasks, UnreportedRun};
 
+/// Whether a task that has a run may be given a copy of it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Copies {
+    /// It may not.
+    #[default]
+    Denied,
+    /// It may, alone on a worker: the task may have crashed the worker of its run.
+    Isolated,
+    /// It may.
+    Allowed,
+}
+
 /// A task of an open job.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Task {
@@ -33,9 +45,7 @@
     /// Whether an earlier scheduler may have started it on a worker that has not reported yet.
     pub is_unknown: bool,
     /// Whether a second run may be started: its only run is suspect, and its step allows copies.
-    pub is_copy_allowed: bool,
-    /// Whether the copy may only be started alone on a worker: the task may have crashed the worker of its only run.
-    pub is_copy_isolated: bool,
+    pub copies: Copies,
     /// Its unreported runs, in the order of their starts.
     pub unreported: Vec<UnreportedRun>,
     /// Since when it waits for a worker on which it can be started alone.
@@ -46,7 +56,7 @@
     /// Whether a run may be started.
     #[must_use]
     pub fn is_idle(&self) -> bool {
-        let most = u32::from(self.is_copy_allowed);
+        let most = u32::from(self.copies != Copies::Denied);
         !self.is_done && !self.is_unknown && self.live <= most
     }
 
@@ -64,7 +74,7 @@
             count += 1;
             has_just_started |= exposure != Exposure::Established;
         }
-        self.is_copy_isolated || has_just_started || count > 1
+        self.copies == Copies::Isolated || has_just_started || count > 1
     }
 
     fn to_progress(&self, index: u32) -> Option<TaskProgress> {
--- a/crates/jobs/src/pool/doubt.rs
+++ b/crates/jobs/src/pool/doubt.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use crate::id::{TaskId, WorkerRef};
-use crate::job::Job;
+use crate::job::{Copies, Job};
 use crate::pool::{Pool, StopReason};
 use crate::worker::{Contact, Origin, Phase, Run, RunKey, Worker};
 
@@ -41,15 +41,6 @@
     WorkerUnresponsive,
 }
 
-/// Whether a task may be given a copy.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Copies {
-    Denied,
-    /// Alone on its worker.
-    Isolated,
-    Allowed,
-}
-
 /// Runs the pass.
 pub fn run(pool: &mut Pool, now: Instant) {
     let mut suspicions: Vec<(WorkerRef, RunKey, Suspicion)> = Vec::new();
@@ -67,7 +58,7 @@
     let suspects: BTreeSet<TaskId> = suspicions.iter().map(|(_, key, _)| key.0).collect();
     let before = std::mem::take(&mut pool.copies_allowed);
     for task in before.difference(&suspects) {
-        set_copy(pool, *task, Copies::Denied);
+        set_copies(pool, *task, Copies::Denied);
     }
     let mut stalled: Vec<WorkerRef> = Vec::new();
     for (worker_ref, key, suspicion) in suspicions {
@@ -85,7 +76,7 @@
                 Some((worker, run)) if worker.is_established(run, now) => Copies::Allowed,
                 Some(_) | None => Copies::Isolated,
             };
-            set_copy(pool, key.0, copies);
+            set_copies(pool, key.0, copies);
             pool.copies_allowed.insert(key.0);
         } else if suspicion == Suspicion::Stalled {
             pool.stop(worker_ref, key, StopReason::StandsStill, now);
@@ -108,20 +99,23 @@
 /// Sets whether a task may be given a copy. Only a task with exactly one run may. If that run had just started when its
 /// worker fell silent, the task may have crashed the worker: the copy is isolated, and a task that has lost a run before
 /// gets none.
-fn set_copy(pool: &mut Pool, task: TaskId, copy: Copies) {
+fn set_copies(pool: &mut Pool, task: TaskId, copies: Copies) {
     let job = pool.jobs.get_mut(&task.step.job);
     let Some((_, state)) = job.and_then(|job| job.step_mut(task.step)) else {
         return;
     };
     let is_isolated = state.update(task.index, |task| {
-        let may_start = match copy {
+        let may_start = match copies {
             Copies::Denied => false,
             Copies::Isolated => task.unreported.is_empty(),
             Copies::Allowed => true,
         };
-        task.is_copy_allowed = may_start && task.live == 1;
-        task.is_copy_isolated = task.is_copy_allowed && copy == Copies::Isolated;
-        task.is_copy_isolated
+        task.copies = if may_start && task.live == 1 {
+            copies
+        } else {
+            Copies::Denied
+        };
+        task.copies == Copies::Isolated
     });
     if is_isolated == Some(true) {
         pool.suspects.insert(task);
@@ -141,7 +135,7 @@
     let timeout = STALL_TIMEOUT.max(*expected * STALL_TIMEOUT_PERCENT / 100);
     let timeout = match run.origin {
         Origin::Resumed => timeout + RESUME_ALLOWANCE,
-        Origin::Started | Origin::Adopted => timeout,
+        Origin::Started | Origin::Adopted | Origin::CarriedOver => timeout,
     };
     let reported_at = worker.answered_at?;
     let is_stalled = run.phase == Phase::Confirmed
--- a/crates/jobs/src/pool/free_capacity.rs
+++ b/crates/jobs/src/pool/free_capacity.rs
@@ -53,7 +53,8 @@
             .iter()
             .filter(|(_, worker)| worker.takes_work(now) && worker.clock.is_some())
             .filter(|(worker_ref, worker)| {
-                !worker.is_isolating(now) && !pool.held_for_suspects.contains(worker_ref)
+                (pool.suspects.is_empty() || !worker.is_isolating(now))
+                    && !pool.held_for_suspects.contains(worker_ref)
             });
         let mut dcs: Vec<Option<DcName>> = Vec::new();
         let candidates = accepting
--- a/crates/jobs/src/pool/ingest.rs
+++ b/crates/jobs/src/pool/ingest.rs
@@ -6,12 +6,12 @@
 
 use crate::catalogue::Catalogue;
 use crate::id::{JobId, RunNumber, TaskId, VmId, WorkerId, WorkerRef};
-use crate::job::{Beginning, Job};
+use crate::job::{Beginning, Copies, Job};
 use crate::lease::{LeaseBound, expiry};
 use crate::pool::{Event, Pool, StartAnswer, Takeover};
 use crate::progress::Progress;
 use crate::spec::{JobRecord, JobState};
-use crate::worker::{Contact, Phase, Run, RunKey, Worker, WorkerInfo};
+use crate::worker::{Contact, Origin, Phase, Run, RunKey, Worker, WorkerInfo};
 
 /// How long a worker gets no starts after it was unhealthy or did not reply to one.
 const WORKER_PAUSE: Duration = Duration::from_millis(500);
@@ -207,7 +207,7 @@
                 run.phase = Phase::Stopping;
                 run.stop_sent_at = None;
                 run.closed_at = None;
-                run.is_carried_over = true;
+                run.origin = Origin::CarriedOver;
             }
         }
         worker_ref
@@ -346,7 +346,7 @@
         if let Some((_, state)) = job.step_mut(task.step) {
             state.update(task.index, |task| {
                 task.live = task.live.saturating_sub(1);
-                task.is_copy_allowed = false;
+                task.copies = Copies::Denied;
                 if run.checkpoint.is_some() {
                     task.checkpoint = run.checkpoint;
                 }
--- a/crates/jobs/src/pool/isolate.rs
+++ b/crates/jobs/src/pool/isolate.rs
@@ -12,6 +12,7 @@
 use std::time::{Duration, Instant};
 
 use crate::id::{TaskId, WorkerRef};
+use crate::job::Copies;
 use crate::pool::Pool;
 use crate::pool::free_capacity::may_run;
 use crate::pool::order::is_placeable;
@@ -69,7 +70,7 @@
             .and_then(|job| job.step(id.step))
             .map(|(_, state)| state);
         let task = state.and_then(|state| state.tasks.get(id.index as usize));
-        task.is_some_and(|task| !task.unreported.is_empty() || task.is_copy_isolated)
+        task.is_some_and(|task| !task.unreported.is_empty() || task.copies == Copies::Isolated)
     });
     for id in &pool.suspects {
         let Some(job) = pool.jobs.get_mut(&id.step.job) else {
--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -516,6 +516,10 @@
         unfit::run(self, now);
         pace::run(self, now);
         debug_assert_eq!(crate::verify::pool(self), Vec::<Box<str>>::new());
+        debug_assert_eq!(
+            crate::verify::capacities(self, &self.commands),
+            Vec::<Box<str>>::new()
+        );
         debug_assert_eq!(
             crate::verify::cordons(self, &self.commands),
             Vec::<Box<str>>::new()
--- a/crates/jobs/src/pool/order.rs
+++ b/crates/jobs/src/pool/order.rs
@@ -88,6 +88,7 @@
 }
 
 /// Whether tasks of the job may be started.
+#[must_use]
 pub fn is_placeable(job: &Job, now: Instant) -> bool {
     job.outcome.is_none()
         && !job.awaits_policy()
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -9,12 +9,12 @@
 use std::time::Instant;
 
 use crate::id::{JobId, Label, StepId, TaskId, WorkerRef};
-use crate::job::Beginning;
+use crate::job::{Beginning, Copies};
 use crate::pool::free_capacity::FreeCapacity;
 use crate::pool::{Command, Event, Pool, StartCommand};
 use crate::resources::Resources;
 use crate::spec::Step;
-use crate::worker::{Origin, Phase, Run};
+use crate::worker::{Origin, Phase, Run, Trust};
 
 /// The most starts in one plan, so that reports are processed in between. The next plan continues where this one stops.
 const STARTS_MAX: usize = 512;
@@ -276,7 +276,11 @@
         let task = state.tasks.get(task.index as usize);
         task.is_some_and(|task| !task.unreported.is_empty() || task.live > 0)
     });
-    let is_isolated = pool.suspects.contains(&task) && worker.runs.is_empty();
+    let trust = if pool.suspects.contains(&task) && worker.runs.is_empty() {
+        Trust::Isolated
+    } else {
+        Trust::Fresh
+    };
     let waited = now.saturating_duration_since(job.accepted_at);
     let payload = job.record.spec.payload.clone();
     let team = job.record.team.clone();
@@ -284,8 +288,7 @@
         state.update(task.index, |task| {
             task.live += 1;
             task.last_run = Some(run);
-            task.is_copy_allowed = false;
-            task.is_copy_isolated = false;
+            task.copies = Copies::Denied;
             task.isolation_awaited_since = None;
         });
     }
@@ -315,10 +318,9 @@
         speed_percent: 100,
         is_service: false,
         is_best_effort: false,
+        is_demand_known: false,
         tail_target: None,
-        is_established: false,
-        is_isolated,
-        is_carried_over: false,
+        trust,
     }
     .with_step(spec);
     let reserved = new_run.reserved;
--- a/crates/jobs/src/pool/report.rs
+++ b/crates/jobs/src/pool/report.rs
@@ -9,7 +9,7 @@
 use crate::suspect::Exposure;
 use crate::worker::{
     Contact, ESTABLISHED_AFTER, EndRow, Origin, Phase, Report, Run, RunEnd, RunKey, RunningRow,
-    Streaks,
+    Streaks, Trust,
 };
 
 /// The highest clock value accepted from a worker, in milliseconds. Messages can't represent larger integers exactly,
@@ -285,8 +285,10 @@
             run.progressed_at = now;
         }
         let has_run = now.saturating_duration_since(run.started_at);
-        let becomes_established = !run.is_established && has_run >= ESTABLISHED_AFTER;
-        run.is_established |= becomes_established;
+        let becomes_established = run.trust != Trust::Established && has_run >= ESTABLISHED_AFTER;
+        if becomes_established {
+            run.trust = Trust::Established;
+        }
         run.percent = row.percent;
         run.load = row.load;
         if row.checkpoint.is_some() {
@@ -315,21 +317,24 @@
             speed_percent: 100,
             is_service: false,
             is_best_effort: false,
+            is_demand_known: false,
             tail_target: None,
-            is_established: false,
-            is_isolated: false,
-            is_carried_over: false,
+            trust: Trust::Fresh,
         };
         if let Some(job) = self.jobs.get_mut(&task.step.job) {
             job.beginning = Beginning::Started;
             job.open_occurrence(task.step.occurrence, now);
             let team = job.record.team.clone();
-            if let Some((step, state)) = job.step_mut(task.step) {
+            if let Some(step) = job.record.spec.steps.get(task.step.step as usize) {
                 run = run.with_step(step);
+            }
+            if let Some((_, state)) = job.step_mut(task.step) {
                 state.update(task.index, |task| {
                     let unreported = task.unreported.iter();
                     let mut of_run = unreported.filter(|unreported| unreported.run == Some(number));
-                    run.is_isolated = of_run.any(|run| run.exposure == Exposure::Alone);
+                    if of_run.any(|run| run.exposure == Exposure::Alone) {
+                        run.trust = Trust::Isolated;
+                    }
                     task.live += 1;
                     task.last_run = task.last_run.max(Some(number));
                     task.is_unknown = false;
--- a/crates/jobs/src/pool/suspects.rs
+++ b/crates/jobs/src/pool/suspects.rs
@@ -1,27 +1,25 @@
 //! Keeps the unreported runs of tasks, and gives up jobs with a task that crashes its workers.
 
-use std::time::Instant;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
 
-use crate::id::{JobId, TaskId, WorkerRef};
+use crate::id::{JobId, StepId, TaskId, WorkerId, WorkerRef};
 use crate::job::Task;
 use crate::pool::{Event, Pool};
-use crate::suspect::{Exposure, RunState, UnreportedRun};
-use crate::worker::{Contact, RunKey, Worker};
+use crate::suspect::{Exposure, RunState, SuspectTasks, UnreportedRun};
+use crate::worker::{Contact, Origin, RunKey, Trust, Worker};
 
 impl Pool {
     /// Applies what an earlier scheduler has stored of a job's unreported runs. Must follow [`Self::take_over`] and
     /// precede the first plan.
-    pub fn inherit_suspects(&mut self, job: JobId, suspects: crate::suspect::SuspectTasks) {
+    pub fn inherit_suspects(&mut self, job: JobId, suspects: SuspectTasks) {
         if let Some(job) = self.jobs.get_mut(&job) {
             job.set_suspects(suspects);
         }
     }
 
     /// Sets when each worker's incarnation started that an earlier scheduler used, in milliseconds since 1970.
-    pub fn set_inherited_incarnations(
-        &mut self,
-        incarnations: std::collections::BTreeMap<crate::id::WorkerId, u64>,
-    ) {
+    pub fn set_inherited_incarnations(&mut self, incarnations: BTreeMap<WorkerId, u64>) {
         self.inherited_incarnations = incarnations;
     }
 
@@ -89,13 +87,16 @@
     fn exposure(&self, worker_ref: WorkerRef, key: RunKey) -> Option<Exposure> {
         let worker = self.workers.get(&worker_ref)?;
         let run = worker.runs.get(&key)?;
-        if worker.info.is_draining || run.is_established && run.is_service {
+        if worker.info.is_draining || run.trust == Trust::Established && run.is_service {
             return None;
         }
         let others = worker.runs.keys().filter(|other| **other != key);
         Some(if run.is_established_at(worker.known_up_until()) {
             Exposure::Established
-        } else if others.count() == 0 && !run.is_carried_over && self.has_neighbour(worker) {
+        } else if others.count() == 0
+            && run.origin != Origin::CarriedOver
+            && self.has_neighbour(worker)
+        {
             Exposure::Alone
         } else {
             Exposure::Shared
@@ -155,7 +156,10 @@
         let Some(worker) = self.workers.get(&worker_ref) else {
             return;
         };
-        let is_carried_over = worker.runs.get(&key).is_some_and(|run| run.is_carried_over);
+        let is_carried_over = worker
+            .runs
+            .get(&key)
+            .is_some_and(|run| run.origin == Origin::CarriedOver);
         let (id, started_ms) = (worker.info.id.clone(), worker.info.started_ms);
         if is_carried_over {
             return;
@@ -255,7 +259,10 @@
         let Some(worker) = self.workers.get(&worker_ref) else {
             return;
         };
-        let is_isolated = worker.runs.get(&key).is_some_and(|run| run.is_isolated);
+        let is_isolated = worker
+            .runs
+            .get(&key)
+            .is_some_and(|run| run.trust == Trust::Isolated);
         let started = UnreportedRun {
             run: Some(number),
             worker: worker.info.id.clone(),
@@ -288,7 +295,7 @@
         };
         let suspects = job.to_suspects().map(|suspects| suspects.tasks);
         for suspect in suspects.unwrap_or_default() {
-            let step = crate::id::StepId {
+            let step = StepId {
                 job: id,
                 occurrence: suspect.occurrence,
                 step: suspect.step,
@@ -299,7 +306,7 @@
                 self.events.push(Event::GivenUp {
                     task,
                     runs: suspect.runs,
-                    took: std::time::Duration::ZERO,
+                    took: Duration::ZERO,
                 });
             }
             self.unsaved.insert(id);
--- a/crates/jobs/src/verify/mod.rs
+++ b/crates/jobs/src/verify/mod.rs
@@ -16,6 +16,7 @@
     breaches.extend(reservations(pool));
     breaches.extend(usage(pool));
     breaches.extend(steps(pool));
+    breaches.extend(unreported(pool));
     breaches
 }
 
@@ -36,6 +37,42 @@
         .collect()
 }
 
+/// Checks that no planned start brings a worker over its present capacity.
+#[must_use]
+pub fn capacities(pool: &Pool, commands: &[Command]) -> Vec<Box<str>> {
+    let started = commands.iter().filter_map(|command| match command {
+        Command::Start(order) => pool.worker(order.worker),
+        Command::Stop { .. } | Command::Throttle { .. } | Command::QueryPermits { .. } => None,
+    });
+    started
+        .filter(|worker| !worker.used.fits(&worker.info.capacity) || worker.unknown_demands > 0)
+        .map(|worker| format!("worker {}: started beyond its capacity", worker.info.id).into())
+        .collect()
+}
+
+/// Checks that no task has more unreported runs than its limit allows.
+#[must_use]
+pub fn unreported(pool: &Pool) -> Vec<Box<str>> {
+    let most = pool.bounds().crash_limit.unreported_max();
+    let suspects = pool.jobs().values().filter_map(|job| {
+        let tasks = job.to_suspects()?.tasks;
+        Some(tasks.into_iter().map(|task| (job.id(), task)))
+    });
+    suspects
+        .flatten()
+        .filter(|(_, task)| task.runs.len() > most)
+        .map(|(job, task)| {
+            format!(
+                "job {job}: task {} of step {} has {} unreported runs",
+                task.index,
+                task.step,
+                task.runs.len()
+            )
+            .into()
+        })
+        .collect()
+}
+
 /// Checks that a task which may not run in copies has at most one live run, and that its count of live runs is right.
 #[must_use]
 pub fn single_run(pool: &Pool) -> Vec<Box<str>> {
@@ -62,7 +99,7 @@
                 .runs
                 .iter()
                 .filter(|((run_task, _), _)| *run_task == task);
-            of_task.any(|(_, run)| run.origin == Origin::Adopted)
+            of_task.any(|(_, run)| matches!(run.origin, Origin::Adopted | Origin::CarriedOver))
         };
         // Runs that were found on workers may be duplicates; these are stopped once they are known.
         if runs > 1 && !step.is_speculative() && !pool.workers().values().any(is_found) {
@@ -75,7 +112,7 @@
     breaches
 }
 
-/// Checks that each worker's `used` is the sum of what its runs reserve.
+/// Checks that each worker's `used` is the sum of what its runs reserve, and `unknown_demands` the number of the others.
 #[must_use]
 pub fn reservations(pool: &Pool) -> Vec<Box<str>> {
     pool.workers()
@@ -85,7 +122,9 @@
                 .runs
                 .values()
                 .fold(Resources::ZERO, |sum, run| sum + run.reserved);
-            (sum != worker.used).then(|| {
+            let unknown = worker.runs.values().filter(|run| !run.is_demand_known);
+            let is_right = sum == worker.used && unknown.count() == worker.unknown_demands as usize;
+            (!is_right).then(|| {
                 format!(
                     "worker {}: {sum} reserved, counted {}",
                     worker.info.id, worker.used
@@ -123,7 +162,7 @@
 #[must_use]
 pub fn steps(pool: &Pool) -> Vec<Box<str>> {
     let runs = pool.workers().values().flat_map(|worker| &worker.runs);
-    let started = runs.filter(|(_, run)| run.origin != Origin::Adopted);
+    let started = runs.filter(|(_, run)| matches!(run.origin, Origin::Started | Origin::Resumed));
     let mut breaches = Vec::new();
     for ((task, _), _) in started {
         let job = pool.jobs().get(&task.step.job);
--- a/crates/jobs/src/worker/mod.rs
+++ b/crates/jobs/src/worker/mod.rs
@@ -65,6 +65,8 @@
     Resumed,
     /// It was found on the worker. An earlier scheduler may have sent a stop for it just before.
     Adopted,
+    /// It was started on an earlier incarnation of the worker, and is here only to be stopped.
+    CarriedOver,
 }
 
 /// A run that may be executing.
@@ -99,14 +101,23 @@
     pub is_service: bool,
     /// Whether it uses only the processors that others leave idle.
     pub is_best_effort: bool,
+    /// Whether it is known what it reserves. It is not for a run whose job this scheduler does not know.
+    pub is_demand_known: bool,
     /// The target for the service's tail latency.
     pub tail_target: Option<Duration>,
-    /// Whether a report has shown that it was executing for [`ESTABLISHED_AFTER`].
-    pub is_established: bool,
-    /// Whether nothing else may be started on its worker until it is established.
-    pub is_isolated: bool,
-    /// Whether it was started on an earlier incarnation of the worker, and is here only to be stopped.
-    pub is_carried_over: bool,
+    /// Whether it may yet crash its worker by its start.
+    pub trust: Trust,
+}
+
+/// Whether a run may yet crash its worker by its start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Trust {
+    /// It has just started.
+    Fresh,
+    /// It has just started, and its task is suspect: nothing else is started on its worker yet.
+    Isolated,
+    /// A report has shown that it was executing for [`ESTABLISHED_AFTER`].
+    Established,
 }
 
 /// A run that has been executing for this long has not crashed its worker by its start.
@@ -116,13 +127,14 @@
     /// Whether it had been executing for [`ESTABLISHED_AFTER`] if its worker was up until `up_until`.
     #[must_use]
     pub fn is_established_at(&self, up_until: Option<Instant>) -> bool {
-        self.is_established || up_until >= Some(self.started_at + ESTABLISHED_AFTER)
+        self.trust == Trust::Established || up_until >= Some(self.started_at + ESTABLISHED_AFTER)
     }
 
     /// Sets the fields that follow from the step.
     #[must_use]
     pub fn with_step(mut self, step: &Step) -> Self {
         self.reserved = step.reserved();
+        self.is_demand_known = true;
         self.is_service = step.is_service();
         self.is_best_effort = step.is_best_effort();
         self.tail_target = step.tail_target;
@@ -174,8 +186,11 @@
     pub dc_state: DcState,
     /// The runs that may be executing.
     pub runs: BTreeMap<RunKey, Run>,
-    /// The sum of what the runs reserve.
+    /// The sum of what the runs reserve, as far as it is known.
     pub used: Resources,
+    /// The number of runs of which it is not known what they reserve. While there is one, nothing is started: the worker
+    /// may be full, and may not refuse what does not fit.
+    pub unknown_demands: u32,
     /// The number of the last end that was ingested.
     pub last_end: u64,
     /// A reading of its clock in milliseconds, and the latest time at which the clock can have shown it.
@@ -229,6 +244,7 @@
             dc_state: DcState::Open,
             runs: BTreeMap::new(),
             used: Resources::ZERO,
+            unknown_demands: 0,
             last_end: 0,
             clock: None,
             earlier_runs_until: None,
@@ -276,6 +292,7 @@
             && self.is_listed
             && !self.has_departed
             && !self.is_full
+            && self.unknown_demands == 0
             && !self.is_evacuating()
             && !self.is_cordoned()
             && !self.info.is_draining
@@ -302,7 +319,10 @@
     /// Whether it executes a run beside which nothing may be started yet.
     #[must_use]
     pub fn is_isolating(&self, now: Instant) -> bool {
-        let mut isolated = self.runs.values().filter(|run| run.is_isolated);
+        let mut isolated = self
+            .runs
+            .values()
+            .filter(|run| run.trust == Trust::Isolated);
         isolated.any(|run| run.phase == Phase::Starting || !self.is_established(run, now))
     }
 
@@ -328,8 +348,10 @@
     /// Adds a run and counts what it reserves.
     pub fn add(&mut self, key: RunKey, run: Run) {
         self.used += run.reserved;
+        self.unknown_demands += u32::from(!run.is_demand_known);
         if let Some(old) = self.runs.insert(key, run) {
             self.used -= old.reserved;
+            self.unknown_demands -= u32::from(!old.is_demand_known);
         }
     }
 
@@ -352,6 +374,7 @@
     pub fn remove(&mut self, key: RunKey) -> Option<Run> {
         let run = self.runs.remove(&key)?;
         self.used -= run.reserved;
+        self.unknown_demands -= u32::from(!run.is_demand_known);
         Some(run)
     }
 
--- a/crates/jobs/tests/crash.rs
+++ b/crates/jobs/tests/crash.rs
@@ -67,7 +67,7 @@
 fn plan_gives_up_a_task_that_crashes_its_workers() {
     for returns in [Return::SameId, Return::NewId, Return::Never] {
         let (mut fleet, task) = busy_fleet(&[], returns);
-        fleet.play_until_ended(Duration::from_secs(60));
+        fleet.play_until_ended(Duration::from_mins(1));
         check(&fleet, task);
     }
 }
@@ -77,7 +77,7 @@
 fn plan_gives_up_a_task_whose_copies_crash_their_workers() {
     for returns in [Return::SameId, Return::NewId] {
         let (mut fleet, task) = busy_fleet(&[Feature::Speculative], returns);
-        fleet.play_until_ended(Duration::from_secs(60));
+        fleet.play_until_ended(Duration::from_mins(1));
         check(&fleet, task);
     }
 }
@@ -96,7 +96,7 @@
 #[test]
 fn plan_gives_up_a_best_effort_task_that_crashes_its_workers() {
     let (mut fleet, task) = busy_fleet(&[Feature::BestEffort], Return::NewId);
-    fleet.play_until_ended(Duration::from_secs(60));
+    fleet.play_until_ended(Duration::from_mins(1));
     check(&fleet, task);
 }
 
@@ -123,7 +123,7 @@
         let task = format!("{job}.{occurrence}.0.0");
         fleet.fatal.insert(task.parse().expect("a task"));
     }
-    fleet.play_until_ended(Duration::from_secs(60));
+    fleet.play_until_ended(Duration::from_mins(1));
     for task in fleet.fatal.clone() {
         assert!(fleet.starts_after_third_crash(task) <= STARTS_AFTER_MAX);
     }
@@ -141,7 +141,7 @@
                 fleet.play_until_ended(Duration::from_millis(every_ms));
                 fleet.replace_scheduler();
             }
-            fleet.play_until_ended(Duration::from_secs(60));
+            fleet.play_until_ended(Duration::from_mins(1));
             let after = fleet.starts_after_third_crash(task);
             assert!(
                 after <= STARTS_AFTER_MAX,
@@ -167,7 +167,7 @@
             fleet.set_store_silent(false);
             fleet.play_until_ended(Duration::from_millis(3_500));
         }
-        fleet.play_until_ended(Duration::from_secs(60));
+        fleet.play_until_ended(Duration::from_mins(1));
         let after = fleet.starts_after_third_crash(task);
         assert!(after <= STARTS_AFTER_MAX, "{after_ms} ms: {after}");
         assert_eq!(fleet.outcomes.get(&task.step.job), Some(&JobState::Failed));
@@ -194,7 +194,7 @@
                 _ => fleet.crash(4, Some("r1")),
             }
         }
-        fleet.play_until_ended(Duration::from_secs(120));
+        fleet.play_until_ended(Duration::from_mins(2));
         for job in jobs {
             assert_eq!(fleet.outcomes.get(&job), Some(&JobState::Completed));
         }
@@ -205,14 +205,14 @@
 #[test]
 fn plan_gives_no_job_up_for_workers_that_are_cut_off() {
     let mut fleet = Fleet::new(3);
-    fleet.run_time = Duration::from_millis(8_000);
+    fleet.run_time = Duration::from_secs(8);
     let job = fleet.submit(0x100, step(3, &[]), None);
     for round in 0..8 {
-        fleet.play_until_ended(Duration::from_millis(1_000));
+        fleet.play_until_ended(Duration::from_secs(1));
         fleet.set_cut(round % 3, true);
-        fleet.play_until_ended(Duration::from_millis(7_000));
+        fleet.play_until_ended(Duration::from_secs(7));
         fleet.set_cut(round % 3, false);
     }
-    fleet.play_until_ended(Duration::from_secs(60));
+    fleet.play_until_ended(Duration::from_mins(1));
     assert_eq!(fleet.outcomes.get(&job), Some(&JobState::Completed));
 }
--- a/crates/jobs/tests/crashing_fleet/mod.rs
+++ b/crates/jobs/tests/crashing_fleet/mod.rs
@@ -301,7 +301,9 @@
 
     fn list_workers(&mut self) {
         let listed = self.workers.iter().filter(|worker| {
-            let silent = worker.down_since.map(|since| self.elapsed - since);
+            let silent = worker
+                .down_since
+                .map(|since| self.elapsed.saturating_sub(since));
             silent.is_none_or(|silent| silent < REGISTRY_TIMEOUT)
         });
         let listed = listed.map(|worker| WorkerInfo {
@@ -533,12 +535,13 @@
 
     fn report(&self, elapsed: Duration) -> Report {
         let row = |(task, run, start, end): &(TaskId, RunNumber, Duration, Duration)| {
-            let share = (elapsed - *start).as_secs_f64() / (*end - *start).as_secs_f64();
+            let (has_run, takes) = (elapsed.saturating_sub(*start), end.saturating_sub(*start));
+            let percent = has_run.as_millis() * 97 / takes.as_millis().max(1);
             RunningRow {
                 task: *task,
                 run: *run,
                 checkpoint: None,
-                percent: (share * 97.0) as u32,
+                percent: u32::try_from(percent).unwrap_or(97),
                 load: 0.9,
             }
         };
