grid: a start of a suspect task is sent once; tests through the entries

A worker that the task has crashed may be back when the start is repeated, and would be crashed again by the same run. Entry tests kill the holder of the pool's role at many moments between a crash and the next start, and shrink capacities beside work and a takeover.

--- a/crates/grid/src/pool/commands.rs
+++ b/crates/grid/src/pool/commands.rs
@@ -145,7 +145,13 @@
             self.start_answered(&order, StartAnswer::TooLate);
             return;
         }
-        for _ in 0..START_ATTEMPTS {
+        // A worker that a suspect task has crashed may be back when the start is repeated.
+        let attempts = if self.pool.borrow().is_suspect(order.task) {
+            1
+        } else {
+            START_ATTEMPTS
+        };
+        for _ in 0..attempts {
             let Some(to) = self.recipient(order.worker) else {
                 break;
             };
--- a/crates/grid/tests/entry/main.rs
+++ b/crates/grid/tests/entry/main.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod common;
 mod cordon;
+mod crash;
 mod faults;
 mod invariants;
 mod maintenance;
--- a/crates/standin/src/grid/workers.rs
+++ b/crates/standin/src/grid/workers.rs
@@ -2,7 +2,7 @@
 //!
 //! A payload is a list of words: `ms=N` is the run time in milliseconds (600 by default), `end=failed` makes runs fail,
 //! `failures=N` makes the first N runs of each task fail, `lasts` keeps a run from ending by itself, `copies` allows
-//! concurrent runs of one task. A worker stops its runs when its lease expires, refuses commands whose token is lower
+//! concurrent runs of one task, and the task with index N of `crashes=N` crashes each worker that starts it. A worker stops its runs when its lease expires, refuses commands whose token is lower
 //! than the last one, and lists the ends of runs until they are acknowledged.
 
 use std::collections::BTreeMap;
@@ -15,6 +15,9 @@
 use goldcrest_types::names::PoolName;
 use tokio::time::Instant;
 
+/// How long a worker is down after a task has crashed it.
+const CRASH_DOWNTIME: Duration = Duration::from_secs(2);
+
 /// A start of a run that a worker carried out.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Start {
@@ -54,6 +57,8 @@
     info: WorkerInfo,
     is_listed: bool,
     started_at: Instant,
+    /// It answers nothing before this time.
+    down_until: Option<Instant>,
     token: u64,
     until_ms: u64,
     running: BTreeMap<(TaskId, RunNumber), Run>,
@@ -134,6 +139,9 @@
         if self.info.id != to.worker {
             return Err(CommandError::WrongWorker);
         }
+        if self.down_until.is_some_and(|until| Instant::now() < until) {
+            return Err(CommandError::Unknown("the worker is down".into()));
+        }
         if to.token.0 < self.token {
             return Err(CommandError::Fenced);
         }
@@ -151,6 +159,7 @@
             info,
             is_listed: true,
             started_at: now,
+            down_until: None,
             token: 0,
             until_ms: 0,
             running: BTreeMap::new(),
@@ -169,6 +178,13 @@
         }
     }
 
+    /// Changes a worker's capacity. What it runs goes on.
+    pub fn set_capacity(&mut self, worker: &str, cpu_millis: u64) {
+        if let Some(worker) = self.workers.get_mut(&WorkerId::from(worker)) {
+            worker.info.capacity.cpu_millis = cpu_millis;
+        }
+    }
+
     /// Crashes and restarts a worker: it loses its runs, its lease, the last token and the ends that it listed.
     pub fn crash(&mut self, worker: &str, now: Instant) {
         self.settle(now);
@@ -235,6 +251,7 @@
         match worker.admit(to) {
             Ok(()) => {}
             Err(CommandError::Fenced) => return StartAnswer::Fenced,
+            Err(CommandError::Unknown(_)) => return StartAnswer::Unknown,
             Err(_) => return StartAnswer::WrongWorker,
         }
         let key = (order.task, order.run);
@@ -281,6 +298,14 @@
             run: order.run,
             at: now,
         });
+        let crashes = word(&order.payload, "crashes").and_then(|index| index.parse().ok());
+        if crashes == Some(order.task.index) {
+            self.crash(to.worker.as_str(), now);
+            if let Some(worker) = self.workers.get_mut(&to.worker) {
+                worker.down_until = Some(now + CRASH_DOWNTIME);
+            }
+            return StartAnswer::Unknown;
+        }
         StartAnswer::Started
     }
 
