jobs, grid, ctl: the crash limit is a setting; counters, log lines and trace tell why a job was given up

The log lines of lost runs and of jobs given up name queue, image, workers and what ran beside; goldcrest_suspect_losses and goldcrest_jobs_given_up count them by team and queue; goldcrestctl trace gives them as reasons. No decision changes.

--- a/crates/ctl/src/trace/cause.rs
+++ b/crates/ctl/src/trace/cause.rs
@@ -151,6 +151,14 @@
         "Run stopped." if line.field("reason") == Some("StandsStill") => {
             format!("task {task} made no progress on worker {worker}")
         }
+        "Run lost with its worker." if line.field("exposure") != Some("Established") => format!(
+            "task {task} had just started when worker {worker} was lost, {} other runs beside it",
+            line.field("beside").unwrap_or("?")
+        ),
+        "Job given up: a task of it crashes the workers that start it." => format!(
+            "given up: task {task} crashes the workers that start it ({})",
+            line.field("workers").unwrap_or("?")
+        ),
         "Task not started." => {
             let answer = line.field("answer").unwrap_or("?");
             format!("a start was not carried out ({answer})")
--- a/crates/grid/src/metrics/mod.rs
+++ b/crates/grid/src/metrics/mod.rs
@@ -60,6 +60,8 @@
     wait: Family<JobLabels, Histogram>,
     completion: Family<JobLabels, Histogram>,
     ends: Family<EndLabels, Counter>,
+    suspect_losses: Family<JobLabels, Counter>,
+    given_up: Family<JobLabels, Counter>,
     open_jobs: Family<PoolLabels, Gauge>,
     roles: Gauge,
     catalogue_version: Gauge,
@@ -86,6 +88,8 @@
             wait: Family::new_with_constructor(seconds),
             completion: Family::new_with_constructor(seconds),
             ends: Family::default(),
+            suspect_losses: Family::default(),
+            given_up: Family::default(),
             open_jobs: Family::default(),
             roles: Gauge::default(),
             catalogue_version: Gauge::default(),
@@ -133,6 +137,16 @@
             self.completion.clone(),
         );
         registry.register("run_ends", "Ends of runs", self.ends.clone());
+        registry.register(
+            "suspect_losses",
+            "Runs that had just started when their worker was lost",
+            self.suspect_losses.clone(),
+        );
+        registry.register(
+            "jobs_given_up",
+            "Jobs given up because a task crashes its workers",
+            self.given_up.clone(),
+        );
         registry.register("open_jobs", "Open jobs", self.open_jobs.clone());
         registry.register("roles", "Roles held", self.roles.clone());
         registry.register(
@@ -202,6 +216,18 @@
             .observe(took.as_secs_f64());
     }
 
+    /// Counts a run that had just started when its worker was lost.
+    pub fn suspect_loss(&self, team: Option<&str>, queue: &str) {
+        self.suspect_losses
+            .get_or_create(&self.labels(team, queue))
+            .inc();
+    }
+
+    /// Counts a job that was given up because a task of it crashes its workers.
+    pub fn job_given_up(&self, team: Option<&str>, queue: &str) {
+        self.given_up.get_or_create(&self.labels(team, queue)).inc();
+    }
+
     /// Counts the end of a run.
     pub fn run_ended(&self, pool: &str, how: &'static str) {
         let pool = pool.into();
--- a/crates/grid/src/pool/events.rs
+++ b/crates/grid/src/pool/events.rs
@@ -1,12 +1,21 @@
 //! Writes the pool's events to the log and the metrics.
 
+use goldcrest_jobs::id::TaskId;
 use goldcrest_jobs::pool::Event;
+use goldcrest_jobs::suspect::Exposure;
 use goldcrest_jobs::worker::millis;
 use goldcrest_types::names::TeamName;
 
 use crate::pool::Scheduler;
 use crate::ports::Platform;
 
+/// What a task belongs to. Texts are empty if the job is not known.
+struct Origin {
+    team: Option<Box<str>>,
+    queue: Box<str>,
+    image: Box<str>,
+}
+
 impl<P: Platform> Scheduler<P> {
     pub(super) fn log_events(&self) {
         let events = self.pool.borrow_mut().take_events();
@@ -74,11 +83,19 @@
                 beside,
                 unreported,
             } => {
-                log::warn!(target: "scheduler", task:% = task, run:% = run, worker:% = worker, exposure:?, beside, unreported, pool:% = self.name; "Run lost with its worker.");
+                let origin = self.origin(task);
+                if exposure != Exposure::Established {
+                    let team = origin.team.as_deref();
+                    self.entry.metrics.suspect_loss(team, &origin.queue);
+                }
+                log::warn!(target: "scheduler", task:% = task, run:% = run, worker:% = worker, exposure:?, beside, unreported, queue = origin.queue, image = origin.image, pool:% = self.name; "Run lost with its worker.");
             }
             Event::GivenUp { task, runs, took } => {
+                let origin = self.origin(task);
+                let team = origin.team.as_deref();
+                self.entry.metrics.job_given_up(team, &origin.queue);
                 let workers: Vec<&str> = runs.iter().map(|run| run.worker.as_str()).collect();
-                log::error!(target: "scheduler", job:% = task.step.job, task:% = task, pool:% = self.name, workers = workers.join(" "), runs:?, took_ms = millis(took); "Job given up: a task of it crashes the workers that start it.");
+                log::error!(target: "scheduler", job:% = task.step.job, task:% = task, workers = workers.join(" "), crashes = workers.len(), queue = origin.queue, image = origin.image, took_ms = millis(took), pool:% = self.name; "Job given up: a task of it crashes the workers that start it.");
             }
             Event::Unfit {
                 job,
@@ -105,4 +122,16 @@
             }
         }
     }
+
+    /// What a task belongs to, for logs and metrics.
+    fn origin(&self, task: TaskId) -> Origin {
+        let pool = self.pool.borrow();
+        let job = pool.jobs().get(&task.step.job);
+        let step = job.and_then(|job| job.record.spec.steps.get(task.step.step as usize));
+        Origin {
+            team: job.and_then(|job| job.record.team.as_ref().map(|team| team.as_str().into())),
+            queue: job.map_or_else(Box::default, |job| job.queue().as_str().into()),
+            image: step.and_then(|step| step.image.clone()).unwrap_or_default(),
+        }
+    }
 }
--- a/crates/grid/tests/entry/crash.rs
+++ b/crates/grid/tests/entry/crash.rs
@@ -82,7 +82,7 @@
             bed.world.crew.borrow_mut().set_capacity(worker, 2_000);
         }
         // The registry is read every 600 ms.
-        sleep(Duration::from_millis(1_000)).await;
+        sleep(Duration::from_secs(1)).await;
         let shrunk_at = Instant::now();
         let holder = bed.holder();
         bed.kill(&holder);
--- a/crates/grid/tests/stored.rs
+++ b/crates/grid/tests/stored.rs
@@ -3,10 +3,11 @@
 use std::time::Duration;
 
 use goldcrest_grid::keys::{self, AssignedWorkers, JobStatus};
-use goldcrest_jobs::id::{JobId, WorkerId};
+use goldcrest_jobs::id::{JobId, RunNumber, WorkerId};
 use goldcrest_jobs::policy::AcceptedPolicy;
 use goldcrest_jobs::resources::Resources;
 use goldcrest_jobs::spec::{JobRecord, JobSpec, JobState, Step};
+use goldcrest_jobs::suspect::{Exposure, RunState, SuspectTask, SuspectTasks, UnreportedRun};
 use goldcrest_types::names::{PoolName, QueueName, TeamName};
 use serde::{Deserialize, Serialize};
 
@@ -99,3 +100,34 @@
     assert!(!back.is_tombstone);
     assert_eq!(keys::decode("k", &keys::encode(&new)), Ok(new));
 }
+
+/// Unreported runs have a key of their own: a job's progress stays as the version before them writes and reads it.
+#[test]
+fn unreported_runs_leave_progress_as_it_was() {
+    let suspects = SuspectTasks {
+        accepted_ms: 5,
+        tasks: vec![SuspectTask {
+            occurrence: 0,
+            step: 1,
+            index: 2,
+            runs: vec![UnreportedRun {
+                run: Some(RunNumber(3)),
+                worker: WorkerId::from("w1"),
+                started_ms: Some(7),
+                exposure: Exposure::Alone,
+                state: RunState::Lost,
+            }],
+        }],
+    };
+    assert_eq!(keys::decode("k", &keys::encode(&suspects)), Ok(suspects));
+    let pool: PoolName = "p".parse().expect("a name");
+    let id = record(None).id;
+    let key = keys::suspects(&pool, id);
+    assert!(key.starts_with(&*keys::all_suspects(&pool)));
+    for known in [keys::inbox(&pool), keys::progresses(&pool)] {
+        assert!(
+            !key.starts_with(&*known),
+            "an older version would read {key}"
+        );
+    }
+}
--- a/crates/jobs/src/suspect/mod.rs
+++ b/crates/jobs/src/suspect/mod.rs
@@ -13,6 +13,10 @@
 //! and had just started is strong evidence, if a neighbour of the worker still answers. [`CrashLimit::is_exceeded`]
 //! weighs both.
 
+use std::fmt;
+use std::str::FromStr;
+
+use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 
 use crate::id::{RunNumber, WorkerId};
@@ -65,10 +69,40 @@
     }
 }
 
+quick_error! {
+    /// Why a crash limit is not accepted.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum CrashLimitError {
+        /// No whole number.
+        Number(text: Box<str>) {
+            display("the crash limit '{text}' is no whole number: give one from {} to {}", CrashLimit::LEAST, CrashLimit::MOST)
+        }
+        /// Outside its range.
+        Range(crashes: u32) {
+            display("the crash limit is {crashes}: give {} to {}", CrashLimit::LEAST, CrashLimit::MOST)
+        }
+    }
+}
+
 /// How many workers may crash under a task before its job is given up.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CrashLimit(u32);
 
+impl fmt::Display for CrashLimit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for CrashLimit {
+    type Err = CrashLimitError;
+
+    fn from_str(text: &str) -> Result<Self, CrashLimitError> {
+        let crashes = text.parse();
+        Self::new(crashes.map_err(|_| CrashLimitError::Number(text.into()))?)
+    }
+}
+
 impl CrashLimit {
     /// The fewest crashes that tell a task from one that stood beside another.
     pub const LEAST: u32 = 2;
@@ -76,12 +110,17 @@
     /// The most crashes that the platform allows.
     pub const MOST: u32 = 3;
 
-    /// Creates a limit. `None` unless it is from [`Self::LEAST`] to [`Self::MOST`].
-    #[must_use]
-    pub fn new(crashes: u32) -> Option<Self> {
-        (Self::LEAST..=Self::MOST)
-            .contains(&crashes)
-            .then_some(Self(crashes))
+    /// Creates a limit.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error unless it is from [`Self::LEAST`] to [`Self::MOST`].
+    pub fn new(crashes: u32) -> Result<Self, CrashLimitError> {
+        if (Self::LEAST..=Self::MOST).contains(&crashes) {
+            Ok(Self(crashes))
+        } else {
+            Err(CrashLimitError::Range(crashes))
+        }
     }
 
     fn crashes(self) -> usize {
--- a/crates/jobs/tests/crash.rs
+++ b/crates/jobs/tests/crash.rs
@@ -8,6 +8,7 @@
 use goldcrest_jobs::id::{JobId, TaskId};
 use goldcrest_jobs::resources::Resources;
 use goldcrest_jobs::spec::{Feature, JobState, Schedule, Step};
+use goldcrest_jobs::suspect::{CrashLimit, CrashLimitError};
 
 use crashing_fleet::{Fleet, Return};
 
@@ -216,3 +217,16 @@
     fleet.play_until_ended(Duration::from_mins(1));
     assert_eq!(fleet.outcomes.get(&job), Some(&JobState::Completed));
 }
+
+/// The range of the setting.
+#[test]
+fn crash_limit_out_of_range() {
+    assert_eq!("3".parse(), Ok(CrashLimit::default()));
+    assert_eq!(
+        "2".parse::<CrashLimit>().map(|limit| limit.to_string()),
+        Ok("2".into())
+    );
+    assert_eq!("1".parse::<CrashLimit>(), Err(CrashLimitError::Range(1)));
+    assert_eq!("4".parse::<CrashLimit>(), Err(CrashLimitError::Range(4)));
+    assert!("many".parse::<CrashLimit>().is_err());
+}
