jobs: unreported runs of an earlier scheduler are cleared by reports from the first one on

Between a takeover and the moment when a job's workers had all reported, the end of a suspect task's run, or its absence from the same incarnation, did not clear the run: it counted as lost. Found by reading; the test fails with the line that collects the inherited runs taken out.

--- a/crates/grid/src/pool/load.rs
+++ b/crates/grid/src/pool/load.rs
@@ -97,7 +97,7 @@
         pool.take_over(jobs, workers, lease, now);
         pool.set_inherited_incarnations(started_ms);
         for (job, suspects) in suspects {
-            pool.inherit_suspects(job, suspects);
+            pool.inherit_suspects(job, suspects, now);
         }
         drop(pool);
         // An older version has closed these jobs, and does not know of their unreported runs.
--- a/crates/jobs/src/job/mod.rs
+++ b/crates/jobs/src/job/mod.rs
@@ -304,6 +304,27 @@
         })
     }
 
+    /// The tasks of open occurrences that have unreported runs.
+    #[must_use]
+    pub fn suspect_ids(&self) -> Vec<TaskId> {
+        let job = self.id();
+        let tasks = self.occurrences.iter().flat_map(|(occurrence, state)| {
+            let steps = (0..).zip(&state.steps);
+            steps.flat_map(move |(step, state)| {
+                let tasks = (0..).zip(&state.tasks);
+                let suspects = tasks.filter(|(_, task)| !task.unreported.is_empty());
+                let occurrence = *occurrence;
+                let step = StepId {
+                    job,
+                    occurrence,
+                    step,
+                };
+                suspects.map(move |(index, _)| step.task(index))
+            })
+        });
+        tasks.collect()
+    }
+
     /// Gives the job up if the lost runs of a task show that it crashes its workers. Returns whether it did.
     pub fn judge_crashes(&mut self, task: TaskId, limit: CrashLimit) -> bool {
         let state = self.step(task.step).map(|(_, state)| state);
--- a/crates/jobs/src/pool/release.rs
+++ b/crates/jobs/src/pool/release.rs
@@ -103,6 +103,6 @@
         pool.takeover = None;
     }
     for job in resolved {
-        pool.collect_suspects(job);
+        pool.collect_suspects(job, now);
     }
 }
--- a/crates/jobs/src/pool/suspects.rs
+++ b/crates/jobs/src/pool/suspects.rs
@@ -1,9 +1,9 @@
 //! Keeps the unreported runs of tasks, and gives up jobs with a task that crashes its workers.
 
 use std::collections::BTreeMap;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use crate::id::{JobId, StepId, TaskId, WorkerId, WorkerRef};
+use crate::id::{JobId, TaskId, WorkerId, WorkerRef};
 use crate::job::Task;
 use crate::pool::{Event, Pool};
 use crate::suspect::{Exposure, RunState, SuspectTasks, UnreportedRun};
@@ -11,11 +11,18 @@
 
 impl Pool {
     /// Applies what an earlier scheduler has stored of a job's unreported runs. Must follow [`Self::take_over`] and
-    /// precede the first plan.
-    pub fn inherit_suspects(&mut self, job: JobId, suspects: SuspectTasks) {
-        if let Some(job) = self.jobs.get_mut(&job) {
-            job.set_suspects(suspects);
+    /// precede the first report and the first plan.
+    pub fn inherit_suspects(&mut self, id: JobId, suspects: SuspectTasks, now: Instant) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let occurrences: Vec<u32> = suspects.tasks.iter().map(|task| task.occurrence).collect();
+        job.set_suspects(suspects);
+        // Reports may account for these runs before the occurrence is due by this entry's clock.
+        for occurrence in occurrences {
+            job.open_occurrence(occurrence, now);
         }
+        self.suspects.extend(job.suspect_ids());
     }
 
     /// Sets when each worker's incarnation started that an earlier scheduler used, in milliseconds since 1970.
@@ -288,28 +295,14 @@
     }
 
     /// Collects the suspect tasks of a job whose tasks have become known after a takeover.
-    pub(super) fn collect_suspects(&mut self, id: JobId) {
-        let limit = self.bounds.crash_limit;
-        let Some(job) = self.jobs.get_mut(&id) else {
+    pub(super) fn collect_suspects(&mut self, id: JobId, now: Instant) {
+        let Some(job) = self.jobs.get(&id) else {
             return;
         };
-        let suspects = job.to_suspects().map(|suspects| suspects.tasks);
-        for suspect in suspects.unwrap_or_default() {
-            let step = StepId {
-                job: id,
-                occurrence: suspect.occurrence,
-                step: suspect.step,
-            };
-            let task = step.task(suspect.index);
+        for task in job.suspect_ids() {
             self.suspects.insert(task);
-            if job.judge_crashes(task, limit) {
-                self.events.push(Event::GivenUp {
-                    task,
-                    runs: suspect.runs,
-                    took: Duration::ZERO,
-                });
-            }
             self.unsaved.insert(id);
+            self.judge_crashes(task, now);
         }
     }
 
--- a/crates/jobs/tests/crashing_fleet/mod.rs
+++ b/crates/jobs/tests/crashing_fleet/mod.rs
@@ -200,7 +200,8 @@
         self.pool
             .set_inherited_incarnations(self.stored_workers.clone());
         for (id, stored) in &self.stored {
-            self.pool.inherit_suspects(*id, stored.suspects.clone());
+            self.pool
+                .inherit_suspects(*id, stored.suspects.clone(), now);
         }
     }
 
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -9,7 +9,10 @@
 use goldcrest_jobs::progress::{
     IndexSet, OccurrenceProgress, Progress, StepProgress, TaskProgress,
 };
+use goldcrest_jobs::resources::Resources;
 use goldcrest_jobs::spec::{JobRecord, JobSpec, JobState, Schedule, Step};
+use goldcrest_jobs::suspect::{Exposure, RunState, SuspectTask, SuspectTasks, UnreportedRun};
+use goldcrest_jobs::worker::{EndRow, Report, RunEnd, WorkerInfo};
 
 use one_pool::pool;
 
@@ -105,3 +108,82 @@
     let (state, second) = taken_over(7, record(Some(schedule)), stored.clone());
     assert_eq!((state, second), (JobState::Running, stored));
 }
+
+/// Takes over a job with an unreported run on `w1`, which started at 7 ms, and ingests a report of `w1`. Returns the
+/// states of the task's unreported runs.
+fn after_report(started_ms: u64, ended: Vec<EndRow>) -> Vec<RunState> {
+    let now = Instant::now();
+    let mut pool = pool(8);
+    let workers: BTreeSet<WorkerId> = [WorkerId::from("w1")].into();
+    let stored = progress(&[]);
+    pool.take_over(
+        vec![(record(None), stored, Duration::ZERO)],
+        workers.clone(),
+        None,
+        now,
+    );
+    pool.set_inherited_incarnations([(WorkerId::from("w1"), 7)].into());
+    let run = UnreportedRun {
+        run: Some(RunNumber(5)),
+        worker: "w1".into(),
+        started_ms: Some(7),
+        exposure: Exposure::Alone,
+        state: RunState::Open,
+    };
+    let suspects = SuspectTasks {
+        accepted_ms: 0,
+        tasks: vec![SuspectTask {
+            occurrence: 0,
+            step: 0,
+            index: 0,
+            runs: vec![run],
+        }],
+    };
+    pool.inherit_suspects(job(), suspects, now);
+    let info = WorkerInfo {
+        id: "w1".into(),
+        started_ms: Some(started_ms),
+        address: "".into(),
+        dc: None,
+        capacity: Resources::default(),
+        labels: Vec::new(),
+        is_draining: false,
+        remaining: None,
+        is_cold: false,
+    };
+    pool.set_workers(vec![info], now);
+    let worker = *pool.workers().keys().next().expect("w1");
+    let report = Report {
+        clock_ms: 100,
+        started_ms: Some(started_ms),
+        running: Vec::new(),
+        ended,
+    };
+    pool.report(worker, now, report, now);
+    pool.plan(now, 0);
+    let suspects = pool.jobs()[&job()].to_suspects();
+    let runs = suspects.into_iter().flat_map(|suspects| suspects.tasks);
+    runs.flat_map(|task| task.runs)
+        .map(|run| run.state)
+        .collect()
+}
+
+/// Guards against blame for what a worker accounts for to the next scheduler: an end, or the run's absence from the same
+/// incarnation. Only a later incarnation leaves the run lost.
+#[test]
+fn inherit_suspects_until_their_worker_reports() {
+    let stopped = EndRow {
+        number: 1,
+        task: format!("{}.0.0.0", job()).parse().expect("a task"),
+        run: RunNumber(5),
+        end: RunEnd::Stopped,
+        checkpoint: None,
+    };
+    assert_eq!(after_report(7, vec![stopped]), []);
+    assert_eq!(after_report(7, Vec::new()), []);
+    assert_eq!(
+        after_report(9, Vec::new()),
+        [RunState::Lost, RunState::Open],
+        "the next start is recorded too"
+    );
+}
