jobs: the verdict needs runs that were alone, and suspects with several losses are only started alone

Harmless tasks were also given up at their fifth loss beside others, as suspects that had waited 2 s were placed together: now after 5 s, and with three losses only alone. The default limit is two crashes, as the platform allows, of which one was alone.

--- a/crates/jobs/src/pool/ingest.rs
+++ b/crates/jobs/src/pool/ingest.rs
@@ -177,16 +177,16 @@
             let keys: Vec<RunKey> = may_be_present.map(|(key, _)| *key).collect();
             vm.clone_from(&worker.vm);
             unanswered = std::mem::take(&mut worker.unanswered);
+            // The old incarnation may have executed the runs that are carried over.
+            self.record_losses(old, now);
             for key in keys {
                 late.remove(&key);
-                // The old incarnation may have executed it, and the task is not idle before it is stopped in the new one.
-                self.record_loss(old, key, now);
                 if let Some(worker) = self.workers.get_mut(&old) {
                     carried_over.extend(worker.remove(key).map(|run| (key, run)));
                 }
             }
         }
-        self.end_incarnation(old, "reborn", now);
+        self.drop_incarnation(old, "reborn");
         let worker_ref = self.add_worker(info);
         let longest = expiry(self.bounds.lease_max, &self.bounds);
         let has_earlier_runs = !carried_over.is_empty() || !late.is_empty();
@@ -293,6 +293,11 @@
     /// Marks a worker as departed and drops its runs. It has restarted or has certainly stopped, so none of them is
     /// executing.
     pub fn end_incarnation(&mut self, worker_ref: WorkerRef, state: &'static str, now: Instant) {
+        self.record_losses(worker_ref, now);
+        self.drop_incarnation(worker_ref, state);
+    }
+
+    fn drop_incarnation(&mut self, worker_ref: WorkerRef, state: &'static str) {
         self.push_worker_event(worker_ref, state);
         let Some(worker) = self.workers.get_mut(&worker_ref) else {
             return;
@@ -300,7 +305,7 @@
         worker.has_departed = true;
         let keys: Vec<RunKey> = worker.runs.keys().copied().collect();
         for key in keys {
-            self.lose_run(worker_ref, key, "worker gone", now);
+            self.drop_run(worker_ref, key, "worker gone");
         }
     }
 
--- a/crates/jobs/src/pool/isolate.rs
+++ b/crates/jobs/src/pool/isolate.rs
@@ -3,10 +3,11 @@
 //! Load pattern: one task of a job crashes each worker that starts it, and dozens of harmless tasks are lost with each
 //! worker. The next crash should cost only an empty worker and name the task that caused it.
 //!
-//! Workers are held for as many suspect tasks as wait, but for at most a part of the pool: empty ones first, then those
-//! that become empty soonest. A held worker gets no other starts. Once the run of a suspect task has been executing for
-//! a while, others join it. A task that has waited long is placed like any other, on the worker with the most free
-//! capacity: on a pool that is full of long tasks, harmless suspects would miss their objective.
+//! Workers are held for as many suspect tasks as wait: empty ones, and a part of the pool if that is more, those that
+//! become empty soonest. A held worker gets no other starts. Once the run of a suspect task has been executing for a
+//! while, others join it. A task that has waited long is placed like any other, on the worker with the most free
+//! capacity: on a pool that keeps losing workers, or is full of long tasks, harmless suspects would not end. A task that
+//! has lost several runs is started alone, if any held worker could run it: the next loss decides about its job.
 
 use std::cmp::Reverse;
 use std::time::{Duration, Instant};
@@ -16,52 +17,63 @@
 use crate::pool::Pool;
 use crate::pool::free_capacity::may_run;
 use crate::pool::order::is_placeable;
+use crate::pool::place::{is_allowed, start};
+use crate::suspect::CrashLimit;
 use crate::worker::Worker;
 
-/// At most one worker of so many is held for suspect tasks, but always one.
+/// One worker of so many may be held for suspect tasks while it has runs, but always one.
 const WORKERS_PER_HELD: usize = 4;
 
 /// A suspect task that has waited this long is not isolated any more.
-const WAIT_MAX: Duration = Duration::from_secs(2);
+const WAIT_MAX: Duration = Duration::from_secs(5);
+
+/// A task that has lost so many runs is isolated however long it waits.
+const LOST_MAX: usize = 3;
 
 /// Runs the pass.
 pub fn run(pool: &mut Pool, now: Instant) {
     pool.held_for_suspects.clear();
+    pool.not_isolated.clear();
     let waiting = waiting(pool, now);
     if waiting.is_empty() {
         return;
     }
     let mut held = hold(pool, waiting.len(), now);
-    for task in waiting {
-        let Some((spec, _)) = pool
-            .jobs
-            .get(&task.step.job)
-            .and_then(|job| job.step(task.step))
-        else {
+    let all_held = held.clone();
+    for (since, task) in waiting {
+        let job = pool.jobs.get(&task.step.job);
+        let Some((spec, state)) = job.and_then(|job| job.step(task.step)) else {
             continue;
         };
         let spec = spec.clone();
-        if !super::place::is_allowed(pool, task.step.job, spec.reserved()) {
+        let lost = state.tasks[task.index as usize].unreported.len();
+        if !is_allowed(pool, task.step.job, spec.reserved()) {
             continue;
         }
-        let fits = held.iter().position(|worker_ref| {
+        let could_run = |worker_ref: &WorkerRef| {
             pool.workers.get(worker_ref).is_some_and(|worker| {
-                worker.runs.is_empty()
-                    && spec.reserved().fits(&worker.free())
-                    && may_run(pool, *worker_ref, worker, task.step, &spec, now)
+                worker.could_run(&spec) && may_run(pool, *worker_ref, worker, task.step, &spec, now)
             })
-        });
-        if let Some(at) = fits {
+        };
+        let is_empty = |worker: &WorkerRef| pool.workers[worker].runs.is_empty();
+        let free = held
+            .iter()
+            .position(|worker| is_empty(worker) && could_run(worker));
+        let has_waited = now.saturating_duration_since(since) >= WAIT_MAX;
+        if let Some(at) = free {
             let worker = held.remove(at);
-            super::place::start(pool, task, &spec, worker, None, now);
+            start(pool, task, &spec, worker, None, now);
+        } else if has_waited && (lost < LOST_MAX || !all_held.iter().any(could_run)) {
+            pool.not_isolated.insert(task);
         }
     }
     pool.held_for_suspects.extend(held);
 }
 
-/// The idle tasks that should be started alone, those that have waited longest first.
-fn waiting(pool: &mut Pool, now: Instant) -> Vec<TaskId> {
-    let unreported_max = pool.bounds.crash_limit.unreported_max();
+/// The idle tasks that should be started alone, each with the time since which it waits, those that have waited longest
+/// first.
+fn waiting(pool: &mut Pool, now: Instant) -> Vec<(Instant, TaskId)> {
+    let unreported_max = CrashLimit::unreported_max();
     let mut waiting = Vec::new();
     let jobs = &pool.jobs;
     pool.suspects.retain(|id| {
@@ -90,13 +102,11 @@
                 return;
             }
             let since = *task.isolation_awaited_since.get_or_insert(now);
-            if now.saturating_duration_since(since) < WAIT_MAX {
-                waiting.push((since, *id));
-            }
+            waiting.push((since, *id));
         });
     }
     waiting.sort_unstable();
-    waiting.into_iter().map(|(_, id)| id).collect()
+    waiting
 }
 
 /// Chooses the workers to hold.
@@ -109,8 +119,9 @@
         .filter(|(_, worker)| is_vacant_soon(worker) && !worker.is_isolating(now))
         .map(|(worker_ref, worker)| (worker.runs.len(), Reverse(*worker_ref)))
         .collect();
-    let held_max = (workers.len() / WORKERS_PER_HELD).max(1);
     workers.sort_unstable();
+    let empty = workers.iter().take_while(|(runs, _)| *runs == 0).count();
+    let held_max = (workers.len() / WORKERS_PER_HELD).max(empty).max(1);
     let held = workers.into_iter().take(wanted.min(held_max));
     held.map(|(_, Reverse(worker))| worker).collect()
 }
@@ -118,17 +129,16 @@
 impl Pool {
     /// Whether a suspect task may be placed like any other: it does not wait for a worker of its own, and if each of its
     /// unreported runs has crashed its worker, a further one does not exceed the limit.
-    pub(super) fn may_start_suspect(&self, id: TaskId, now: Instant) -> bool {
+    pub(super) fn may_start_suspect(&self, id: TaskId) -> bool {
         let job = self.jobs.get(&id.step.job);
         let state = job
             .and_then(|job| job.step(id.step))
             .map(|(_, state)| state);
         let task = state.and_then(|state| state.tasks.get(id.index as usize));
         task.is_none_or(|task| {
-            let since = task.isolation_awaited_since;
-            let has_waited =
-                since.is_none_or(|since| now.saturating_duration_since(since) >= WAIT_MAX);
-            has_waited && task.unreported.len() < self.bounds.crash_limit.unreported_max()
+            let is_waiting = task.isolation_awaited_since.is_some();
+            let has_runs_left = task.unreported.len() < CrashLimit::unreported_max();
+            (!is_waiting || self.not_isolated.contains(&id)) && has_runs_left
         })
     }
 }
--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -254,6 +254,8 @@
     inherited_incarnations: BTreeMap<WorkerId, u64>,
     /// Workers that get no other starts, as of the last plan, so that suspect tasks can be started there alone.
     held_for_suspects: BTreeSet<WorkerRef>,
+    /// Suspect tasks that are placed like any other, as no held worker could run them, as of the last plan.
+    not_isolated: BTreeSet<TaskId>,
     /// When the jobs were last checked for steps that fit no worker.
     unfit_checked_at: Option<Instant>,
 }
@@ -297,6 +299,7 @@
             suspects: BTreeSet::new(),
             inherited_incarnations: BTreeMap::new(),
             held_for_suspects: BTreeSet::new(),
+            not_isolated: BTreeSet::new(),
             unfit_checked_at: None,
         }
     }
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -104,7 +104,7 @@
             return;
         }
         let is_suspect = pool.suspects.contains(task);
-        if is_suspect && !pool.may_start_suspect(*task, now) {
+        if is_suspect && !pool.may_start_suspect(*task) {
             continue;
         }
         let Some(worker) = free_capacity.choose(pool, step, &spec, is_suspect) else {
@@ -122,7 +122,7 @@
     };
     let tasks = idle_tasks(pool, step);
     let is_startable =
-        |task: &TaskId| !pool.suspects.contains(task) || pool.may_start_suspect(*task, now);
+        |task: &TaskId| !pool.suspects.contains(task) || pool.may_start_suspect(*task);
     if tasks.len() != spec.tasks as usize || !tasks.iter().all(is_startable) {
         return;
     }
--- a/crates/jobs/src/pool/release.rs
+++ b/crates/jobs/src/pool/release.rs
@@ -68,8 +68,9 @@
     }
     let keys: Vec<_> = worker.runs.keys().copied().collect();
     pool.push_worker_event(worker_ref, "leases lapsed");
+    pool.record_losses(worker_ref, now);
     for key in keys {
-        pool.lose_run(worker_ref, key, "lease lapsed", now);
+        pool.drop_run(worker_ref, key, "lease lapsed");
     }
 }
 
--- a/crates/jobs/src/pool/suspects.rs
+++ b/crates/jobs/src/pool/suspects.rs
@@ -30,20 +30,17 @@
         self.inherited_incarnations = incarnations;
     }
 
-    /// Removes a run whose worker was lost.
-    pub(super) fn lose_run(
-        &mut self,
-        worker_ref: WorkerRef,
-        key: RunKey,
-        how: &'static str,
-        now: Instant,
-    ) {
-        self.record_loss(worker_ref, key, now);
-        self.drop_run(worker_ref, key, how);
+    /// Records that a worker was lost with all its runs. Precedes their removal, as each is judged by what ran beside it.
+    pub(super) fn record_losses(&mut self, worker_ref: WorkerRef, now: Instant) {
+        let worker = self.workers.get(&worker_ref);
+        let keys = worker.map(|worker| worker.runs.keys().copied().collect::<Vec<_>>());
+        for key in keys.unwrap_or_default() {
+            self.record_loss(worker_ref, key, now);
+        }
     }
 
     /// Records that the worker of a run was lost, and gives the job up if that shows that the task crashes its workers.
-    pub(super) fn record_loss(&mut self, worker_ref: WorkerRef, key: RunKey, now: Instant) {
+    fn record_loss(&mut self, worker_ref: WorkerRef, key: RunKey, now: Instant) {
         let Some(exposure) = self.exposure(worker_ref, key) else {
             self.clear_reported(worker_ref, key);
             return;
--- a/crates/jobs/src/suspect/mod.rs
+++ b/crates/jobs/src/suspect/mod.rs
@@ -7,7 +7,7 @@
 //! - A run of a task that has an unreported run is stored as unreported before its start is sent. So whatever becomes
 //!   of the scheduler, the next one knows of it before it starts the task again.
 //! - A task never has more than [`CrashLimit::unreported_max`] unreported runs. If each of them has crashed its worker,
-//!   at most [`STARTS_AFTER_LIMIT`] of them were started after the limit was reached.
+//!   at most [`STARTS_AFTER_MOST`] of them were started after the [`CrashLimit::MOST`]th crash.
 //!
 //! Presence alone is weak evidence: runs stand beside each other, and racks are lost. A run that was alone on its worker
 //! and had just started is strong evidence, if a neighbour of the worker still answers. [`CrashLimit::is_exceeded`]
@@ -21,8 +21,8 @@
 
 use crate::id::{RunNumber, WorkerId};
 
-/// The number of starts that a task may have after it has crashed as many workers as the limit allows.
-const STARTS_AFTER_LIMIT: usize = 2;
+/// The number of starts that the platform allows a task after it has crashed [`CrashLimit::MOST`] workers.
+const STARTS_AFTER_MOST: usize = 2;
 
 /// What a lost worker says about a run that it executed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -104,10 +104,11 @@
 }
 
 impl CrashLimit {
-    /// The fewest crashes that tell a task from one that stood beside another.
+    /// The fewest crashes that tell a task from one that stood beside another. The platform lets a task be given up after
+    /// as many.
     pub const LEAST: u32 = 2;
 
-    /// The most crashes that the platform allows.
+    /// The crashes after which the platform bounds the starts of a task.
     pub const MOST: u32 = 3;
 
     /// Creates a limit.
@@ -123,30 +124,29 @@
         }
     }
 
-    fn crashes(self) -> usize {
-        self.0 as usize
-    }
-
     /// The most unreported runs that a task may have.
     #[must_use]
-    pub fn unreported_max(self) -> usize {
-        self.crashes() + STARTS_AFTER_LIMIT
+    pub const fn unreported_max() -> usize {
+        Self::MOST as usize + STARTS_AFTER_MOST
     }
 
-    /// Whether the lost runs of a task show that it crashes its workers: as many as the limit, of which only the first
-    /// may have had others beside it; or so many that another start would break the limit if all were its doing.
+    /// Whether the lost runs of a task show that it crashes its workers: as many as the limit had just started, of
+    /// which only one had others beside it; or so many were lost that a further start would break the platform's rule
+    /// if all were the task's doing.
     #[must_use]
     pub fn is_exceeded(self, runs: &[UnreportedRun]) -> bool {
+        let crashes = self.0 as usize;
         let lost = || runs.iter().filter(|run| run.state == RunState::Lost);
+        let just_started = lost().filter(|run| run.exposure != Exposure::Established);
         let alone = lost().filter(|run| run.exposure == Exposure::Alone).count();
-        let is_evident = lost().count() >= self.crashes() && alone + 1 >= self.crashes();
-        is_evident || lost().count() >= self.unreported_max()
+        let is_evident = just_started.count() >= crashes && alone + 1 >= crashes;
+        is_evident || lost().count() >= Self::unreported_max()
     }
 }
 
 impl Default for CrashLimit {
     fn default() -> Self {
-        Self(Self::MOST)
+        Self(Self::LEAST)
     }
 }
 
--- a/crates/jobs/src/verify/mod.rs
+++ b/crates/jobs/src/verify/mod.rs
@@ -7,6 +7,7 @@
 use crate::id::TaskId;
 use crate::pool::{Command, Pool, StartCommand};
 use crate::resources::Resources;
+use crate::suspect::CrashLimit;
 use crate::worker::{Origin, Worker};
 
 /// Runs all checks of a pool's state.
@@ -53,7 +54,7 @@
 /// Checks that no task has more unreported runs than its limit allows.
 #[must_use]
 pub fn unreported(pool: &Pool) -> Vec<Box<str>> {
-    let most = pool.bounds().crash_limit.unreported_max();
+    let most = CrashLimit::unreported_max();
     let suspects = pool.jobs().values().filter_map(|job| {
         let tasks = job.to_suspects()?.tasks;
         Some(tasks.into_iter().map(|task| (job.id(), task)))
--- a/crates/jobs/tests/crash.rs
+++ b/crates/jobs/tests/crash.rs
@@ -221,10 +221,10 @@
 /// The range of the setting.
 #[test]
 fn crash_limit_out_of_range() {
-    assert_eq!("3".parse(), Ok(CrashLimit::default()));
+    assert_eq!("2".parse(), Ok(CrashLimit::default()));
     assert_eq!(
-        "2".parse::<CrashLimit>().map(|limit| limit.to_string()),
-        Ok("2".into())
+        "3".parse::<CrashLimit>().map(|limit| limit.to_string()),
+        Ok("3".into())
     );
     assert_eq!("1".parse::<CrashLimit>(), Err(CrashLimitError::Range(1)));
     assert_eq!("4".parse::<CrashLimit>(), Err(CrashLimitError::Range(4)));
