--- a/crates/jobs/src/job/mod.rs
+++ b/crates/jobs/src/job/mod.rs
@@ -17,6 +17,9 @@
 use crate::spec::{JobRecord, JobState, Step, TASKS_MAX};
 use crate::suspect::{CrashLimit, Exposure, RunState, SuspectTask, SuspectTasks, UnreportedRun};
 
+/// A task that has lost so many runs is started alone, even if each had been executing for some time.
+pub const LOST_ISOLATED: usize = 3;
+
 /// Whether a task that has a run may be given a copy of it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Copies {
@@ -61,20 +64,15 @@
     }
 
     /// Whether its next run should be alone on its worker: it may have crashed a worker by its start, or has lost
-    /// several.
+    /// [`LOST_ISOLATED`] runs.
     #[must_use]
     pub fn needs_isolation(&self) -> bool {
-        let mut lost = self.unreported.iter();
-        let lost = lost
-            .by_ref()
-            .filter(|run| run.state == RunState::Lost)
-            .map(|run| run.exposure);
-        let (mut count, mut has_just_started) = (0, false);
-        for exposure in lost {
-            count += 1;
-            has_just_started |= exposure != Exposure::Established;
-        }
-        self.copies == Copies::Isolated || has_just_started || count > 1
+        let lost = || {
+            let runs = self.unreported.iter();
+            runs.filter(|run| run.state == RunState::Lost)
+        };
+        let has_just_started = lost().any(|run| run.exposure != Exposure::Established);
+        self.copies == Copies::Isolated || has_just_started || lost().count() >= LOST_ISOLATED
     }
 
     fn to_progress(&self, index: u32) -> Option<TaskProgress> {
--- a/crates/jobs/src/pool/free_capacity.rs
+++ b/crates/jobs/src/pool/free_capacity.rs
@@ -111,17 +111,17 @@
     /// of the job's last start, then the one with the least free processor time. Tasks of services go to workers that
     /// run other services, which keeps the other workers empty, so that these can leave the pool as soon as its busy
     /// period ends. Best-effort tasks use idle capacity and go where there is the most of it.
-    /// So do tasks that may have crashed their workers.
+    /// So do suspect tasks that could not be isolated.
     pub fn choose(
         &mut self,
         pool: &Pool,
         id: StepId,
         step: &Step,
-        is_suspect: bool,
+        is_not_isolated: bool,
     ) -> Option<WorkerRef> {
         let demand = step.reserved();
         let fitness = |free: &Resources| {
-            if step.is_best_effort() || is_suspect {
+            if step.is_best_effort() || is_not_isolated {
                 free.cpu_millis
             } else {
                 u64::MAX - free.cpu_millis
--- a/crates/jobs/src/pool/isolate.rs
+++ b/crates/jobs/src/pool/isolate.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 use crate::id::{TaskId, WorkerRef};
-use crate::job::Copies;
+use crate::job::{Copies, LOST_ISOLATED};
 use crate::pool::Pool;
 use crate::pool::free_capacity::may_run;
 use crate::pool::order::is_placeable;
@@ -27,9 +27,6 @@
 /// A suspect task that has waited this long is not isolated any more.
 const WAIT_MAX: Duration = Duration::from_secs(5);
 
-/// A task that has lost so many runs is isolated however long it waits.
-const LOST_MAX: usize = 3;
-
 /// Runs the pass.
 pub fn run(pool: &mut Pool, now: Instant) {
     pool.held_for_suspects.clear();
@@ -63,7 +60,7 @@
         if let Some(at) = free {
             let worker = held.remove(at);
             start(pool, task, &spec, worker, None, now);
-        } else if has_waited && (lost < LOST_MAX || !all_held.iter().any(could_run)) {
+        } else if has_waited && (lost < LOST_ISOLATED || !all_held.iter().any(could_run)) {
             pool.not_isolated.insert(task);
         }
     }
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -107,7 +107,8 @@
         if is_suspect && !pool.may_start_suspect(*task) {
             continue;
         }
-        let Some(worker) = free_capacity.choose(pool, step, &spec, is_suspect) else {
+        let is_not_isolated = pool.not_isolated.contains(task);
+        let Some(worker) = free_capacity.choose(pool, step, &spec, is_not_isolated) else {
             return;
         };
         free_capacity.reserve(worker, reserved);
