--- a/crates/jobs/src/pool/suspects.rs
+++ b/crates/jobs/src/pool/suspects.rs
@@ -7,7 +7,7 @@
 use crate::job::Task;
 use crate::pool::{Event, Pool};
 use crate::suspect::{Exposure, RunState, SuspectTasks, UnreportedRun};
-use crate::worker::{Contact, Origin, RunKey, Trust, Worker};
+use crate::worker::{Contact, Origin, Phase, RunKey, Trust, Worker};
 
 impl Pool {
     /// Applies what an earlier scheduler has stored of a job's unreported runs. Must follow [`Self::take_over`] and
@@ -95,16 +95,20 @@
             return None;
         }
         let others = worker.runs.keys().filter(|other| **other != key);
-        Some(if run.is_established_at(worker.known_up_until()) {
-            Exposure::Established
-        } else if others.count() == 0
-            && run.origin != Origin::CarriedOver
-            && self.has_neighbour(worker)
-        {
-            Exposure::Alone
-        } else {
-            Exposure::Shared
-        })
+        // A start without an answer may have come after the crash.
+        let may_not_have_begun = run.phase == Phase::Starting;
+        Some(
+            if may_not_have_begun || run.is_established_at(worker.known_up_until()) {
+                Exposure::Established
+            } else if others.count() == 0
+                && run.origin != Origin::CarriedOver
+                && self.has_neighbour(worker)
+            {
+                Exposure::Alone
+            } else {
+                Exposure::Shared
+            },
+        )
     }
 
     /// Whether a neighbour that answered before the worker was lost still answers, so that the worker was not lost with
