jobs: a neighbour is a worker with all the labels of the lost one

Callers could have seen a harmless job failed for a lost rack: labels are a worker's kind and its rack, and any shared label made a neighbour, so a worker of the same kind on another rack that still answered counted as evidence that the rack was not lost. Found by reading. The case crash_of_a_rack gave Alone before and gives Shared now. Tests and lints of jobs hold.

--- a/crates/jobs/src/pool/suspects.rs
+++ b/crates/jobs/src/pool/suspects.rs
@@ -114,9 +114,10 @@
     /// Whether a neighbour that answered before the worker was lost still answers, so that the worker was not lost with
     /// its rack. Without others on its rack, the other workers of the pool count.
     fn has_neighbour(&self, lost: &Worker) -> bool {
-        let shares_label = |other: &Worker| {
+        // The labels are a worker's kind and its rack; workers of one kind stand on many racks.
+        let is_on_rack = |other: &Worker| {
             let mut labels = lost.info.labels.iter();
-            labels.any(|label| other.has_label(label))
+            labels.all(|label| other.has_label(label))
         };
         let before = |other: &&Worker| {
             let lost_at = lost.known_up_until();
@@ -129,9 +130,9 @@
                 && !other.has_departed
                 && other.answered_at >= lost.unresponsive_since
         };
-        if others().any(shares_label) {
+        if others().any(is_on_rack) {
             others()
-                .filter(|other| shares_label(other))
+                .filter(|other| is_on_rack(other))
                 .any(still_answers)
         } else {
             others().any(still_answers)
