--- a/review/standins-2/platform2.py
+++ b/review/standins-2/platform2.py
@@ -788,6 +788,8 @@
 
     async def guarded():
         world = World(folder)
+        for name in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(name, lambda: asyncio.ensure_future(world.end(2)))
         try:
             await asyncio.wait_for(scenario(world), limit_s)
         except Exception as error:  # The case could not run.
