jobs: a silent worker counts as crashed only once it has restarted or is gone

Callers saw a job shown as failed 5 s after its acceptance: two workers in a row were cut off 0.1 s after they had started its task, and ran on.

Cause: the expiry of a worker's leases was recorded as a loss that counts against the task. It proves that the run is over, not that the worker has crashed. Evidence: the log shows 'leases lapsed' and 'Run lost with its worker.' twice for two runs, and 'Job given up' in the plan of the second, before either worker was heard of again.

Change: a lost run keeps the fate of its worker (restarted, gone, not known), found by a pass from the registry and from reports and stored with the run. While the verdict depends on silent workers the task is not started.

Tests of crates jobs, grid and platform pass.

--- a/crates/grid/src/pool/events.rs
+++ b/crates/grid/src/pool/events.rs
@@ -90,6 +90,9 @@
                 }
                 log::warn!(target: "scheduler", task:% = task, run:% = run, worker:% = worker, exposure:?, beside, unreported, queue = origin.queue, image = origin.image, pool:% = self.name; "Run lost with its worker.");
             }
+            Event::FateKnown { worker, task, fate } => {
+                log::info!(target: "scheduler", task:% = task, worker:% = worker, fate:?, pool:% = self.name; "Fate of a lost worker known.");
+            }
             Event::GivenUp { task, runs, took } => {
                 let origin = self.origin(task);
                 let team = origin.team.as_deref();
--- a/crates/grid/tests/stored.rs
+++ b/crates/grid/tests/stored.rs
@@ -7,7 +7,7 @@
 use goldcrest_jobs::policy::AcceptedPolicy;
 use goldcrest_jobs::resources::Resources;
 use goldcrest_jobs::spec::{JobRecord, JobSpec, JobState, Step};
-use goldcrest_jobs::suspect::{Exposure, RunState, SuspectTask, SuspectTasks, UnreportedRun};
+use goldcrest_jobs::suspect::{Exposure, Fate, RunState, SuspectTask, SuspectTasks, UnreportedRun};
 use goldcrest_types::names::{PoolName, QueueName, TeamName};
 use serde::{Deserialize, Serialize};
 
@@ -116,6 +116,7 @@
                 started_ms: Some(7),
                 exposure: Exposure::Alone,
                 state: RunState::Lost,
+                fate: Some(Fate::Restarted),
             }],
         }],
     };
--- a/crates/jobs/src/job/mod.rs
+++ b/crates/jobs/src/job/mod.rs
@@ -685,6 +685,7 @@
             started_ms,
             exposure: Exposure::Established,
             state: RunState::Lost,
+            fate: None,
         });
     }
 }
--- a/crates/jobs/src/pool/event.rs
+++ b/crates/jobs/src/pool/event.rs
@@ -8,7 +8,7 @@
 use crate::pool::StopReason;
 use crate::resources::Resources;
 use crate::spec::JobState;
-use crate::suspect::{Exposure, UnreportedRun};
+use crate::suspect::{Exposure, Fate, UnreportedRun};
 
 /// A change in the state of a pool.
 #[derive(Debug, Clone, PartialEq)]
@@ -72,6 +72,15 @@
         /// The number of the task's unreported runs.
         unreported: usize,
     },
+    /// It has become known what became of the worker of a lost run.
+    FateKnown {
+        /// The worker that was lost.
+        worker: WorkerId,
+        /// The task that the run belongs to.
+        task: TaskId,
+        /// What became of the worker.
+        fate: Fate,
+    },
     /// A job was given up: its lost runs show that one of its tasks crashes the workers that start it.
     GivenUp {
         /// The task that crashes its workers.
--- a/crates/jobs/src/pool/ingest.rs
+++ b/crates/jobs/src/pool/ingest.rs
@@ -11,6 +11,7 @@
 use crate::pool::{Event, Pool, StartAnswer, Takeover};
 use crate::progress::Progress;
 use crate::spec::{JobRecord, JobState};
+use crate::suspect::Fate;
 use crate::worker::{Contact, Origin, Phase, Run, RunKey, Worker, WorkerInfo};
 
 /// How long a worker gets no starts after it was unhealthy or did not reply to one.
@@ -121,6 +122,8 @@
 
     /// Applies the registry's list of this pool's workers.
     pub fn set_workers(&mut self, listed: Vec<WorkerInfo>, now: Instant) {
+        let ids = listed.iter().map(|info| info.id.clone()).collect();
+        self.record_list(&ids, now);
         let mut seen: BTreeSet<WorkerRef> = BTreeSet::new();
         for info in listed {
             let known = self.by_id.get(&info.id).copied();
@@ -178,7 +181,7 @@
             vm.clone_from(&worker.vm);
             unanswered = std::mem::take(&mut worker.unanswered);
             // The old incarnation may have executed the runs that are carried over.
-            self.record_losses(old, now);
+            self.record_losses(old, Some(Fate::Restarted), now);
             for key in keys {
                 late.remove(&key);
                 if let Some(worker) = self.workers.get_mut(&old) {
@@ -293,7 +296,7 @@
     /// Marks a worker as departed and drops its runs. It has restarted or has certainly stopped, so none of them is
     /// executing.
     pub fn end_incarnation(&mut self, worker_ref: WorkerRef, state: &'static str, now: Instant) {
-        self.record_losses(worker_ref, now);
+        self.record_losses(worker_ref, None, now);
         self.drop_incarnation(worker_ref, state);
     }
 
--- a/crates/jobs/src/pool/isolate.rs
+++ b/crates/jobs/src/pool/isolate.rs
@@ -10,6 +10,7 @@
 //! has lost several runs is started alone, if any held worker could run it: the next loss decides about its job.
 
 use std::cmp::Reverse;
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use crate::id::{TaskId, WorkerRef};
@@ -81,6 +82,12 @@
         let task = state.and_then(|state| state.tasks.get(id.index as usize));
         task.is_some_and(|task| !task.unreported.is_empty() || task.copies == Copies::Isolated)
     });
+    let judged: BTreeSet<TaskId> = pool
+        .suspects
+        .iter()
+        .filter(|id| !pool.awaits_verdict(**id))
+        .copied()
+        .collect();
     for id in &pool.suspects {
         let Some(job) = pool.jobs.get_mut(&id.step.job) else {
             continue;
@@ -93,7 +100,8 @@
         };
         let is_gang = spec.is_gang();
         state.update(id.index, |task| {
-            let can_start = task.is_idle() && task.unreported.len() < unreported_max;
+            let can_start =
+                task.is_idle() && task.unreported.len() < unreported_max && judged.contains(id);
             if is_gang || !can_start || !task.needs_isolation() {
                 task.isolation_awaited_since = None;
                 return;
@@ -124,8 +132,9 @@
 }
 
 impl Pool {
-    /// Whether a suspect task may be placed like any other: it does not wait for a worker of its own, and if each of its
-    /// unreported runs has crashed its worker, a further one does not exceed the limit.
+    /// Whether a suspect task may be placed like any other: it waits neither for a worker of its own nor for the fate of
+    /// one that was lost, and if each of its unreported runs has crashed its worker, a further one does not exceed the
+    /// limit.
     pub(super) fn may_start_suspect(&self, id: TaskId) -> bool {
         let job = self.jobs.get(&id.step.job);
         let state = job
@@ -136,6 +145,6 @@
             let is_waiting = task.isolation_awaited_since.is_some();
             let has_runs_left = task.unreported.len() < CrashLimit::unreported_max();
             (!is_waiting || self.not_isolated.contains(&id)) && has_runs_left
-        })
+        }) && !self.awaits_verdict(id)
     }
 }
--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -11,7 +11,8 @@
 //!   after the jobs that they changed have been saved.
 //!
 //! State enters through [`Pool::submit`], [`Pool::set_workers`], [`Pool::report`] and the replies to commands.
-//! [`Pool::plan`] then runs the passes, one per file: [`release`], [`cordon`], [`lifecycle`], `unknown_usage` (counts
+//! [`Pool::plan`] then runs the passes, one per file: [`release`], `fate` (finds out what became of lost workers),
+//! [`cordon`], [`lifecycle`], `unknown_usage` (counts
 //! what runs of an earlier scheduler may reserve), [`evacuate`], `doubt` (finds suspect runs: stalled ones, and those on
 //! unresponsive workers), [`order`] (sorts the waiting jobs), [`permits`], `isolate` (starts tasks that may
 //! have crashed their workers), [`place`], `unfit` (finds steps that fit no
@@ -22,6 +23,7 @@
 mod doubt;
 pub mod evacuate;
 mod event;
+mod fate;
 mod free_capacity;
 mod ingest;
 mod isolate;
@@ -68,6 +70,8 @@
     pub stop_grace: Duration,
     /// How many workers may crash under a task before its job is given up.
     pub crash_limit: CrashLimit,
+    /// The registry drops a worker that has been silent for this long.
+    pub registry_timeout: Duration,
 }
 
 impl Bounds {
@@ -86,6 +90,7 @@
             start_window: Duration::from_millis(1_500),
             stop_grace: Duration::from_millis(500),
             crash_limit: CrashLimit::default(),
+            registry_timeout: Duration::from_millis(4_500),
         }
     }
 }
@@ -252,6 +257,12 @@
     /// When the incarnation of each worker started that an earlier scheduler used, in milliseconds since 1970, if it is
     /// stored.
     inherited_incarnations: BTreeMap<WorkerId, u64>,
+    /// When the registry was last listed.
+    listed_at: Option<Instant>,
+    /// When the first of the lists was applied that follow each other without a gap.
+    listed_since: Option<Instant>,
+    /// Workers of lost runs that the registry does not list, with the time since when, as far as the lists have no gap.
+    missing: BTreeMap<WorkerId, Instant>,
     /// Workers that get no other starts, as of the last plan, so that suspect tasks can be started there alone.
     held_for_suspects: BTreeSet<WorkerRef>,
     /// Suspect tasks that are placed like any other, as no held worker could run them, as of the last plan.
@@ -298,6 +309,9 @@
             copies_allowed: BTreeSet::new(),
             suspects: BTreeSet::new(),
             inherited_incarnations: BTreeMap::new(),
+            listed_at: None,
+            listed_since: None,
+            missing: BTreeMap::new(),
             held_for_suspects: BTreeSet::new(),
             not_isolated: BTreeSet::new(),
             unfit_checked_at: None,
@@ -507,6 +521,7 @@
     pub fn plan(&mut self, now: Instant, wall_ms: u64) -> Vec<Command> {
         self.commands.clear();
         release::run(self, now);
+        fate::run(self, now);
         cordon::run(self);
         lifecycle::run(self, now, wall_ms);
         unknown_usage::run(self);
--- a/crates/jobs/src/pool/release.rs
+++ b/crates/jobs/src/pool/release.rs
@@ -68,7 +68,7 @@
     }
     let keys: Vec<_> = worker.runs.keys().copied().collect();
     pool.push_worker_event(worker_ref, "leases lapsed");
-    pool.record_losses(worker_ref, now);
+    pool.record_losses(worker_ref, None, now);
     for key in keys {
         pool.drop_run(worker_ref, key, "lease lapsed");
     }
--- a/crates/jobs/src/pool/suspects.rs
+++ b/crates/jobs/src/pool/suspects.rs
@@ -6,7 +6,7 @@
 use crate::id::{JobId, TaskId, WorkerId, WorkerRef};
 use crate::job::Task;
 use crate::pool::{Event, Pool};
-use crate::suspect::{Exposure, RunState, SuspectTasks, UnreportedRun};
+use crate::suspect::{Exposure, Fate, RunState, SuspectTasks, UnreportedRun};
 use crate::worker::{Contact, Origin, Phase, RunKey, Trust, Worker};
 
 impl Pool {
@@ -30,17 +30,29 @@
         self.inherited_incarnations = incarnations;
     }
 
-    /// Records that a worker was lost with all its runs. Precedes their removal, as each is judged by what ran beside it.
-    pub(super) fn record_losses(&mut self, worker_ref: WorkerRef, now: Instant) {
+    /// Records that a worker was lost with all its runs, and its fate if that is known. Precedes their removal, as each is
+    /// judged by what ran beside it.
+    pub(super) fn record_losses(
+        &mut self,
+        worker_ref: WorkerRef,
+        fate: Option<Fate>,
+        now: Instant,
+    ) {
         let worker = self.workers.get(&worker_ref);
         let keys = worker.map(|worker| worker.runs.keys().copied().collect::<Vec<_>>());
         for key in keys.unwrap_or_default() {
-            self.record_loss(worker_ref, key, now);
+            self.record_loss(worker_ref, key, fate, now);
         }
     }
 
     /// Records that the worker of a run was lost, and gives the job up if that shows that the task crashes its workers.
-    fn record_loss(&mut self, worker_ref: WorkerRef, key: RunKey, now: Instant) {
+    fn record_loss(
+        &mut self,
+        worker_ref: WorkerRef,
+        key: RunKey,
+        fate: Option<Fate>,
+        now: Instant,
+    ) {
         let Some(exposure) = self.exposure(worker_ref, key) else {
             self.clear_reported(worker_ref, key);
             return;
@@ -55,6 +67,7 @@
             started_ms: worker.info.started_ms,
             exposure,
             state: RunState::Lost,
+            fate,
         };
         let worker = loss.worker.clone();
         let Some(runs) = self.update_task(key.0, |task| {
@@ -66,7 +79,10 @@
                 .iter_mut()
                 .find(|run| run.run == loss.run && run.state == RunState::Open);
             match open {
-                Some(run) => run.lose(exposure),
+                Some(run) => {
+                    run.lose(exposure);
+                    run.fate = fate;
+                }
                 None => task.unreported.push(loss),
             }
             Some(task.unreported.clone())
@@ -140,7 +156,7 @@
     }
 
     /// Gives the job of a task up if its lost runs show that it crashes its workers.
-    fn judge_crashes(&mut self, task: TaskId, now: Instant) {
+    pub(super) fn judge_crashes(&mut self, task: TaskId, now: Instant) {
         let limit = self.bounds.crash_limit;
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return;
@@ -229,7 +245,7 @@
         }
     }
 
-    fn update_task<R>(
+    pub(super) fn update_task<R>(
         &mut self,
         task: TaskId,
         change: impl FnOnce(&mut Task) -> Option<R>,
@@ -263,6 +279,7 @@
                     Exposure::Shared
                 },
                 state: RunState::Open,
+                fate: None,
             })
             .collect();
         let Some(worker) = self.workers.get(&worker_ref) else {
@@ -282,6 +299,7 @@
                 Exposure::Shared
             },
             state: RunState::Open,
+            fate: None,
         };
         self.update_task(task, |task| {
             for run in copied.into_iter().chain([started]) {
--- a/crates/jobs/src/suspect/mod.rs
+++ b/crates/jobs/src/suspect/mod.rs
@@ -8,6 +8,8 @@
 //!   of the scheduler, the next one knows of it before it starts the task again.
 //! - A task never has more than [`CrashLimit::unreported_max`] unreported runs. If each of them has crashed its worker,
 //!   at most [`STARTS_AFTER_MOST`] of them were started after the [`CrashLimit::MOST`]th crash.
+//! - Only a loss with a known [`Fate`] of its worker counts against the job. A worker that does not answer may as well be
+//!   cut off, frozen or late, and its run then ends by its lease: until the fate is known, the loss only holds starts back.
 //!
 //! Presence alone is weak evidence: runs stand beside each other, and racks are lost. A run that was alone on its worker
 //! and had just started is strong evidence, if a neighbour of the worker still answers. [`CrashLimit::is_exceeded`]
@@ -44,6 +46,15 @@
     Lost,
 }
 
+/// What became of a lost worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Fate {
+    /// It has restarted under its id.
+    Restarted,
+    /// The registry has dropped it, and it did not register again.
+    Gone,
+}
+
 /// A run of which no worker has reported the end.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UnreportedRun {
@@ -57,6 +68,9 @@
     pub exposure: Exposure,
     /// Whether it may still be executing.
     pub state: RunState,
+    /// What became of its lost worker. Absent until that is known; older versions did not write it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fate: Option<Fate>,
 }
 
 impl UnreportedRun {
@@ -132,11 +146,33 @@
 
     /// Whether the lost runs of a task show that it crashes its workers: as many as the limit had just started, of
     /// which only one had others beside it; or so many were lost that a further start would break the platform's rule
-    /// if all were the task's doing.
+    /// if all were the task's doing. Losses of workers with an unknown fate don't count.
     #[must_use]
     pub fn is_exceeded(self, runs: &[UnreportedRun]) -> bool {
+        self.is_exceeded_by(runs, |run| run.fate.is_some())
+    }
+
+    /// Whether the limit would be exceeded if the lost workers for which `may_have_crashed` holds turn out to have
+    /// crashed as well.
+    #[must_use]
+    pub fn may_be_exceeded(
+        self,
+        runs: &[UnreportedRun],
+        may_have_crashed: impl Fn(&UnreportedRun) -> bool,
+    ) -> bool {
+        self.is_exceeded_by(runs, |run| run.fate.is_some() || may_have_crashed(run))
+    }
+
+    fn is_exceeded_by(
+        self,
+        runs: &[UnreportedRun],
+        counts: impl Fn(&UnreportedRun) -> bool,
+    ) -> bool {
         let crashes = self.0 as usize;
-        let lost = || runs.iter().filter(|run| run.state == RunState::Lost);
+        let lost = || {
+            let lost = runs.iter().filter(|run| run.state == RunState::Lost);
+            lost.filter(|run| counts(run))
+        };
         let just_started = lost().filter(|run| run.exposure != Exposure::Established);
         let alone = lost().filter(|run| run.exposure == Exposure::Alone).count();
         let is_evident = just_started.count() >= crashes && alone + 1 >= crashes;
--- a/crates/jobs/tests/common/parse.rs
+++ b/crates/jobs/tests/common/parse.rs
@@ -150,6 +150,9 @@
             "{} run {run} on {worker}: {how}",
             short_task(*task)
         )),
+        Event::FateKnown { worker, task, fate } => {
+            Some(format!("{}: {worker} {fate:?}", short_task(*task)))
+        }
         Event::RunLost {
             worker,
             task,
--- a/crates/jobs/tests/crash.rs
+++ b/crates/jobs/tests/crash.rs
@@ -218,6 +218,56 @@
     assert_eq!(fleet.outcomes.get(&job), Some(&JobState::Completed));
 }
 
+/// Plays a job with one task whose workers are each cut off `delay` after the start, for `cut`, until `cuts` were cut. They
+/// run on. Returns the job's final state.
+fn play_cuts(cuts: usize, delay: Duration, cut: Duration, is_replaced: bool) -> Option<JobState> {
+    let mut fleet = Fleet::new(12);
+    fleet.run_time = Duration::from_secs(3);
+    let job = fleet.submit(0x100, step(1, &[]), None);
+    let task: TaskId = format!("{job}.0.0.0").parse().expect("a task");
+    let mut healed_at = Vec::new();
+    for _ in 0..1_500 {
+        if let Some(worker) = fleet.host_of(task).filter(|_| healed_at.len() < cuts) {
+            fleet.play(delay);
+            fleet.set_cut(worker, true);
+            healed_at.push((worker, fleet.now() + cut));
+            if is_replaced {
+                fleet.play(Duration::from_millis(100));
+                fleet.replace_scheduler();
+            }
+        }
+        for (worker, at) in &healed_at {
+            if fleet.now() >= *at {
+                fleet.set_cut(*worker, false);
+            }
+        }
+        fleet.play_until_ended(Duration::from_millis(40));
+    }
+    fleet.outcomes.get(&job).copied()
+}
+
+/// Guards against a job that is given up although no worker has crashed: each worker that starts its task is cut off right
+/// after the start and runs on, and its silence counted as a crash.
+#[test]
+fn plan_gives_no_job_up_for_workers_cut_off_after_a_start() {
+    for cuts in [2, 3, 5] {
+        for (delay_ms, cut_ms) in [(0, 12_000), (100, 12_000), (100, 25_000), (200, 5_500)] {
+            for is_replaced in [false, true] {
+                let (delay, cut) = (
+                    Duration::from_millis(delay_ms),
+                    Duration::from_millis(cut_ms),
+                );
+                let state = play_cuts(cuts, delay, cut, is_replaced);
+                assert_eq!(
+                    state,
+                    Some(JobState::Completed),
+                    "{cuts} cuts {delay_ms} ms after a start for {cut_ms} ms, replaced: {is_replaced}"
+                );
+            }
+        }
+    }
+}
+
 /// The range of the setting.
 #[test]
 fn crash_limit_out_of_range() {
--- a/crates/jobs/tests/crashing_fleet/mod.rs
+++ b/crates/jobs/tests/crashing_fleet/mod.rs
@@ -216,6 +216,14 @@
         }
     }
 
+    /// Returns the worker that executes a task, unless it is cut off.
+    pub fn host_of(&self, task: TaskId) -> Option<usize> {
+        let runs = |worker: &SimWorker| worker.running.iter().any(|(running, ..)| *running == task);
+        self.workers
+            .iter()
+            .position(|worker| !worker.is_cut && runs(worker))
+    }
+
     /// Cuts a worker off, or connects it again.
     pub fn set_cut(&mut self, at: usize, is_cut: bool) {
         self.workers[at].is_cut = is_cut;
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -129,6 +129,7 @@
         started_ms: Some(7),
         exposure: Exposure::Alone,
         state: RunState::Open,
+        fate: None,
     };
     let suspects = SuspectTasks {
         accepted_ms: 0,
