jobs, grid: nothing is started on a restarted worker before its new entry is read

Cause: the first report of the later incarnation made a worker from the registry entry of the earlier one, with its labels and capacity. Evidence: 'reborn', 'found' and 'fenced' come from a report, and tasks of the old kind start with the next plan, before any list is read.

Change: a worker that only a report has shown is not described, and takes no work until an entry with its start time is read; the report makes the registry be read at once. Replies about permits hold for the incarnations that were asked about. A start is not sent to a worker that has fallen silent since the plan.

Tests of the crates jobs, grid and platform pass.

--- a/crates/grid/src/entry/mod.rs
+++ b/crates/grid/src/entry/mod.rs
@@ -109,6 +109,8 @@
     pub is_awaiting_workers: Cell<bool>,
     /// Notified when a role begins to need the registry.
     pub registry_needed: Notify,
+    /// Notified when a worker has restarted whose new entry was not read yet.
+    pub registry_stale: Notify,
     /// Cancelled to stop the entry.
     pub stopping: CancellationToken,
     failed_since: Cell<Option<Instant>>,
@@ -136,6 +138,7 @@
             registry_users: Cell::new(0),
             is_awaiting_workers: Cell::new(false),
             registry_needed: Notify::new(),
+            registry_stale: Notify::new(),
             stopping: CancellationToken::new(),
             failed_since: Cell::new(None),
             responsiveness: Responsiveness::default(),
--- a/crates/grid/src/pool/commands.rs
+++ b/crates/grid/src/pool/commands.rs
@@ -5,7 +5,7 @@
 
 use goldcrest_jobs::id::{StepId, TaskId, WorkerId, WorkerRef};
 use goldcrest_jobs::pool::{Command, StartAnswer, StartCommand};
-use goldcrest_jobs::worker::millis;
+use goldcrest_jobs::worker::{Contact, millis};
 use tokio::task::JoinSet;
 
 use crate::pool::Scheduler;
@@ -133,7 +133,7 @@
         };
         self.pool
             .borrow_mut()
-            .permits_answered(step, &workers, granted, requested_at, now);
+            .permits_answered(step, granted, requested_at, now);
         self.replan.notify_one();
     }
 
@@ -165,6 +165,13 @@
                 answer = StartAnswer::Cordoned;
                 break;
             }
+            if !self.is_responding(order.worker) {
+                // It may be back as another incarnation, of which the plan knew nothing.
+                if !is_sent {
+                    answer = StartAnswer::Unhealthy;
+                }
+                break;
+            }
             let sent = self.entry.platform.start(&to, &order, START_TIMEOUT).await;
             if sent == StartAnswer::Unknown {
                 let now = self.now();
@@ -185,6 +192,12 @@
         self.start_answered(&order, answer);
     }
 
+    fn is_responding(&self, worker: WorkerRef) -> bool {
+        let pool = self.pool.borrow();
+        let known = pool.worker(worker);
+        known.is_some_and(|known| known.contact == Contact::Responding)
+    }
+
     /// Waits until the start is stored with the job: its worker and, if its task is suspect, the run. Returns `false` after [`RECORD_TIMEOUT`].
     async fn wait_recorded(&self, order: &StartCommand) -> bool {
         let recorded = async {
--- a/crates/grid/src/pool/reports.rs
+++ b/crates/grid/src/pool/reports.rs
@@ -147,6 +147,9 @@
                         .pool
                         .borrow_mut()
                         .report(worker, now, report, arrived_at);
+                    if self.pool.borrow().awaits_entries() {
+                        self.entry.registry_stale.notify_one();
+                    }
                     self.log_events();
                     self.mark_changed();
                     if has_ends && self.wait_saved(SAVE_TIMEOUT).await {
--- a/crates/grid/src/registry/mod.rs
+++ b/crates/grid/src/registry/mod.rs
@@ -59,6 +59,7 @@
         } else {
             READ_EVERY
         };
-        tokio::time::sleep(pause).await;
+        // Whether it was notified or the time is over, the registry is read again.
+        let _ = tokio::time::timeout(pause, entry.registry_stale.notified()).await;
     }
 }
--- a/crates/jobs/src/pool/ingest.rs
+++ b/crates/jobs/src/pool/ingest.rs
@@ -190,6 +190,9 @@
             }
         }
         self.drop_incarnation(old, "reborn");
+        if let Some(worker) = self.workers.get_mut(&old) {
+            worker.is_listed = false;
+        }
         let worker_ref = self.add_worker(info);
         let longest = expiry(self.bounds.lease_max, &self.bounds);
         let has_earlier_runs = !carried_over.is_empty() || !late.is_empty();
@@ -236,6 +239,7 @@
         }
         let was_draining = worker.info.is_draining;
         worker.is_listed = true;
+        worker.is_described = true;
         worker.info = WorkerInfo {
             started_ms: info.started_ms.or(worker.info.started_ms),
             is_draining: was_draining || info.is_draining,
--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -360,6 +360,13 @@
         &self.workers
     }
 
+    /// Whether the registry's entry of a worker's present incarnation has not been read yet.
+    #[must_use]
+    pub fn awaits_entries(&self) -> bool {
+        let mut workers = self.workers.values();
+        workers.any(|worker| !worker.is_described && !worker.has_departed)
+    }
+
     /// Returns a worker, or `None` if it has been removed.
     #[must_use]
     pub fn worker(&self, worker: WorkerRef) -> Option<&Worker> {
--- a/crates/jobs/src/pool/permits.rs
+++ b/crates/jobs/src/pool/permits.rs
@@ -42,7 +42,8 @@
 /// The permits of one step, and the state of its query.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub(super) struct StepPermits {
-    is_pending: bool,
+    /// The incarnations that the pending query names. The reply names ids, and holds for no later incarnation.
+    queried: Vec<WorkerRef>,
     retry_at: Option<Instant>,
     granted: BTreeMap<WorkerRef, Permit>,
     denied: BTreeSet<WorkerRef>,
@@ -69,7 +70,7 @@
     let mut pending = pool
         .permits
         .values()
-        .filter(|permits| permits.is_pending)
+        .filter(|permits| permits.is_pending())
         .count();
     let mut queries: Vec<(StepId, Vec<WorkerRef>)> = Vec::new();
     for job in pool
@@ -89,12 +90,13 @@
         }
     }
     for (step, workers) in queries {
-        pool.permits.entry(step).or_default().is_pending = true;
         let ids = workers
             .iter()
             .filter_map(|worker_ref| pool.workers.get(worker_ref));
-        let workers = ids.map(|worker| worker.info.id.clone()).collect();
-        pool.commands.push(Command::QueryPermits { step, workers });
+        let ids = ids.map(|worker| worker.info.id.clone()).collect();
+        pool.permits.entry(step).or_default().queried = workers;
+        pool.commands
+            .push(Command::QueryPermits { step, workers: ids });
     }
 }
 
@@ -131,7 +133,7 @@
     };
     let known = pool.permits.get(&id);
     if known
-        .is_some_and(|permits| permits.is_pending || permits.retry_at.is_some_and(|at| now < at))
+        .is_some_and(|permits| permits.is_pending() || permits.retry_at.is_some_and(|at| now < at))
     {
         return Vec::new();
     }
@@ -173,6 +175,10 @@
 }
 
 impl StepPermits {
+    fn is_pending(&self) -> bool {
+        !self.queried.is_empty()
+    }
+
     fn is_granted(&self, worker: WorkerRef, now: Instant) -> bool {
         self.granted
             .get(&worker)
@@ -204,12 +210,10 @@
         (now < permit.until).then(|| permit.text.clone())
     }
 
-    /// Applies the reply to a query for the `queried` workers that was sent at `sent_at`; `answer` is `None` if there
-    /// was no reply.
+    /// Applies the reply to a query that was sent at `sent_at`; `answer` is `None` if there was no reply.
     pub fn permits_answered(
         &mut self,
         step: StepId,
-        queried: &[WorkerId],
         answer: Option<PermitGrants>,
         sent_at: Instant,
         now: Instant,
@@ -217,18 +221,21 @@
         let Some(known) = self.permits.get_mut(&step) else {
             return;
         };
-        known.is_pending = false;
+        let queried = std::mem::take(&mut known.queried);
         let Some(granted) = answer else {
             known.retry_at = Some(now + RETRY_DELAY);
             return;
         };
         let until = sent_at + granted.valid_for * USED_PERCENT / 100;
-        let refs = queried.iter().filter_map(|id| self.by_id.get(id));
-        known.denied.extend(refs);
+        known.denied.extend(&queried);
         for (id, text) in granted.by_worker {
-            if let Some(worker) = self.by_id.get(&id) {
-                known.denied.remove(worker);
-                known.granted.insert(*worker, Permit { text, until });
+            let is_granted = |worker: &WorkerRef| {
+                let worker = self.workers.get(worker);
+                worker.is_some_and(|worker| worker.info.id == id)
+            };
+            if let Some(worker) = queried.iter().copied().find(is_granted) {
+                known.denied.remove(&worker);
+                known.granted.insert(worker, Permit { text, until });
             }
         }
         // A reply that arrived too late to be used must not cause the same query at once.
--- a/crates/jobs/src/pool/report.rs
+++ b/crates/jobs/src/pool/report.rs
@@ -106,10 +106,12 @@
             worker.info.started_ms = worker.info.started_ms.or(report.started_ms);
             return worker_ref;
         }
-        let mut info = worker.info.clone();
-        info.started_ms = report.started_ms;
-        info.is_draining = false;
-        self.begin_incarnation(worker_ref, info, now)
+        let info = worker.info.of_later_incarnation(report.started_ms);
+        let incarnation = self.begin_incarnation(worker_ref, info, now);
+        if let Some(worker) = self.workers.get_mut(&incarnation) {
+            worker.is_described = false;
+        }
+        incarnation
     }
 
     /// The worker's current incarnation, if it was found after the report was requested and is the one that sent it.
--- a/crates/jobs/src/verify/mod.rs
+++ b/crates/jobs/src/verify/mod.rs
@@ -46,7 +46,10 @@
         Command::Stop { .. } | Command::Throttle { .. } | Command::QueryPermits { .. } => None,
     });
     started
-        .filter(|worker| !worker.used.fits(&worker.info.capacity) || worker.unknown_demands > 0)
+        .filter(|worker| {
+            let is_within = worker.is_described && worker.used.fits(&worker.info.capacity);
+            !is_within || worker.unknown_demands > 0
+        })
         .map(|worker| format!("worker {}: started beyond its capacity", worker.info.id).into())
         .collect()
 }
--- a/crates/jobs/src/worker/mod.rs
+++ b/crates/jobs/src/worker/mod.rs
@@ -172,6 +172,9 @@
     pub info: WorkerInfo,
     /// Whether the registry lists it.
     pub is_listed: bool,
+    /// Whether `info` is the registry's entry of this incarnation. Until it is, the worker's capacity and labels are not
+    /// known: a report does not contain them, and those of an earlier incarnation say nothing about it.
+    pub is_described: bool,
     /// Since when it has been draining.
     pub draining_since: Option<Instant>,
     /// Whether it answers this scheduler.
@@ -229,6 +232,24 @@
     pub stalls: u32,
 }
 
+impl WorkerInfo {
+    /// What is known of an incarnation of this worker that only a report has shown: where it runs, and when it started.
+    #[must_use]
+    pub fn of_later_incarnation(&self, started_ms: Option<u64>) -> Self {
+        Self {
+            id: self.id.clone(),
+            started_ms,
+            address: self.address.clone(),
+            dc: self.dc.clone(),
+            capacity: Resources::ZERO,
+            labels: Vec::new(),
+            is_draining: false,
+            remaining: None,
+            is_cold: false,
+        }
+    }
+}
+
 impl Worker {
     /// Creates a worker that has not answered yet.
     #[must_use]
@@ -236,6 +257,7 @@
         Self {
             info,
             is_listed: true,
+            is_described: true,
             draining_since: None,
             contact: Contact::None,
             has_departed: false,
@@ -290,6 +312,7 @@
     pub fn takes_work(&self, now: Instant) -> bool {
         self.contact == Contact::Responding
             && self.is_listed
+            && self.is_described
             && !self.has_departed
             && !self.is_full
             && self.unknown_demands == 0
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -102,13 +102,7 @@
             "unlist" => {
                 self.listed.remove(words[1]);
             }
-            "list" => {
-                let listed = self.listed.iter().map(|name| self.infos[name].clone());
-                let listed = listed.collect();
-                self.pool().set_workers(listed, now);
-                let vms = self.vms.clone();
-                self.pool().set_vms(&vms);
-            }
+            "list" => self.list(now),
             "due" => {
                 self.schedule = Some(Schedule {
                     occurrences: number(words[1]),
@@ -141,6 +135,14 @@
         Vec::new()
     }
 
+    fn list(&mut self, now: Instant) {
+        let listed = self.listed.iter().map(|name| self.infos[name].clone());
+        let listed = listed.collect();
+        self.pool().set_workers(listed, now);
+        let vms = self.vms.clone();
+        self.pool().set_vms(&vms);
+    }
+
     /// Executes a line of an event after the scheduler has begun.
     fn apply_event(&mut self, words: &[&str]) -> Vec<String> {
         let now = self.now;
@@ -171,7 +173,14 @@
             }
             "report" => {
                 let worker = self.worker(words[1]);
-                self.pool().report(worker, now, report(&words[2..]), now);
+                let report = report(&words[2..]);
+                let started_ms = report.started_ms;
+                self.pool().report(worker, now, report, now);
+                if self.pool().awaits_entries() {
+                    // The registry shows the later incarnation right after its report.
+                    self.info(words[1]).started_ms = started_ms;
+                    self.list(now);
+                }
                 let until: u64 = number(words[2]);
                 let lease = u64::try_from(self.pool().bounds().lease.as_millis());
                 let worker = self.worker(words[1]);
@@ -207,21 +216,18 @@
     fn answer_permits(&mut self, words: &[&str]) {
         let now = self.now;
         let step = task(&format!("{}.0", words[1])).step;
-        let (queried, granted) = if words[2] == "none" {
-            (Vec::new(), None)
+        let granted = if words[2] == "none" {
+            None
         } else {
-            let queried = words[2].split(',').map(WorkerId::from).collect();
             let rows = words[4..].iter().filter_map(|row| row.split_once('='));
-            let granted = PermitGrants {
+            Some(PermitGrants {
                 by_worker: rows
                     .map(|(id, text)| (WorkerId::from(id), text.into()))
                     .collect(),
                 valid_for: Duration::from_millis(number(words[3])),
-            };
-            (queried, Some(granted))
+            })
         };
-        self.pool()
-            .permits_answered(step, &queried, granted, now, now);
+        self.pool().permits_answered(step, granted, now, now);
     }
 
     fn info(&mut self, name: &str) -> &mut WorkerInfo {
