jobs, grid: commands to a worker carry a token of its incarnation, and leases of earlier incarnations are reckoned with

Callers' tasks ran on two workers at once: a worker crashed, was back under its id, got a task, and was cut off while its scheduler was replaced. Its run lapsed 10 s after a command of the first scheduler; the successor reckoned with leases of 3 s and started the task elsewhere after 6 s (TWICE).

Cause: fencing token and clock of a worker begin anew with each incarnation, so a command of the same scheduler to the earlier incarnation has its effect in the next one: it extends leases to the longest that workers grant, acknowledges ends that nobody has seen, starts runs. Ruled out: a wait that begins too early (the end would come by 7.6 s), a late copy of the start (the record has one start).

Change: commands carry the revision of the write that stored the incarnation, which expects the role's key; once an incarnation has answered one, it refuses all that were meant for earlier ones. What came before is stored as possible (stray_leases in crew/POOL) and counts with the longest lease, for the holder, for a successor that hears the worker and for one that does not. The stored incarnation is replaced only after the losses under it are stored: before, a scheduler lost in between left neither to its successor.

Tests, each run on and red there: lease_of_an_earlier_incarnation_is_waited_for, acknowledgement_of_an_earlier_incarnation_is_refused. Tests of the crates jobs, grid and platform pass.

--- a/crates/grid/src/pool/commands.rs
+++ b/crates/grid/src/pool/commands.rs
@@ -252,7 +252,13 @@
 
     fn handle_command_error(&self, worker: WorkerRef, order: &'static str, error: &CommandError) {
         log::warn!(target: "scheduler", order, worker:% = worker, error:?; "A command to a worker failed.");
+        let has_departed = {
+            let pool = self.pool.borrow();
+            pool.worker(worker).is_none_or(|known| known.has_departed)
+        };
         match error {
+            // A later incarnation refuses commands to this one by the token that it has got from this scheduler.
+            CommandError::Fenced if has_departed => {}
             CommandError::Fenced => self.step_down("a worker has seen a higher token"),
             CommandError::WrongWorker => {
                 let now = self.now();
--- a/crates/grid/src/pool/load.rs
+++ b/crates/grid/src/pool/load.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use goldcrest_jobs::id::JobId;
+use goldcrest_jobs::pool::InheritedIncarnations;
 use goldcrest_jobs::progress::Progress;
 use goldcrest_jobs::spec::JobRecord;
 use goldcrest_jobs::suspect::SuspectTasks;
@@ -88,14 +89,20 @@
             workers,
             lease_ms,
             started_ms,
+            stray_leases,
         } = assigned_workers.clone();
+        let incarnations = InheritedIncarnations {
+            has_predecessor: !is_first,
+            started_ms,
+            stray_leases,
+        };
         *self.assigned_workers.borrow_mut() = assigned_workers;
         // Without the key nothing was started in this pool, so no run holds a lease.
         let lease = if is_first { Some(0) } else { lease_ms };
         let lease = lease.map(Duration::from_millis);
         let mut pool = self.pool.borrow_mut();
         pool.take_over(jobs, workers, lease, now);
-        pool.set_inherited_incarnations(started_ms);
+        pool.inherit_incarnations(incarnations, now);
         for (job, suspects) in suspects {
             pool.inherit_suspects(job, suspects, now);
         }
--- a/crates/grid/src/pool/mod.rs
+++ b/crates/grid/src/pool/mod.rs
@@ -65,6 +65,8 @@
     /// The number of the latest save request; `saved` holds the number of the latest one that is done.
     saves_requested: Cell<u64>,
     saved: watch::Sender<u64>,
+    /// Wakes the task that follows the workers: some have got their fencing tokens.
+    tokens_set: Notify,
     /// Wakes starts that wait to be recorded with the job.
     batch_saved: Notify,
     /// The assigned workers and their longest lease, as they are stored.
@@ -104,13 +106,15 @@
         }
     }
 
+    /// The recipient of a command to a worker. `None` if the worker has departed or nothing may be sent to it yet.
     fn recipient(&self, worker: WorkerRef) -> Option<Recipient> {
         let pool = self.pool.borrow();
         let known = pool.worker(worker)?;
-        (!known.has_departed).then(|| Recipient {
+        let token = known.token.filter(|_| !known.has_departed)?;
+        Some(Recipient {
             worker: known.info.id.clone(),
             address: known.info.address.clone(),
-            token: self.held.token(),
+            token,
         })
     }
 
@@ -155,6 +159,7 @@
         closed: RefCell::default(),
         saves_requested: Cell::new(0),
         saved: watch::Sender::new(0),
+        tokens_set: Notify::new(),
         batch_saved: Notify::new(),
         assigned_workers: RefCell::default(),
         evacuating: RefCell::default(),
--- a/crates/grid/src/pool/reports.rs
+++ b/crates/grid/src/pool/reports.rs
@@ -53,7 +53,7 @@
                 let live = pool
                     .workers()
                     .iter()
-                    .filter(|(_, known)| !known.has_departed);
+                    .filter(|(_, known)| !known.has_departed && known.token.is_some());
                 live.map(|(worker, _)| *worker).collect()
             };
             for worker in present {
@@ -62,10 +62,13 @@
                 });
             }
             while followers.try_join_next().is_some() {}
-            let Some(newer) = registry.next().await else {
-                return;
-            };
-            all = newer;
+            tokio::select! {
+                newer = registry.next() => match newer {
+                    Some(newer) => all = newer,
+                    None => return,
+                },
+                () = self.tokens_set.notified() => {}
+            }
         }
     }
 
@@ -194,7 +197,14 @@
     fn offer_lease(&self, worker: WorkerRef) -> Option<u64> {
         let lease = self.lease();
         let mut pool = self.pool.borrow_mut();
-        let until_ms = pool.worker(worker)?.deadline_ms(self.now(), lease)?;
+        let known = pool.worker(worker)?;
+        // A successor must know of every worker that may hold a lease.
+        let is_stored = self
+            .assigned_workers
+            .borrow()
+            .workers
+            .contains(&known.info.id);
+        let until_ms = known.deadline_ms(self.now(), lease).filter(|_| is_stored)?;
         pool.lease_offered(worker, until_ms);
         Some(until_ms)
     }
@@ -209,11 +219,12 @@
 
     /// Handles a failed report. Returns whether to request another one from the worker.
     fn handle_report_error(&self, worker: WorkerRef, error: &CommandError, is_first: bool) -> bool {
-        let id = self
-            .pool
-            .borrow()
-            .worker(worker)
-            .map(|known| known.info.id.clone());
+        let id = {
+            let pool = self.pool.borrow();
+            let known = pool.worker(worker).filter(|known| !known.has_departed);
+            known.map(|known| known.info.id.clone())
+        };
+        // A later incarnation refuses requests to the departed one by its higher token.
         let Some(id) = id else { return false };
         let should_continue = match error {
             CommandError::Fenced => {
--- a/crates/grid/src/pool/save.rs
+++ b/crates/grid/src/pool/save.rs
@@ -11,7 +11,7 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use goldcrest_jobs::id::{JobId, WorkerId};
+use goldcrest_jobs::id::{FencingToken, JobId, WorkerId};
 use goldcrest_jobs::job::Job;
 use goldcrest_jobs::spec::JobState;
 use goldcrest_jobs::suspect::{SuspectTasks, UnreportedKey};
@@ -125,13 +125,16 @@
             let jobs = self.pool.borrow_mut().take_unsaved();
             let result = self.save_assigned_workers(&jobs).await;
             let result = match result {
-                Ok(()) => self.save_jobs(jobs.iter().copied().collect()).await,
+                Ok(is_settled) => self
+                    .save_jobs(jobs.iter().copied().collect())
+                    .await
+                    .map(|()| is_settled),
                 Err(error) => Err(error),
             };
             match result {
-                Ok(()) => {
+                Ok(is_settled) => {
                     self.saved.send_replace(number);
-                    if self.pool.borrow().unsaved().is_empty() {
+                    if is_settled && self.pool.borrow().unsaved().is_empty() {
                         return;
                     }
                 }
@@ -387,7 +390,8 @@
     }
 
     /// Whether every worker that may be sent a start is stored as assigned, with the longest lease that it may get, so
-    /// that a later scheduler knows of them. Requests a save if the stored lease differs from the present one.
+    /// that a later scheduler knows of them. Requests a save if the stored lease differs from the present one or a worker
+    /// waits for its fencing token.
     pub(super) fn are_assigned_workers_stored(&self) -> bool {
         let assigned_workers = self.assigned_workers.borrow();
         let pool = self.pool.borrow();
@@ -400,17 +404,21 @@
         let stored_ms = assigned_workers.lease_ms;
         let is_lease_covered = stored_ms.is_none_or(|stored_ms| stored_ms >= longest_ms);
         let is_stored = are_workers_stored && is_lease_covered;
-        if !is_stored || stored_ms != Some(longest_ms) {
+        let is_one_without_token = !pool.workers_without_token().is_empty();
+        if !is_stored || stored_ms != Some(longest_ms) || is_one_without_token {
             self.unsaved.notify_one();
         }
         is_stored
     }
 
-    /// Stores the workers on which runs of this pool may be and their longest lease, if either has changed.
-    /// A worker whose loss is not stored with its jobs yet stays in the list: a successor that knows of neither would start
-    /// the lost tasks again without counting the loss.
-    async fn save_assigned_workers(&self, unsaved: &BTreeSet<JobId>) -> Result<(), CallError> {
-        let assigned_workers = {
+    /// Stores the workers on which runs of this pool may be, their incarnations and their longest lease, if any has changed.
+    /// The write expects the role's key, so its revision lies between this scheduler's token and the next one's, and is the
+    /// fencing token of the incarnations that it is the first to contain.
+    /// A worker whose loss is not stored with its jobs yet stays in the list with the incarnation that was lost: a
+    /// successor that knows of neither would start the lost tasks again without counting the loss. So do all stored ones
+    /// during a takeover. Returns whether no loss was the reason to keep one.
+    async fn save_assigned_workers(&self, unsaved: &BTreeSet<JobId>) -> Result<bool, CallError> {
+        let (assigned_workers, without_token, is_settled) = {
             let pool = self.pool.borrow();
             let present = || {
                 let workers = pool.workers().values();
@@ -420,27 +428,42 @@
             let mut started_ms: BTreeMap<_, _> = present()
                 .filter_map(|worker| Some((worker.info.id.clone(), worker.info.started_ms?)))
                 .collect();
+            let stray = present().filter(|worker| worker.may_hold_stray_lease());
+            let mut stray_leases: BTreeSet<_> =
+                stray.map(|worker| worker.info.id.clone()).collect();
             let stored = self.assigned_workers.borrow();
             let lost = unsaved.iter().filter_map(|job| pool.jobs().get(job));
             let lost: BTreeSet<&WorkerId> = lost.flat_map(Job::lost_workers).collect();
+            let mut is_settled = true;
             for id in &stored.workers {
-                if (pool.is_taking_over() || lost.contains(id)) && workers.insert(id.clone()) {
-                    started_ms.extend(
-                        stored
-                            .started_ms
-                            .get_key_value(id)
-                            .map(|(id, at)| (id.clone(), *at)),
-                    );
+                let has_unsaved_losses = lost.contains(id);
+                is_settled &= !has_unsaved_losses;
+                if !pool.is_taking_over() && !has_unsaved_losses {
+                    continue;
+                }
+                let is_absent = workers.insert(id.clone());
+                let stored_strays = stored.stray_leases.as_ref();
+                if is_absent && stored_strays.is_none_or(|strays| strays.contains(id)) {
+                    stray_leases.insert(id.clone());
+                }
+                if let Some(at) = stored.started_ms.get(id) {
+                    started_ms.insert(id.clone(), *at);
                 }
             }
-            AssignedWorkers {
+            let assigned_workers = AssignedWorkers {
                 workers,
                 lease_ms: Some(pool.lease_bound().longest_ms(self.now())),
                 started_ms,
-            }
+                stray_leases: Some(stray_leases),
+            };
+            (assigned_workers, pool.workers_without_token(), is_settled)
         };
-        if assigned_workers == *self.assigned_workers.borrow() {
-            return Ok(());
+        let is_stored = self
+            .assigned_workers
+            .borrow()
+            .suffice_for(&assigned_workers);
+        if is_stored && without_token.is_empty() {
+            return Ok(is_settled);
         }
         let key = keys::assigned_workers(&self.name);
         let writes = Writes {
@@ -456,8 +479,12 @@
             Committed::Done(revision) => {
                 self.apply_commit(txn, revision, &[]);
                 *self.assigned_workers.borrow_mut() = assigned_workers;
+                self.pool
+                    .borrow_mut()
+                    .set_tokens(&without_token, FencingToken(revision.0));
+                self.tokens_set.notify_one();
                 self.replan.notify_one();
-                Ok(())
+                Ok(is_settled)
             }
             Committed::Conflict(conflict) => {
                 self.apply_conflict(&txn, conflict);
--- a/crates/grid/tests/entry/main.rs
+++ b/crates/grid/tests/entry/main.rs
@@ -6,6 +6,7 @@
 mod cordon;
 mod crash;
 mod faults;
+mod incarnation;
 mod invariants;
 mod maintenance;
 mod moved_queue;
--- a/crates/grid/tests/stored.rs
+++ b/crates/grid/tests/stored.rs
@@ -76,6 +76,7 @@
         workers: [WorkerId::from("w1")].into(),
         lease_ms: Some(3_000),
         started_ms: [(WorkerId::from("w1"), 7)].into(),
+        stray_leases: Some([WorkerId::from("w1")].into()),
     };
     let old: OldAssignedWorkers =
         keys::decode("k", &keys::encode(&new)).expect("the old version reads it");
--- a/crates/jobs/src/pool/ingest.rs
+++ b/crates/jobs/src/pool/ingest.rs
@@ -12,7 +12,9 @@
 use crate::progress::Progress;
 use crate::spec::{JobRecord, JobState};
 use crate::suspect::Fate;
-use crate::worker::{Contact, Origin, Phase, Run, RunKey, Worker, WorkerInfo};
+use crate::worker::{
+    Contact, Description, Origin, Phase, Run, RunKey, StrayLease, Worker, WorkerInfo,
+};
 
 /// How long a worker gets no starts after it was unhealthy or did not reply to one.
 const WORKER_PAUSE: Duration = Duration::from_millis(500);
@@ -88,6 +90,7 @@
         stored_lease: Option<Duration>,
         now: Instant,
     ) {
+        self.inherited.has_predecessor = true;
         self.lease_bound =
             LeaseBound::new(&self.bounds).with_predecessor(stored_lease, &self.bounds, now);
         for (record, progress, age) in jobs {
@@ -103,9 +106,11 @@
         }
         let until = now + expiry(self.lease_bound.inherited(), &self.bounds);
         self.takeover = Some(Takeover {
-            awaited: assigned_workers,
+            awaited: assigned_workers
+                .into_iter()
+                .map(|worker| (worker, until))
+                .collect(),
             lost: BTreeSet::new(),
-            until,
         });
     }
 
@@ -122,6 +127,7 @@
 
     /// Applies the registry's list of this pool's workers.
     pub fn set_workers(&mut self, listed: Vec<WorkerInfo>, now: Instant) {
+        let is_first = self.listed_at.is_none();
         let ids = listed.iter().map(|info| info.id.clone()).collect();
         self.record_list(&ids, now);
         let mut seen: BTreeSet<WorkerRef> = BTreeSet::new();
@@ -130,8 +136,15 @@
             let worker_ref = match known {
                 Some(worker_ref) if !self.is_new_incarnation(worker_ref, &info) => worker_ref,
                 Some(worker_ref) => self.begin_incarnation(worker_ref, info.clone(), now),
-                None => self.add_worker(info.clone()),
+                None => self.add_worker(info.clone(), now),
             };
+            if is_first && let Some(worker) = self.workers.get_mut(&worker_ref) {
+                // This scheduler has sent nothing yet, and the role's token is higher than that of any earlier one.
+                worker.token = Some(self.token);
+                if !self.inherited.has_predecessor {
+                    worker.stray_lease = StrayLease::Excluded;
+                }
+            }
             seen.insert(worker_ref);
             self.refresh(worker_ref, info, now);
         }
@@ -193,7 +206,7 @@
         if let Some(worker) = self.workers.get_mut(&old) {
             worker.is_listed = false;
         }
-        let worker_ref = self.add_worker(info);
+        let worker_ref = self.add_worker(info, now);
         let longest = expiry(self.bounds.lease_max, &self.bounds);
         let has_earlier_runs = !carried_over.is_empty() || !late.is_empty();
         if let Some(worker) = self.workers.get_mut(&worker_ref) {
@@ -219,14 +232,24 @@
         worker_ref
     }
 
-    fn add_worker(&mut self, info: WorkerInfo) -> WorkerRef {
+    fn add_worker(&mut self, info: WorkerInfo, now: Instant) -> WorkerRef {
         use goldcrest_types::entity::EntityRef;
-        let worker = WorkerRef::new(self.workers_made);
+        let worker_ref = WorkerRef::new(self.workers_made);
         self.workers_made += 1;
-        self.by_id.insert(info.id.clone(), worker);
-        self.workers.insert(worker, Worker::new(info));
-        self.push_worker_event(worker, "found");
-        worker
+        self.by_id.insert(info.id.clone(), worker_ref);
+        let mut worker = Worker::new(info);
+        if self.inherited.covers(&worker.info) {
+            worker.stray_lease = StrayLease::Excluded;
+        } else if let Some(takeover) = &mut self.takeover
+            && let Some(until) = takeover.awaited.get_mut(&worker.info.id)
+        {
+            // Commands to the incarnation that the earlier scheduler knew may have reached this one.
+            let longest = now + expiry(self.bounds.lease_max, &self.bounds);
+            *until = longest.max(*until);
+        }
+        self.workers.insert(worker_ref, worker);
+        self.push_worker_event(worker_ref, "found");
+        worker_ref
     }
 
     fn refresh(&mut self, worker_ref: WorkerRef, info: WorkerInfo, now: Instant) {
@@ -239,7 +262,7 @@
         }
         let was_draining = worker.info.is_draining;
         worker.is_listed = true;
-        worker.is_described = true;
+        worker.description = Description::Registered;
         worker.info = WorkerInfo {
             started_ms: info.started_ms.or(worker.info.started_ms),
             is_draining: was_draining || info.is_draining,
@@ -425,7 +448,8 @@
                 self.pause_job(task.step.job, MALFORMED_PAUSE, now);
             }
             StartAnswer::Fenced => {
-                self.is_fenced_out = true;
+                // A later incarnation refuses commands to this one by the token that it has got from this scheduler.
+                self.is_fenced_out |= !worker.has_departed;
                 self.drop_reported(worker_ref, key, "fenced");
             }
             StartAnswer::WrongWorker => {
--- a/crates/jobs/src/pool/lifecycle.rs
+++ b/crates/jobs/src/pool/lifecycle.rs
@@ -51,7 +51,9 @@
 
 fn stop_unneeded(pool: &mut Pool, now: Instant) {
     let mut stops: Vec<(WorkerRef, RunKey, StopReason)> = Vec::new();
-    for (worker_ref, worker) in &pool.workers {
+    let reachable = pool.workers.iter();
+    let reachable = reachable.filter(|(_, worker)| worker.token.is_some());
+    for (worker_ref, worker) in reachable {
         for (key, run) in &worker.runs {
             if run.phase == Phase::Stopping {
                 let is_unconfirmed = run
--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -1,12 +1,15 @@
 //! The scheduler of one pool.
 //!
 //! A [`Pool`] holds the open jobs and the workers of one pool. It is owned by the entry that holds the pool's role,
-//! whose [`FencingToken`] is sent with each command. Invariants:
+//! whose [`FencingToken`] fences commands of earlier ones. Invariants:
 //!
 //! - A task has at most one run that may be executing, unless its step allows copies or an unexpected run was found on
 //!   a worker. `Task::live` counts the runs in `Worker::runs` that belong to the task.
 //! - `usage` is the sum of what these runs reserve, by team. No start raises it, with the unknown usage of earlier
 //!   schedulers, above `allowance`.
+//! - Commands to a worker carry a higher token than any command to its earlier incarnations, so a command of those has
+//!   no effect once the present one has answered. Until then it may have started runs, which the answer lists, and
+//!   extended leases, which [`StrayLease`](crate::worker::StrayLease) covers, also for a successor.
 //! - A job in `unsaved` differs from its stored state. The ends in a report may be acknowledged to the worker only
 //!   after the jobs that they changed have been saved.
 //!
@@ -52,7 +55,7 @@
 use crate::pool::arrivals::Arrivals;
 use crate::resources::Resources;
 use crate::suspect::CrashLimit;
-use crate::worker::Worker;
+use crate::worker::{Worker, WorkerInfo};
 
 pub use event::Event;
 
@@ -212,10 +215,31 @@
 /// Workers that an earlier scheduler may have used and that have not reported yet.
 #[derive(Debug, Clone)]
 struct Takeover {
-    awaited: BTreeSet<WorkerId>,
+    /// The workers, each with the time at which every lease that it may hold has expired.
+    awaited: BTreeMap<WorkerId, Instant>,
     /// Workers whose incarnation that the earlier scheduler used has certainly ended.
     lost: BTreeSet<WorkerId>,
-    until: Instant,
+}
+
+/// What an earlier scheduler has stored of the incarnations of its workers.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct InheritedIncarnations {
+    /// Whether there was an earlier scheduler. Otherwise no worker of the pool was ever offered a lease.
+    pub has_predecessor: bool,
+    /// When each worker's incarnation started, in milliseconds since 1970, if it states it.
+    pub started_ms: BTreeMap<WorkerId, u64>,
+    /// The workers that may hold a lease which a command to an earlier incarnation has extended. Absent if the scheduler
+    /// did not know: any worker may.
+    pub stray_leases: Option<BTreeSet<WorkerId>>,
+}
+
+impl InheritedIncarnations {
+    /// Whether the scheduler knew this incarnation of the worker and that its leases are no longer than those it offered.
+    fn covers(&self, info: &WorkerInfo) -> bool {
+        let known = self.started_ms.get(&info.id).copied();
+        let strays = self.stray_leases.as_ref();
+        known == info.started_ms && strays.is_some_and(|strays| !strays.contains(&info.id))
+    }
 }
 
 /// The scheduling state of one pool.
@@ -254,9 +278,8 @@
     copies_allowed: BTreeSet<TaskId>,
     /// The tasks that have unreported runs.
     suspects: BTreeSet<TaskId>,
-    /// When the incarnation of each worker started that an earlier scheduler used, in milliseconds since 1970, if it is
-    /// stored.
-    inherited_incarnations: BTreeMap<WorkerId, u64>,
+    /// The incarnations of the workers that an earlier scheduler used, as far as they are stored.
+    inherited: InheritedIncarnations,
     /// When the registry was last listed.
     listed_at: Option<Instant>,
     /// When the first of the lists was applied that follow each other without a gap.
@@ -308,7 +331,7 @@
             cordoned: BTreeSet::new(),
             copies_allowed: BTreeSet::new(),
             suspects: BTreeSet::new(),
-            inherited_incarnations: BTreeMap::new(),
+            inherited: InheritedIncarnations::default(),
             listed_at: None,
             listed_since: None,
             missing: BTreeMap::new(),
@@ -324,7 +347,8 @@
         &self.name
     }
 
-    /// The fencing token sent with each command.
+    /// The fencing token of the role. Commands to a worker carry it or, if the worker was found later, the higher one of that
+    /// worker.
     #[must_use]
     pub fn token(&self) -> FencingToken {
         self.token
@@ -364,7 +388,25 @@
     #[must_use]
     pub fn awaits_entries(&self) -> bool {
         let mut workers = self.workers.values();
-        workers.any(|worker| !worker.is_described && !worker.has_departed)
+        workers.any(|worker| !worker.is_described() && !worker.has_departed)
+    }
+
+    /// The present workers to which nothing may be sent before they are stored with their incarnations.
+    #[must_use]
+    pub fn workers_without_token(&self) -> Vec<WorkerRef> {
+        let workers = self.workers.iter();
+        let without = workers.filter(|(_, worker)| worker.token.is_none() && !worker.has_departed);
+        without.map(|(worker_ref, _)| *worker_ref).collect()
+    }
+
+    /// Sets the fencing token of workers whose incarnations were stored: the revision of that write. It is higher than any
+    /// token that was sent before the write, and lower than that of any later scheduler.
+    pub fn set_tokens(&mut self, workers: &[WorkerRef], token: FencingToken) {
+        for worker in workers {
+            if let Some(worker) = self.workers.get_mut(worker) {
+                worker.token.get_or_insert(token);
+            }
+        }
     }
 
     /// Returns a worker, or `None` if it has been removed.
--- a/crates/jobs/src/pool/release.rs
+++ b/crates/jobs/src/pool/release.rs
@@ -5,7 +5,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::id::WorkerRef;
+use crate::id::{WorkerId, WorkerRef};
 use crate::pool::Pool;
 use crate::worker::Worker;
 
@@ -77,21 +77,24 @@
 /// Resolves each job whose workers have all reported. Ends the takeover once no run of the earlier scheduler can be
 /// unknown.
 fn end_takeover(pool: &mut Pool, now: Instant) {
-    let Some(takeover) = &pool.takeover else {
+    let Some(takeover) = &mut pool.takeover else {
         return;
     };
-    let is_over = takeover.awaited.is_empty() || now >= takeover.until;
+    let expired: Vec<WorkerId> = takeover
+        .awaited
+        .extract_if(.., |_, until| now >= *until)
+        .map(|(id, _)| id)
+        .collect();
+    takeover.lost.extend(expired);
+    let is_over = takeover.awaited.is_empty();
     let mut resolved = Vec::new();
     for (id, job) in &mut pool.jobs {
-        let lost = takeover.lost.iter().chain(&takeover.awaited);
-        let lost = lost.filter(|worker| is_over || takeover.lost.contains(*worker));
-        let worker = lost
-            .into_iter()
-            .find(|worker| job.workers.contains(*worker));
+        let mut lost = takeover.lost.iter();
+        let worker = lost.find(|worker| job.workers.contains(*worker));
         job.awaited
-            .retain(|worker| !is_over && takeover.awaited.contains(worker));
+            .retain(|worker| takeover.awaited.contains_key(worker));
         if job.awaited.is_empty() && job.is_inherited() {
-            let incarnations = &pool.inherited_incarnations;
+            let incarnations = &pool.inherited.started_ms;
             job.resolve_unknown(worker.map(|id| (id, incarnations.get(id).copied())));
             resolved.push(*id);
         }
--- a/crates/jobs/src/pool/report.rs
+++ b/crates/jobs/src/pool/report.rs
@@ -8,8 +8,8 @@
 use crate::pool::{Event, Pool};
 use crate::suspect::Exposure;
 use crate::worker::{
-    Contact, ESTABLISHED_AFTER, EndRow, Origin, Phase, Report, Run, RunEnd, RunKey, RunningRow,
-    Streaks, Trust,
+    Contact, Description, ESTABLISHED_AFTER, EndRow, Origin, Phase, Report, Run, RunEnd, RunKey,
+    RunningRow, StrayLease, Streaks, Trust,
 };
 
 /// The highest clock value accepted from a worker, in milliseconds. Messages can't represent larger integers exactly,
@@ -38,7 +38,9 @@
         report: Report,
         now: Instant,
     ) -> bool {
-        let worker_ref = self.incarnation_of(worker_ref, &report, now);
+        if !self.is_from(worker_ref, &report, now) {
+            return false;
+        }
         let Some(worker) = self.workers.get_mut(&worker_ref) else {
             return false;
         };
@@ -51,20 +53,23 @@
         let is_new = !worker.is_fenced();
         worker.contact = Contact::Responding;
         if is_new {
-            // An earlier scheduler may have offered such leases, or they were meant for an earlier incarnation.
-            let longest = if worker.runs.is_empty() {
-                self.lease_bound.inherited()
-            } else {
-                self.bounds.lease_max
+            // From now on the worker refuses commands of earlier schedulers and those to its earlier incarnations. This
+            // is the longest lease that they may have offered.
+            let longest = match worker.stray_lease {
+                StrayLease::Excluded => self.lease_bound.inherited(),
+                StrayLease::Possible | StrayLease::Until(_) => self.bounds.lease_max,
             };
             let offered_ms = clock_ms + crate::worker::millis(longest);
             worker.lease_until_ms = worker.lease_until_ms.max(offered_ms);
+            if worker.stray_lease != StrayLease::Excluded {
+                worker.stray_lease = StrayLease::Until(offered_ms);
+            }
             let id = worker.info.id.clone();
-            let used = self.inherited_incarnations.get(&id).copied();
+            let used = self.inherited.started_ms.get(&id).copied();
             let has_restarted =
                 used.is_some() && report.started_ms.is_some_and(|now| Some(now) != used);
             if let Some(takeover) = &mut self.takeover
-                && takeover.awaited.remove(&id)
+                && takeover.awaited.remove(&id).is_some()
                 && has_restarted
             {
                 takeover.lost.insert(id);
@@ -88,39 +93,26 @@
         has_ends
     }
 
-    /// Returns the incarnation that sent the report: a later one than was queried, if the worker has restarted since.
-    fn incarnation_of(
-        &mut self,
-        worker_ref: WorkerRef,
-        report: &Report,
-        now: Instant,
-    ) -> WorkerRef {
-        if let Some(present) = self.current_incarnation(worker_ref, report) {
-            return present;
-        }
+    /// Whether the incarnation that was queried has sent the report. If a later one has, that one is added to the pool.
+    /// Its report is not ingested: the request carried the token of the earlier incarnation, so others of its commands may
+    /// still be carried out after it.
+    fn is_from(&mut self, worker_ref: WorkerRef, report: &Report, now: Instant) -> bool {
         let Some(worker) = self.workers.get_mut(&worker_ref) else {
-            return worker_ref;
+            return false;
         };
-        let is_restarted = matches!((worker.info.started_ms, report.started_ms), (Some(old), Some(new)) if old < new);
-        if !is_restarted {
+        let (Some(queried), Some(reported)) = (worker.info.started_ms, report.started_ms) else {
             worker.info.started_ms = worker.info.started_ms.or(report.started_ms);
-            return worker_ref;
-        }
-        let info = worker.info.of_later_incarnation(report.started_ms);
-        let incarnation = self.begin_incarnation(worker_ref, info, now);
-        if let Some(worker) = self.workers.get_mut(&incarnation) {
-            worker.is_described = false;
+            return true;
+        };
+        let is_later = queried < reported && !worker.has_departed;
+        if is_later {
+            let info = worker.info.of_later_incarnation(report.started_ms);
+            let incarnation = self.begin_incarnation(worker_ref, info, now);
+            if let Some(worker) = self.workers.get_mut(&incarnation) {
+                worker.description = Description::Awaited;
+            }
         }
-        incarnation
-    }
-
-    /// The worker's current incarnation, if it was found after the report was requested and is the one that sent it.
-    fn current_incarnation(&self, worker: WorkerRef, report: &Report) -> Option<WorkerRef> {
-        let id = &self.workers.get(&worker)?.info.id;
-        let present = *self.by_id.get(id)?;
-        let started_ms = self.workers.get(&present)?.info.started_ms;
-        (present != worker && started_ms.is_some() && started_ms == report.started_ms)
-            .then_some(present)
+        queried == reported
     }
 
     fn ingest_end(&mut self, worker_ref: WorkerRef, row: &EndRow, now: Instant) {
--- a/crates/jobs/src/pool/suspects.rs
+++ b/crates/jobs/src/pool/suspects.rs
@@ -1,11 +1,11 @@
 //! Keeps the unreported runs of tasks, and gives up jobs with a task that crashes its workers.
 
-use std::collections::BTreeMap;
 use std::time::Instant;
 
-use crate::id::{JobId, TaskId, WorkerId, WorkerRef};
+use crate::id::{JobId, TaskId, WorkerRef};
 use crate::job::Task;
-use crate::pool::{Event, Pool};
+use crate::lease::expiry;
+use crate::pool::{Event, InheritedIncarnations, Pool};
 use crate::suspect::{Exposure, Fate, RunState, SuspectTasks, UnreportedRun};
 use crate::worker::{Contact, Origin, Phase, RunKey, Trust, Worker};
 
@@ -25,9 +25,19 @@
         self.suspects.extend(job.suspect_ids());
     }
 
-    /// Sets when each worker's incarnation started that an earlier scheduler used, in milliseconds since 1970.
-    pub fn set_inherited_incarnations(&mut self, incarnations: BTreeMap<WorkerId, u64>) {
-        self.inherited_incarnations = incarnations;
+    /// Sets what an earlier scheduler has stored of the incarnations of its workers. Must follow [`Self::take_over`] and
+    /// precede the first list of workers.
+    pub fn inherit_incarnations(&mut self, inherited: InheritedIncarnations, now: Instant) {
+        let longest = now + expiry(self.bounds.lease_max, &self.bounds);
+        if let Some(takeover) = &mut self.takeover {
+            let strays = inherited.stray_leases.as_ref();
+            for (id, until) in &mut takeover.awaited {
+                if strays.is_none_or(|strays| strays.contains(id)) {
+                    *until = longest;
+                }
+            }
+        }
+        self.inherited = inherited;
     }
 
     /// Records that a worker was lost with all its runs, and its fate if that is known. Precedes their removal, as each is
--- a/crates/jobs/src/pool/unfit.rs
+++ b/crates/jobs/src/pool/unfit.rs
@@ -26,7 +26,7 @@
     let workers: Vec<&Worker> = pool
         .workers
         .values()
-        .filter(|worker| worker.is_listed && worker.is_described && !worker.has_departed)
+        .filter(|worker| worker.is_listed && worker.is_described() && !worker.has_departed)
         .collect();
     if workers.is_empty() {
         return;
--- a/crates/jobs/src/verify/mod.rs
+++ b/crates/jobs/src/verify/mod.rs
@@ -47,7 +47,7 @@
     });
     started
         .filter(|worker| {
-            let is_within = worker.is_described && worker.used.fits(&worker.info.capacity);
+            let is_within = worker.is_described() && worker.used.fits(&worker.info.capacity);
             !is_within || worker.unknown_demands > 0
         })
         .map(|worker| format!("worker {}: started beyond its capacity", worker.info.id).into())
--- a/crates/jobs/src/worker/mod.rs
+++ b/crates/jobs/src/worker/mod.rs
@@ -9,7 +9,7 @@
 
 use goldcrest_types::names::DcName;
 
-use crate::id::{JobId, Label, RunNumber, TaskId, VmId, WorkerId};
+use crate::id::{FencingToken, JobId, Label, RunNumber, TaskId, VmId, WorkerId};
 use crate::resources::Resources;
 use crate::spec::Step;
 
@@ -156,6 +156,31 @@
     Unresponsive,
 }
 
+/// Whether the capacity and labels of a worker are known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Description {
+    /// They are, from the registry's entry of this incarnation.
+    Registered,
+    /// Only a report has shown this incarnation. A report does not contain them, and those of an earlier incarnation say
+    /// nothing about it.
+    Awaited,
+}
+
+/// Whether a command that was meant for an earlier incarnation may have extended the leases of a worker's runs.
+///
+/// A worker that is back under its id carries out commands that were sent to its earlier incarnation, until it has seen a
+/// higher fencing token. Their deadlines are times on that incarnation's clock and can lie anywhere on the present one's, so
+/// such a lease is as long as workers grant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StrayLease {
+    /// It is known that no such command was carried out.
+    Excluded,
+    /// It may have been, and may still be until the worker has answered under its token.
+    Possible,
+    /// It may have been. The lease ends at this time on the worker's clock, in milliseconds, at the latest.
+    Until(u64),
+}
+
 /// Whether tasks may be started in a data centre.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum DcState {
@@ -172,11 +197,15 @@
     pub info: WorkerInfo,
     /// Whether the registry lists it.
     pub is_listed: bool,
-    /// Whether `info` is the registry's entry of this incarnation. Until it is, the worker's capacity and labels are not
-    /// known: a report does not contain them, and those of an earlier incarnation say nothing about it.
-    pub is_described: bool,
+    /// Whether its capacity and labels are known.
+    pub description: Description,
     /// Since when it has been draining.
     pub draining_since: Option<Instant>,
+    /// The fencing token of commands to it, higher than that of any command to an earlier incarnation. Absent until this
+    /// incarnation is stored; nothing is sent to it before.
+    pub token: Option<FencingToken>,
+    /// Whether a command that was meant for an earlier incarnation may have extended its leases.
+    pub stray_lease: StrayLease,
     /// Whether it answers this scheduler.
     pub contact: Contact,
     /// Whether it has departed: nothing can run on it any more.
@@ -251,14 +280,16 @@
 }
 
 impl Worker {
-    /// Creates a worker that has not answered yet.
+    /// Creates a worker that has not answered yet and whose earlier incarnations, if any, are not known.
     #[must_use]
     pub fn new(info: WorkerInfo) -> Self {
         Self {
             info,
             is_listed: true,
-            is_described: true,
+            description: Description::Registered,
             draining_since: None,
+            token: None,
+            stray_lease: StrayLease::Possible,
             contact: Contact::None,
             has_departed: false,
             vm: None,
@@ -289,6 +320,12 @@
         self.info.capacity - self.used
     }
 
+    /// Whether its capacity and labels are known.
+    #[must_use]
+    pub fn is_described(&self) -> bool {
+        self.description == Description::Registered
+    }
+
     /// Whether it is being evacuated.
     #[must_use]
     pub fn is_evacuating(&self) -> bool {
@@ -307,12 +344,24 @@
         self.contact != Contact::None
     }
 
+    /// Whether it may hold a lease that a command to an earlier incarnation has extended.
+    #[must_use]
+    pub fn may_hold_stray_lease(&self) -> bool {
+        match self.stray_lease {
+            StrayLease::Excluded => false,
+            StrayLease::Possible => true,
+            StrayLease::Until(until_ms) => {
+                self.clock.is_none_or(|(clock_ms, _)| clock_ms < until_ms)
+            }
+        }
+    }
+
     /// Whether new work may be sent to it.
     #[must_use]
     pub fn takes_work(&self, now: Instant) -> bool {
         self.contact == Contact::Responding
             && self.is_listed
-            && self.is_described
+            && self.is_described()
             && !self.has_departed
             && !self.is_full
             && self.unknown_demands == 0
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -9,7 +9,7 @@
 use goldcrest_jobs::catalogue::{Catalogue, PoolSpec, Queue, Team};
 use goldcrest_jobs::id::{FencingToken, VmId, WorkerId, WorkerRef};
 use goldcrest_jobs::pool::permits::PermitGrants;
-use goldcrest_jobs::pool::{Bounds, Command, Event, Pool};
+use goldcrest_jobs::pool::{Bounds, Command, Event, InheritedIncarnations, Pool};
 use goldcrest_jobs::progress::{OccurrenceProgress, Progress, StepProgress};
 use goldcrest_jobs::resources::Resources;
 use goldcrest_jobs::spec::{JobRecord, Schedule};
@@ -28,6 +28,8 @@
     pool: Option<Pool>,
     infos: BTreeMap<String, WorkerInfo>,
     listed: BTreeSet<String>,
+    /// The number of writes of the assigned workers.
+    writes: u64,
     vms: BTreeMap<WorkerId, VmId>,
     schedule: Option<Schedule>,
     is_inheriting: bool,
@@ -51,6 +53,7 @@
             pool: None,
             infos: BTreeMap::new(),
             listed: BTreeSet::new(),
+            writes: 0,
             vms: BTreeMap::new(),
             schedule: None,
             is_inheriting: false,
@@ -129,6 +132,12 @@
                 let lease = Some(self.pool().bounds().lease);
                 self.pool()
                     .take_over(jobs, assigned_workers.collect(), lease, now);
+                let inherited = InheritedIncarnations {
+                    has_predecessor: true,
+                    started_ms: BTreeMap::new(),
+                    stray_leases: Some(BTreeSet::new()),
+                };
+                self.pool().inherit_incarnations(inherited, now);
             }
             _ => return self.apply_event(&words),
         }
@@ -139,6 +148,11 @@
         let listed = self.listed.iter().map(|name| self.infos[name].clone());
         let listed = listed.collect();
         self.pool().set_workers(listed, now);
+        // Stored at once: the revision of the write rises with each line.
+        self.writes += 1;
+        let without_token = self.pool().workers_without_token();
+        let token = FencingToken(self.pool().token().0 + self.writes);
+        self.pool().set_tokens(&without_token, token);
         let vms = self.vms.clone();
         self.pool().set_vms(&vms);
     }
@@ -175,11 +189,13 @@
                 let worker = self.worker(words[1]);
                 let report = report(&words[2..]);
                 let started_ms = report.started_ms;
-                self.pool().report(worker, now, report, now);
+                self.pool().report(worker, now, report.clone(), now);
                 if self.pool().awaits_entries() {
-                    // The registry shows the later incarnation right after its report.
+                    // The registry shows the later incarnation right after its report, which is then requested again.
                     self.info(words[1]).started_ms = started_ms;
                     self.list(now);
+                    let worker = self.worker(words[1]);
+                    self.pool().report(worker, now, report, now);
                 }
                 let until: u64 = number(words[2]);
                 let lease = u64::try_from(self.pool().bounds().lease.as_millis());
--- a/crates/jobs/tests/crashing_fleet/mod.rs
+++ b/crates/jobs/tests/crashing_fleet/mod.rs
@@ -6,8 +6,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use goldcrest_jobs::id::{JobId, RunNumber, TaskId, WorkerId, WorkerRef};
-use goldcrest_jobs::pool::{Command, Pool, StartAnswer, StartCommand};
+use goldcrest_jobs::id::{FencingToken, JobId, RunNumber, TaskId, WorkerId, WorkerRef};
+use goldcrest_jobs::pool::{Command, InheritedIncarnations, Pool, StartAnswer, StartCommand};
 use goldcrest_jobs::progress::Progress;
 use goldcrest_jobs::resources::Resources;
 use goldcrest_jobs::spec::{JobRecord, JobSpec, JobState, Schedule, Step};
@@ -73,6 +73,8 @@
 pub struct Fleet {
     pub pool: Pool,
     token: u64,
+    /// The number of writes of this scheduler.
+    writes: u64,
     began_at: Instant,
     elapsed: Duration,
     workers: Vec<SimWorker>,
@@ -80,6 +82,8 @@
     stored: BTreeMap<JobId, Stored>,
     /// The assigned workers, and when each one's incarnation started, in milliseconds since 1970.
     stored_workers: BTreeMap<WorkerId, u64>,
+    /// The workers that may hold a lease which a command to an earlier incarnation has extended.
+    stored_strays: BTreeSet<WorkerId>,
     is_store_silent: bool,
     pub outcomes: BTreeMap<JobId, JobState>,
     /// The tasks that crash their worker, in every occurrence.
@@ -102,12 +106,14 @@
         let mut fleet = Self {
             pool: one_pool::pool(1),
             token: 1,
+            writes: 0,
             began_at: Instant::now(),
             elapsed: Duration::ZERO,
             workers: Vec::new(),
             workers_made: 0,
             stored: BTreeMap::new(),
             stored_workers: BTreeMap::new(),
+            stored_strays: BTreeSet::new(),
             is_store_silent: false,
             outcomes: BTreeMap::new(),
             fatal: BTreeSet::new(),
@@ -189,7 +195,8 @@
 
     /// Replaces the scheduler by one that knows what is stored.
     pub fn replace_scheduler(&mut self) {
-        self.token += 1_000;
+        self.token += 1_000_000;
+        self.writes = 0;
         self.pool = one_pool::pool(self.token);
         let jobs = self.stored.values().cloned();
         let jobs = jobs.map(|stored| (stored.record, stored.progress, Duration::ZERO));
@@ -197,8 +204,12 @@
         let now = self.now();
         self.pool
             .take_over(jobs.collect(), workers.collect(), None, now);
-        self.pool
-            .set_inherited_incarnations(self.stored_workers.clone());
+        let inherited = InheritedIncarnations {
+            has_predecessor: true,
+            started_ms: self.stored_workers.clone(),
+            stray_leases: Some(self.stored_strays.clone()),
+        };
+        self.pool.inherit_incarnations(inherited, now);
         for (id, stored) in &self.stored {
             self.pool
                 .inherit_suspects(*id, stored.suspects.clone(), now);
@@ -334,7 +345,7 @@
         let now = self.now();
         let known = self.pool.workers().iter();
         let known: Vec<(WorkerRef, WorkerId)> = known
-            .filter(|(_, worker)| !worker.has_departed)
+            .filter(|(_, worker)| !worker.has_departed && worker.token.is_some())
             .map(|(worker_ref, worker)| (*worker_ref, worker.info.id.clone()))
             .collect();
         for (worker_ref, id) in known {
@@ -374,11 +385,22 @@
         });
         let inherited = std::mem::take(&mut self.stored_workers);
         self.stored_workers = present.collect();
+        let workers = self.pool.workers().values();
+        let strays = workers.filter(|worker| !worker.has_departed && worker.may_hold_stray_lease());
+        let strays = strays.map(|worker| worker.info.id.clone()).collect();
+        let inherited_strays = std::mem::replace(&mut self.stored_strays, strays);
         if self.pool.is_taking_over() {
             for (id, started_ms) in inherited {
-                self.stored_workers.entry(id).or_insert(started_ms);
+                if !self.stored_workers.contains_key(&id) && inherited_strays.contains(&id) {
+                    self.stored_strays.insert(id.clone());
+                }
+                self.stored_workers.insert(id, started_ms);
             }
         }
+        self.writes += 1;
+        let without_token = self.pool.workers_without_token();
+        let token = FencingToken(self.token + self.writes);
+        self.pool.set_tokens(&without_token, token);
         for id in self.pool.take_unsaved() {
             let Some(job) = self.pool.jobs().get(&id) else {
                 continue;
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use goldcrest_jobs::id::{JobId, RunNumber, WorkerId};
+use goldcrest_jobs::pool::InheritedIncarnations;
 use goldcrest_jobs::progress::{
     IndexSet, OccurrenceProgress, Progress, StepProgress, TaskProgress,
 };
@@ -122,7 +123,12 @@
         None,
         now,
     );
-    pool.set_inherited_incarnations([(WorkerId::from("w1"), 7)].into());
+    let inherited = InheritedIncarnations {
+        has_predecessor: true,
+        started_ms: [(WorkerId::from("w1"), 7)].into(),
+        stray_leases: Some(BTreeSet::new()),
+    };
+    pool.inherit_incarnations(inherited, now);
     let run = UnreportedRun {
         run: Some(RunNumber(5)),
         worker: "w1".into(),
--- a/crates/standin/src/grid/gate.rs
+++ b/crates/standin/src/grid/gate.rs
@@ -297,6 +297,17 @@
         if !self.reach_worker(&to.worker, within).await {
             return StartAnswer::Unknown;
         }
+        if let Some(delay) = self.world.command_delay(&self.entry) {
+            let (world, to, order) = (Rc::clone(&self.world), to.clone(), order.clone());
+            tokio::task::spawn_local(async move {
+                sleep(delay).await;
+                let mut crew = world.crew.borrow_mut();
+                // The answer is lost.
+                let _ = crew.start(&to, &order, Instant::now());
+            });
+            sleep(within).await;
+            return StartAnswer::Unknown;
+        }
         let (step, permit) = (order.task.step, order.permit.as_deref());
         let now = Instant::now();
         if !self.world.permits.accepts(step, &to.worker, permit, now) {
@@ -352,6 +363,19 @@
         if !self.reach_worker(&to.worker, within).await {
             return Err(CommandError::Unknown("cut off".into()));
         }
+        if let Some(delay) = self.world.command_delay(&self.entry) {
+            let (world, to) = (Rc::clone(&self.world), to.clone());
+            tokio::task::spawn_local(async move {
+                sleep(delay).await;
+                let mut crew = world.crew.borrow_mut();
+                if crew.note(&to, ends_acknowledged).is_ok() {
+                    // The answer is lost.
+                    let _ = crew.report(&to, until_ms, true, Instant::now());
+                }
+            });
+            sleep(within).await;
+            return Err(CommandError::Unknown("timed out".into()));
+        }
         let due_at = Instant::now() + wait;
         let timeout_at = Instant::now() + within;
         self.world.crew.borrow_mut().note(to, ends_acknowledged)?;
--- a/crates/standin/src/grid/mod.rs
+++ b/crates/standin/src/grid/mod.rs
@@ -69,6 +69,8 @@
     /// Entries whose readings of the operators' requests get no answer.
     without_requests: RefCell<BTreeSet<Box<str>>>,
     unreachable: RefCell<BTreeSet<(Box<str>, WorkerId)>>,
+    /// Entries whose commands to workers get no answer and are carried out after this time.
+    late_commands: RefCell<BTreeMap<Box<str>, Duration>>,
     /// The latency of a call to the store, except for waiting watches.
     pub delay: Cell<Duration>,
 }
@@ -160,6 +162,20 @@
         !self.without_requests.borrow().contains(entry)
     }
 
+    /// Leaves an entry's starts and requests for reports without an answer and carries them out after `delay`, or answers
+    /// them again.
+    pub fn set_late_commands(&self, entry: &str, delay: Option<Duration>) {
+        let mut late = self.late_commands.borrow_mut();
+        match delay {
+            Some(delay) => late.insert(entry.into(), delay),
+            None => late.remove(entry),
+        };
+    }
+
+    pub(crate) fn command_delay(&self, entry: &str) -> Option<Duration> {
+        self.late_commands.borrow().get(entry).copied()
+    }
+
     /// Disconnects an entry from a worker, or connects them again.
     pub fn set_reachable(&self, entry: &str, worker: &str, is_reachable: bool) {
         let key = (Box::from(entry), WorkerId::from(worker));
--- a/crates/standin/src/grid/workers.rs
+++ b/crates/standin/src/grid/workers.rs
@@ -15,6 +15,9 @@
 use goldcrest_types::names::PoolName;
 use tokio::time::Instant;
 
+/// The longest lease that a worker grants.
+const LEASE_MAX: Duration = Duration::from_secs(10);
+
 /// How long a worker is down after a task has crashed it.
 const CRASH_DOWNTIME: Duration = Duration::from_secs(2);
 
@@ -94,6 +97,12 @@
         1_000 + millis(now - self.started_at)
     }
 
+    /// Extends the lease to a time on the worker's clock, as far as it grants that.
+    fn extend_lease(&mut self, until_ms: u64, now: Instant) {
+        let longest_ms = self.clock_ms(now) + millis(LEASE_MAX);
+        self.until_ms = self.until_ms.max(until_ms.min(longest_ms));
+    }
+
     fn end(&mut self, key: (TaskId, RunNumber), end: RunEnd, now: Instant) {
         self.running.remove(&key);
         self.ends += 1;
@@ -272,7 +281,7 @@
         if (is_running_elsewhere || is_done) && !has_word("copies") {
             self.doubled.push(order.task);
         }
-        worker.until_ms = worker.until_ms.max(order.until_ms);
+        worker.extend_lease(order.until_ms, now);
         let ms = word(&order.payload, "ms").and_then(|ms| ms.parse().ok());
         let failures = word(&order.payload, "failures").and_then(|count| count.parse().ok());
         let runs_before = self
@@ -369,7 +378,7 @@
         let worker = self.workers.get_mut(&to.worker);
         let worker = worker.ok_or(CommandError::WrongWorker)?;
         worker.admit(to)?;
-        worker.until_ms = worker.until_ms.max(until_ms.unwrap_or(0));
+        worker.extend_lease(until_ms.unwrap_or(0), now);
         if worker.ended.is_empty() && !is_due {
             return Ok(None);
         }
