grid: a list of workers is applied once, and a restart makes the registry be read once

'Pool taken over.' now tells how many workers may hold a lease from before a restart. Tests of the crates jobs, grid and platform pass.

--- a/crates/grid/src/pool/load.rs
+++ b/crates/grid/src/pool/load.rs
@@ -1,6 +1,6 @@
 //! Takeover of a pool: loads its open jobs, their progress, and the workers that earlier schedulers may have used.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use goldcrest_jobs::id::JobId;
@@ -82,7 +82,8 @@
             token:% = self.held.token(),
             jobs = jobs.len(),
             workers = assigned_workers.workers.len(),
-            lease_ms = assigned_workers.lease_ms;
+            lease_ms = assigned_workers.lease_ms,
+            stray_leases = assigned_workers.stray_leases.as_ref().map(BTreeSet::len);
             "Pool taken over."
         );
         let AssignedWorkers {
--- a/crates/grid/src/pool/reports.rs
+++ b/crates/grid/src/pool/reports.rs
@@ -42,11 +42,11 @@
 
 impl<P: Platform> Scheduler<P> {
     pub(super) async fn follow_workers(self: Rc<Self>) {
-        let (mut all, mut registry) = self.entry.workers.follow();
+        let (all, mut registry) = self.entry.workers.follow();
+        self.ingest_registry(&all);
         let mut followers: JoinSet<()> = JoinSet::new();
         let mut followed: BTreeMap<WorkerRef, tokio::task::AbortHandle> = BTreeMap::new();
         loop {
-            self.ingest_registry(&all);
             followed.retain(|_, handle| !handle.is_finished());
             let present: Vec<WorkerRef> = {
                 let pool = self.pool.borrow();
@@ -64,7 +64,7 @@
             while followers.try_join_next().is_some() {}
             tokio::select! {
                 newer = registry.next() => match newer {
-                    Some(newer) => all = newer,
+                    Some(all) => self.ingest_registry(&all),
                     None => return,
                 },
                 () = self.tokens_set.notified() => {}
@@ -146,13 +146,15 @@
                     failures = 0;
                     let last = report.ended.iter().map(|end| end.number).max();
                     let arrived_at = self.now();
-                    let has_ends = self
-                        .pool
-                        .borrow_mut()
-                        .report(worker, now, report, arrived_at);
-                    if self.pool.borrow().awaits_entries() {
-                        self.entry.registry_stale.notify_one();
-                    }
+                    let has_ends = {
+                        let mut pool = self.pool.borrow_mut();
+                        let awaited = pool.entries_awaited();
+                        let has_ends = pool.report(worker, now, report, arrived_at);
+                        if pool.entries_awaited() > awaited {
+                            self.entry.registry_stale.notify_one();
+                        }
+                        has_ends
+                    };
                     self.log_events();
                     self.mark_changed();
                     if has_ends && self.wait_saved(SAVE_TIMEOUT).await {
--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -384,11 +384,12 @@
         &self.workers
     }
 
-    /// Whether the registry's entry of a worker's present incarnation has not been read yet.
+    /// The number of present workers whose entry in the registry has not been read yet since they restarted.
     #[must_use]
-    pub fn awaits_entries(&self) -> bool {
-        let mut workers = self.workers.values();
-        workers.any(|worker| !worker.is_described() && !worker.has_departed)
+    pub fn entries_awaited(&self) -> usize {
+        let workers = self.workers.values();
+        let awaited = workers.filter(|worker| !worker.is_described() && !worker.has_departed);
+        awaited.count()
     }
 
     /// The present workers to which nothing may be sent before they are stored with their incarnations.
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -190,7 +190,7 @@
                 let report = report(&words[2..]);
                 let started_ms = report.started_ms;
                 self.pool().report(worker, now, report.clone(), now);
-                if self.pool().awaits_entries() {
+                if self.pool().entries_awaited() > 0 {
                     // The registry shows the later incarnation right after its report, which is then requested again.
                     self.info(words[1]).started_ms = started_ms;
                     self.list(now);
