grid: a soak with commands that workers carry out seconds late

The soak of faults in any order gets a second form, in which an entry's starts and requests for reports get no answer and are carried out 0.5 to 6 s later, also by a worker's next incarnation. The first form plays its seeds as before.

--- a/crates/grid/tests/entry/soak.rs
+++ b/crates/grid/tests/entry/soak.rs
@@ -35,6 +35,9 @@
 /// was running, so that its team's usage never decreased.
 const REGRESSION_SEEDS: [u64; 4] = [110, 206, 232, 332];
 
+/// The share of faults that delay an entry's commands to workers, or end the delay.
+const LATE_COMMANDS_SHARE: f64 = 0.2;
+
 /// The number of tasks of a service.
 const SERVICE_TASKS: usize = 2;
 
@@ -49,6 +52,13 @@
     jobs: BTreeMap<String, Fate>,
 }
 
+/// Whether workers carry out commands as they are sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Commands {
+    Prompt,
+    MayBeLate,
+}
+
 /// The expected end of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Expected {
@@ -134,9 +144,15 @@
 }
 
 /// Injects or repairs a random fault; returns its description.
-fn fault(bed: &Bed, rng: &mut SmallRng) -> String {
+fn fault(bed: &Bed, commands: Commands, rng: &mut SmallRng) -> String {
     let entry = ENTRIES[rng.random_range(0..ENTRIES.len())];
     let worker = WORKERS[rng.random_range(0..WORKERS.len())];
+    if commands == Commands::MayBeLate && rng.random_bool(LATE_COMMANDS_SHARE) {
+        let delay = rng.random_bool(0.5).then(|| rng.random_range(500..6_000));
+        let delay = delay.map(Duration::from_millis);
+        bed.world.set_late_commands(entry, delay);
+        return format!("commands of {entry} late: {delay:?}");
+    }
     let set_fault = |fault: StoreFault| {
         bed.world.set_fault(entry, fault);
         format!("store for {entry}: {fault:?}")
@@ -184,6 +200,7 @@
 fn heal(bed: &Bed) {
     for entry in ENTRIES {
         bed.world.set_fault(entry, StoreFault::None);
+        bed.world.set_late_commands(entry, None);
         for worker in WORKERS {
             bed.world.set_reachable(entry, worker, true);
         }
@@ -249,7 +266,7 @@
     );
 }
 
-async fn run_seed(seed: u64) {
+async fn run_seed(seed: u64, commands: Commands) {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut callers = Callers::default();
     let bed = Bed::new(u32::try_from(WORKERS.len()).expect("a few"));
@@ -262,7 +279,7 @@
             0..=3 => submit(&bed, &mut callers, &mut rng).await,
             4 => cancel(&bed, &mut callers, &mut rng).await,
             _ => {
-                let fault_text = fault(&bed, &mut rng);
+                let fault_text = fault(&bed, commands, &mut rng);
                 faults.push(format!("{:?} {fault_text}", began_at.elapsed()));
             }
         }
@@ -282,6 +299,15 @@
 #[tokio::test(start_paused = true)]
 async fn faults_in_any_order() {
     for seed in seeds() {
-        local(run_seed(seed)).await;
+        local(run_seed(seed, Commands::Prompt)).await;
+    }
+}
+
+/// The same with commands to workers that get no answer and are carried out seconds late, also by a worker's next
+/// incarnation.
+#[tokio::test(start_paused = true)]
+async fn faults_in_any_order_with_late_commands() {
+    for seed in seeds() {
+        local(run_seed(seed, Commands::MayBeLate)).await;
     }
 }
