jobs, grid: a worker of which no incarnation is known is new, and holds no lease of an earlier one

Cause: any worker that the predecessor's list did not show counted as one that is back, and its leases as the longest that workers grant. VMs that were just moved or had their upkeep are new workers; a task lost with one of them waited 10 s instead of 3 s. Change: departed incarnations stay in crew/POOL while commands to them may be carried out, so an id of which none is stored is a new one. No write is made for them alone. The first lease that is assumed of a known incarnation also covers what this scheduler has offered before it departed. Tests of the crates jobs and grid pass.

--- a/crates/grid/src/keys/mod.rs
+++ b/crates/grid/src/keys/mod.rs
@@ -112,7 +112,8 @@
     /// The longest lease, in milliseconds, that these workers may hold. Older versions did not write it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub lease_ms: Option<u64>,
-    /// When each worker's incarnation started, in milliseconds since 1970, if known. Older versions did not write it.
+    /// When each worker's incarnation started, in milliseconds since 1970, if known; also of workers that have departed, while
+    /// commands to them may still be carried out. Older versions did not write it.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub started_ms: BTreeMap<WorkerId, u64>,
     /// The workers that may hold a lease longer than `lease_ms`, because a command to an earlier incarnation may have
@@ -122,17 +123,18 @@
 }
 
 impl AssignedWorkers {
-    /// Whether these, once stored, need no write to become `wanted`: a worker that is listed as possibly holding a longer
-    /// lease makes a successor wait longer at most. The last of them are removed together.
+    /// Whether these, once stored, need no write to become `wanted`: departed workers may stay, and a worker that is listed
+    /// as possibly holding a longer lease makes a successor wait longer at most. The last of them are removed together.
     #[must_use]
     pub fn suffice_for(&self, wanted: &Self) -> bool {
         let (Some(stored), Some(wanted_strays)) = (&self.stray_leases, &wanted.stray_leases) else {
             return self == wanted;
         };
         let is_cleared = wanted_strays.is_empty() && !stored.is_empty();
-        let is_rest_equal = (&self.workers, self.lease_ms, &self.started_ms)
-            == (&wanted.workers, wanted.lease_ms, &wanted.started_ms);
-        is_rest_equal && wanted_strays.is_subset(stored) && !is_cleared
+        let is_rest_equal = (&self.workers, self.lease_ms) == (&wanted.workers, wanted.lease_ms);
+        let mut incarnations = wanted.started_ms.iter();
+        let are_known = incarnations.all(|(id, at)| self.started_ms.get(id) == Some(at));
+        is_rest_equal && are_known && wanted_strays.is_subset(stored) && !is_cleared
     }
 
     /// The longest lease that the workers may hold, if it is stored.
--- a/crates/grid/src/pool/save.rs
+++ b/crates/grid/src/pool/save.rs
@@ -5,7 +5,7 @@
 //! replaced scheduler nor a transaction that is carried out late can overwrite newer content. A conflict returns the
 //! present content of the keys, from which the next attempt starts.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -425,9 +425,11 @@
                 workers.filter(|worker| !worker.has_departed)
             };
             let mut workers: BTreeSet<_> = present().map(|worker| worker.info.id.clone()).collect();
-            let mut started_ms: BTreeMap<_, _> = present()
-                .filter_map(|worker| Some((worker.info.id.clone(), worker.info.started_ms?)))
-                .collect();
+            let mut started_ms = pool.departed_incarnations();
+            started_ms.extend(
+                present()
+                    .filter_map(|worker| Some((worker.info.id.clone(), worker.info.started_ms?))),
+            );
             let stray = present().filter(|worker| worker.may_hold_stray_lease());
             let mut stray_leases: BTreeSet<_> =
                 stray.map(|worker| worker.info.id.clone()).collect();
--- a/crates/jobs/src/lease/mod.rs
+++ b/crates/jobs/src/lease/mod.rs
@@ -76,6 +76,12 @@
         self.inherited
     }
 
+    /// The longest lease that this scheduler or its predecessors may have offered to a worker that is heard at `now`.
+    #[must_use]
+    pub fn offered(&self, now: Instant) -> Duration {
+        self.inherited.max(self.longest(now))
+    }
+
     /// The longest lease that a worker may hold at `now`.
     fn longest(&self, now: Instant) -> Duration {
         let longer = self.longer.filter(|longer| now < longer.until);
--- a/crates/jobs/src/pool/ingest.rs
+++ b/crates/jobs/src/pool/ingest.rs
@@ -8,7 +8,7 @@
 use crate::id::{JobId, RunNumber, TaskId, VmId, WorkerId, WorkerRef};
 use crate::job::{Beginning, Copies, Job};
 use crate::lease::{LeaseBound, expiry};
-use crate::pool::{Event, Pool, StartAnswer, Takeover};
+use crate::pool::{DepartedIncarnation, Event, Pool, StartAnswer, Takeover};
 use crate::progress::Progress;
 use crate::spec::{JobRecord, JobState};
 use crate::suspect::Fate;
@@ -141,9 +141,6 @@
             if is_first && let Some(worker) = self.workers.get_mut(&worker_ref) {
                 // This scheduler has sent nothing yet, and the role's token is higher than that of any earlier one.
                 worker.token = Some(self.token);
-                if !self.inherited.has_predecessor {
-                    worker.stray_lease = StrayLease::Excluded;
-                }
             }
             seen.insert(worker_ref);
             self.refresh(worker_ref, info, now);
@@ -202,7 +199,7 @@
                 }
             }
         }
-        self.drop_incarnation(old, "reborn");
+        self.drop_incarnation(old, "reborn", now);
         if let Some(worker) = self.workers.get_mut(&old) {
             worker.is_listed = false;
         }
@@ -238,7 +235,15 @@
         self.workers_made += 1;
         self.by_id.insert(info.id.clone(), worker_ref);
         let mut worker = Worker::new(info);
-        if self.inherited.covers(&worker.info) {
+        // An incarnation that this scheduler has sent commands to; inherited ones are in the list of the departed too.
+        let departed = self.departed.get(&worker.info.id);
+        let is_next = departed.is_some_and(|departed| {
+            worker
+                .info
+                .started_ms
+                .is_some_and(|at| at != departed.started_ms)
+        });
+        if !is_next && self.inherited.excludes_stray_lease(&worker.info) {
             worker.stray_lease = StrayLease::Excluded;
         } else if let Some(takeover) = &mut self.takeover
             && let Some(until) = takeover.awaited.get_mut(&worker.info.id)
@@ -324,15 +329,22 @@
     /// executing.
     pub fn end_incarnation(&mut self, worker_ref: WorkerRef, state: &'static str, now: Instant) {
         self.record_losses(worker_ref, None, now);
-        self.drop_incarnation(worker_ref, state);
+        self.drop_incarnation(worker_ref, state, now);
     }
 
-    fn drop_incarnation(&mut self, worker_ref: WorkerRef, state: &'static str) {
+    fn drop_incarnation(&mut self, worker_ref: WorkerRef, state: &'static str, now: Instant) {
         self.push_worker_event(worker_ref, state);
         let Some(worker) = self.workers.get_mut(&worker_ref) else {
             return;
         };
         worker.has_departed = true;
+        if let Some(started_ms) = worker.info.started_ms {
+            let departed = DepartedIncarnation {
+                started_ms,
+                since: now,
+            };
+            self.departed.insert(worker.info.id.clone(), departed);
+        }
         let keys: Vec<RunKey> = worker.runs.keys().copied().collect();
         for key in keys {
             self.drop_run(worker_ref, key, "worker gone");
--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -229,19 +229,32 @@
     /// When each worker's incarnation started, in milliseconds since 1970, if it states it.
     pub started_ms: BTreeMap<WorkerId, u64>,
     /// The workers that may hold a lease which a command to an earlier incarnation has extended. Absent if the scheduler
-    /// did not know: any worker may.
+    /// did not know, nor which incarnations had departed: any worker may.
     pub stray_leases: Option<BTreeSet<WorkerId>>,
 }
 
 impl InheritedIncarnations {
-    /// Whether the scheduler knew this incarnation of the worker and that its leases are no longer than those it offered.
-    fn covers(&self, info: &WorkerInfo) -> bool {
+    /// Whether no command to an earlier incarnation can have reached this one, by what the earlier scheduler has stored: it
+    /// knew the incarnation, or no incarnation of this worker.
+    fn excludes_stray_lease(&self, info: &WorkerInfo) -> bool {
+        if !self.has_predecessor {
+            return true;
+        }
         let known = self.started_ms.get(&info.id).copied();
         let strays = self.stray_leases.as_ref();
-        known == info.started_ms && strays.is_some_and(|strays| !strays.contains(&info.id))
+        let is_known_free = strays.is_some_and(|strays| !strays.contains(&info.id));
+        is_known_free && (known.is_none() || known == info.started_ms)
     }
 }
 
+/// An incarnation to which commands were sent and that has departed.
+#[derive(Debug, Clone, Copy)]
+struct DepartedIncarnation {
+    started_ms: u64,
+    /// Since when nothing is sent to it.
+    since: Instant,
+}
+
 /// The scheduling state of one pool.
 #[derive(Debug)]
 pub struct Pool {
@@ -280,6 +293,8 @@
     suspects: BTreeSet<TaskId>,
     /// The incarnations of the workers that an earlier scheduler used, as far as they are stored.
     inherited: InheritedIncarnations,
+    /// Incarnations to which commands may have been sent that may still be carried out, by the next one under that id.
+    departed: BTreeMap<WorkerId, DepartedIncarnation>,
     /// When the registry was last listed.
     listed_at: Option<Instant>,
     /// When the first of the lists was applied that follow each other without a gap.
@@ -332,6 +347,7 @@
             copies_allowed: BTreeSet::new(),
             suspects: BTreeSet::new(),
             inherited: InheritedIncarnations::default(),
+            departed: BTreeMap::new(),
             listed_at: None,
             listed_since: None,
             missing: BTreeMap::new(),
@@ -392,6 +408,16 @@
         awaited.count()
     }
 
+    /// When each incarnation started that has departed and to which commands were sent that may still be carried out, in
+    /// milliseconds since 1970. Stored, so that a later scheduler knows that one which returns is not a new worker.
+    #[must_use]
+    pub fn departed_incarnations(&self) -> BTreeMap<WorkerId, u64> {
+        let departed = self.departed.iter();
+        departed
+            .map(|(id, departed)| (id.clone(), departed.started_ms))
+            .collect()
+    }
+
     /// The present workers to which nothing may be sent before they are stored with their incarnations.
     #[must_use]
     pub fn workers_without_token(&self) -> Vec<WorkerRef> {
--- a/crates/jobs/src/pool/release.rs
+++ b/crates/jobs/src/pool/release.rs
@@ -7,7 +7,7 @@
 
 use crate::id::{WorkerId, WorkerRef};
 use crate::pool::Pool;
-use crate::worker::Worker;
+use crate::worker::{UNANSWERED_LIFE, Worker};
 
 /// An unlisted worker without runs has departed once it has been unresponsive for this long.
 const UNRESPONSIVE_MIN: Duration = Duration::from_secs(3);
@@ -32,6 +32,8 @@
         .filter(|(_, worker)| worker.runs.is_empty())
         .map(|(worker_ref, _)| *worker_ref)
         .collect();
+    pool.departed
+        .retain(|_, departed| now.saturating_duration_since(departed.since) < UNANSWERED_LIFE);
     for worker_ref in removable {
         if let Some(worker) = pool.workers.remove(&worker_ref)
             && pool.by_id.get(&worker.info.id) == Some(&worker_ref)
--- a/crates/jobs/src/pool/report.rs
+++ b/crates/jobs/src/pool/report.rs
@@ -56,7 +56,7 @@
             // From now on the worker refuses commands of earlier schedulers and those to its earlier incarnations. This
             // is the longest lease that they may have offered.
             let longest = match worker.stray_lease {
-                StrayLease::Excluded => self.lease_bound.inherited(),
+                StrayLease::Excluded => self.lease_bound.offered(now),
                 StrayLease::Possible | StrayLease::Until(_) => self.bounds.lease_max,
             };
             let offered_ms = clock_ms + crate::worker::millis(longest);
--- a/crates/jobs/src/pool/suspects.rs
+++ b/crates/jobs/src/pool/suspects.rs
@@ -5,7 +5,7 @@
 use crate::id::{JobId, TaskId, WorkerRef};
 use crate::job::Task;
 use crate::lease::expiry;
-use crate::pool::{Event, InheritedIncarnations, Pool};
+use crate::pool::{DepartedIncarnation, Event, InheritedIncarnations, Pool};
 use crate::suspect::{Exposure, Fate, RunState, SuspectTasks, UnreportedRun};
 use crate::worker::{Contact, Origin, Phase, RunKey, Trust, Worker};
 
@@ -37,6 +37,16 @@
                 }
             }
         }
+        let known = inherited.started_ms.iter();
+        self.departed = known
+            .map(|(id, started_ms)| {
+                let departed = DepartedIncarnation {
+                    started_ms: *started_ms,
+                    since: now,
+                };
+                (id.clone(), departed)
+            })
+            .collect();
         self.inherited = inherited;
     }
 
--- a/crates/jobs/src/worker/mod.rs
+++ b/crates/jobs/src/worker/mod.rs
@@ -17,7 +17,7 @@
 const CLOCK_DRIFT_MILLI: u32 = 20;
 
 /// How long a command without a reply may still be executed.
-const UNANSWERED_LIFE: Duration = Duration::from_secs(30);
+pub(crate) const UNANSWERED_LIFE: Duration = Duration::from_secs(30);
 
 /// Added to each lease's end. Covers the rounding of clocks.
 const LEASE_MARGIN: Duration = Duration::from_millis(100);
