--- a/crates/jobs/tests/incarnation.rs
+++ b/crates/jobs/tests/incarnation.rs
@@ -2,10 +2,11 @@
 
 mod one_pool;
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
-use goldcrest_jobs::id::{JobId, WorkerRef};
-use goldcrest_jobs::pool::{Command, Pool, StartCommand};
+use goldcrest_jobs::id::{JobId, WorkerId, WorkerRef};
+use goldcrest_jobs::pool::{Command, InheritedIncarnations, Pool, StartCommand};
 use goldcrest_jobs::resources::Resources;
 use goldcrest_jobs::spec::{JobRecord, JobSpec, Step};
 use goldcrest_jobs::worker::{Report, WorkerInfo};
@@ -15,8 +16,12 @@
 const CORE: u64 = 1_000;
 
 fn info(started_ms: u64, label: &str, cpu_millis: u64) -> WorkerInfo {
+    info_of("w1", started_ms, label, cpu_millis)
+}
+
+fn info_of(id: &str, started_ms: u64, label: &str, cpu_millis: u64) -> WorkerInfo {
     WorkerInfo {
-        id: "w1".into(),
+        id: id.into(),
         started_ms: Some(started_ms),
         address: "".into(),
         dc: None,
@@ -110,3 +115,69 @@
         .collect();
     assert_eq!(started, ["00000000000000b1", "00000000000000b1"]);
 }
+
+/// Lists workers, each with the start time of its incarnation.
+fn list(pool: &mut Pool, workers: &[(&str, u64)], now: Instant) {
+    let listed = workers.iter();
+    let listed = listed.map(|(id, started_ms)| info_of(id, *started_ms, "a", CORE));
+    pool.set_workers(listed.collect(), now);
+}
+
+/// The present workers that may hold a lease from a command to an earlier incarnation.
+fn possible_strays(pool: &Pool) -> Vec<String> {
+    let present = pool.workers().values();
+    let strays = present.filter(|worker| !worker.has_departed && worker.may_hold_stray_lease());
+    strays.map(|worker| worker.info.id.to_string()).collect()
+}
+
+fn successor(stray_leases: Option<BTreeSet<WorkerId>>, now: Instant) -> Pool {
+    let mut pool = pool(7);
+    let assigned = [WorkerId::from("w1"), WorkerId::from("w2")];
+    pool.take_over(
+        Vec::new(),
+        assigned.into(),
+        Some(Duration::from_secs(3)),
+        now,
+    );
+    let inherited = InheritedIncarnations {
+        has_predecessor: true,
+        started_ms: [("w1", 1), ("w2", 1), ("gone", 1)]
+            .map(|(id, started_ms)| (WorkerId::from(id), started_ms))
+            .into(),
+        stray_leases,
+    };
+    pool.inherit_incarnations(inherited, now);
+    pool
+}
+
+/// Guards against a lease that a successor takes for shorter than it may be, and against new workers that are taken for
+/// returned ones, whose tasks would wait longer when they are lost.
+#[test]
+fn stray_lease_of_returned_and_of_new_workers() {
+    let now = Instant::now();
+    let mut pool = successor(Some([WorkerId::from("w2")].into()), now);
+    list(
+        &mut pool,
+        &[("w1", 1), ("w2", 1), ("gone", 5), ("new", 9)],
+        now,
+    );
+    assert_eq!(possible_strays(&pool), ["w2", "gone"]);
+    // Departs, and is back after its registry entry has been dropped.
+    let later = now + Duration::from_secs(5);
+    list(&mut pool, &[("w1", 1), ("w2", 1), ("gone", 5)], later);
+    pool.plan(later, 0);
+    assert!(
+        pool.departed_incarnations()
+            .contains_key(&WorkerId::from("new"))
+    );
+    list(
+        &mut pool,
+        &[("w1", 4), ("w2", 1), ("new", 20), ("newer", 20)],
+        later,
+    );
+    assert_eq!(possible_strays(&pool), ["w2", "gone", "w1", "new"]);
+    // An older version did not store which workers may hold one.
+    let mut pool = successor(None, now);
+    list(&mut pool, &[("w1", 1), ("new", 9)], now);
+    assert_eq!(possible_strays(&pool), ["w1", "new"]);
+}
