jobs: a worker that returns without a start time may hold a lease of its earlier incarnation

Cause: whether a worker is new was decided by the start times that are known of its id, also where an incarnation certainly preceded it; one that states none counted as new in a pool without a predecessor, and a lease from before its return as the shortest. Change: the incarnation that replaces another one may always hold such a lease. Result: stray_lease_of_a_returned_worker_without_a_start_time failed before and passes; the tests incarnation, cases and takeover of the crate pass.

--- a/crates/jobs/src/pool/ingest.rs
+++ b/crates/jobs/src/pool/ingest.rs
@@ -210,6 +210,8 @@
             worker.vm = vm;
             // This incarnation may restart as well before a copy is executed.
             worker.unanswered = unanswered;
+            // Known to have had an earlier incarnation, even if neither states when it started.
+            worker.stray_lease = StrayLease::Possible;
             worker.earlier_runs_until = has_earlier_runs.then(|| now + longest);
             for (key, run) in carried_over {
                 worker.add(key, run);
@@ -235,7 +237,7 @@
         self.workers_made += 1;
         self.by_id.insert(info.id.clone(), worker_ref);
         let mut worker = Worker::new(info);
-        // An incarnation that this scheduler has sent commands to; inherited ones are in the list of the departed too.
+        // `departed` also contains the inherited incarnations for a while.
         let departed = self.departed.get(&worker.info.id);
         let is_next = departed.is_some_and(|departed| {
             worker
--- a/crates/jobs/tests/incarnation.rs
+++ b/crates/jobs/tests/incarnation.rs
@@ -181,3 +181,20 @@
     list(&mut pool, &[("w1", 1), ("new", 9)], now);
     assert_eq!(possible_strays(&pool), ["w1", "new"]);
 }
+
+/// Guards against a returned worker that is taken for a new one because it does not state when it started.
+#[test]
+fn stray_lease_of_a_returned_worker_without_a_start_time() {
+    let now = Instant::now();
+    let mut pool = pool(7);
+    let unstated = || WorkerInfo {
+        started_ms: None,
+        ..info(1, "a", CORE)
+    };
+    pool.set_workers(vec![unstated()], now);
+    let worker = present(&pool);
+    pool.worker_replaced(worker, now);
+    pool.set_workers(vec![unstated()], now);
+    assert_ne!(present(&pool), worker);
+    assert_eq!(possible_strays(&pool), ["w1"]);
+}
