jobs, grid: logs and a counter that tell why a run is believed to be over

Added: - "Run found on a worker.": a report lists a run that the scheduler did not know to be there; it was adopted without a line. If its task may be executing elsewhere, "A task may be executing on two workers." follows and goldcrest_double_runs counts it. - "Takeover waits for the worker no longer.", with how (heard, replaced, leases lapsed) and the incarnations. - "Worker's state changed." and "Task started." name the incarnation and the token, the former also the clock. - "Task not started." and "A command to a worker failed." name the worker's id instead of its index. No decision has changed.

--- a/crates/grid/src/metrics/mod.rs
+++ b/crates/grid/src/metrics/mod.rs
@@ -63,6 +63,7 @@
     suspect_losses: Family<JobLabels, Counter>,
     given_up: Family<JobLabels, Counter>,
     open_jobs: Family<PoolLabels, Gauge>,
+    double_runs: Family<PoolLabels, Counter>,
     roles: Gauge,
     catalogue_version: Gauge,
     cordoned_dcs: Gauge,
@@ -91,6 +92,7 @@
             suspect_losses: Family::default(),
             given_up: Family::default(),
             open_jobs: Family::default(),
+            double_runs: Family::default(),
             roles: Gauge::default(),
             catalogue_version: Gauge::default(),
             cordoned_dcs: Gauge::default(),
@@ -148,6 +150,11 @@
             self.given_up.clone(),
         );
         registry.register("open_jobs", "Open jobs", self.open_jobs.clone());
+        registry.register(
+            "double_runs",
+            "Runs found on a worker while their task may be executing elsewhere",
+            self.double_runs.clone(),
+        );
         registry.register("roles", "Roles held", self.roles.clone());
         registry.register(
             "catalogue_version",
@@ -234,6 +241,12 @@
         self.ends.get_or_create(&EndLabels { pool, how }).inc();
     }
 
+    /// Counts a run that was found on a worker while its task may be executing elsewhere.
+    pub fn double_run(&self, pool: &str) {
+        let pool = pool.into();
+        self.double_runs.get_or_create(&PoolLabels { pool }).inc();
+    }
+
     /// Sets the number of open jobs of a pool.
     pub fn set_open_jobs(&self, pool: &str, jobs: usize) {
         let pool = pool.into();
--- a/crates/grid/src/pool/commands.rs
+++ b/crates/grid/src/pool/commands.rs
@@ -235,7 +235,7 @@
 
     fn start_answered(&self, order: &StartCommand, answer: StartAnswer) {
         if answer != StartAnswer::Started {
-            log::warn!(target: "scheduler", task:% = order.task, run:% = order.run, worker:% = order.worker, answer:?; "Task not started.");
+            log::warn!(target: "scheduler", task:% = order.task, run:% = order.run, worker = &*self.worker_name(order.worker), answer:?; "Task not started.");
         }
         let now = self.now();
         self.pool
@@ -251,7 +251,7 @@
     }
 
     fn handle_command_error(&self, worker: WorkerRef, order: &'static str, error: &CommandError) {
-        log::warn!(target: "scheduler", order, worker:% = worker, error:?; "A command to a worker failed.");
+        log::warn!(target: "scheduler", order, worker = &*self.worker_name(worker), error:?; "A command to a worker failed.");
         let has_departed = {
             let pool = self.pool.borrow();
             pool.worker(worker).is_none_or(|known| known.has_departed)
--- a/crates/grid/src/pool/events.rs
+++ b/crates/grid/src/pool/events.rs
@@ -1,8 +1,10 @@
 //! Writes the pool's events to the log and the metrics.
 
-use goldcrest_jobs::id::TaskId;
-use goldcrest_jobs::pool::Event;
-use goldcrest_jobs::suspect::Exposure;
+use std::time::Duration;
+
+use goldcrest_jobs::id::{JobId, RunNumber, TaskId};
+use goldcrest_jobs::pool::{Event, FoundRun};
+use goldcrest_jobs::suspect::{Exposure, UnreportedRun};
 use goldcrest_jobs::worker::millis;
 use goldcrest_types::names::TeamName;
 
@@ -30,21 +32,12 @@
                 worker,
                 task,
                 run,
+                started_ms,
                 room,
                 waited,
             } => {
-                log::info!(target: "scheduler", task:% = task, run:% = run, worker:% = worker, room:% = room, waited_ms = millis(waited); "Task started.");
-                let pool = self.pool.borrow();
-                if run.0 == 1
-                    && task.index == 0
-                    && task.step.step == 0
-                    && let Some(job) = pool.jobs().get(&task.step.job)
-                {
-                    let team = job.record.team.as_ref().map(TeamName::as_str);
-                    self.entry
-                        .metrics
-                        .started(team, job.queue().as_str(), waited);
-                }
+                log::info!(target: "scheduler", task:% = task, run:% = run, worker:% = worker, started_ms, room:% = room, waited_ms = millis(waited), token:% = self.held.token(); "Task started.");
+                self.observe_wait(task, run, waited);
             }
             Event::Ended {
                 worker,
@@ -55,6 +48,15 @@
                 self.entry.metrics.run_ended(self.name.as_str(), how);
                 log::info!(target: "scheduler", task:% = task, run:% = run, worker:% = worker, how; "Run ended.");
             }
+            Event::Found(found) => self.log_found(&found),
+            Event::Awaited {
+                worker,
+                how,
+                stored_ms,
+                started_ms,
+            } => {
+                log::info!(target: "scheduler", worker:% = worker, how, stored_ms, started_ms, pool:% = self.name; "Takeover waits for the worker no longer.");
+            }
             Event::Stopped {
                 worker,
                 task,
@@ -68,11 +70,7 @@
                 took,
                 objective,
             } => {
-                let pool = self.pool.borrow();
-                if let Some(ended) = pool.jobs().get(&job) {
-                    let team = ended.record.team.as_ref().map(TeamName::as_str);
-                    self.entry.metrics.ended(team, ended.queue().as_str(), took);
-                }
+                self.observe_completion(job, took);
                 log::info!(target: "scheduler", job:% = job, state:?, took_ms = millis(took), objective_ms = millis(objective); "Job ended.");
             }
             Event::RunLost {
@@ -93,13 +91,7 @@
             Event::FateKnown { worker, task, fate } => {
                 log::info!(target: "scheduler", task:% = task, worker:% = worker, fate:?, pool:% = self.name; "Fate of a lost worker known.");
             }
-            Event::GivenUp { task, runs, took } => {
-                let origin = self.origin(task);
-                let team = origin.team.as_deref();
-                self.entry.metrics.job_given_up(team, &origin.queue);
-                let workers: Vec<&str> = runs.iter().map(|run| run.worker.as_str()).collect();
-                log::error!(target: "scheduler", job:% = task.step.job, task:% = task, workers = workers.join(" "), crashes = workers.len(), queue = origin.queue, image = origin.image, took_ms = millis(took), pool:% = self.name; "Job given up: a task of it crashes the workers that start it.");
-            }
+            Event::GivenUp { task, runs, took } => self.log_given_up(task, &runs, took),
             Event::Unfit {
                 job,
                 step,
@@ -120,12 +112,64 @@
                 state,
                 runs,
                 lease_until_ms,
+                clock_ms,
+                started_ms,
+                token,
             } => {
-                log::info!(target: "scheduler", worker:% = worker, pool:% = self.name, state, runs, lease_until_ms; "Worker's state changed.");
+                let token = token.map(|token| token.0);
+                log::info!(target: "scheduler", worker:% = worker, pool:% = self.name, state, runs, lease_until_ms, clock_ms, started_ms, token; "Worker's state changed.");
             }
         }
     }
 
+    /// Observes how long a job has waited, if this is its first run.
+    fn observe_wait(&self, task: TaskId, run: RunNumber, waited: Duration) {
+        let pool = self.pool.borrow();
+        if run == RunNumber::FIRST
+            && task.index == 0
+            && task.step.step == 0
+            && let Some(job) = pool.jobs().get(&task.step.job)
+        {
+            let team = job.record.team.as_ref().map(TeamName::as_str);
+            self.entry
+                .metrics
+                .started(team, job.queue().as_str(), waited);
+        }
+    }
+
+    fn observe_completion(&self, job: JobId, took: Duration) {
+        let pool = self.pool.borrow();
+        if let Some(ended) = pool.jobs().get(&job) {
+            let team = ended.record.team.as_ref().map(TeamName::as_str);
+            self.entry.metrics.ended(team, ended.queue().as_str(), took);
+        }
+    }
+
+    fn log_found(&self, found: &FoundRun) {
+        let FoundRun {
+            worker,
+            started_ms,
+            task,
+            run,
+            last_run,
+            is_double,
+        } = found;
+        let last_run = last_run.map(|run| run.0);
+        log::info!(target: "scheduler", task:% = task, run:% = run, worker:% = worker, started_ms = *started_ms, last_run, pool:% = self.name; "Run found on a worker.");
+        if *is_double {
+            self.entry.metrics.double_run(self.name.as_str());
+            log::error!(target: "scheduler", task:% = task, run:% = run, worker:% = worker, pool:% = self.name; "A task may be executing on two workers.");
+        }
+    }
+
+    fn log_given_up(&self, task: TaskId, runs: &[UnreportedRun], took: Duration) {
+        let origin = self.origin(task);
+        let team = origin.team.as_deref();
+        self.entry.metrics.job_given_up(team, &origin.queue);
+        let workers: Vec<&str> = runs.iter().map(|run| run.worker.as_str()).collect();
+        log::error!(target: "scheduler", job:% = task.step.job, task:% = task, workers = workers.join(" "), crashes = workers.len(), queue = origin.queue, image = origin.image, took_ms = millis(took), pool:% = self.name; "Job given up: a task of it crashes the workers that start it.");
+    }
+
     /// What a task belongs to, for logs and metrics.
     fn origin(&self, task: TaskId) -> Origin {
         let pool = self.pool.borrow();
--- a/crates/grid/src/pool/mod.rs
+++ b/crates/grid/src/pool/mod.rs
@@ -118,6 +118,13 @@
         })
     }
 
+    /// The id of a worker, for logs. Empty if the worker has been removed.
+    fn worker_name(&self, worker: WorkerRef) -> Box<str> {
+        let pool = self.pool.borrow();
+        let known = pool.worker(worker);
+        known.map_or_else(Box::default, |known| known.info.id.as_str().into())
+    }
+
     /// Requests a new plan, and a save if any job has unsaved changes.
     fn mark_changed(&self) {
         self.replan.notify_one();
--- a/crates/jobs/src/pool/event.rs
+++ b/crates/jobs/src/pool/event.rs
@@ -4,7 +4,7 @@
 
 use goldcrest_types::names::DcName;
 
-use crate::id::{JobId, RunNumber, TaskId, WorkerId};
+use crate::id::{FencingToken, JobId, RunNumber, TaskId, WorkerId};
 use crate::pool::StopReason;
 use crate::resources::Resources;
 use crate::spec::JobState;
@@ -21,6 +21,8 @@
         task: TaskId,
         /// The number of the run.
         run: RunNumber,
+        /// When the worker's incarnation started, in milliseconds since 1970, if known.
+        started_ms: Option<u64>,
         /// The worker's free capacity before the start.
         room: Resources,
         /// The time since the job was accepted.
@@ -37,6 +39,19 @@
         /// How the run ended, as a text for logs and metrics.
         how: &'static str,
     },
+    /// A worker executes a run that this scheduler did not know to be there.
+    Found(FoundRun),
+    /// A takeover no longer waits for a worker that an earlier scheduler may have used.
+    Awaited {
+        /// The worker.
+        worker: WorkerId,
+        /// What has become known of it, as a text for logs.
+        how: &'static str,
+        /// When the incarnation that the earlier scheduler has stored started, in milliseconds since 1970, if known.
+        stored_ms: Option<u64>,
+        /// The same of the incarnation that has answered or was replaced.
+        started_ms: Option<u64>,
+    },
     /// A stop was sent.
     Stopped {
         /// The worker that executes the run.
@@ -123,5 +138,28 @@
         runs: usize,
         /// The latest time on the worker's clock, in milliseconds, to which its leases may last.
         lease_until_ms: u64,
+        /// The last reading of the worker's clock, in milliseconds. Absent before its first report.
+        clock_ms: Option<u64>,
+        /// When the worker's incarnation started, in milliseconds since 1970, if known.
+        started_ms: Option<u64>,
+        /// The fencing token of commands to the worker, if it has one.
+        token: Option<FencingToken>,
     },
 }
+
+/// A run that this scheduler did not know to be on its worker.
+#[derive(Debug, Clone, PartialEq)]
+pub struct FoundRun {
+    /// The worker that executes the run.
+    pub worker: WorkerId,
+    /// When the worker's incarnation started, in milliseconds since 1970, if known.
+    pub started_ms: Option<u64>,
+    /// The task that the run belongs to.
+    pub task: TaskId,
+    /// The number of the run.
+    pub run: RunNumber,
+    /// The highest number of a run of the task that was known before.
+    pub last_run: Option<RunNumber>,
+    /// Whether another run of the task may be executing, although its step allows no copies.
+    pub is_double: bool,
+}
--- a/crates/jobs/src/pool/ingest.rs
+++ b/crates/jobs/src/pool/ingest.rs
@@ -359,8 +359,16 @@
         if let Some(takeover) = &mut self.takeover
             && let Some(worker) = self.workers.get(&worker_ref)
         {
-            takeover.awaited.remove(&worker.info.id);
-            takeover.lost.insert(worker.info.id.clone());
+            let id = worker.info.id.clone();
+            if takeover.awaited.remove(&id).is_some() {
+                self.events.push(Event::Awaited {
+                    worker: id.clone(),
+                    how: "replaced",
+                    stored_ms: self.inherited.started_ms.get(&id).copied(),
+                    started_ms: worker.info.started_ms,
+                });
+            }
+            takeover.lost.insert(id);
         }
     }
 
--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -57,7 +57,7 @@
 use crate::suspect::CrashLimit;
 use crate::worker::{Worker, WorkerInfo};
 
-pub use event::Event;
+pub use event::{Event, FoundRun};
 
 /// Time limits set by the platform or by the operators.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -628,6 +628,9 @@
                 state,
                 runs: worker.runs.len(),
                 lease_until_ms: worker.lease_until_ms,
+                clock_ms: worker.clock.map(|(clock_ms, _)| clock_ms),
+                started_ms: worker.info.started_ms,
+                token: worker.token,
             });
         }
     }
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -297,6 +297,7 @@
         worker: worker.info.id.clone(),
         task,
         run,
+        started_ms: worker.info.started_ms,
         room: worker.free(),
         waited,
     });
--- a/crates/jobs/src/pool/release.rs
+++ b/crates/jobs/src/pool/release.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::id::{WorkerId, WorkerRef};
-use crate::pool::Pool;
+use crate::pool::{Event, Pool};
 use crate::worker::{UNANSWERED_LIFE, Worker};
 
 /// An unlisted worker without runs has departed once it has been unresponsive for this long.
@@ -87,6 +87,14 @@
         .extract_if(.., |_, until| now >= *until)
         .map(|(id, _)| id)
         .collect();
+    for id in &expired {
+        pool.events.push(Event::Awaited {
+            worker: id.clone(),
+            how: "leases lapsed",
+            stored_ms: pool.inherited.started_ms.get(id).copied(),
+            started_ms: None,
+        });
+    }
     takeover.lost.extend(expired);
     let is_over = takeover.awaited.is_empty();
     let mut resolved = Vec::new();
--- a/crates/jobs/src/pool/report.rs
+++ b/crates/jobs/src/pool/report.rs
@@ -5,7 +5,7 @@
 
 use crate::id::{RunNumber, WorkerRef};
 use crate::job::{Beginning, Task};
-use crate::pool::{Event, Pool};
+use crate::pool::{Event, FoundRun, Pool};
 use crate::suspect::Exposure;
 use crate::worker::{
     Contact, Description, ESTABLISHED_AFTER, EndRow, Origin, Phase, Report, Run, RunEnd, RunKey,
@@ -70,9 +70,16 @@
                 used.is_some() && report.started_ms.is_some_and(|now| Some(now) != used);
             if let Some(takeover) = &mut self.takeover
                 && takeover.awaited.remove(&id).is_some()
-                && has_restarted
             {
-                takeover.lost.insert(id);
+                if has_restarted {
+                    takeover.lost.insert(id.clone());
+                }
+                self.events.push(Event::Awaited {
+                    worker: id,
+                    how: "heard",
+                    stored_ms: used,
+                    started_ms: report.started_ms,
+                });
             }
             self.push_worker_event(worker_ref, "fenced");
         }
@@ -259,6 +266,7 @@
             .get(&worker_ref)
             .is_some_and(|worker| !worker.runs.contains_key(&key))
         {
+            self.push_found(worker_ref, key);
             self.adopt(worker_ref, key, now);
         }
         let Some(run) = self
@@ -344,6 +352,26 @@
         }
     }
 
+    fn push_found(&mut self, worker_ref: WorkerRef, (task, run): RunKey) {
+        let Some(worker) = self.workers.get(&worker_ref) else {
+            return;
+        };
+        let job = self.jobs.get(&task.step.job);
+        let step = job.and_then(|job| job.step(task.step));
+        let known = step.and_then(|(step, state)| {
+            let task = state.tasks.get(task.index as usize)?;
+            Some((step, task))
+        });
+        self.events.push(Event::Found(FoundRun {
+            worker: worker.info.id.clone(),
+            started_ms: worker.info.started_ms,
+            task,
+            run,
+            last_run: known.and_then(|(_, task)| task.last_run),
+            is_double: known.is_some_and(|(step, task)| task.live > 0 && !step.is_speculative()),
+        }));
+    }
+
     fn drop_unlisted(
         &mut self,
         worker_ref: WorkerRef,
--- a/crates/jobs/tests/common/parse.rs
+++ b/crates/jobs/tests/common/parse.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use goldcrest_jobs::id::{JobId, RunNumber, TaskId};
-use goldcrest_jobs::pool::{Event, StartAnswer};
+use goldcrest_jobs::pool::{Event, FoundRun, StartAnswer};
 use goldcrest_jobs::resources::Resources;
 use goldcrest_jobs::spec::{Feature, Step};
 use goldcrest_jobs::worker::{EndRow, Report, RunEnd, RunningRow};
@@ -140,7 +140,16 @@
 /// The output line of an event. Starts and stops appear as commands instead.
 pub fn shown_event(event: &Event) -> Option<String> {
     match event {
-        Event::Started { .. } | Event::Stopped { .. } => None,
+        Event::Started { .. } | Event::Stopped { .. } | Event::Awaited { .. } => None,
+        Event::Found(found) => found.is_double.then(|| {
+            let FoundRun {
+                worker, task, run, ..
+            } = found;
+            format!(
+                "{} run {run} found on {worker} beside another",
+                short_task(*task)
+            )
+        }),
         Event::Ended {
             worker,
             task,
@@ -190,7 +199,7 @@
             worker,
             state,
             runs,
-            lease_until_ms: _,
+            ..
         } => Some(format!("worker {worker}: {state}, {runs} runs")),
     }
 }
