standin: workers that crash unnoticed, are cut off from the registry, or state no start time

Cause: tests could not play a worker whose restart nobody sees: its waiting requests were reset at once and the registry showed it at once. Change: Crew::crash_silently (waiting requests time out), set_registering (the registry lists the worker as it was), set_stating_start. A request that acknowledges ends first settles what has ended, as a worker does.

--- a/crates/standin/src/grid/gate.rs
+++ b/crates/standin/src/grid/gate.rs
@@ -382,6 +382,10 @@
         let born_at = self.world.crew.borrow().born_at(&to.worker);
         loop {
             if self.world.crew.borrow().born_at(&to.worker) != born_at {
+                if self.world.crew.borrow().has_crashed_silently(&to.worker) {
+                    sleep(timeout_at.saturating_duration_since(Instant::now())).await;
+                    return Err(CommandError::Unknown("timed out".into()));
+                }
                 return Err(CommandError::Unknown("reset".into()));
             }
             let now = Instant::now();
--- a/crates/standin/src/grid/workers.rs
+++ b/crates/standin/src/grid/workers.rs
@@ -59,6 +59,10 @@
     pool: PoolName,
     info: WorkerInfo,
     is_listed: bool,
+    /// What the registry lists while the worker is cut off from the store.
+    listed_as: Option<WorkerInfo>,
+    /// Whether requests that were waiting when it crashed time out instead of being reset.
+    crashed_silently: bool,
     started_at: Instant,
     /// It answers nothing before this time.
     down_until: Option<Instant>,
@@ -167,6 +171,8 @@
             pool,
             info,
             is_listed: true,
+            listed_as: None,
+            crashed_silently: false,
             started_at: now,
             down_until: None,
             token: 0,
@@ -187,6 +193,20 @@
         }
     }
 
+    /// Cuts a worker off from the store, or connects them again. Until then the registry lists it as it was.
+    pub fn set_registering(&mut self, worker: &str, is_registering: bool) {
+        if let Some(worker) = self.workers.get_mut(&WorkerId::from(worker)) {
+            worker.listed_as = (!is_registering).then(|| worker.info.clone());
+        }
+    }
+
+    /// Sets whether a worker states when it started.
+    pub fn set_stating_start(&mut self, worker: &str, is_stating: bool) {
+        if let Some(worker) = self.workers.get_mut(&WorkerId::from(worker)) {
+            worker.info.started_ms = is_stating.then_some(1);
+        }
+    }
+
     /// Changes a worker's capacity. What it runs goes on.
     pub fn set_capacity(&mut self, worker: &str, cpu_millis: u64) {
         if let Some(worker) = self.workers.get_mut(&WorkerId::from(worker)) {
@@ -194,11 +214,13 @@
         }
     }
 
-    /// Crashes and restarts a worker: it loses its runs, its lease, the last token and the ends that it listed.
+    /// Crashes and restarts a worker: it loses its runs, its lease, the last token and the ends that it listed. Requests that
+    /// wait there are reset.
     pub fn crash(&mut self, worker: &str, now: Instant) {
         self.settle(now);
         if let Some(worker) = self.workers.get_mut(&WorkerId::from(worker)) {
-            worker.info.started_ms = Some(worker.info.started_ms.unwrap_or_default() + 1);
+            worker.crashed_silently = false;
+            worker.info.started_ms = worker.info.started_ms.map(|started_ms| started_ms + 1);
             worker.started_at = now;
             worker.token = 0;
             worker.until_ms = 0;
@@ -209,6 +231,21 @@
         }
     }
 
+    /// As [`Self::crash`], but requests that wait there get no answer: their senders notice nothing before they time out.
+    pub fn crash_silently(&mut self, worker: &str, now: Instant) {
+        self.crash(worker, now);
+        if let Some(worker) = self.workers.get_mut(&WorkerId::from(worker)) {
+            worker.crashed_silently = true;
+        }
+    }
+
+    /// Whether requests that waited at a worker when it last crashed get no answer.
+    #[must_use]
+    pub fn has_crashed_silently(&self, worker: &WorkerId) -> bool {
+        let worker = self.workers.get(worker);
+        worker.is_some_and(|worker| worker.crashed_silently)
+    }
+
     /// Returns the start time of a worker's present incarnation.
     #[must_use]
     pub fn born_at(&self, worker: &WorkerId) -> Option<Instant> {
@@ -231,7 +268,10 @@
     pub fn listed(&self) -> Vec<(PoolName, WorkerInfo)> {
         let workers = self.workers.values().filter(|worker| worker.is_listed);
         workers
-            .map(|worker| (worker.pool.clone(), worker.info.clone()))
+            .map(|worker| {
+                let info = worker.listed_as.as_ref().unwrap_or(&worker.info);
+                (worker.pool.clone(), info.clone())
+            })
             .collect()
     }
 
@@ -348,6 +388,7 @@
     ///
     /// The recipient is not this worker, or the token is outdated.
     pub fn note(&mut self, to: &Recipient, ends_acknowledged: u64) -> Result<(), CommandError> {
+        self.settle(Instant::now());
         let worker = self.workers.get_mut(&to.worker);
         let worker = worker.ok_or(CommandError::WrongWorker)?;
         worker.admit(to)?;
