grid: failing tests of starts that a worker's unnoticed next incarnation carries out

A worker crashes silently and is back while its request for a report is pending, so the holder takes it for the incarnation that it knows. Tasks of three jobs start there. Then the worker is cut off, from the store as well. 3.2 s later the same holder starts all three on the other worker, while the first runs go on; they end as done and are acknowledged. Red with starts that were answered and with starts that were not, at every phase of the request when the registry doesn't show the next incarnation before the cut; green when it does.

--- a/crates/grid/tests/entry/main.rs
+++ b/crates/grid/tests/entry/main.rs
@@ -14,3 +14,4 @@
 mod removed_queue;
 mod roles;
 mod soak;
+mod unnoticed_return;
