jobs, grid: the lease of a run is reckoned on the clock of the incarnation that may be executing it

Cause: a worker that crashes and is back before its pending request has timed out is taken for the incarnation that the holder knows. It carries out starts that were meant for that one: the platform names the recipient by its id only, and a fencing token it has not seen yet. Their deadlines are times on the clock of the earlier incarnation and can lie far ahead on the present one, which cuts them to the longest lease that it grants, 10 s. The holder reckoned with 3 s on the clock of the earlier incarnation. If the worker was cut off before anyone had heard its present incarnation, the holder took the leases for expired and started the tasks elsewhere. Class: a fact about one incarnation of a worker (its clock) is applied to whoever has its id. Change: each run has an Executor: what is known of the incarnation that may be executing it. The answer to a start carries the clock of the incarnation that has carried the start out, and bounds the run's lease whichever that is; today the answer's clock was dropped. A report that lists the run bounds it by the worker's clock as before. A start without an answer is bounded by the longest lease that workers grant, from the last command that could extend it. Ruled out: StrayLease and earlier_runs_until covered only incarnations that were known; the record's Unhealthy line is an answer that nothing was done. Cost: no call and no write. A task whose start had no answer on a worker that then falls silent waits up to 11.7 s instead of 4.6 s.

--- a/crates/grid/src/pool/commands.rs
+++ b/crates/grid/src/pool/commands.rs
@@ -172,13 +172,21 @@
                 }
                 break;
             }
-            let sent = self.entry.platform.start(&to, &order, START_TIMEOUT).await;
+            let sent_at = self.now();
+            self.pool.borrow_mut().start_sent(order.worker, sent_at);
+            let reply = self.entry.platform.start(&to, &order, START_TIMEOUT).await;
+            let sent = reply.answer;
             if sent == StartAnswer::Unknown {
                 let now = self.now();
                 self.pool
                     .borrow_mut()
                     .start_unanswered(order.worker, order.task, order.run, now);
             }
+            if let Some(clock_ms) = reply.clock_ms.filter(|_| sent == StartAnswer::Started) {
+                let now = self.now();
+                let mut pool = self.pool.borrow_mut();
+                pool.start_clock_read(order.worker, order.task, order.run, clock_ms, now);
+            }
             answer = if is_sent {
                 sent.after_lost_reply()
             } else {
--- a/crates/grid/src/pool/reports.rs
+++ b/crates/grid/src/pool/reports.rs
@@ -206,8 +206,9 @@
             .borrow()
             .workers
             .contains(&known.info.id);
-        let until_ms = known.deadline_ms(self.now(), lease).filter(|_| is_stored)?;
-        pool.lease_offered(worker, until_ms);
+        let now = self.now();
+        let until_ms = known.deadline_ms(now, lease).filter(|_| is_stored)?;
+        pool.lease_offered(worker, until_ms, now);
         Some(until_ms)
     }
 
--- a/crates/grid/src/ports/mod.rs
+++ b/crates/grid/src/ports/mod.rs
@@ -346,6 +346,24 @@
     Unknown(Box<str>),
 }
 
+/// A worker's reply to a start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StartReply {
+    /// What became of the start.
+    pub answer: StartAnswer,
+    /// What the clock of the worker showed, in milliseconds, if it has answered.
+    pub clock_ms: Option<u64>,
+}
+
+impl From<StartAnswer> for StartReply {
+    fn from(answer: StartAnswer) -> Self {
+        Self {
+            answer,
+            clock_ms: None,
+        }
+    }
+}
+
 /// Commands to workers.
 pub trait Workers {
     /// Starts a run of a task.
@@ -354,7 +372,7 @@
         to: &Recipient,
         order: &StartCommand,
         timeout: Duration,
-    ) -> impl Future<Output = StartAnswer>;
+    ) -> impl Future<Output = StartReply>;
 
     /// Stops a run. The worker then refuses a start of this run that arrives later.
     fn stop(
--- a/crates/jobs/src/pool/ingest.rs
+++ b/crates/jobs/src/pool/ingest.rs
@@ -13,7 +13,7 @@
 use crate::spec::{JobRecord, JobState};
 use crate::suspect::Fate;
 use crate::worker::{
-    Contact, Description, Origin, Phase, Run, RunKey, StrayLease, Worker, WorkerInfo,
+    Contact, Description, Executor, Origin, Phase, Run, RunKey, StrayLease, Worker, WorkerInfo,
 };
 
 /// How long a worker gets no starts after it was unhealthy or did not reply to one.
@@ -191,7 +191,7 @@
             vm.clone_from(&worker.vm);
             unanswered = std::mem::take(&mut worker.unanswered);
             // The old incarnation may have executed the runs that are carried over.
-            self.record_losses(old, Some(Fate::Restarted), now);
+            self.record_all_losses(old, Some(Fate::Restarted), now);
             for key in keys {
                 late.remove(&key);
                 if let Some(worker) = self.workers.get_mut(&old) {
@@ -226,6 +226,7 @@
                 run.stop_sent_at = None;
                 run.closed_at = None;
                 run.origin = Origin::CarriedOver;
+                run.executor = Executor::Unknown;
             }
         }
         worker_ref
@@ -330,7 +331,7 @@
     /// Marks a worker as departed and drops its runs. It has restarted or has certainly stopped, so none of them is
     /// executing.
     pub fn end_incarnation(&mut self, worker_ref: WorkerRef, state: &'static str, now: Instant) {
-        self.record_losses(worker_ref, None, now);
+        self.record_all_losses(worker_ref, None, now);
         self.drop_incarnation(worker_ref, state, now);
     }
 
@@ -505,6 +506,31 @@
         }
     }
 
+    /// Records that a start is about to be sent, which extends the worker's leases.
+    pub fn start_sent(&mut self, worker_ref: WorkerRef, now: Instant) {
+        if let Some(worker) = self.workers.get_mut(&worker_ref) {
+            worker.lease_sent_at = Some(now);
+        }
+    }
+
+    /// Records what the clock of the incarnation showed that has answered a start, in milliseconds. By it the run's lease is
+    /// bounded, also if that is a later incarnation than the start was meant for.
+    pub fn start_clock_read(
+        &mut self,
+        worker_ref: WorkerRef,
+        task: TaskId,
+        run: RunNumber,
+        clock_ms: u64,
+        now: Instant,
+    ) {
+        let worker = self.workers.get_mut(&worker_ref);
+        if let Some(run) = worker.and_then(|worker| worker.runs.get_mut(&(task, run)))
+            && run.executor != Executor::Reported
+        {
+            run.executor = Executor::Answered { clock_ms, at: now };
+        }
+    }
+
     /// Records that a copy of a start had no reply. It may still be executed, also after a later copy was answered.
     pub fn start_unanswered(
         &mut self,
@@ -535,9 +561,9 @@
     }
 
     /// Records that a command is about to be sent that extends the worker's leases up to `until_ms` on its clock.
-    pub fn lease_offered(&mut self, worker_ref: WorkerRef, until_ms: u64) {
+    pub fn lease_offered(&mut self, worker_ref: WorkerRef, until_ms: u64, now: Instant) {
         if let Some(worker) = self.workers.get_mut(&worker_ref) {
-            worker.lease_until_ms = worker.lease_until_ms.max(until_ms);
+            worker.offer_lease(until_ms, now);
         }
     }
 }
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -14,7 +14,7 @@
 use crate::pool::{Command, Event, Pool, StartCommand};
 use crate::resources::Resources;
 use crate::spec::Step;
-use crate::worker::{Origin, Phase, Run, Trust};
+use crate::worker::{Executor, Origin, Phase, Run, Trust};
 
 /// The most starts in one plan, so that reports are processed in between. The next plan continues where this one stops.
 const STARTS_MAX: usize = 512;
@@ -310,6 +310,7 @@
         } else {
             Origin::Started
         },
+        executor: Executor::Unknown,
         start_until_ms: until_ms,
         closed_at: None,
         stop_sent_at: None,
@@ -326,7 +327,7 @@
     }
     .with_step(spec);
     let reserved = new_run.reserved;
-    worker.lease_until_ms = worker.lease_until_ms.max(until_ms);
+    worker.offer_lease(until_ms, now);
     worker.add((task, run), new_run);
     if let Some(team) = team {
         *pool.usage.entry(team).or_default() += reserved;
--- a/crates/jobs/src/pool/release.rs
+++ b/crates/jobs/src/pool/release.rs
@@ -1,29 +1,29 @@
 //! Drops runs that are certain not to be executing, and removes departed workers.
 //!
-//! An unresponsive worker keeps its runs until every lease that was offered to it has expired on its own clock. A
-//! takeover ends once all workers of the earlier scheduler have reported, or all its leases have expired.
+//! An unresponsive worker keeps each run until every lease that was offered has expired on the clock of the incarnation that
+//! may be executing the run ([`Executor`](crate::worker::Executor)). A takeover ends once all workers of the earlier scheduler have reported, or all its leases have expired.
 
 use std::time::{Duration, Instant};
 
 use crate::id::{WorkerId, WorkerRef};
+use crate::lease::expiry;
 use crate::pool::{Event, Pool};
-use crate::worker::{UNANSWERED_LIFE, Worker};
+use crate::worker::{Run, RunKey, UNANSWERED_LIFE, Worker};
 
 /// An unlisted worker without runs has departed once it has been unresponsive for this long.
 const UNRESPONSIVE_MIN: Duration = Duration::from_secs(3);
 
 /// Runs the pass.
 pub fn run(pool: &mut Pool, now: Instant) {
-    let expired: Vec<WorkerRef> = pool
+    let longest = expiry(pool.bounds.lease_max, &pool.bounds);
+    let expired: Vec<Expired> = pool
         .workers
         .iter()
-        .filter(|(_, worker)| {
-            !worker.has_departed && (have_leases_expired(worker, now) || has_left(worker, now))
-        })
-        .map(|(worker_ref, _)| *worker_ref)
+        .filter(|(_, worker)| !worker.has_departed)
+        .map(|(worker_ref, worker)| Expired::new(*worker_ref, worker, longest, now))
         .collect();
-    for worker_ref in expired {
-        release(pool, worker_ref, now);
+    for expired in expired {
+        release(pool, &expired, now);
     }
     let removable: Vec<WorkerRef> = pool
         .workers
@@ -44,6 +44,34 @@
     end_takeover(pool, now);
 }
 
+/// What of a worker is certainly over.
+struct Expired {
+    worker: WorkerRef,
+    /// The runs whose leases have expired.
+    runs: Vec<RunKey>,
+    /// Whether no lease is left and the worker is unlisted.
+    has_departed: bool,
+}
+
+impl Expired {
+    fn new(worker_ref: WorkerRef, worker: &Worker, longest: Duration, now: Instant) -> Self {
+        let has_expired = |run: &Run| {
+            let expires_at = worker.lease_of_run_expires_at(run, longest);
+            expires_at.is_some_and(|at| now >= at)
+        };
+        let runs = worker.runs.iter().filter(|(_, run)| has_expired(run));
+        let runs: Vec<RunKey> = runs.map(|(key, _)| *key).collect();
+        let are_all_expired = runs.len() == worker.runs.len();
+        let is_over =
+            are_all_expired && (have_leases_expired(worker, now) || has_left(worker, now));
+        Self {
+            worker: worker_ref,
+            runs,
+            has_departed: is_over && !worker.is_listed,
+        }
+    }
+}
+
 /// Whether every lease that was offered to the worker has expired.
 fn have_leases_expired(worker: &Worker, now: Instant) -> bool {
     worker.leases_expire_at().is_some_and(|at| now >= at)
@@ -57,22 +85,19 @@
     !worker.is_listed && worker.runs.is_empty() && is_unresponsive
 }
 
-fn release(pool: &mut Pool, worker_ref: WorkerRef, now: Instant) {
-    let Some(worker) = pool.workers.get_mut(&worker_ref) else {
-        return;
-    };
-    if !worker.is_listed {
+fn release(pool: &mut Pool, expired: &Expired, now: Instant) {
+    let worker_ref = expired.worker;
+    if expired.has_departed {
         pool.end_incarnation(worker_ref, "gone", now);
         return;
     }
-    if worker.runs.is_empty() {
+    if expired.runs.is_empty() {
         return;
     }
-    let keys: Vec<_> = worker.runs.keys().copied().collect();
     pool.push_worker_event(worker_ref, "leases lapsed");
-    pool.record_losses(worker_ref, None, now);
-    for key in keys {
-        pool.drop_run(worker_ref, key, "lease lapsed");
+    pool.record_losses(worker_ref, &expired.runs, None, now);
+    for key in &expired.runs {
+        pool.drop_run(worker_ref, *key, "lease lapsed");
     }
 }
 
--- a/crates/jobs/src/pool/report.rs
+++ b/crates/jobs/src/pool/report.rs
@@ -8,8 +8,8 @@
 use crate::pool::{Event, FoundRun, Pool};
 use crate::suspect::Exposure;
 use crate::worker::{
-    Contact, Description, ESTABLISHED_AFTER, EndRow, Origin, Phase, Report, Run, RunEnd, RunKey,
-    RunningRow, StrayLease, Streaks, Trust,
+    Contact, Description, ESTABLISHED_AFTER, EndRow, Executor, Origin, Phase, Report, Run, RunEnd,
+    RunKey, RunningRow, StrayLease, Streaks, Trust,
 };
 
 /// The highest clock value accepted from a worker, in milliseconds. Messages can't represent larger integers exactly,
@@ -283,6 +283,7 @@
                 job.beginning = Beginning::Started;
             }
         }
+        run.executor = Executor::Reported;
         if row.percent != run.percent {
             run.progressed_at = now;
         }
@@ -309,6 +310,7 @@
             phase: Phase::Confirmed,
             started_at: now,
             origin: Origin::Adopted,
+            executor: Executor::Reported,
             start_until_ms: 0,
             closed_at: Some(now),
             stop_sent_at: None,
--- a/crates/jobs/src/pool/suspects.rs
+++ b/crates/jobs/src/pool/suspects.rs
@@ -52,7 +52,7 @@
 
     /// Records that a worker was lost with all its runs, and its fate if that is known. Precedes their removal, as each is
     /// judged by what ran beside it.
-    pub(super) fn record_losses(
+    pub(super) fn record_all_losses(
         &mut self,
         worker_ref: WorkerRef,
         fate: Option<Fate>,
@@ -60,8 +60,19 @@
     ) {
         let worker = self.workers.get(&worker_ref);
         let keys = worker.map(|worker| worker.runs.keys().copied().collect::<Vec<_>>());
-        for key in keys.unwrap_or_default() {
-            self.record_loss(worker_ref, key, fate, now);
+        self.record_losses(worker_ref, &keys.unwrap_or_default(), fate, now);
+    }
+
+    /// The same for some of its runs.
+    pub(super) fn record_losses(
+        &mut self,
+        worker_ref: WorkerRef,
+        runs: &[RunKey],
+        fate: Option<Fate>,
+        now: Instant,
+    ) {
+        for key in runs {
+            self.record_loss(worker_ref, *key, fate, now);
         }
     }
 
--- a/crates/jobs/src/worker/mod.rs
+++ b/crates/jobs/src/worker/mod.rs
@@ -69,6 +69,25 @@
     CarriedOver,
 }
 
+/// What is known of the incarnation that may be executing a run, other than its id.
+///
+/// A worker that is back under its id also carries out starts that were meant for its earlier incarnation. On its clock,
+/// their deadlines can lie as far ahead as it grants leases.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Executor {
+    /// Nothing: the start has had no answer.
+    Unknown,
+    /// The incarnation that answered the start. It may be a later one than the start was meant for.
+    Answered {
+        /// What its clock showed, in milliseconds.
+        clock_ms: u64,
+        /// The latest time at which the clock can have shown it.
+        at: Instant,
+    },
+    /// The incarnation that the run is kept under: a report of it has listed the run.
+    Reported,
+}
+
 /// A run that may be executing.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Run {
@@ -80,6 +99,8 @@
     pub started_at: Instant,
     /// How the scheduler came to know of it.
     pub origin: Origin,
+    /// Which incarnation of the worker may be executing it.
+    pub executor: Executor,
     /// The deadline of its start on the worker's clock, in milliseconds. The worker refuses a later start.
     pub start_until_ms: u64,
     /// From this time on, a newly requested report that does not list the run proves that it is not executing. Absent
@@ -231,6 +252,8 @@
     pub earlier_runs_until: Option<Instant>,
     /// The latest time on its clock, in milliseconds, to which a command may have extended its leases.
     pub lease_until_ms: u64,
+    /// When a command that extends its leases was last sent.
+    pub lease_sent_at: Option<Instant>,
     /// When it last answered.
     pub answered_at: Option<Instant>,
     /// When it first answered.
@@ -302,6 +325,7 @@
             clock: None,
             earlier_runs_until: None,
             lease_until_ms: 0,
+            lease_sent_at: None,
             answered_at: None,
             answering_since: None,
             unresponsive_since: None,
@@ -464,15 +488,44 @@
         Some(self.clock_ms(now)? + millis(lease))
     }
 
-    /// When every lease that was offered to it has certainly expired. `None` if it has not reported and no lease is
-    /// known.
+    /// Records that a command is about to be sent which extends its leases up to `until_ms` on its clock.
+    pub fn offer_lease(&mut self, until_ms: u64, now: Instant) {
+        self.lease_until_ms = self.lease_until_ms.max(until_ms);
+        self.lease_sent_at = Some(now);
+    }
+
+    /// When every lease that was offered to this incarnation has certainly expired. `None` if it has not reported and no
+    /// lease is known.
     #[must_use]
     pub fn leases_expire_at(&self) -> Option<Instant> {
         let Some((clock_ms, at)) = self.clock else {
             return self.earlier_runs_until;
         };
+        Some(self.clock_reaches_leases_at(clock_ms, at))
+    }
+
+    /// When a clock that showed `clock_ms` at `at` has certainly reached the end of all leases that were offered.
+    fn clock_reaches_leases_at(&self, clock_ms: u64, at: Instant) -> Instant {
         let left = Duration::from_millis(self.lease_until_ms.saturating_sub(clock_ms));
-        Some(at + with_drift(left) + LEASE_MARGIN)
+        at + with_drift(left) + LEASE_MARGIN
+    }
+
+    /// When the lease of a run has certainly expired, whichever incarnation executes it. `longest` is the time within which
+    /// every lease that workers grant has expired. `None` if no lease is known.
+    #[must_use]
+    pub fn lease_of_run_expires_at(&self, run: &Run, longest: Duration) -> Option<Instant> {
+        if run.origin == Origin::CarriedOver {
+            return self.leases_expire_at();
+        }
+        let longest_at = self.lease_sent_at.map(|at| at + longest);
+        match run.executor {
+            Executor::Unknown => longest_at,
+            Executor::Answered { clock_ms, at } => {
+                let by_clock = self.clock_reaches_leases_at(clock_ms, at);
+                Some(longest_at.map_or(by_clock, |longest_at| by_clock.min(longest_at)))
+            }
+            Executor::Reported => self.leases_expire_at(),
+        }
     }
 }
 
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -171,6 +171,11 @@
             "started" => {
                 let (worker, run) = (self.worker(words[3]), number(words[2]));
                 let answer = answer(words[4]);
+                if let Some(clock_ms) = words.get(5) {
+                    let (task, run, clock_ms) = (task(words[1]), run_number(run), number(clock_ms));
+                    self.pool()
+                        .start_clock_read(worker, task, run, clock_ms, now);
+                }
                 self.pool()
                     .start_answered(worker, task(words[1]), run_number(run), answer, now);
             }
@@ -201,7 +206,7 @@
                 let lease = u64::try_from(self.pool().bounds().lease.as_millis());
                 let worker = self.worker(words[1]);
                 self.pool()
-                    .lease_offered(worker, until + lease.unwrap_or_default());
+                    .lease_offered(worker, until + lease.unwrap_or_default(), now);
             }
             "permits" => self.answer_permits(words),
             "silent" => {
--- a/crates/jobs/tests/crashing_fleet/mod.rs
+++ b/crates/jobs/tests/crashing_fleet/mod.rs
@@ -368,7 +368,7 @@
                 .worker(worker_ref)
                 .and_then(|worker| worker.deadline_ms(now, lease));
             if let Some(until_ms) = until_ms {
-                self.pool.lease_offered(worker_ref, until_ms);
+                self.pool.lease_offered(worker_ref, until_ms, now);
             }
         }
     }
@@ -452,6 +452,9 @@
             .entry(order.task)
             .or_default()
             .push(self.elapsed);
+        let clock_ms = self.workers[at].report(self.elapsed).clock_ms;
+        self.pool
+            .start_clock_read(order.worker, order.task, order.run, clock_ms, now);
         if self.fatal.contains(&order.task) {
             self.crash_worker(at, Some(order.task));
             self.break_gang(order.task, order.run);
--- a/crates/standin/src/grid/gate.rs
+++ b/crates/standin/src/grid/gate.rs
@@ -6,8 +6,8 @@
 
 use goldcrest_grid::ports::{
     CallError, CommandError, Committed, Conflict, Cordons, Holder, Item, LeaseId, OperatorRequests,
-    Operators, Page, PermitService, Put, Recipient, Registry, Revision, Store, Txn, VmCommandError,
-    Vms, Watched, Workers,
+    Operators, Page, PermitService, Put, Recipient, Registry, Revision, StartReply, Store, Txn,
+    VmCommandError, Vms, Watched, Workers,
 };
 use goldcrest_jobs::id::{RunNumber, StepId, TaskId, VmId, WorkerId};
 use goldcrest_jobs::pool::permits::PermitGrants;
@@ -293,9 +293,9 @@
 }
 
 impl Workers for Gate {
-    async fn start(&self, to: &Recipient, order: &StartCommand, within: Duration) -> StartAnswer {
+    async fn start(&self, to: &Recipient, order: &StartCommand, within: Duration) -> StartReply {
         if !self.reach_worker(&to.worker, within).await {
-            return StartAnswer::Unknown;
+            return StartAnswer::Unknown.into();
         }
         if let Some(delay) = self.world.command_delay(&self.entry) {
             let (world, to, order) = (Rc::clone(&self.world), to.clone(), order.clone());
@@ -306,18 +306,22 @@
                 let _ = crew.start(&to, &order, Instant::now());
             });
             sleep(within).await;
-            return StartAnswer::Unknown;
+            return StartAnswer::Unknown.into();
         }
         let (step, permit) = (order.task.step, order.permit.as_deref());
         let now = Instant::now();
         if !self.world.permits.accepts(step, &to.worker, permit, now) {
-            return StartAnswer::NoPermit;
+            return StartAnswer::NoPermit.into();
         }
         let mut crew = self.world.crew.borrow_mut();
         let answer = crew.start(to, order, now);
+        let clock_ms = crew.clock_ms(&to.worker, now);
         drop(crew);
         self.world.changed.notify_waiters();
-        answer
+        StartReply {
+            answer,
+            clock_ms: clock_ms.filter(|_| answer != StartAnswer::Unknown),
+        }
     }
 
     async fn stop(
--- a/crates/standin/src/grid/workers.rs
+++ b/crates/standin/src/grid/workers.rs
@@ -246,6 +246,12 @@
         worker.is_some_and(|worker| worker.crashed_silently)
     }
 
+    /// Returns what a worker's clock shows, in milliseconds.
+    #[must_use]
+    pub fn clock_ms(&self, worker: &WorkerId, now: Instant) -> Option<u64> {
+        self.workers.get(worker).map(|worker| worker.clock_ms(now))
+    }
+
     /// Returns the start time of a worker's present incarnation.
     #[must_use]
     pub fn born_at(&self, worker: &WorkerId) -> Option<Instant> {
