--- /dev/null
+++ b/crates/jobs/tests/beliefs.rs
@@ -0,0 +1,234 @@
+//! Beliefs of a scheduler that runs are over: each must rest on a proof about the incarnation that may execute them.
+
+mod one_pool;
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use goldcrest_jobs::id::{FencingToken, JobId, RunNumber, TaskId, WorkerId, WorkerRef};
+use goldcrest_jobs::pool::{Command, InheritedIncarnations, Pool, StartAnswer, StartCommand};
+use goldcrest_jobs::progress::Progress;
+use goldcrest_jobs::resources::Resources;
+use goldcrest_jobs::spec::{JobRecord, JobSpec, Step};
+use goldcrest_jobs::worker::{EndRow, Report, RunEnd, RunningRow, WorkerInfo};
+
+use one_pool::pool;
+
+const LEASE: Duration = Duration::from_secs(3);
+
+fn job() -> JobId {
+    "00000000000000a1".parse().expect("an id")
+}
+
+fn task() -> TaskId {
+    format!("{}.0.0.0", job()).parse().expect("a task")
+}
+
+fn info(id: &str, started_ms: u64, address: &str) -> WorkerInfo {
+    WorkerInfo {
+        id: id.into(),
+        started_ms: Some(started_ms),
+        address: address.into(),
+        dc: None,
+        capacity: Resources {
+            cpu_millis: 1_000,
+            memory_mb: 8_000,
+            accelerators: 0,
+        },
+        labels: Vec::new(),
+        is_draining: false,
+        remaining: None,
+        is_cold: false,
+    }
+}
+
+fn record() -> JobRecord {
+    JobRecord {
+        id: job(),
+        queue: "q".parse().expect("a name"),
+        team: None,
+        accepted_ms: 0,
+        spec: JobSpec {
+            payload: "".into(),
+            steps: vec![Step {
+                tasks: 1,
+                demand: Resources {
+                    cpu_millis: 1_000,
+                    memory_mb: 100,
+                    accelerators: 0,
+                },
+                ..Step::default()
+            }],
+            schedule: None,
+        },
+        is_cancelled: false,
+        policy: None,
+    }
+}
+
+fn report(clock_ms: u64, started_ms: u64) -> Report {
+    Report {
+        clock_ms,
+        started_ms: Some(started_ms),
+        ..Report::default()
+    }
+}
+
+/// A report that lists this run of the task.
+fn report_of(clock_ms: u64, started_ms: u64, run: RunNumber) -> Report {
+    let row = RunningRow {
+        task: task(),
+        run,
+        checkpoint: None,
+        percent: 10,
+        load: 0.9,
+    };
+    Report {
+        running: vec![row],
+        ..report(clock_ms, started_ms)
+    }
+}
+
+/// The present incarnation of a worker.
+fn present(pool: &Pool, id: &str) -> WorkerRef {
+    let mut workers = pool.workers().iter();
+    let present = workers.find(|(_, worker)| worker.info.id.as_str() == id && !worker.has_departed);
+    *present.expect("a worker").0
+}
+
+fn starts(pool: &mut Pool, now: Instant) -> Vec<StartCommand> {
+    let commands = pool.plan(now, 0).into_iter();
+    commands
+        .filter_map(|command| match command {
+            Command::Start(order) => Some(order),
+            Command::Stop { .. } | Command::Throttle { .. } | Command::QueryPermits { .. } => None,
+        })
+        .collect()
+}
+
+fn after_ms(began_at: Instant, ms: u64) -> Instant {
+    began_at + Duration::from_millis(ms)
+}
+
+/// Lists the workers and gives those a token that have none.
+fn list(pool: &mut Pool, workers: Vec<WorkerInfo>, now: Instant) {
+    pool.set_workers(workers, now);
+    let without = pool.workers_without_token();
+    pool.set_tokens(&without, FencingToken(20));
+}
+
+/// Guards against a run that counts as over because its worker's earlier incarnation reported late: the later one has
+/// executed the start, and its answer overtook that report.
+#[test]
+fn late_report_of_the_earlier_incarnation_proves_nothing_of_a_start() {
+    let began_at = Instant::now();
+    let at = |ms| after_ms(began_at, ms);
+    let mut pool = pool(7);
+    list(&mut pool, vec![info("w1", 1, "a")], at(0));
+    let w1 = present(&pool, "w1");
+    pool.report(w1, at(0), report(50_000, 1), at(10));
+    pool.submit(record(), Duration::ZERO, at(10));
+    let orders = starts(&mut pool, at(10));
+    let order = orders.first().expect("a start on w1");
+    // w1 crashes at 200 ms and is back at 500 ms under its id and at its address. It executes the start.
+    pool.start_answered(w1, task(), order.run, StartAnswer::Started, at(520));
+    // The request of 20 ms was answered at 190 ms, and the answer was delayed.
+    pool.report(w1, at(20), report(50_180, 1), at(700));
+    list(
+        &mut pool,
+        vec![info("w1", 500, "a"), info("w2", 1, "b")],
+        at(900),
+    );
+    let w2 = present(&pool, "w2");
+    pool.report(w2, at(900), report(60_000, 1), at(910));
+    assert_eq!(starts(&mut pool, at(920)), [], "w1 executes run 1");
+    let w1 = present(&pool, "w1");
+    pool.report(w1, at(930), report_of(500, 500, order.run), at(940));
+    assert_eq!(starts(&mut pool, at(950)), [], "w1 executes run 1");
+}
+
+/// Takes a job over that the predecessor has started on `w1`, in the incarnation that began at `started_ms`; `w2` may
+/// execute it as well if `used` contains it.
+fn taken_over(used: &[&str], started_ms: u64, now: Instant) -> Pool {
+    let mut pool = pool(30);
+    let workers: BTreeSet<WorkerId> = used.iter().map(|id| WorkerId::from(*id)).collect();
+    let progress = Progress {
+        has_begun: true,
+        workers: workers.clone(),
+        ..Progress::default()
+    };
+    let jobs = vec![(record(), progress, Duration::ZERO)];
+    pool.take_over(jobs, workers, Some(LEASE), now);
+    let inherited = InheritedIncarnations {
+        has_predecessor: true,
+        started_ms: used
+            .iter()
+            .map(|id| (WorkerId::from(*id), started_ms))
+            .collect(),
+        stray_leases: Some(BTreeSet::new()),
+    };
+    pool.inherit_incarnations(inherited, now);
+    pool
+}
+
+/// Guards against runs that count as over because an address belongs to another worker: a first list from before the
+/// restart shows the address of an incarnation that preceded the one which the predecessor used.
+#[test]
+fn address_of_a_preceding_incarnation_proves_nothing_of_the_used_one() {
+    let began_at = Instant::now();
+    let at = |ms| after_ms(began_at, ms);
+    let mut pool = taken_over(&["w1"], 500, at(0));
+    list(
+        &mut pool,
+        vec![info("w1", 1, "a"), info("w2", 1, "b")],
+        at(10),
+    );
+    // Another worker answers at the old address.
+    let w1 = present(&pool, "w1");
+    pool.worker_replaced(w1, at(20));
+    let w2 = present(&pool, "w2");
+    pool.report(w2, at(10), report(60_000, 1), at(20));
+    assert_eq!(
+        starts(&mut pool, at(30)),
+        [],
+        "the incarnation of 500 ms is awaited"
+    );
+    list(
+        &mut pool,
+        vec![info("w1", 500, "c"), info("w2", 1, "b")],
+        at(600),
+    );
+    let w1 = present(&pool, "w1");
+    pool.report(w1, at(610), report_of(5_000, 500, RunNumber(8)), at(620));
+    assert_eq!(starts(&mut pool, at(630)), [], "w1 executes run 8");
+}
+
+/// Guards against a task that counts as idle because one of its runs was found and has ended, while another worker that
+/// may execute it is awaited.
+#[test]
+fn end_of_a_found_run_proves_nothing_of_an_awaited_worker() {
+    let began_at = Instant::now();
+    let at = |ms| after_ms(began_at, ms);
+    let mut pool = taken_over(&["w1", "w2"], 1, at(0));
+    list(
+        &mut pool,
+        vec![info("w1", 1, "a"), info("w2", 1, "b")],
+        at(10),
+    );
+    let w1 = present(&pool, "w1");
+    pool.report(w1, at(10), report_of(60_000, 1, RunNumber(8)), at(20));
+    assert_eq!(starts(&mut pool, at(30)), [], "w1 executes run 8");
+    let failed = EndRow {
+        number: 1,
+        task: task(),
+        run: RunNumber(8),
+        end: RunEnd::Failed,
+        checkpoint: None,
+    };
+    let ended = Report {
+        ended: vec![failed],
+        ..report(60_500, 1)
+    };
+    pool.report(w1, at(30), ended, at(520));
+    assert_eq!(starts(&mut pool, at(530)), [], "w2 is awaited");
+}
