jobs: only a report that lists a run proves which incarnation has executed it

What callers may see: a task on two workers after its worker has restarted (TWICE). Cause: begin_incarnation took a confirmed run for one of the earlier incarnation if that one's last report had arrived after the confirmation. Times of arrival are no order of events: the report may have been made before the crash and overtaken by the answer to the start, which the next incarnation had carried out. Its run was dropped as "worker gone". Change: runs that no report of the earlier incarnation has listed are carried over, stopped in the next one, and their tasks wait for that. Cost: after a restart, a run that was started since the last report waits for one answer and one report of the next incarnation, as unanswered ones did.

--- a/crates/jobs/src/pool/ingest.rs
+++ b/crates/jobs/src/pool/ingest.rs
@@ -167,11 +167,10 @@
         is_restarted || (worker.has_departed && info.started_ms.is_none())
     }
 
-    /// Replaces a worker that has restarted under its old id. The runs of its old incarnation have ended, but a start
-    /// that was confirmed after that incarnation's last report, or not at all, may have been executed by the new one,
-    /// or may still be. So may a copy of a start that had no reply, whatever became of the run. Each such run is stopped
-    /// in the new incarnation, which then refuses the start, and its task becomes idle only once the run is certain not
-    /// to be executing.
+    /// Replaces a worker that has restarted under its old id. The runs that a report of the old incarnation has listed have
+    /// ended, but any other start, also a confirmed one, may have been executed by the new one, or may still be. So may a copy
+    /// of a start that had no reply, whatever became of the run. Each such run is stopped in the new incarnation, which
+    /// then refuses the start, and its task becomes idle only once the run is certain not to be executing.
     pub(super) fn begin_incarnation(
         &mut self,
         old: WorkerRef,
@@ -183,10 +182,10 @@
         let (mut vm, mut unanswered) = (None, BTreeMap::new());
         if let Some(worker) = self.workers.get_mut(&old) {
             late.extend(worker.possible_late_starts(now));
-            let reported_at = worker.answered_at;
-            let may_be_present = worker.runs.iter().filter(|(key, run)| {
-                late.contains(key) || run.closed_at.is_none_or(|at| Some(at) > reported_at)
-            });
+            let may_be_present = worker
+                .runs
+                .iter()
+                .filter(|(key, run)| late.contains(key) || run.executor != Executor::Reported);
             let keys: Vec<RunKey> = may_be_present.map(|(key, _)| *key).collect();
             vm.clone_from(&worker.vm);
             unanswered = std::mem::take(&mut worker.unanswered);
