jobs: a takeover waits for the incarnation that the earlier scheduler has stored

What callers may see: a task on two workers after a takeover (TWICE). Cause: a reply of another worker at a worker's address ended the waiting for that worker by its id. The registry's list can be older than what the predecessor has stored; the address is then that of an incarnation which ended before, and the runs of the stored one were taken for over. A later reply to a departed incarnation did the same. Change: the waiting ends only if the replaced incarnation is the stored one or a later one. Without a stored incarnation (an older build), it ends with the worker's report or the longest lease. Nothing that is stored or sent has changed.

--- a/crates/jobs/src/pool/ingest.rs
+++ b/crates/jobs/src/pool/ingest.rs
@@ -353,21 +353,26 @@
         }
     }
 
-    /// Stops awaiting a worker's report after a takeover: the incarnation that an earlier scheduler may have used has
-    /// certainly ended.
+    /// Stops awaiting a worker's report after a takeover, if the incarnation that has certainly ended is the one which the
+    /// earlier scheduler has stored, or a later one. The registry's list may be older than what that scheduler has stored, and
+    /// the runs are those of the stored incarnation.
     pub(super) fn stop_awaiting(&mut self, worker_ref: WorkerRef) {
-        if let Some(takeover) = &mut self.takeover
-            && let Some(worker) = self.workers.get(&worker_ref)
-        {
-            let id = worker.info.id.clone();
-            if takeover.awaited.remove(&id).is_some() {
-                self.events.push(Event::Awaited {
-                    worker: id.clone(),
-                    how: "replaced",
-                    stored_ms: self.inherited.started_ms.get(&id).copied(),
-                    started_ms: worker.info.started_ms,
-                });
-            }
+        let Some(takeover) = &mut self.takeover else {
+            return;
+        };
+        let Some(worker) = self.workers.get(&worker_ref) else {
+            return;
+        };
+        let id = worker.info.id.clone();
+        let stored_ms = self.inherited.started_ms.get(&id).copied();
+        let has_ended = stored_ms.is_some() && worker.info.started_ms >= stored_ms;
+        if has_ended && takeover.awaited.remove(&id).is_some() {
+            self.events.push(Event::Awaited {
+                worker: id.clone(),
+                how: "replaced",
+                stored_ms,
+                started_ms: worker.info.started_ms,
+            });
             takeover.lost.insert(id);
         }
     }
