jobs: a found run does not make its task known while another worker is awaited

What callers may see: a task on two workers after a takeover (TWICE), if a run of it was found on one worker and another run, of an earlier fault, is on a worker that is still awaited. Cause: the run that was found made the task known; once it had ended, the task counted as idle. Change: a task stays unknown until all workers of its job have reported or their leases are over, unless its step allows copies. It is counted once in the team's usage, and a lost worker is not held against a task whose run was found.

--- a/crates/jobs/src/job/mod.rs
+++ b/crates/jobs/src/job/mod.rs
@@ -45,7 +45,8 @@
     pub checkpoint: Option<Box<str>>,
     /// The number of runs that may be executing.
     pub live: u32,
-    /// Whether an earlier scheduler may have started it on a worker that has not reported yet.
+    /// Whether an earlier scheduler may have started it on a worker that has not reported yet, also if a run of it was found
+    /// elsewhere.
     pub is_unknown: bool,
     /// Whether a second run may be started: its only run is suspect, and its step allows copies.
     pub copies: Copies,
@@ -671,7 +672,8 @@
 
 /// Marks a task as known. Its unreported runs that no worker executes are lost.
 fn resolve(task: &mut Task, lost: Option<(&WorkerId, Option<u64>)>) {
-    let may_be_lost = task.is_unknown && !task.is_done && task.unreported.is_empty();
+    let may_be_lost =
+        task.is_unknown && !task.is_done && task.live == 0 && task.unreported.is_empty();
     task.is_unknown = false;
     if task.live == 0 {
         for run in &mut task.unreported {
--- a/crates/jobs/src/pool/report.rs
+++ b/crates/jobs/src/pool/report.rs
@@ -329,8 +329,11 @@
             job.beginning = Beginning::Started;
             job.open_occurrence(task.step.occurrence, now);
             let team = job.record.team.clone();
+            // Another run of the task may be executing on a worker that is still awaited.
+            let mut is_certain = job.awaited.is_empty();
             if let Some(step) = job.record.spec.steps.get(task.step.step as usize) {
                 run = run.with_step(step);
+                is_certain |= step.is_speculative();
             }
             if let Some((_, state)) = job.step_mut(task.step) {
                 state.update(task.index, |task| {
@@ -341,7 +344,7 @@
                     }
                     task.live += 1;
                     task.last_run = task.last_run.max(Some(number));
-                    task.is_unknown = false;
+                    task.is_unknown &= !is_certain;
                 });
             }
             if let Some(team) = team {
--- a/crates/jobs/src/pool/unknown_usage.rs
+++ b/crates/jobs/src/pool/unknown_usage.rs
@@ -33,7 +33,8 @@
         let steps = job.record.spec.steps.iter().zip(&occurrence.steps);
         let open = steps.filter(|(step, _)| occurrence.is_open(step));
         open.fold(Resources::ZERO, |sum, (step, state)| {
-            let unknown = state.tasks.iter().filter(|task| task.is_unknown);
+            let tasks = state.tasks.iter();
+            let unknown = tasks.filter(|task| task.is_unknown && task.live == 0);
             let count = u64::try_from(unknown.count()).unwrap_or(u64::MAX);
             let each = step.reserved();
             sum + each.zip(each, |amount, _| amount.saturating_mul(count))
