jobs: a takeover waits until a worker has reported all its ends

What callers may see: a task that runs again after its end (TWICE), if its worker lists 500 ends to a new scheduler, as many as fit into one report. Cause: the first report of a worker ended the waiting for it, also if it was cut, and the task whose end comes next counted as idle. Change: only a whole report does. A worker that has been heard is awaited without a bound of time, as its leases are extended by then. Evidence: report_with_as_many_ends_as_fit_accounts_for_no_run was red (the task was started at once) and passes.

--- a/crates/jobs/src/pool/release.rs
+++ b/crates/jobs/src/pool/release.rs
@@ -107,9 +107,15 @@
     let Some(takeover) = &mut pool.takeover else {
         return;
     };
+    // This scheduler extends the leases of those that it has heard.
+    let is_heard = |id: &WorkerId| {
+        let worker = pool.by_id.get(id);
+        let worker = worker.and_then(|worker| pool.workers.get(worker));
+        worker.is_some_and(Worker::is_fenced)
+    };
     let expired: Vec<WorkerId> = takeover
         .awaited
-        .extract_if(.., |_, until| now >= *until)
+        .extract_if(.., |id, until| now >= *until && !is_heard(id))
         .map(|(id, _)| id)
         .collect();
     for id in &expired {
--- a/crates/jobs/src/pool/report.rs
+++ b/crates/jobs/src/pool/report.rs
@@ -64,25 +64,9 @@
             if worker.stray_lease != StrayLease::Excluded {
                 worker.stray_lease = StrayLease::Until(offered_ms);
             }
-            let id = worker.info.id.clone();
-            let used = self.inherited.started_ms.get(&id).copied();
-            let has_restarted =
-                used.is_some() && report.started_ms.is_some_and(|now| Some(now) != used);
-            if let Some(takeover) = &mut self.takeover
-                && takeover.awaited.remove(&id).is_some()
-            {
-                if has_restarted {
-                    takeover.lost.insert(id.clone());
-                }
-                self.events.push(Event::Awaited {
-                    worker: id,
-                    how: "heard",
-                    stored_ms: used,
-                    started_ms: report.started_ms,
-                });
-            }
             self.push_worker_event(worker_ref, "fenced");
         }
+        let started_ms = report.started_ms;
         let may_have_more = report.ended.len() >= ENDS_PER_REPORT;
         let has_ends = !report.ended.is_empty();
         for row in report.ended {
@@ -96,10 +80,36 @@
         if !may_have_more {
             self.drop_unlisted(worker_ref, &listed, sent_at, clock_ms);
             self.clear_absent(worker_ref);
+            self.account_for(worker_ref, started_ms);
         }
         has_ends
     }
 
+    /// Stops awaiting a worker after a takeover: a whole report of it has accounted for all runs of earlier schedulers, and it
+    /// refuses their commands.
+    fn account_for(&mut self, worker_ref: WorkerRef, started_ms: Option<u64>) {
+        let Some(takeover) = &mut self.takeover else {
+            return;
+        };
+        let Some(worker) = self.workers.get(&worker_ref) else {
+            return;
+        };
+        let id = worker.info.id.clone();
+        if takeover.awaited.remove(&id).is_none() {
+            return;
+        }
+        let stored_ms = self.inherited.started_ms.get(&id).copied();
+        if stored_ms.is_some() && started_ms.is_some() && stored_ms != started_ms {
+            takeover.lost.insert(id.clone());
+        }
+        self.events.push(Event::Awaited {
+            worker: id,
+            how: "heard",
+            stored_ms,
+            started_ms,
+        });
+    }
+
     /// Whether the incarnation that was queried has sent the report. If a later one has, that one is added to the pool.
     /// Its report is not ingested: the request carried the token of the earlier incarnation, so others of its commands may
     /// still be carried out after it.
--- a/crates/jobs/tests/beliefs.rs
+++ b/crates/jobs/tests/beliefs.rs
@@ -232,3 +232,46 @@
     pool.report(w1, at(30), ended, at(520));
     assert_eq!(starts(&mut pool, at(530)), [], "w2 is awaited");
 }
+
+/// Guards against a run that counts as over because the first report of its worker after a takeover does not list it: a report
+/// contains 500 ends at most, and its end is among the next ones.
+#[test]
+fn report_with_as_many_ends_as_fit_accounts_for_no_run() {
+    const ENDS_PER_REPORT: u64 = 500;
+    let began_at = Instant::now();
+    let at = |ms| after_ms(began_at, ms);
+    let mut pool = taken_over(&["w1"], 1, at(0));
+    list(
+        &mut pool,
+        vec![info("w1", 1, "a"), info("w2", 1, "b")],
+        at(10),
+    );
+    let (w1, w2) = (present(&pool, "w1"), present(&pool, "w2"));
+    pool.report(w2, at(10), report(60_000, 1), at(20));
+    let end = |number, of: &str, end| EndRow {
+        number,
+        task: format!("{of}.0.0.0").parse().expect("a task"),
+        run: RunNumber(8),
+        end,
+        checkpoint: None,
+    };
+    let ends = (1..=ENDS_PER_REPORT).map(|number| end(number, "00000000000000b1", RunEnd::Failed));
+    let first = Report {
+        ended: ends.collect(),
+        ..report(60_000, 1)
+    };
+    pool.report(w1, at(10), first, at(20));
+    assert_eq!(
+        starts(&mut pool, at(30)),
+        [],
+        "run 8 may have ended as done"
+    );
+    // Its leases are extended, so the time for which it is awaited at most means nothing any more.
+    assert_eq!(starts(&mut pool, at(20_000)), [], "w1 has more to report");
+    let rest = Report {
+        ended: vec![end(ENDS_PER_REPORT + 1, &job().to_string(), RunEnd::Done)],
+        ..report(60_050, 1)
+    };
+    pool.report(w1, at(20_010), rest, at(20_020));
+    assert_eq!(starts(&mut pool, at(20_030)), [], "run 8 has ended as done");
+}
