jobs: reports of a departed incarnation are not ingested

What callers may see: a task that never runs again (LOST). Cause: the report of an incarnation that was found to have departed while its answer was on the way was ingested; the runs it lists were adopted by the departed worker, which nothing ever releases. Change: such a report is ignored. Evidence: report_of_a_departed_incarnation_adds_no_run was red and passes.

--- a/crates/jobs/src/pool/report.rs
+++ b/crates/jobs/src/pool/report.rs
@@ -110,18 +110,21 @@
         });
     }
 
-    /// Whether the incarnation that was queried has sent the report. If a later one has, that one is added to the pool.
-    /// Its report is not ingested: the request carried the token of the earlier incarnation, so others of its commands may
-    /// still be carried out after it.
+    /// Whether the incarnation that was queried has sent the report and has not departed since; its runs were dropped then. If
+    /// a later one has sent it, that one is added to the pool. Its report is not ingested: the request carried the token of the
+    /// earlier incarnation, so others of its commands may still be carried out after it.
     fn is_from(&mut self, worker_ref: WorkerRef, report: &Report, now: Instant) -> bool {
         let Some(worker) = self.workers.get_mut(&worker_ref) else {
             return false;
         };
+        if worker.has_departed {
+            return false;
+        }
         let (Some(queried), Some(reported)) = (worker.info.started_ms, report.started_ms) else {
             worker.info.started_ms = worker.info.started_ms.or(report.started_ms);
             return true;
         };
-        let is_later = queried < reported && !worker.has_departed;
+        let is_later = queried < reported;
         if is_later {
             let info = worker.info.of_later_incarnation(report.started_ms);
             let incarnation = self.begin_incarnation(worker_ref, info, now);
--- a/crates/jobs/tests/beliefs.rs
+++ b/crates/jobs/tests/beliefs.rs
@@ -275,3 +275,31 @@
     pool.report(w1, at(20_010), rest, at(20_020));
     assert_eq!(starts(&mut pool, at(20_030)), [], "run 8 has ended as done");
 }
+
+/// Guards against a run that is kept for ever: a report of an incarnation that has departed lists it, and nothing releases
+/// the runs of departed workers.
+#[test]
+fn report_of_a_departed_incarnation_adds_no_run() {
+    let began_at = Instant::now();
+    let at = |ms| after_ms(began_at, ms);
+    let mut pool = pool(7);
+    list(&mut pool, vec![info("w1", 1, "a")], at(0));
+    let w1 = present(&pool, "w1");
+    pool.report(w1, at(0), report(50_000, 1), at(10));
+    pool.submit(record(), Duration::ZERO, at(10));
+    let order = starts(&mut pool, at(10)).remove(0);
+    pool.start_answered(w1, task(), order.run, StartAnswer::Started, at(15));
+    pool.report(w1, at(20), report_of(50_020, 1, order.run), at(30));
+    list(
+        &mut pool,
+        vec![info("w1", 500, "a"), info("w2", 1, "b")],
+        at(600),
+    );
+    pool.report(w1, at(40), report_of(50_500, 1, order.run), at(610));
+    let departed = pool.worker(w1).expect("the departed incarnation");
+    assert!(departed.runs.is_empty());
+    let w2 = present(&pool, "w2");
+    pool.report(w2, at(600), report(60_000, 1), at(620));
+    let orders = starts(&mut pool, at(630));
+    assert_eq!(orders.len(), 1, "the task is started again, once");
+}
