--- a/crates/grid/tests/entry/main.rs
+++ b/crates/grid/tests/entry/main.rs
@@ -8,6 +8,7 @@
 mod faults;
 mod incarnation;
 mod invariants;
+mod left_open;
 mod maintenance;
 mod moved_queue;
 mod permits;
