grid: a scheduler's removal of a key expects the revision that it knows

What callers may see: a task that crashes its workers is started more often than it may be (BUDGET) after a takeover. Cause: a removal had no condition but the role. One whose answer was lost, and that was repeated with success, could be carried out seconds later and delete unreported runs that were stored meanwhile, while their scheduler believed them stored; no successor would know of them. Change: removals of keys that only the scheduler writes expect the last known revision, as its writes do; one function adds both conditions. Cost: one row of the 32 of a transaction for each such key.

--- a/crates/grid/src/pool/save.rs
+++ b/crates/grid/src/pool/save.rs
@@ -55,7 +55,9 @@
 #[derive(Debug, Default)]
 struct Writes {
     puts: Vec<(Box<str>, Vec<u8>)>,
-    remove: Vec<Box<str>>,
+    /// Keys to remove, with the last known revision of those that only this scheduler writes. A removal that is carried out
+    /// late must not remove what was written since.
+    remove: Vec<(Box<str>, Option<Revision>)>,
     /// The job, if these changes remove it from the store for good.
     closes: Option<JobId>,
     /// The job and what is stored of its starts after these changes.
@@ -63,9 +65,10 @@
 }
 
 impl Writes {
-    /// The rows in a transaction. Each written key takes a second one, for its expected revision.
+    /// The rows in a transaction. Each key with an expected revision takes a second one.
     fn rows(&self) -> usize {
-        2 * self.puts.len() + self.remove.len()
+        let conditions = self.remove.iter().filter(|(_, known)| known.is_some());
+        2 * self.puts.len() + self.remove.len() + conditions.count()
     }
 
     fn is_empty(&self) -> bool {
@@ -240,7 +243,11 @@
                 lease: None,
             });
         }
-        txn.remove.extend(writes.remove);
+        for (key, revision) in writes.remove {
+            txn.expect
+                .extend(revision.map(|revision| (key.clone(), revision)));
+            txn.remove.push(key);
+        }
     }
 
     /// The difference between a job's state and the last known content of its keys.
@@ -265,13 +272,13 @@
         let is_closed = job.outcome.is_some() && job.live() == 0 && !pool.is_taking_over();
         let stored = self.stored.borrow();
         if is_closed {
-            if stored.contains_key(&progress_key) {
-                writes.remove.push(progress_key);
-            }
-            if stored.contains_key(&suspects_key) {
-                writes.remove.push(suspects_key);
+            for key in [progress_key, suspects_key] {
+                if let Some(known) = stored.get(&key) {
+                    writes.remove.push((key, Some(known.revision)));
+                }
             }
-            writes.remove.push(keys::submitted(&self.name, id));
+            // The cancelling entry writes it as well.
+            writes.remove.push((keys::submitted(&self.name, id), None));
             writes.closes = Some(id);
         } else {
             let progress = keys::encode(&job.to_progress());
@@ -283,16 +290,13 @@
             }
             let suspects = job.to_suspects();
             let unreported = suspects.iter().flat_map(SuspectTasks::runs).collect();
-            match suspects {
-                Some(suspects) => {
-                    let suspects = keys::encode(&suspects);
-                    let known = stored.get(&suspects_key);
-                    if known.is_none_or(|known| known.value != suspects) {
-                        writes.puts.push((suspects_key, suspects));
-                    }
+            let known = stored.get(&suspects_key);
+            if let Some(suspects) = suspects.map(|suspects| keys::encode(&suspects)) {
+                if known.is_none_or(|known| known.value != suspects) {
+                    writes.puts.push((suspects_key, suspects));
                 }
-                None if stored.contains_key(&suspects_key) => writes.remove.push(suspects_key),
-                None => {}
+            } else if let Some(known) = known {
+                writes.remove.push((suspects_key, Some(known.revision)));
             }
             let workers = job.workers.clone();
             writes.starts = Some((
