grid: stored state that can't be decoded does not count as absent

What callers may see: tasks that run twice, or again after their ends, or crash worker after worker, if a value of the store can't be decoded. Cause: the takeover logged that it ignored the value and went on as if nothing were stored, so it waited for no worker and knew of no done task and no loss. Change: without the list of assigned workers, every worker that a job has met is awaited for the longest lease that workers grant. A job whose progress or unreported runs can't be decoded is set aside with a line that names the remedy: nothing of it is started until it is cancelled or a version that can read the values takes over.

--- a/crates/grid/src/pool/inbox.rs
+++ b/crates/grid/src/pool/inbox.rs
@@ -66,6 +66,9 @@
         let Some(record) = self.read_record(item) else {
             return;
         };
+        if self.set_aside.borrow().contains(&record.id) && !record.is_cancelled {
+            return;
+        }
         if self.has_closed(record.id, item) {
             // This item was read before the removal of the job was committed.
             return;
--- a/crates/grid/src/pool/load.rs
+++ b/crates/grid/src/pool/load.rs
@@ -8,6 +8,7 @@
 use goldcrest_jobs::progress::Progress;
 use goldcrest_jobs::spec::JobRecord;
 use goldcrest_jobs::suspect::SuspectTasks;
+use serde::de::DeserializeOwned;
 
 use crate::keys::{self, AssignedWorkers, Evacuation, JobStatus};
 use crate::pool::save::RecordedStarts;
@@ -23,6 +24,10 @@
     assigned_workers: Option<Item>,
 }
 
+/// A stored value can't be decoded, which has been logged. It is not known what its writer has stored, so it must not be taken
+/// for absent.
+struct Undecodable;
+
 impl<P: Platform> Scheduler<P> {
     /// Reads the pool's stored state.
     pub(super) async fn read_stored(&self) -> Result<StoredPool, CallError> {
@@ -44,8 +49,7 @@
             assigned_workers,
         } = stored;
         let is_first = assigned_workers.is_none();
-        let assigned_workers: AssignedWorkers =
-            self.decode_stored(assigned_workers).unwrap_or_default();
+        let assigned_workers = self.decode_stored::<AssignedWorkers>(assigned_workers);
         let items = progresses.items.into_iter().chain(suspects.items);
         let mut by_key: HashMap<Box<str>, Item> =
             items.map(|item| (item.key.clone(), item)).collect();
@@ -61,9 +65,15 @@
             };
             self.assume_status(&item, &record);
             let progress = by_key.remove(&keys::progress(&self.name, record.id));
-            let progress: Progress = self.decode_stored(progress).unwrap_or_default();
             let of_job = by_key.remove(&keys::suspects(&self.name, record.id));
-            let of_job: SuspectTasks = self.decode_stored(of_job).unwrap_or_default();
+            let progress = self.decode_stored::<Progress>(progress);
+            let of_job = self.decode_stored::<SuspectTasks>(of_job);
+            let (Ok(progress), Ok(of_job)) = (progress, of_job) else {
+                log::error!(target: "scheduler", job:% = record.id, pool:% = self.name; "Job set aside: what is stored of its runs can't be decoded; cancel the job, or let a version that wrote it take over.");
+                self.set_aside.borrow_mut().insert(record.id);
+                continue;
+            };
+            let (progress, of_job) = (progress.unwrap_or_default(), of_job.unwrap_or_default());
             let recorded = RecordedStarts {
                 workers: progress.workers.clone(),
                 unreported: of_job.runs().collect(),
@@ -75,6 +85,17 @@
             let age = self.age(&record);
             jobs.push((record, progress, age));
         }
+        let assigned_workers = match assigned_workers {
+            Ok(assigned_workers) => assigned_workers.unwrap_or_default(),
+            // Any worker that a job has met may have runs, with any lease.
+            Err(Undecodable) => AssignedWorkers {
+                workers: jobs
+                    .iter()
+                    .flat_map(|(_, progress, _)| progress.workers.iter().cloned())
+                    .collect(),
+                ..AssignedWorkers::default()
+            },
+        };
         let now = self.now();
         log::info!(
             target: "scheduler",
@@ -119,18 +140,18 @@
         inbox.revision
     }
 
-    /// Records the content of a key and decodes its value. Returns `None` if the key is absent or can't be decoded.
-    fn decode_stored<T: serde::de::DeserializeOwned>(&self, item: Option<Item>) -> Option<T> {
-        let item = item?;
+    /// Records the content of a key and decodes its value. Returns `None` if the key is absent.
+    fn decode_stored<T: DeserializeOwned>(
+        &self,
+        item: Option<Item>,
+    ) -> Result<Option<T>, Undecodable> {
+        let Some(item) = item else { return Ok(None) };
         let value = keys::decode(&item.key, &item.value);
         self.record_stored(item.key, item.revision, item.value);
-        match value {
-            Ok(value) => Some(value),
-            Err(error) => {
-                log::error!(target: "scheduler", pool:% = self.name, error:%; "Ignoring a stored value that can't be decoded.");
-                None
-            }
-        }
+        value.map(Some).map_err(|error| {
+            log::error!(target: "scheduler", pool:% = self.name, error:%; "A stored value can't be decoded.");
+            Undecodable
+        })
     }
 
     pub(super) fn record_stored(&self, key: Box<str>, revision: Revision, value: Vec<u8>) {
