grid: test that a late removal of a closed job meets no other job

Refutes the suspicion that a removal of an ended job's keys, carried out late, could remove those of a job with the same id: the job's status keeps the id for longer. Passes before and after the conditions on removals.

--- a/crates/grid/tests/entry/left_open.rs
+++ b/crates/grid/tests/entry/left_open.rs
@@ -470,6 +470,49 @@
     .await;
 }
 
+/// Guards against a job that is forgotten because its id is submitted again before a removal that had no answer is carried out:
+/// while that may happen, the status of the ended job keeps the id.
+#[tokio::test(start_paused = true)]
+async fn late_removal_of_a_closed_job_meets_no_other_one() {
+    for is_cancelled in [true, false] {
+        local(async move {
+            let bed = Bed::new(1);
+            let (holder, other) = start(&bed).await;
+            let cpu_millis = if is_cancelled { 500 } else { 4_000 };
+            bed.world.crew.borrow_mut().set_capacity("w1", cpu_millis);
+            sleep(ms(1_000)).await;
+            assert_eq!(
+                bed.submit(other, ID, job("ms=600", &[1])).await,
+                Reply::Accepted
+            );
+            sleep(ms(500)).await;
+            bed.world
+                .set_fault(&holder, StoreFault::CarriesOutLate(ms(5_000)));
+            if is_cancelled {
+                assert_eq!(bed.cancel(other, ID).await, Reply::Cancelled);
+            }
+            sleep(ms(1_000)).await;
+            bed.world.set_fault(&holder, StoreFault::None);
+            bed.world.crew.borrow_mut().set_capacity("w1", 4_000);
+            sleep(ms(1_500)).await;
+            let stored = || {
+                let table = bed.world.table.borrow();
+                let keys = ["in/p/job/00000000000000a1", "run/p/00000000000000a1"];
+                keys.map(|key| table.get(key).is_some())
+            };
+            assert_eq!(stored(), [false, false], "the job is closed");
+            let again = bed.submit(other, ID, job("ms=9000", &[1])).await;
+            sleep(ms(500)).await;
+            assert_eq!(stored(), [false, false], "{again:?}");
+            sleep(ms(8_000)).await;
+            let starts = bed.world.crew.borrow().starts.len();
+            assert_eq!(starts, usize::from(!is_cancelled));
+            bed.check_once();
+        })
+        .await;
+    }
+}
+
 /// The most starts of a task that crashes its workers: three, and two after the third crash.
 const STARTS_MAX: usize = 5;
 
