jobs, grid: ends are acknowledged once, and only while no start may have reached a later incarnation

What callers may see: a task that runs again after it has ended as done (TWICE, the other form). Cause: each request for a report carried the number of the last end that was ever acknowledged, so one that reached an unnoticed next incarnation made it forget ends that nobody had received. A slow save between a report and the next request is enough; no order has to be late. The task that had run there was absent from the next report and was started again. Change: a request acknowledges only the ends of the report before it. It does so only if every run that was started on the worker since is listed by a report, or its start was answered by a clock that continues the reported one (a restart begins the clock anew). Otherwise the next request acknowledges nothing, and its report lists the runs or shows the later incarnation. Cost: up to 20 ms for answers to starts under way; a further request where a start has no answer. What remains: a clock that begins anew within two seconds of where the earlier one would be, and an acknowledgement that is itself carried out after a start's run has ended.

--- a/crates/grid/src/pool/reports.rs
+++ b/crates/grid/src/pool/reports.rs
@@ -2,7 +2,8 @@
 //!
 //! One task per worker requests its report in a loop. A request extends the leases of the worker's runs and waits until
 //! a run ends, for at most half a lease, so that the leases outlast this request and the next one. The next request
-//! acknowledges the ends of the last report, once their effects are saved.
+//! acknowledges the ends of the last report, once their effects are saved and all runs that were started since are known to
+//! be on the incarnation that has reported.
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -40,6 +41,13 @@
 /// How long to wait for a report's ends to be saved before the next request, which extends the leases.
 const SAVE_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// How long an acknowledgement waits for the answers to starts that are on their way. Without them, the next request acknowledges
+/// nothing; its report lists the runs.
+const START_ANSWER_WAIT: Duration = Duration::from_millis(20);
+
+/// The pause before a request that acknowledges nothing although the worker lists ends: it is answered at once.
+const UNACKNOWLEDGED_PAUSE: Duration = Duration::from_millis(60);
+
 impl<P: Platform> Scheduler<P> {
     pub(super) async fn follow_workers(self: Rc<Self>) {
         let (all, mut registry) = self.entry.workers.follow();
@@ -95,17 +103,21 @@
     }
 
     async fn follow_worker(self: Rc<Self>, worker: WorkerRef) {
-        let mut acknowledged = 0;
+        // The number of the last end that the next request acknowledges. Only the first request after the ends were saved does:
+        // if the worker restarts unnoticed, a later one would make its next incarnation forget ends that nobody has received.
+        let mut to_acknowledge = 0;
+        let mut has_unacknowledged = false;
         let mut is_first = true;
         let mut failures = 0;
         loop {
             let Some(to) = self.recipient(worker) else {
                 return;
             };
-            let longest_wait = if is_first {
+            // The worker answers at once while it has unacknowledged ends.
+            let longest_wait = if is_first || has_unacknowledged {
                 Duration::ZERO
             } else {
-                self.report_wait(worker, acknowledged)
+                self.report_wait(worker)
             };
             // An unresponsive worker is asked to answer at once: its leases are running out, and only the request
             // after its answer extends them.
@@ -125,7 +137,7 @@
             };
             // While it was unresponsive, the worker may have restarted; the ends of its new incarnation are numbered
             // from 1 again, and none may be acknowledged before it was received.
-            let ends_acknowledged = if failures == 0 { acknowledged } else { 0 };
+            let ends_acknowledged = if failures == 0 { to_acknowledge } else { 0 };
             let answer = self
                 .entry
                 .platform
@@ -157,8 +169,19 @@
                     };
                     self.log_events();
                     self.mark_changed();
+                    to_acknowledge = 0;
+                    has_unacknowledged = has_ends;
                     if has_ends && self.wait_saved(SAVE_TIMEOUT).await {
-                        acknowledged = acknowledged.max(last.unwrap_or_default());
+                        let is_safe = || self.pool.borrow().are_starts_accounted_for(worker);
+                        if !is_safe() {
+                            tokio::time::sleep(START_ANSWER_WAIT).await;
+                        }
+                        if is_safe() {
+                            to_acknowledge = last.unwrap_or_default();
+                            has_unacknowledged = false;
+                        } else {
+                            tokio::time::sleep(UNACKNOWLEDGED_PAUSE).await;
+                        }
                     }
                 }
                 Err(error) => {
@@ -172,15 +195,12 @@
         }
     }
 
-    /// How long the next report waits for an end. The worker answers at once while it has unacknowledged ends.
-    fn report_wait(&self, worker: WorkerRef, acknowledged: u64) -> Duration {
+    /// How long the next report waits for an end.
+    fn report_wait(&self, worker: WorkerRef) -> Duration {
         let pool = self.pool.borrow();
         let Some(known) = pool.worker(worker) else {
             return Duration::ZERO;
         };
-        if known.last_end > acknowledged {
-            return Duration::ZERO;
-        }
         let wait = if known.runs.is_empty() {
             WAIT_IDLE
         } else {
--- a/crates/jobs/src/pool/report.rs
+++ b/crates/jobs/src/pool/report.rs
@@ -85,6 +85,20 @@
         has_ends
     }
 
+    /// Whether the runs that were started on a worker are on the incarnation which has reported. Otherwise a later one may have
+    /// executed some, and an acknowledgement that reaches it would make it forget their ends.
+    #[must_use]
+    pub fn are_starts_accounted_for(&self, worker_ref: WorkerRef) -> bool {
+        let worker = self.workers.get(&worker_ref);
+        worker.is_some_and(|worker| {
+            worker.runs.values().all(|run| match run.executor {
+                Executor::Reported => true,
+                Executor::Answered { clock_ms, at } => worker.is_clock_continued(clock_ms, at),
+                Executor::Unknown => run.origin == Origin::CarriedOver,
+            })
+        })
+    }
+
     /// Stops awaiting a worker after a takeover: a whole report of it has accounted for all runs of earlier schedulers, and it
     /// refuses their commands.
     fn account_for(&mut self, worker_ref: WorkerRef, started_ms: Option<u64>) {
--- a/crates/jobs/src/worker/mod.rs
+++ b/crates/jobs/src/worker/mod.rs
@@ -22,6 +22,10 @@
 /// Added to each lease's end. Covers the rounding of clocks.
 const LEASE_MARGIN: Duration = Duration::from_millis(100);
 
+/// How far two readings of one clock may be from what their times of arrival suggest, in milliseconds: an answer may be under way
+/// for as long as it is waited for.
+const READING_SLACK_MS: u64 = 2_000;
+
 /// A worker as the platform's registry lists it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WorkerInfo {
@@ -481,6 +485,19 @@
         Some(clock_ms + millis(now.saturating_duration_since(at)))
     }
 
+    /// Whether a clock that showed `clock_ms` at `at` can be that of the last report. A restart begins the clock anew.
+    #[must_use]
+    pub fn is_clock_continued(&self, clock_ms: u64, at: Instant) -> bool {
+        let Some((reported_ms, reported_at)) = self.clock else {
+            return false;
+        };
+        let since_ms = millis(at.saturating_duration_since(reported_at));
+        let before_ms = millis(reported_at.saturating_duration_since(at));
+        let expected_ms = (reported_ms + since_ms).saturating_sub(before_ms);
+        let drift_ms = (since_ms + before_ms) * u64::from(CLOCK_DRIFT_MILLI) / 1_000;
+        clock_ms.abs_diff(expected_ms) <= READING_SLACK_MS + drift_ms
+    }
+
     /// The deadline on its clock, in milliseconds, for a lease of this length from `now`. `None` before its first
     /// report.
     #[must_use]
