jobs: starts without an answer are remembered by the worker's id, as long as their jobs are open

What callers may see: a task on two workers (TWICE). Cause: that a copy of a start had no answer was kept with the incarnation that it was sent to, for 30 s. Change: the pool keeps them by worker id while the job is open, and for 30 s after. Whatever incarnation appears next under that id, its report is awaited and the run stopped there before the task starts. What remains: once the task runs elsewhere, a copy that a later incarnation carries out can't be prevented by any scheduler.

--- a/crates/jobs/src/pool/ingest.rs
+++ b/crates/jobs/src/pool/ingest.rs
@@ -13,7 +13,8 @@
 use crate::spec::{JobRecord, JobState};
 use crate::suspect::Fate;
 use crate::worker::{
-    Contact, Description, Executor, Origin, Phase, Run, RunKey, StrayLease, Worker, WorkerInfo,
+    Contact, Description, Executor, Origin, Phase, Run, RunKey, StrayLease, UNANSWERED_LIFE,
+    Worker, WorkerInfo,
 };
 
 /// How long a worker gets no starts after it was unhealthy or did not reply to one.
@@ -136,7 +137,7 @@
             let worker_ref = match known {
                 Some(worker_ref) if !self.is_new_incarnation(worker_ref, &info) => worker_ref,
                 Some(worker_ref) => self.begin_incarnation(worker_ref, info.clone(), now),
-                None => self.add_worker(info.clone(), now),
+                None => self.add_unknown_worker(info.clone(), now),
             };
             if is_first && let Some(worker) = self.workers.get_mut(&worker_ref) {
                 // This scheduler has sent nothing yet, and the role's token is higher than that of any earlier one.
@@ -178,24 +179,20 @@
         now: Instant,
     ) -> WorkerRef {
         let mut carried_over: Vec<(RunKey, Run)> = Vec::new();
-        let mut late: BTreeSet<RunKey> = BTreeSet::new();
-        let (mut vm, mut unanswered) = (None, BTreeMap::new());
+        let mut late = self.possible_late_starts(&info.id, now);
+        let mut vm = None;
         if let Some(worker) = self.workers.get_mut(&old) {
-            late.extend(worker.possible_late_starts(now));
-            let may_be_present = worker
-                .runs
-                .iter()
-                .filter(|(key, run)| late.contains(key) || run.executor != Executor::Reported);
-            let keys: Vec<RunKey> = may_be_present.map(|(key, _)| *key).collect();
+            let runs = worker.runs.iter();
+            let unseen = runs.filter(|(_, run)| run.executor != Executor::Reported);
+            late.extend(unseen.map(|(key, _)| *key));
             vm.clone_from(&worker.vm);
-            unanswered = std::mem::take(&mut worker.unanswered);
             // The old incarnation may have executed the runs that are carried over.
             self.record_all_losses(old, Some(Fate::Restarted), now);
-            for key in keys {
-                late.remove(&key);
-                if let Some(worker) = self.workers.get_mut(&old) {
-                    carried_over.extend(worker.remove(key).map(|run| (key, run)));
-                }
+            if let Some(worker) = self.workers.get_mut(&old) {
+                let removed = late
+                    .iter()
+                    .filter_map(|key| Some((*key, worker.remove(*key)?)));
+                carried_over.extend(removed);
             }
         }
         self.drop_incarnation(old, "reborn", now);
@@ -203,48 +200,89 @@
             worker.is_listed = false;
         }
         let worker_ref = self.add_worker(info, now);
-        let longest = expiry(self.bounds.lease_max, &self.bounds);
-        let has_earlier_runs = !carried_over.is_empty() || !late.is_empty();
         if let Some(worker) = self.workers.get_mut(&worker_ref) {
             worker.vm = vm;
-            // This incarnation may restart as well before a copy is executed.
-            worker.unanswered = unanswered;
             // Known to have had an earlier incarnation, even if neither states when it started.
             worker.stray_lease = StrayLease::Possible;
-            worker.earlier_runs_until = has_earlier_runs.then(|| now + longest);
             for (key, run) in carried_over {
                 worker.add(key, run);
             }
         }
-        for key in late {
-            self.adopt(worker_ref, key, now);
-        }
-        if let Some(worker) = self.workers.get_mut(&worker_ref) {
-            for run in worker.runs.values_mut() {
-                run.phase = Phase::Stopping;
-                run.stop_sent_at = None;
-                run.closed_at = None;
-                run.origin = Origin::CarriedOver;
-                run.executor = Executor::Unknown;
+        self.carry_over(worker_ref, &late, now);
+        worker_ref
+    }
+
+    /// Adds starts that were meant for an earlier incarnation to a worker's runs, unless they are there, to be stopped.
+    fn carry_over(&mut self, worker_ref: WorkerRef, starts: &BTreeSet<RunKey>, now: Instant) {
+        for key in starts {
+            let worker = self.workers.get(&worker_ref);
+            if worker.is_some_and(|worker| !worker.runs.contains_key(key)) {
+                self.adopt(worker_ref, *key, now);
             }
         }
+        let longest = expiry(self.bounds.lease_max, &self.bounds);
+        let Some(worker) = self.workers.get_mut(&worker_ref) else {
+            return;
+        };
+        if !starts.is_empty() {
+            worker.earlier_runs_until = Some(now + longest);
+        }
+        let carried_over = worker.runs.iter_mut();
+        for (_, run) in carried_over.filter(|(key, _)| starts.contains(key)) {
+            run.phase = Phase::Stopping;
+            run.stop_sent_at = None;
+            run.closed_at = None;
+            run.origin = Origin::CarriedOver;
+            run.executor = Executor::Unknown;
+        }
+    }
+
+    /// The starts of which a copy may still be executed on a worker, by any incarnation of it.
+    fn possible_late_starts(&mut self, id: &WorkerId, now: Instant) -> BTreeSet<RunKey> {
+        self.forget_unanswered(now);
+        let unanswered = self.unanswered.get(id);
+        unanswered.map_or_else(BTreeSet::new, |starts| starts.keys().copied().collect())
+    }
+
+    /// Forgets unanswered starts of jobs that have ended, after a while.
+    pub(super) fn forget_unanswered(&mut self, now: Instant) {
+        let jobs = &self.jobs;
+        self.unanswered.retain(|_, starts| {
+            starts.retain(|(task, _), since| {
+                let job = jobs.get(&task.step.job);
+                job.is_some_and(|job| job.outcome.is_none())
+                    || now.saturating_duration_since(*since) < UNANSWERED_LIFE
+            });
+            !starts.is_empty()
+        });
+    }
+
+    /// Adds a worker under an id that none has at present. An earlier one may have departed.
+    fn add_unknown_worker(&mut self, info: WorkerInfo, now: Instant) -> WorkerRef {
+        let late = if self.is_next_incarnation(&info) {
+            self.possible_late_starts(&info.id, now)
+        } else {
+            BTreeSet::new()
+        };
+        let worker_ref = self.add_worker(info, now);
+        self.carry_over(worker_ref, &late, now);
         worker_ref
     }
 
+    /// Whether another incarnation of this worker is known to have departed.
+    fn is_next_incarnation(&self, info: &WorkerInfo) -> bool {
+        // `departed` also contains the inherited incarnations for a while.
+        let departed = self.departed.get(&info.id);
+        departed.is_some_and(|departed| info.started_ms.is_some_and(|at| at != departed.started_ms))
+    }
+
     fn add_worker(&mut self, info: WorkerInfo, now: Instant) -> WorkerRef {
         use goldcrest_types::entity::EntityRef;
         let worker_ref = WorkerRef::new(self.workers_made);
         self.workers_made += 1;
         self.by_id.insert(info.id.clone(), worker_ref);
+        let is_next = self.is_next_incarnation(&info);
         let mut worker = Worker::new(info);
-        // `departed` also contains the inherited incarnations for a while.
-        let departed = self.departed.get(&worker.info.id);
-        let is_next = departed.is_some_and(|departed| {
-            worker
-                .info
-                .started_ms
-                .is_some_and(|at| at != departed.started_ms)
-        });
         if !is_next && self.inherited.excludes_stray_lease(&worker.info) {
             worker.stray_lease = StrayLease::Excluded;
         } else if let Some(takeover) = &mut self.takeover
@@ -543,8 +581,16 @@
         run: RunNumber,
         now: Instant,
     ) {
-        if let Some(worker) = self.workers.get_mut(&worker_ref) {
-            worker.start_unanswered((task, run), now);
+        let Some(worker) = self.workers.get(&worker_ref) else {
+            return;
+        };
+        let id = worker.info.id.clone();
+        let key = (task, run);
+        let present = self.by_id.get(&id).copied();
+        self.unanswered.entry(id).or_default().insert(key, now);
+        // It may have restarted since the copy was sent.
+        if let Some(present) = present.filter(|present| *present != worker_ref) {
+            self.carry_over(present, &BTreeSet::from([key]), now);
         }
     }
 
--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -55,7 +55,7 @@
 use crate::pool::arrivals::Arrivals;
 use crate::resources::Resources;
 use crate::suspect::CrashLimit;
-use crate::worker::{Worker, WorkerInfo};
+use crate::worker::{RunKey, Worker, WorkerInfo};
 
 pub use event::{Event, FoundRun};
 
@@ -295,6 +295,9 @@
     inherited: InheritedIncarnations,
     /// Incarnations to which commands may have been sent that may still be carried out, by the next one under that id.
     departed: BTreeMap<WorkerId, DepartedIncarnation>,
+    /// Starts of which a copy had no reply, with the time at which the copy was given up. Any later incarnation under that id
+    /// may still execute it.
+    unanswered: BTreeMap<WorkerId, BTreeMap<RunKey, Instant>>,
     /// When the registry was last listed.
     listed_at: Option<Instant>,
     /// When the first of the lists was applied that follow each other without a gap.
@@ -348,6 +351,7 @@
             suspects: BTreeSet::new(),
             inherited: InheritedIncarnations::default(),
             departed: BTreeMap::new(),
+            unanswered: BTreeMap::new(),
             listed_at: None,
             listed_since: None,
             missing: BTreeMap::new(),
--- a/crates/jobs/src/pool/release.rs
+++ b/crates/jobs/src/pool/release.rs
@@ -32,8 +32,12 @@
         .filter(|(_, worker)| worker.runs.is_empty())
         .map(|(worker_ref, _)| *worker_ref)
         .collect();
-    pool.departed
-        .retain(|_, departed| now.saturating_duration_since(departed.since) < UNANSWERED_LIFE);
+    pool.forget_unanswered(now);
+    let unanswered = &pool.unanswered;
+    pool.departed.retain(|id, departed| {
+        let may_be_recent = now.saturating_duration_since(departed.since) < UNANSWERED_LIFE;
+        may_be_recent || unanswered.contains_key(id)
+    });
     for worker_ref in removable {
         if let Some(worker) = pool.workers.remove(&worker_ref)
             && pool.by_id.get(&worker.info.id) == Some(&worker_ref)
--- a/crates/jobs/src/worker/mod.rs
+++ b/crates/jobs/src/worker/mod.rs
@@ -264,9 +264,6 @@
     pub answering_since: Option<Instant>,
     /// Since when it has not answered. Absent while it does.
     pub unresponsive_since: Option<Instant>,
-    /// Starts of which a copy had no reply, with the time at which the copy was given up. The copy may still be executed,
-    /// also by the worker's next incarnation.
-    pub unanswered: BTreeMap<RunKey, Instant>,
     /// Starts are not sent before this time.
     pub paused_until: Option<Instant>,
     /// The job of the last failure; a job that fails everywhere is no evidence against a worker.
@@ -333,7 +330,6 @@
             answered_at: None,
             answering_since: None,
             unresponsive_since: None,
-            unanswered: BTreeMap::new(),
             paused_until: None,
             last_failed_job: None,
             throttled_at: None,
@@ -455,21 +451,6 @@
         }
     }
 
-    /// Records that a copy of a start had no reply.
-    pub fn start_unanswered(&mut self, key: RunKey, now: Instant) {
-        self.unanswered
-            .retain(|_, since| now.saturating_duration_since(*since) < UNANSWERED_LIFE);
-        self.unanswered.insert(key, now);
-    }
-
-    /// The starts of which a copy may still be executed.
-    pub fn possible_late_starts(&self, now: Instant) -> impl Iterator<Item = RunKey> {
-        let unanswered = self.unanswered.iter();
-        unanswered
-            .filter(move |(_, since)| now.saturating_duration_since(**since) < UNANSWERED_LIFE)
-            .map(|(key, _)| *key)
-    }
-
     /// Removes a run that is certain not to be executing.
     pub fn remove(&mut self, key: RunKey) -> Option<Run> {
         let run = self.runs.remove(&key)?;
--- a/crates/jobs/tests/beliefs.rs
+++ b/crates/jobs/tests/beliefs.rs
@@ -303,3 +303,79 @@
     let orders = starts(&mut pool, at(630));
     assert_eq!(orders.len(), 1, "the task is started again, once");
 }
+
+/// Guards against a lease that is counted on the clock of an incarnation that is gone: the next one has executed the start
+/// and is cut off before anything shows it. Its lease is as long as workers grant, whatever the earlier clock has shown.
+#[test]
+fn lease_on_an_earlier_clock_proves_nothing_of_a_start() {
+    let began_at = Instant::now();
+    let at = |ms| after_ms(began_at, ms);
+    let mut pool = pool(7);
+    let listed = || vec![info("w1", 1, "a"), info("w2", 1, "b")];
+    list(&mut pool, listed(), at(0));
+    let w1 = present(&pool, "w1");
+    pool.report(w1, at(0), report(50_000, 1), at(10));
+    pool.submit(record(), Duration::ZERO, at(10));
+    let orders = starts(&mut pool, at(10));
+    let order = orders.first().expect("a start on w1");
+    // w1 crashes and is back under its id and at its address. It executes the start, and a request that extends its lease.
+    pool.start_answered(w1, task(), order.run, StartAnswer::Started, at(520));
+    pool.lease_offered(w1, 53_010, at(530));
+    pool.mark_unresponsive(w1, at(1_300));
+    let w2 = present(&pool, "w2");
+    // On the clock that reported, all leases are over after 5.2 s.
+    for ms in (1_400..=6_200).step_by(400) {
+        list(&mut pool, listed(), at(ms));
+        pool.report(w2, at(ms), report(60_000 + ms, 1), at(ms));
+        assert_eq!(
+            starts(&mut pool, at(ms)),
+            [],
+            "w1 executes run 1, at {ms} ms"
+        );
+    }
+    list(
+        &mut pool,
+        vec![info("w1", 500, "a"), info("w2", 1, "b")],
+        at(6_300),
+    );
+    let w1 = present(&pool, "w1");
+    pool.report(w1, at(6_310), report_of(5_800, 500, order.run), at(6_320));
+    assert_eq!(starts(&mut pool, at(6_330)), [], "w1 executes run 1");
+}
+
+/// Guards against a late copy of a start that is forgotten with its worker's entry: the registry drops the worker, and it is
+/// back under its id within the time for which the copy may be executed.
+#[test]
+fn unanswered_start_is_known_after_its_worker_was_gone() {
+    let began_at = Instant::now();
+    let at = |ms| after_ms(began_at, ms);
+    let mut pool = pool(7);
+    list(&mut pool, vec![info("w1", 1, "a")], at(0));
+    let w1 = present(&pool, "w1");
+    pool.report(w1, at(0), report(50_000, 1), at(10));
+    pool.submit(record(), Duration::ZERO, at(10));
+    let orders = starts(&mut pool, at(10));
+    let run = orders.first().expect("a start on w1").run;
+    pool.start_unanswered(w1, task(), run, at(510));
+    pool.start_answered(w1, task(), run, StartAnswer::Unknown, at(1_010));
+    pool.mark_unresponsive(w1, at(1_010));
+    // All leases are over, and the registry has dropped it.
+    list(&mut pool, vec![info("w3", 1, "c")], at(6_000));
+    assert_eq!(starts(&mut pool, at(6_010)), [], "w3 has not reported");
+    list(
+        &mut pool,
+        vec![info("w1", 5_000, "a"), info("w2", 1, "b")],
+        at(7_000),
+    );
+    let w2 = present(&pool, "w2");
+    pool.report(w2, at(7_000), report(60_000, 1), at(7_010));
+    assert_eq!(
+        starts(&mut pool, at(7_020)),
+        [],
+        "w1 may execute run 1 until it has answered"
+    );
+    // It has: the copy can't be executed any more once the run is stopped there.
+    let w1 = present(&pool, "w1");
+    pool.report(w1, at(7_030), report_of(2_100, 5_000, run), at(7_040));
+    assert_eq!(starts(&mut pool, at(7_050)), [], "w1 executes run 1");
+}
