jobs: a run that is carried over counts as lost once

What callers may see: a job given up without cause (LOST). Cause: a start without an answer is carried over from incarnation to incarnation of its worker to be stopped there, and each restart counted it as another loss, until five held its task back for good.

--- a/crates/jobs/tests/beliefs.rs
+++ b/crates/jobs/tests/beliefs.rs
@@ -379,3 +379,31 @@
     pool.report(w1, at(7_030), report_of(2_100, 5_000, run), at(7_040));
     assert_eq!(starts(&mut pool, at(7_050)), [], "w1 executes run 1");
 }
+
+/// Guards against a job that is given up without cause: a start of which a copy had no reply is carried over from incarnation
+/// to incarnation, and each restart counts it as lost once more.
+#[test]
+fn run_that_is_carried_over_counts_as_lost_once() {
+    let began_at = Instant::now();
+    let at = |ms| after_ms(began_at, ms);
+    let mut pool = pool(7);
+    list(&mut pool, vec![info("w1", 1, "a")], at(0));
+    let w1 = present(&pool, "w1");
+    pool.report(w1, at(0), report(50_000, 1), at(10));
+    pool.submit(record(), Duration::ZERO, at(10));
+    let orders = starts(&mut pool, at(10));
+    let run = orders.first().expect("a start on w1").run;
+    pool.start_unanswered(w1, task(), run, at(510));
+    pool.start_answered(w1, task(), run, StartAnswer::Unknown, at(1_010));
+    for restart in 1..=6 {
+        let now = at(restart * 2_000);
+        list(&mut pool, vec![info("w1", restart * 2_000, "a")], now);
+        pool.plan(now, 0);
+        let state = &pool.jobs()[&job()];
+        assert_eq!(state.outcome, None, "after {restart} restarts");
+        let suspects = state.to_suspects().into_iter();
+        let runs = suspects.flat_map(|suspects| suspects.tasks);
+        let runs: Vec<_> = runs.flat_map(|task| task.runs).collect();
+        assert_eq!(runs.len(), 1, "after {restart} restarts: {runs:?}");
+    }
+}
