platform, grid: a worker must state when it started

What callers may see: a task that runs again and again (TWICE), on a worker whose entries and reports have no start time. Cause: its next incarnation was taken for the same one, whose ends with numbers up to the last known one were skipped and yet acknowledged.

--- a/crates/grid/src/ports/mod.rs
+++ b/crates/grid/src/ports/mod.rs
@@ -313,7 +313,7 @@
 
 /// The platform's registry of workers.
 pub trait Registry {
-    /// Returns all registered workers with their pools.
+    /// Returns all registered workers with their pools. Those that do not state when they started are not used.
     fn workers(
         &self,
         timeout: Duration,
--- a/crates/grid/src/registry/mod.rs
+++ b/crates/grid/src/registry/mod.rs
@@ -47,7 +47,9 @@
         let sent_at = entry.now();
         let result = entry.platform.workers(STORE_TIMEOUT).await;
         match entry.record_call("list workers", sent_at, result) {
-            Ok(workers) => {
+            Ok(mut workers) => {
+                // Without a start time, a later incarnation would be taken for the earlier one.
+                workers.retain(|(_, info)| info.started_ms.is_some());
                 entry.workers.set(workers.into());
             }
             Err(error) => {
