jobs: test of a start that is pending when its worker restarts

A copy that is given up after the next incarnation is known is stopped in the one after that, too. Red before starts without an answer were kept by worker id; passes.

--- a/crates/jobs/tests/beliefs.rs
+++ b/crates/jobs/tests/beliefs.rs
@@ -407,3 +407,61 @@
         assert_eq!(runs.len(), 1, "after {restart} restarts: {runs:?}");
     }
 }
+
+/// Guards against a copy of a start that is forgotten because its reply is given up only after the worker's next incarnation
+/// is known: that one proves that the run is not there, but the one after it may still execute the copy.
+#[test]
+fn start_pending_at_a_restart_is_known_at_the_next_one() {
+    let began_at = Instant::now();
+    let at = |ms| after_ms(began_at, ms);
+    let mut pool = pool(7);
+    list(&mut pool, vec![info("w1", 1, "a")], at(0));
+    let w1 = present(&pool, "w1");
+    pool.report(w1, at(0), report(50_000, 1), at(10));
+    pool.submit(record(), Duration::ZERO, at(10));
+    let orders = starts(&mut pool, at(10));
+    let run = orders.first().expect("a start on w1").run;
+    // The start is on its way when the registry shows the next incarnation.
+    // That one is too small for the task, which goes to w2.
+    let small = WorkerInfo {
+        capacity: Resources::default(),
+        ..info("w1", 300, "a")
+    };
+    list(&mut pool, vec![small, info("w2", 1, "b")], at(400));
+    pool.start_unanswered(w1, task(), run, at(510));
+    pool.start_answered(w1, task(), run, StartAnswer::Unknown, at(510));
+    let w1 = present(&pool, "w1");
+    assert_eq!(starts(&mut pool, at(520)), [], "run 1 is stopped first");
+    pool.stop_confirmed(w1, task(), run, at(530));
+    let w2 = present(&pool, "w2");
+    pool.report(w2, at(530), report(60_000, 1), at(540));
+    pool.report(w1, at(540), report(240, 300), at(550));
+    // Run 1 is not there. Run 2 begins on w2, and w1 has restarted once more.
+    let orders = starts(&mut pool, at(560));
+    let second = orders.first().expect("another start").clone();
+    assert_eq!(second.worker, w2);
+    pool.start_answered(
+        second.worker,
+        task(),
+        second.run,
+        StartAnswer::Started,
+        at(570),
+    );
+    list(
+        &mut pool,
+        vec![info("w1", 2_000, "a"), info("w2", 1, "b")],
+        at(2_500),
+    );
+    let commands = pool.plan(at(2_510), 0);
+    let stops: Vec<RunNumber> = commands
+        .iter()
+        .filter_map(|command| match command {
+            Command::Stop { run, .. } => Some(*run),
+            Command::Start(_) | Command::Throttle { .. } | Command::QueryPermits { .. } => None,
+        })
+        .collect();
+    assert!(
+        stops.contains(&run),
+        "w1 may execute the start of run 1: stops {stops:?}"
+    );
+}
