grid: an acknowledgement waits for answers to starts no longer than needed

Cause: an acknowledgement that found a start under way waited 20 ms whatever happened meanwhile. Change: it looks again every 3 ms.

--- a/crates/grid/src/pool/reports.rs
+++ b/crates/grid/src/pool/reports.rs
@@ -45,6 +45,9 @@
 /// nothing; its report lists the runs.
 const START_ANSWER_WAIT: Duration = Duration::from_millis(20);
 
+/// The interval between two checks whether they have arrived.
+const START_ANSWER_CHECK: Duration = Duration::from_millis(3);
+
 /// The pause before a request that acknowledges nothing although the worker lists ends: it is answered at once.
 const UNACKNOWLEDGED_PAUSE: Duration = Duration::from_millis(60);
 
@@ -172,11 +175,7 @@
                     to_acknowledge = 0;
                     has_unacknowledged = has_ends;
                     if has_ends && self.wait_saved(SAVE_TIMEOUT).await {
-                        let is_safe = || self.pool.borrow().are_starts_accounted_for(worker);
-                        if !is_safe() {
-                            tokio::time::sleep(START_ANSWER_WAIT).await;
-                        }
-                        if is_safe() {
+                        if self.wait_accounted_for(worker).await {
                             to_acknowledge = last.unwrap_or_default();
                             has_unacknowledged = false;
                         } else {
@@ -195,6 +194,20 @@
         }
     }
 
+    /// Waits until all starts on a worker are accounted for, for at most [`START_ANSWER_WAIT`]. Returns whether they are.
+    async fn wait_accounted_for(&self, worker: WorkerRef) -> bool {
+        let until = self.now() + START_ANSWER_WAIT;
+        loop {
+            if self.pool.borrow().are_starts_accounted_for(worker) {
+                return true;
+            }
+            if self.now() >= until {
+                return false;
+            }
+            tokio::time::sleep(START_ANSWER_CHECK).await;
+        }
+    }
+
     /// How long the next report waits for an end.
     fn report_wait(&self, worker: WorkerRef) -> Duration {
         let pool = self.pool.borrow();
