jobs: a job is kept until no run of it may be executing

What callers may see: a team at its upper limit that may start ever less (LOST). Cause: a start of a job that has ended, carried over to its worker's next incarnation, counts in the team's usage but not in the live runs of an occurrence that is done; the job was removed, and the end of the run subtracted nothing. Change: an ended job is removed only once no worker may be executing a run of it.

--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -520,12 +520,28 @@
     /// Removes a job whose final state has been stored. A job of which a run was found meanwhile is kept until that run
     /// has ended, because its team's usage counts the run.
     pub fn remove_stored(&mut self, job: JobId) {
-        if self.jobs.get(&job).is_some_and(|job| job.live() == 0) {
+        let is_over = self.jobs.get(&job).is_some_and(|job| job.live() == 0);
+        if is_over && !self.has_runs_of(job) {
             self.jobs.remove(&job);
             self.unsaved.remove(&job);
         }
     }
 
+    /// Whether a run of a job may be executing, also one of an occurrence that is done.
+    fn has_runs_of(&self, job: JobId) -> bool {
+        let first = StepId {
+            job,
+            occurrence: 0,
+            step: 0,
+        };
+        let first = (first.task(0), RunNumber(0));
+        self.workers.values().any(|worker| {
+            let mut from = worker.runs.range(first..);
+            from.next()
+                .is_some_and(|((task, _), _)| task.step.job == job)
+        })
+    }
+
     /// Takes the events recorded since the last call.
     pub fn take_events(&mut self) -> Vec<Event> {
         std::mem::take(&mut self.events)
