jobs: a takeover no longer waits for a heard worker whose leases are over

What callers may see: jobs that wait for ever after a takeover (LOST). Cause: a worker that was heard once, without a whole report, was awaited without a bound, also once it was cut off. Change: it is awaited until its leases are over on its own clock. Test: heard_worker_that_is_cut_off_is_not_awaited_for_ever, red before.

--- a/crates/jobs/src/pool/release.rs
+++ b/crates/jobs/src/pool/release.rs
@@ -112,14 +112,17 @@
         return;
     };
     // This scheduler extends the leases of those that it has heard.
-    let is_heard = |id: &WorkerId| {
+    let is_over = |id: &WorkerId, until: Instant| {
         let worker = pool.by_id.get(id);
         let worker = worker.and_then(|worker| pool.workers.get(worker));
-        worker.is_some_and(Worker::is_fenced)
+        match worker.filter(|worker| worker.is_fenced()) {
+            Some(heard) => have_leases_expired(heard, now),
+            None => now >= until,
+        }
     };
     let expired: Vec<WorkerId> = takeover
         .awaited
-        .extract_if(.., |id, until| now >= *until && !is_heard(id))
+        .extract_if(.., |id, until| is_over(id, *until))
         .map(|(id, _)| id)
         .collect();
     for id in &expired {
