jobs: a carried-over run is not counted as lost again

What callers may see: a job given up without cause (LOST). Cause: a run whose end was reported was carried over as a copy of its start had no answer, and counted as lost with the next incarnation. Change: the loss of a carried-over run was recorded with the incarnation that it was started on, and never again. Test: run_whose_end_was_reported_is_not_lost_later, red before; run_that_is_carried_over_counts_as_lost_once holds.

--- a/crates/jobs/src/pool/suspects.rs
+++ b/crates/jobs/src/pool/suspects.rs
@@ -84,6 +84,10 @@
         fate: Option<Fate>,
         now: Instant,
     ) {
+        if self.is_carried_over(worker_ref, key) {
+            // Its loss was recorded with the incarnation that it was started on, unless its end was reported.
+            return;
+        }
         let Some(exposure) = self.exposure(worker_ref, key) else {
             self.clear_reported(worker_ref, key);
             return;
@@ -105,15 +109,16 @@
             if task.is_done {
                 return None;
             }
-            let is_same = |run: &&mut UnreportedRun| run.run == loss.run;
-            match task.unreported.iter_mut().find(is_same) {
-                Some(run) if run.state == RunState::Open => {
+            let open = task
+                .unreported
+                .iter_mut()
+                .find(|run| run.run == loss.run && run.state == RunState::Open);
+            match open {
+                Some(run) => {
                     run.lose(exposure);
                     run.fate = fate;
                 }
-                // It was carried over to an incarnation that is lost as well.
-                Some(run) if run.worker == loss.worker => return None,
-                Some(_) | None => task.unreported.push(loss),
+                None => task.unreported.push(loss),
             }
             Some(task.unreported.clone())
         }) else {
@@ -202,6 +207,12 @@
         self.events.push(Event::GivenUp { task, runs, took });
     }
 
+    fn is_carried_over(&self, worker_ref: WorkerRef, key: RunKey) -> bool {
+        let worker = self.workers.get(&worker_ref);
+        let run = worker.and_then(|worker| worker.runs.get(&key));
+        run.is_some_and(|run| run.origin == Origin::CarriedOver)
+    }
+
     /// Forgets that a run is unreported, as its worker has reported what became of it. A run that was started on an
     /// earlier incarnation is not accounted for by the present one.
     pub(super) fn clear_reported(&mut self, worker_ref: WorkerRef, key: RunKey) {
@@ -211,12 +222,8 @@
         let Some(worker) = self.workers.get(&worker_ref) else {
             return;
         };
-        let is_carried_over = worker
-            .runs
-            .get(&key)
-            .is_some_and(|run| run.origin == Origin::CarriedOver);
         let (id, started_ms) = (worker.info.id.clone(), worker.info.started_ms);
-        if is_carried_over {
+        if self.is_carried_over(worker_ref, key) {
             return;
         }
         self.clear(key.0, |run| {
