jobs, grid: what a departed incarnation leaves behind is kept by the worker's id

What callers may see: a task on two workers (TWICE). Causes: a copy of a start was forgotten if it was given up once the plan had removed the incarnation that it was sent to; and the record of a departed incarnation was overwritten by the next one before that had answered, so that a list which lacked the worker for a moment made its stray lease be forgotten. Change: a copy is recorded by the worker's id; only an incarnation that has answered replaces the record.

--- a/crates/grid/src/pool/commands.rs
+++ b/crates/grid/src/pool/commands.rs
@@ -178,9 +178,8 @@
             let sent = reply.answer;
             if sent == StartAnswer::Unknown {
                 let now = self.now();
-                self.pool
-                    .borrow_mut()
-                    .start_unanswered(order.worker, order.task, order.run, now);
+                let mut pool = self.pool.borrow_mut();
+                pool.start_unanswered(order.worker, &to.worker, order.task, order.run, now);
             }
             if let Some(clock_ms) = reply.clock_ms.filter(|_| sent == StartAnswer::Started) {
                 let now = self.now();
--- a/crates/jobs/src/pool/ingest.rs
+++ b/crates/jobs/src/pool/ingest.rs
@@ -383,7 +383,13 @@
                 started_ms,
                 since: now,
             };
-            self.departed.insert(worker.info.id.clone(), departed);
+            let id = worker.info.id.clone();
+            if worker.is_fenced() {
+                self.departed.insert(id, departed);
+            } else {
+                // If it returns, commands to the incarnation before it may still be carried out.
+                self.departed.entry(id).or_insert(departed);
+            }
         }
         let keys: Vec<RunKey> = worker.runs.keys().copied().collect();
         for key in keys {
@@ -573,21 +579,20 @@
         }
     }
 
-    /// Records that a copy of a start had no reply. It may still be executed, also after a later copy was answered.
+    /// Records that a copy of a start had no reply. It may still be executed, also after a later copy was answered. `id` is that
+    /// of the worker that the start was sent to, which may have been removed since.
     pub fn start_unanswered(
         &mut self,
         worker_ref: WorkerRef,
+        id: &WorkerId,
         task: TaskId,
         run: RunNumber,
         now: Instant,
     ) {
-        let Some(worker) = self.workers.get(&worker_ref) else {
-            return;
-        };
-        let id = worker.info.id.clone();
         let key = (task, run);
-        let present = self.by_id.get(&id).copied();
-        self.unanswered.entry(id).or_default().insert(key, now);
+        let starts = self.unanswered.entry(id.clone()).or_default();
+        starts.insert(key, now);
+        let present = self.by_id.get(id).copied();
         // It may have restarted since the copy was sent.
         if let Some(present) = present.filter(|present| *present != worker_ref) {
             self.carry_over(present, &BTreeSet::from([key]), now);
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -182,8 +182,9 @@
             "unanswered" => {
                 let worker = self.worker(words[3]);
                 let run = run_number(number(words[2]));
+                let id = WorkerId::from(words[3]);
                 self.pool()
-                    .start_unanswered(worker, task(words[1]), run, now);
+                    .start_unanswered(worker, &id, task(words[1]), run, now);
             }
             "stopped" => {
                 let worker = self.worker(words[3]);
--- a/crates/jobs/tests/incarnation.rs
+++ b/crates/jobs/tests/incarnation.rs
@@ -221,7 +221,7 @@
     pool.submit(record, Duration::ZERO, now);
     let start = starts(&mut pool, now).remove(0);
     // The answer to the start is lost; a report shows the end of the run.
-    pool.start_unanswered(worker, start.task, start.run, now);
+    pool.start_unanswered(worker, &"w1".into(), start.task, start.run, now);
     let later = now + Duration::from_secs(1);
     let end = EndRow {
         number: 1,
