jobs: an overdue start is accounted for, and any other incarnation that answers is a later one

What callers may see: ends that are never acknowledged, and a worker that is never used again (LOST). Causes: with as many ends as fit into a report, none accounts for a start without an answer, and nothing was acknowledged while one was not accounted for; and reports of an incarnation whose start time lies before the known one were ignored, while requests went on. Change: a start whose deadline has passed on the reported clock is accounted for; a report with another start time than the queried incarnation's shows a later one, as the request was sent after that was known. Tests: unanswered_start_beside_many_ends_is_accounted_for and incarnation_with_an_earlier_start_time_is_taken_in, red before.

--- a/crates/jobs/src/pool/report.rs
+++ b/crates/jobs/src/pool/report.rs
@@ -94,7 +94,11 @@
             worker.runs.values().all(|run| match run.executor {
                 Executor::Reported => true,
                 Executor::Answered { clock_ms, at } => worker.is_clock_continued(clock_ms, at),
-                Executor::Unknown => run.origin == Origin::CarriedOver,
+                // After its deadline, the reported incarnation has executed the start or never will.
+                Executor::Unknown => {
+                    let is_overdue = |(clock_ms, _)| clock_ms > run.start_until_ms;
+                    run.origin == Origin::CarriedOver || worker.clock.is_some_and(is_overdue)
+                }
             })
         })
     }
@@ -138,8 +142,8 @@
             worker.info.started_ms = worker.info.started_ms.or(report.started_ms);
             return true;
         };
-        let is_later = queried < reported;
-        if is_later {
+        // The request was sent to an incarnation that was known by then, so any other one is later, whatever its wall clock says.
+        if queried != reported {
             let info = worker.info.of_later_incarnation(report.started_ms);
             let incarnation = self.begin_incarnation(worker_ref, info, now);
             if let Some(worker) = self.workers.get_mut(&incarnation) {
--- a/crates/jobs/tests/beliefs.rs
+++ b/crates/jobs/tests/beliefs.rs
@@ -267,6 +267,7 @@
         "run 8 may have ended as done"
     );
     // Its leases are extended, so the time for which it is awaited at most means nothing any more.
+    pool.lease_offered(w1, 83_000, at(19_000));
     assert_eq!(starts(&mut pool, at(20_000)), [], "w1 has more to report");
     let rest = Report {
         ended: vec![end(ENDS_PER_REPORT + 1, &job().to_string(), RunEnd::Done)],
@@ -356,7 +357,7 @@
     pool.submit(record(), Duration::ZERO, at(10));
     let orders = starts(&mut pool, at(10));
     let run = orders.first().expect("a start on w1").run;
-    pool.start_unanswered(w1, task(), run, at(510));
+    pool.start_unanswered(w1, &"w1".into(), task(), run, at(510));
     pool.start_answered(w1, task(), run, StartAnswer::Unknown, at(1_010));
     pool.mark_unresponsive(w1, at(1_010));
     // All leases are over, and the registry has dropped it.
@@ -393,7 +394,7 @@
     pool.submit(record(), Duration::ZERO, at(10));
     let orders = starts(&mut pool, at(10));
     let run = orders.first().expect("a start on w1").run;
-    pool.start_unanswered(w1, task(), run, at(510));
+    pool.start_unanswered(w1, &"w1".into(), task(), run, at(510));
     pool.start_answered(w1, task(), run, StartAnswer::Unknown, at(1_010));
     for restart in 1..=6 {
         let now = at(restart * 2_000);
@@ -428,7 +429,7 @@
         ..info("w1", 300, "a")
     };
     list(&mut pool, vec![small, info("w2", 1, "b")], at(400));
-    pool.start_unanswered(w1, task(), run, at(510));
+    pool.start_unanswered(w1, &"w1".into(), task(), run, at(510));
     pool.start_answered(w1, task(), run, StartAnswer::Unknown, at(510));
     let w1 = present(&pool, "w1");
     assert_eq!(starts(&mut pool, at(520)), [], "run 1 is stopped first");
@@ -465,3 +466,254 @@
         "w1 may execute the start of run 1: stops {stops:?}"
     );
 }
+
+/// Guards against a copy of a start that is forgotten: it is given up once the plan has removed the incarnation that it was sent to.
+#[test]
+fn start_pending_at_a_restart_is_known_after_its_worker_was_removed() {
+    let began_at = Instant::now();
+    let at = |ms| after_ms(began_at, ms);
+    let mut pool = pool(7);
+    list(&mut pool, vec![info("w1", 1, "a")], at(0));
+    let w1 = present(&pool, "w1");
+    pool.report(w1, at(0), report(50_000, 1), at(10));
+    pool.submit(record(), Duration::ZERO, at(10));
+    let run = starts(&mut pool, at(10)).remove(0).run;
+    let small = |started_ms| WorkerInfo {
+        capacity: Resources::default(),
+        ..info("w1", started_ms, "a")
+    };
+    list(&mut pool, vec![small(300), info("w2", 1, "b")], at(400));
+    pool.plan(at(410), 0);
+    pool.start_unanswered(w1, &"w1".into(), task(), run, at(510));
+    pool.start_answered(w1, task(), run, StartAnswer::Unknown, at(510));
+    let w1 = present(&pool, "w1");
+    assert_eq!(starts(&mut pool, at(520)), [], "run 1 is stopped first");
+    pool.stop_confirmed(w1, task(), run, at(530));
+    let w2 = present(&pool, "w2");
+    pool.report(w2, at(530), report(60_000, 1), at(540));
+    pool.report(w1, at(540), report(240, 300), at(550));
+    // Run 1 is absent. w1 restarts before the task is started elsewhere.
+    list(&mut pool, vec![small(555), info("w2", 1, "b")], at(556));
+    assert_eq!(
+        starts(&mut pool, at(560)),
+        [],
+        "the third incarnation may execute the copy of run 1"
+    );
+}
+
+/// Guards against a task on two workers: the copy of a start that had no answer is executed by an unnoticed incarnation, after the other copy
+/// was executed by the known one.
+#[test]
+fn late_copy_of_a_reported_run_is_waited_for() {
+    let began_at = Instant::now();
+    let at = |ms| after_ms(began_at, ms);
+    let mut pool = pool(7);
+    let listed = || vec![info("w1", 1, "a"), info("w2", 1, "b")];
+    list(&mut pool, listed(), at(0));
+    let w1 = present(&pool, "w1");
+    pool.report(w1, at(0), report(50_000, 1), at(10));
+    pool.submit(record(), Duration::ZERO, at(10));
+    let run = starts(&mut pool, at(10)).remove(0).run;
+    pool.start_unanswered(w1, &"w1".into(), task(), run, at(510));
+    pool.start_answered(w1, task(), run, StartAnswer::Started, at(520));
+    pool.start_clock_read(w1, task(), run, 50_510, at(520));
+    pool.lease_offered(w1, 53_520, at(525));
+    pool.report(w1, at(525), report_of(50_520, 1, run), at(530));
+    // w1 crashes at 600 ms, is back unnoticed at 700 ms, and executes the first copy at 800 ms: until 10,800 ms.
+    pool.mark_unresponsive(w1, at(1_300));
+    let w2 = present(&pool, "w2");
+    for ms in (1_400..=10_600).step_by(400) {
+        list(&mut pool, listed(), at(ms));
+        pool.report(w2, at(ms), report(60_000 + ms, 1), at(ms));
+        assert_eq!(
+            starts(&mut pool, at(ms)),
+            [],
+            "w1 executes run 1, at {ms} ms"
+        );
+    }
+}
+
+/// Guards against ends that are never acknowledged: with as many ends as fit into a report, none accounts for a start that had no answer.
+#[test]
+fn unanswered_start_beside_many_ends_is_accounted_for() {
+    let began_at = Instant::now();
+    let at = |ms| after_ms(began_at, ms);
+    let mut pool = pool(7);
+    list(&mut pool, vec![info("w1", 1, "a")], at(0));
+    let w1 = present(&pool, "w1");
+    pool.report(w1, at(0), report(50_000, 1), at(10));
+    pool.submit(record(), Duration::ZERO, at(10));
+    let run = starts(&mut pool, at(10)).remove(0).run;
+    pool.start_unanswered(w1, &"w1".into(), task(), run, at(510));
+    pool.start_unanswered(w1, &"w1".into(), task(), run, at(1_010));
+    pool.start_answered(w1, task(), run, StartAnswer::Unknown, at(1_010));
+    // Neither copy was executed. The worker lists 500 ends until they are acknowledged, as `follow_worker` does not while
+    // `are_starts_accounted_for` is false; meanwhile its leases are extended.
+    for ms in (1_100..=120_000).step_by(80) {
+        let ends = (1..=500).map(|number| EndRow {
+            number,
+            task: "00000000000000b1.0.0.0".parse().expect("a task"),
+            run: RunNumber(8),
+            end: RunEnd::Failed,
+            checkpoint: None,
+        });
+        let listed = Report {
+            ended: ends.collect(),
+            ..report(50_000 + ms, 1)
+        };
+        pool.lease_offered(w1, 53_000 + ms, at(ms));
+        pool.report(w1, at(ms), listed, at(ms + 5));
+        pool.plan(at(ms + 10), 0);
+        if pool.are_starts_accounted_for(w1) {
+            return;
+        }
+    }
+    panic!("no end is acknowledged for two minutes");
+}
+
+/// Guards against a takeover that never ends: a worker is heard once, lists as many ends as fit, and is cut off.
+#[test]
+fn heard_worker_that_is_cut_off_is_not_awaited_for_ever() {
+    let began_at = Instant::now();
+    let at = |ms| after_ms(began_at, ms);
+    let mut pool = taken_over(&["w1"], 1, at(0));
+    let listed = || vec![info("w1", 1, "a"), info("w2", 1, "b")];
+    list(&mut pool, listed(), at(10));
+    let (w1, w2) = (present(&pool, "w1"), present(&pool, "w2"));
+    let ends = (1..=500).map(|number| EndRow {
+        number,
+        task: "00000000000000b1.0.0.0".parse().expect("a task"),
+        run: RunNumber(8),
+        end: RunEnd::Failed,
+        checkpoint: None,
+    });
+    let first = Report {
+        ended: ends.collect(),
+        ..report(60_000, 1)
+    };
+    pool.report(w1, at(10), first, at(20));
+    pool.mark_unresponsive(w1, at(1_000));
+    for ms in (1_000..=120_000).step_by(400) {
+        list(&mut pool, listed(), at(ms));
+        pool.report(w2, at(ms), report(60_000 + ms, 1), at(ms));
+        if !starts(&mut pool, at(ms)).is_empty() {
+            return;
+        }
+    }
+    panic!(
+        "the task does not start for two minutes, though all leases of w1 are over after some ten seconds"
+    );
+}
+
+/// Guards against a loss of a run that has ended: it is carried over to later incarnations, as a copy of its start had no answer.
+#[test]
+fn run_whose_end_was_reported_is_not_lost_later() {
+    let began_at = Instant::now();
+    let at = |ms| after_ms(began_at, ms);
+    let mut pool = pool(7);
+    list(&mut pool, vec![info("w1", 1, "a")], at(0));
+    let w1 = present(&pool, "w1");
+    pool.report(w1, at(0), report(50_000, 1), at(10));
+    pool.submit(record(), Duration::ZERO, at(10));
+    let run = starts(&mut pool, at(10)).remove(0).run;
+    pool.start_unanswered(w1, &"w1".into(), task(), run, at(510));
+    pool.start_answered(w1, task(), run, StartAnswer::Started, at(520));
+    let failed = EndRow {
+        number: 1,
+        task: task(),
+        run,
+        end: RunEnd::Failed,
+        checkpoint: None,
+    };
+    let ended = Report {
+        ended: vec![failed],
+        ..report(51_000, 1)
+    };
+    pool.report(w1, at(530), ended, at(1_000));
+    list(&mut pool, vec![info("w1", 60_000, "a")], at(60_000));
+    list(&mut pool, vec![info("w1", 62_000, "a")], at(62_000));
+    let suspects = pool.jobs()[&job()].to_suspects().into_iter();
+    let runs = suspects.flat_map(|suspects| suspects.tasks);
+    let runs: Vec<_> = runs.flat_map(|task| task.runs).collect();
+    assert!(runs.is_empty(), "its end was reported: {runs:?}");
+}
+
+/// Guards against a task on two workers: a request for a report that had no answer is executed seconds later by an unnoticed incarnation.
+#[test]
+fn late_request_to_an_unnoticed_incarnation_is_waited_for() {
+    let began_at = Instant::now();
+    let at = |ms| after_ms(began_at, ms);
+    let mut pool = pool(7);
+    let listed = || vec![info("w1", 1, "a"), info("w2", 1, "b")];
+    list(&mut pool, listed(), at(0));
+    let w1 = present(&pool, "w1");
+    pool.report(w1, at(0), report(50_000, 1), at(10));
+    pool.submit(record(), Duration::ZERO, at(10));
+    let run = starts(&mut pool, at(10)).remove(0).run;
+    pool.start_answered(w1, task(), run, StartAnswer::Started, at(20));
+    pool.start_clock_read(w1, task(), run, 12, at(20));
+    pool.lease_offered(w1, 53_030, at(30));
+    pool.mark_unresponsive(w1, at(1_300));
+    let w2 = present(&pool, "w2");
+    // The request of 30 ms is executed at 3,030 ms: until 13,030 ms.
+    for ms in (1_400..=12_900).step_by(100) {
+        list(&mut pool, listed(), at(ms));
+        pool.report(w2, at(ms), report(60_000 + ms, 1), at(ms));
+        assert_eq!(
+            starts(&mut pool, at(ms)),
+            [],
+            "w1 executes run 1, at {ms} ms"
+        );
+    }
+}
+
+/// Guards against a worker that is never used again: its wall clock was set back before it restarted.
+#[test]
+fn incarnation_with_an_earlier_start_time_is_taken_in() {
+    let began_at = Instant::now();
+    let at = |ms| after_ms(began_at, ms);
+    let mut pool = pool(7);
+    list(&mut pool, vec![info("w1", 5_000, "a")], at(0));
+    let w1 = present(&pool, "w1");
+    pool.report(w1, at(0), report(50_000, 5_000), at(10));
+    pool.submit(record(), Duration::ZERO, at(10));
+    let run = starts(&mut pool, at(10)).remove(0).run;
+    pool.start_answered(w1, task(), run, StartAnswer::Started, at(20));
+    pool.report(w1, at(20), report_of(50_030, 5_000, run), at(30));
+    for ms in (1_000..=60_000).step_by(400) {
+        list(&mut pool, vec![info("w1", 4_000, "a")], at(ms));
+        let w1 = present(&pool, "w1");
+        pool.lease_offered(w1, 53_000 + ms, at(ms));
+        pool.report(w1, at(ms), report(ms, 4_000), at(ms + 5));
+        if !starts(&mut pool, at(ms + 10)).is_empty() {
+            return;
+        }
+    }
+    panic!("the task runs nowhere for a minute, and w1 answers");
+}
+
+/// Guards against a stray lease that is forgotten: a list from before the restart lacks the worker, whose present incarnation
+/// counts as gone and is found again.
+#[test]
+fn stray_lease_is_known_after_a_list_without_the_worker() {
+    let began_at = Instant::now();
+    let at = |ms| after_ms(began_at, ms);
+    let mut pool = pool(7);
+    list(&mut pool, vec![info("w1", 1, "a")], at(0));
+    let w1 = present(&pool, "w1");
+    pool.report(w1, at(0), report(50_000, 1), at(10));
+    // The answer shows a later incarnation, which has carried out the request: its lease is as long as workers grant.
+    pool.report(w1, at(600), report(500, 500), at(1_100));
+    list(&mut pool, vec![info("w2", 1, "b")], at(1_200));
+    pool.plan(at(1_210), 0);
+    list(
+        &mut pool,
+        vec![info("w1", 500, "a"), info("w2", 1, "b")],
+        at(1_800),
+    );
+    let w1 = present(&pool, "w1");
+    assert!(
+        pool.workers()[&w1].may_hold_stray_lease(),
+        "the same incarnation as before"
+    );
+}
