grid: a start is not sent again once its run has been accounted for

What callers may see: a task that runs again after its end, or on two workers (TWICE). Change: a further attempt is sent only while the run may be executing.

--- a/crates/grid/src/pool/commands.rs
+++ b/crates/grid/src/pool/commands.rs
@@ -155,6 +155,10 @@
             let Some(to) = self.recipient(order.worker) else {
                 break;
             };
+            if is_sent && !self.pool.borrow().may_execute(&order) {
+                // A report has accounted for it, and its task may have been started elsewhere.
+                break;
+            }
             if !self.may_send_commands() {
                 if !is_sent {
                     answer = StartAnswer::TooLate;
