jobs, grid: a job that is set aside keeps its runs and their ends

What callers may see: a task that runs again after its end (TWICE), once a holder that can read a job's progress follows one that can't. Cause: the latter treated the job as unknown, stopped its runs and acknowledged their ends; nor did it keep what is stored of a job whose record it can't decode. Change: the pool knows which jobs are set aside; their runs are not stopped, ends from the first of theirs on stay unacknowledged, and their keys stay. Test: end_of_a_job_that_is_set_aside_is_not_forgotten, red before.

--- a/crates/grid/src/keys/mod.rs
+++ b/crates/grid/src/keys/mod.rs
@@ -116,6 +116,10 @@
     /// commands to them may still be carried out. Older versions did not write it.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub started_ms: BTreeMap<WorkerId, u64>,
+    /// The same of present incarnations that may be used while `started_ms` still has the one before, whose losses are not stored
+    /// yet. Older versions did not write it.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub present_ms: BTreeMap<WorkerId, u64>,
     /// The workers that may hold a lease longer than `lease_ms`, because a command to an earlier incarnation may have
     /// extended it. Older versions did not write it: then any worker may.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -134,6 +138,7 @@
         let is_rest_equal = (&self.workers, self.lease_ms) == (&wanted.workers, wanted.lease_ms);
         let mut incarnations = wanted.started_ms.iter();
         let are_known = incarnations.all(|(id, at)| self.started_ms.get(id) == Some(at));
+        let are_known = are_known && self.present_ms == wanted.present_ms;
         is_rest_equal && are_known && wanted_strays.is_subset(stored) && !is_cleared
     }
 
@@ -241,6 +246,13 @@
     format!("in/{pool}/job/{id}").into()
 }
 
+/// The job whose submission a key holds; the inverse of [`submitted`]. `None` for other keys.
+#[must_use]
+pub fn submitted_id(key: &str) -> Option<JobId> {
+    let (of_pool, id) = key.rsplit_once('/')?;
+    of_pool.ends_with("/job").then(|| id.parse().ok())?
+}
+
 /// The key of the VMs of a pool that are to be evacuated.
 #[must_use]
 pub fn evacuation(pool: &PoolName) -> Box<str> {
--- a/crates/grid/src/pool/inbox.rs
+++ b/crates/grid/src/pool/inbox.rs
@@ -66,7 +66,7 @@
         let Some(record) = self.read_record(item) else {
             return;
         };
-        if self.set_aside.borrow().contains(&record.id) && !record.is_cancelled {
+        if self.pool.borrow().is_set_aside(record.id) && !record.is_cancelled {
             return;
         }
         if self.has_closed(record.id, item) {
--- a/crates/grid/src/pool/load.rs
+++ b/crates/grid/src/pool/load.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
-use goldcrest_jobs::id::JobId;
+use goldcrest_jobs::id::{JobId, WorkerId};
 use goldcrest_jobs::pool::InheritedIncarnations;
 use goldcrest_jobs::progress::Progress;
 use goldcrest_jobs::spec::JobRecord;
@@ -54,6 +54,7 @@
         let mut by_key: HashMap<Box<str>, Item> =
             items.map(|item| (item.key.clone(), item)).collect();
         let mut jobs = Vec::new();
+        let mut set_aside = Vec::new();
         let mut suspects: Vec<(JobId, SuspectTasks)> = Vec::new();
         for item in inbox.items {
             if item.key == keys::evacuation(&self.name) {
@@ -61,6 +62,11 @@
                 continue;
             }
             let Some(record) = self.read_record(&item) else {
+                if let Some(id) = keys::submitted_id(&item.key) {
+                    // What is stored of it is left to a version that can read the record.
+                    by_key.remove(&keys::suspects(&self.name, id));
+                    set_aside.push(id);
+                }
                 continue;
             };
             self.assume_status(&item, &record);
@@ -70,7 +76,7 @@
             let of_job = self.decode_stored::<SuspectTasks>(of_job);
             let (Ok(progress), Ok(of_job)) = (progress, of_job) else {
                 log::error!(target: "scheduler", job:% = record.id, pool:% = self.name; "Job set aside: what is stored of its runs can't be decoded; cancel the job, or let a version that wrote it take over.");
-                self.set_aside.borrow_mut().insert(record.id);
+                set_aside.push(record.id);
                 continue;
             };
             let (progress, of_job) = (progress.unwrap_or_default(), of_job.unwrap_or_default());
@@ -85,17 +91,8 @@
             let age = self.age(&record);
             jobs.push((record, progress, age));
         }
-        let assigned_workers = match assigned_workers {
-            Ok(assigned_workers) => assigned_workers.unwrap_or_default(),
-            // Any worker that a job has met may have runs, with any lease.
-            Err(Undecodable) => AssignedWorkers {
-                workers: jobs
-                    .iter()
-                    .flat_map(|(_, progress, _)| progress.workers.iter().cloned())
-                    .collect(),
-                ..AssignedWorkers::default()
-            },
-        };
+        let met = jobs.iter().flat_map(|(_, progress, _)| &progress.workers);
+        let assigned_workers = assigned_workers_or_any(assigned_workers, met);
         let now = self.now();
         log::info!(
             target: "scheduler",
@@ -111,11 +108,13 @@
             workers,
             lease_ms,
             started_ms,
+            present_ms,
             stray_leases,
         } = assigned_workers.clone();
         let incarnations = InheritedIncarnations {
             has_predecessor: !is_first,
             started_ms,
+            present_ms,
             stray_leases,
         };
         *self.assigned_workers.borrow_mut() = assigned_workers;
@@ -125,6 +124,9 @@
         let mut pool = self.pool.borrow_mut();
         pool.take_over(jobs, workers, lease, now);
         pool.inherit_incarnations(incarnations, now);
+        for job in set_aside {
+            pool.set_aside(job);
+        }
         for (job, suspects) in suspects {
             pool.inherit_suspects(job, suspects, now);
         }
@@ -206,3 +208,17 @@
         }
     }
 }
+
+/// The assigned workers. If they can't be decoded, any worker that a job has met may have runs, with any lease.
+fn assigned_workers_or_any<'a>(
+    stored: Result<Option<AssignedWorkers>, Undecodable>,
+    met: impl Iterator<Item = &'a WorkerId>,
+) -> AssignedWorkers {
+    match stored {
+        Ok(stored) => stored.unwrap_or_default(),
+        Err(Undecodable) => AssignedWorkers {
+            workers: met.cloned().collect(),
+            ..AssignedWorkers::default()
+        },
+    }
+}
--- a/crates/grid/src/pool/mod.rs
+++ b/crates/grid/src/pool/mod.rs
@@ -58,8 +58,6 @@
     stored: RefCell<HashMap<Box<str>, Stored>>,
     /// For each open job, what is stored of its starts. No start is sent before it is recorded here.
     recorded_starts: RefCell<HashMap<JobId, RecordedStarts>>,
-    /// Jobs of which it is not known what an earlier scheduler has started. Nothing of them is started.
-    set_aside: RefCell<BTreeSet<JobId>>,
     /// Stored unreported runs of jobs that are not open, with their revisions. They are removed with the next save.
     orphans: RefCell<Vec<(Box<str>, Revision)>>,
     /// Jobs whose removal from the store is committed, with the time and the revision of the commit.
@@ -164,7 +162,6 @@
         unsaved: Notify::new(),
         stored: RefCell::default(),
         recorded_starts: RefCell::default(),
-        set_aside: RefCell::default(),
         orphans: RefCell::default(),
         closed: RefCell::default(),
         saves_requested: Cell::new(0),
--- a/crates/grid/src/pool/reports.rs
+++ b/crates/grid/src/pool/reports.rs
@@ -159,24 +159,24 @@
                         log::info!(target: "scheduler", worker:% = to.worker, failures; "Worker answers again.");
                     }
                     failures = 0;
-                    let last = report.ended.iter().map(|end| end.number).max();
                     let arrived_at = self.now();
-                    let has_ends = {
+                    let (has_ends, last) = {
                         let mut pool = self.pool.borrow_mut();
+                        let last = pool.last_to_acknowledge(&report.ended);
                         let awaited = pool.entries_awaited();
                         let has_ends = pool.report(worker, now, report, arrived_at);
                         if pool.entries_awaited() > awaited {
                             self.entry.registry_stale.notify_one();
                         }
-                        has_ends
+                        (has_ends, last)
                     };
                     self.log_events();
                     self.mark_changed();
                     to_acknowledge = 0;
                     has_unacknowledged = has_ends;
                     if has_ends && self.wait_saved(SAVE_TIMEOUT).await {
-                        if self.wait_accounted_for(worker).await {
-                            to_acknowledge = last.unwrap_or_default();
+                        if last > 0 && self.wait_accounted_for(worker).await {
+                            to_acknowledge = last;
                             has_unacknowledged = false;
                         } else {
                             tokio::time::sleep(UNACKNOWLEDGED_PAUSE).await;
--- a/crates/grid/src/pool/save.rs
+++ b/crates/grid/src/pool/save.rs
@@ -5,7 +5,7 @@
 //! replaced scheduler nor a transaction that is carried out late can overwrite newer content. A conflict returns the
 //! present content of the keys, from which the next attempt starts.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -434,6 +434,7 @@
                 present()
                     .filter_map(|worker| Some((worker.info.id.clone(), worker.info.started_ms?))),
             );
+            let mut present_ms = BTreeMap::new();
             let stray = present().filter(|worker| worker.may_hold_stray_lease());
             let mut stray_leases: BTreeSet<_> =
                 stray.map(|worker| worker.info.id.clone()).collect();
@@ -452,14 +453,18 @@
                 if is_absent && stored_strays.is_none_or(|strays| strays.contains(id)) {
                     stray_leases.insert(id.clone());
                 }
-                if let Some(at) = stored.started_ms.get(id) {
-                    started_ms.insert(id.clone(), *at);
+                if let Some(at) = stored.started_ms.get(id)
+                    && let Some(present) = started_ms.insert(id.clone(), *at)
+                    && present != *at
+                {
+                    present_ms.insert(id.clone(), present);
                 }
             }
             let assigned_workers = AssignedWorkers {
                 workers,
                 lease_ms: Some(pool.lease_bound().longest_ms(self.now())),
                 started_ms,
+                present_ms,
                 stray_leases: Some(stray_leases),
             };
             (assigned_workers, pool.workers_without_token(), is_settled)
--- a/crates/grid/tests/entry/left_open.rs
+++ b/crates/grid/tests/entry/left_open.rs
@@ -571,3 +571,78 @@
         .await;
     }
 }
+
+/// Guards against a task that runs again after its end: the holder that can't decode a job's progress sets the job aside, takes in the end of its task, and acknowledges it. The
+/// next holder can decode the progress, as the error message advises, and the task runs again after its end.
+#[tokio::test(start_paused = true)]
+async fn end_of_a_job_that_is_set_aside_is_not_forgotten() {
+    local(async {
+        let bed = Bed::new(2);
+        let (holder, other) = start(&bed).await;
+        let since = Instant::now();
+        let spec = job("ms=2500", &[1, 1]);
+        assert_eq!(bed.submit(other, ID, spec).await, Reply::Accepted);
+        running_worker(&bed).await;
+        sleep(ms(1_000)).await;
+        let key = "run/p/00000000000000a1";
+        let stored = bed
+            .world
+            .table
+            .borrow()
+            .get(key)
+            .map(|item| item.value.clone());
+        bed.kill(&holder);
+        spoil(&bed, key);
+        sleep(ms(10_000)).await;
+        // A holder that can decode it.
+        let txn = Txn {
+            puts: vec![Put {
+                key: key.into(),
+                value: stored.expect("progress is stored"),
+                lease: None,
+            }],
+            ..Txn::default()
+        };
+        assert!(
+            bed.world
+                .table
+                .borrow_mut()
+                .commit(&txn, Instant::now())
+                .is_ok()
+        );
+        bed.start(&holder);
+        sleep(ms(1_000)).await;
+        bed.kill(other);
+        sleep(ms(15_000)).await;
+        check_once(&bed, since, key);
+    })
+    .await;
+}
+
+/// As `unanswered_start_is_remembered_while_its_job_is_open`, but the worker restarts, noticed, while the start is pending.
+#[tokio::test(start_paused = true)]
+async fn start_pending_at_a_restart_is_remembered_while_its_job_is_open() {
+    for late_ms in [5_000, 20_000, 31_500] {
+        local(async move {
+            let bed = Bed::new(2);
+            let (holder, other) = start(&bed).await;
+            bed.world.crew.borrow_mut().set_capacity("w2", 500);
+            sleep(ms(1_000)).await;
+            let since = Instant::now();
+            bed.world.set_late_commands(&holder, Some(ms(late_ms)));
+            let spec = job("ms=90000", &[1]);
+            assert_eq!(bed.submit(other, ID, spec).await, Reply::Accepted);
+            sleep(ms(150)).await;
+            bed.world.set_late_commands(&holder, None);
+            bed.world.crew.borrow_mut().crash("w1", Instant::now());
+            sleep(ms(late_ms - 600)).await;
+            assert_eq!(running_worker(&bed).await, "w1", "{}", record(&bed, since));
+            bed.world.crew.borrow_mut().set_capacity("w2", 4_000);
+            bed.world.crew.borrow_mut().crash("w1", Instant::now());
+            cut_off(&bed, "w1");
+            sleep(ms(20_000)).await;
+            check_once(&bed, since, &format!("{late_ms} ms late"));
+        })
+        .await;
+    }
+}
--- a/crates/grid/tests/stored.rs
+++ b/crates/grid/tests/stored.rs
@@ -76,6 +76,7 @@
         workers: [WorkerId::from("w1")].into(),
         lease_ms: Some(3_000),
         started_ms: [(WorkerId::from("w1"), 7)].into(),
+        present_ms: [(WorkerId::from("w1"), 9)].into(),
         stray_leases: Some([WorkerId::from("w1")].into()),
     };
     let old: OldAssignedWorkers =
@@ -83,7 +84,9 @@
     assert_eq!(old.workers, [WorkerId::from("w1")]);
     let back: AssignedWorkers =
         keys::decode("k", &keys::encode(&old)).expect("the new version reads it");
-    assert_eq!((back.workers, back.lease_ms), (new.workers, None));
+    assert_eq!((&back.workers, back.lease_ms), (&new.workers, None));
+    assert!(back.present_ms.is_empty());
+    assert_eq!(keys::decode("k", &keys::encode(&new)), Ok(new));
 }
 
 /// The version before tombstones shows one as a cancelled job, and accepts no submission of it either.
--- a/crates/jobs/src/pool/ingest.rs
+++ b/crates/jobs/src/pool/ingest.rs
@@ -36,6 +36,7 @@
             }
             return;
         }
+        self.set_aside.remove(&record.id);
         let job = self.open(record, age, now);
         if job.outcome.is_some() {
             self.unsaved.insert(job.id());
@@ -408,7 +409,12 @@
             return;
         };
         let id = worker.info.id.clone();
-        let stored_ms = self.inherited.started_ms.get(&id).copied();
+        let inherited = &self.inherited;
+        let stored_ms = inherited
+            .present_ms
+            .get(&id)
+            .or(inherited.started_ms.get(&id));
+        let stored_ms = stored_ms.copied();
         let has_ended = stored_ms.is_some() && worker.info.started_ms >= stored_ms;
         if has_ended && takeover.awaited.remove(&id).is_some() {
             self.events.push(Event::Awaited {
--- a/crates/jobs/src/pool/lifecycle.rs
+++ b/crates/jobs/src/pool/lifecycle.rs
@@ -38,7 +38,8 @@
 fn stop_reason(pool: &Pool, key: RunKey) -> Option<StopReason> {
     let (task_id, run) = key;
     let Some(job) = pool.jobs.get(&task_id.step.job) else {
-        return Some(StopReason::JobEnded);
+        let is_set_aside = pool.is_set_aside(task_id.step.job);
+        return (!is_set_aside).then_some(StopReason::JobEnded);
     };
     if job.outcome.is_some() {
         return Some(StopReason::JobEnded);
--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -228,6 +228,8 @@
     pub has_predecessor: bool,
     /// When each worker's incarnation started, in milliseconds since 1970, if it states it.
     pub started_ms: BTreeMap<WorkerId, u64>,
+    /// The same of later incarnations that the scheduler may have used as well.
+    pub present_ms: BTreeMap<WorkerId, u64>,
     /// The workers that may hold a lease which a command to an earlier incarnation has extended. Absent if the scheduler
     /// did not know, nor which incarnations had departed: any worker may.
     pub stray_leases: Option<BTreeSet<WorkerId>>,
@@ -267,6 +269,8 @@
     workers_made: usize,
     by_id: HashMap<WorkerId, WorkerRef>,
     jobs: BTreeMap<JobId, Job>,
+    /// Open jobs of which it is not known what an earlier scheduler has started. Their runs go on.
+    set_aside: BTreeSet<JobId>,
     usage: BTreeMap<TeamName, Resources>,
     /// What runs of an earlier scheduler may reserve that no worker has reported, by team, as of the last plan.
     unknown_usage: BTreeMap<TeamName, Resources>,
@@ -331,6 +335,7 @@
             workers_made: 0,
             by_id: HashMap::new(),
             jobs: BTreeMap::new(),
+            set_aside: BTreeSet::new(),
             usage: BTreeMap::new(),
             unknown_usage: BTreeMap::new(),
             allowance: BTreeMap::new(),
@@ -527,6 +532,25 @@
         }
     }
 
+    /// Whether the run of a start may be executing.
+    #[must_use]
+    pub fn may_execute(&self, start: &StartCommand) -> bool {
+        let worker = self.workers.get(&start.worker);
+        worker.is_some_and(|worker| worker.runs.contains_key(&(start.task, start.run)))
+    }
+
+    /// Sets a job aside, as it is not known what an earlier scheduler has started of it: nothing is started, stopped or
+    /// acknowledged until it is cancelled.
+    pub fn set_aside(&mut self, job: JobId) {
+        self.set_aside.insert(job);
+    }
+
+    /// Whether a job was set aside.
+    #[must_use]
+    pub fn is_set_aside(&self, job: JobId) -> bool {
+        self.set_aside.contains(&job)
+    }
+
     /// Whether a run of a job may be executing, also one of an occurrence that is done.
     fn has_runs_of(&self, job: JobId) -> bool {
         let first = StepId {
--- a/crates/jobs/src/pool/report.rs
+++ b/crates/jobs/src/pool/report.rs
@@ -103,6 +103,21 @@
         })
     }
 
+    /// The number of the last of a report's ends that may be acknowledged, once their effects are saved. An end of a job that
+    /// was set aside stays listed for a scheduler that knows the job.
+    #[must_use]
+    pub fn last_to_acknowledge(&self, ended: &[EndRow]) -> u64 {
+        let of_set_aside = ended
+            .iter()
+            .filter(|end| self.is_set_aside(end.task.step.job));
+        let first = of_set_aside.map(|end| end.number).min();
+        let mut numbers = ended.iter().map(|end| end.number);
+        let last = numbers
+            .by_ref()
+            .filter(|number| first.is_none_or(|first| *number < first));
+        last.max().unwrap_or_default()
+    }
+
     /// Stops awaiting a worker after a takeover: a whole report of it has accounted for all runs of earlier schedulers, and it
     /// refuses their commands.
     fn account_for(&mut self, worker_ref: WorkerRef, started_ms: Option<u64>) {
--- a/crates/jobs/tests/beliefs.rs
+++ b/crates/jobs/tests/beliefs.rs
@@ -2,7 +2,7 @@
 
 mod one_pool;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use goldcrest_jobs::id::{FencingToken, JobId, RunNumber, TaskId, WorkerId, WorkerRef};
@@ -150,6 +150,16 @@
 /// Takes a job over that the predecessor has started on `w1`, in the incarnation that began at `started_ms`; `w2` may
 /// execute it as well if `used` contains it.
 fn taken_over(used: &[&str], started_ms: u64, now: Instant) -> Pool {
+    taken_over_with(used, started_ms, BTreeMap::new(), now)
+}
+
+/// The same; the predecessor may have used later incarnations as well, whose start times are given.
+fn taken_over_with(
+    used: &[&str],
+    started_ms: u64,
+    present_ms: BTreeMap<WorkerId, u64>,
+    now: Instant,
+) -> Pool {
     let mut pool = pool(30);
     let workers: BTreeSet<WorkerId> = used.iter().map(|id| WorkerId::from(*id)).collect();
     let progress = Progress {
@@ -165,6 +175,7 @@
             .iter()
             .map(|id| (WorkerId::from(*id), started_ms))
             .collect(),
+        present_ms,
         stray_leases: Some(BTreeSet::new()),
     };
     pool.inherit_incarnations(inherited, now);
@@ -717,3 +728,22 @@
         "the same incarnation as before"
     );
 }
+
+/// Guards against a task on two workers: the predecessor has stored the incarnation whose losses it had not saved yet, and used the
+/// next one. That another worker answers at the address of the former says nothing about the latter.
+#[test]
+fn address_of_the_stored_incarnation_proves_nothing_of_the_present_one() {
+    let began_at = Instant::now();
+    let at = |ms| after_ms(began_at, ms);
+    let present_ms = BTreeMap::from([("w1".into(), 500)]);
+    let mut pool = taken_over_with(&["w1"], 1, present_ms, at(0));
+    list(
+        &mut pool,
+        vec![info("w1", 1, "a"), info("w2", 1, "b")],
+        at(10),
+    );
+    let (w1, w2) = (present(&pool, "w1"), present(&pool, "w2"));
+    pool.worker_replaced(w1, at(20));
+    pool.report(w2, at(10), report(60_000, 1), at(20));
+    assert_eq!(starts(&mut pool, at(30)), [], "w1 may execute a run");
+}
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -135,6 +135,7 @@
                 let inherited = InheritedIncarnations {
                     has_predecessor: true,
                     started_ms: BTreeMap::new(),
+                    present_ms: BTreeMap::new(),
                     stray_leases: Some(BTreeSet::new()),
                 };
                 self.pool().inherit_incarnations(inherited, now);
--- a/crates/jobs/tests/crashing_fleet/mod.rs
+++ b/crates/jobs/tests/crashing_fleet/mod.rs
@@ -207,6 +207,7 @@
         let inherited = InheritedIncarnations {
             has_predecessor: true,
             started_ms: self.stored_workers.clone(),
+            present_ms: BTreeMap::new(),
             stray_leases: Some(self.stored_strays.clone()),
         };
         self.pool.inherit_incarnations(inherited, now);
--- a/crates/jobs/tests/incarnation.rs
+++ b/crates/jobs/tests/incarnation.rs
@@ -2,7 +2,7 @@
 
 mod one_pool;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use goldcrest_jobs::id::{JobId, WorkerId, WorkerRef};
@@ -148,6 +148,7 @@
         started_ms: [("w1", 1), ("w2", 1), ("gone", 1)]
             .map(|(id, started_ms)| (WorkerId::from(id), started_ms))
             .into(),
+        present_ms: BTreeMap::new(),
         stray_leases,
     };
     pool.inherit_incarnations(inherited, now);
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -2,7 +2,7 @@
 
 mod one_pool;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use goldcrest_jobs::id::{JobId, RunNumber, WorkerId};
@@ -126,6 +126,7 @@
     let inherited = InheritedIncarnations {
         has_predecessor: true,
         started_ms: [(WorkerId::from("w1"), 7)].into(),
+        present_ms: BTreeMap::new(),
         stray_leases: Some(BTreeSet::new()),
     };
     pool.inherit_incarnations(inherited, now);
