jobs: each answer to a copy of a start counts until a report that was requested later

Cause: the answer to the first copy of a start is lost, and a report lists its run. The worker restarts unnoticed, and its next incarnation carries out and answers the second copy. That answer's clock was thrown away, as the run was reported, and the run's lease was reckoned on the earlier clock; an acknowledgement could hide its end as well. Change: the last answer, or a copy that is given up, stands until a report lists the run that was requested after it: only then has the incarnation that the run is kept under been up later than the copy.

--- a/crates/grid/tests/entry/left_open.rs
+++ b/crates/grid/tests/entry/left_open.rs
@@ -646,3 +646,47 @@
         .await;
     }
 }
+
+/// Guards against a task on two workers, both started by one holder: both copies of a start are carried out at once. The answer to the first is lost, and a report lists the run; then the
+/// worker restarts unnoticed, and the second copy is carried out and answered by the next incarnation. Its clock is not taken in.
+#[tokio::test(start_paused = true)]
+async fn second_copy_on_an_unnoticed_incarnation_is_waited_for() {
+    let mut failed = Vec::new();
+    for phase_ms in (0..1_800).step_by(50) {
+        let (sender, receiver) = std::sync::mpsc::channel();
+        local(async move {
+            let bed = Bed::new(2);
+            let (holder, other) = start(&bed).await;
+            bed.world.crew.borrow_mut().set_capacity("w2", 500);
+            sleep(ms(1_000 + phase_ms)).await;
+            let since = Instant::now();
+            bed.world.set_late_commands(&holder, Some(ms(1)));
+            let spec = job("ms=8000", &[1]);
+            assert_eq!(bed.submit(other, ID, spec).await, Reply::Accepted);
+            sleep(ms(100)).await;
+            bed.world.set_late_commands(&holder, None);
+            sleep(ms(350)).await;
+            bed.world.crew.borrow_mut().set_registering("w1", false);
+            bed.world
+                .crew
+                .borrow_mut()
+                .crash_silently("w1", Instant::now());
+            sleep(ms(150)).await;
+            cut_off(&bed, "w1");
+            bed.world.crew.borrow_mut().set_capacity("w2", 4_000);
+            sleep(ms(20_000)).await;
+            assert_eq!(bed.holder(), holder);
+            if !bed.world.crew.borrow().doubled.is_empty() {
+                let _ = sender.send(format!("phase {phase_ms} ms\n{}", record(&bed, since)));
+            }
+        })
+        .await;
+        failed.extend(receiver.try_iter());
+    }
+    assert!(
+        failed.is_empty(),
+        "{} of 36: {}",
+        failed.len(),
+        failed.join("\n")
+    );
+}
--- a/crates/jobs/src/pool/ingest.rs
+++ b/crates/jobs/src/pool/ingest.rs
@@ -234,7 +234,7 @@
             run.stop_sent_at = None;
             run.closed_at = None;
             run.origin = Origin::CarriedOver;
-            run.executor = Executor::Unknown;
+            run.executor = Executor::Unknown { since: now };
         }
     }
 
@@ -578,9 +578,7 @@
         now: Instant,
     ) {
         let worker = self.workers.get_mut(&worker_ref);
-        if let Some(run) = worker.and_then(|worker| worker.runs.get_mut(&(task, run)))
-            && run.executor != Executor::Reported
-        {
+        if let Some(run) = worker.and_then(|worker| worker.runs.get_mut(&(task, run))) {
             run.executor = Executor::Answered { clock_ms, at: now };
         }
     }
@@ -598,6 +596,10 @@
         let key = (task, run);
         let starts = self.unanswered.entry(id.clone()).or_default();
         starts.insert(key, now);
+        let worker = self.workers.get_mut(&worker_ref);
+        if let Some(run) = worker.and_then(|worker| worker.runs.get_mut(&key)) {
+            run.executor = Executor::Unknown { since: now };
+        }
         let present = self.by_id.get(id).copied();
         // It may have restarted since the copy was sent.
         if let Some(present) = present.filter(|present| *present != worker_ref) {
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -310,7 +310,7 @@
         } else {
             Origin::Started
         },
-        executor: Executor::Unknown,
+        executor: Executor::Unknown { since: now },
         start_until_ms: until_ms,
         closed_at: None,
         stop_sent_at: None,
--- a/crates/jobs/src/pool/report.rs
+++ b/crates/jobs/src/pool/report.rs
@@ -75,7 +75,7 @@
         let mut listed = BTreeSet::new();
         for row in report.running {
             listed.insert((row.task, row.run));
-            self.ingest_running(worker_ref, row, now);
+            self.ingest_running(worker_ref, row, sent_at, now);
         }
         if !may_have_more {
             self.drop_unlisted(worker_ref, &listed, sent_at, clock_ms);
@@ -95,7 +95,7 @@
                 Executor::Reported => true,
                 Executor::Answered { clock_ms, at } => worker.is_clock_continued(clock_ms, at),
                 // After its deadline, the reported incarnation has executed the start or never will.
-                Executor::Unknown => {
+                Executor::Unknown { .. } => {
                     let is_overdue = |(clock_ms, _)| clock_ms > run.start_until_ms;
                     run.origin == Origin::CarriedOver || worker.clock.is_some_and(is_overdue)
                 }
@@ -305,7 +305,13 @@
         self.unsaved.insert(job_id);
     }
 
-    fn ingest_running(&mut self, worker_ref: WorkerRef, row: RunningRow, now: Instant) {
+    fn ingest_running(
+        &mut self,
+        worker_ref: WorkerRef,
+        row: RunningRow,
+        sent_at: Instant,
+        now: Instant,
+    ) {
         let key = (row.task, row.run);
         if self
             .workers
@@ -329,7 +335,9 @@
                 job.beginning = Beginning::Started;
             }
         }
-        run.executor = Executor::Reported;
+        if run.executor.is_shown_by(sent_at) {
+            run.executor = Executor::Reported;
+        }
         if row.percent != run.percent {
             run.progressed_at = now;
         }
--- a/crates/jobs/src/worker/mod.rs
+++ b/crates/jobs/src/worker/mod.rs
@@ -76,22 +76,38 @@
 /// What is known of the incarnation that may be executing a run, other than its id.
 ///
 /// A worker that is back under its id also carries out starts that were meant for its earlier incarnation. On its clock,
-/// their deadlines can lie as far ahead as it grants leases.
+/// their deadlines can lie as far ahead as it grants leases. Two copies of a start may be carried out by two incarnations, so
+/// each answer, and each copy that is given up, counts until a report that was requested later.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Executor {
-    /// Nothing: the start has had no answer.
-    Unknown,
-    /// The incarnation that answered the start. It may be a later one than the start was meant for.
+    /// Nothing: the start, or a copy of it, has had no answer.
+    Unknown {
+        /// When the start was planned or a copy was last given up.
+        since: Instant,
+    },
+    /// The incarnation that answered the start last. It may be a later one than the start was meant for.
     Answered {
         /// What its clock showed, in milliseconds.
         clock_ms: u64,
         /// The latest time at which the clock can have shown it.
         at: Instant,
     },
-    /// The incarnation that the run is kept under: a report of it has listed the run.
+    /// The incarnation that the run is kept under: a report of it lists the run, and was requested after the last answer.
     Reported,
 }
 
+impl Executor {
+    /// Whether a report that lists the run and was requested at `sent_at` shows which incarnation executes it.
+    #[must_use]
+    pub fn is_shown_by(self, sent_at: Instant) -> bool {
+        match self {
+            Self::Unknown { since } => sent_at > since,
+            Self::Answered { at, .. } => sent_at > at,
+            Self::Reported => true,
+        }
+    }
+}
+
 /// A run that may be executing.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Run {
@@ -517,7 +533,7 @@
         }
         let longest_at = self.lease_sent_at.map(|at| at + longest);
         match run.executor {
-            Executor::Unknown => longest_at,
+            Executor::Unknown { .. } => longest_at,
             Executor::Answered { clock_ms, at } => {
                 let by_clock = self.clock_reaches_leases_at(clock_ms, at);
                 Some(longest_at.map_or(by_clock, |longest_at| by_clock.min(longest_at)))
--- a/crates/jobs/tests/beliefs.rs
+++ b/crates/jobs/tests/beliefs.rs
@@ -747,3 +747,172 @@
     pool.report(w2, at(10), report(60_000, 1), at(20));
     assert_eq!(starts(&mut pool, at(30)), [], "w1 may execute a run");
 }
+
+/// A job with one best-effort task.
+fn best_effort_record() -> JobRecord {
+    let mut record = record();
+    record.spec.steps[0].features = vec![goldcrest_jobs::spec::Feature::BestEffort];
+    record
+}
+
+/// Guards against a belief without a proof: a predecessor has halted a best-effort run. Its successor finds the run, takes it for one at full speed, and never sends
+/// another speed.
+#[test]
+fn halted_run_of_a_predecessor_gets_speed_back() {
+    let began_at = Instant::now();
+    let at = |ms| after_ms(began_at, ms);
+    let mut pool = pool(30);
+    let workers: BTreeSet<WorkerId> = BTreeSet::from([WorkerId::from("w1")]);
+    let progress = Progress {
+        has_begun: true,
+        workers: workers.clone(),
+        ..Progress::default()
+    };
+    let jobs = vec![(best_effort_record(), progress, Duration::ZERO)];
+    pool.take_over(jobs, workers, Some(LEASE), at(0));
+    pool.inherit_incarnations(
+        InheritedIncarnations {
+            has_predecessor: true,
+            started_ms: [(WorkerId::from("w1"), 1)].into(),
+            present_ms: BTreeMap::new(),
+            stray_leases: Some(BTreeSet::new()),
+        },
+        at(0),
+    );
+    list(&mut pool, vec![info("w1", 1, "a")], at(10));
+    let w1 = present(&pool, "w1");
+    for ms in (100..=60_000).step_by(400) {
+        // Halted: the percentage stays as it is, and no processor is used.
+        let mut halted = report_of(50_000 + ms, 1, RunNumber(8));
+        halted.running[0].load = 0.0;
+        pool.report(w1, at(ms), halted, at(ms + 5));
+        let commands = pool.plan(at(ms + 10), 0);
+        if commands
+            .iter()
+            .any(|command| !matches!(command, Command::Start(_)))
+        {
+            return;
+        }
+    }
+    panic!("the run stays halted for a minute beside no service");
+}
+
+/// Guards against a belief without a proof: a throttle without an answer counts as carried out. Here the one that halts the run is lost.
+#[test]
+fn throttle_is_repeated_while_the_tail_is_above_its_target() {
+    let began_at = Instant::now();
+    let at = |ms| after_ms(began_at, ms);
+    let mut pool = pool(7);
+    list(&mut pool, vec![info("w1", 1, "a")], at(0));
+    let w1 = present(&pool, "w1");
+    pool.report(w1, at(0), report(50_000, 1), at(10));
+    let mut service = record();
+    service.id = "00000000000000b1".parse().expect("an id");
+    service.spec.steps[0].demand.cpu_millis = 500;
+    service.spec.steps[0].features = vec![goldcrest_jobs::spec::Feature::Service];
+    service.spec.steps[0].tail_target = Some(Duration::from_millis(100));
+    pool.submit(service, Duration::ZERO, at(10));
+    pool.submit(best_effort_record(), Duration::ZERO, at(10));
+    let mut running: Vec<StartCommand> = Vec::new();
+    let mut last_throttle_ms = 0;
+    for ms in (20..=60_000).step_by(400) {
+        let rows = running.iter().map(|order| RunningRow {
+            task: order.task,
+            run: order.run,
+            checkpoint: None,
+            percent: 100,
+            load: if order.task == task() { 0.9 } else { 200.0 },
+        });
+        let listed = Report {
+            running: rows.collect(),
+            ..report(50_000 + ms, 1)
+        };
+        pool.report(w1, at(ms), listed, at(ms + 5));
+        for command in pool.plan(at(ms + 10), 0) {
+            match command {
+                Command::Start(order) => {
+                    pool.start_answered(
+                        w1,
+                        order.task,
+                        order.run,
+                        StartAnswer::Started,
+                        at(ms + 12),
+                    );
+                    running.push(order);
+                }
+                // Each has no answer; the last ones are lost.
+                Command::Throttle { .. } => last_throttle_ms = ms,
+                Command::Stop { .. } | Command::QueryPermits { .. } => {}
+            }
+        }
+    }
+    assert_eq!(running.len(), 2);
+    assert!(
+        last_throttle_ms > 50_000,
+        "the tail is at twice its target; the last throttle was sent at {last_throttle_ms} ms"
+    );
+}
+
+/// Guards against a belief without a proof: the clock of the answer to the second copy shows another incarnation than the one whose report has listed the run.
+#[test]
+fn answer_of_a_later_incarnation_to_a_reported_run_is_taken_in() {
+    let began_at = Instant::now();
+    let at = |ms| after_ms(began_at, ms);
+    let mut pool = pool(7);
+    let listed = || vec![info("w1", 1, "a"), info("w2", 1, "b")];
+    list(&mut pool, listed(), at(0));
+    let w1 = present(&pool, "w1");
+    pool.report(w1, at(0), report(50_000, 1), at(10));
+    pool.submit(record(), Duration::ZERO, at(10));
+    let run = starts(&mut pool, at(10)).remove(0).run;
+    // The first copy is executed at once; its answer is lost.
+    pool.lease_offered(w1, 53_290, at(290));
+    pool.report(w1, at(290), report_of(50_300, 1, run), at(300));
+    // w1 crashes at 350 ms and is back at 450 ms. The second copy is sent, executed and answered there at once: until 10,511 ms.
+    pool.start_unanswered(w1, &"w1".into(), task(), run, at(510));
+    pool.start_sent(w1, at(510));
+    pool.start_clock_read(w1, task(), run, 61, at(515));
+    pool.start_answered(w1, task(), run, StartAnswer::Started, at(515));
+    pool.mark_unresponsive(w1, at(1_600));
+    let w2 = present(&pool, "w2");
+    for ms in (1_700..=10_500).step_by(400) {
+        list(&mut pool, listed(), at(ms));
+        pool.report(w2, at(ms), report(60_000 + ms, 1), at(ms));
+        assert_eq!(
+            starts(&mut pool, at(ms)),
+            [],
+            "w1 executes run 1, at {ms} ms"
+        );
+    }
+}
+
+/// Guards against a belief without a proof: a report has listed the run, and a later incarnation has answered the second copy of its start. An acknowledgement that
+/// reaches that one would make it forget the run's end.
+#[test]
+fn answer_of_a_later_incarnation_to_a_reported_run_withholds_the_acknowledgement() {
+    let began_at = Instant::now();
+    let at = |ms| after_ms(began_at, ms);
+    let mut pool = pool(7);
+    list(&mut pool, vec![info("w1", 1, "a")], at(0));
+    let w1 = present(&pool, "w1");
+    pool.report(w1, at(0), report(50_000, 1), at(10));
+    pool.submit(record(), Duration::ZERO, at(10));
+    let run = starts(&mut pool, at(10)).remove(0).run;
+    let end = EndRow {
+        number: 1,
+        task: "00000000000000b1.0.0.0".parse().expect("a task"),
+        run: RunNumber(8),
+        end: RunEnd::Failed,
+        checkpoint: None,
+    };
+    let listed = Report {
+        ended: vec![end],
+        ..report_of(50_300, 1, run)
+    };
+    assert!(pool.report(w1, at(290), listed, at(300)));
+    // The ends are being saved. w1 is back; it executes and answers the second copy, and the run ends there with the number 1.
+    pool.start_unanswered(w1, &"w1".into(), task(), run, at(510));
+    pool.start_clock_read(w1, task(), run, 61, at(515));
+    pool.start_answered(w1, task(), run, StartAnswer::Started, at(515));
+    assert!(!pool.are_starts_accounted_for(w1));
+}
