grid: the test of workers without a start time asks that nothing is started there

ends_of_a_worker_without_a_start_time_are_taken_in passes without a start since such workers are not used, so it held nothing any more (found by the review). Its successor asks that a job runs on the other worker only, and that all its starts were made.

--- a/crates/grid/tests/entry/left_open.rs
+++ b/crates/grid/tests/entry/left_open.rs
@@ -8,7 +8,7 @@
 use goldcrest_grid::ports::{Put, Txn};
 use goldcrest_jobs::pool::Bounds;
 use goldcrest_jobs::resources::Resources;
-use goldcrest_jobs::spec::JobSpec;
+use goldcrest_jobs::spec::{JobSpec, JobState};
 use goldcrest_standin::grid::{Crew, StoreFault};
 use tokio::time::{Instant, sleep};
 
@@ -341,26 +341,28 @@
 }
 
 /// Guards against a task that runs again after its end: ends of a worker that states no start time are numbered from 1 again
-/// once it is back, and must not be taken for ends that are known.
+/// once it is back, and would be taken for ends that are known. So nothing is started on such a worker.
 #[tokio::test(start_paused = true)]
-async fn ends_of_a_worker_without_a_start_time_are_taken_in() {
+async fn worker_without_a_start_time_is_not_used() {
     for crash in [Crew::crash, Crew::crash_silently] {
         local(async move {
-            let bed = Bed::new(1);
+            let bed = Bed::new(2);
             bed.world.crew.borrow_mut().set_stating_start("w1", false);
             let (_, other) = start(&bed).await;
-            let spec = job("ms=300", &[4]);
-            assert_eq!(bed.submit(other, OTHER, spec).await, Reply::Accepted);
-            sleep(ms(3_000)).await;
             let since = Instant::now();
-            crash(&mut bed.world.crew.borrow_mut(), "w1", Instant::now());
-            sleep(ms(3_000)).await;
-            let spec = job("ms=300", &[1]);
-            assert_eq!(bed.submit(other, ID, spec).await, Reply::Accepted);
-            sleep(ms(10_000)).await;
+            for (id, tasks) in [(OTHER, 6), (ID, 1)] {
+                let spec = job("ms=300", &[tasks]);
+                assert_eq!(bed.submit(other, id, spec).await, Reply::Accepted);
+                bed.wait_for(other, id, JobState::Completed, ms(10_000))
+                    .await;
+                crash(&mut bed.world.crew.borrow_mut(), "w1", Instant::now());
+                sleep(ms(3_000)).await;
+            }
             check_once(&bed, since, "no start time");
-            let starts = bed.world.crew.borrow().starts.len();
-            assert!(starts <= 5, "{}", record(&bed, since));
+            let crew = bed.world.crew.borrow();
+            let mut starts = crew.starts.iter();
+            assert!(starts.all(|start| start.worker.as_str() == "w2"));
+            assert_eq!(crew.starts.len(), 7, "{}", record(&bed, since));
         })
         .await;
     }
