--- a/crates/jobs/src/pool/ingest.rs
+++ b/crates/jobs/src/pool/ingest.rs
@@ -626,7 +626,7 @@
     /// Records that a command is about to be sent that extends the worker's leases up to `until_ms` on its clock.
     pub fn lease_offered(&mut self, worker_ref: WorkerRef, until_ms: u64, now: Instant) {
         if let Some(worker) = self.workers.get_mut(&worker_ref) {
-            worker.offer_lease(until_ms, now);
+            worker.record_lease(until_ms, now);
         }
     }
 }
--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -212,7 +212,7 @@
     }
 }
 
-/// Workers that an earlier scheduler may have used and that have not reported yet.
+/// Workers that an earlier scheduler may have used and that have not sent a whole report yet.
 #[derive(Debug, Clone)]
 struct Takeover {
     /// The workers, each with the time at which every lease that it may hold has expired.
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -327,7 +327,7 @@
     }
     .with_step(spec);
     let reserved = new_run.reserved;
-    worker.offer_lease(until_ms, now);
+    worker.record_lease(until_ms, now);
     worker.add((task, run), new_run);
     if let Some(team) = team {
         *pool.usage.entry(team).or_default() += reserved;
--- a/crates/jobs/src/pool/release.rs
+++ b/crates/jobs/src/pool/release.rs
@@ -1,7 +1,8 @@
 //! Drops runs that are certain not to be executing, and removes departed workers.
 //!
 //! An unresponsive worker keeps each run until every lease that was offered has expired on the clock of the incarnation that
-//! may be executing the run ([`Executor`](crate::worker::Executor)). A takeover ends once all workers of the earlier scheduler have reported, or all its leases have expired.
+//! may be executing the run ([`Executor`](crate::worker::Executor)). A takeover ends once all workers of the earlier
+//! scheduler have sent a whole report, have been replaced, or all their leases have expired.
 
 use std::time::{Duration, Instant};
 
--- a/crates/jobs/src/worker/mod.rs
+++ b/crates/jobs/src/worker/mod.rs
@@ -1,8 +1,9 @@
 //! A worker in memory: its free capacity, the runs that may be executing on it, and how long its leases can last.
 //!
 //! A [`Run`] stays in `runs` until it is certain that it is not executing: its end was reported, a report proved that
-//! it is absent, the worker has restarted, or every lease that was ever offered has expired on the worker's own clock.
-//! `used` is the sum of what the runs reserve, so a start whose reply was lost still counts.
+//! it is absent, the incarnation that has listed it has departed, or every lease that was ever offered has expired on the
+//! clock of whichever incarnation may be executing it ([`Executor`]). `used` is the sum of what the runs reserve, so a start
+//! whose reply was lost still counts.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -16,7 +17,8 @@
 /// How much a worker's steady clock may lose against this entry's, in thousandths. The platform documents this bound.
 const CLOCK_DRIFT_MILLI: u32 = 20;
 
-/// How long a command without a reply may still be executed.
+/// How long a departed incarnation, and a start without a reply whose job has ended, are remembered: commands to them may still
+/// be executed.
 pub(crate) const UNANSWERED_LIFE: Duration = Duration::from_secs(30);
 
 /// Added to each lease's end. Covers the rounding of clocks.
@@ -503,7 +505,7 @@
     }
 
     /// Records that a command is about to be sent which extends its leases up to `until_ms` on its clock.
-    pub fn offer_lease(&mut self, until_ms: u64, now: Instant) {
+    pub fn record_lease(&mut self, until_ms: u64, now: Instant) {
         self.lease_until_ms = self.lease_until_ms.max(until_ms);
         self.lease_sent_at = Some(now);
     }
