jobs: a run that an earlier scheduler has recorded as lost is not counted again

What callers may see: a job given up without cause (LOST). Cause: a successor finds a run on a worker's next incarnation and records its loss, though its predecessor had recorded it with the incarnation that the start was meant for. Change: the loss of one start on one worker id counts once. Test: run_that_a_predecessor_has_lost_counts_once, red before.

--- a/crates/jobs/src/pool/suspects.rs
+++ b/crates/jobs/src/pool/suspects.rs
@@ -109,16 +109,15 @@
             if task.is_done {
                 return None;
             }
-            let open = task
-                .unreported
-                .iter_mut()
-                .find(|run| run.run == loss.run && run.state == RunState::Open);
-            match open {
-                Some(run) => {
+            let is_same = |run: &&mut UnreportedRun| run.run == loss.run;
+            match task.unreported.iter_mut().find(is_same) {
+                Some(run) if run.state == RunState::Open => {
                     run.lose(exposure);
                     run.fate = fate;
                 }
-                None => task.unreported.push(loss),
+                // An earlier scheduler has recorded it with the incarnation that the start was meant for.
+                Some(run) if run.worker == loss.worker => return None,
+                Some(_) | None => task.unreported.push(loss),
             }
             Some(task.unreported.clone())
         }) else {
