jobs: the report that shows a restart shows what runs there

What callers may see: a task on two workers after a takeover and a restart (TWICE). Cause: a late start of the predecessor runs on a worker's next incarnation; the report that shows that incarnation listed it, and was thrown away whole, so the task counted as idle. Change: the runs that it lists are taken in; whatever it does not list is still awaited under the token of that incarnation. Test: report_that_shows_a_restart_shows_what_runs, red before.

--- a/crates/jobs/src/pool/report.rs
+++ b/crates/jobs/src/pool/report.rs
@@ -5,6 +5,7 @@
 
 use crate::id::{RunNumber, WorkerRef};
 use crate::job::{Beginning, Task};
+use crate::lease::expiry;
 use crate::pool::{Event, FoundRun, Pool};
 use crate::suspect::Exposure;
 use crate::worker::{
@@ -144,8 +145,9 @@
     }
 
     /// Whether the incarnation that was queried has sent the report and has not departed since; its runs were dropped then. If
-    /// a later one has sent it, that one is added to the pool. Its report is not ingested: the request carried the token of the
-    /// earlier incarnation, so others of its commands may still be carried out after it.
+    /// a later one has sent it, that one is added to the pool, with the runs that it lists. Otherwise its report is not
+    /// ingested: the request carried the token of the earlier incarnation, so others of its commands may still be carried out
+    /// after it.
     fn is_from(&mut self, worker_ref: WorkerRef, report: &Report, now: Instant) -> bool {
         let Some(worker) = self.workers.get_mut(&worker_ref) else {
             return false;
@@ -164,6 +166,7 @@
             if let Some(worker) = self.workers.get_mut(&incarnation) {
                 worker.description = Description::Awaited;
             }
+            self.adopt_all(incarnation, &report.running, now);
         }
         queried == reported
     }
@@ -356,6 +359,25 @@
         }
     }
 
+    /// Adds the runs that an incarnation lists before it has answered under its own token. Their leases are as long as
+    /// workers grant.
+    fn adopt_all(&mut self, worker_ref: WorkerRef, running: &[RunningRow], now: Instant) {
+        for row in running {
+            let key = (row.task, row.run);
+            let worker = self.workers.get(&worker_ref);
+            if worker.is_some_and(|worker| !worker.runs.contains_key(&key)) {
+                self.push_found(worker_ref, key);
+                self.adopt(worker_ref, key, now);
+            }
+        }
+        let longest = expiry(self.bounds.lease_max, &self.bounds);
+        if let Some(worker) = self.workers.get_mut(&worker_ref)
+            && !running.is_empty()
+        {
+            worker.earlier_runs_until = Some(now + longest);
+        }
+    }
+
     /// Adds a run that this scheduler didn't start, or whose start was considered failed.
     pub(super) fn adopt(&mut self, worker_ref: WorkerRef, key: RunKey, now: Instant) {
         let (task, number) = key;
--- a/crates/jobs/tests/beliefs.rs
+++ b/crates/jobs/tests/beliefs.rs
@@ -10,6 +10,7 @@
 use goldcrest_jobs::progress::Progress;
 use goldcrest_jobs::resources::Resources;
 use goldcrest_jobs::spec::{JobRecord, JobSpec, Step};
+use goldcrest_jobs::suspect::{Exposure, Fate, RunState, SuspectTask, SuspectTasks, UnreportedRun};
 use goldcrest_jobs::worker::{EndRow, Report, RunEnd, RunningRow, WorkerInfo};
 
 use one_pool::pool;
@@ -916,3 +917,64 @@
     pool.start_answered(w1, task(), run, StartAnswer::Started, at(515));
     assert!(!pool.are_starts_accounted_for(w1));
 }
+
+/// Guards against a task on two workers: the report that shows a worker's restart lists a run of the predecessor, which had reached
+/// the next incarnation late.
+#[test]
+fn report_that_shows_a_restart_shows_what_runs() {
+    let began_at = Instant::now();
+    let at = |ms| after_ms(began_at, ms);
+    let mut pool = taken_over(&["w1"], 1, at(0));
+    let listed = || vec![info("w1", 1, "a"), info("w2", 1, "b")];
+    list(&mut pool, listed(), at(10));
+    let (w1, w2) = (present(&pool, "w1"), present(&pool, "w2"));
+    pool.report(w2, at(10), report(60_000, 1), at(20));
+    pool.report(w1, at(10), report_of(50_000, 1, RunNumber(8)), at(20));
+    assert_eq!(starts(&mut pool, at(30)), [], "w1 executes run 8");
+    pool.report(
+        w1,
+        at(5_000),
+        report_of(500, 5_000, RunNumber(8)),
+        at(5_010),
+    );
+    assert_eq!(
+        starts(&mut pool, at(5_020)),
+        [],
+        "its next incarnation does"
+    );
+}
+
+/// Guards against a job that is given up by one run that counts as several: a predecessor has recorded the run as lost with the
+/// incarnation that its start was meant for, and the next one, which had executed it, crashes as well.
+#[test]
+fn run_that_a_predecessor_has_lost_counts_once() {
+    let began_at = Instant::now();
+    let at = |ms| after_ms(began_at, ms);
+    let mut pool = taken_over(&["w1"], 500, at(0));
+    let lost = UnreportedRun {
+        run: Some(RunNumber(8)),
+        worker: "w1".into(),
+        started_ms: Some(1),
+        exposure: Exposure::Shared,
+        state: RunState::Lost,
+        fate: Some(Fate::Restarted),
+    };
+    let suspects = SuspectTasks {
+        accepted_ms: 0,
+        tasks: vec![SuspectTask {
+            occurrence: 0,
+            step: 0,
+            index: 0,
+            runs: vec![lost],
+        }],
+    };
+    pool.inherit_suspects(job(), suspects, at(0));
+    list(&mut pool, vec![info("w1", 500, "a")], at(10));
+    let w1 = present(&pool, "w1");
+    pool.report(w1, at(10), report_of(5_000, 500, RunNumber(8)), at(20));
+    list(&mut pool, vec![info("w1", 900, "a")], at(900));
+    let suspects = pool.jobs()[&job()].to_suspects().into_iter();
+    let runs = suspects.flat_map(|suspects| suspects.tasks);
+    let runs: Vec<_> = runs.flat_map(|task| task.runs).collect();
+    assert_eq!(runs.len(), 1, "{runs:?}");
+}
