--- a/crates/grid/tests/entry/common/mod.rs
+++ b/crates/grid/tests/entry/common/mod.rs
@@ -3,8 +3,10 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::Future;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
 use goldcrest_grid::calls::{Call, Reply, Request};
@@ -32,6 +34,37 @@
 struct Running {
     entry: Rc<Entry<Gate>>,
     task: JoinHandle<()>,
+    /// The process of an entry that can be frozen.
+    process: Option<(JoinHandle<()>, Rc<Freezer>)>,
+}
+
+/// Freezes a process: its tasks are not polled, so they see all answers and timers of that time at once after it.
+#[derive(Default)]
+struct Freezer {
+    is_frozen: Cell<bool>,
+    waker: RefCell<Option<Waker>>,
+}
+
+/// The tasks of an entry.
+struct Process {
+    name: Box<str>,
+    tasks: LocalSet,
+    freezer: Rc<Freezer>,
+}
+
+impl Future for Process {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        if self.freezer.is_frozen.get() {
+            *self.freezer.waker.borrow_mut() = Some(context.waker().clone());
+            return Poll::Pending;
+        }
+        crate::trace::set_process(Some(&self.name));
+        let polled = Pin::new(&mut self.tasks).poll(context);
+        crate::trace::set_process(None);
+        polled
+    }
 }
 
 /// An in-memory platform and the entries that use it.
@@ -39,6 +72,8 @@
     pub world: Rc<World>,
     /// The bounds of the schedulers of entries that are started.
     pub bounds: Cell<Bounds>,
+    /// Whether entries that are started can be frozen. Each then has a task set of its own.
+    pub are_freezable: Cell<bool>,
     entries: RefCell<BTreeMap<String, Running>>,
 }
 
@@ -125,6 +160,7 @@
         let bed = Self {
             world,
             bounds: Cell::default(),
+            are_freezable: Cell::default(),
             entries: RefCell::default(),
         };
         for number in 1..=workers {
@@ -190,8 +226,29 @@
         };
         let gate = self.world.gate(name);
         let entry = Rc::new(Entry::new(gate, Arc::new(RuntimeClock), settings));
-        let task = tokio::task::spawn_local(entry::run(Rc::clone(&entry)));
-        let running = Running { entry, task };
+        let run = entry::run(Rc::clone(&entry));
+        let running = if self.are_freezable.get() {
+            let tasks = LocalSet::new();
+            let task = tasks.spawn_local(run);
+            let freezer = Rc::new(Freezer::default());
+            let process = Process {
+                name: name.into(),
+                tasks,
+                freezer: Rc::clone(&freezer),
+            };
+            let process = tokio::task::spawn_local(process);
+            Running {
+                entry,
+                task,
+                process: Some((process, freezer)),
+            }
+        } else {
+            Running {
+                entry,
+                task: tokio::task::spawn_local(run),
+                process: None,
+            }
+        };
         self.entries.borrow_mut().insert(name.into(), running);
     }
 
@@ -207,9 +264,34 @@
     pub fn kill(&self, name: &str) {
         if let Some(running) = self.entries.borrow_mut().remove(name) {
             running.task.abort();
+            if let Some((process, _)) = running.process {
+                process.abort();
+            }
         }
     }
 
+    /// Freezes an entry, or lets it go on. Needs [`Self::are_freezable`].
+    pub fn set_frozen(&self, name: &str, is_frozen: bool) {
+        let entries = self.entries.borrow();
+        let process = entries
+            .get(name)
+            .and_then(|running| running.process.as_ref());
+        let Some((_, freezer)) = process else { return };
+        freezer.is_frozen.set(is_frozen);
+        if !is_frozen && let Some(waker) = freezer.waker.take() {
+            waker.wake();
+        }
+    }
+
+    /// Whether an entry is up and not frozen.
+    pub fn is_running(&self, name: &str) -> bool {
+        let entries = self.entries.borrow();
+        entries.get(name).is_some_and(|running| {
+            let process = running.process.as_ref();
+            process.is_none_or(|(_, freezer)| !freezer.is_frozen.get())
+        })
+    }
+
     /// Whether an entry was started and not killed.
     pub fn is_up(&self, name: &str) -> bool {
         self.entries.borrow().contains_key(name)
--- a/crates/grid/tests/entry/main.rs
+++ b/crates/grid/tests/entry/main.rs
@@ -14,3 +14,5 @@
 mod removed_queue;
 mod roles;
 mod soak;
+mod starts_and_ends;
+mod trace;
--- a/crates/standin/src/grid/gate.rs
+++ b/crates/standin/src/grid/gate.rs
@@ -1,143 +1,159 @@
-//! An entry's access to the [`World`], which applies the faults between them.
-
-use std::collections::{BTreeMap, BTreeSet};
+//! An entry's access to the [`World`].
+//!
+//! By default a call is carried out by the task that makes it, and ends with it. Once [`World::carry_out_calls`] was
+//! called, the world carries calls out, also if their caller is killed or frozen meanwhile; and commands to workers travel
+//! as [`World::set_trips`] says.
+
+use std::collections::BTreeMap;
+use std::future::{Future, pending};
 use std::rc::Rc;
 use std::time::Duration;
 
 use goldcrest_grid::ports::{
-    CallError, CommandError, Committed, Conflict, Cordons, Holder, Item, LeaseId, OperatorRequests,
-    Operators, Page, PermitService, Put, Recipient, Registry, Revision, Store, Txn, VmCommandError,
-    Vms, Watched, Workers,
+    CallError, CommandError, Committed, Holder, Item, LeaseId, OperatorRequests, Operators, Page,
+    PermitService, Put, Recipient, Registry, Revision, Store, Txn, VmCommandError, Vms, Watched,
+    Workers,
 };
 use goldcrest_jobs::id::{RunNumber, StepId, TaskId, VmId, WorkerId};
 use goldcrest_jobs::pool::permits::PermitGrants;
 use goldcrest_jobs::pool::{StartAnswer, StartCommand};
-use goldcrest_jobs::upkeep::{Vm, VmState};
+use goldcrest_jobs::upkeep::Vm;
 use goldcrest_jobs::worker::{Report, WorkerInfo};
 use goldcrest_types::names::PoolName;
-use tokio::time::{Instant, sleep, timeout};
-
-use crate::grid::{StoreFault, World};
+use tokio::sync::oneshot;
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
-/// The latency of a command to a worker.
-const COMMAND_DELAY: Duration = Duration::from_millis(2);
+use crate::grid::World;
+use crate::grid::direct::Direct;
+use crate::grid::trips::{CommandKind, Trip};
 
 /// One entry's access to the world. Implements the ports of `goldcrest-grid`.
 pub struct Gate {
-    world: Rc<World>,
-    entry: Box<str>,
+    direct: Direct,
 }
 
 impl Gate {
     pub(crate) fn new(world: Rc<World>, entry: Box<str>) -> Self {
-        Self { world, entry }
-    }
-
-    /// Delays a call to the store by the store's latency, or fails it as the entry's fault says.
-    async fn reach_store(&self, within: Duration) -> Result<(), CallError> {
-        match self.world.fault(&self.entry) {
-            StoreFault::Refuses => Err(CallError::NotDone("refused".into())),
-            StoreFault::Silent => {
-                sleep(within).await;
-                Err(CallError::Unknown("silent".into()))
-            }
-            StoreFault::Resets => Err(CallError::Unknown("reset".into())),
-            _ => {
-                sleep(self.world.delay.get()).await;
-                let ended = self.world.table.borrow_mut().expire(Instant::now());
-                if ended {
-                    self.world.changed.notify_waiters();
-                }
-                Ok(())
-            }
+        Self {
+            direct: Direct { world, entry },
         }
     }
 
-    fn apply(&self, txn: &Txn) -> Result<Committed, CallError> {
-        let stored = self.world.catalogue.borrow().clone();
-        let is_outdated = txn.expect_catalogue.is_some_and(|revision| {
-            stored
-                .as_ref()
-                .is_none_or(|stored| stored.revision != revision)
-        });
-        let mut table = self.world.table.borrow_mut();
-        if is_outdated {
-            let expected = txn.expect.iter();
-            return Ok(Committed::Conflict(Conflict {
-                items: expected
-                    .filter_map(|(key, _)| table.get(key).cloned())
-                    .collect(),
-                catalogue: stored,
-            }));
-        }
-        match table.commit(txn, Instant::now()) {
-            Ok(revision) => {
-                self.world.changed.notify_waiters();
-                Ok(Committed::Done(revision))
-            }
-            Err(Some(items)) => Ok(Committed::Conflict(Conflict {
-                items,
-                catalogue: None,
-            })),
-            Err(None) => Err(CallError::LeaseEnded),
+    /// Carries a call out by the world, if it does that, or by the calling task.
+    async fn call<T: 'static>(&self, call: impl Future<Output = T> + 'static) -> T {
+        if !self.direct.world.carries_out_calls() {
+            return call.await;
         }
-    }
-
-    /// Waits until `poll` returns a value, at most for `wait`.
-    async fn wait_for<T>(&self, wait: Duration, poll: impl Fn() -> Option<T>) -> Option<T> {
-        let until = Instant::now() + wait;
-        loop {
-            let changed = self.world.changed.notified();
-            if let Some(found) = poll() {
-                return Some(found);
-            }
-            let expiry = self.world.table.borrow().next_expiry();
-            let next = expiry.map_or(until, |expiry| expiry.min(until));
-            let left = next.saturating_duration_since(Instant::now());
-            // Both a change and the expiry of a lease can make `poll` return a value.
-            let _ = timeout(left.max(Duration::from_millis(1)), changed).await;
-            self.world.table.borrow_mut().expire(Instant::now());
-            if Instant::now() >= until {
-                return poll();
-            }
+        let (answer, answered) = oneshot::channel();
+        self.direct.world.spawn(async move {
+            // The caller may have been killed.
+            let _ = answer.send(call.await);
+        });
+        match answered.await {
+            Ok(answer) => answer,
+            Err(_) => pending().await,
         }
     }
 
-    /// Leaves a reading of the operators' requests without an answer if the entry's fault says so.
-    async fn reach_requests(&self, within: Duration) -> Result<(), CallError> {
-        if self.world.has_requests(&self.entry) {
-            return Ok(());
-        }
-        sleep(within).await;
-        Err(CallError::Unknown("silent".into()))
+    fn trip(&self, to: &Recipient, kind: CommandKind) -> Option<Trip> {
+        let Direct { world, entry } = &self.direct;
+        world.trip(entry, &to.worker, kind)
     }
 
-    async fn reach_worker(&self, worker: &WorkerId, within: Duration) -> bool {
-        if self.world.is_reachable(&self.entry, worker) {
-            sleep(COMMAND_DELAY).await;
-            true
-        } else {
-            sleep(within).await;
-            false
+    /// Sends a command on a trip; `carry_out` returns `None` if there is nobody to answer. Returns `None` once `within` has
+    /// passed without an answer.
+    async fn travel<T: std::fmt::Debug + 'static>(
+        &self,
+        to: &Recipient,
+        kind: CommandKind,
+        trip: Trip,
+        within: Duration,
+        carry_out: impl Future<Output = Option<T>> + 'static,
+    ) -> Option<T> {
+        let until = Instant::now() + within;
+        let (answer, answered) = oneshot::channel();
+        let (direct, worker) = (self.direct.clone(), to.worker.clone());
+        let sent_in = direct.world.incarnation(&worker);
+        self.direct.world.spawn(async move {
+            let world = &direct.world;
+            let is_cut = || !world.is_reachable(&direct.entry, &worker);
+            let Some(on_the_way) = trip.request.filter(|_| !is_cut()) else {
+                pending::<()>().await;
+                return;
+            };
+            sleep(on_the_way).await;
+            if is_cut() {
+                pending::<()>().await;
+                return;
+            }
+            let is_orphan = answer.is_closed();
+            let is_late = Instant::now() >= until;
+            let is_of_later_incarnation = world.incarnation(&worker) != sent_in;
+            let carried_out = carry_out.await;
+            let Some(carried_out) = carried_out else {
+                world.count("unanswered by a worker that is down");
+                pending::<()>().await;
+                return;
+            };
+            world.record(|| {
+                let entry = &direct.entry;
+                format!("{entry} to {worker}: {kind:?}, {trip:?}, orphan {is_orphan}, late {is_late}: {carried_out:?}")
+            });
+            if is_orphan && !is_late {
+                world.count("carried out after its sender was killed");
+            }
+            if is_late {
+                world.count(kind.late());
+            }
+            if is_of_later_incarnation {
+                world.count("carried out by a later incarnation");
+            }
+            let Some(on_the_way) = trip.answer.filter(|_| !is_cut()) else {
+                world.count(kind.lost());
+                pending::<()>().await;
+                return;
+            };
+            sleep(on_the_way).await;
+            if is_cut() {
+                world.count(kind.lost());
+                pending::<()>().await;
+                return;
+            }
+            let _ = answer.send(carried_out);
+        });
+        match timeout_at(until, answered).await {
+            Ok(Ok(answer)) => Some(answer),
+            Ok(Err(_)) => {
+                sleep_until(until).await;
+                None
+            }
+            Err(_) => None,
         }
     }
 }
 
 impl Store for Gate {
     async fn read(&self, key: &str, within: Duration) -> Result<Option<Item>, CallError> {
-        self.reach_store(within).await?;
-        Ok(self.world.table.borrow().get(key).cloned())
+        let (direct, key) = (self.direct.clone(), Box::<str>::from(key));
+        self.call(async move { direct.read(&key, within).await })
+            .await
     }
 
     async fn list(
         &self,
         prefix: &str,
-        _after: Option<&str>,
-        _is_stale: bool,
+        after: Option<&str>,
+        is_stale: bool,
         within: Duration,
     ) -> Result<Page, CallError> {
-        self.reach_store(within).await?;
-        Ok(self.world.table.borrow().list(prefix))
+        let (direct, prefix) = (self.direct.clone(), Box::<str>::from(prefix));
+        let after = after.map(Box::<str>::from);
+        self.call(async move {
+            direct
+                .list(&prefix, after.as_deref(), is_stale, within)
+                .await
+        })
+        .await
     }
 
     async fn watch(
@@ -146,44 +162,15 @@
         after: Revision,
         wait: Duration,
     ) -> Result<Watched, CallError> {
-        self.reach_store(wait).await?;
-        // A waiting watch fails when the history is removed.
-        let poll = || match self.world.table.borrow().since(prefix, after) {
-            Some(found) => (!found.changes.is_empty()).then_some(Ok(found)),
-            None => Some(Err(CallError::HistoryGone)),
-        };
-        let found = self.wait_for(wait, poll).await;
-        if self.world.fault(&self.entry) == StoreFault::Silent {
-            sleep(wait).await;
-            return Err(CallError::Unknown("silent".into()));
-        }
-        let unchanged = || Watched {
-            changes: Vec::new(),
-            revision: self.world.table.borrow().revision(),
-        };
-        found.unwrap_or_else(|| Ok(unchanged()))
+        let (direct, prefix) = (self.direct.clone(), Box::<str>::from(prefix));
+        self.call(async move { direct.watch(&prefix, after, wait).await })
+            .await
     }
 
     async fn commit(&self, txn: &Txn, within: Duration) -> Result<Committed, CallError> {
-        self.reach_store(within).await?;
-        match self.world.fault(&self.entry) {
-            StoreFault::LosesAnswers => {
-                self.apply(txn)?;
-                sleep(within).await;
-                Err(CallError::Unknown("the answer was lost".into()))
-            }
-            StoreFault::CarriesOutLate(after) => {
-                let (delayed, txn) = (self.world.gate(&self.entry), txn.clone());
-                tokio::task::spawn_local(async move {
-                    sleep(after).await;
-                    // The call has timed out, so nobody receives the answer.
-                    let _ = delayed.apply(&txn);
-                });
-                sleep(within).await;
-                Err(CallError::Unknown("carried out late".into()))
-            }
-            _ => self.apply(txn),
-        }
+        let (direct, txn) = (self.direct.clone(), txn.clone());
+        self.call(async move { direct.commit(&txn, within).await })
+            .await
     }
 
     async fn open_lease(
@@ -191,43 +178,29 @@
         ttl: Duration,
         within: Duration,
     ) -> Result<(LeaseId, Duration), CallError> {
-        self.reach_store(within).await?;
-        let mut table = self.world.table.borrow_mut();
-        Ok((table.open_lease(ttl, Instant::now()), ttl))
+        let direct = self.direct.clone();
+        self.call(async move { direct.open_lease(ttl, within).await })
+            .await
     }
 
     async fn renew_lease(&self, lease: LeaseId, within: Duration) -> Result<Duration, CallError> {
-        self.reach_store(within).await?;
-        let mut table = self.world.table.borrow_mut();
-        let renewed = table.renew_lease(lease, Instant::now());
-        renewed.ok_or(CallError::LeaseEnded)
+        let direct = self.direct.clone();
+        self.call(async move { direct.renew_lease(lease, within).await })
+            .await
     }
 
     async fn end_lease(&self, lease: LeaseId, within: Duration) -> Result<(), CallError> {
-        self.reach_store(within).await?;
-        self.world.table.borrow_mut().end_lease(lease);
-        self.world.changed.notify_waiters();
-        Ok(())
+        let direct = self.direct.clone();
+        self.call(async move { direct.end_lease(lease, within).await })
+            .await
     }
 }
 
 impl Operators for Gate {
     async fn read_requests(&self, within: Duration) -> Result<OperatorRequests, CallError> {
-        self.reach_store(within).await?;
-        self.reach_requests(within).await?;
-        let cordons = self.world.cordons.borrow();
-        let mut cordoned = BTreeSet::new();
-        for (_, dc, is_cordoned) in cordons.iter() {
-            if *is_cordoned {
-                cordoned.insert(dc.clone());
-            } else {
-                cordoned.remove(dc);
-            }
-        }
-        Ok(OperatorRequests {
-            cordons: Cordons::All(cordoned),
-            ..self.orders(Revision(0))
-        })
+        let direct = self.direct.clone();
+        self.call(async move { direct.read_requests(within).await })
+            .await
     }
 
     async fn watch_requests(
@@ -235,89 +208,33 @@
         after: Revision,
         wait: Duration,
     ) -> Result<OperatorRequests, CallError> {
-        self.reach_store(wait).await?;
-        let poll = || {
-            if self.world.table.borrow().is_compacted(after) {
-                return Some(Err(CallError::HistoryGone));
-            }
-            let orders = self.orders(after);
-            let has_changes = orders.catalogue.is_some()
-                || !orders.waves.is_empty()
-                || !orders.cordons.is_unchanged();
-            has_changes.then_some(Ok(orders))
-        };
-        let found = self.wait_for(wait, poll).await;
-        self.reach_store(wait).await?;
-        self.reach_requests(wait).await?;
-        found.unwrap_or_else(|| Ok(self.orders(self.world.table.borrow().revision())))
+        let direct = self.direct.clone();
+        self.call(async move { direct.watch_requests(after, wait).await })
+            .await
     }
 
     fn wave_status(&self, wave: u64, is_completed: bool) -> Put {
-        Put {
-            key: format!("shown/wave/{wave}").into(),
-            value: vec![u8::from(is_completed)],
-            lease: None,
-        }
-    }
-}
-
-impl Gate {
-    fn orders(&self, after: Revision) -> OperatorRequests {
-        let catalogue = self.world.catalogue.borrow().clone();
-        let waves = self.world.waves.borrow();
-        let cordons = self.world.cordons.borrow();
-        OperatorRequests {
-            catalogue: catalogue.filter(|stored| stored.revision > after),
-            waves: waves
-                .iter()
-                .filter(|wave| wave.revision > after)
-                .cloned()
-                .collect(),
-            cordons: Cordons::Changed(
-                cordons
-                    .iter()
-                    .filter(|(revision, ..)| *revision > after.0)
-                    .map(|(_, dc, is_cordoned)| (dc.clone(), *is_cordoned))
-                    .collect(),
-            ),
-            revision: self.world.table.borrow().revision(),
-        }
+        self.direct.wave_status(wave, is_completed)
     }
 }
 
 impl Registry for Gate {
     async fn workers(&self, within: Duration) -> Result<Vec<(PoolName, WorkerInfo)>, CallError> {
-        self.reach_store(within).await?;
-        Ok(self.world.crew.borrow().listed())
+        let direct = self.direct.clone();
+        self.call(async move { direct.workers(within).await }).await
     }
 }
 
 impl Workers for Gate {
     async fn start(&self, to: &Recipient, order: &StartCommand, within: Duration) -> StartAnswer {
-        if !self.reach_worker(&to.worker, within).await {
-            return StartAnswer::Unknown;
-        }
-        if let Some(delay) = self.world.command_delay(&self.entry) {
-            let (world, to, order) = (Rc::clone(&self.world), to.clone(), order.clone());
-            tokio::task::spawn_local(async move {
-                sleep(delay).await;
-                let mut crew = world.crew.borrow_mut();
-                // The answer is lost.
-                let _ = crew.start(&to, &order, Instant::now());
-            });
-            sleep(within).await;
-            return StartAnswer::Unknown;
-        }
-        let (step, permit) = (order.task.step, order.permit.as_deref());
-        let now = Instant::now();
-        if !self.world.permits.accepts(step, &to.worker, permit, now) {
-            return StartAnswer::NoPermit;
-        }
-        let mut crew = self.world.crew.borrow_mut();
-        let answer = crew.start(to, order, now);
-        drop(crew);
-        self.world.changed.notify_waiters();
-        answer
+        let (direct, recipient, command) = (self.direct.clone(), to.clone(), order.clone());
+        let Some(trip) = self.trip(to, CommandKind::Start) else {
+            let call = async move { direct.start(&recipient, &command, within).await };
+            return self.call(call).await;
+        };
+        let carry_out = async move { direct.carry_out_start(&recipient, &command) };
+        let answer = self.travel(to, CommandKind::Start, trip, within, carry_out);
+        answer.await.unwrap_or(StartAnswer::Unknown)
     }
 
     async fn stop(
@@ -327,29 +244,29 @@
         run: RunNumber,
         within: Duration,
     ) -> Result<(), CommandError> {
-        if !self.reach_worker(&to.worker, within).await {
-            return Err(CommandError::Unknown("cut off".into()));
-        }
-        let mut crew = self.world.crew.borrow_mut();
-        let answer = crew.stop(to, task, run, Instant::now());
-        drop(crew);
-        self.world.changed.notify_waiters();
+        let (direct, recipient) = (self.direct.clone(), to.clone());
+        let Some(trip) = self.trip(to, CommandKind::Stop) else {
+            let call = async move { direct.stop(&recipient, task, run, within).await };
+            return self.call(call).await;
+        };
+        let carry_out = async move { direct.carry_out_stop(&recipient, task, run) };
+        let answer = self.travel(to, CommandKind::Stop, trip, within, carry_out);
         answer
+            .await
+            .unwrap_or_else(|| Err(CommandError::Unknown("timed out".into())))
     }
 
     async fn throttle(
         &self,
         to: &Recipient,
-        _task: TaskId,
-        _run: RunNumber,
-        _percent: u32,
+        task: TaskId,
+        run: RunNumber,
+        percent: u32,
         within: Duration,
     ) -> Result<(), CommandError> {
-        if self.reach_worker(&to.worker, within).await {
-            Ok(())
-        } else {
-            Err(CommandError::Unknown("cut off".into()))
-        }
+        let (direct, to) = (self.direct.clone(), to.clone());
+        self.call(async move { direct.throttle(&to, task, run, percent, within).await })
+            .await
     }
 
     async fn report(
@@ -360,86 +277,52 @@
         wait: Duration,
         within: Duration,
     ) -> Result<Report, CommandError> {
-        if !self.reach_worker(&to.worker, within).await {
-            return Err(CommandError::Unknown("cut off".into()));
-        }
-        if let Some(delay) = self.world.command_delay(&self.entry) {
-            let (world, to) = (Rc::clone(&self.world), to.clone());
-            tokio::task::spawn_local(async move {
-                sleep(delay).await;
-                let mut crew = world.crew.borrow_mut();
-                if crew.note(&to, ends_acknowledged).is_ok() {
-                    // The answer is lost.
-                    let _ = crew.report(&to, until_ms, true, Instant::now());
-                }
-            });
-            sleep(within).await;
-            return Err(CommandError::Unknown("timed out".into()));
-        }
-        let due_at = Instant::now() + wait;
-        let timeout_at = Instant::now() + within;
-        self.world.crew.borrow_mut().note(to, ends_acknowledged)?;
-        let born_at = self.world.crew.borrow().born_at(&to.worker);
-        loop {
-            if self.world.crew.borrow().born_at(&to.worker) != born_at {
-                return Err(CommandError::Unknown("reset".into()));
-            }
-            let now = Instant::now();
-            let is_due = now >= due_at;
-            let report = {
-                let mut crew = self.world.crew.borrow_mut();
-                crew.report(to, until_ms, is_due, now)
-            }?;
-            if let Some(report) = report {
-                if self.world.is_reachable(&self.entry, &to.worker) {
-                    return Ok(report);
-                }
-                sleep(timeout_at.saturating_duration_since(now)).await;
-                return Err(CommandError::Unknown("cut off".into()));
-            }
-            sleep(REPORT_POLL_INTERVAL.min(due_at.saturating_duration_since(now))).await;
-        }
+        let (direct, recipient) = (self.direct.clone(), to.clone());
+        let Some(trip) = self.trip(to, CommandKind::Report) else {
+            return self
+                .call(async move {
+                    direct
+                        .report(&recipient, until_ms, ends_acknowledged, wait, within)
+                        .await
+                })
+                .await;
+        };
+        let carry_out = async move {
+            direct
+                .carry_out_report(&recipient, until_ms, ends_acknowledged, wait)
+                .await
+        };
+        let answer = self.travel(to, CommandKind::Report, trip, within, carry_out);
+        answer
+            .await
+            .unwrap_or_else(|| Err(CommandError::Unknown("timed out".into())))
     }
 }
 
-/// The interval at which a waiting report polls for ends of runs.
-const REPORT_POLL_INTERVAL: Duration = Duration::from_millis(10);
-
 impl Vms for Gate {
     async fn vms(&self, within: Duration) -> Result<BTreeMap<VmId, Vm>, CallError> {
-        self.reach_store(within).await?;
-        Ok(self.world.vms.borrow().clone())
+        let direct = self.direct.clone();
+        self.call(async move { direct.vms(within).await }).await
     }
 
     async fn move_vm(
         &self,
-        _by: &Holder,
+        by: &Holder,
         vm: &VmId,
         pool: &PoolName,
-        _within: Duration,
+        within: Duration,
     ) -> Result<(), VmCommandError> {
-        let mut vms = self.world.vms.borrow_mut();
-        let vm = vms.get_mut(vm).ok_or(VmCommandError::Invalid)?;
-        vm.pool = pool.clone();
-        Ok(())
+        self.direct.move_vm(by, vm, pool, within).await
     }
 
     async fn maintain_vm(
         &self,
-        _by: &Holder,
+        by: &Holder,
         vm: &VmId,
         wave: u64,
-        _within: Duration,
+        within: Duration,
     ) -> Result<(), VmCommandError> {
-        let mut vms = self.world.vms.borrow_mut();
-        let listed = vms.get_mut(vm).ok_or(VmCommandError::Invalid)?;
-        if listed.state != VmState::Up {
-            return Err(VmCommandError::Busy);
-        }
-        listed.state = VmState::InMaintenance;
-        drop(vms);
-        self.world.maintained.borrow_mut().push((vm.clone(), wave));
-        Ok(())
+        self.direct.maintain_vm(by, vm, wave, within).await
     }
 }
 
@@ -450,12 +333,8 @@
         workers: &[WorkerId],
         within: Duration,
     ) -> Result<PermitGrants, CallError> {
-        let permits = &self.world.permits;
-        if !permits.ask(step, workers) {
-            sleep(within).await;
-            return Err(CallError::Unknown("silent".into()));
-        }
-        sleep(permits.delay.get()).await;
-        Ok(permits.grant(step, workers, Instant::now()))
+        let (direct, workers) = (self.direct.clone(), workers.to_vec());
+        self.call(async move { direct.permits(step, &workers, within).await })
+            .await
     }
 }
--- a/crates/standin/src/grid/mod.rs
+++ b/crates/standin/src/grid/mod.rs
@@ -4,9 +4,11 @@
 //! that a test can disconnect one entry or drop the answers to it. With the runtime's clock paused a test takes no real
 //! time.
 
+mod direct;
 mod gate;
 mod permits;
 mod store;
+mod trips;
 mod workers;
 
 use std::cell::{Cell, RefCell};
@@ -25,6 +27,7 @@
 pub use gate::Gate;
 pub use permits::PermitOffice;
 pub use store::Table;
+pub use trips::{CommandKind, Trip, Trips};
 pub use workers::{Crew, Ended, Start};
 
 /// A fault between an entry and the store.
@@ -71,6 +74,9 @@
     unreachable: RefCell<BTreeSet<(Box<str>, WorkerId)>>,
     /// Entries whose commands to workers get no answer and are carried out after this time.
     late_commands: RefCell<BTreeMap<Box<str>, Duration>>,
+    /// How old the lists of workers are that an entry reads.
+    list_ages: RefCell<BTreeMap<Box<str>, Duration>>,
+    transport: trips::Transport,
     /// The latency of a call to the store, except for waiting watches.
     pub delay: Cell<Duration>,
 }
@@ -176,6 +182,16 @@
         self.late_commands.borrow().get(entry).copied()
     }
 
+    /// Makes the lists of workers that an entry reads older than the present state by this time.
+    pub fn set_list_age(&self, entry: &str, age: Duration) {
+        self.list_ages.borrow_mut().insert(entry.into(), age);
+    }
+
+    pub(crate) fn list_age(&self, entry: &str) -> Duration {
+        let ages = self.list_ages.borrow();
+        ages.get(entry).copied().unwrap_or_default()
+    }
+
     /// Disconnects an entry from a worker, or connects them again.
     pub fn set_reachable(&self, entry: &str, worker: &str, is_reachable: bool) {
         let key = (Box::from(entry), WorkerId::from(worker));
--- a/crates/standin/src/grid/workers.rs
+++ b/crates/standin/src/grid/workers.rs
@@ -18,6 +18,9 @@
 /// The longest lease that a worker grants.
 const LEASE_MAX: Duration = Duration::from_secs(10);
 
+/// The registry removes a worker that has been down for this long.
+const REGISTRY_TIMEOUT: Duration = Duration::from_millis(4_500);
+
 /// How long a worker is down after a task has crashed it.
 const CRASH_DOWNTIME: Duration = Duration::from_secs(2);
 
@@ -32,6 +35,8 @@
     pub run: RunNumber,
     /// The time of the start.
     pub at: Instant,
+    /// The entry that sent the command, if it was sent on a [`Trip`](crate::grid::Trip).
+    pub by: Box<str>,
 }
 
 /// An end of a run, whether or not it was acknowledged.
@@ -43,10 +48,20 @@
     pub run: RunNumber,
     /// How the run ended.
     pub end: RunEnd,
-    /// The time at which the worker recorded the end.
+    /// The time of the end.
     pub at: Instant,
 }
 
+/// A worker that has crashed without notice and will be back.
+#[derive(Debug, Clone)]
+struct Outage {
+    until: Instant,
+    /// Where it will be back.
+    address: Box<str>,
+    /// How long after its return the registry lists its new incarnation.
+    register_after: Duration,
+}
+
 #[derive(Debug, Clone)]
 struct Run {
     started_at: Instant,
@@ -60,8 +75,20 @@
     info: WorkerInfo,
     is_listed: bool,
     started_at: Instant,
-    /// It answers nothing before this time.
+    /// It refuses everything before this time.
     down_until: Option<Instant>,
+    /// While it is down and nothing answers at its address.
+    outage: Option<Outage>,
+    /// When the registry replaces its entry by the present one, or removes it.
+    registry_due: Option<(Instant, bool)>,
+    /// Its entry in the registry.
+    registered: WorkerInfo,
+    /// Whether its last crash broke its connections, so that callers noticed it at once.
+    breaks_connections: bool,
+    /// How much its clock loses, in thousandths.
+    drift_milli: u32,
+    /// Until when its lease lasted when it last expired.
+    lapsed_at: Option<Instant>,
     token: u64,
     until_ms: u64,
     running: BTreeMap<(TaskId, RunNumber), Run>,
@@ -81,6 +108,11 @@
     pub starts: Vec<Start>,
     /// Ends that were acknowledged, in order of time.
     pub noted: Vec<(TaskId, RunNumber, RunEnd)>,
+    /// Ends as done that were acknowledged and whose worker's lease had not expired since, with the time of the end.
+    pub done: Vec<(TaskId, RunNumber, Instant)>,
+    /// How long a worker takes to stop a run.
+    pub stop_grace: Duration,
+    listings: Vec<(Instant, Vec<(PoolName, WorkerInfo)>)>,
     /// Tasks that were started while another run of them was running, or after an acknowledged end as done; tasks whose
     /// payload has `copies` are exempt.
     pub doubled: Vec<TaskId>,
@@ -94,7 +126,14 @@
 
 impl Worker {
     fn clock_ms(&self, now: Instant) -> u64 {
-        1_000 + millis(now - self.started_at)
+        let passed = now.saturating_duration_since(self.started_at);
+        1_000 + millis(passed - passed * self.drift_milli / 1_000)
+    }
+
+    /// When its clock passes this time.
+    fn time_of(&self, clock_ms: u64) -> Instant {
+        let passed = Duration::from_millis(clock_ms.saturating_sub(1_000));
+        self.started_at + passed * 1_000 / (1_000 - self.drift_milli)
     }
 
     /// Extends the lease to a time on the worker's clock, as far as it grants that.
@@ -103,16 +142,11 @@
         self.until_ms = self.until_ms.max(until_ms.min(longest_ms));
     }
 
-    fn end(&mut self, key: (TaskId, RunNumber), end: RunEnd, now: Instant) {
+    fn end(&mut self, key: (TaskId, RunNumber), end: RunEnd, at: Instant) {
         self.running.remove(&key);
         self.ends += 1;
         let (task, run) = key;
-        self.history.push(Ended {
-            task,
-            run,
-            end,
-            at: now,
-        });
+        self.history.push(Ended { task, run, end, at });
         self.closed.insert(task, run);
         self.ended.push(EndRow {
             number: self.ends,
@@ -125,25 +159,42 @@
 
     /// Ends the runs that have completed, and all others if the worker's lease has expired.
     fn end_due_runs(&mut self, now: Instant) {
-        let clock_ms = self.clock_ms(now);
-        let has_lease_expired = clock_ms > self.until_ms;
-        let due: Vec<_> = self
+        let has_lease_expired = self.clock_ms(now) > self.until_ms;
+        let expired_at = self.time_of(self.until_ms);
+        if has_lease_expired {
+            self.lapsed_at = Some(expired_at);
+        }
+        let mut due: Vec<_> = self
             .running
             .iter()
             .filter_map(|(key, run)| {
                 let is_completed = run.ends_at.is_some_and(|at| at <= now);
-                if is_completed {
-                    Some((*key, run.end))
-                } else {
-                    has_lease_expired.then_some((*key, RunEnd::Expired))
+                match run.ends_at {
+                    Some(at) if is_completed && !(has_lease_expired && expired_at < at) => {
+                        Some((at, *key, run.end))
+                    }
+                    _ => has_lease_expired.then_some((expired_at.min(now), *key, RunEnd::Expired)),
                 }
             })
             .collect();
-        for (key, end) in due {
-            self.end(key, end, now);
+        due.sort_by_key(|(at, key, _)| (*at, *key));
+        for (at, key, end) in due {
+            self.end(key, end, at);
         }
     }
 
+    /// Begins a new incarnation.
+    fn begin(&mut self, now: Instant) {
+        self.info.started_ms = Some(self.info.started_ms.unwrap_or_default() + 1);
+        self.started_at = now;
+        self.token = 0;
+        self.until_ms = 0;
+        self.ends = 0;
+        self.running.clear();
+        self.ended.clear();
+        self.closed.clear();
+    }
+
     fn admit(&mut self, to: &Recipient) -> Result<(), CommandError> {
         if self.info.id != to.worker {
             return Err(CommandError::WrongWorker);
@@ -165,10 +216,16 @@
         let id = info.id.clone();
         let worker = Worker {
             pool,
-            info,
             is_listed: true,
             started_at: now,
             down_until: None,
+            outage: None,
+            registry_due: None,
+            registered: info.clone(),
+            breaks_connections: true,
+            drift_milli: 0,
+            lapsed_at: None,
+            info,
             token: 0,
             until_ms: 0,
             running: BTreeMap::new(),
@@ -178,6 +235,7 @@
             history: Vec::new(),
         };
         self.workers.insert(id, worker);
+        self.record_listing(now);
     }
 
     /// Removes a worker from the registry's list, or adds it again. It goes on running.
@@ -185,30 +243,122 @@
         if let Some(worker) = self.workers.get_mut(&WorkerId::from(worker)) {
             worker.is_listed = is_listed;
         }
+        self.record_listing(Instant::now());
     }
 
     /// Changes a worker's capacity. What it runs goes on.
     pub fn set_capacity(&mut self, worker: &str, cpu_millis: u64) {
         if let Some(worker) = self.workers.get_mut(&WorkerId::from(worker)) {
             worker.info.capacity.cpu_millis = cpu_millis;
+            worker.registered.capacity.cpu_millis = cpu_millis;
         }
+        self.record_listing(Instant::now());
     }
 
     /// Crashes and restarts a worker: it loses its runs, its lease, the last token and the ends that it listed.
     pub fn crash(&mut self, worker: &str, now: Instant) {
         self.settle(now);
+        let Some(worker) = self.workers.get_mut(&WorkerId::from(worker)) else {
+            return;
+        };
+        if worker.outage.is_none() {
+            worker.begin(now);
+            worker.breaks_connections = true;
+            worker.registered = worker.info.clone();
+            worker.registry_due = None;
+        }
+        self.record_listing(now);
+    }
+
+    /// Crashes a worker without notice: for `downtime` nothing answers at its address. Then it is back at `address`, and the
+    /// registry lists its new incarnation after `register_after`.
+    pub fn crash_silently(
+        &mut self,
+        worker: &str,
+        downtime: Duration,
+        address: &str,
+        register_after: Duration,
+        now: Instant,
+    ) {
+        self.settle(now);
+        let Some(worker) = self.workers.get_mut(&WorkerId::from(worker)) else {
+            return;
+        };
+        worker.running.clear();
+        worker.outage = Some(Outage {
+            until: now + downtime,
+            address: address.into(),
+            register_after,
+        });
+        worker.registry_due = Some((now + REGISTRY_TIMEOUT, false));
+        worker.breaks_connections = false;
+    }
+
+    /// Whether a worker is down without notice.
+    #[must_use]
+    pub fn is_down(&self, worker: &str) -> bool {
+        let worker = self.workers.get(&WorkerId::from(worker));
+        worker.is_some_and(|worker| worker.outage.is_some())
+    }
+
+    /// A worker's address, or the one at which it will be back.
+    #[must_use]
+    pub fn address(&self, worker: &str) -> Option<&str> {
+        let worker = self.workers.get(&WorkerId::from(worker))?;
+        let outage = worker.outage.as_ref();
+        Some(outage.map_or(&worker.info.address, |outage| &outage.address))
+    }
+
+    /// Makes a worker's clock lose this much from its next start on, in thousandths.
+    pub fn set_drift(&mut self, worker: &str, drift_milli: u32) {
         if let Some(worker) = self.workers.get_mut(&WorkerId::from(worker)) {
-            worker.info.started_ms = Some(worker.info.started_ms.unwrap_or_default() + 1);
-            worker.started_at = now;
-            worker.token = 0;
-            worker.until_ms = 0;
-            worker.ends = 0;
-            worker.running.clear();
-            worker.ended.clear();
-            worker.closed.clear();
+            worker.drift_milli = drift_milli;
+        }
+    }
+
+    pub(crate) fn breaks_connections(&self, worker: &WorkerId) -> bool {
+        let worker = self.workers.get(worker);
+        worker.is_some_and(|worker| worker.breaks_connections)
+    }
+
+    /// Whether nobody answers at the address of a command.
+    pub(crate) fn is_silent(&mut self, to: &Recipient, now: Instant) -> bool {
+        self.settle(now);
+        !self
+            .workers
+            .values()
+            .any(|worker| worker.outage.is_none() && worker.info.address == to.address)
+    }
+
+    /// The worker at the address of a command, if it is the one that is meant.
+    fn recipient(&mut self, to: &Recipient) -> Result<&mut Worker, CommandError> {
+        let mut up = self
+            .workers
+            .values_mut()
+            .filter(|worker| worker.outage.is_none());
+        let at_address = up.find(|worker| worker.info.address == to.address);
+        let worker =
+            at_address.ok_or_else(|| CommandError::Unknown("nobody is at this address".into()))?;
+        worker.admit(to)?;
+        Ok(worker)
+    }
+
+    fn record_listing(&mut self, now: Instant) {
+        let listed = self.listed();
+        if self.listings.last().is_none_or(|(_, last)| *last != listed) {
+            self.listings.push((now, listed));
         }
     }
 
+    /// Returns what [`Self::listed`] returned at a time.
+    #[must_use]
+    pub fn listed_at(&self, at: Instant) -> Vec<(PoolName, WorkerInfo)> {
+        let mut before = self.listings.iter().rev();
+        let found = before.find(|(since, _)| *since <= at);
+        let found = found.or(self.listings.first());
+        found.map(|(_, listed)| listed.clone()).unwrap_or_default()
+    }
+
     /// Returns the start time of a worker's present incarnation.
     #[must_use]
     pub fn born_at(&self, worker: &WorkerId) -> Option<Instant> {
@@ -231,14 +381,38 @@
     pub fn listed(&self) -> Vec<(PoolName, WorkerInfo)> {
         let workers = self.workers.values().filter(|worker| worker.is_listed);
         workers
-            .map(|worker| (worker.pool.clone(), worker.info.clone()))
+            .map(|worker| (worker.pool.clone(), worker.registered.clone()))
             .collect()
     }
 
     /// Ends the runs that are due on all workers, also on those that no entry calls.
     pub fn settle(&mut self, now: Instant) {
+        let mut registered_at = Vec::new();
         for worker in self.workers.values_mut() {
             worker.end_due_runs(now);
+            if let Some(outage) = worker.outage.take_if(|outage| outage.until <= now) {
+                worker.begin(outage.until);
+                worker.info.address = outage.address;
+                let registers_at = outage.until + outage.register_after;
+                if worker
+                    .registry_due
+                    .is_some_and(|(removed_at, _)| removed_at <= registers_at)
+                {
+                    worker.is_listed = false;
+                    registered_at.extend(worker.registry_due.map(|(at, _)| at));
+                }
+                worker.registry_due = Some((registers_at, true));
+            }
+            if let Some((at, is_listed)) = worker.registry_due.take_if(|(at, _)| *at <= now) {
+                worker.is_listed = is_listed;
+                if is_listed {
+                    worker.registered = worker.info.clone();
+                }
+                registered_at.push(at);
+            }
+        }
+        if !registered_at.is_empty() {
+            self.record_listing(now);
         }
     }
 
@@ -254,17 +428,20 @@
             .noted
             .iter()
             .any(|(task, _, end)| *task == order.task && *end == RunEnd::Done);
-        let Some(worker) = self.workers.get_mut(&to.worker) else {
-            return StartAnswer::WrongWorker;
-        };
-        match worker.admit(to) {
-            Ok(()) => {}
+        let runs_before = self
+            .starts
+            .iter()
+            .filter(|start| start.task == order.task)
+            .count();
+        let worker = match self.recipient(to) {
+            Ok(worker) => worker,
             Err(CommandError::Fenced) => return StartAnswer::Fenced,
             Err(CommandError::Unknown(_)) => return StartAnswer::Unknown,
             Err(_) => return StartAnswer::WrongWorker,
-        }
+        };
         let key = (order.task, order.run);
         if worker.running.contains_key(&key) {
+            worker.extend_lease(order.until_ms, now);
             return StartAnswer::Started;
         }
         if worker.clock_ms(now) > order.until_ms {
@@ -275,20 +452,13 @@
             .get(&order.task)
             .is_some_and(|run| *run >= order.run)
         {
+            worker.extend_lease(order.until_ms, now);
             return StartAnswer::Outdated;
         }
         let has_word = |name: &str| order.payload.split_whitespace().any(|word| word == name);
-        if (is_running_elsewhere || is_done) && !has_word("copies") {
-            self.doubled.push(order.task);
-        }
         worker.extend_lease(order.until_ms, now);
         let ms = word(&order.payload, "ms").and_then(|ms| ms.parse().ok());
         let failures = word(&order.payload, "failures").and_then(|count| count.parse().ok());
-        let runs_before = self
-            .starts
-            .iter()
-            .filter(|start| start.task == order.task)
-            .count();
         let is_failing = failures.is_some_and(|failures: usize| runs_before < failures);
         let end = if is_failing || word(&order.payload, "end") == Some("failed") {
             RunEnd::Failed
@@ -301,11 +471,15 @@
             end,
         };
         worker.running.insert(key, run);
+        if (is_running_elsewhere || is_done) && !has_word("copies") {
+            self.doubled.push(order.task);
+        }
         self.starts.push(Start {
             worker: to.worker.clone(),
             task: order.task,
             run: order.run,
             at: now,
+            by: Box::default(),
         });
         let crashes = word(&order.payload, "crashes").and_then(|index| index.parse().ok());
         if crashes == Some(order.task.index) {
@@ -331,11 +505,15 @@
         now: Instant,
     ) -> Result<(), CommandError> {
         self.settle(now);
-        let worker = self.workers.get_mut(&to.worker);
-        let worker = worker.ok_or(CommandError::WrongWorker)?;
-        worker.admit(to)?;
-        if worker.running.contains_key(&(task, run)) {
-            worker.end((task, run), RunEnd::Stopped, now);
+        let stopped_at = now + self.stop_grace;
+        let worker = self.recipient(to)?;
+        if let Some(running) = worker.running.get_mut(&(task, run)) {
+            if running.ends_at.is_none_or(|at| stopped_at < at) {
+                running.ends_at = Some(stopped_at);
+                running.end = RunEnd::Stopped;
+            }
+            worker.closed.insert(task, run);
+            worker.end_due_runs(now);
         } else {
             worker.closed.insert(task, run);
         }
@@ -348,14 +526,30 @@
     ///
     /// The recipient is not this worker, or the token is outdated.
     pub fn note(&mut self, to: &Recipient, ends_acknowledged: u64) -> Result<(), CommandError> {
-        let worker = self.workers.get_mut(&to.worker);
-        let worker = worker.ok_or(CommandError::WrongWorker)?;
-        worker.admit(to)?;
-        self.reports += 1;
+        self.settle(Instant::now());
+        let worker = self.recipient(to)?;
         let (acknowledged, kept): (Vec<EndRow>, _) = std::mem::take(&mut worker.ended)
             .into_iter()
             .partition(|end| end.number <= ends_acknowledged);
         worker.ended = kept;
+        let lapsed_at = worker.lapsed_at;
+        let times: Vec<Option<Instant>> = acknowledged
+            .iter()
+            .map(|end| {
+                let mut history = worker.history.iter().rev();
+                let found = history.find(|ended| ended.task == end.task && ended.run == end.run);
+                found.map(|ended| ended.at)
+            })
+            .collect();
+        self.reports += 1;
+        for (end, at) in acknowledged.iter().zip(times) {
+            if end.end == RunEnd::Done
+                && let Some(at) = at
+                && lapsed_at.is_none_or(|lapsed_at| lapsed_at < at)
+            {
+                self.done.push((end.task, end.run, at));
+            }
+        }
         let acknowledged = acknowledged.into_iter();
         self.noted
             .extend(acknowledged.map(|end| (end.task, end.run, end.end)));
@@ -375,9 +569,7 @@
         now: Instant,
     ) -> Result<Option<Report>, CommandError> {
         self.settle(now);
-        let worker = self.workers.get_mut(&to.worker);
-        let worker = worker.ok_or(CommandError::WrongWorker)?;
-        worker.admit(to)?;
+        let worker = self.recipient(to)?;
         worker.extend_lease(until_ms.unwrap_or(0), now);
         if worker.ended.is_empty() && !is_due {
             return Ok(None);
