--- a/crates/grid/tests/entry/main.rs
+++ b/crates/grid/tests/entry/main.rs
@@ -1,5 +1,6 @@
 //! Tests of entries against an in-memory platform, on a paused clock.
 
+mod addresses;
 mod burst;
 mod calls;
 mod common;
@@ -8,6 +9,7 @@
 mod faults;
 mod incarnation;
 mod invariants;
+mod late_starts;
 mod maintenance;
 mod moved_queue;
 mod permits;
