--- a/crates/grid/tests/entry/late_starts.rs
+++ b/crates/grid/tests/entry/late_starts.rs
@@ -60,7 +60,7 @@
                     answer: None,
                 }
             }
-            CommandKind::Report if is_back.get() => LOST,
+            CommandKind::Report | CommandKind::Stop if is_back.get() => LOST,
             CommandKind::Report | CommandKind::Stop => PROMPT,
         }));
         bed.start_all(&["e1"]).await;
@@ -120,13 +120,16 @@
         let mut crew = bed.world.crew.borrow_mut();
         crew.set_capacity(target.as_str(), 0);
         drop(crew);
-        sleep_until(sent_at + Duration::from_millis(3_190)).await;
+        sleep_until(sent_at + Duration::from_millis(2_900)).await;
         let running = bed.world.crew.borrow().running().count();
         assert_eq!(running, 1, "the successor has started the task");
         let mut crew = bed.world.crew.borrow_mut();
-        crew.crash(target.as_str(), Instant::now());
+        // It is back just before the late start arrives.
+        let (id, now) = (target.as_str(), Instant::now());
+        let downtime = Duration::from_millis(295);
+        crew.crash_silently(id, downtime, id, Duration::ZERO, now);
         drop(crew);
-        sleep(Duration::from_millis(100)).await;
+        sleep(Duration::from_millis(500)).await;
         bed.check_once();
         bed.wait_for(next, ID, JobState::Completed, Duration::from_secs(30))
             .await;
--- a/crates/grid/tests/entry/starts_and_ends.rs
+++ b/crates/grid/tests/entry/starts_and_ends.rs
@@ -43,6 +43,9 @@
 /// The most faults at a time.
 const FAULTS_MAX: usize = 6;
 
+/// The time before a failure of which a report shows the record.
+const CONTEXT: Duration = Duration::from_secs(8);
+
 /// The crashes of workers under a job after which it may be given up.
 const CRASHES_MIN: u32 = 2;
 
@@ -559,13 +562,15 @@
         found
     }
 
-    fn dead_processes(&self) -> Vec<String> {
+    /// Processes that have ended by themselves, and errors that entries have logged: a task that has panicked is one.
+    fn errors(&self) -> Vec<String> {
         let up = ENTRIES.into_iter().filter(|name| self.bed.is_up(name));
-        let dead = up.filter(|name| {
+        let ended = up.filter(|name| {
             self.bed.has_ended(name) && !self.bed.entry(name).stopping.is_cancelled()
         });
-        dead.map(|name| format!("the process of {name} has ended by itself"))
-            .collect()
+        let ended = ended.map(|name| format!("the process of {name} has ended by itself"));
+        let logged = trace::errors().into_iter().map(|(_, line)| line);
+        ended.chain(logged).collect()
     }
 
     fn heal(&mut self) {
@@ -666,9 +671,11 @@
             start.by
         ));
     }
+    let failed_at = trace::errors().into_iter().map(|(at, _)| at);
+    let times: Vec<Instant> = times.into_iter().chain(failed_at).collect();
     let shown = if std::env::var("GOLDCREST_TRACE").is_ok() {
-        let from = times.iter().min().map(|at| *at - Duration::from_secs(6));
-        let to = times.iter().max().map(|at| *at + Duration::from_secs(2));
+        let from = times.iter().min().map(|at| *at - CONTEXT);
+        let to = times.iter().max().map(|at| *at + CONTEXT / 4);
         lines
             .into_iter()
             .filter(|(at, _)| from.is_none_or(|from| *at >= from) && to.is_none_or(|to| *at <= to))
@@ -700,12 +707,13 @@
             player.submit();
         }
         player.act();
-        if !player.bed.world.crew.borrow().doubled.is_empty() {
+        let is_doubled = !player.bed.world.crew.borrow().doubled.is_empty();
+        if is_doubled || !trace::errors().is_empty() {
             break;
         }
     }
     let mut found = player.breaches();
-    found.extend(player.dead_processes());
+    found.extend(player.errors());
     if found.is_empty() {
         player.heal();
         let until = Instant::now() + RECOVERY;
@@ -721,7 +729,7 @@
             }
         }
         found.extend(player.breaches());
-        found.extend(player.dead_processes());
+        found.extend(player.errors());
         found.extend(wrong);
     }
     player.count_ends();
--- a/crates/grid/tests/entry/trace.rs
+++ b/crates/grid/tests/entry/trace.rs
@@ -1,14 +1,16 @@
-//! Keeps the log lines of the entries of a test, with the runtime's time.
+//! Keeps the errors that the entries of a test log, and with `GOLDCREST_TRACE` set all their log lines, with the runtime's
+//! time.
 
 use std::cell::RefCell;
 use std::fmt::Write;
 
 use log::kv::{Error, Key, Value, VisitSource};
-use log::{LevelFilter, Log, Metadata, Record};
+use log::{Level, LevelFilter, Log, Metadata, Record};
 use tokio::time::Instant;
 
 thread_local! {
     static LINES: RefCell<Vec<(Instant, String)>> = const { RefCell::new(Vec::new()) };
+    static ERRORS: RefCell<Vec<(Instant, String)>> = const { RefCell::new(Vec::new()) };
     /// The entry whose tasks are polled.
     static PROCESS: RefCell<Option<Box<str>>> = const { RefCell::new(None) };
 }
@@ -34,7 +36,11 @@
         let mut line = format!("log of {process}: {} {}", record.target(), record.args());
         // Writing to a string does not fail.
         let _ = record.key_values().visit(&mut Fields(&mut line));
-        LINES.with_borrow_mut(|lines| lines.push((Instant::now(), line)));
+        let line = (Instant::now(), line);
+        if record.level() == Level::Error {
+            ERRORS.with_borrow_mut(|errors| errors.push(line.clone()));
+        }
+        LINES.with_borrow_mut(|lines| lines.push(line));
     }
 
     fn flush(&self) {}
@@ -43,10 +49,16 @@
 /// Begins to keep lines, or drops those of this thread.
 pub fn clear() {
     static KEPT: Kept = Kept;
-    if std::env::var("GOLDCREST_TRACE").is_ok() && log::set_logger(&KEPT).is_ok() {
-        log::set_max_level(LevelFilter::Debug);
+    if log::set_logger(&KEPT).is_ok() {
+        let is_full = std::env::var("GOLDCREST_TRACE").is_ok();
+        log::set_max_level(if is_full {
+            LevelFilter::Debug
+        } else {
+            LevelFilter::Error
+        });
     }
     LINES.with_borrow_mut(Vec::clear);
+    ERRORS.with_borrow_mut(Vec::clear);
 }
 
 /// Names the entry whose lines follow.
@@ -58,3 +70,8 @@
 pub fn lines() -> Vec<(Instant, String)> {
     LINES.with_borrow(Clone::clone)
 }
+
+/// The errors of this thread.
+pub fn errors() -> Vec<(Instant, String)> {
+    ERRORS.with_borrow(Clone::clone)
+}
