jobs: two failing tests of what holds for a worker's later incarnation

answer_at_an_older_entry_does_not_end_the_stored_incarnation: a successor that reads an entry older than the stored incarnation takes a 421 at the entry's address as the end of the stored one, and starts its tasks elsewhere (Pool::worker_replaced, stop_awaiting). run_that_outlives_its_job_is_counted_until_its_end: adopt() counts a run of a done occurrence in the team's usage but not in the job's live runs, so remove_stored() drops the job and drop_run() never subtracts the run.

--- a/crates/jobs/tests/incarnation.rs
+++ b/crates/jobs/tests/incarnation.rs
@@ -7,9 +7,11 @@
 
 use goldcrest_jobs::id::{JobId, WorkerId, WorkerRef};
 use goldcrest_jobs::pool::{Command, InheritedIncarnations, Pool, StartCommand};
+use goldcrest_jobs::progress::Progress;
 use goldcrest_jobs::resources::Resources;
 use goldcrest_jobs::spec::{JobRecord, JobSpec, Step};
-use goldcrest_jobs::worker::{Report, WorkerInfo};
+use goldcrest_jobs::worker::{EndRow, Report, RunEnd, WorkerInfo};
+use goldcrest_types::names::TeamName;
 
 use one_pool::pool;
 
@@ -45,8 +47,8 @@
     }
 }
 
-fn submit(pool: &mut Pool, id: &str, label: &str, tasks: u32, now: Instant) {
-    let record = JobRecord {
+fn record(id: &str, label: &str, tasks: u32) -> JobRecord {
+    JobRecord {
         id: id.parse::<JobId>().expect("an id"),
         queue: "q".parse().expect("a name"),
         team: None,
@@ -67,8 +69,11 @@
         },
         is_cancelled: false,
         policy: None,
-    };
-    pool.submit(record, Duration::ZERO, now);
+    }
+}
+
+fn submit(pool: &mut Pool, id: &str, label: &str, tasks: u32, now: Instant) {
+    pool.submit(record(id, label, tasks), Duration::ZERO, now);
 }
 
 /// The only worker that has not departed.
@@ -198,3 +203,93 @@
     assert_ne!(present(&pool), worker);
     assert_eq!(possible_strays(&pool), ["w1"]);
 }
+
+/// Guards against a task on two workers: another worker answers at the address of an entry that is older than the incarnation
+/// that the earlier scheduler has stored. The answer shows that the incarnation of the entry has ended, not the stored one.
+#[test]
+fn answer_at_an_older_entry_does_not_end_the_stored_incarnation() {
+    let now = Instant::now();
+    let mut pool = pool(7);
+    let id: WorkerId = "w1".into();
+    let workers = BTreeSet::from([id.clone()]);
+    let record = record("00000000000000a1", "a", 1);
+    let progress = Progress {
+        has_begun: true,
+        workers: workers.clone(),
+        ..Progress::default()
+    };
+    let lease = Some(Duration::from_secs(3));
+    let jobs = vec![(record, progress, Duration::ZERO)];
+    pool.take_over(jobs, workers, lease, now);
+    let inherited = InheritedIncarnations {
+        has_predecessor: true,
+        started_ms: [(id, 5)].into(),
+        stray_leases: Some(BTreeSet::new()),
+    };
+    pool.inherit_incarnations(inherited, now);
+    pool.set_workers(
+        vec![info(1, "a", 8 * CORE), info_of("w2", 1, "a", 8 * CORE)],
+        now,
+    );
+    let of_id = |pool: &Pool, id: &str| {
+        let mut workers = pool.workers().iter();
+        let found = workers.find(|(_, worker)| worker.info.id.as_str() == id);
+        *found.expect("a worker").0
+    };
+    let (first, second) = (of_id(&pool, "w1"), of_id(&pool, "w2"));
+    pool.report(second, now, report(1), now);
+    assert_eq!(starts(&mut pool, now), [], "while the first may run it");
+    pool.worker_replaced(first, now);
+    assert_eq!(
+        starts(&mut pool, now),
+        [],
+        "by an answer at the old address"
+    );
+}
+
+/// Guards against a team whose usage never decreases: a start of a job that has ended may still be carried out by its
+/// worker's next incarnation, and the job is removed while that run is counted.
+#[test]
+fn run_that_outlives_its_job_is_counted_until_its_end() {
+    let now = Instant::now();
+    let mut pool = pool(7);
+    pool.set_workers(vec![info(1, "a", 8 * CORE)], now);
+    let worker = present(&pool);
+    pool.report(worker, now, report(1), now);
+    let team: TeamName = "team".parse().expect("a name");
+    let record = JobRecord {
+        team: Some(team.clone()),
+        ..record("00000000000000a1", "a", 1)
+    };
+    let job = record.id;
+    pool.submit(record, Duration::ZERO, now);
+    let start = starts(&mut pool, now).remove(0);
+    // The answer to the start is lost; a report shows the end of the run.
+    pool.start_unanswered(worker, start.task, start.run, now);
+    let later = now + Duration::from_secs(1);
+    let end = EndRow {
+        number: 1,
+        task: start.task,
+        run: start.run,
+        end: RunEnd::Done,
+        checkpoint: None,
+    };
+    let ended = Report {
+        ended: vec![end],
+        ..report(1)
+    };
+    pool.report(worker, later, ended, later);
+    assert_eq!(starts(&mut pool, later), []);
+    assert!(pool.jobs()[&job].outcome.is_some(), "the job has ended");
+    // It is back before the end of the job is stored.
+    pool.set_workers(vec![info(5, "a", 8 * CORE)], later);
+    pool.remove_stored(job);
+    let worker = present(&pool);
+    pool.stop_confirmed(worker, start.task, start.run, later);
+    let last = later + Duration::from_secs(1);
+    pool.report(worker, last, report(5), last);
+    assert_eq!(starts(&mut pool, last), []);
+    assert!(pool.worker(worker).expect("it is present").runs.is_empty());
+    let usage = pool.usage().get(&team).copied().unwrap_or_default();
+    assert_eq!(usage, Resources::ZERO, "nothing is running");
+}
