--- a/crates/grid/tests/entry/addresses.rs
+++ b/crates/grid/tests/entry/addresses.rs
@@ -8,7 +8,7 @@
 use goldcrest_jobs::pool::Bounds;
 use goldcrest_jobs::spec::JobState;
 use goldcrest_standin::grid::Trip;
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 use crate::common::{Bed, job, local};
 
@@ -39,12 +39,8 @@
     bed.world.set_reachable(&holder, "w3", false);
     sleep(Duration::from_secs(3) + crash_after).await;
     let downtime = Duration::from_millis(2_600);
-    {
-        let mut crew = bed.world.crew.borrow_mut();
-        let now = Instant::now();
-        crew.crash_silently("w1", downtime, "new", Duration::ZERO, now);
-        crew.crash_silently("w2", downtime, "w1", Duration::ZERO, now);
-    }
+    bed.crash_silently("w1", downtime, "new");
+    bed.crash_silently("w2", downtime, "w1");
     // The holder gets no answer from either by now, so the tasks wait for their return.
     sleep(Duration::from_millis(2_300)).await;
     let spec = job("ms=4000", &[4]);
--- a/crates/grid/tests/entry/common/mod.rs
+++ b/crates/grid/tests/entry/common/mod.rs
@@ -312,6 +312,13 @@
         Rc::clone(&self.entries.borrow()[name].entry)
     }
 
+    /// Crashes a worker silently; after `downtime` it is back at `address` and is listed at once.
+    pub fn crash_silently(&self, worker: &str, downtime: Duration, address: &str) {
+        let mut crew = self.world.crew.borrow_mut();
+        let now = Instant::now();
+        crew.crash_silently(worker, downtime, address, Duration::ZERO, now);
+    }
+
     /// Adds a VM to the spare pool.
     pub fn add_spare(&self, name: &str) {
         let vm = Vm {
--- a/crates/grid/tests/entry/late_starts.rs
+++ b/crates/grid/tests/entry/late_starts.rs
@@ -117,18 +117,12 @@
         sleep(Duration::from_millis(100)).await;
         bed.kill(&holder);
         // The successor starts the task on the other worker.
-        let mut crew = bed.world.crew.borrow_mut();
-        crew.set_capacity(target.as_str(), 0);
-        drop(crew);
+        bed.world.crew.borrow_mut().set_capacity(target.as_str(), 0);
         sleep_until(sent_at + Duration::from_millis(2_900)).await;
         let running = bed.world.crew.borrow().running().count();
         assert_eq!(running, 1, "the successor has started the task");
-        let mut crew = bed.world.crew.borrow_mut();
         // It is back just before the late start arrives.
-        let (id, now) = (target.as_str(), Instant::now());
-        let downtime = Duration::from_millis(295);
-        crew.crash_silently(id, downtime, id, Duration::ZERO, now);
-        drop(crew);
+        bed.crash_silently(target.as_str(), Duration::from_millis(295), target.as_str());
         sleep(Duration::from_millis(500)).await;
         bed.check_once();
         bed.wait_for(next, ID, JobState::Completed, Duration::from_secs(30))
@@ -167,12 +161,8 @@
                 sleep(LATENCY).await;
             }
             on_the_way.set(LATENCY);
-            let downtime = Duration::from_millis(300);
-            let now = Instant::now();
-            let mut crew = bed.world.crew.borrow_mut();
-            crew.crash_silently("w1", downtime, "w1", Duration::ZERO, now);
-            drop(crew);
-            sleep(Duration::from_millis(1_000)).await;
+            bed.crash_silently("w1", Duration::from_millis(300), "w1");
+            sleep(Duration::from_secs(1)).await;
             // Without the other worker they start on the one that is back.
             for entry in ["e1", "e2"] {
                 bed.world.set_reachable(entry, "w2", false);
--- a/crates/grid/tests/entry/starts_and_ends.rs
+++ b/crates/grid/tests/entry/starts_and_ends.rs
@@ -8,6 +8,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Write;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -282,11 +283,10 @@
         });
     }
 
-    /// Injects a fault that concerns an entry and a worker.
-    fn inject(&mut self, entry: &'static str, worker: &'static str) {
+    fn choose_fault(&mut self) -> Option<Fault> {
         let total: u32 = self.weights.iter().sum();
         if self.repairs.len() >= FAULTS_MAX || total == 0 {
-            return;
+            return None;
         }
         let mut at = self.rng.random_range(0..total);
         let chosen = FAULTS.iter().zip(&self.weights).find(|(_, weight)| {
@@ -294,7 +294,14 @@
             at = at.saturating_sub(**weight);
             is_chosen
         });
-        let Some((fault, _)) = chosen else { return };
+        chosen.map(|(fault, _)| *fault)
+    }
+
+    /// Injects a fault that concerns an entry and a worker.
+    fn inject(&mut self, entry: &'static str, worker: &'static str) {
+        let Some(fault) = self.choose_fault() else {
+            return;
+        };
         let bed = Rc::clone(&self.bed);
         let world = &bed.world;
         match fault {
@@ -663,20 +670,22 @@
         .iter()
         .filter(|start| tasks.contains(&start.task));
     let times: Vec<Instant> = of_tasks.map(|start| start.at).collect();
+    // Writing to a string does not fail.
     let mut text = found.join("\n");
     for start in crew
         .starts
         .iter()
         .filter(|start| tasks.contains(&start.task))
     {
-        text.push_str(&format!(
+        let _ = write!(
+            text,
             "\n{:?}: {} run {} starts on {}, sent by {}",
             start.at - player.began_at,
             start.task,
             start.run,
             start.worker,
             start.by
-        ));
+        );
     }
     let failed_at = panics().into_iter().map(|(at, _)| at);
     let times: Vec<Instant> = times.into_iter().chain(failed_at).collect();
@@ -692,7 +701,7 @@
     };
     for (at, line) in shown {
         let since = at.saturating_duration_since(player.began_at);
-        text.push_str(&format!("\n{since:?} {line}"));
+        let _ = write!(text, "\n{since:?} {line}");
     }
     text
 }
--- a/crates/standin/src/grid/direct.rs
+++ b/crates/standin/src/grid/direct.rs
@@ -299,6 +299,9 @@
     }
 }
 
+/// Nobody answers.
+struct Silent;
+
 impl Direct {
     /// Carries out a start that has arrived. Returns `None` if nobody answers at its address.
     pub(crate) fn carry_out_start(
@@ -375,24 +378,39 @@
         let mut until_ms = until_ms;
         loop {
             let now = Instant::now();
-            let mut crew = self.world.crew.borrow_mut();
-            if crew.is_silent(to, now) {
-                return None;
-            }
-            if crew.born_at(&to.worker) != born_at {
-                let is_noticed = crew.breaks_connections(&to.worker);
-                return is_noticed.then(|| Err(CommandError::Unknown("reset".into())));
-            }
             // The lease is extended when the request arrives.
-            match crew.report(to, until_ms.take(), now >= due_at, now) {
-                Ok(Some(report)) => return Some(Ok(report)),
+            let until_ms = until_ms.take();
+            match self.poll_report(to, born_at, until_ms, now >= due_at, now) {
+                Ok(Some(answer)) => return Some(answer),
                 Ok(None) => {}
-                Err(error) => return Some(Err(error)),
+                Err(Silent) => return None,
             }
-            drop(crew);
             sleep(REPORT_POLL_INTERVAL.min(due_at.saturating_duration_since(now))).await;
         }
     }
+
+    /// The answer to a waiting request for a report, once there is one.
+    fn poll_report(
+        &self,
+        to: &Recipient,
+        born_at: Option<Instant>,
+        until_ms: Option<u64>,
+        is_due: bool,
+        now: Instant,
+    ) -> Result<Option<Result<Report, CommandError>>, Silent> {
+        let mut crew = self.world.crew.borrow_mut();
+        if crew.is_silent(to, now) {
+            return Err(Silent);
+        }
+        if crew.born_at(&to.worker) != born_at {
+            return if crew.breaks_connections(&to.worker) {
+                Ok(Some(Err(CommandError::Unknown("reset".into()))))
+            } else {
+                Err(Silent)
+            };
+        }
+        Ok(crew.report(to, until_ms, is_due, now).transpose())
+    }
 }
 
 impl Workers for Direct {
--- a/crates/standin/src/grid/gate.rs
+++ b/crates/standin/src/grid/gate.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::future::{Future, pending};
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -40,19 +41,24 @@
     }
 
     /// Carries a call out by the world, if it does that, or by the calling task.
-    async fn call<T: 'static>(&self, call: impl Future<Output = T> + 'static) -> T {
+    fn call<T: 'static>(
+        &self,
+        call: impl Future<Output = T> + 'static,
+    ) -> Pin<Box<dyn Future<Output = T>>> {
         if !self.direct.world.carries_out_calls() {
-            return call.await;
+            return Box::pin(call);
         }
         let (answer, answered) = oneshot::channel();
         self.direct.world.spawn(async move {
             // The caller may have been killed.
             let _ = answer.send(call.await);
         });
-        match answered.await {
-            Ok(answer) => answer,
-            Err(_) => pending().await,
-        }
+        Box::pin(async move {
+            match answered.await {
+                Ok(answer) => answer,
+                Err(_) => pending().await,
+            }
+        })
     }
 
     fn trip(&self, to: &Recipient, kind: CommandKind) -> Option<Trip> {
--- a/crates/standin/src/grid/workers.rs
+++ b/crates/standin/src/grid/workers.rs
@@ -127,7 +127,7 @@
 impl Worker {
     fn clock_ms(&self, now: Instant) -> u64 {
         let passed = now.saturating_duration_since(self.started_at);
-        1_000 + millis(passed - passed * self.drift_milli / 1_000)
+        1_000 + millis(passed * (1_000 - self.drift_milli) / 1_000)
     }
 
     /// When its clock passes this time.
