Merge the random player of whole entries around starts and ends

Entries against the stand-in with delays and lost answers of each command, silent crashes, other addresses, old lists, frozen entries and stops that are carried out late.

--- a/crates/grid/tests/entry/main.rs
+++ b/crates/grid/tests/entry/main.rs
@@ -1,5 +1,6 @@
 //! Tests of entries against an in-memory platform, on a paused clock.
 
+mod addresses;
 mod burst;
 mod calls;
 mod common;
@@ -8,6 +9,7 @@
 mod faults;
 mod incarnation;
 mod invariants;
+mod late_starts;
 mod left_open;
 mod maintenance;
 mod moved_queue;
@@ -15,4 +17,6 @@
 mod removed_queue;
 mod roles;
 mod soak;
+mod starts_and_ends;
+mod trace;
 mod unnoticed_return;
