--- a/crates/jobs/src/pool/report.rs
+++ b/crates/jobs/src/pool/report.rs
@@ -112,11 +112,9 @@
             .iter()
             .filter(|end| self.is_set_aside(end.task.step.job));
         let first = of_set_aside.map(|end| end.number).min();
-        let mut numbers = ended.iter().map(|end| end.number);
-        let last = numbers
-            .by_ref()
-            .filter(|number| first.is_none_or(|first| *number < first));
-        last.max().unwrap_or_default()
+        let numbers = ended.iter().map(|end| end.number);
+        let before = numbers.filter(|number| first.is_none_or(|first| *number < first));
+        before.max().unwrap_or_default()
     }
 
     /// Stops awaiting a worker after a takeover: a whole report of it has accounted for all runs of earlier schedulers, and it
