jobs: the event at the end of a takeover's wait is named for the end

Event::Awaited was recorded when a worker is no longer awaited. The log line now reads 'The takeover no longer waits for the worker.' No change of behaviour.

--- a/crates/grid/src/pool/events.rs
+++ b/crates/grid/src/pool/events.rs
@@ -49,13 +49,13 @@
                 log::info!(target: "scheduler", task:% = task, run:% = run, worker:% = worker, how; "Run ended.");
             }
             Event::Found(found) => self.log_found(&found),
-            Event::Awaited {
+            Event::AwaitEnded {
                 worker,
                 how,
                 stored_ms,
                 started_ms,
             } => {
-                log::info!(target: "scheduler", worker:% = worker, how, stored_ms, started_ms, pool:% = self.name; "Takeover waits for the worker no longer.");
+                log::info!(target: "scheduler", worker:% = worker, how, stored_ms, started_ms, pool:% = self.name; "The takeover no longer waits for the worker.");
             }
             Event::Stopped {
                 worker,
--- a/crates/jobs/src/pool/event.rs
+++ b/crates/jobs/src/pool/event.rs
@@ -42,7 +42,7 @@
     /// A worker executes a run that this scheduler did not know to be there.
     Found(FoundRun),
     /// A takeover no longer waits for a worker that an earlier scheduler may have used.
-    Awaited {
+    AwaitEnded {
         /// The worker.
         worker: WorkerId,
         /// What has become known of it, as a text for logs.
--- a/crates/jobs/src/pool/ingest.rs
+++ b/crates/jobs/src/pool/ingest.rs
@@ -417,7 +417,7 @@
         let stored_ms = stored_ms.copied();
         let has_ended = stored_ms.is_some() && worker.info.started_ms >= stored_ms;
         if has_ended && takeover.awaited.remove(&id).is_some() {
-            self.events.push(Event::Awaited {
+            self.events.push(Event::AwaitEnded {
                 worker: id.clone(),
                 how: "replaced",
                 stored_ms,
--- a/crates/jobs/src/pool/release.rs
+++ b/crates/jobs/src/pool/release.rs
@@ -127,7 +127,7 @@
         .map(|(id, _)| id)
         .collect();
     for id in &expired {
-        pool.events.push(Event::Awaited {
+        pool.events.push(Event::AwaitEnded {
             worker: id.clone(),
             how: "leases lapsed",
             stored_ms: pool.inherited.started_ms.get(id).copied(),
--- a/crates/jobs/src/pool/report.rs
+++ b/crates/jobs/src/pool/report.rs
@@ -134,7 +134,7 @@
         if stored_ms.is_some() && started_ms.is_some() && stored_ms != started_ms {
             takeover.lost.insert(id.clone());
         }
-        self.events.push(Event::Awaited {
+        self.events.push(Event::AwaitEnded {
             worker: id,
             how: "heard",
             stored_ms,
--- a/crates/jobs/tests/common/parse.rs
+++ b/crates/jobs/tests/common/parse.rs
@@ -140,7 +140,7 @@
 /// The output line of an event. Starts and stops appear as commands instead.
 pub fn shown_event(event: &Event) -> Option<String> {
     match event {
-        Event::Started { .. } | Event::Stopped { .. } | Event::Awaited { .. } => None,
+        Event::Started { .. } | Event::Stopped { .. } | Event::AwaitEnded { .. } => None,
         Event::Found(found) => found.is_double.then(|| {
             let FoundRun {
                 worker, task, run, ..
