--- a/crates/jobs/tests/beliefs.rs
+++ b/crates/jobs/tests/beliefs.rs
@@ -118,6 +118,34 @@
     pool.set_tokens(&without, FencingToken(20));
 }
 
+/// The two workers `w1` and `w2` of most tests.
+fn two_workers() -> Vec<WorkerInfo> {
+    vec![info("w1", 1, "a"), info("w2", 1, "b")]
+}
+
+/// A pool that has started the task on `w1`, whose clock shows 50,000 ms, 10 ms after `began_at`. The start has no answer yet.
+fn with_one_start(listed: Vec<WorkerInfo>, began_at: Instant) -> (Pool, WorkerRef, RunNumber) {
+    let at = |ms| after_ms(began_at, ms);
+    let mut pool = pool(7);
+    list(&mut pool, listed, at(0));
+    let w1 = present(&pool, "w1");
+    pool.report(w1, at(0), report(50_000, 1), at(10));
+    pool.submit(record(), Duration::ZERO, at(10));
+    let run = starts(&mut pool, at(10)).remove(0).run;
+    (pool, w1, run)
+}
+
+/// Checks that the task starts nowhere else at any of these times, while `w2` answers.
+fn assert_waits(pool: &mut Pool, began_at: Instant, times_ms: impl Iterator<Item = u64>) {
+    let w2 = present(pool, "w2");
+    for ms in times_ms {
+        let now = after_ms(began_at, ms);
+        list(pool, two_workers(), now);
+        pool.report(w2, now, report(60_000 + ms, 1), now);
+        assert_eq!(starts(pool, now), [], "w1 executes run 1, at {ms} ms");
+    }
+}
+
 /// Guards against a run that counts as over because its worker's earlier incarnation reported late: the later one has
 /// executed the start, and its answer overtook that report.
 #[test]
@@ -324,8 +352,7 @@
     let began_at = Instant::now();
     let at = |ms| after_ms(began_at, ms);
     let mut pool = pool(7);
-    let listed = || vec![info("w1", 1, "a"), info("w2", 1, "b")];
-    list(&mut pool, listed(), at(0));
+    list(&mut pool, two_workers(), at(0));
     let w1 = present(&pool, "w1");
     pool.report(w1, at(0), report(50_000, 1), at(10));
     pool.submit(record(), Duration::ZERO, at(10));
@@ -335,17 +362,8 @@
     pool.start_answered(w1, task(), order.run, StartAnswer::Started, at(520));
     pool.lease_offered(w1, 53_010, at(530));
     pool.mark_unresponsive(w1, at(1_300));
-    let w2 = present(&pool, "w2");
     // On the clock that reported, all leases are over after 5.2 s.
-    for ms in (1_400..=6_200).step_by(400) {
-        list(&mut pool, listed(), at(ms));
-        pool.report(w2, at(ms), report(60_000 + ms, 1), at(ms));
-        assert_eq!(
-            starts(&mut pool, at(ms)),
-            [],
-            "w1 executes run 1, at {ms} ms"
-        );
-    }
+    assert_waits(&mut pool, began_at, (1_400..=6_200).step_by(400));
     list(
         &mut pool,
         vec![info("w1", 500, "a"), info("w2", 1, "b")],
@@ -484,12 +502,7 @@
 fn start_pending_at_a_restart_is_known_after_its_worker_was_removed() {
     let began_at = Instant::now();
     let at = |ms| after_ms(began_at, ms);
-    let mut pool = pool(7);
-    list(&mut pool, vec![info("w1", 1, "a")], at(0));
-    let w1 = present(&pool, "w1");
-    pool.report(w1, at(0), report(50_000, 1), at(10));
-    pool.submit(record(), Duration::ZERO, at(10));
-    let run = starts(&mut pool, at(10)).remove(0).run;
+    let (mut pool, w1, run) = with_one_start(vec![info("w1", 1, "a")], began_at);
     let small = |started_ms| WorkerInfo {
         capacity: Resources::default(),
         ..info("w1", started_ms, "a")
@@ -519,13 +532,7 @@
 fn late_copy_of_a_reported_run_is_waited_for() {
     let began_at = Instant::now();
     let at = |ms| after_ms(began_at, ms);
-    let mut pool = pool(7);
-    let listed = || vec![info("w1", 1, "a"), info("w2", 1, "b")];
-    list(&mut pool, listed(), at(0));
-    let w1 = present(&pool, "w1");
-    pool.report(w1, at(0), report(50_000, 1), at(10));
-    pool.submit(record(), Duration::ZERO, at(10));
-    let run = starts(&mut pool, at(10)).remove(0).run;
+    let (mut pool, w1, run) = with_one_start(two_workers(), began_at);
     pool.start_unanswered(w1, &"w1".into(), task(), run, at(510));
     pool.start_answered(w1, task(), run, StartAnswer::Started, at(520));
     pool.start_clock_read(w1, task(), run, 50_510, at(520));
@@ -533,16 +540,7 @@
     pool.report(w1, at(525), report_of(50_520, 1, run), at(530));
     // w1 crashes at 600 ms, is back unnoticed at 700 ms, and executes the first copy at 800 ms: until 10,800 ms.
     pool.mark_unresponsive(w1, at(1_300));
-    let w2 = present(&pool, "w2");
-    for ms in (1_400..=10_600).step_by(400) {
-        list(&mut pool, listed(), at(ms));
-        pool.report(w2, at(ms), report(60_000 + ms, 1), at(ms));
-        assert_eq!(
-            starts(&mut pool, at(ms)),
-            [],
-            "w1 executes run 1, at {ms} ms"
-        );
-    }
+    assert_waits(&mut pool, began_at, (1_400..=10_600).step_by(400));
 }
 
 /// Guards against ends that are never acknowledged: with as many ends as fit into a report, none accounts for a start that had no answer.
@@ -550,12 +548,7 @@
 fn unanswered_start_beside_many_ends_is_accounted_for() {
     let began_at = Instant::now();
     let at = |ms| after_ms(began_at, ms);
-    let mut pool = pool(7);
-    list(&mut pool, vec![info("w1", 1, "a")], at(0));
-    let w1 = present(&pool, "w1");
-    pool.report(w1, at(0), report(50_000, 1), at(10));
-    pool.submit(record(), Duration::ZERO, at(10));
-    let run = starts(&mut pool, at(10)).remove(0).run;
+    let (mut pool, w1, run) = with_one_start(vec![info("w1", 1, "a")], began_at);
     pool.start_unanswered(w1, &"w1".into(), task(), run, at(510));
     pool.start_unanswered(w1, &"w1".into(), task(), run, at(1_010));
     pool.start_answered(w1, task(), run, StartAnswer::Unknown, at(1_010));
@@ -589,8 +582,7 @@
     let began_at = Instant::now();
     let at = |ms| after_ms(began_at, ms);
     let mut pool = taken_over(&["w1"], 1, at(0));
-    let listed = || vec![info("w1", 1, "a"), info("w2", 1, "b")];
-    list(&mut pool, listed(), at(10));
+    list(&mut pool, two_workers(), at(10));
     let (w1, w2) = (present(&pool, "w1"), present(&pool, "w2"));
     let ends = (1..=500).map(|number| EndRow {
         number,
@@ -606,7 +598,7 @@
     pool.report(w1, at(10), first, at(20));
     pool.mark_unresponsive(w1, at(1_000));
     for ms in (1_000..=120_000).step_by(400) {
-        list(&mut pool, listed(), at(ms));
+        list(&mut pool, two_workers(), at(ms));
         pool.report(w2, at(ms), report(60_000 + ms, 1), at(ms));
         if !starts(&mut pool, at(ms)).is_empty() {
             return;
@@ -622,12 +614,7 @@
 fn run_whose_end_was_reported_is_not_lost_later() {
     let began_at = Instant::now();
     let at = |ms| after_ms(began_at, ms);
-    let mut pool = pool(7);
-    list(&mut pool, vec![info("w1", 1, "a")], at(0));
-    let w1 = present(&pool, "w1");
-    pool.report(w1, at(0), report(50_000, 1), at(10));
-    pool.submit(record(), Duration::ZERO, at(10));
-    let run = starts(&mut pool, at(10)).remove(0).run;
+    let (mut pool, w1, run) = with_one_start(vec![info("w1", 1, "a")], began_at);
     pool.start_unanswered(w1, &"w1".into(), task(), run, at(510));
     pool.start_answered(w1, task(), run, StartAnswer::Started, at(520));
     let failed = EndRow {
@@ -655,28 +642,13 @@
 fn late_request_to_an_unnoticed_incarnation_is_waited_for() {
     let began_at = Instant::now();
     let at = |ms| after_ms(began_at, ms);
-    let mut pool = pool(7);
-    let listed = || vec![info("w1", 1, "a"), info("w2", 1, "b")];
-    list(&mut pool, listed(), at(0));
-    let w1 = present(&pool, "w1");
-    pool.report(w1, at(0), report(50_000, 1), at(10));
-    pool.submit(record(), Duration::ZERO, at(10));
-    let run = starts(&mut pool, at(10)).remove(0).run;
+    let (mut pool, w1, run) = with_one_start(two_workers(), began_at);
     pool.start_answered(w1, task(), run, StartAnswer::Started, at(20));
     pool.start_clock_read(w1, task(), run, 12, at(20));
     pool.lease_offered(w1, 53_030, at(30));
     pool.mark_unresponsive(w1, at(1_300));
-    let w2 = present(&pool, "w2");
     // The request of 30 ms is executed at 3,030 ms: until 13,030 ms.
-    for ms in (1_400..=12_900).step_by(100) {
-        list(&mut pool, listed(), at(ms));
-        pool.report(w2, at(ms), report(60_000 + ms, 1), at(ms));
-        assert_eq!(
-            starts(&mut pool, at(ms)),
-            [],
-            "w1 executes run 1, at {ms} ms"
-        );
-    }
+    assert_waits(&mut pool, began_at, (1_400..=12_900).step_by(100));
 }
 
 /// Guards against a worker that is never used again: its wall clock was set back before it restarted.
@@ -859,13 +831,7 @@
 fn answer_of_a_later_incarnation_to_a_reported_run_is_taken_in() {
     let began_at = Instant::now();
     let at = |ms| after_ms(began_at, ms);
-    let mut pool = pool(7);
-    let listed = || vec![info("w1", 1, "a"), info("w2", 1, "b")];
-    list(&mut pool, listed(), at(0));
-    let w1 = present(&pool, "w1");
-    pool.report(w1, at(0), report(50_000, 1), at(10));
-    pool.submit(record(), Duration::ZERO, at(10));
-    let run = starts(&mut pool, at(10)).remove(0).run;
+    let (mut pool, w1, run) = with_one_start(two_workers(), began_at);
     // The first copy is executed at once; its answer is lost.
     pool.lease_offered(w1, 53_290, at(290));
     pool.report(w1, at(290), report_of(50_300, 1, run), at(300));
@@ -875,16 +841,7 @@
     pool.start_clock_read(w1, task(), run, 61, at(515));
     pool.start_answered(w1, task(), run, StartAnswer::Started, at(515));
     pool.mark_unresponsive(w1, at(1_600));
-    let w2 = present(&pool, "w2");
-    for ms in (1_700..=10_500).step_by(400) {
-        list(&mut pool, listed(), at(ms));
-        pool.report(w2, at(ms), report(60_000 + ms, 1), at(ms));
-        assert_eq!(
-            starts(&mut pool, at(ms)),
-            [],
-            "w1 executes run 1, at {ms} ms"
-        );
-    }
+    assert_waits(&mut pool, began_at, (1_700..=10_500).step_by(400));
 }
 
 /// Guards against a belief without a proof: a report has listed the run, and a later incarnation has answered the second copy of its start. An acknowledgement that
@@ -893,12 +850,7 @@
 fn answer_of_a_later_incarnation_to_a_reported_run_withholds_the_acknowledgement() {
     let began_at = Instant::now();
     let at = |ms| after_ms(began_at, ms);
-    let mut pool = pool(7);
-    list(&mut pool, vec![info("w1", 1, "a")], at(0));
-    let w1 = present(&pool, "w1");
-    pool.report(w1, at(0), report(50_000, 1), at(10));
-    pool.submit(record(), Duration::ZERO, at(10));
-    let run = starts(&mut pool, at(10)).remove(0).run;
+    let (mut pool, w1, run) = with_one_start(vec![info("w1", 1, "a")], began_at);
     let end = EndRow {
         number: 1,
         task: "00000000000000b1.0.0.0".parse().expect("a task"),
@@ -925,8 +877,7 @@
     let began_at = Instant::now();
     let at = |ms| after_ms(began_at, ms);
     let mut pool = taken_over(&["w1"], 1, at(0));
-    let listed = || vec![info("w1", 1, "a"), info("w2", 1, "b")];
-    list(&mut pool, listed(), at(10));
+    list(&mut pool, two_workers(), at(10));
     let (w1, w2) = (present(&pool, "w1"), present(&pool, "w2"));
     pool.report(w2, at(10), report(60_000, 1), at(20));
     pool.report(w1, at(10), report_of(50_000, 1, RunNumber(8)), at(20));
