--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -27,6 +27,7 @@
         "renamed-queue" => renamed_queue(record, has_trouble),
         "stale-share" => stale_share(record, has_trouble),
         "advice-burst" => advice_burst(record, has_trouble),
+        "deadly-service" => deadly_service(record, has_trouble),
         "moved-queue" => moved_queue(record, has_trouble),
         "lowered-cap" => lowered_cap(record, has_trouble),
         "oversized-job" => oversized_job(record, has_trouble),
@@ -546,6 +547,60 @@
     }))
 }
 
+/// A task that lasts crashes each minion that starts it, 1.2 s after its start.
+fn deadly_service(record: &Path, has_trouble: bool) -> Verdict {
+    const STARTS_AFTER_THREE: usize = 3;
+    let routes = [route("watch", "/watch/", "alpha", 3_000)];
+    let first = config(1, &routes, &["alpha"], &[("tenant-1", "key-1", 0, 0)]);
+    let ids = ["i-1", "i-2", "i-3", "i-4", "i-5", "i-6"];
+    let places: Vec<_> = ids.iter().map(|id| place(id, "alpha", "a", "r1")).collect();
+    let deployment = Deployment::start(record, &first, &places)?;
+    let mut lasts = step(12, 1_000, 512, 500);
+    lasts.push(("longRunning", Json::Bool(true)));
+    let mut deadly = step(1, 1_000, 512, 500);
+    deadly.push(("longRunning", Json::Bool(true)));
+    let spec = if has_trouble {
+        "crash_ms=1200"
+    } else {
+        "lasts"
+    };
+    let id = "00000000000000f1";
+    if !deployment.submit(0, "/watch/", "00000000000000f0", &job("lasts", &lasts))
+        || !deployment.submit(1, "/watch/", id, &job(spec, &deadly))
+    {
+        return Err("a job was not accepted".to_owned());
+    }
+    sleep_ms(60_000);
+    let shown = deployment.call(0, "GET", &format!("/watch/{id}"), "");
+    let crashes: u64 = deployment
+        .minions
+        .iter()
+        .map(|minion| minion.crashes())
+        .sum();
+    let runs = deployment.world.runs().clone();
+    let of_task: Vec<_> = runs.iter().filter(|run| run.job() == id).collect();
+    let lost = of_task.iter().filter_map(|run| {
+        let (at_ms, how) = run.ended.as_ref()?;
+        (how == "lost with its minion").then_some(*at_ms)
+    });
+    let third_ms = lost.clone().nth(2);
+    let after = of_task
+        .iter()
+        .filter(|run| third_ms.is_some_and(|third_ms| run.began_ms > third_ms))
+        .count();
+    let others = runs.iter().filter(|run| run.job() != id);
+    let others_lost = others.filter(|run| run.ended.is_some()).count();
+    deployment.world.note(&format!(
+        "{crashes} crashes; {after} starts of the task after the third; {others_lost} runs of the other job were lost; shown as {shown:?}"
+    ));
+    Ok((after >= STARTS_AFTER_THREE).then(|| {
+        format!(
+            "BUDGET: the task was started {after} times more after three minions had crashed under it; {crashes} crashes in 60 s, \
+             by which {others_lost} runs of another job were lost"
+        )
+    }))
+}
+
 /// Tasks that last fail now and then. The minions that have the label that they require are otherwise idle.
 fn failing_service(record: &Path, has_trouble: bool) -> Verdict {
     let routes = [route("watch", "/watch/", "alpha", 3_000)];
--- a/review/standins-3/http.rs
+++ b/review/standins-3/http.rs
@@ -35,6 +35,9 @@
 /// An answer: its status and its body.
 pub type Answer = (u16, String);
 
+/// The status of a request that is not answered: the connection is closed.
+pub const NO_ANSWER: u16 = 0;
+
 /// A link that can be cut: nothing passes while it is closed, in either direction. What waits there passes once it is open
 /// again, unless its sender has closed the connection meanwhile.
 #[derive(Debug, Default)]
@@ -79,6 +82,9 @@
         }
         let (status, body) = handle(&request);
         link.wait_open();
+        if status == NO_ANSWER {
+            return;
+        }
         let head = format!(
             "HTTP/1.1 {status} -\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
             body.len()
--- a/review/standins-3/minion.rs
+++ b/review/standins-3/minion.rs
@@ -2,6 +2,7 @@
 //!
 //! - `run_ms=N`: the task ends as done after N ms of work at full pace.
 //! - `fail_ms=N`: the task lasts and fails after N ms.
+//! - `crash_ms=N`: the task lasts and crashes its minion after N ms, which is back under its id after [`DOWN_TIME`].
 //! - Neither: the task lasts.
 
 use std::collections::{BTreeMap, HashMap};
@@ -10,7 +11,7 @@
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use crate::http::{Answer, Link, Request, serve};
+use crate::http::{Answer, Link, NO_ANSWER, Request, serve};
 use crate::json::Json;
 use crate::store::Store;
 use crate::world::{Step, World};
@@ -27,6 +28,9 @@
 /// `maxHoldMs`.
 const LEASE_MAX_MS: u64 = 10_000;
 
+/// How long a minion that has crashed is down.
+const DOWN_TIME: Duration = Duration::from_secs(2);
+
 /// The tail of a serving task beside which nothing fills.
 const CALM_TAIL_MS: u64 = 40;
 
@@ -56,6 +60,27 @@
     /// Spans are counted from this time on.
     over_counts_from_ms: u64,
     paces_seen: u64,
+    /// Until when it is down, after a crash.
+    down_until: Option<Instant>,
+    crashes: u64,
+}
+
+/// When a life of a minion began.
+#[derive(Debug, Clone, Copy)]
+struct Birth {
+    at: Instant,
+    unix_ms: u64,
+}
+
+impl Birth {
+    fn now() -> Self {
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+        let unix_ms = since_epoch.map_or(0, |time| time.as_millis());
+        Self {
+            at: Instant::now(),
+            unix_ms: u64::try_from(unix_ms).unwrap_or_default(),
+        }
+    }
 }
 
 pub struct Minion {
@@ -66,8 +91,7 @@
     rack: String,
     cpu: u64,
     mem_mb: u64,
-    born: Instant,
-    born_ms: u64,
+    birth: Mutex<Birth>,
     world: Arc<World>,
     pub link: Arc<Link>,
     /// How much the tasks that fill raise the tail of the serving tasks here, in milliseconds at full pace.
@@ -96,8 +120,6 @@
 impl Minion {
     /// Starts a minion and registers it in the store.
     pub fn start(place: &Place<'_>, world: &Arc<World>, store: &Arc<Store>) -> Arc<Self> {
-        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-        let born_ms = since_epoch.map_or(0, |time| time.as_millis());
         let minion = Arc::new(Self {
             id: place.id.to_owned(),
             service: place.service.to_owned(),
@@ -106,8 +128,7 @@
             rack: place.rack.to_owned(),
             cpu: place.cpu,
             mem_mb: place.mem_mb,
-            born: Instant::now(),
-            born_ms: u64::try_from(born_ms).unwrap_or_default(),
+            birth: Mutex::new(Birth::now()),
             world: Arc::clone(world),
             link: Arc::default(),
             disturbance_ms: AtomicU64::new(0),
@@ -130,6 +151,9 @@
         let (of_beats, store) = (Arc::clone(&minion), Arc::clone(store));
         std::thread::spawn(move || {
             for sequence in 1.. {
+                while of_beats.is_down() {
+                    std::thread::sleep(TICK);
+                }
                 store.write(
                     &format!("servers/{}", of_beats.id),
                     &of_beats.entry(&address, sequence),
@@ -158,7 +182,7 @@
             ("capacity", capacity),
             ("labels", labels),
             ("clockMs", Json::int(self.clock_ms())),
-            ("born", Json::int(self.born_ms)),
+            ("born", Json::int(self.birth().unix_ms)),
             ("sequence", Json::int(sequence)),
         ])
     }
@@ -188,8 +212,21 @@
         &self.service
     }
 
+    fn birth(&self) -> Birth {
+        *self.birth.lock().expect("no thread panics here")
+    }
+
+    fn is_down(&self) -> bool {
+        self.lock().down_until.is_some()
+    }
+
+    /// How often it has crashed.
+    pub fn crashes(&self) -> u64 {
+        self.lock().crashes
+    }
+
     fn clock_ms(&self) -> u64 {
-        1_000 + u64::try_from(self.born.elapsed().as_millis()).unwrap_or_default()
+        1_000 + u64::try_from(self.birth().at.elapsed().as_millis()).unwrap_or_default()
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -227,6 +264,25 @@
     fn tick(&self) {
         let mut state = self.lock();
         let now = Instant::now();
+        if let Some(until) = state.down_until {
+            if now >= until {
+                state.down_until = None;
+                *self.birth.lock().expect("no thread panics here") = Birth::now();
+                self.world.note(&format!("{} is back", self.id));
+            }
+            return;
+        }
+        let mut live = state.runs.values();
+        let is_deadly = live.any(|run| {
+            let age_ms = u64::try_from(now.duration_since(run.began).as_millis());
+            word(&run.spec, "crash_ms").is_some_and(|ms| age_ms.is_ok_and(|age_ms| age_ms >= ms))
+        });
+        if is_deadly {
+            self.crash(&mut state, now);
+            drop(state);
+            self.changed.notify_all();
+            return;
+        }
         let clock_ms = self.clock_ms();
         let has_lapsed = clock_ms > state.lease_until_ms;
         let mut over = Vec::new();
@@ -258,6 +314,20 @@
         }
     }
 
+    /// Ends all runs without a report. The next life knows nothing of this one.
+    fn crash(&self, state: &mut State, now: Instant) {
+        let crashes = state.crashes + 1;
+        for run in state.runs.values() {
+            self.world.end_run(run.record, "lost with its minion");
+        }
+        *state = State {
+            down_until: Some(now + DOWN_TIME),
+            crashes,
+            ..State::default()
+        };
+        self.world.note(&format!("{} crashes", self.id));
+    }
+
     fn watch_tail(&self, state: &mut State) {
         let tail_ms = self.tail_ms(state);
         let mut serving = state.runs.values();
@@ -293,6 +363,9 @@
         let body = Json::read(&request.body).unwrap_or(Json::Null);
         let token = body.u64("fencingToken").unwrap_or_default();
         let mut state = self.lock();
+        if state.down_until.is_some() {
+            return (NO_ANSWER, String::new());
+        }
         if token < state.token {
             return self.refuse("fence");
         }
@@ -411,7 +484,8 @@
         state.ended.retain(|(number, ..)| *number > last_seen);
         let wait = Duration::from_millis(body.u64("waitMs").unwrap_or_default().min(2_000));
         let until = Instant::now() + wait;
-        while state.ended.is_empty() {
+        let birth = self.birth().at;
+        while state.ended.is_empty() && state.down_until.is_none() {
             let now = Instant::now();
             if now >= until {
                 break;
@@ -419,6 +493,9 @@
             let waited = self.changed.wait_timeout(state, until - now);
             state = waited.expect("no thread panics with the state").0;
         }
+        if state.down_until.is_some() || self.birth().at != birth {
+            return (NO_ANSWER, String::new());
+        }
         let tail_ms = self.tail_ms(&state);
         let running = state.runs.iter().map(|((task, run), live)| {
             let percent = match word(&live.spec, "run_ms") {
@@ -452,7 +529,7 @@
         let ended = Json::List(ended.collect());
         let answer = Json::object(&[
             ("clockMs", Json::int(self.clock_ms())),
-            ("born", Json::int(self.born_ms)),
+            ("born", Json::int(self.birth().unix_ms)),
             ("running", running),
             ("ended", ended),
         ]);
