--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# A queue moves to another service while its jobs wait. See claim.txt.
-exec "$(dirname "$0")/../standins-3/run-case.sh" moved-queue review/14
+# A tenant's cap is lowered, and tasks come that are larger than it. See claim.txt.
+exec "$(dirname "$0")/../standins-3/run-case.sh" oversized-job review/14
