--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -28,6 +28,7 @@
         "stale-share" => stale_share(record, has_trouble),
         "advice-burst" => advice_burst(record, has_trouble),
         "deadly-service" => deadly_service(record, has_trouble),
+        "held-minions" => held_minions(record, has_trouble),
         "moved-queue" => moved_queue(record, has_trouble),
         "lowered-cap" => lowered_cap(record, has_trouble),
         "oversized-job" => oversized_job(record, has_trouble),
@@ -601,6 +602,77 @@
     }))
 }
 
+/// The one minion with a label is lost for good while tasks that require the label have just begun there.
+fn held_minions(record: &Path, has_trouble: bool) -> Verdict {
+    let routes = [
+        route("labelled", "/labelled/", "alpha", 3_000),
+        route("plain", "/plain/", "alpha", 3_000),
+    ];
+    let first = config(1, &routes, &["alpha"], &[("tenant-1", "key-1", 0, 0)]);
+    let ids = ["i-1", "i-2", "i-3", "i-4", "i-5", "i-6", "i-7"];
+    let places: Vec<_> = ids
+        .iter()
+        .map(|id| place(id, "alpha", if *id == "i-7" { "b" } else { "a" }, "r1"))
+        .collect();
+    let deployment = Deployment::start(record, &first, &places)?;
+    let mut sent = 0_u64;
+    let mut labelled = |for_ms: u64| {
+        let until_ms = deployment.world.ms() + for_ms;
+        while deployment.world.ms() < until_ms {
+            sent += 1;
+            let mut step = step(8, 200, 256, 600);
+            step.push(("requires", Json::text("b")));
+            let id = format!("{sent:016x}");
+            deployment.submit(sent as usize, "/labelled/", &id, &job("run_ms=600", &step));
+            sleep_ms(100);
+        }
+    };
+    labelled(5_000);
+    if has_trouble {
+        deployment.minions[6].crash_for_good(&deployment.store);
+    }
+    labelled(1_000);
+    sleep_ms(8_000);
+    let plain = job("run_ms=300", &step(1, 1_000, 256, 300));
+    let mut paths = Vec::new();
+    for number in 1..=6_u64 {
+        let id = format!("00000000000000{number:02x}");
+        let id = id.replace("00000000000000", "000000000000a0");
+        if !deployment.submit(number as usize, "/plain/", &id, &plain) {
+            return Err("a job was not accepted".to_owned());
+        }
+        paths.push((id.clone(), format!("/plain/{id}")));
+        sleep_ms(200);
+    }
+    deployment.world.note("the traffic ends");
+    sleep_ms(FINISH_MS + IDLE_MS);
+    let runs = deployment.world.runs().clone();
+    let mut waiting = Vec::new();
+    for (id, path) in &paths {
+        deployment.call(0, "GET", path, "");
+        if !runs.iter().any(|run| run.job() == id) {
+            waiting.push(path.clone());
+        }
+    }
+    let used: u64 = deployment
+        .minions
+        .iter()
+        .map(|minion| minion.used().0)
+        .sum();
+    deployment.world.note(&format!(
+        "{used} of 96000 thousandths of a core of the six minions that are up are in use"
+    ));
+    Ok((!waiting.is_empty() && used * 2 < 96_000).then(|| {
+        format!(
+            "LOST: {} ms after the end of the traffic {} accepted jobs that require nothing have had nothing running: {}; {used} of \
+             96000 thousandths of a core of the six minions that are up are in use",
+            FINISH_MS + IDLE_MS,
+            waiting.len(),
+            waiting.join(" ")
+        )
+    }))
+}
+
 /// Tasks that last fail now and then. The minions that have the label that they require are otherwise idle.
 fn failing_service(record: &Path, has_trouble: bool) -> Verdict {
     let routes = [route("watch", "/watch/", "alpha", 3_000)];
--- a/review/standins-3/minion.rs
+++ b/review/standins-3/minion.rs
@@ -31,6 +31,9 @@
 /// How long a minion that has crashed is down.
 const DOWN_TIME: Duration = Duration::from_secs(2);
 
+/// Longer than any script runs.
+const GONE: Duration = Duration::from_secs(3_600);
+
 /// The tail of a serving task beside which nothing fills.
 const CALM_TAIL_MS: u64 = 40;
 
@@ -314,6 +317,21 @@
         }
     }
 
+    /// Crashes for good. Its entry is removed after three heartbeat intervals.
+    pub fn crash_for_good(&self, store: &Arc<Store>) {
+        let mut state = self.lock();
+        let now = Instant::now();
+        self.crash(&mut state, now);
+        state.down_until = Some(now + GONE);
+        drop(state);
+        self.changed.notify_all();
+        let (store, key) = (Arc::clone(store), format!("servers/{}", self.id));
+        std::thread::spawn(move || {
+            std::thread::sleep(HEARTBEAT * 3);
+            store.erase(&key);
+        });
+    }
+
     /// Ends all runs without a report. The next life knows nothing of this one.
     fn crash(&self, state: &mut State, now: Instant) {
         let crashes = state.crashes + 1;
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -120,6 +120,15 @@
         self.changed.notify_all();
     }
 
+    /// Removes a key as the platform does.
+    pub fn erase(&self, key: &str) {
+        let mut state = self.lock();
+        state.revision += 1;
+        state.remove(key);
+        drop(state);
+        self.changed.notify_all();
+    }
+
     pub fn handle(&self, request: &Request) -> Answer {
         let path = request.path.strip_prefix("/goldcreststile/").unwrap_or("");
         let body = Json::read(&request.body).unwrap_or(Json::Null);
