Show that a lost minion can stop its whole pool

review/15/run.sh: the one minion of seven with a label is lost for good while tasks that require the label have just begun there. No job starts in the pool any more, though six minions are idle (LOST).

--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# Tasks that last fail now and then. See claim.txt.
-exec "$(dirname "$0")/../standins-3/run-case.sh" failing-service review/15
+# The one minion with a label is lost for good. See claim.txt.
+exec "$(dirname "$0")/../standins-3/run-case.sh" held-minions review/15
