--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# The one minion with a label is lost for good. See claim.txt.
-exec "$(dirname "$0")/../standins-3/run-case.sh" held-minions review/15
+# Starts of a scheduler that is killed are carried out late. See claim.txt.
+exec "$(dirname "$0")/../standins-3/run-case.sh" late-predecessor review/15
--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -29,6 +29,7 @@
         "advice-burst" => advice_burst(record, has_trouble),
         "deadly-service" => deadly_service(record, has_trouble),
         "held-minions" => held_minions(record, has_trouble),
+        "late-predecessor" => late_predecessor(record, has_trouble),
         "moved-queue" => moved_queue(record, has_trouble),
         "lowered-cap" => lowered_cap(record, has_trouble),
         "oversized-job" => oversized_job(record, has_trouble),
@@ -673,6 +674,91 @@
     }))
 }
 
+/// Starts of a scheduler that is killed are carried out late, by the next life of their minion, after its successor has started the
+/// tasks elsewhere.
+fn late_predecessor(record: &Path, has_trouble: bool) -> Verdict {
+    let routes = [
+        route("watch", "/watch/", "alpha", 3_000),
+        route("plans", "/plans/", "alpha", 3_000),
+    ];
+    let first = config(1, &routes, &["alpha"], &[("tenant-1", "key-1", 0, 0)]);
+    let ids = ["i-1", "i-2", "i-3", "i-4", "i-5", "i-6", "i-7"];
+    let places: Vec<_> = ids.iter().map(|id| place(id, "alpha", "a", "r1")).collect();
+    let mut deployment = Deployment::start(record, &first, &places)?;
+    let mut fills = step(5, 16_000, 512, 500);
+    fills.push(("longRunning", Json::Bool(true)));
+    fills.push(("antiAffinity", Json::int(1)));
+    let mut part = step(1, 4_000, 512, 500);
+    part.push(("longRunning", Json::Bool(true)));
+    let short = job("run_ms=1300", &step(3, 4_000, 256, 1_300));
+    let id = "0000000000000123";
+    let tasks = job("run_ms=6000", &step(10, 1_000, 256, 6_000));
+    let sent = deployment.submit(0, "/watch/", "00000000000000a1", &job("lasts", &fills));
+    sleep_ms(1_500);
+    let sent = sent && deployment.submit(0, "/watch/", "00000000000000a2", &job("lasts", &part));
+    // Clocks of the minions' lives differ by more than a start's time.
+    sleep_ms(8_000);
+    let sent = sent && deployment.submit(0, "/plans/", "00000000000000a3", &short);
+    sleep_ms(300);
+    let target = deployment
+        .minions
+        .iter()
+        .position(|minion| minion.used().0 == 0);
+    let Some(target) = target.filter(|_| sent) else {
+        return Err("no minion is idle, or a job was not accepted".to_owned());
+    };
+    if has_trouble {
+        deployment.minions[target]
+            .late_ms
+            .store(2_600, std::sync::atomic::Ordering::SeqCst);
+    }
+    if !deployment.submit(0, "/plans/", id, &tasks) {
+        return Err("the job was not accepted".to_owned());
+    }
+    sleep_ms(300);
+    if has_trouble && !deployment.kill_leader("alpha") {
+        return Err("no entry schedules the pool".to_owned());
+    }
+    deployment.minions[target]
+        .late_ms
+        .store(0, std::sync::atomic::Ordering::SeqCst);
+    sleep_ms(3_000);
+    if has_trouble {
+        deployment.minions[target].crash_for(Duration::from_millis(300));
+    }
+    sleep_ms(12_000);
+    let runs = deployment.world.runs().clone();
+    let of_job: Vec<_> = runs.iter().filter(|run| run.job() == id).collect();
+    let end_ms = |run: &RunRecord| run.ended.as_ref().map_or(u64::MAX, |(at_ms, _)| *at_ms);
+    let mut double = Vec::new();
+    for (at, one) in of_job.iter().enumerate() {
+        let overlapping = of_job[at + 1..].iter().find(|other| {
+            other.task == one.task && other.began_ms < end_ms(one) && one.began_ms < end_ms(other)
+        });
+        if let Some(other) = overlapping {
+            double.push(format!(
+                "{} run {} on {} from {} ms and run {} on {} from {} ms",
+                one.task,
+                one.run,
+                one.minion,
+                one.began_ms,
+                other.run,
+                other.minion,
+                other.began_ms
+            ));
+        }
+    }
+    for line in &double {
+        deployment.world.note(&format!("two runs at once: {line}"));
+    }
+    Ok(double.first().map(|first| {
+        format!(
+            "TWICE: {} tasks had two runs at the same time, on minions that are up; the first: {first}",
+            double.len()
+        )
+    }))
+}
+
 /// Tasks that last fail now and then. The minions that have the label that they require are otherwise idle.
 fn failing_service(record: &Path, has_trouble: bool) -> Verdict {
     let routes = [route("watch", "/watch/", "alpha", 3_000)];
--- a/review/standins-3/deployment.rs
+++ b/review/standins-3/deployment.rs
@@ -256,6 +256,23 @@
         Ok(())
     }
 
+    /// Kills the entry that schedules a pool. Returns whether one did.
+    pub fn kill_leader(&mut self, pool: &str) -> bool {
+        for (at, (_, entry)) in self.entries.iter_mut().enumerate() {
+            let name = format!("entry-{}", at + 1);
+            // The project stores the name of a role's holder as a CBOR text of less than 24 bytes.
+            let mut value = vec![0x60 | u8::try_from(name.len()).unwrap_or_default()];
+            value.extend(name.as_bytes());
+            if self.store.holds(&format!("who/role/pool/{pool}"), &value) {
+                let _ = entry.kill();
+                let _ = entry.wait();
+                self.world.note(&format!("{name} is killed"));
+                return true;
+            }
+        }
+        false
+    }
+
     /// Calls an entry as a client does. Entries are numbered from 0.
     pub fn call(&self, entry: usize, method: &str, path: &str, body: &str) -> Option<Answer> {
         let (address, _) = self.entries[entry % self.entries.len()];
--- a/review/standins-3/minion.rs
+++ b/review/standins-3/minion.rs
@@ -97,6 +97,8 @@
     birth: Mutex<Birth>,
     world: Arc<World>,
     pub link: Arc<Link>,
+    /// If not 0, starts get no answer. The first is carried out after this time in milliseconds, each further one 200 ms later.
+    pub late_ms: AtomicU64,
     /// How much the tasks that fill raise the tail of the serving tasks here, in milliseconds at full pace.
     pub disturbance_ms: AtomicU64,
     state: Mutex<State>,
@@ -134,6 +136,7 @@
             birth: Mutex::new(Birth::now()),
             world: Arc::clone(world),
             link: Arc::default(),
+            late_ms: AtomicU64::new(0),
             disturbance_ms: AtomicU64::new(0),
             state: Mutex::default(),
             changed: Condvar::new(),
@@ -142,7 +145,7 @@
         let address = listener.local_addr().expect("a bound address").to_string();
         let of_calls = Arc::clone(&minion);
         serve(listener, Arc::clone(&minion.link), move |request| {
-            of_calls.handle(request)
+            Self::receive(&of_calls, request)
         });
         let of_ticks = Arc::clone(&minion);
         std::thread::spawn(move || {
@@ -371,6 +374,43 @@
         state.over_longest_ms = state.over_longest_ms.max(now_ms.saturating_sub(since_ms));
     }
 
+    /// Carries a request out, at once or later.
+    fn receive(minion: &Arc<Self>, request: &Request) -> Answer {
+        const NEXT_LATE_MS: u64 = 200;
+        const UNANSWERED: Duration = Duration::from_secs(2);
+        let is_start = request.path.ends_with("/run-start");
+        if !is_start || minion.late_ms.load(Ordering::SeqCst) == 0 {
+            return minion.handle(request);
+        }
+        let late_ms = minion.late_ms.fetch_add(NEXT_LATE_MS, Ordering::SeqCst);
+        let text = String::from_utf8_lossy(&request.body).into_owned();
+        minion.world.note(&format!(
+            "a start on {} gets no answer, and is carried out {late_ms} ms later: {text}",
+            minion.id
+        ));
+        let (minion, request) = (Arc::clone(minion), request.clone());
+        std::thread::spawn(move || {
+            std::thread::sleep(Duration::from_millis(late_ms));
+            let (status, answer) = minion.handle(&request);
+            minion.world.note(&format!(
+                "the late start is carried out on {}: {status} {answer}: {text}",
+                minion.id
+            ));
+        });
+        std::thread::sleep(UNANSWERED);
+        (NO_ANSWER, String::new())
+    }
+
+    /// Crashes, and is back under its id after this time.
+    pub fn crash_for(&self, down: Duration) {
+        let mut state = self.lock();
+        let now = Instant::now();
+        self.crash(&mut state, now);
+        state.down_until = Some(now + down);
+        drop(state);
+        self.changed.notify_all();
+    }
+
     fn handle(&self, request: &Request) -> Answer {
         if request
             .header("expect-instance")
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -120,6 +120,13 @@
         self.changed.notify_all();
     }
 
+    /// Whether a key holds this value.
+    pub fn holds(&self, key: &str, value: &[u8]) -> bool {
+        let state = self.lock();
+        let item = state.items.get(key);
+        item.is_some_and(|item| item.value == base64(value))
+    }
+
     /// Removes a key as the platform does.
     pub fn erase(&self, key: &str) {
         let mut state = self.lock();
