jobs: send one query for placement permits at a time

Cause: a pool kept eight queries pending. The service processes those of a machine in turn, so with 440 ms a query the eighth reply came after 3.5 s, but permits are used for 2.25 s from the sending of the query. Late replies were asked for again, so as many queries stayed pending. The figures that a queue states were not read.

Ruled out: refusals (429; fewer than 32 waited), a service that is too slow for the usual traffic. The log did not tell a late reply from a denial; it does now.

Change: a pool has one query pending, the schedulers of an entry take turns, and what to ask is chosen when the turn comes. QueryTimes derives the workers named and the timeout from the times that the queue states. A permit's validity is spent by its own query only, so a backlog can't make replies useless.

--- a/crates/bench/src/bin/pool.rs
+++ b/crates/bench/src/bin/pool.rs
@@ -103,7 +103,7 @@
         stretch_milli: 1_600,
         target_latency: Duration::from_millis(600),
         timeout: Duration::from_secs(3),
-        needs_permits: false,
+        permit_queries: None,
     };
     let spec = PoolSpec {
         name: pool.clone(),
--- a/crates/grid/src/entry/mod.rs
+++ b/crates/grid/src/entry/mod.rs
@@ -16,7 +16,7 @@
 use goldcrest_jobs::worker::{WorkerInfo, millis};
 use goldcrest_types::clock::Clock;
 use goldcrest_types::names::{DcName, PoolName};
-use tokio::sync::Notify;
+use tokio::sync::{Mutex, Notify};
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
@@ -111,6 +111,8 @@
     pub registry_needed: Notify,
     /// Notified when a worker has restarted whose new entry was not read yet.
     pub registry_stale: Notify,
+    /// Held while a query for placement permits is pending.
+    pub(crate) permit_turn: Mutex<()>,
     /// Cancelled to stop the entry.
     pub stopping: CancellationToken,
     failed_since: Cell<Option<Instant>>,
@@ -139,6 +141,7 @@
             is_awaiting_workers: Cell::new(false),
             registry_needed: Notify::new(),
             registry_stale: Notify::new(),
+            permit_turn: Mutex::default(),
             stopping: CancellationToken::new(),
             failed_since: Cell::new(None),
             responsiveness: Responsiveness::default(),
--- a/crates/grid/src/pool/commands.rs
+++ b/crates/grid/src/pool/commands.rs
@@ -3,7 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use goldcrest_jobs::id::{StepId, TaskId, WorkerId, WorkerRef};
+use goldcrest_jobs::id::{StepId, TaskId, WorkerRef};
+use goldcrest_jobs::pool::permits::PermitReply;
 use goldcrest_jobs::pool::{Command, StartAnswer, StartCommand};
 use goldcrest_jobs::worker::{Contact, millis};
 use tokio::task::JoinSet;
@@ -33,9 +34,6 @@
 /// The time limit for storing, before a start is sent, that the job may run on the worker.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// The timeout of a request for permits. The service takes time for each worker and queues requests.
-const PERMITS_TIMEOUT: Duration = Duration::from_secs(3);
-
 /// The timeout of a stop or a throttle command.
 const COMMAND_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -111,29 +109,48 @@
                     self.handle_command_error(worker, "pace", &error);
                 }
             }
-            Command::QueryPermits { step, workers } => self.request_permits(step, workers).await,
+            Command::QueryPermits(query) => self.request_permits(query.step).await,
         }
     }
 
-    async fn request_permits(&self, step: StepId, workers: Vec<WorkerId>) {
-        let requested_at = self.now();
+    /// Sends a query that was planned for `step`, once no other scheduler of this entry has one pending: the service
+    /// processes the queries of a machine one after the other.
+    async fn request_permits(&self, step: StepId) {
+        let _turn = self.entry.permit_turn.lock().await;
+        if !self.may_send_commands() {
+            self.pool.borrow_mut().withdraw_query(step);
+            return;
+        }
+        let sent_at = self.now();
+        let Some(query) = self.pool.borrow_mut().renew_query(step, sent_at) else {
+            return;
+        };
+        let (step, asked) = (query.step, query.workers.len());
         let platform = &self.entry.platform;
-        let result = platform.permits(step, &workers, PERMITS_TIMEOUT).await;
+        let result = platform.permits(step, &query.workers, query.timeout).await;
         let now = self.now();
-        let took_ms = millis(now.saturating_duration_since(requested_at));
-        let granted = match result {
-            Ok(granted) => {
-                log::info!(target: "scheduler", job:% = step.job, step:%, asked = workers.len(), granted = granted.by_worker.len(), took_ms; "Placement permits received.");
-                Some(granted)
-            }
-            Err(error) => {
-                log::warn!(target: "scheduler", job:% = step.job, step:%, asked = workers.len(), took_ms, error:%; "No answer about placement permits.");
-                None
-            }
+        let took_ms = millis(now.saturating_duration_since(sent_at));
+        let (grants, error) = match result {
+            Ok(grants) => (Some(grants), None),
+            Err(error) => (None, Some(error)),
         };
-        self.pool
+        let granted = grants.as_ref().map(|grants| grants.by_worker.len());
+        let reply = self
+            .pool
             .borrow_mut()
-            .permits_answered(step, granted, requested_at, now);
+            .permits_answered(step, grants, sent_at, now);
+        let job = step.job;
+        match (error, reply) {
+            (Some(error), _) => {
+                log::warn!(target: "scheduler", job:%, step:%, asked, took_ms, timeout_ms = millis(query.timeout), error:%; "No reply about placement permits.");
+            }
+            (None, PermitReply::Late) => {
+                log::warn!(target: "scheduler", job:%, step:%, asked, granted, took_ms; "Placement permits came too late to be used.");
+            }
+            (None, PermitReply::Usable | PermitReply::None) => {
+                log::info!(target: "scheduler", job:%, step:%, asked, granted, took_ms; "Placement permits received.");
+            }
+        }
         self.replan.notify_one();
     }
 
--- a/crates/grid/tests/entry/common/mod.rs
+++ b/crates/grid/tests/entry/common/mod.rs
@@ -14,6 +14,7 @@
 use goldcrest_jobs::catalogue::{Catalogue, PoolSpec, Queue, Team};
 use goldcrest_jobs::id::{VmId, WorkerId};
 use goldcrest_jobs::pool::Bounds;
+use goldcrest_jobs::query_times::QueryTimes;
 use goldcrest_jobs::resources::Resources;
 use goldcrest_jobs::spec::{JobSpec, JobState, Step};
 use goldcrest_jobs::upkeep::{Vm, VmState};
@@ -84,6 +85,17 @@
 
 /// A catalogue whose queue may need permits.
 pub fn catalogue_with(version: u64, keys: &[&str], cap_cpu: u64, needs_permits: bool) -> Catalogue {
+    let queries = needs_permits.then(QueryTimes::default);
+    catalogue_with_queries(version, keys, cap_cpu, queries)
+}
+
+/// A catalogue whose queue may need permits, from a service with these times.
+pub fn catalogue_with_queries(
+    version: u64,
+    keys: &[&str],
+    cap_cpu: u64,
+    permit_queries: Option<QueryTimes>,
+) -> Catalogue {
     let queue = Queue {
         name: "q".parse().expect("a name"),
         host: "host".into(),
@@ -95,7 +107,7 @@
         stretch_milli: 1_600,
         target_latency: Duration::from_millis(600),
         timeout: Duration::from_secs(3),
-        needs_permits,
+        permit_queries,
     };
     let pool = |name: &str, is_spare| PoolSpec {
         name: name.parse().expect("a name"),
--- a/crates/grid/tests/entry/permits.rs
+++ b/crates/grid/tests/entry/permits.rs
@@ -5,9 +5,10 @@
 
 use goldcrest_grid::calls::Reply;
 use goldcrest_jobs::id::WorkerId;
+use goldcrest_jobs::query_times::QueryTimes;
 use goldcrest_jobs::spec::JobState;
 
-use crate::common::{Bed, KEY, catalogue_with, job, local};
+use crate::common::{Bed, KEY, catalogue_with, catalogue_with_queries, job, local};
 
 const ID: &str = "00000000000000a1";
 
@@ -75,3 +76,95 @@
     })
     .await;
 }
+
+/// The permit service keeps up with the usual traffic, but not with a burst.
+const QUERY_TIMES: QueryTimes = QueryTimes {
+    decision: Duration::from_millis(200),
+    per_worker: Duration::from_millis(20),
+    validity: Duration::from_secs(3),
+};
+
+/// A job every 680 ms is two thirds of what the service can decide about twelve workers.
+const JOB_INTERVAL: Duration = Duration::from_millis(680);
+
+async fn slow_bed() -> Bed {
+    let bed = Bed::new(12);
+    let catalogue = catalogue_with_queries(2, &[KEY], 0, Some(QUERY_TIMES));
+    bed.world.set_catalogue(catalogue);
+    bed.world.permits.allow_only(&["w1", "w4", "w7", "w10"]);
+    bed.world.permits.delay.set(QUERY_TIMES.decision);
+    bed.world
+        .permits
+        .delay_per_worker
+        .set(QUERY_TIMES.per_worker);
+    bed.start_all(&["e1", "e2"]).await;
+    bed
+}
+
+async fn submit_every(bed: &Bed, ids: std::ops::Range<u64>, interval: Duration) {
+    for id in ids {
+        let reply = bed
+            .submit("e1", &format!("{id:016x}"), job("", &[2, 1]))
+            .await;
+        assert_eq!(reply, Reply::Accepted);
+        tokio::time::sleep(interval).await;
+    }
+}
+
+/// Guards against queries that wait for each other until their permits are useless: a queue that no burst may stop for good.
+#[tokio::test(start_paused = true)]
+async fn permits_backlog_after_burst_is_worked_off() {
+    local(async {
+        let bed = slow_bed().await;
+        submit_every(&bed, 1..6, JOB_INTERVAL * 2).await;
+        submit_every(&bed, 6..22, JOB_INTERVAL * 10 / 26).await;
+        submit_every(&bed, 22..32, JOB_INTERVAL * 2).await;
+        for id in 1..32 {
+            let id = format!("{id:016x}");
+            bed.wait_for("e2", &id, JobState::Completed, Duration::from_secs(5))
+                .await;
+        }
+        bed.check_once();
+    })
+    .await;
+}
+
+/// One query that is held up for seconds must not leave a backlog that lasts.
+#[tokio::test(start_paused = true)]
+async fn permits_backlog_after_held_up_query_is_worked_off() {
+    local(async {
+        let bed = slow_bed().await;
+        submit_every(&bed, 1..4, JOB_INTERVAL * 2).await;
+        bed.world.permits.delay.set(Duration::from_secs(6));
+        submit_every(&bed, 4..6, JOB_INTERVAL * 2).await;
+        bed.world.permits.delay.set(QUERY_TIMES.decision);
+        submit_every(&bed, 6..20, JOB_INTERVAL * 2).await;
+        for id in 1..20 {
+            let id = format!("{id:016x}");
+            bed.wait_for("e2", &id, JobState::Completed, Duration::from_secs(5))
+                .await;
+        }
+        bed.check_once();
+    })
+    .await;
+}
+
+/// A successor that finds a backlog has no permits at all.
+#[tokio::test(start_paused = true)]
+async fn permits_backlog_at_a_takeover_is_worked_off() {
+    local(async {
+        let bed = slow_bed().await;
+        bed.start("e3");
+        submit_every(&bed, 1..13, JOB_INTERVAL / 3).await;
+        let holder = bed.holder();
+        bed.kill(&holder);
+        let caller = if holder == "e2" { "e1" } else { "e2" };
+        for id in 1..13 {
+            let id = format!("{id:016x}");
+            bed.wait_for(caller, &id, JobState::Completed, Duration::from_secs(15))
+                .await;
+        }
+        bed.check_once();
+    })
+    .await;
+}
--- a/crates/grid/tests/stored.rs
+++ b/crates/grid/tests/stored.rs
@@ -5,6 +5,7 @@
 use goldcrest_grid::keys::{self, AssignedWorkers, JobStatus};
 use goldcrest_jobs::id::{JobId, RunNumber, WorkerId};
 use goldcrest_jobs::policy::AcceptedPolicy;
+use goldcrest_jobs::query_times::QueryTimes;
 use goldcrest_jobs::resources::Resources;
 use goldcrest_jobs::spec::{JobRecord, JobSpec, JobState, Step};
 use goldcrest_jobs::suspect::{Exposure, Fate, RunState, SuspectTask, SuspectTasks, UnreportedRun};
@@ -60,6 +61,7 @@
         stretch_milli: 1_600,
         target_latency: Duration::from_millis(600),
         needs_permits: true,
+        permit_queries: Some(QueryTimes::default()),
         cap: Resources::ZERO,
     };
     let new = record(Some(policy));
--- a/crates/jobs/src/catalogue/mod.rs
+++ b/crates/jobs/src/catalogue/mod.rs
@@ -9,6 +9,7 @@
 use goldcrest_types::names::{PoolName, QueueName, TeamName};
 
 use crate::policy::AcceptedPolicy;
+use crate::query_times::QueryTimes;
 use crate::resources::Resources;
 use crate::worker::millis;
 
@@ -38,8 +39,8 @@
     pub target_latency: Duration,
     /// The longest time that a call to this queue may take.
     pub timeout: Duration,
-    /// Whether placement needs permits of an external service.
-    pub needs_permits: bool,
+    /// The times of the external service whose permits placement needs; `None` if placement needs no permits.
+    pub permit_queries: Option<QueryTimes>,
 }
 
 impl Queue {
@@ -147,7 +148,7 @@
             keys.extend(of_team.into_iter().map(|key| (key, at)));
             without_keys.push(team);
         }
-        let has_permits = queues.iter().any(|queue| queue.needs_permits);
+        let has_permits = queues.iter().any(|queue| queue.permit_queries.is_some());
         Self {
             has_permits,
             version,
--- a/crates/jobs/src/policy/mod.rs
+++ b/crates/jobs/src/policy/mod.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::catalogue::{Queue, Team, objective};
+use crate::query_times::QueryTimes;
 use crate::resources::Resources;
 
 /// The policy of a job's queue and team at its acceptance.
@@ -27,6 +28,9 @@
     pub target_latency: Duration,
     /// Whether placement needs permits of an external service.
     pub needs_permits: bool,
+    /// The times of that service. Absent in records of older versions.
+    #[serde(default)]
+    pub permit_queries: Option<QueryTimes>,
     /// The most that the team may have running. 0 of a kind means no limit.
     pub cap: Resources,
 }
@@ -40,7 +44,8 @@
             attempts_max: queue.attempts_max,
             stretch_milli: queue.stretch_milli,
             target_latency: queue.target_latency,
-            needs_permits: queue.needs_permits,
+            needs_permits: queue.permit_queries.is_some(),
+            permit_queries: queue.permit_queries,
             cap: team.map_or(Resources::ZERO, |team| team.cap),
         }
     }
--- a/crates/jobs/src/pool/free_capacity.rs
+++ b/crates/jobs/src/pool/free_capacity.rs
@@ -86,6 +86,14 @@
         self.candidates.is_empty()
     }
 
+    /// The workers that have this much free capacity.
+    pub fn workers_with(&self, demand: Resources) -> impl Iterator<Item = WorkerRef> {
+        let candidates = self.candidates.iter();
+        candidates
+            .filter(move |candidate| demand.fits(&candidate.free))
+            .map(|candidate| candidate.worker)
+    }
+
     /// Whether the demand is known to fit no worker.
     #[must_use]
     pub fn is_unfit(&self, demand: Resources) -> bool {
--- a/crates/jobs/src/pool/ingest.rs
+++ b/crates/jobs/src/pool/ingest.rs
@@ -487,6 +487,9 @@
                 if let Some(job) = self.jobs.get_mut(&task.step.job) {
                     job.beginning = Beginning::Started;
                 }
+                if let Some(permits) = self.permits.get_mut(&task.step) {
+                    permits.accept();
+                }
                 if let Some(run) = worker.runs.get_mut(&key)
                     && run.phase == Phase::Starting
                 {
--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -126,12 +126,7 @@
         percent: u32,
     },
     /// Requests placement permits for a step.
-    QueryPermits {
-        /// The step whose tasks are to be placed.
-        step: StepId,
-        /// The workers that could run it, those with the most free processor time first.
-        workers: Vec<WorkerId>,
-    },
+    QueryPermits(permits::PermitQuery),
 }
 
 /// The contents of a start command.
@@ -287,6 +282,7 @@
     estimates: Estimates,
     arrivals: Arrivals,
     permits: BTreeMap<StepId, permits::StepPermits>,
+    permit_misses: permits::Misses,
     /// Whether any open job may need permits, as of the last plan.
     has_permit_jobs: bool,
     /// The cordoned data centres.
@@ -350,6 +346,7 @@
             estimates: Estimates::default(),
             arrivals: Arrivals::default(),
             permits: BTreeMap::new(),
+            permit_misses: permits::Misses::default(),
             has_permit_jobs: false,
             cordoned: BTreeSet::new(),
             copies_allowed: BTreeSet::new(),
--- a/crates/jobs/src/verify/mod.rs
+++ b/crates/jobs/src/verify/mod.rs
@@ -18,15 +18,27 @@
     breaches.extend(usage(pool));
     breaches.extend(steps(pool));
     breaches.extend(unreported(pool));
+    breaches.extend(queries(pool));
     breaches
 }
 
+/// Checks that at most one query for placement permits is pending.
+#[must_use]
+pub fn queries(pool: &Pool) -> Vec<Box<str>> {
+    let pending = pool.pending_queries();
+    let is_breach = pending.len() > 1;
+    let pending = pending.into_iter().filter(|_| is_breach);
+    pending
+        .map(|step| format!("step {step}: queried beside another step").into())
+        .collect()
+}
+
 /// Checks that no planned start goes to a worker of a cordoned data centre.
 #[must_use]
 pub fn cordons(pool: &Pool, commands: &[Command]) -> Vec<Box<str>> {
     let starts = commands.iter().filter_map(|command| match command {
         Command::Start(order) => Some(order),
-        Command::Stop { .. } | Command::Throttle { .. } | Command::QueryPermits { .. } => None,
+        Command::Stop { .. } | Command::Throttle { .. } | Command::QueryPermits(_) => None,
     });
     let is_cordoned = |order: &&StartCommand| {
         let worker = pool.worker(order.worker);
@@ -43,7 +55,7 @@
 pub fn capacities(pool: &Pool, commands: &[Command]) -> Vec<Box<str>> {
     let started = commands.iter().filter_map(|command| match command {
         Command::Start(order) => pool.worker(order.worker),
-        Command::Stop { .. } | Command::Throttle { .. } | Command::QueryPermits { .. } => None,
+        Command::Stop { .. } | Command::Throttle { .. } | Command::QueryPermits(_) => None,
     });
     started
         .filter(|worker| {
--- a/crates/jobs/tests/beliefs.rs
+++ b/crates/jobs/tests/beliefs.rs
@@ -102,7 +102,7 @@
     commands
         .filter_map(|command| match command {
             Command::Start(order) => Some(order),
-            Command::Stop { .. } | Command::Throttle { .. } | Command::QueryPermits { .. } => None,
+            Command::Stop { .. } | Command::Throttle { .. } | Command::QueryPermits(_) => None,
         })
         .collect()
 }
@@ -488,7 +488,7 @@
         .iter()
         .filter_map(|command| match command {
             Command::Stop { run, .. } => Some(*run),
-            Command::Start(_) | Command::Throttle { .. } | Command::QueryPermits { .. } => None,
+            Command::Start(_) | Command::Throttle { .. } | Command::QueryPermits(_) => None,
         })
         .collect();
     assert!(
@@ -815,7 +815,7 @@
                 }
                 // Each has no answer; the last ones are lost.
                 Command::Throttle { .. } => last_throttle_ms = ms,
-                Command::Stop { .. } | Command::QueryPermits { .. } => {}
+                Command::Stop { .. } | Command::QueryPermits(_) => {}
             }
         }
     }
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -16,7 +16,7 @@
 use goldcrest_jobs::worker::WorkerInfo;
 use goldcrest_types::names::PoolName;
 
-use parse::{answer, job_id, number, report, short_task, shown_event, step, task};
+use parse::{answer, job_id, number, query_times, report, short_task, shown_event, step, task};
 
 /// A pool and the state that the lines of its case have set up.
 pub struct Case {
@@ -271,7 +271,7 @@
             stretch_milli: number(words[4]),
             target_latency: Duration::from_millis(number(words[5])),
             timeout: Duration::from_secs(3),
-            needs_permits: words.get(6) == Some(&"permits"),
+            permit_queries: words.get(6).and_then(|word| query_times(word)),
         });
     }
 
@@ -424,10 +424,10 @@
                 short_task(*task),
                 self.name(*worker)
             ),
-            Command::QueryPermits { step, workers } => {
-                let step = short_task(step.task(0));
+            Command::QueryPermits(query) => {
+                let step = short_task(query.step.task(0));
                 let step = step.strip_suffix(".0").unwrap_or(&step);
-                let workers: Vec<&str> = workers.iter().map(WorkerId::as_str).collect();
+                let workers: Vec<&str> = query.workers.iter().map(WorkerId::as_str).collect();
                 format!("ask for {step} on {}", workers.join(" "))
             }
         }
--- a/crates/jobs/tests/common/parse.rs
+++ b/crates/jobs/tests/common/parse.rs
@@ -4,6 +4,7 @@
 
 use goldcrest_jobs::id::{JobId, RunNumber, TaskId};
 use goldcrest_jobs::pool::{Event, FoundRun, StartAnswer};
+use goldcrest_jobs::query_times::QueryTimes;
 use goldcrest_jobs::resources::Resources;
 use goldcrest_jobs::spec::{Feature, Step};
 use goldcrest_jobs::worker::{EndRow, Report, RunEnd, RunningRow};
@@ -31,6 +32,17 @@
     format!("{job}.{occurrence}.{step}.{}", task.index)
 }
 
+/// `permits` or `permits:DECISION_MS/PER_WORKER_MS/VALID_MS`.
+pub fn query_times(word: &str) -> Option<QueryTimes> {
+    let (name, times) = word.split_once(':').unwrap_or((word, "0/0/0"));
+    let times: Vec<u64> = times.split('/').map(number).collect();
+    (name == "permits").then(|| QueryTimes {
+        decision: Duration::from_millis(times[0]),
+        per_worker: Duration::from_millis(times[1]),
+        validity: Duration::from_millis(times[2]),
+    })
+}
+
 pub fn step(word: &str) -> Step {
     let mut parts = word.split(',');
     let size = parts.next().unwrap_or_default();
--- a/crates/jobs/tests/crashing_fleet/mod.rs
+++ b/crates/jobs/tests/crashing_fleet/mod.rs
@@ -269,7 +269,7 @@
                 Command::Stop {
                     worker, task, run, ..
                 } => self.stop(worker, task, run),
-                Command::Throttle { .. } | Command::QueryPermits { .. } => {}
+                Command::Throttle { .. } | Command::QueryPermits(_) => {}
             }
         }
     }
--- a/crates/jobs/tests/incarnation.rs
+++ b/crates/jobs/tests/incarnation.rs
@@ -87,7 +87,7 @@
     commands
         .filter_map(|command| match command {
             Command::Start(order) => Some(order),
-            Command::Stop { .. } | Command::Throttle { .. } | Command::QueryPermits { .. } => None,
+            Command::Stop { .. } | Command::Throttle { .. } | Command::QueryPermits(_) => None,
         })
         .collect()
 }
--- a/crates/jobs/tests/one_pool/mod.rs
+++ b/crates/jobs/tests/one_pool/mod.rs
@@ -29,7 +29,7 @@
         stretch_milli: 1_600,
         target_latency: Duration::from_millis(600),
         timeout: Duration::from_secs(3),
-        needs_permits: false,
+        permit_queries: None,
     };
     let spec = PoolSpec {
         name: name(),
--- a/crates/jobs/tests/policy.rs
+++ b/crates/jobs/tests/policy.rs
@@ -27,6 +27,7 @@
         stretch_milli: 1_600,
         target_latency: Duration::from_millis(600),
         needs_permits: false,
+        permit_queries: None,
         cap: Resources::ZERO,
     }
 }
--- a/crates/jobs/tests/restarting_fleet/scheduler.rs
+++ b/crates/jobs/tests/restarting_fleet/scheduler.rs
@@ -91,7 +91,7 @@
         stretch_milli: 1_600,
         target_latency: Duration::from_millis(600),
         timeout: Duration::from_secs(3),
-        needs_permits: false,
+        permit_queries: None,
     };
     let pool = PoolSpec {
         name: "p".parse().expect("a name"),
@@ -571,7 +571,7 @@
                         COMMAND_TIMEOUT,
                     );
                 }
-                Command::Throttle { .. } | Command::QueryPermits { .. } => {}
+                Command::Throttle { .. } | Command::QueryPermits(_) => {}
             }
         }
         if !self.schedulers[epoch].pool.unsaved().is_empty() {
--- a/crates/standin/src/grid/direct.rs
+++ b/crates/standin/src/grid/direct.rs
@@ -15,7 +15,7 @@
 use goldcrest_jobs::upkeep::{Vm, VmState};
 use goldcrest_jobs::worker::{Report, WorkerInfo};
 use goldcrest_types::names::PoolName;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::grid::{StoreFault, World};
 
@@ -578,7 +578,10 @@
             sleep(within).await;
             return Err(CallError::Unknown("silent".into()));
         }
-        sleep(permits.delay.get()).await;
+        let answered_at = permits.process(workers.len(), Instant::now());
+        if timeout(within, sleep_until(answered_at)).await.is_err() {
+            return Err(CallError::Unknown("no answer in time".into()));
+        }
         Ok(permits.grant(step, workers, Instant::now()))
     }
 }
--- a/crates/standin/src/grid/permits.rs
+++ b/crates/standin/src/grid/permits.rs
@@ -15,8 +15,12 @@
     pub allowed: RefCell<Option<BTreeSet<WorkerId>>>,
     /// The validity of a permit from its grant.
     pub valid_for: Cell<Duration>,
-    /// The latency of an answer.
+    /// The time until the answer to a query that names no worker. Queries are processed one after the other.
     pub delay: Cell<Duration>,
+    /// The further time for each worker that a query names.
+    pub delay_per_worker: Cell<Duration>,
+    /// Until when the queries that have arrived are processed, also those that were given up.
+    busy_until: Cell<Option<Instant>>,
     /// The number of further queries that get no answer.
     pub silent: Cell<u32>,
     /// The step and the workers of each query, in order of time.
@@ -30,6 +34,8 @@
             allowed: RefCell::default(),
             valid_for: Cell::new(Duration::from_secs(3)),
             delay: Cell::new(Duration::from_millis(50)),
+            delay_per_worker: Cell::default(),
+            busy_until: Cell::default(),
             silent: Cell::new(0),
             asked: RefCell::default(),
             valid_until: RefCell::default(),
@@ -44,6 +50,15 @@
         *self.allowed.borrow_mut() = Some(workers.collect());
     }
 
+    /// Adds a query to those that are processed. Returns when it is answered.
+    pub(crate) fn process(&self, workers: usize, now: Instant) -> Instant {
+        let workers = u32::try_from(workers).unwrap_or(u32::MAX);
+        let begins_at = self.busy_until.get().map_or(now, |until| until.max(now));
+        let until = begins_at + self.delay.get() + self.delay_per_worker.get() * workers;
+        self.busy_until.set(Some(until));
+        until
+    }
+
     /// Records a query. Returns whether it is answered.
     pub(crate) fn ask(&self, step: StepId, workers: &[WorkerId]) -> bool {
         self.asked.borrow_mut().push((step, workers.to_vec()));
