jobs: bind a task to the worker of a start that had no answer

Cause: a start without an answer can be executed by any later incarnation of its worker, which knows neither tokens nor runs. A report proves its absence for one incarnation only. The task was placed as if it were free, and a successor did not know of the start. One scheduler by itself did the same after it had given a start up.

Ruled out: a takeover that ends too early (the report was whole, under the new token).

Change: such a task is started again on that worker only, while it is up, and before others. If the worker restarts, that run is over, so at most the late start is executed. Each start is stored with its task before it is sent (Progress::starts), for a successor.

--- a/crates/grid/src/pool/commands.rs
+++ b/crates/grid/src/pool/commands.rs
@@ -5,7 +5,7 @@
 
 use goldcrest_jobs::id::{StepId, TaskId, WorkerRef};
 use goldcrest_jobs::pool::permits::PermitReply;
-use goldcrest_jobs::pool::{Command, StartAnswer, StartCommand};
+use goldcrest_jobs::pool::{Command, START_ATTEMPTS, StartAnswer, StartCommand};
 use goldcrest_jobs::worker::{Contact, millis};
 use tokio::task::JoinSet;
 
@@ -28,9 +28,6 @@
 /// The timeout of one attempt to start a run. A worker answers in a few milliseconds.
 const START_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// The most attempts at a start while there is no answer. A start is idempotent on one worker.
-const START_ATTEMPTS: u32 = 2;
-
 /// The time limit for storing, before a start is sent, that the job may run on the worker.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(900);
 
@@ -226,7 +223,7 @@
         known.is_some_and(|known| known.contact == Contact::Responding)
     }
 
-    /// Waits until the start is stored with the job: its worker and, if its task is suspect, the run. Returns `false` after [`RECORD_TIMEOUT`].
+    /// Waits until the start is stored with the job: its task and worker and, if its task is suspect, the run. Returns `false` after [`RECORD_TIMEOUT`].
     async fn wait_recorded(&self, order: &StartCommand) -> bool {
         let recorded = async {
             loop {
@@ -257,7 +254,9 @@
         recorded.get(&id).is_some_and(|recorded| {
             let is_run_recorded =
                 !pool.is_suspect(order.task) || recorded.unreported.contains(&run);
-            recorded.workers.contains(&worker.info.id) && is_run_recorded
+            let is_start_recorded = !pool.is_start_open(order.task, &worker.info.id)
+                || recorded.has_start(order.task, &worker.info.id);
+            recorded.workers.contains(&worker.info.id) && is_run_recorded && is_start_recorded
         })
     }
 
--- a/crates/grid/src/pool/load.rs
+++ b/crates/grid/src/pool/load.rs
@@ -83,6 +83,7 @@
             let recorded = RecordedStarts {
                 workers: progress.workers.clone(),
                 unreported: of_job.runs().collect(),
+                open: progress.starts.clone(),
             };
             self.recorded_starts
                 .borrow_mut()
--- a/crates/grid/src/pool/save.rs
+++ b/crates/grid/src/pool/save.rs
@@ -11,8 +11,9 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use goldcrest_jobs::id::{FencingToken, JobId, WorkerId};
+use goldcrest_jobs::id::{FencingToken, JobId, TaskId, WorkerId};
 use goldcrest_jobs::job::Job;
+use goldcrest_jobs::progress::OpenStarts;
 use goldcrest_jobs::spec::JobState;
 use goldcrest_jobs::suspect::{SuspectTasks, UnreportedKey};
 
@@ -49,6 +50,8 @@
     pub workers: BTreeSet<WorkerId>,
     /// The unreported runs.
     pub unreported: BTreeSet<UnreportedKey>,
+    /// The starts that may have had no answer.
+    pub open: Vec<OpenStarts>,
 }
 
 /// The changes of one job's keys.
@@ -64,6 +67,13 @@
     starts: Option<(JobId, RecordedStarts)>,
 }
 
+impl RecordedStarts {
+    /// Whether a start of the task on the worker is stored.
+    pub fn has_start(&self, task: TaskId, worker: &WorkerId) -> bool {
+        self.open.iter().any(|starts| starts.contains(task, worker))
+    }
+}
+
 impl Writes {
     /// The rows in a transaction. Each key with an expected revision takes a second one.
     fn rows(&self) -> usize {
@@ -281,7 +291,9 @@
             writes.remove.push((keys::submitted(&self.name, id), None));
             writes.closes = Some(id);
         } else {
-            let progress = keys::encode(&job.to_progress());
+            let progress = job.to_progress();
+            let open = progress.starts.clone();
+            let progress = keys::encode(&progress);
             let is_same = stored
                 .get(&progress_key)
                 .is_some_and(|known| known.value == progress);
@@ -304,6 +316,7 @@
                 RecordedStarts {
                     workers,
                     unreported,
+                    open,
                 },
             ));
         }
--- a/crates/grid/tests/entry/late_starts.rs
+++ b/crates/grid/tests/entry/late_starts.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use goldcrest_grid::calls::Reply;
+use goldcrest_grid::keys;
 use goldcrest_jobs::pool::Bounds;
-use goldcrest_jobs::spec::JobState;
+use goldcrest_jobs::progress::Progress;
+use goldcrest_jobs::spec::{Feature, JobState};
 use goldcrest_jobs::worker::RunEnd;
 use goldcrest_standin::grid::{CommandKind, Trip};
 use tokio::time::{Instant, sleep, sleep_until};
@@ -131,6 +133,112 @@
     .await;
 }
 
+/// Plays a holder whose starts of a job's four tasks on one worker have no answer, and are carried out after `late_ms`. It is killed, or
+/// kept. The other worker, which was full, has room again; then the first one crashes, and is back just before the starts arrive.
+async fn play_unanswered_starts(late_ms: u64, is_killed: bool) {
+    let bed = bed(2);
+    let is_late = Rc::new(Cell::new(false));
+    let of_trips = Rc::clone(&is_late);
+    bed.world.set_trips(Rc::new(move |_, _, kind| {
+        if kind == CommandKind::Start && of_trips.get() {
+            return Trip {
+                request: Some(Duration::from_millis(late_ms)),
+                answer: None,
+            };
+        }
+        PROMPT
+    }));
+    bed.start_all(&["e1", "e2"]).await;
+    // The clocks of the workers advance.
+    sleep(Duration::from_secs(10)).await;
+    let holder = bed.holder();
+    let other = if holder == "e1" { "e2" } else { "e1" };
+    let mut service = job("lasts", &[1]);
+    service.steps[0].features.push(Feature::Service);
+    let others = [
+        ("00000000000000b1", service),
+        ("00000000000000b2", job("ms=1300", &[3])),
+    ];
+    for (id, spec) in others {
+        assert_eq!(bed.submit(other, id, spec).await, Reply::Accepted);
+        sleep(Duration::from_millis(100)).await;
+    }
+    let busy = {
+        let crew = bed.world.crew.borrow();
+        let mut busy = crew.running().map(|(worker, _)| worker.to_string());
+        busy.next().expect("a worker with runs")
+    };
+    let idle = if busy == "w1" { "w2" } else { "w1" };
+    is_late.set(true);
+    let sent_at = Instant::now();
+    let spec = job("ms=6000", &[4]);
+    assert_eq!(bed.submit(other, ID, spec).await, Reply::Accepted);
+    sleep(Duration::from_millis(300)).await;
+    if is_killed {
+        bed.kill(&holder);
+    } else {
+        // Both copies of each start are given up.
+        sleep(Duration::from_millis(900)).await;
+    }
+    is_late.set(false);
+    sleep_until(sent_at + Duration::from_millis(late_ms - 300)).await;
+    bed.crash_for(idle, Duration::from_millis(250), idle);
+    sleep(Duration::from_secs(3)).await;
+    bed.check_once();
+    bed.wait_for(other, ID, JobState::Completed, Duration::from_secs(30))
+        .await;
+}
+
+/// Guards against tasks on two workers: the successor of a killed scheduler starts them elsewhere, and the killed one's starts are
+/// carried out late, by the next incarnation of their worker.
+#[tokio::test(start_paused = true)]
+async fn unanswered_starts_of_a_predecessor_bind_their_tasks() {
+    for late_ms in [3_200, 4_000, 6_000] {
+        local(play_unanswered_starts(late_ms, true)).await;
+    }
+}
+
+/// The same by one scheduler: it finds none of the tasks after their starts' deadline.
+#[tokio::test(start_paused = true)]
+async fn unanswered_starts_bind_their_tasks() {
+    for late_ms in [3_200, 4_000, 6_000] {
+        local(play_unanswered_starts(late_ms, false)).await;
+    }
+}
+
+/// Guards against a successor that does not know where a start may still be executed: each is stored with its task before it is sent, also
+/// that of a later step on a worker which the job has used before.
+#[tokio::test(start_paused = true)]
+async fn starts_are_stored_before_they_are_sent() {
+    local(async {
+        let bed = bed(1);
+        let world = Rc::clone(&bed.world);
+        let stored: Rc<RefCell<Vec<Vec<u32>>>> = Rc::default();
+        let at_starts = Rc::clone(&stored);
+        bed.world.set_trips(Rc::new(move |_, _, kind| {
+            if kind == CommandKind::Start {
+                let table = world.table.borrow();
+                let item = table.get("run/p/00000000000000a1").expect("progress");
+                let progress: Progress = keys::decode(&item.key, &item.value).expect("progress");
+                let steps = progress.starts.iter().map(|starts| starts.step);
+                at_starts.borrow_mut().push(steps.collect());
+            }
+            PROMPT
+        }));
+        bed.start_all(&["e1", "e2"]).await;
+        let spec = job("ms=300", &[1, 1, 1]);
+        assert_eq!(bed.submit("e1", ID, spec).await, Reply::Accepted);
+        bed.wait_for("e2", ID, JobState::Completed, Duration::from_secs(10))
+            .await;
+        let stored = stored.borrow();
+        for (step, starts) in (0..3).zip(stored.iter()) {
+            assert!(starts.contains(&step), "step {step}: {starts:?}");
+        }
+        assert_eq!(stored.len(), 3);
+    })
+    .await;
+}
+
 /// Guards against tasks of several jobs on two workers, all started by one holder: a request for a report that was on the
 /// way while its worker restarted extends the lease of the next incarnation to a time on the clock of the earlier one. The
 /// worker is then cut off for longer than the lease that its scheduler offers, and its runs go on.
--- a/crates/grid/tests/stored.rs
+++ b/crates/grid/tests/stored.rs
@@ -1,10 +1,12 @@
 //! Stored values are read by the version that wrote them and by the one before it.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use goldcrest_grid::keys::{self, AssignedWorkers, JobStatus};
 use goldcrest_jobs::id::{JobId, RunNumber, WorkerId};
 use goldcrest_jobs::policy::AcceptedPolicy;
+use goldcrest_jobs::progress::{IndexSet, OccurrenceProgress, OpenStarts, Progress};
 use goldcrest_jobs::query_times::QueryTimes;
 use goldcrest_jobs::resources::Resources;
 use goldcrest_jobs::spec::{JobRecord, JobSpec, JobState, Step};
@@ -29,6 +31,15 @@
     workers: Vec<WorkerId>,
 }
 
+/// A job's progress before open starts were stored with it.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct OldProgress {
+    has_begun: bool,
+    workers: BTreeSet<WorkerId>,
+    occurrences_done: IndexSet,
+    occurrences: Vec<OccurrenceProgress>,
+}
+
 /// A job's status before tombstones.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
 struct OldStatus {
@@ -91,6 +102,35 @@
     assert_eq!(keys::decode("k", &keys::encode(&new)), Ok(new));
 }
 
+/// A version that stores no open starts reads a job's progress, and drops them when it writes it.
+#[test]
+fn open_starts_are_read_by_both_versions() {
+    let mut tasks = IndexSet::default();
+    tasks.insert(3);
+    tasks.insert(70);
+    let new = Progress {
+        has_begun: true,
+        workers: [WorkerId::from("w1")].into(),
+        starts: vec![OpenStarts {
+            worker: "w1".into(),
+            occurrence: 0,
+            step: 1,
+            run: RunNumber(7),
+            tasks,
+        }],
+        ..Progress::default()
+    };
+    let old: OldProgress =
+        keys::decode("k", &keys::encode(&new)).expect("the old version reads it");
+    assert!(old.has_begun && old.workers.len() == 1);
+    let back: Progress = keys::decode("k", &keys::encode(&old)).expect("the new version reads it");
+    assert!(back.starts.is_empty());
+    assert_eq!(keys::decode("k", &keys::encode(&new)), Ok(new.clone()));
+    let starts: Vec<_> = new.starts_of(0).collect();
+    let indices = starts.iter().map(|(step, index, _)| (*step, *index));
+    assert!(indices.eq([(1, 3), (1, 70)]), "{starts:?}");
+}
+
 /// The version before tombstones shows one as a cancelled job, and accepts no submission of it either.
 #[test]
 fn tombstone_is_a_cancelled_job_to_the_old_version() {
--- a/crates/jobs/src/job/mod.rs
+++ b/crates/jobs/src/job/mod.rs
@@ -12,7 +12,7 @@
 use crate::id::{JobId, RunNumber, StepId, TaskId, WorkerId};
 use crate::policy::AcceptedPolicy;
 use crate::progress::{
-    IndexSet, OccurrenceProgress, Progress, StepProgress, TaskProgress, most_failures,
+    IndexSet, OccurrenceProgress, OpenStarts, Progress, StepProgress, TaskProgress, most_failures,
 };
 use crate::spec::{JobRecord, JobState, Step, TASKS_MAX};
 use crate::suspect::{CrashLimit, Exposure, RunState, SuspectTask, SuspectTasks, UnreportedRun};
@@ -32,6 +32,18 @@
     Allowed,
 }
 
+/// A start that may still be executed, by any incarnation of its worker: it has had no conclusive answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OpenStart {
+    /// The worker that it was sent to.
+    pub worker: WorkerId,
+    /// The number of the run.
+    pub run: RunNumber,
+    /// How many starts of the task on this worker, or copies of them, were given up. If there are any, an answer to another one,
+    /// or a report of the run, does not settle this one.
+    pub given_up: u32,
+}
+
 /// A task of an open job.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Task {
@@ -52,6 +64,8 @@
     pub copies: Copies,
     /// Its unreported runs, in the order of their starts.
     pub unreported: Vec<UnreportedRun>,
+    /// Its starts that may still be executed, the newest last.
+    pub open_starts: Vec<OpenStart>,
     /// Since when it waits for a worker on which it can be started alone.
     pub isolation_awaited_since: Option<Instant>,
 }
@@ -64,6 +78,42 @@
         !self.is_done && !self.is_unknown && self.live <= most
     }
 
+    /// Records a start that is about to be sent. One that was sent to the same worker and given up covers it.
+    pub fn open_start(&mut self, worker: &WorkerId, run: RunNumber) {
+        let is_covered =
+            |start: &OpenStart| start.worker == *worker && (start.given_up > 0 || start.run == run);
+        if !self.open_starts.iter().any(is_covered) {
+            self.open_starts.push(OpenStart {
+                worker: worker.clone(),
+                run,
+                given_up: 0,
+            });
+        }
+    }
+
+    /// Records that a copy of a start was given up without an answer.
+    pub fn give_up_start(&mut self, worker: &WorkerId, run: RunNumber) {
+        let on_worker = self.open_starts.iter();
+        let given_up = on_worker.filter(|start| start.worker == *worker);
+        let given_up = given_up
+            .map(|start| start.given_up)
+            .max()
+            .unwrap_or_default();
+        self.open_starts
+            .retain(|start| start.worker != *worker || start.given_up == 0 && start.run != run);
+        self.open_starts.push(OpenStart {
+            worker: worker.clone(),
+            run,
+            given_up: given_up + 1,
+        });
+    }
+
+    /// Forgets a start whose only copy was answered, or whose run was reported.
+    pub fn settle_start(&mut self, worker: &WorkerId, run: RunNumber) {
+        self.open_starts
+            .retain(|start| start.given_up > 0 || start.worker != *worker || start.run != run);
+    }
+
     /// Whether its next run should be alone on its worker: it may have crashed a worker by its start, or has lost
     /// [`LOST_ISOLATED`] runs.
     #[must_use]
@@ -481,6 +531,15 @@
             for (at, step) in steps.iter_mut().enumerate() {
                 restore(step, stored.and_then(|stored| stored.steps.get(at)));
             }
+            for (step, index, start) in progress.starts_of(occurrence) {
+                if let Some(step) = steps.get_mut(step as usize) {
+                    step.update(index, |task| {
+                        if !task.is_done {
+                            task.open_starts.push(start);
+                        }
+                    });
+                }
+            }
         }
         self.stored_suspects.retain(|suspect| {
             let is_open = suspect.occurrence == occurrence;
@@ -514,9 +573,14 @@
             .iter()
             .flat_map(|occurrence| &occurrence.occurrences);
         let suspects = self.stored_suspects.iter();
+        let starts = self
+            .stored_progress
+            .iter()
+            .flat_map(|stored| &stored.starts);
         let begun: BTreeSet<u32> = stored
             .map(|occurrence| occurrence.occurrence)
             .chain(suspects.map(|suspect| suspect.occurrence))
+            .chain(starts.map(|starts| starts.occurrence))
             .collect();
         for occurrence in begun {
             self.open_occurrence(occurrence, self.first_seen_at);
@@ -654,7 +718,55 @@
             workers: self.workers.clone(),
             occurrences_done: self.occurrences_done.clone(),
             occurrences,
+            starts: self.open_starts(),
+        }
+    }
+
+    /// The tasks of which an earlier scheduler has stored starts.
+    pub fn inherited_starts(&self) -> impl Iterator<Item = TaskId> + '_ {
+        let job = self.id();
+        let stored = self.stored_progress.iter();
+        stored
+            .flat_map(|stored| &stored.starts)
+            .flat_map(move |starts| {
+                let step = StepId {
+                    job,
+                    occurrence: starts.occurrence,
+                    step: starts.step,
+                };
+                starts.tasks.iter().map(move |index| step.task(index))
+            })
+    }
+
+    /// The starts that may have had no answer, also those of occurrences that are not open.
+    fn open_starts(&self) -> Vec<OpenStarts> {
+        let mut by_run: BTreeMap<(&WorkerId, u32, u32, RunNumber), IndexSet> = BTreeMap::new();
+        for (occurrence, state) in &self.occurrences {
+            for (step, state) in (0..).zip(&state.steps) {
+                for (index, task) in (0..).zip(&state.tasks).filter(|(_, task)| !task.is_done) {
+                    for start in &task.open_starts {
+                        let of_run = (&start.worker, *occurrence, step, start.run);
+                        by_run.entry(of_run).or_default().insert(index);
+                    }
+                }
+            }
         }
+        let open = by_run.into_iter();
+        let open = open.map(|((worker, occurrence, step, run), tasks)| OpenStarts {
+            worker: worker.clone(),
+            occurrence,
+            step,
+            run,
+            tasks,
+        });
+        let stored = self
+            .stored_progress
+            .iter()
+            .flat_map(|stored| &stored.starts);
+        let unopened = stored
+            .filter(|starts| !self.occurrences.contains_key(&starts.occurrence))
+            .filter(|starts| !self.occurrences_done.contains(starts.occurrence));
+        open.chain(unopened.cloned()).collect()
     }
 }
 
--- a/crates/jobs/src/pool/free_capacity.rs
+++ b/crates/jobs/src/pool/free_capacity.rs
@@ -86,6 +86,12 @@
         self.candidates.is_empty()
     }
 
+    /// Whether the worker accepts work and has this much free capacity.
+    #[must_use]
+    pub fn has(&self, worker: WorkerRef, demand: Resources) -> bool {
+        self.workers_with(demand).any(|known| known == worker)
+    }
+
     /// The workers that have this much free capacity.
     pub fn workers_with(&self, demand: Resources) -> impl Iterator<Item = WorkerRef> {
         let candidates = self.candidates.iter();
--- a/crates/jobs/src/pool/ingest.rs
+++ b/crates/jobs/src/pool/ingest.rs
@@ -106,6 +106,7 @@
             self.unsaved.insert(job.id());
             self.jobs.insert(job.id(), job);
         }
+        self.inherit_open_starts();
         let until = now + expiry(self.lease_bound.inherited(), &self.bounds);
         self.takeover = Some(Takeover {
             awaited: assigned_workers
@@ -180,7 +181,8 @@
         now: Instant,
     ) -> WorkerRef {
         let mut carried_over: Vec<(RunKey, Run)> = Vec::new();
-        let mut late = self.possible_late_starts(&info.id, now);
+        let id = info.id.clone();
+        let mut late = self.possible_late_starts(&id, now);
         let mut vm = None;
         if let Some(worker) = self.workers.get_mut(&old) {
             let runs = worker.runs.iter();
@@ -210,6 +212,11 @@
             }
         }
         self.carry_over(worker_ref, &late, now);
+        if self.has_open_starts(&id)
+            && let Some(worker) = self.workers.get_mut(&worker_ref)
+        {
+            worker.earlier_runs_until = Some(now + expiry(self.bounds.lease_max, &self.bounds));
+        }
         worker_ref
     }
 
@@ -479,6 +486,9 @@
         now: Instant,
     ) {
         let key = (task, run);
+        if answer != StartAnswer::Unknown {
+            self.settle_start(worker_ref, key);
+        }
         let Some(worker) = self.workers.get_mut(&worker_ref) else {
             return;
         };
@@ -599,6 +609,14 @@
         let key = (task, run);
         let starts = self.unanswered.entry(id.clone()).or_default();
         starts.insert(key, now);
+        if self.is_bound_by_starts(task) {
+            self.update_task(task, |task| {
+                task.give_up_start(id, run);
+                Some(())
+            });
+            self.bound.insert(task);
+            self.unsaved.insert(task.step.job);
+        }
         let worker = self.workers.get_mut(&worker_ref);
         if let Some(run) = worker.and_then(|worker| worker.runs.get_mut(&key)) {
             run.executor = Executor::Unknown { since: now };
--- a/crates/jobs/src/pool/isolate.rs
+++ b/crates/jobs/src/pool/isolate.rs
@@ -16,6 +16,7 @@
 use crate::id::{TaskId, WorkerRef};
 use crate::job::{Copies, LOST_ISOLATED};
 use crate::pool::Pool;
+use crate::pool::bound::Binding;
 use crate::pool::free_capacity::may_run;
 use crate::pool::order::is_placeable;
 use crate::pool::place::{is_allowed, start};
@@ -48,10 +49,18 @@
         if !is_allowed(pool, task.step.job, spec.reserved()) {
             continue;
         }
+        let binding = pool.binding(task, now);
+        let may_start_on = |worker_ref: WorkerRef| match binding {
+            Binding::None => true,
+            Binding::To(bound) => bound == worker_ref,
+            Binding::Pending => false,
+        };
         let could_run = |worker_ref: &WorkerRef| {
-            pool.workers.get(worker_ref).is_some_and(|worker| {
-                worker.could_run(&spec) && may_run(pool, *worker_ref, worker, task.step, &spec, now)
-            })
+            may_start_on(*worker_ref)
+                && pool.workers.get(worker_ref).is_some_and(|worker| {
+                    worker.could_run(&spec)
+                        && may_run(pool, *worker_ref, worker, task.step, &spec, now)
+                })
         };
         let is_empty = |worker: &WorkerRef| pool.workers[worker].runs.is_empty();
         let free = held
--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -18,10 +18,11 @@
 //! [`cordon`], [`lifecycle`], `unknown_usage` (counts
 //! what runs of an earlier scheduler may reserve), [`evacuate`], `doubt` (finds suspect runs: stalled ones, and those on
 //! unresponsive workers), [`order`] (sorts the waiting jobs), [`permits`], `isolate` (starts tasks that may
-//! have crashed their workers), [`place`], `unfit` (finds steps that fit no
+//! have crashed their workers), [`place`] (first those that are `bound` to a worker), `unfit` (finds steps that fit no
 //! worker), [`pace`] (limits the speed of best-effort runs).
 
 mod arrivals;
+mod bound;
 pub mod cordon;
 mod doubt;
 pub mod evacuate;
@@ -59,6 +60,9 @@
 
 pub use event::{Event, FoundRun};
 
+/// The most attempts at a start while there is no answer. A start is idempotent on one worker.
+pub const START_ATTEMPTS: u32 = 2;
+
 /// Time limits set by the platform or by the operators.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Bounds {
@@ -298,6 +302,8 @@
     /// Starts of which a copy had no reply, with the time at which the copy was given up. Any later incarnation under that id
     /// may still execute it.
     unanswered: BTreeMap<WorkerId, BTreeMap<RunKey, Instant>>,
+    /// Tasks with starts that were given up without an answer or that an earlier scheduler may have given up.
+    bound: BTreeSet<TaskId>,
     /// When the registry was last listed.
     listed_at: Option<Instant>,
     /// When the first of the lists was applied that follow each other without a gap.
@@ -354,6 +360,7 @@
             inherited: InheritedIncarnations::default(),
             departed: BTreeMap::new(),
             unanswered: BTreeMap::new(),
+            bound: BTreeSet::new(),
             listed_at: None,
             listed_since: None,
             missing: BTreeMap::new(),
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -10,6 +10,7 @@
 
 use crate::id::{JobId, Label, StepId, TaskId, WorkerRef};
 use crate::job::{Beginning, Copies};
+use crate::pool::bound::{self, Binding};
 use crate::pool::free_capacity::FreeCapacity;
 use crate::pool::{Command, Event, Pool, StartCommand};
 use crate::resources::Resources;
@@ -26,6 +27,7 @@
     if free_capacity.is_empty() {
         return;
     }
+    bound::run(pool, &mut free_capacity, now);
     let order = std::mem::take(&mut pool.queue_order);
     let mut open = Vec::new();
     for job in &order {
@@ -107,6 +109,9 @@
         if is_suspect && !pool.may_start_suspect(*task) {
             continue;
         }
+        if pool.binding(*task, now) == Binding::Pending {
+            continue;
+        }
         let is_not_isolated = pool.not_isolated.contains(task);
         let Some(worker) = free_capacity.choose(pool, step, &spec, is_not_isolated) else {
             return;
@@ -134,7 +139,11 @@
         record_short(pool, step.job, reserved, count);
         return;
     }
-    let Some(workers) = choose_gang(pool, free_capacity, step, &spec) else {
+    let bindings: Vec<Binding> = tasks.iter().map(|task| pool.binding(*task, now)).collect();
+    if bindings.contains(&Binding::Pending) {
+        return;
+    }
+    let Some(workers) = choose_gang(pool, free_capacity, step, &spec, &bindings) else {
         return;
     };
     let Some(job) = pool.jobs.get(&step.job) else {
@@ -157,14 +166,20 @@
     }
 }
 
-/// Chooses a worker for each member of a gang, all on one rack if the step prefers that and it is possible.
+/// Chooses a worker for each member of a gang: the ones that members are bound to, or all on one rack if the step prefers that,
+/// as far as it is possible.
 fn choose_gang(
     pool: &Pool,
     free_capacity: &FreeCapacity,
     id: StepId,
     spec: &Step,
+    bindings: &[Binding],
 ) -> Option<Vec<WorkerRef>> {
     let all = free_capacity.for_gang(pool, id, spec);
+    let is_bound = bindings.iter().any(|binding| *binding != Binding::None);
+    if is_bound && let Some(chosen) = fill(all.clone(), spec, bindings) {
+        return Some(chosen);
+    }
     if spec.is_same_rack() {
         let mut racks: Vec<&Label> = Vec::new();
         for (worker, _) in &all {
@@ -178,32 +193,44 @@
                 .filter(|(worker, _)| pool.workers[worker].has_label(rack))
                 .copied()
                 .collect();
-            fill(of_rack, spec)
+            fill(of_rack, spec, &[])
         });
         if on_one_rack.is_some() {
             return on_one_rack;
         }
     }
-    fill(all, spec)
+    fill(all, spec, &[])
 }
 
-fn fill(mut free_capacity: Vec<(WorkerRef, Resources)>, spec: &Step) -> Option<Vec<WorkerRef>> {
+/// Chooses a worker for each member of a gang by free capacity. Members without a binding come after those with one.
+fn fill(
+    mut free_capacity: Vec<(WorkerRef, Resources)>,
+    spec: &Step,
+    bindings: &[Binding],
+) -> Option<Vec<WorkerRef>> {
     let reserved = spec.reserved();
+    let binding = |member: &usize| bindings.get(*member).copied().unwrap_or(Binding::None);
+    let mut members: Vec<usize> = (0..spec.tasks as usize).collect();
+    members.sort_by_key(|member| binding(member) == Binding::None);
     let mut on_worker = vec![0_u32; free_capacity.len()];
-    let mut chosen = Vec::with_capacity(spec.tasks as usize);
-    for _ in 0..spec.tasks {
+    let mut chosen = vec![None; members.len()];
+    for member in members {
         let (at, _) = free_capacity
             .iter()
             .enumerate()
+            .filter(|(_, (worker, _))| match binding(&member) {
+                Binding::None | Binding::Pending => true,
+                Binding::To(bound) => bound == *worker,
+            })
             .filter(|(at, (_, free))| {
                 reserved.fits(free) && spec.spread.is_none_or(|most| on_worker[*at] < most)
             })
             .max_by_key(|(_, (_, free))| free.cpu_millis)?;
         free_capacity[at].1 -= reserved;
         on_worker[at] += 1;
-        chosen.push(free_capacity[at].0);
+        chosen[member] = Some(free_capacity[at].0);
     }
-    Some(chosen)
+    chosen.into_iter().collect()
 }
 
 /// Whether the job's team may reserve `more` in addition to its usage.
@@ -245,6 +272,7 @@
     now: Instant,
 ) {
     let permit = pool.permit(task.step, worker_ref, now);
+    let is_bound_by_starts = pool.is_bound_by_starts(task);
     let Some(job) = pool.jobs.get_mut(&task.step.job) else {
         return;
     };
@@ -270,6 +298,13 @@
     if job.workers.insert(worker.info.id.clone()) {
         pool.unsaved.insert(task.step.job);
     }
+    if is_bound_by_starts {
+        let id = &worker.info.id;
+        if let Some((_, state)) = job.step_mut(task.step) {
+            state.update(task.index, |task| task.open_start(id, run));
+        }
+        pool.unsaved.insert(task.step.job);
+    }
     if job.dc != worker.info.dc {
         job.dc.clone_from(&worker.info.dc);
     }
@@ -301,7 +336,30 @@
         room: worker.free(),
         waited,
     });
-    let new_run = Run {
+    let new_run = starting_run(checkpoint.clone(), until_ms, trust, now).with_step(spec);
+    let reserved = new_run.reserved;
+    worker.record_lease(until_ms, now);
+    worker.add((task, run), new_run);
+    if let Some(team) = team {
+        *pool.usage.entry(team).or_default() += reserved;
+    }
+    if is_suspect {
+        pool.record_suspect_start((task, run), worker_ref, now);
+    }
+    pool.commands.push(Command::Start(StartCommand {
+        worker: worker_ref,
+        task,
+        run,
+        payload,
+        checkpoint,
+        until_ms,
+        permit,
+    }));
+}
+
+/// A run whose start is about to be sent.
+fn starting_run(checkpoint: Option<Box<str>>, until_ms: u64, trust: Trust, now: Instant) -> Run {
+    Run {
         reserved: Resources::ZERO,
         phase: Phase::Starting,
         started_at: now,
@@ -316,7 +374,7 @@
         stop_sent_at: None,
         progressed_at: now,
         percent: 0,
-        checkpoint: checkpoint.clone(),
+        checkpoint,
         load: 0.0,
         speed_percent: 100,
         is_service: false,
@@ -325,23 +383,4 @@
         tail_target: None,
         trust,
     }
-    .with_step(spec);
-    let reserved = new_run.reserved;
-    worker.record_lease(until_ms, now);
-    worker.add((task, run), new_run);
-    if let Some(team) = team {
-        *pool.usage.entry(team).or_default() += reserved;
-    }
-    if is_suspect {
-        pool.record_suspect_start((task, run), worker_ref, now);
-    }
-    pool.commands.push(Command::Start(StartCommand {
-        worker: worker_ref,
-        task,
-        run,
-        payload,
-        checkpoint,
-        until_ms,
-        permit,
-    }));
 }
--- a/crates/jobs/src/pool/report.rs
+++ b/crates/jobs/src/pool/report.rs
@@ -179,6 +179,7 @@
         worker.last_end = row.number;
         let id = worker.info.id.clone();
         let key = (row.task, row.run);
+        self.settle_bound(worker_ref, key);
         self.clear_reported(worker_ref, key);
         let Some(worker) = self.workers.get_mut(&worker_ref) else {
             return;
@@ -322,6 +323,7 @@
             self.push_found(worker_ref, key);
             self.adopt(worker_ref, key, now);
         }
+        self.settle_bound(worker_ref, key);
         let Some(run) = self
             .workers
             .get_mut(&worker_ref)
--- a/crates/jobs/src/progress/mod.rs
+++ b/crates/jobs/src/progress/mod.rs
@@ -1,16 +1,17 @@
 //! The stored progress of an open job.
 //!
 //! A [`Progress`] holds only what a new scheduler could not learn from the workers: the tasks that are done, the failed
-//! runs, the highest run number and the checkpoint of each task that has had a run but is not done, and which workers
-//! to query. It is written before an end is acknowledged to its worker, so that no end is lost with its scheduler, and
-//! before the first start on a worker, so that a new scheduler need not wait for workers that never received a start of
-//! the job.
+//! runs, the highest run number and the checkpoint of each task that has had a run but is not done, which workers
+//! to query, and which starts may have had no answer. It is written before an end is acknowledged to its worker, so that no
+//! end is lost with its scheduler, and before each start, so that a new scheduler need not wait for workers that never
+//! received a start of the job, and knows where a start may still be executed.
 
 use std::collections::BTreeSet;
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::{RunNumber, WorkerId};
+use crate::id::{RunNumber, TaskId, WorkerId};
+use crate::job::OpenStart;
 
 /// A bit set of small integers: the indices of a step's tasks, or the numbers of a job's occurrences.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -39,6 +40,14 @@
             .is_some_and(|word| word & (1 << (index % 64)) != 0)
     }
 
+    /// The indices, in ascending order.
+    pub fn iter(&self) -> impl Iterator<Item = u32> + '_ {
+        (0..).zip(&self.words).flat_map(|(at, word): (u32, &u64)| {
+            let bits = (0..64).filter(move |bit| word & (1 << bit) != 0);
+            bits.map(move |bit| at * 64 + bit)
+        })
+    }
+
     /// How many indices the set holds.
     #[must_use]
     pub fn len(&self) -> u32 {
@@ -105,6 +114,31 @@
     }
 }
 
+/// Starts of a step's tasks on a worker that may have had no answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OpenStarts {
+    /// The worker.
+    pub worker: WorkerId,
+    /// The number of the occurrence.
+    pub occurrence: u32,
+    /// The index of the step.
+    pub step: u32,
+    /// The number of the runs.
+    pub run: RunNumber,
+    /// The tasks.
+    pub tasks: IndexSet,
+}
+
+impl OpenStarts {
+    /// Whether a start of the task on the worker is among them.
+    #[must_use]
+    pub fn contains(&self, task: TaskId, worker: &WorkerId) -> bool {
+        self.worker == *worker
+            && (self.occurrence, self.step) == (task.step.occurrence, task.step.step)
+            && self.tasks.contains(task.index)
+    }
+}
+
 /// The stored progress of an open job.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Progress {
@@ -116,4 +150,25 @@
     pub occurrences_done: IndexSet,
     /// Occurrences that have begun and are not done.
     pub occurrences: Vec<OccurrenceProgress>,
+    /// The starts that may have had no answer. Each is stored before it is sent, and removed by a later write. Older versions did
+    /// not write them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub starts: Vec<OpenStarts>,
+}
+
+impl Progress {
+    /// The starts of an occurrence that may have had no answer, each with the step and the index of its task.
+    pub fn starts_of(&self, occurrence: u32) -> impl Iterator<Item = (u32, u32, OpenStart)> + '_ {
+        let starts = self.starts.iter();
+        let of_occurrence = starts.filter(move |starts| starts.occurrence == occurrence);
+        of_occurrence.flat_map(|starts| {
+            let start = OpenStart {
+                worker: starts.worker.clone(),
+                run: starts.run,
+                given_up: 0,
+            };
+            let tasks = starts.tasks.iter();
+            tasks.map(move |index| (starts.step, index, start.clone()))
+        })
+    }
 }
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -45,6 +45,7 @@
     let mut done = IndexSet::default();
     done.insert(1);
     Progress {
+        starts: Vec::new(),
         has_begun: true,
         workers: [WorkerId::from("w1")].into(),
         occurrences_done: IndexSet::default(),
