calls: identify a queue by host and prefix instead of its name

Cause: the status of a job, and the conditions that make one id one job, are stored under the queue's name, which operators can change. Submitters address host and prefix.

Ruled out: statuses removed by the change (both keys are in the store afterwards). Keys by id alone would hide each build's jobs from the other.

Change: the names that a queue has had are stored by its route. A transaction that creates a status expects these names and no status under any of them, and adds a new name; so no name is used before every entry looks under it. Policies in force and the count of waiting jobs follow the route. Statuses keep their keys, which older builds read and write; names that only these have used are found in the keys of the statuses.

--- a/crates/bench/src/bin/pool.rs
+++ b/crates/bench/src/bin/pool.rs
@@ -155,6 +155,7 @@
         },
         is_cancelled: false,
         policy: None,
+        route: None,
     })
 }
 
--- a/crates/grid/src/calls/cancel.rs
+++ b/crates/grid/src/calls/cancel.rs
@@ -10,7 +10,7 @@
 use crate::calls::{Admitted, Refusal, Reply, job_id};
 use crate::entry::Entry;
 use crate::keys::{self, JobStatus};
-use crate::ports::{CallError, Committed, Item, Platform, Put, Revision, Txn};
+use crate::ports::{CallError, Committed, Item, Platform, Put, Txn};
 
 /// The most attempts at a cancellation whose job changes concurrently.
 const ATTEMPTS: u32 = 5;
@@ -73,6 +73,7 @@
         admitted: &Admitted,
         id: JobId,
     ) -> Result<Option<Reply>, CallError> {
+        let names = self.names(admitted).await?;
         let key = keys::job(&admitted.queue, id);
         let tombstone = JobStatus {
             pool: admitted.pool.clone(),
@@ -80,21 +81,28 @@
             ended_ms: Some(self.wall_ms()),
             is_tombstone: true,
         };
+        let put = Put {
+            key,
+            value: keys::encode(&tombstone),
+            lease: None,
+        };
         let txn = Txn {
-            expect: vec![(key.clone(), Revision::ABSENT)],
-            puts: vec![Put {
-                key,
-                value: keys::encode(&tombstone),
-                lease: None,
-            }],
+            expect: names.expectations(admitted, id),
+            puts: [put].into_iter().chain(names.put(admitted)).collect(),
             ..Txn::default()
         };
         match self.commit_within(&txn, self.remaining(admitted)).await? {
-            Committed::Done(_) => {
+            Committed::Done(revision) => {
+                if names.put(admitted).is_some() {
+                    self.names_stored(admitted, names, revision);
+                }
                 log::info!(target: "calls", job:% = id, queue:% = admitted.queue; "Cancellation of an unknown job stored: a submission that arrives later is not run.");
                 Ok(Some(Reply::NoSuchJob))
             }
-            Committed::Conflict(_) => Ok(None),
+            Committed::Conflict(conflict) => {
+                self.have_names_changed(admitted, &names, &conflict.items);
+                Ok(None)
+            }
         }
     }
 
--- a/crates/grid/src/calls/mod.rs
+++ b/crates/grid/src/calls/mod.rs
@@ -3,16 +3,18 @@
 //! Any entry answers any call. One transaction accepts a job: it creates the job's status, hands the job to its pool's
 //! scheduler, and expects the catalogue by which the call was admitted to be the newest one. So a withdrawn key or a
 //! removed queue is refused however late this entry receives the change. A refusal that means "not accepted" is only
-//! given when the transaction certainly was not and will not be carried out.
+//! given when the transaction certainly was not and will not be carried out. An id is one job on its queue, whatever name the
+//! operators give the queue ([`names`]).
 
 mod cancel;
+pub(crate) mod names;
 mod query;
 mod submit;
 
 use std::time::{Duration, Instant};
 
 use goldcrest_jobs::catalogue::Catalogue;
-use goldcrest_jobs::id::JobId;
+use goldcrest_jobs::id::{JobId, RouteId};
 use goldcrest_jobs::policy::AcceptedPolicy;
 use goldcrest_jobs::spec::{JobSpec, JobState};
 use goldcrest_types::names::{PoolName, QueueName, TeamName};
@@ -144,6 +146,7 @@
 /// A call that the catalogue admits, with its queue and team.
 struct Admitted {
     queue: QueueName,
+    route: RouteId,
     pool: PoolName,
     team: Option<TeamName>,
     policy: AcceptedPolicy,
@@ -235,10 +238,19 @@
         id: JobId,
     ) -> Result<Option<(JobStatus, Item)>, CallError> {
         let key = crate::keys::job(&admitted.queue, id);
-        let Some(item) = self.read(&key).await? else {
+        let mut found = self.read(&key).await?;
+        if found.is_none() {
+            let names = self.present_names(admitted).await?;
+            for earlier in names.status_keys(id).filter(|earlier| *earlier != key) {
+                if found.is_none() {
+                    found = self.read(&earlier).await?;
+                }
+            }
+        }
+        let Some(item) = found else {
             return Ok(None);
         };
-        match crate::keys::decode(&key, &item.value) {
+        match crate::keys::decode(&item.key, &item.value) {
             Ok(status) => Ok(Some((status, item))),
             Err(error) => {
                 log::error!(target: "calls", job:% = id, error:%; "A job's stored status can't be decoded.");
@@ -267,6 +279,7 @@
         .min(queue.timeout);
     Ok(Admitted {
         queue: queue.name.clone(),
+        route: queue.route(),
         pool: queue.pool.clone(),
         team: team.map(|team| team.name.clone()),
         policy: AcceptedPolicy::new(queue, team),
--- a/crates/grid/src/calls/submit.rs
+++ b/crates/grid/src/calls/submit.rs
@@ -6,14 +6,15 @@
 use goldcrest_jobs::spec::{JobRecord, JobSpec, JobState};
 use goldcrest_types::names::TeamName;
 
+use crate::calls::names::KnownNames;
 use crate::calls::{Admitted, Call, RETRY_SOON, Refusal, Reply, admit, job_id};
 use crate::entry::Entry;
 use crate::keys::{self, JobStatus};
 use crate::operators;
 use crate::ports::{CallError, Committed, Item, Platform, Put, Revision, StoredCatalogue, Txn};
 
-/// The most attempts at a submission while the catalogue changes concurrently.
-const CATALOGUE_CHANGES_MAX: u32 = 4;
+/// The most attempts at a submission while the catalogue, or the names of the queue, change concurrently.
+const ATTEMPTS: u32 = 4;
 
 /// Why a job is rejected whose id an open job of another queue has.
 const ID_IN_USE: &str =
@@ -33,14 +34,24 @@
             return Reply::Malformed(error.to_string().into());
         }
         let mut admitted = admitted;
-        for _ in 0..CATALOGUE_CHANGES_MAX {
-            let txn = self.acceptance(&admitted, id, spec);
+        for _ in 0..ATTEMPTS {
+            let names = match self.names(&admitted).await {
+                Ok(names) => names,
+                Err(error) => {
+                    log::warn!(target: "calls", job:% = id, error:%; "Job refused: the names of its queue were not read.");
+                    return Reply::Refused(Refusal::StoreRefused, self.store_retry_after());
+                }
+            };
+            let txn = self.acceptance(&admitted, &names, id, spec);
             let remaining = self.remaining(&admitted);
             if remaining < ROUND_TRIP_MIN {
                 return Reply::Refused(Refusal::StoreUnresponsive, self.store_retry_after());
             }
             match self.commit_within(&txn, remaining).await {
-                Ok(Committed::Done(_)) => {
+                Ok(Committed::Done(revision)) => {
+                    if names.put(&admitted).is_some() {
+                        self.names_stored(&admitted, names, revision);
+                    }
                     let took = self.now().saturating_duration_since(began_at);
                     let team = admitted.team.as_ref().map(TeamName::as_str);
                     self.metrics.accepted(team, admitted.queue.as_str(), took);
@@ -60,19 +71,26 @@
                         Ok(readmitted) => readmitted,
                         Err(reply) => return reply,
                     };
-                    let key = keys::job(&admitted.queue, id);
-                    let is_in_use = !conflict.items.is_empty();
-                    if let Some(item) = conflict.items.into_iter().find(|item| item.key == key) {
-                        return self.submit_again(&admitted, id, item).await;
+                    let mut items = conflict.items;
+                    let have_names_changed = self.have_names_changed(&admitted, &names, &items);
+                    let is_status = |item: &Item| names.status_keys(id).any(|key| key == item.key);
+                    if let Some(at) = items.iter().position(is_status) {
+                        return self
+                            .submit_again(&admitted, id, items.swap_remove(at))
+                            .await;
                     }
-                    if is_in_use {
+                    let submitted = keys::submitted(&admitted.pool, id);
+                    if items.iter().any(|item| item.key == submitted) {
                         log::info!(target: "calls", job:% = id, queue:% = admitted.queue; "Job refused: an open job of another queue of the pool has its id.");
                         return Reply::Malformed(ID_IN_USE.into());
                     }
-                    let Some(readmitted) = readmitted else {
-                        return Reply::Refused(Refusal::StoreRefused, self.store_retry_after());
-                    };
-                    admitted = readmitted;
+                    match readmitted {
+                        Some(readmitted) => admitted = readmitted,
+                        None if have_names_changed => {}
+                        None => {
+                            return Reply::Refused(Refusal::StoreRefused, self.store_retry_after());
+                        }
+                    }
                 }
                 Err(CallError::Unknown(why)) => {
                     return self.resolve_unknown(&admitted, id, &why).await;
@@ -86,7 +104,13 @@
         Reply::Refused(Refusal::StaleCatalogue, RETRY_SOON)
     }
 
-    fn acceptance(&self, admitted: &Admitted, id: JobId, spec: &JobSpec) -> Txn {
+    fn acceptance(
+        &self,
+        admitted: &Admitted,
+        names: &KnownNames,
+        id: JobId,
+        spec: &JobSpec,
+    ) -> Txn {
         let status = JobStatus {
             pool: admitted.pool.clone(),
             state: JobState::Queued,
@@ -101,28 +125,29 @@
             spec: spec.clone(),
             is_cancelled: false,
             policy: Some(admitted.policy.clone()),
+            route: Some(admitted.route),
         };
         let key = keys::job(&admitted.queue, id);
         let submitted = keys::submitted(&admitted.pool, id);
+        let mut expect = names.expectations(admitted, id);
+        // The key in the inbox names no queue, so a job of another queue may have it.
+        expect.push((submitted.clone(), Revision::ABSENT));
+        let puts = [
+            Put {
+                key,
+                value: keys::encode(&status),
+                lease: None,
+            },
+            Put {
+                key: submitted,
+                value: keys::encode(&record),
+                lease: None,
+            },
+        ];
         Txn {
             expect_catalogue: Some(admitted.catalogue),
-            // The key in the inbox names no queue, so a job of another queue may have it.
-            expect: vec![
-                (key.clone(), Revision::ABSENT),
-                (submitted.clone(), Revision::ABSENT),
-            ],
-            puts: vec![
-                Put {
-                    key,
-                    value: keys::encode(&status),
-                    lease: None,
-                },
-                Put {
-                    key: submitted,
-                    value: keys::encode(&record),
-                    lease: None,
-                },
-            ],
+            expect,
+            puts: puts.into_iter().chain(names.put(admitted)).collect(),
             remove: Vec::new(),
         }
     }
--- a/crates/grid/src/entry/mod.rs
+++ b/crates/grid/src/entry/mod.rs
@@ -7,11 +7,12 @@
 pub mod silence;
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use goldcrest_jobs::id::RouteId;
 use goldcrest_jobs::recent::RecentCommands;
 use goldcrest_jobs::worker::{WorkerInfo, millis};
 use goldcrest_types::clock::Clock;
@@ -21,6 +22,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::calls::names::{self, KnownNames};
 use crate::entry::silence::Responsiveness;
 use crate::latest::Latest;
 use crate::metrics::Metrics;
@@ -111,6 +113,8 @@
     pub registry_needed: Notify,
     /// Notified when a worker has restarted whose new entry was not read yet.
     pub registry_stale: Notify,
+    /// The names of routes, as far as they were read.
+    pub(crate) route_names: RefCell<HashMap<RouteId, KnownNames>>,
     /// Held while a query for placement permits is pending.
     pub(crate) permit_turn: Mutex<()>,
     /// Cancelled to stop the entry.
@@ -141,6 +145,7 @@
             is_awaiting_workers: Cell::new(false),
             registry_needed: Notify::new(),
             registry_stale: Notify::new(),
+            route_names: RefCell::default(),
             permit_turn: Mutex::default(),
             stopping: CancellationToken::new(),
             failed_since: Cell::new(None),
@@ -366,6 +371,7 @@
 pub async fn run<P: Platform>(entry: Rc<Entry<P>>) {
     let mut parts = JoinSet::new();
     parts.spawn_local(operators::run(Rc::clone(&entry)));
+    parts.spawn_local(names::run(Rc::clone(&entry)));
     parts.spawn_local(session::run(Rc::clone(&entry)));
     parts.spawn_local(registry::run(Rc::clone(&entry)));
     let members = AbortOnDropHandle::new(tokio::task::spawn_local(members::run(Rc::clone(&entry))));
--- a/crates/grid/src/keys/mod.rs
+++ b/crates/grid/src/keys/mod.rs
@@ -23,7 +23,7 @@
 use std::fmt;
 use std::time::Duration;
 
-use goldcrest_jobs::id::{JobId, VmId, WorkerId};
+use goldcrest_jobs::id::{JobId, RouteId, VmId, WorkerId};
 use goldcrest_jobs::resources::Resources;
 use goldcrest_jobs::size::may_be_busy_period;
 use goldcrest_jobs::spec::JobState;
@@ -97,6 +97,13 @@
     pub is_tombstone: bool,
 }
 
+/// The names that a queue has had.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteNames {
+    /// The names, the newest first.
+    pub names: Vec<QueueName>,
+}
+
 /// The VMs of a pool that its scheduler must evacuate.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Evacuation {
@@ -216,6 +223,9 @@
 /// The prefix of the keys of team shares.
 pub const SHARES: &str = "share/";
 
+/// The prefix of the keys of the names that queues have had.
+pub const ROUTES: &str = "route/";
+
 /// The prefix of the keys of job statuses.
 pub const JOBS: &str = "job/";
 
@@ -234,6 +244,25 @@
     format!("{JOBS}{queue}/{id}").into()
 }
 
+/// The prefix of the keys of the statuses of jobs that were accepted under a queue's name.
+#[must_use]
+pub fn jobs_of(queue: &QueueName) -> Box<str> {
+    format!("{JOBS}{queue}/").into()
+}
+
+/// The queue in the key of a job's status; the inverse of [`job`]. `None` for other keys.
+#[must_use]
+pub fn queue_of_job(key: &str) -> Option<QueueName> {
+    let (queue, _) = key.strip_prefix(JOBS)?.split_once('/')?;
+    queue.parse().ok()
+}
+
+/// The key of the names that the queue with this host name and prefix has had.
+#[must_use]
+pub fn route(route: RouteId) -> Box<str> {
+    format!("{ROUTES}{route}").into()
+}
+
 /// The prefix of the keys that a pool's scheduler watches as its inbox.
 #[must_use]
 pub fn inbox(pool: &PoolName) -> Box<str> {
--- a/crates/grid/tests/entry/main.rs
+++ b/crates/grid/tests/entry/main.rs
@@ -15,6 +15,7 @@
 mod moved_queue;
 mod permits;
 mod removed_queue;
+mod renamed_queue;
 mod roles;
 mod soak;
 mod starts_and_ends;
--- a/crates/grid/tests/stored.rs
+++ b/crates/grid/tests/stored.rs
@@ -61,6 +61,7 @@
         },
         is_cancelled: false,
         policy,
+        route: None,
     }
 }
 
--- a/crates/jobs/src/catalogue/mod.rs
+++ b/crates/jobs/src/catalogue/mod.rs
@@ -8,9 +8,11 @@
 
 use goldcrest_types::names::{PoolName, QueueName, TeamName};
 
+use crate::id::RouteId;
 use crate::policy::AcceptedPolicy;
 use crate::query_times::QueryTimes;
 use crate::resources::Resources;
+use crate::spec::JobRecord;
 use crate::worker::millis;
 
 /// The longest latency objective: a century. Multiples of longer times could overflow.
@@ -44,6 +46,12 @@
 }
 
 impl Queue {
+    /// What identifies the queue to its submitters.
+    #[must_use]
+    pub fn route(&self) -> RouteId {
+        RouteId::new(&self.host, &self.prefix)
+    }
+
     /// The time from submission to completion that callers expect of a job with this longest chain.
     #[must_use]
     pub fn objective(&self, longest_chain: Duration) -> Duration {
@@ -118,6 +126,7 @@
     queues: Vec<Queue>,
     by_host: HashMap<Box<str>, Vec<usize>>,
     by_name: HashMap<QueueName, usize>,
+    by_route: HashMap<RouteId, usize>,
     pools: Vec<PoolSpec>,
     teams: Vec<Team>,
     keys: HashMap<Box<str>, usize>,
@@ -135,9 +144,11 @@
     ) -> Self {
         let mut by_host: HashMap<Box<str>, Vec<usize>> = HashMap::new();
         let mut by_name = HashMap::new();
+        let mut by_route = HashMap::new();
         for (at, queue) in queues.iter().enumerate() {
             by_host.entry(queue.host.clone()).or_default().push(at);
             by_name.insert(queue.name.clone(), at);
+            by_route.insert(queue.route(), at);
         }
         for of_host in by_host.values_mut() {
             of_host.sort_by_key(|at| std::cmp::Reverse(queues[*at].prefix.len()));
@@ -156,6 +167,7 @@
             queues,
             by_host,
             by_name,
+            by_route,
             pools,
             teams: without_keys,
             keys,
@@ -184,17 +196,27 @@
         self.by_name.get(name).map(|at| &self.queues[*at])
     }
 
+    /// The present queue of a job: the one with the host name and prefix that the job was accepted under, whatever its name is
+    /// now, or else the one with the name of the job's queue.
+    #[must_use]
+    pub fn queue_of(&self, record: &JobRecord) -> Option<&Queue> {
+        let by_route = record.route.and_then(|route| self.by_route.get(&route));
+        by_route
+            .map(|at| &self.queues[*at])
+            .or_else(|| self.queue(&record.queue))
+    }
+
     /// Whether any queue needs placement permits.
     #[must_use]
     pub fn has_permits(&self) -> bool {
         self.has_permits
     }
 
-    /// The policy for a job that is accepted now. `None` if there is no such queue.
+    /// The policy for a job whose record has none. `None` if its queue is not in this version.
     #[must_use]
-    pub fn policy(&self, queue: &QueueName, team: Option<&TeamName>) -> Option<AcceptedPolicy> {
-        let team = team.and_then(|team| self.team(team));
-        self.queue(queue)
+    pub fn policy_of(&self, record: &JobRecord) -> Option<AcceptedPolicy> {
+        let team = record.team.as_ref().and_then(|team| self.team(team));
+        self.queue_of(record)
             .map(|queue| AcceptedPolicy::new(queue, team))
     }
 
--- a/crates/jobs/src/id/mod.rs
+++ b/crates/jobs/src/id/mod.rs
@@ -4,11 +4,13 @@
 //! worker process on a VM, and a [`WorkerRef`] one incarnation of it.
 
 use std::fmt;
+use std::hash::Hasher;
 use std::str::FromStr;
 
 use goldcrest_types::entity_id;
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
+use siphasher::sip::SipHasher13;
 
 /// The length of a job's id, in hexadecimal digits.
 const JOB_ID_DIGITS: usize = 16;
@@ -28,6 +30,30 @@
     }
 }
 
+/// Identifies a queue by what its submitters address: the host name and the prefix of its calls. Operators may give the queue
+/// another name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RouteId(u64);
+
+impl RouteId {
+    /// The id of the queue with this host name and prefix.
+    #[must_use]
+    pub fn new(host: &str, prefix: &str) -> Self {
+        let mut hasher = SipHasher13::new();
+        hasher.write(host.as_bytes());
+        // Neither contains a zero byte.
+        hasher.write_u8(0);
+        hasher.write(prefix.as_bytes());
+        Self(hasher.finish())
+    }
+}
+
+impl fmt::Display for RouteId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// The id of a job, drawn by its submitter.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(try_from = "Box<str>", into = "Box<str>")]
--- a/crates/jobs/src/pool/ingest.rs
+++ b/crates/jobs/src/pool/ingest.rs
@@ -53,7 +53,7 @@
             .collect();
         let chain = record.spec.longest_chain(step_times.iter().copied());
         if record.policy.is_none() {
-            record.policy = self.catalogue.policy(&record.queue, record.team.as_ref());
+            record.policy = self.catalogue.policy_of(&record);
         }
         let objective = record
             .policy
@@ -72,7 +72,7 @@
         self.catalogue = catalogue;
         for (id, job) in &mut self.jobs {
             if job.record.policy.is_none()
-                && let Some(policy) = self.catalogue.policy(job.queue(), job.record.team.as_ref())
+                && let Some(policy) = self.catalogue.policy_of(&job.record)
             {
                 let times = job.step_times.iter().copied();
                 let longest_chain = job.record.spec.longest_chain(times);
--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -575,13 +575,15 @@
         std::mem::take(&mut self.events)
     }
 
-    /// Counts, by queue, the open jobs of which no task has started.
+    /// Counts, by the present name of their queue, the open jobs of which no task has started.
     #[must_use]
     pub fn waiting(&self) -> BTreeMap<&str, u64> {
         let mut waiting = BTreeMap::new();
         for job in self.jobs.values() {
             if job.beginning != Beginning::Started && job.outcome.is_none() {
-                *waiting.entry(job.queue().as_str()).or_default() += 1;
+                let queue = self.catalogue.queue_of(&job.record);
+                let name = queue.map_or_else(|| job.queue(), |queue| &queue.name);
+                *waiting.entry(name.as_str()).or_default() += 1;
             }
         }
         waiting
--- a/crates/jobs/src/pool/order.rs
+++ b/crates/jobs/src/pool/order.rs
@@ -57,7 +57,7 @@
         .values()
         .filter(|job| is_placeable(job, now) && has_idle(job))
         .map(|job| {
-            let queue = pool.catalogue.queue(job.queue());
+            let queue = pool.catalogue.queue_of(&job.record);
             let accepted = job.record.policy.as_ref();
             let priority = queue
                 .map(|queue| queue.priority)
--- a/crates/jobs/src/pool/permits.rs
+++ b/crates/jobs/src/pool/permits.rs
@@ -289,7 +289,7 @@
 
     /// Whether the job's queue needs permits. A queue that was removed needs them as at the job's acceptance.
     fn is_permit_needed(&self, job: &Job) -> bool {
-        let queue = self.catalogue.queue(job.queue());
+        let queue = self.catalogue.queue_of(&job.record);
         queue.map_or_else(
             || job.needed_permits(),
             |queue| queue.permit_queries.is_some(),
@@ -324,7 +324,7 @@
     /// The times of the permit service of a job's queue. A queue that was removed keeps those of the job's acceptance.
     fn query_times(&self, job: JobId) -> QueryTimes {
         let job = self.jobs.get(&job);
-        let queue = job.and_then(|job| self.catalogue.queue(job.queue()));
+        let queue = job.and_then(|job| self.catalogue.queue_of(&job.record));
         let accepted = job.and_then(|job| job.record.policy.as_ref());
         queue
             .map_or_else(
--- a/crates/jobs/src/spec/mod.rs
+++ b/crates/jobs/src/spec/mod.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
-use crate::id::{JobId, Label};
+use crate::id::{JobId, Label, RouteId};
 use crate::policy::AcceptedPolicy;
 use crate::resources::Resources;
 use crate::worker::millis;
@@ -289,6 +289,9 @@
     /// The policy of its queue and team when it was accepted. Older versions did not write it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub policy: Option<AcceptedPolicy>,
+    /// The host name and prefix of the queue when the job was accepted. Older versions did not write it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub route: Option<RouteId>,
 }
 
 /// The state of a job, as its submitter sees it.
--- a/crates/jobs/tests/arrivals.rs
+++ b/crates/jobs/tests/arrivals.rs
@@ -41,6 +41,7 @@
         },
         is_cancelled: false,
         policy: None,
+        route: None,
     }
 }
 
--- a/crates/jobs/tests/beliefs.rs
+++ b/crates/jobs/tests/beliefs.rs
@@ -64,6 +64,7 @@
         },
         is_cancelled: false,
         policy: None,
+        route: None,
     }
 }
 
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -338,6 +338,7 @@
             spec,
             is_cancelled: false,
             policy: None,
+            route: None,
         };
         if self.is_inheriting {
             self.inherited
--- a/crates/jobs/tests/crashing_fleet/mod.rs
+++ b/crates/jobs/tests/crashing_fleet/mod.rs
@@ -170,6 +170,7 @@
             },
             is_cancelled: false,
             policy: None,
+            route: None,
         };
         let stored = Stored {
             record: record.clone(),
--- a/crates/jobs/tests/extremes.rs
+++ b/crates/jobs/tests/extremes.rs
@@ -87,6 +87,7 @@
         },
         is_cancelled: false,
         policy: None,
+        route: None,
     }
 }
 
--- a/crates/jobs/tests/incarnation.rs
+++ b/crates/jobs/tests/incarnation.rs
@@ -68,6 +68,7 @@
         },
         is_cancelled: false,
         policy: None,
+        route: None,
     }
 }
 
--- a/crates/jobs/tests/restarting_fleet/mod.rs
+++ b/crates/jobs/tests/restarting_fleet/mod.rs
@@ -486,6 +486,7 @@
             },
             is_cancelled: false,
             policy: None,
+            route: None,
         };
         self.store.inbox.insert(id, record);
         self.deliver(id);
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -37,6 +37,7 @@
         },
         is_cancelled: false,
         policy: None,
+        route: None,
     }
 }
 
--- a/crates/jobs/tests/waiting.rs
+++ b/crates/jobs/tests/waiting.rs
@@ -53,6 +53,7 @@
         },
         is_cancelled: false,
         policy: None,
+        route: None,
     };
     pool.submit(record, Duration::ZERO, now);
     pool
