jobs: hold a worker only for a suspect task that could run there

Cause: as many workers were held as lost tasks waited to be started alone. It was not asked whether a held worker could run one of them, whether their team may start them, or whether they are still to be isolated, so the workers stayed held without end.

Ruled out: usage or shortfall of the team (it has no limit); the queue order (steps that fit nowhere are passed over).

Change: a worker is held for one task that could run there once it is empty and that its team may start. Empty workers are used at once, so only busy ones are held. The order, the number and the waiting time are as before.

--- a/crates/jobs/src/pool/isolate.rs
+++ b/crates/jobs/src/pool/isolate.rs
@@ -3,9 +3,9 @@
 //! Load pattern: one task of a job crashes each worker that starts it, and dozens of harmless tasks are lost with each
 //! worker. The next crash should cost only an empty worker and name the task that caused it.
 //!
-//! Workers are held for as many suspect tasks as wait: empty ones, and a part of the pool if that is more, those that
-//! become empty soonest. A held worker gets no other starts. Once the run of a suspect task has been executing for a
-//! while, others join it. A task that has waited long is placed like any other, on the worker with the most free
+//! A suspect task is started on an empty worker at once. If there is none, a worker that becomes empty soon is held for it: a part of the
+//! pool at most, and only one that could run this task, which its team may start. A held worker gets no other starts. Once the run of a suspect task has
+//! been executing for a while, others join it. A task that has waited long holds no worker and is placed like any other, on the worker with the most free
 //! capacity: on a pool that keeps losing workers, or is full of long tasks, harmless suspects would not end. A task that
 //! has lost several runs is started alone, if any held worker could run it: the next loss decides about its job.
 
@@ -17,13 +17,13 @@
 use crate::job::{Copies, LOST_ISOLATED};
 use crate::pool::Pool;
 use crate::pool::bound::Binding;
-use crate::pool::free_capacity::may_run;
 use crate::pool::order::is_placeable;
 use crate::pool::place::{is_allowed, start};
+use crate::spec::Step;
 use crate::suspect::CrashLimit;
 use crate::worker::Worker;
 
-/// One worker of so many may be held for suspect tasks while it has runs, but always one.
+/// One worker of so many may be used for suspect tasks if not as many are empty, but always one.
 const WORKERS_PER_HELD: usize = 4;
 
 /// A suspect task that has waited this long is not isolated any more.
@@ -37,8 +37,14 @@
     if waiting.is_empty() {
         return;
     }
-    let mut held = hold(pool, waiting.len(), now);
-    let all_held = held.clone();
+    let mut candidates = candidates(pool, now);
+    let is_empty = |pool: &Pool, worker: &WorkerRef| pool.workers[worker].runs.is_empty();
+    let empty = candidates.iter().filter(|worker| is_empty(pool, worker));
+    let used_max = (candidates.len() / WORKERS_PER_HELD)
+        .max(empty.count())
+        .max(1);
+    let mut held: Vec<WorkerRef> = Vec::new();
+    let mut started = 0;
     for (since, task) in waiting {
         let job = pool.jobs.get(&task.step.job);
         let Some((spec, state)) = job.and_then(|job| job.step(task.step)) else {
@@ -49,34 +55,40 @@
         if !is_allowed(pool, task.step.job, spec.reserved()) {
             continue;
         }
-        let binding = pool.binding(task, now);
-        let may_start_on = |worker_ref: WorkerRef| match binding {
-            Binding::None => true,
-            Binding::To(bound) => bound == worker_ref,
-            Binding::Pending => false,
-        };
-        let could_run = |worker_ref: &WorkerRef| {
-            may_start_on(*worker_ref)
-                && pool.workers.get(worker_ref).is_some_and(|worker| {
-                    worker.could_run(&spec)
-                        && may_run(pool, *worker_ref, worker, task.step, &spec, now)
-                })
-        };
-        let is_empty = |worker: &WorkerRef| pool.workers[worker].runs.is_empty();
-        let free = held
+        let could_run = |worker: &WorkerRef| could_run(pool, *worker, task, &spec, now);
+        let free = candidates
             .iter()
-            .position(|worker| is_empty(worker) && could_run(worker));
+            .position(|worker| is_empty(pool, worker) && could_run(worker));
         let has_waited = now.saturating_duration_since(since) >= WAIT_MAX;
         if let Some(at) = free {
-            let worker = held.remove(at);
+            let worker = candidates.remove(at);
             start(pool, task, &spec, worker, None, now);
-        } else if has_waited && (lost < LOST_ISOLATED || !all_held.iter().any(could_run)) {
+            started += 1;
+            continue;
+        }
+        let needs_worker = !has_waited || lost >= LOST_ISOLATED;
+        let to_hold = candidates.iter().position(could_run);
+        if let Some(at) = to_hold.filter(|_| needs_worker && started + held.len() < used_max) {
+            held.push(candidates.remove(at));
+        } else if has_waited && (lost < LOST_ISOLATED || !held.iter().any(could_run)) {
             pool.not_isolated.insert(task);
         }
     }
     pool.held_for_suspects.extend(held);
 }
 
+/// Whether a worker could run a task once it is empty, as far as is known now.
+fn could_run(pool: &Pool, worker_ref: WorkerRef, task: TaskId, spec: &Step, now: Instant) -> bool {
+    let may_start_there = match pool.binding(task, now) {
+        Binding::None => true,
+        Binding::To(bound) => bound == worker_ref,
+        Binding::Pending => false,
+    };
+    let worker = pool.workers.get(&worker_ref);
+    let is_able = worker.is_some_and(|worker| worker.could_run(spec));
+    may_start_there && is_able && pool.is_permitted(task.step, worker_ref, now)
+}
+
 /// The idle tasks that should be started alone, each with the time since which it waits, those that have waited longest
 /// first.
 fn waiting(pool: &mut Pool, now: Instant) -> Vec<(Instant, TaskId)> {
@@ -123,8 +135,8 @@
     waiting
 }
 
-/// Chooses the workers to hold.
-fn hold(pool: &Pool, wanted: usize, now: Instant) -> Vec<WorkerRef> {
+/// The workers on which suspect tasks may be started alone, those first that are empty or become so soonest.
+fn candidates(pool: &Pool, now: Instant) -> Vec<WorkerRef> {
     let is_vacant_soon = |worker: &Worker| !worker.runs.values().any(|run| run.is_service);
     let mut workers: Vec<(usize, Reverse<WorkerRef>)> = pool
         .workers
@@ -134,10 +146,8 @@
         .map(|(worker_ref, worker)| (worker.runs.len(), Reverse(*worker_ref)))
         .collect();
     workers.sort_unstable();
-    let empty = workers.iter().take_while(|(runs, _)| *runs == 0).count();
-    let held_max = (workers.len() / WORKERS_PER_HELD).max(empty).max(1);
-    let held = workers.into_iter().take(wanted.min(held_max));
-    held.map(|(_, Reverse(worker))| worker).collect()
+    let workers = workers.into_iter();
+    workers.map(|(_, Reverse(worker))| worker).collect()
 }
 
 impl Pool {
