jobs: raise a team's share only for tasks that can start by it

Cause: a pool asked for the sum of all waiting tasks and got the same fraction of each kind of resource. Tasks above the limit dominated the sum: the row held 11,519 of 12,000 MB and 0.3 cores, by which no task could start, and left nothing to other pools. Tasks without a worker and rounded fractions had the same effect.

Ruled out: placement that ends at the large job (it goes on); rows above the lowered limit (nothing was running).

Change: a shortfall is a list of tasks in queue order, those within the limit that a worker has room for. A row grows by whole tasks, as far as the limit allows. Rows are stored as before.

The tests of Share::target take lists of tasks; the first expects its quarter exactly now.

--- a/crates/grid/src/pool/events.rs
+++ b/crates/grid/src/pool/events.rs
@@ -92,16 +92,8 @@
                 log::info!(target: "scheduler", task:% = task, worker:% = worker, fate:?, pool:% = self.name; "Fate of a lost worker known.");
             }
             Event::GivenUp { task, runs, took } => self.log_given_up(task, &runs, took),
-            Event::Unfit {
-                job,
-                step,
-                demand,
-                most,
-            } => {
-                log::warn!(target: "scheduler", job:% = job, step, demand:% = demand, most:% = most, pool:% = self.name; "Job waits: no worker could run one of its steps; add a worker with that room and label, or cancel it.");
-            }
-            Event::AttemptsUnknown { job } => {
-                log::warn!(target: "scheduler", job:% = job, pool:% = self.name; "Job waits: a task of it has failed, and its queue is not in the catalogue; add the queue again, or cancel the job.");
+            Event::Unfit { .. } | Event::AboveLimit { .. } | Event::AttemptsUnknown { .. } => {
+                self.log_waiting(&event);
             }
             Event::CordonsChanged { dcs, workers } => {
                 let dcs: Vec<String> = dcs.iter().map(ToString::to_string).collect();
@@ -122,6 +114,32 @@
         }
     }
 
+    /// Logs why a job waits for its submitter or the operators.
+    fn log_waiting(&self, event: &Event) {
+        match event {
+            Event::Unfit {
+                job,
+                step,
+                demand,
+                most,
+            } => {
+                log::warn!(target: "scheduler", job:% = job, step, demand:% = demand, most:% = most, pool:% = self.name; "Job waits: no worker could run one of its steps; add a worker with that room and label, or cancel it.");
+            }
+            Event::AboveLimit {
+                job,
+                step,
+                demand,
+                limit,
+            } => {
+                log::warn!(target: "scheduler", job:% = job, step, demand:% = demand, limit:% = limit, pool:% = self.name; "Job waits: one of its steps exceeds its team's upper limit; raise the limit, or cancel the job.");
+            }
+            Event::AttemptsUnknown { job } => {
+                log::warn!(target: "scheduler", job:% = job, pool:% = self.name; "Job waits: a task of it has failed, and its queue is not in the catalogue; add the queue again, or cancel the job.");
+            }
+            _ => {}
+        }
+    }
+
     /// Observes how long a job has waited, if this is its first run.
     fn observe_wait(&self, task: TaskId, run: RunNumber, waited: Duration) {
         let pool = self.pool.borrow();
--- a/crates/grid/src/shares/mod.rs
+++ b/crates/grid/src/shares/mod.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use goldcrest_jobs::resources::Resources;
-use goldcrest_jobs::share::Share;
+use goldcrest_jobs::share::{Share, WantedTasks};
 use goldcrest_types::names::{PoolName, TeamName};
 
 use crate::keys;
@@ -145,7 +145,7 @@
             let is_old = cached
                 .read_at
                 .is_none_or(|at| now.saturating_duration_since(at) >= REREAD_INTERVAL);
-            let has_shortfall = demand.shortfall != Resources::ZERO;
+            let has_shortfall = !demand.shortfall.is_empty();
             cached.needs_reread
                 || (is_old && (has_shortfall || !cached.share.is_within(demand.cap)))
         })
@@ -165,13 +165,13 @@
     }
 }
 
-/// A team with a limit, its usage of this pool, known and unknown, and its shortfall in it.
+/// A team with a limit, its usage of this pool, known and unknown, and what it could start in it beyond its row.
 #[derive(Debug)]
 struct Demand {
     team: TeamName,
     cap: Resources,
     used: Resources,
-    shortfall: Resources,
+    shortfall: Vec<WantedTasks>,
 }
 
 fn demands<P: Platform>(
@@ -189,7 +189,7 @@
             team: team.clone(),
             cap,
             used: pool.usage_within(team, row(team)),
-            shortfall: pool.shortfall().get(team).copied().unwrap_or_default(),
+            shortfall: pool.shortfall().get(team).cloned().unwrap_or_default(),
         })
         .collect()
 }
@@ -229,13 +229,16 @@
 ) -> Option<Resources> {
     let row = cached.usable_row(pool);
     let reserve = demand.cap.percent(RESERVE_PERCENT);
-    let (used, shortfall, cap) = (demand.used, demand.shortfall, demand.cap);
-    let target = cached.share.target(pool, used, shortfall, reserve, cap);
+    let (used, cap) = (demand.used, demand.cap);
+    let target = cached
+        .share
+        .target(pool, used, &demand.shortfall, reserve, cap);
     let is_within = cached.share.is_within(cap);
     if !target.fits(&row) && is_within {
         cached.idle_since = None;
         // If the whole shortfall is covered, the row is not lowered in any kind of resource.
-        let has_all = (used + shortfall).fits(&target);
+        let wanted = demand.shortfall.iter().map(WantedTasks::total);
+        let has_all = wanted.fold(used, |sum, total| sum + total).fits(&target);
         return Some(if has_all { target.max(row) } else { target });
     }
     if (row - target).fits(&reserve) {
--- a/crates/grid/tests/entry/common/mod.rs
+++ b/crates/grid/tests/entry/common/mod.rs
@@ -20,7 +20,7 @@
 use goldcrest_jobs::upkeep::{Vm, VmState};
 use goldcrest_jobs::worker::WorkerInfo;
 use goldcrest_standin::grid::{Gate, RuntimeClock, World};
-use goldcrest_types::names::DcName;
+use goldcrest_types::names::{DcName, PoolName};
 use tokio::task::{JoinHandle, LocalSet};
 use tokio::time::{Instant, sleep};
 
@@ -188,6 +188,11 @@
 
     /// Adds a worker on a VM of its own, in a data centre.
     pub fn add_worker_in(&self, name: &str, dc: Option<&str>) {
+        self.add_worker_to("p", name, dc);
+    }
+
+    /// Adds a worker on a VM of its own to a pool, in a data centre if one is given.
+    pub fn add_worker_to(&self, pool: &str, name: &str, dc: Option<&str>) {
         let dc: Option<DcName> = dc.map(|dc| dc.parse().expect("a name"));
         let info = WorkerInfo {
             id: WorkerId::from(name),
@@ -204,13 +209,13 @@
             remaining: None,
             is_cold: false,
         };
-        let pool = "p".parse().expect("a name");
+        let pool: PoolName = pool.parse().expect("a name");
         let mut crew = self.world.crew.borrow_mut();
-        crew.add(pool, info, Instant::now());
+        crew.add(pool.clone(), info, Instant::now());
         let vm = VmId::from(&*format!("vm-{name}"));
         let vm = Vm {
             id: vm.clone(),
-            pool: "p".parse().expect("a name"),
+            pool,
             state: VmState::Up,
             worker: Some(WorkerId::from(name)),
             dc: dc.clone(),
@@ -359,11 +364,22 @@
     }
 
     async fn call(&self, entry: &str, id: &str, key: &str, request: Request) -> Reply {
+        self.call_at(entry, "/q/", id, key, request).await
+    }
+
+    async fn call_at(
+        &self,
+        entry: &str,
+        prefix: &str,
+        id: &str,
+        key: &str,
+        request: Request,
+    ) -> Reply {
         let entry = self.entry(entry);
         entry
             .call(Call {
                 host: "host".into(),
-                path: format!("/q/{id}").into(),
+                path: format!("{prefix}{id}").into(),
                 key: Some(key.into()),
                 timeout: Some(Duration::from_secs(3)),
                 request,
@@ -376,6 +392,17 @@
         self.call(entry, id, KEY, Request::Submit(Ok(spec))).await
     }
 
+    /// Submits a job to the queue with this prefix.
+    pub async fn submit_to(&self, entry: &str, prefix: &str, id: &str, spec: JobSpec) -> Reply {
+        let request = Request::Submit(Ok(spec));
+        self.call_at(entry, prefix, id, KEY, request).await
+    }
+
+    /// Queries the state of a job of the queue with this prefix.
+    pub async fn query_at(&self, entry: &str, prefix: &str, id: &str) -> Reply {
+        self.call_at(entry, prefix, id, KEY, Request::Query).await
+    }
+
     /// Submits a job with the given key instead of [`KEY`].
     pub async fn submit_with(&self, entry: &str, id: &str, key: &str, spec: JobSpec) -> Reply {
         self.call(entry, id, key, Request::Submit(Ok(spec))).await
--- a/crates/grid/tests/entry/main.rs
+++ b/crates/grid/tests/entry/main.rs
@@ -21,3 +21,4 @@
 mod starts_and_ends;
 mod trace;
 mod unnoticed_return;
+mod withheld_share;
--- a/crates/jobs/src/pool/event.rs
+++ b/crates/jobs/src/pool/event.rs
@@ -116,6 +116,17 @@
         /// The largest capacity of any worker, for each kind of resource by itself.
         most: Resources,
     },
+    /// The tasks of a step that start together exceed the upper limit of the job's team.
+    AboveLimit {
+        /// The job that waits until the limit is raised.
+        job: JobId,
+        /// The index of the step in the job.
+        step: u32,
+        /// What these tasks reserve.
+        demand: Resources,
+        /// The team's upper limit. 0 of a kind means no limit.
+        limit: Resources,
+    },
     /// A task has failed, and it is not known how often it may.
     AttemptsUnknown {
         /// The job that waits until its queue is in the catalogue again.
--- a/crates/jobs/src/pool/free_capacity.rs
+++ b/crates/jobs/src/pool/free_capacity.rs
@@ -100,6 +100,24 @@
             .map(|candidate| candidate.worker)
     }
 
+    /// How many tasks of the step the workers have room for. Permits are left out: they are asked for meanwhile.
+    #[must_use]
+    pub fn room_for(&self, pool: &Pool, id: StepId, step: &Step) -> u64 {
+        let demand = step.reserved();
+        let on_worker = |candidate: &Candidate| {
+            let worker = pool.workers.get(&candidate.worker)?;
+            let on_worker = tasks_of_step(worker, id);
+            let spread = step.spread.map_or(u64::MAX, |most| {
+                u64::from(most).saturating_sub(on_worker as u64)
+            });
+            worker
+                .has_required(step)
+                .then(|| candidate.free.multiples_of(demand).min(spread))
+        };
+        let candidates = self.candidates.iter().filter_map(on_worker);
+        candidates.fold(0, u64::saturating_add)
+    }
+
     /// Whether the demand is known to fit no worker.
     #[must_use]
     pub fn is_unfit(&self, demand: Resources) -> bool {
--- a/crates/jobs/src/pool/mod.rs
+++ b/crates/jobs/src/pool/mod.rs
@@ -55,6 +55,8 @@
 use crate::lease::LeaseBound;
 use crate::pool::arrivals::Arrivals;
 use crate::resources::Resources;
+use crate::share::WantedTasks;
+use crate::spec::Step;
 use crate::suspect::CrashLimit;
 use crate::worker::{RunKey, Worker, WorkerInfo};
 
@@ -276,7 +278,10 @@
     allowance: BTreeMap<TeamName, Resources>,
     /// The highest upper limit of each team under which a job of it was accepted.
     accepted_caps: BTreeMap<TeamName, Resources>,
-    shortfall: BTreeMap<TeamName, Resources>,
+    /// What each team could start beyond its allowance, in queue order, as of the last plan.
+    shortfall: BTreeMap<TeamName, Vec<WantedTasks>>,
+    /// The teams whose next task would exceed their allowance, as of the last plan.
+    limited: BTreeSet<TeamName>,
     unsaved: BTreeSet<JobId>,
     takeover: Option<Takeover>,
     is_fenced_out: bool,
@@ -343,6 +348,7 @@
             allowance: BTreeMap::new(),
             accepted_caps: BTreeMap::new(),
             shortfall: BTreeMap::new(),
+            limited: BTreeSet::new(),
             unsaved: BTreeSet::new(),
             takeover: None,
             is_fenced_out: false,
@@ -461,9 +467,9 @@
         &self.usage
     }
 
-    /// What each team could use beyond its allowance, as of the last plan.
+    /// What each team could start beyond its allowance, in queue order, as of the last plan.
     #[must_use]
-    pub fn shortfall(&self) -> &BTreeMap<TeamName, Resources> {
+    pub fn shortfall(&self) -> &BTreeMap<TeamName, Vec<WantedTasks>> {
         &self.shortfall
     }
 
@@ -491,6 +497,17 @@
             .chain(removed.map(|(team, cap)| (team, *cap)))
     }
 
+    /// Whether the tasks of a step that start together are within the upper limit of the job's team. Otherwise they wait until
+    /// the limit is raised.
+    #[must_use]
+    pub fn is_within_cap(&self, job: &Job, step: &Step) -> bool {
+        let cap = job.record.team.as_ref().and_then(|team| self.cap(team));
+        cap.is_none_or(|cap| {
+            let limit = cap.zip(cap, |cap, _| if cap == 0 { u64::MAX } else { cap });
+            step.reserved_at_once().fits(&limit)
+        })
+    }
+
     /// Whether a worker has seen a higher token, which means that this scheduler has been replaced.
     #[must_use]
     pub fn is_fenced_out(&self) -> bool {
@@ -600,14 +617,16 @@
                 .flat_map(|occurrence| {
                     let steps = job.record.spec.steps.iter().zip(&occurrence.steps);
                     let timed = steps.zip(&job.step_times);
-                    timed.filter(|((step, _), _)| occurrence.is_open(step))
+                    timed.filter(|((step, _), _)| {
+                        occurrence.is_open(step) && self.is_within_cap(job, step)
+                    })
                 })
                 .map(|((step, state), time)| step.work(state.idle, *time))
                 .fold(0, u64::saturating_add)
         };
         jobs.filter(|job| {
             let team = job.record.team.as_ref();
-            team.is_none_or(|team| !self.shortfall.contains_key(team))
+            team.is_none_or(|team| !self.limited.contains(team))
         })
         .map(of_job)
         .fold(0, u64::saturating_add)
@@ -624,7 +643,7 @@
             .flat_map(|worker| worker.runs.values());
         let services = runs.filter(|run| run.is_service);
         let of_services: u64 = services.map(|run| run.reserved.cpu_millis).sum();
-        let is_limited = |team: &TeamName| self.shortfall.contains_key(team);
+        let is_limited = |team: &TeamName| self.limited.contains(team);
         of_services + self.arrivals.rate_millis(now, is_limited)
     }
 
--- a/crates/jobs/src/pool/permits.rs
+++ b/crates/jobs/src/pool/permits.rs
@@ -250,11 +250,7 @@
 
 /// How many tasks of the step fit into this free capacity.
 fn slots(free: Resources, step: &Step) -> u64 {
-    let of_kind = |free: u64, each: u64| free.checked_div(each).unwrap_or(u64::MAX);
-    let each = step.reserved();
-    let by_resources = of_kind(free.cpu_millis, each.cpu_millis)
-        .min(of_kind(free.memory_mb, each.memory_mb))
-        .min(of_kind(free.accelerators, each.accelerators));
+    let by_resources = free.multiples_of(step.reserved());
     by_resources.min(u64::from(step.spread.unwrap_or(step.tasks)))
 }
 
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -3,8 +3,8 @@
 //! A task goes to a worker that accepts work, has enough free capacity and the required label, and holds fewer tasks of
 //! the step than the step's spread allows. Among these, workers on the rack of the task's data come first, then those in
 //! the data centre of the job's last start, then the one with the least free processor time. A gang is placed whole or
-//! not at all. A team's usage never exceeds its allowance; what the team could use beyond that is recorded in
-//! `shortfall`.
+//! not at all. A team's usage never exceeds its allowance; what the team could start beyond that, and the pool has room for, is recorded
+//! in `shortfall`.
 
 use std::time::Instant;
 
@@ -14,6 +14,7 @@
 use crate::pool::free_capacity::FreeCapacity;
 use crate::pool::{Command, Event, Pool, StartCommand};
 use crate::resources::Resources;
+use crate::share::WantedTasks;
 use crate::spec::Step;
 use crate::worker::{Executor, Origin, Phase, Run, Trust};
 
@@ -23,6 +24,7 @@
 /// Runs the pass.
 pub fn run(pool: &mut Pool, now: Instant) {
     pool.shortfall.clear();
+    pool.limited.clear();
     let mut free_capacity = FreeCapacity::new(pool, now);
     if free_capacity.is_empty() {
         return;
@@ -84,7 +86,7 @@
     let (reserved, idle, is_gang) = (spec.reserved(), state.idle, spec.is_gang());
     if free_capacity.is_unfit(reserved) {
         if !is_allowed(pool, step.job, reserved) {
-            record_short(pool, step.job, reserved, u64::from(idle));
+            record_short(pool, free_capacity, step, idle);
         }
     } else if is_gang {
         place_gang(pool, free_capacity, step, now);
@@ -101,8 +103,8 @@
     let tasks = idle_tasks(pool, step);
     for (placed, task) in tasks.iter().enumerate() {
         if !is_allowed(pool, step.job, reserved) {
-            let left = u64::try_from(tasks.len() - placed).unwrap_or(u64::MAX);
-            record_short(pool, step.job, reserved, left);
+            let left = u32::try_from(tasks.len() - placed).unwrap_or(u32::MAX);
+            record_short(pool, free_capacity, step, left);
             return;
         }
         let is_suspect = pool.suspects.contains(task);
@@ -133,10 +135,8 @@
         return;
     }
     let reserved = spec.reserved();
-    let count = u64::from(spec.tasks);
-    let total = reserved.zip(Resources::ZERO, |amount, _| amount.saturating_mul(count));
-    if !is_allowed(pool, step.job, total) {
-        record_short(pool, step.job, reserved, count);
+    if !is_allowed(pool, step.job, spec.reserved_at_once()) {
+        record_short(pool, free_capacity, step, spec.tasks);
         return;
     }
     let bindings: Vec<Binding> = tasks.iter().map(|task| pool.binding(*task, now)).collect();
@@ -253,11 +253,39 @@
     wanted.fits(&limit)
 }
 
-fn record_short(pool: &mut Pool, job: JobId, reserved: Resources, tasks: u64) {
-    if let Some(team) = pool.jobs.get(&job).and_then(|job| job.record.team.clone()) {
-        *pool.shortfall.entry(team).or_default() +=
-            reserved.zip(Resources::ZERO, |amount, _| amount.saturating_mul(tasks));
+/// Records that the team of a step can't start `tasks` of its tasks, as far as they could be started now: they are within the team's
+/// upper limit, and workers have the capacity. For others the team's share of this pool is not raised, as other pools may use it.
+fn record_short(pool: &mut Pool, free_capacity: &FreeCapacity, id: StepId, tasks: u32) {
+    let Some((job, (spec, _))) = pool
+        .jobs
+        .get(&id.job)
+        .and_then(|job| Some((job, job.step(id)?)))
+    else {
+        return;
+    };
+    let Some(team) = job
+        .record
+        .team
+        .clone()
+        .filter(|_| pool.is_within_cap(job, spec))
+    else {
+        return;
+    };
+    let fitting = free_capacity.room_for(pool, id, spec).min(u64::from(tasks));
+    let each = spec.reserved_at_once();
+    let count = if spec.is_gang() {
+        u64::from(fitting == u64::from(tasks))
+    } else {
+        fitting
+    };
+    if count > 0 {
+        let shortfall = pool.shortfall.entry(team.clone()).or_default();
+        match shortfall.last_mut() {
+            Some(last) if last.each == each => last.count += count,
+            _ => shortfall.push(WantedTasks { each, count }),
+        }
     }
+    pool.limited.insert(team);
 }
 
 type GangStart = (Option<crate::id::RunNumber>, Option<Box<str>>);
--- a/crates/jobs/src/resources/mod.rs
+++ b/crates/jobs/src/resources/mod.rs
@@ -48,6 +48,21 @@
         self.zip(other, u64::max)
     }
 
+    /// `count` times this.
+    #[must_use]
+    pub fn times(self, count: u64) -> Self {
+        self.zip(Self::ZERO, |amount, _| amount.saturating_mul(count))
+    }
+
+    /// How many times `each` fits into this. `u64::MAX` if it is nothing.
+    #[must_use]
+    pub fn multiples_of(self, each: Self) -> u64 {
+        let of_kind = |free: u64, each: u64| free.checked_div(each).unwrap_or(u64::MAX);
+        of_kind(self.cpu_millis, each.cpu_millis)
+            .min(of_kind(self.memory_mb, each.memory_mb))
+            .min(of_kind(self.accelerators, each.accelerators))
+    }
+
     /// `share` hundredths of this.
     #[must_use]
     pub fn percent(self, share: u64) -> Self {
--- a/crates/jobs/src/share/mod.rs
+++ b/crates/jobs/src/share/mod.rs
@@ -12,6 +12,23 @@
 
 use crate::resources::Resources;
 
+/// Tasks of one size that a team could start in a pool if its row allowed it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WantedTasks {
+    /// What each of them reserves: a task, or all members of a gang.
+    pub each: Resources,
+    /// How many there are.
+    pub count: u64,
+}
+
+impl WantedTasks {
+    /// What all of them reserve.
+    #[must_use]
+    pub fn total(&self) -> Resources {
+        self.each.times(self.count)
+    }
+}
+
 /// A team's rows.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Share {
@@ -41,27 +58,32 @@
         self.total().fits(&limit)
     }
 
-    /// Returns the row that a pool should have for its usage and `short` more, as far as the limit allows. All kinds of
-    /// resource grow by the same fraction of `short`: a row that held much of one kind and none of another would
-    /// withhold it from pools that can use it. If all of `short` fits, the row also keeps up to `reserve`.
+    /// Returns the row that a pool should have for its usage and as many of the wanted tasks as the limit allows, the first ones
+    /// first. It grows by whole tasks: what can start no task, as another kind of resource is used up or none is small enough, is left to
+    /// other pools. If all of them fit, the row also keeps up to `reserve`.
     #[must_use]
     pub fn target(
         &self,
         pool: &PoolName,
         used: Resources,
-        short: Resources,
+        wanted: &[WantedTasks],
         reserve: Resources,
         cap: Resources,
     ) -> Resources {
         let others = self.total() - self.row(pool);
         let limit = cap.zip(cap, |cap, _| if cap == 0 { u64::MAX } else { cap });
         let free = limit - others - used;
-        let fraction = fitting_fraction(free, short);
-        let granted = short.zip(short, |short, _| scale(short, fraction));
-        if fraction < WHOLE {
-            return used + granted;
+        let mut granted = Resources::ZERO;
+        let mut is_all = true;
+        for tasks in wanted {
+            let count = tasks.count.min((free - granted).multiples_of(tasks.each));
+            granted += tasks.each.times(count);
+            is_all &= count == tasks.count;
         }
-        used + granted + reserve.zip(free - granted, u64::min)
+        if is_all {
+            granted += reserve.zip(free - granted, u64::min);
+        }
+        used + granted
     }
 
     /// Sets the row of a pool; returns whether it changed.
@@ -75,25 +97,3 @@
         is_changed
     }
 }
-
-/// The denominator of fractions: a fraction of `WHOLE` is all.
-const WHOLE: u64 = 1 << 20;
-
-fn scale(amount: u64, fraction: u64) -> u64 {
-    let scaled = u128::from(amount) * u128::from(fraction) / u128::from(WHOLE);
-    u64::try_from(scaled).unwrap_or(u64::MAX)
-}
-
-/// The largest fraction of `short` that fits into `free`.
-fn fitting_fraction(free: Resources, short: Resources) -> u64 {
-    let of_kind = |free: u64, short: u64| {
-        if short <= free {
-            return WHOLE;
-        }
-        let parts = u128::from(free) * u128::from(WHOLE) / u128::from(short);
-        u64::try_from(parts).unwrap_or(WHOLE)
-    };
-    of_kind(free.cpu_millis, short.cpu_millis)
-        .min(of_kind(free.memory_mb, short.memory_mb))
-        .min(of_kind(free.accelerators, short.accelerators))
-}
--- a/crates/jobs/src/spec/mod.rs
+++ b/crates/jobs/src/spec/mod.rs
@@ -161,6 +161,13 @@
         of_task.saturating_mul(u64::from(tasks))
     }
 
+    /// What the tasks of this step reserve that start together: one task, or all members of a gang.
+    #[must_use]
+    pub fn reserved_at_once(&self) -> Resources {
+        let tasks = if self.is_gang() { self.tasks } else { 1 };
+        self.reserved().times(u64::from(tasks))
+    }
+
     /// What a task of this step reserves on its worker.
     #[must_use]
     pub fn reserved(&self) -> Resources {
--- a/crates/jobs/tests/common/parse.rs
+++ b/crates/jobs/tests/common/parse.rs
@@ -199,6 +199,11 @@
             let job = job.trim_end_matches('0');
             Some(format!("job {job}: step {step} fits no worker"))
         }
+        Event::AboveLimit { job, step, .. } => {
+            let job = job.to_string();
+            let job = job.trim_end_matches('0');
+            Some(format!("job {job}: step {step} above its team's limit"))
+        }
         Event::AttemptsUnknown { job } => Some(format!("job {job}: attempts unknown")),
         Event::CordonsChanged { dcs, workers } => {
             let dcs: Vec<String> = dcs.iter().map(ToString::to_string).collect();
--- a/crates/jobs/tests/share.rs
+++ b/crates/jobs/tests/share.rs
@@ -1,7 +1,7 @@
 //! A team's limit between pools whose demand shifts.
 
 use goldcrest_jobs::resources::Resources;
-use goldcrest_jobs::share::Share;
+use goldcrest_jobs::share::{Share, WantedTasks};
 use goldcrest_types::names::PoolName;
 use quickcheck::quickcheck;
 
@@ -9,6 +9,10 @@
     name.parse().expect("a name")
 }
 
+fn wanted(count: u64, each: Resources) -> WantedTasks {
+    WantedTasks { each, count }
+}
+
 fn amount(cpu_millis: u64, memory_mb: u64) -> Resources {
     Resources {
         cpu_millis,
@@ -31,19 +35,12 @@
     let target = share.target(
         &pool("b"),
         Resources::ZERO,
-        amount(800, 400),
+        &[wanted(400, amount(2, 1))],
         Resources::ZERO,
         CAP,
     );
     // A quarter of the memory is free, so it gets a quarter of both.
-    assert!(
-        target.cpu_millis <= 200 && target.memory_mb <= 100,
-        "{target}"
-    );
-    assert!(
-        target.cpu_millis >= 199 && target.memory_mb >= 99,
-        "{target}"
-    );
+    assert_eq!(target, amount(200, 100));
 }
 
 #[test]
@@ -53,7 +50,7 @@
     let target = share.target(
         &pool("b"),
         Resources::ZERO,
-        amount(20, 0),
+        &[wanted(1, amount(20, 0))],
         amount(100, 100),
         CAP,
     );
@@ -67,13 +64,44 @@
     let target = share.target(
         &pool("a"),
         Resources::ZERO,
-        short,
+        &[wanted(1, short)],
         Resources::ZERO,
         amount(0, 8_000),
     );
     assert_eq!(target, short);
 }
 
+/// Guards against a limit that is granted for tasks which can't start by it, while others can: one task is larger than what is free.
+#[test]
+fn target_leaves_out_what_does_not_fit() {
+    let target = Share::default().target(
+        &pool("a"),
+        amount(100, 100),
+        &[
+            wanted(12, amount(400, 1_600)),
+            wanted(3, amount(100, 50)),
+            wanted(5, amount(300, 300)),
+        ],
+        amount(40, 40),
+        CAP,
+    );
+    assert_eq!(target, amount(100 + 300 + 600, 100 + 150 + 600));
+}
+
+/// Guards against a row that is a little smaller than the task it was raised for.
+#[test]
+fn target_is_whole_tasks() {
+    for count in 1..40 {
+        for each in [amount(97, 1), amount(333, 333), amount(1_000, 10)] {
+            let wanted = [wanted(count, each)];
+            let share = Share::default();
+            let target = share.target(&pool("a"), Resources::ZERO, &wanted, Resources::ZERO, CAP);
+            let fitting = (1_000 / each.cpu_millis).min(count);
+            assert_eq!(target, each.times(fitting), "{count} of {each}");
+        }
+    }
+}
+
 quickcheck! {
     /// Whatever pools use and request, in whatever order they set their rows, the rows stay within the limit.
     fn target_never_passes_the_limit(steps: Vec<(u8, u16, u16, u16, u16)>) -> bool {
@@ -83,8 +111,9 @@
             // What is used was started within the row.
             let row = share.row(&name);
             let used = amount(u64::from(used_cpu), u64::from(used_mb)).zip(row, u64::min);
-            let short = amount(u64::from(short_cpu), u64::from(short_mb));
-            let target = share.target(&name, used, short, amount(40, 40), CAP);
+            let each = amount(u64::from(short_cpu % 64), u64::from(short_mb % 64));
+            let short = [wanted(u64::from(short_cpu), each), wanted(u64::from(short_mb), each)];
+            let target = share.target(&name, used, &short, amount(40, 40), CAP);
             share.set(&name, target);
             if !share.is_within(CAP) || !used.fits(&share.row(&name)) {
                 return false;
