jobs: look for room only where a step may have some

The room for a step whose team is at its limit was counted worker by worker in each plan, also where the demand is known to fit none. RouteId can be parsed, as other ids; the event of a step above its team's limit has a function of its own.

--- a/crates/grid/src/calls/mod.rs
+++ b/crates/grid/src/calls/mod.rs
@@ -197,7 +197,7 @@
         };
         match &call.request {
             Request::Submit(Err(why)) => Reply::Malformed(why.clone()),
-            Request::Submit(Ok(spec)) => self.submit(call, admitted, spec).await,
+            Request::Submit(Ok(spec)) => Box::pin(self.submit(call, admitted, spec)).await,
             Request::Query if admitted.rest.is_empty() => self.count_waiting(&admitted).await,
             Request::Query => self.query_state(&admitted).await,
             Request::Cancel => self.cancel(&admitted).await,
--- a/crates/grid/src/pool/events.rs
+++ b/crates/grid/src/pool/events.rs
@@ -4,6 +4,7 @@
 
 use goldcrest_jobs::id::{JobId, RunNumber, TaskId};
 use goldcrest_jobs::pool::{Event, FoundRun};
+use goldcrest_jobs::resources::Resources;
 use goldcrest_jobs::suspect::{Exposure, UnreportedRun};
 use goldcrest_jobs::worker::millis;
 use goldcrest_types::names::TeamName;
@@ -92,8 +93,22 @@
                 log::info!(target: "scheduler", task:% = task, worker:% = worker, fate:?, pool:% = self.name; "Fate of a lost worker known.");
             }
             Event::GivenUp { task, runs, took } => self.log_given_up(task, &runs, took),
-            Event::Unfit { .. } | Event::AboveLimit { .. } | Event::AttemptsUnknown { .. } => {
-                self.log_waiting(&event);
+            Event::Unfit {
+                job,
+                step,
+                demand,
+                most,
+            } => {
+                log::warn!(target: "scheduler", job:% = job, step, demand:% = demand, most:% = most, pool:% = self.name; "Job waits: no worker could run one of its steps; add a worker with that room and label, or cancel it.");
+            }
+            Event::AboveLimit {
+                job,
+                step,
+                demand,
+                limit,
+            } => self.log_above_limit(job, step, demand, limit),
+            Event::AttemptsUnknown { job } => {
+                log::warn!(target: "scheduler", job:% = job, pool:% = self.name; "Job waits: a task of it has failed, and its queue is not in the catalogue; add the queue again, or cancel the job.");
             }
             Event::CordonsChanged { dcs, workers } => {
                 let dcs: Vec<String> = dcs.iter().map(ToString::to_string).collect();
@@ -114,30 +129,8 @@
         }
     }
 
-    /// Logs why a job waits for its submitter or the operators.
-    fn log_waiting(&self, event: &Event) {
-        match event {
-            Event::Unfit {
-                job,
-                step,
-                demand,
-                most,
-            } => {
-                log::warn!(target: "scheduler", job:% = job, step, demand:% = demand, most:% = most, pool:% = self.name; "Job waits: no worker could run one of its steps; add a worker with that room and label, or cancel it.");
-            }
-            Event::AboveLimit {
-                job,
-                step,
-                demand,
-                limit,
-            } => {
-                log::warn!(target: "scheduler", job:% = job, step, demand:% = demand, limit:% = limit, pool:% = self.name; "Job waits: one of its steps exceeds its team's upper limit; raise the limit, or cancel the job.");
-            }
-            Event::AttemptsUnknown { job } => {
-                log::warn!(target: "scheduler", job:% = job, pool:% = self.name; "Job waits: a task of it has failed, and its queue is not in the catalogue; add the queue again, or cancel the job.");
-            }
-            _ => {}
-        }
+    fn log_above_limit(&self, job: JobId, step: u32, demand: Resources, limit: Resources) {
+        log::warn!(target: "scheduler", job:% = job, step, demand:% = demand, limit:% = limit, pool:% = self.name; "Job waits: one of its steps exceeds its team's upper limit; raise the limit, or cancel the job.");
     }
 
     /// Observes how long a job has waited, if this is its first run.
--- a/crates/jobs/src/id/mod.rs
+++ b/crates/jobs/src/id/mod.rs
@@ -23,6 +23,10 @@
         Job {
             display("the job's id is not {JOB_ID_DIGITS} hexadecimal digits: draw 64 random bits and print them")
         }
+        /// A route's id has another form.
+        Route {
+            display("the route's id is no hexadecimal number: copy it whole from the key of the queue's names")
+        }
         /// A task's id has another form.
         Task {
             display("the task's id is not JOB.OCCURRENCE.STEP.INDEX: copy it whole from where it was printed")
@@ -48,6 +52,15 @@
     }
 }
 
+impl FromStr for RouteId {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, IdError> {
+        let number = u64::from_str_radix(text, 16);
+        number.map(Self).map_err(|_| IdError::Route)
+    }
+}
+
 impl fmt::Display for RouteId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", self.0)
--- a/crates/jobs/src/pool/free_capacity.rs
+++ b/crates/jobs/src/pool/free_capacity.rs
@@ -104,17 +104,25 @@
     #[must_use]
     pub fn room_for(&self, pool: &Pool, id: StepId, step: &Step) -> u64 {
         let demand = step.reserved();
+        if self.is_unfit(demand) {
+            return 0;
+        }
         let on_worker = |candidate: &Candidate| {
-            let worker = pool.workers.get(&candidate.worker)?;
-            let on_worker = tasks_of_step(worker, id);
+            let room = candidate.free.multiples_of(demand);
+            let Some(worker) = pool.workers.get(&candidate.worker).filter(|_| room > 0) else {
+                return 0;
+            };
             let spread = step.spread.map_or(u64::MAX, |most| {
-                u64::from(most).saturating_sub(on_worker as u64)
+                let there = u64::try_from(tasks_of_step(worker, id)).unwrap_or(u64::MAX);
+                u64::from(most).saturating_sub(there)
             });
-            worker
-                .has_required(step)
-                .then(|| candidate.free.multiples_of(demand).min(spread))
+            if worker.has_required(step) {
+                room.min(spread)
+            } else {
+                0
+            }
         };
-        let candidates = self.candidates.iter().filter_map(on_worker);
+        let candidates = self.candidates.iter().map(on_worker);
         candidates.fold(0, u64::saturating_add)
     }
 
