permits: test that the pools of an entry take turns at the service

permits_of_two_pools_are_queried_in_turn plays two pools whose queues state different times, scheduled by one entry. The stand-in counts them.

--- a/crates/grid/tests/entry/permits.rs
+++ b/crates/grid/tests/entry/permits.rs
@@ -4,9 +4,11 @@
 use std::time::Duration;
 
 use goldcrest_grid::calls::Reply;
+use goldcrest_jobs::catalogue::{Catalogue, PoolSpec, Queue};
 use goldcrest_jobs::id::WorkerId;
 use goldcrest_jobs::query_times::QueryTimes;
 use goldcrest_jobs::spec::JobState;
+use tokio::time::sleep;
 
 use crate::common::{Bed, KEY, catalogue_with, catalogue_with_queries, job, local};
 
@@ -67,7 +69,7 @@
         bed.world.permits.valid_for.set(Duration::from_millis(20));
         bed.start_all(&["e1", "e2"]).await;
         assert_eq!(bed.submit("e1", ID, job("", &[2])).await, Reply::Accepted);
-        tokio::time::sleep(Duration::from_secs(2)).await;
+        sleep(Duration::from_secs(2)).await;
         assert!(bed.world.permits.asked.borrow().len() <= 8);
         bed.world.permits.valid_for.set(Duration::from_secs(2));
         bed.wait_for("e2", ID, JobState::Completed, Duration::from_secs(3))
@@ -107,7 +109,7 @@
             .submit("e1", &format!("{id:016x}"), job("", &[2, 1]))
             .await;
         assert_eq!(reply, Reply::Accepted);
-        tokio::time::sleep(interval).await;
+        sleep(interval).await;
     }
 }
 
@@ -168,3 +170,58 @@
     })
     .await;
 }
+
+/// Guards against queries of several pools that wait for each other: the service processes those of one machine in turn, whatever times
+/// their queues state.
+#[tokio::test(start_paused = true)]
+async fn permits_of_two_pools_are_queried_in_turn() {
+    local(async {
+        let bed = Bed::new(6);
+        for number in 1..=6 {
+            bed.add_worker_to("p2", &format!("x{number}"), None);
+        }
+        let base = catalogue_with_queries(2, &[KEY], 0, Some(QUERY_TIMES));
+        let queue = &base.queues()[0];
+        let second = Queue {
+            name: "q2".parse().expect("a name"),
+            prefix: "/q2/".into(),
+            pool: "p2".parse().expect("a name"),
+            permit_queries: Some(QueryTimes {
+                validity: Duration::from_secs(30),
+                ..QUERY_TIMES
+            }),
+            ..queue.clone()
+        };
+        let mut pools = base.pools().to_vec();
+        pools.push(PoolSpec {
+            name: "p2".parse().expect("a name"),
+            ..pools[0].clone()
+        });
+        let teams = base.teams().iter();
+        let teams = teams.map(|team| (team.clone(), vec![Box::from(KEY)]));
+        let queues = vec![queue.clone(), second];
+        bed.world
+            .set_catalogue(Catalogue::new(2, queues, pools, teams.collect()));
+        bed.world.permits.allow_only(&["w1", "w4", "x1", "x4"]);
+        bed.world.permits.delay.set(QUERY_TIMES.decision);
+        let per_worker = &bed.world.permits.delay_per_worker;
+        per_worker.set(QUERY_TIMES.per_worker);
+        bed.start_all(&["e1"]).await;
+        for number in 0..12 {
+            let id = format!("{number:016x}");
+            let queue = ["/q/", "/q2/"][number % 2];
+            let reply = bed.submit_to("e1", queue, &id, job("", &[2, 1])).await;
+            assert_eq!(reply, Reply::Accepted);
+            sleep(Duration::from_millis(100)).await;
+        }
+        sleep(Duration::from_secs(12)).await;
+        for number in 0..12 {
+            let id = format!("{number:016x}");
+            let state = bed.query_at("e1", ["/q/", "/q2/"][number % 2], &id).await;
+            assert_eq!(state, Reply::State(JobState::Completed), "job {number}");
+        }
+        assert_eq!(bed.world.permits.pending_max(), 1);
+        bed.check_once();
+    })
+    .await;
+}
--- a/crates/standin/src/grid/direct.rs
+++ b/crates/standin/src/grid/direct.rs
@@ -579,7 +579,10 @@
             return Err(CallError::Unknown("silent".into()));
         }
         let answered_at = permits.process(workers.len(), Instant::now());
-        if timeout(within, sleep_until(answered_at)).await.is_err() {
+        permits.begin();
+        let answered = timeout(within, sleep_until(answered_at)).await;
+        permits.end();
+        if answered.is_err() {
             return Err(CallError::Unknown("no answer in time".into()));
         }
         Ok(permits.grant(step, workers, Instant::now()))
--- a/crates/standin/src/grid/permits.rs
+++ b/crates/standin/src/grid/permits.rs
@@ -19,6 +19,8 @@
     pub delay: Cell<Duration>,
     /// The further time for each worker that a query names.
     pub delay_per_worker: Cell<Duration>,
+    /// The number of queries that await an answer, and the highest such number so far.
+    pending: Cell<(u32, u32)>,
     /// Until when the queries that have arrived are processed, also those that were given up.
     busy_until: Cell<Option<Instant>>,
     /// The number of further queries that get no answer.
@@ -35,6 +37,7 @@
             valid_for: Cell::new(Duration::from_secs(3)),
             delay: Cell::new(Duration::from_millis(50)),
             delay_per_worker: Cell::default(),
+            pending: Cell::default(),
             busy_until: Cell::default(),
             silent: Cell::new(0),
             asked: RefCell::default(),
@@ -50,6 +53,21 @@
         *self.allowed.borrow_mut() = Some(workers.collect());
     }
 
+    /// The highest number of queries that awaited an answer at the same time.
+    pub fn pending_max(&self) -> u32 {
+        self.pending.get().1
+    }
+
+    pub(crate) fn begin(&self) {
+        let (pending, most) = self.pending.get();
+        self.pending.set((pending + 1, most.max(pending + 1)));
+    }
+
+    pub(crate) fn end(&self) {
+        let (pending, most) = self.pending.get();
+        self.pending.set((pending.saturating_sub(1), most));
+    }
+
     /// Adds a query to those that are processed. Returns when it is answered.
     pub(crate) fn process(&self, workers: usize, now: Instant) -> Instant {
         let workers = u32::try_from(workers).unwrap_or(u32::MAX);
