--- a/crates/grid/tests/entry/common/mod.rs
+++ b/crates/grid/tests/entry/common/mod.rs
@@ -137,6 +137,25 @@
     Catalogue::new(version, Vec::new(), pools, Vec::new())
 }
 
+/// The pools of [`catalogue`] and a second pool `p2` for work.
+pub fn pools_with_second(base: &Catalogue) -> Vec<PoolSpec> {
+    let second = PoolSpec {
+        name: "p2".parse().expect("a name"),
+        ..base.pools()[0].clone()
+    };
+    base.pools().iter().cloned().chain([second]).collect()
+}
+
+/// A queue of the pool `p2`, named `q2`, that is otherwise like `queue`.
+pub fn second_queue(queue: &Queue) -> Queue {
+    Queue {
+        name: "q2".parse().expect("a name"),
+        prefix: "/q2/".into(),
+        pool: "p2".parse().expect("a name"),
+        ..queue.clone()
+    }
+}
+
 /// A step of tasks of one core each.
 pub fn step(tasks: u32) -> Step {
     Step {
--- a/crates/grid/tests/entry/moved_queue.rs
+++ b/crates/grid/tests/entry/moved_queue.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use goldcrest_grid::calls::Reply;
-use goldcrest_jobs::catalogue::{Catalogue, PoolSpec, Queue};
+use goldcrest_jobs::catalogue::{Catalogue, Queue};
 use tokio::time::sleep;
 
-use crate::common::{Bed, KEY, catalogue, job, local};
+use crate::common::{Bed, KEY, catalogue, job, local, pools_with_second};
 
 /// The catalogue of the other tests with a second pool, and its queue in one of both.
 fn two_pools(version: u64, pool: &str) -> Catalogue {
@@ -15,12 +15,7 @@
         pool: pool.parse().expect("a name"),
         ..queue.clone()
     });
-    let mut pools = base.pools().to_vec();
-    pools.push(PoolSpec {
-        name: "p2".parse().expect("a name"),
-        has_admission_control: true,
-        is_spare: false,
-    });
+    let pools = pools_with_second(&base);
     let teams = base.teams().iter();
     let teams = teams.map(|team| (team.clone(), vec![Box::from(KEY)]));
     Catalogue::new(version, queues.collect(), pools, teams.collect())
--- a/crates/grid/tests/entry/permits.rs
+++ b/crates/grid/tests/entry/permits.rs
@@ -4,13 +4,15 @@
 use std::time::Duration;
 
 use goldcrest_grid::calls::Reply;
-use goldcrest_jobs::catalogue::{Catalogue, PoolSpec, Queue};
+use goldcrest_jobs::catalogue::{Catalogue, Queue};
 use goldcrest_jobs::id::WorkerId;
 use goldcrest_jobs::query_times::QueryTimes;
 use goldcrest_jobs::spec::JobState;
 use tokio::time::sleep;
 
-use crate::common::{Bed, KEY, catalogue_with, catalogue_with_queries, job, local};
+use crate::common::{
+    Bed, KEY, catalogue_with, catalogue_with_queries, job, local, pools_with_second, second_queue,
+};
 
 const ID: &str = "00000000000000a1";
 
@@ -113,6 +115,14 @@
     }
 }
 
+async fn check_completed(bed: &Bed, entry: &str, ids: std::ops::Range<u64>, within: Duration) {
+    for id in ids {
+        let id = format!("{id:016x}");
+        bed.wait_for(entry, &id, JobState::Completed, within).await;
+    }
+    bed.check_once();
+}
+
 /// Guards against queries that wait for each other until their permits are useless: a queue that no burst may stop for good.
 #[tokio::test(start_paused = true)]
 async fn permits_backlog_after_burst_is_worked_off() {
@@ -121,12 +131,7 @@
         submit_every(&bed, 1..6, JOB_INTERVAL * 2).await;
         submit_every(&bed, 6..22, JOB_INTERVAL * 10 / 26).await;
         submit_every(&bed, 22..32, JOB_INTERVAL * 2).await;
-        for id in 1..32 {
-            let id = format!("{id:016x}");
-            bed.wait_for("e2", &id, JobState::Completed, Duration::from_secs(5))
-                .await;
-        }
-        bed.check_once();
+        check_completed(&bed, "e2", 1..32, Duration::from_secs(5)).await;
     })
     .await;
 }
@@ -141,12 +146,7 @@
         submit_every(&bed, 4..6, JOB_INTERVAL * 2).await;
         bed.world.permits.delay.set(QUERY_TIMES.decision);
         submit_every(&bed, 6..20, JOB_INTERVAL * 2).await;
-        for id in 1..20 {
-            let id = format!("{id:016x}");
-            bed.wait_for("e2", &id, JobState::Completed, Duration::from_secs(5))
-                .await;
-        }
-        bed.check_once();
+        check_completed(&bed, "e2", 1..20, Duration::from_secs(5)).await;
     })
     .await;
 }
@@ -161,12 +161,7 @@
         let holder = bed.holder();
         bed.kill(&holder);
         let caller = if holder == "e2" { "e1" } else { "e2" };
-        for id in 1..13 {
-            let id = format!("{id:016x}");
-            bed.wait_for(caller, &id, JobState::Completed, Duration::from_secs(15))
-                .await;
-        }
-        bed.check_once();
+        check_completed(&bed, caller, 1..13, Duration::from_secs(15)).await;
     })
     .await;
 }
@@ -183,20 +178,13 @@
         let base = catalogue_with_queries(2, &[KEY], 0, Some(QUERY_TIMES));
         let queue = &base.queues()[0];
         let second = Queue {
-            name: "q2".parse().expect("a name"),
-            prefix: "/q2/".into(),
-            pool: "p2".parse().expect("a name"),
             permit_queries: Some(QueryTimes {
                 validity: Duration::from_secs(30),
                 ..QUERY_TIMES
             }),
-            ..queue.clone()
+            ..second_queue(queue)
         };
-        let mut pools = base.pools().to_vec();
-        pools.push(PoolSpec {
-            name: "p2".parse().expect("a name"),
-            ..pools[0].clone()
-        });
+        let pools = pools_with_second(&base);
         let teams = base.teams().iter();
         let teams = teams.map(|team| (team.clone(), vec![Box::from(KEY)]));
         let queues = vec![queue.clone(), second];
--- a/crates/grid/tests/entry/withheld_share.rs
+++ b/crates/grid/tests/entry/withheld_share.rs
@@ -3,34 +3,23 @@
 use std::time::Duration;
 
 use goldcrest_grid::calls::Reply;
-use goldcrest_jobs::catalogue::{Catalogue, PoolSpec, Queue, Team};
+use goldcrest_jobs::catalogue::{Catalogue, Team};
 use goldcrest_jobs::resources::Resources;
 use goldcrest_jobs::spec::{Feature, JobSpec, JobState};
 use tokio::time::sleep;
 
-use crate::common::{Bed, KEY, catalogue, job, local};
+use crate::common::{Bed, KEY, catalogue, job, local, pools_with_second, second_queue};
 
 /// A catalogue with a second pool `p2` and its queue, whose team has this limit.
 fn two_pools(version: u64, cap: Resources) -> Catalogue {
     let base = catalogue(version, &[KEY], 0);
     let queue = &base.queues()[0];
-    let second = Queue {
-        name: "q2".parse().expect("a name"),
-        prefix: "/q2/".into(),
-        pool: "p2".parse().expect("a name"),
-        ..queue.clone()
-    };
-    let mut pools = base.pools().to_vec();
-    pools.push(PoolSpec {
-        name: "p2".parse().expect("a name"),
-        has_admission_control: true,
-        is_spare: false,
-    });
     let team = Team {
         cap,
         ..base.teams()[0].clone()
     };
-    let queues = vec![queue.clone(), second];
+    let queues = vec![queue.clone(), second_queue(queue)];
+    let pools = pools_with_second(&base);
     Catalogue::new(version, queues, pools, vec![(team, vec![KEY.into()])])
 }
 
@@ -60,8 +49,12 @@
     spec
 }
 
-/// Submits small jobs to both pools, and checks that each is done within a few seconds.
-async fn check_small_jobs_run(bed: &Bed) {
+/// Submits a large job, and then small ones to both pools. Checks that each of these is done within a few seconds.
+async fn check_small_jobs_run_beside(limit: Resources, spec: JobSpec) {
+    let bed = bed(limit).await;
+    let reply = bed.submit("e1", "00000000000000a1", spec).await;
+    assert_eq!(reply, Reply::Accepted);
+    sleep(Duration::from_secs(2)).await;
     for number in 0..4 {
         let id = format!("{number:015x}b");
         let spec = job("ms=300", &[1]);
@@ -84,17 +77,12 @@
 async fn tasks_above_the_limit_hold_no_share() {
     for limit in [cap(0, 3_000), cap(8_000, 3_000), cap(6_000, 20_000)] {
         local(async move {
-            let bed = bed(limit).await;
             let each = if limit.memory_mb < 4_000 {
                 cap(1_000, 4_000)
             } else {
                 cap(7_000, 100)
             };
-            let spec = large(12, each);
-            let reply = bed.submit("e1", "00000000000000a1", spec).await;
-            assert_eq!(reply, Reply::Accepted);
-            sleep(Duration::from_secs(2)).await;
-            check_small_jobs_run(&bed).await;
+            check_small_jobs_run_beside(limit, large(12, each)).await;
         })
         .await;
     }
@@ -104,13 +92,9 @@
 #[tokio::test(start_paused = true)]
 async fn gang_above_the_limit_holds_no_share() {
     local(async {
-        let bed = bed(cap(4_000, 20_000)).await;
         let mut spec = large(6, cap(1_000, 100));
         spec.steps[0].features.push(Feature::Gang);
-        let reply = bed.submit("e1", "00000000000000a1", spec).await;
-        assert_eq!(reply, Reply::Accepted);
-        sleep(Duration::from_secs(2)).await;
-        check_small_jobs_run(&bed).await;
+        check_small_jobs_run_beside(cap(4_000, 20_000), spec).await;
     })
     .await;
 }
