--- a/crates/grid/src/calls/names.rs
+++ b/crates/grid/src/calls/names.rs
@@ -7,9 +7,9 @@
 //!   adds that name.
 //! - The same transaction expects that the job has no status under any of these names.
 //!
-//! So one id is one job on a route whatever its name was, and statuses are looked for under all names. Versions that store no names
-//! accept jobs as well: before a name is added, the names under which statuses are stored and which no queue has any more are added
-//! with it.
+//! So one id is one job on a route whatever its name was, and statuses are looked for under all names. Versions that
+//! store no names accept jobs as well: before a name is added, the names under which statuses are stored and which no
+//! queue has any more are added with it.
 
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
@@ -40,7 +40,7 @@
 }
 
 impl KnownNames {
-    /// Decodes stored names, which a catalogue is in force at.
+    /// Decodes the stored names of a route that were read while `catalogue` was in force.
     fn decode(item: Option<Item>, catalogue: Revision) -> Result<Self, CallError> {
         let revision = item.as_ref().map_or(Revision::ABSENT, |item| item.revision);
         let stored = item.map(|item| keys::decode::<RouteNames>(&item.key, &item.value));
@@ -97,8 +97,8 @@
     }
 }
 
-/// Reads the names of queues once they are in the catalogue, so that the first calls need not wait for them. Runs until the task is
-/// aborted.
+/// Reads the names of queues once they are in the catalogue, so that the first calls need not wait for them. Runs until
+/// the task is aborted.
 pub(crate) async fn run<P: Platform>(entry: Rc<Entry<P>>) {
     let (mut stored, mut newer) = entry.catalogue.follow();
     loop {
--- a/crates/grid/src/pool/commands.rs
+++ b/crates/grid/src/pool/commands.rs
@@ -223,7 +223,8 @@
         known.is_some_and(|known| known.contact == Contact::Responding)
     }
 
-    /// Waits until the start is stored with the job: its task and worker and, if its task is suspect, the run. Returns `false` after [`RECORD_TIMEOUT`].
+    /// Waits until the start is stored with the job: its task and worker and, if its task is suspect, the run. Returns
+    /// `false` after [`RECORD_TIMEOUT`].
     async fn wait_recorded(&self, order: &StartCommand) -> bool {
         let recorded = async {
             loop {
--- a/crates/grid/tests/entry/late_starts.rs
+++ b/crates/grid/tests/entry/late_starts.rs
@@ -133,8 +133,9 @@
     .await;
 }
 
-/// Plays a holder whose starts of a job's four tasks on one worker have no answer, and are carried out after `late_ms`. It is killed, or
-/// kept. The other worker, which was full, has room again; then the first one crashes, and is back just before the starts arrive.
+/// Plays a holder whose starts of a job's four tasks on one worker have no answer, and are carried out after `late_ms`.
+/// It is killed, or kept. The other worker, which was full, has room again; then the first one crashes, and is back
+/// just before the starts arrive.
 async fn play_unanswered_starts(late_ms: u64, is_killed: bool) {
     let bed = bed(2);
     let is_late = Rc::new(Cell::new(false));
@@ -189,8 +190,8 @@
         .await;
 }
 
-/// Guards against tasks on two workers: the successor of a killed scheduler starts them elsewhere, and the killed one's starts are
-/// carried out late, by the next incarnation of their worker.
+/// Guards against tasks on two workers: the successor of a killed scheduler starts them elsewhere, and the killed one's
+/// starts are carried out late, by the next incarnation of their worker.
 #[tokio::test(start_paused = true)]
 async fn unanswered_starts_of_a_predecessor_bind_their_tasks() {
     for late_ms in [3_200, 4_000, 6_000] {
@@ -206,8 +207,8 @@
     }
 }
 
-/// Guards against a successor that does not know where a start may still be executed: each is stored with its task before it is sent, also
-/// that of a later step on a worker which the job has used before.
+/// Guards against a successor that does not know where a start may still be executed: each is stored with its task
+/// before it is sent, also that of a later step on a worker which the job has used before.
 #[tokio::test(start_paused = true)]
 async fn starts_are_stored_before_they_are_sent() {
     local(async {
--- a/crates/grid/tests/entry/permits.rs
+++ b/crates/grid/tests/entry/permits.rs
@@ -166,8 +166,8 @@
     .await;
 }
 
-/// Guards against queries of several pools that wait for each other: the service processes those of one machine in turn, whatever times
-/// their queues state.
+/// Guards against queries of several pools that wait for each other: the service processes those of one machine in
+/// turn, whatever times their queues state.
 #[tokio::test(start_paused = true)]
 async fn permits_of_two_pools_are_queried_in_turn() {
     local(async {
--- a/crates/grid/tests/entry/renamed_queue.rs
+++ b/crates/grid/tests/entry/renamed_queue.rs
@@ -156,8 +156,8 @@
     .await;
 }
 
-/// Guards against a job that runs after its cancellation was answered: the cancellation is stored under one name of its queue, and the
-/// submission, which was under way, is carried out or comes after the queue has got another.
+/// Guards against a job that runs after its cancellation was answered: the cancellation is stored under one name of its
+/// queue, and the submission, which was under way, is carried out or comes after the queue has got another.
 #[tokio::test(start_paused = true)]
 async fn cancellation_before_a_rename_keeps_its_job_out() {
     for late_ms in [None, Some(5_000)] {
--- a/crates/jobs/src/pool/bound.rs
+++ b/crates/jobs/src/pool/bound.rs
@@ -4,9 +4,9 @@
 //! no run. Until that incarnation has answered, nothing can prevent this. So while such a worker is up, the task is
 //! started on no other one: if the worker restarts, the run of the task is over there, and at most the late start is executed.
 //!
-//! The task is started elsewhere if the worker can't execute it: it has departed or is about to, its leases have expired, it
-//! fails what it starts, it answers no start, or it has no capacity. Then the task would not be executed at all. These tasks are placed before others, so
-//! that no other one takes their capacity.
+//! The task is started elsewhere if the worker can't execute it: it has departed or is about to, its leases have
+//! expired, it fails what it starts, it answers no start, or it has no capacity. Then the task would not be executed at
+//! all. These tasks are placed before others, so that no other one takes their capacity.
 
 use std::time::Instant;
 
@@ -18,7 +18,8 @@
 use crate::pool::{Pool, START_ATTEMPTS};
 use crate::worker::{Contact, RunKey, Worker};
 
-/// A task whose starts on a worker were given up this often, each with its copies, is started elsewhere.
+/// Once so many copies of a task's starts on a worker were given up, the task is started elsewhere. A start has up to
+/// [`START_ATTEMPTS`].
 const GIVEN_UP_MAX: u32 = 2 * START_ATTEMPTS;
 
 /// Where a task may be started.
--- a/crates/jobs/src/pool/isolate.rs
+++ b/crates/jobs/src/pool/isolate.rs
@@ -3,11 +3,12 @@
 //! Load pattern: one task of a job crashes each worker that starts it, and dozens of harmless tasks are lost with each
 //! worker. The next crash should cost only an empty worker and name the task that caused it.
 //!
-//! A suspect task is started on an empty worker at once. If there is none, a worker that becomes empty soon is held for it: a part of the
-//! pool at most, and only one that could run this task, which its team may start. A held worker gets no other starts. Once the run of a suspect task has
-//! been executing for a while, others join it. A task that has waited long holds no worker and is placed like any other, on the worker with the most free
-//! capacity: on a pool that keeps losing workers, or is full of long tasks, harmless suspects would not end. A task that
-//! has lost several runs is started alone, if any held worker could run it: the next loss decides about its job.
+//! A suspect task is started on an empty worker at once. If there is none, a worker that becomes empty soon is held for
+//! it: a part of the pool at most, and only one that could run this task, which its team may start. A held worker gets
+//! no other starts. Once the run of a suspect task has been executing for a while, others join it. A task that has
+//! waited long holds no worker and is placed like any other, on the worker with the most free capacity: on a pool that
+//! keeps losing workers, or is full of long tasks, harmless suspects would not end. A task that has lost several runs
+//! is started alone, if any held worker could run it: the next loss decides about its job.
 
 use std::cmp::Reverse;
 use std::collections::BTreeSet;
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -1,10 +1,10 @@
 //! Places idle tasks on workers, in the order of their jobs.
 //!
 //! A task goes to a worker that accepts work, has enough free capacity and the required label, and holds fewer tasks of
-//! the step than the step's spread allows. Among these, workers on the rack of the task's data come first, then those in
-//! the data centre of the job's last start, then the one with the least free processor time. A gang is placed whole or
-//! not at all. A team's usage never exceeds its allowance; what the team could start beyond that, and the pool has room for, is recorded
-//! in `shortfall`.
+//! the step than the step's spread allows. Among these, workers on the rack of the task's data come first, then those
+//! in the data centre of the job's last start, then the one with the least free processor time. A gang is placed whole
+//! or not at all. A team's usage never exceeds its allowance; what the team could start beyond that, and the pool has
+//! room for, is recorded in `shortfall`.
 
 use std::time::Instant;
 
@@ -253,8 +253,9 @@
     wanted.fits(&limit)
 }
 
-/// Records that the team of a step can't start `tasks` of its tasks, as far as they could be started now: they are within the team's
-/// upper limit, and workers have the capacity. For others the team's share of this pool is not raised, as other pools may use it.
+/// Records that the team of a step can't start `tasks` of its tasks, as far as they could be started now: they are
+/// within the team's upper limit, and workers have the capacity. For others the team's share of this pool is not
+/// raised, as other pools may use it.
 fn record_short(pool: &mut Pool, free_capacity: &FreeCapacity, id: StepId, tasks: u32) {
     let Some((job, (spec, _))) = pool
         .jobs
--- a/crates/jobs/src/share/mod.rs
+++ b/crates/jobs/src/share/mod.rs
@@ -58,9 +58,9 @@
         self.total().fits(&limit)
     }
 
-    /// Returns the row that a pool should have for its usage and as many of the wanted tasks as the limit allows, the first ones
-    /// first. It grows by whole tasks: what can start no task, as another kind of resource is used up or none is small enough, is left to
-    /// other pools. If all of them fit, the row also keeps up to `reserve`.
+    /// Returns the row that a pool should have for its usage and as many of the wanted tasks as the limit allows, the
+    /// first ones first. It grows by whole tasks: what can start no task, as another kind of resource is used up or
+    /// none is small enough, is left to other pools. If all of them fit, the row also keeps up to `reserve`.
     #[must_use]
     pub fn target(
         &self,
--- a/crates/jobs/tests/share.rs
+++ b/crates/jobs/tests/share.rs
@@ -71,7 +71,8 @@
     assert_eq!(target, short);
 }
 
-/// Guards against a limit that is granted for tasks which can't start by it, while others can: one task is larger than what is free.
+/// Guards against a limit that is granted for tasks which can't start by it, while others can: one task is larger than
+/// what is free.
 #[test]
 fn target_leaves_out_what_does_not_fit() {
     let target = Share::default().target(
